--- /dev/null
+++ b/cli/ashctl.c
@@ -0,0 +1,372 @@
+/**
+ * @file
+ * ashctl: the command-line tool of operators and testers.
+ */
+#include "cli/send.h"
+#include "common/id.h"
+
+#include <argp.h>
+#include <curl/curl.h>
+#include <jansson.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+const char *argp_program_version = "ashctl " ASH_VERSION;
+
+/* Documented in docs/OPERATING.md. */
+enum exit_code
+{
+  EXIT_OK = 0,
+  EXIT_NOT_RUN = 1,
+  EXIT_USAGE = 2,
+  EXIT_UNKNOWN = 3,
+  EXIT_BROKEN = 4,
+  EXIT_NO_ENTRY = 5,
+};
+
+enum option_key
+{
+  KEY_JSON = 256,
+  KEY_STREAM,
+  KEY_TOKENS,
+  KEY_DATA,
+  KEY_METHOD,
+  KEY_NO_REPEAT,
+  KEY_IDEMPOTENCY,
+  KEY_DEADLINE,
+};
+
+struct arguments
+{
+  const char *entry;
+  const char *key;
+  const char *account;
+  const char *data;
+  const char *method;
+  const char *idempotency_key;
+  unsigned max_tokens;
+  unsigned deadline_ms;
+  bool json;
+  bool stream;
+  bool no_repeat;
+  const char *words[4];
+  unsigned word_count;
+};
+
+static const struct argp_option argp_options[] = {
+  { "entry", 'e', "URL", 0, "any entry (ASHCTL_ENTRY, else http://127.0.0.1:8080)", 0 },
+  { "key", 'k', "KEY", 0, "the account's bearer key (ASHCTL_KEY)", 0 },
+  { "account", 'a', "NAME", 0, "the account (ASHCTL_ACCOUNT)", 0 },
+  { "json", KEY_JSON, NULL, 0, "print one JSON object", 0 },
+  { "stream", KEY_STREAM, NULL, 0, "chat: print the answer as it comes", 0 },
+  { "max-tokens", KEY_TOKENS, "N", 0, "chat: length of the answer", 0 },
+  { "data", KEY_DATA, "TEXT", 0, "call: the body", 0 },
+  { "method", KEY_METHOD, "METHOD", 0, "call: GET, or POST with a body", 0 },
+  { "no-repeat", KEY_NO_REPEAT, NULL, 0, "run at most once", 0 },
+  { "idempotency-key", KEY_IDEMPOTENCY, "KEY", 0, "names the request over several submissions", 0 },
+  { "deadline-ms", KEY_DEADLINE, "MS", 0, "when an answer is of no use any more", 0 },
+  { 0 },
+};
+
+static const char argp_doc[] =
+    "Commands:\n"
+    "  chat MODEL TEXT         send a chat completion\n"
+    "  call SERVICE PATH       call a plain service\n"
+    "  addresses SERVICE       the entries to use for the account\n"
+    "  mint SERVICE            a key for a request that may not be repeated\n"
+    "  status                  what an entry knows of the fleet\n"
+    "  hash KEY                a bearer key's hash, for the published configuration\n"
+    "\vExit status: 0 done; 1 not run; 2 wrong usage; 3 unknown whether it ran; 4 it ran, the "
+    "answer is not whole; 5 no entry answers.";
+
+static unsigned
+parse_number (const char *text, struct argp_state *state)
+{
+  char *end;
+  unsigned long number = strtoul (text, &end, 10);
+
+  if (end == text || *end || *text == '-' || number == 0 || number > 1000000000)
+    argp_error (state, "'%s' is no whole number above 0", text);
+  return (unsigned) number;
+}
+
+static error_t
+parse (int key, char *argument, struct argp_state *state)
+{
+  struct arguments *arguments = state->input;
+
+  switch (key)
+    {
+    case 'e':
+      arguments->entry = argument;
+      break;
+    case 'k':
+      arguments->key = argument;
+      break;
+    case 'a':
+      arguments->account = argument;
+      break;
+    case KEY_JSON:
+      arguments->json = true;
+      break;
+    case KEY_STREAM:
+      arguments->stream = true;
+      break;
+    case KEY_TOKENS:
+      arguments->max_tokens = parse_number (argument, state);
+      break;
+    case KEY_DATA:
+      arguments->data = argument;
+      break;
+    case KEY_METHOD:
+      arguments->method = argument;
+      break;
+    case KEY_NO_REPEAT:
+      arguments->no_repeat = true;
+      break;
+    case KEY_IDEMPOTENCY:
+      arguments->idempotency_key = argument;
+      break;
+    case KEY_DEADLINE:
+      arguments->deadline_ms = parse_number (argument, state);
+      break;
+    case ARGP_KEY_ARG:
+      if (arguments->word_count == 4)
+        argp_error (state, "too many arguments");
+      arguments->words[arguments->word_count++] = argument;
+      break;
+    case ARGP_KEY_END:
+      if (arguments->word_count == 0)
+        argp_error (state, "no command");
+      break;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+  return 0;
+}
+
+/* ---- output ---- */
+
+static enum exit_code
+exit_code_of (const struct ash_cli_answer *answer)
+{
+  if (!answer->connected)
+    return EXIT_NO_ENTRY;
+  if (strcmp (answer->outcome, "not-run") == 0)
+    return EXIT_NOT_RUN;
+  if (strcmp (answer->outcome, "ran") == 0)
+    return answer->whole && answer->status < 500 ? EXIT_OK : EXIT_BROKEN;
+  if (!*answer->outcome && answer->whole && answer->status == 200)
+    return EXIT_OK;
+  return EXIT_UNKNOWN;
+}
+
+static void
+print_json (const struct ash_cli_answer *answer, unsigned submissions)
+{
+  json_t *body = json_loadb (answer->body ? answer->body : "", answer->body_bytes, 0, NULL);
+  json_t *root = json_pack (
+      "{s:i, s:s, s:b, s:s, s:s, s:s, s:i, s:i, s:i}", "status", (int) answer->status, "outcome",
+      answer->outcome, "whole", (int) answer->whole, "entry", answer->entry, "endpoint",
+      answer->endpoint, "request_id", answer->request_id, "wait_ms", (int) answer->wait_ms,
+      "retry_after_ms", (int) answer->retry_ms, "submissions", (int) submissions);
+
+  json_object_set_new (root, "body", body ? body : json_string (answer->body ? answer->body : ""));
+  if (*answer->error)
+    json_object_set_new (root, "error", json_string (answer->error));
+  json_dumpf (root, stdout, JSON_INDENT (2));
+  putchar ('\n');
+  json_decref (root);
+}
+
+static enum exit_code
+print_answer (const struct arguments *arguments,
+              const struct ash_cli_answer *answer,
+              unsigned submissions)
+{
+  if (arguments->json)
+    {
+      print_json (answer, submissions);
+      return exit_code_of (answer);
+    }
+  if (!answer->connected)
+    fprintf (stderr, "ashctl: no entry answers: %s\n", answer->error);
+  else if (answer->body && !arguments->stream)
+    printf ("%s%s", answer->body, answer->body[answer->body_bytes - 1] == '\n' ? "" : "\n");
+  if (*answer->outcome)
+    fprintf (stderr, "ashctl: %s, status %ld, entry %s, endpoint %s, waited %ld ms, submitted %u\n",
+             answer->outcome, answer->status, answer->entry,
+             *answer->endpoint ? answer->endpoint : "-", answer->wait_ms, submissions);
+  if (answer->connected && !answer->whole)
+    fprintf (stderr, "ashctl: the answer is not whole: %s\n", answer->error);
+  return exit_code_of (answer);
+}
+
+/* ---- commands ---- */
+
+static void
+fill_request (const struct arguments *arguments, struct ash_cli_request *request)
+{
+  request->key = arguments->key;
+  request->idempotency_key = arguments->idempotency_key;
+  request->deadline_ms = arguments->deadline_ms;
+  request->no_repeat = arguments->no_repeat;
+  request->echo = arguments->stream && !arguments->json ? stdout : NULL;
+}
+
+static enum exit_code
+run_send (const struct arguments *arguments, struct ash_cli_send *send)
+{
+  struct ash_cli_answer answer;
+  enum exit_code code;
+  unsigned submissions;
+
+  send->entry = arguments->entry;
+  send->account = arguments->account;
+  fill_request (arguments, &send->request);
+  submissions = ash_cli_send (send, &answer);
+  code = print_answer (arguments, &answer, submissions);
+  ash_cli_answer_finish (&answer);
+  return code;
+}
+
+static enum exit_code
+run_chat (const struct arguments *arguments)
+{
+  struct ash_cli_send send = { .service = arguments->words[1], .path = "/v1/chat/completions" };
+  json_t *body =
+      json_pack ("{s:s, s:[{s:s, s:s}], s:b}", "model", arguments->words[1], "messages", "role",
+                 "user", "content", arguments->words[2], "stream", (int) arguments->stream);
+  enum exit_code code;
+  char *text;
+
+  if (arguments->max_tokens)
+    json_object_set_new (body, "max_tokens", json_integer (arguments->max_tokens));
+  text = json_dumps (body, JSON_COMPACT);
+  send.request.method = "POST";
+  send.request.body = text;
+  code = run_send (arguments, &send);
+  free (text);
+  json_decref (body);
+  return code;
+}
+
+static enum exit_code
+run_call (const struct arguments *arguments)
+{
+  char path[2048];
+  struct ash_cli_send send = { .service = arguments->words[1], .path = path };
+  const char *rest = arguments->words[2];
+
+  snprintf (path, sizeof path, "/v1/services/%s%s%s", arguments->words[1], *rest == '/' ? "" : "/",
+            rest);
+  send.request.method = arguments->data ? "POST" : "GET";
+  if (arguments->method)
+    send.request.method = arguments->method;
+  send.request.body = arguments->data;
+  return run_send (arguments, &send);
+}
+
+static enum exit_code
+run_get (const struct arguments *arguments, const char *method, const char *path)
+{
+  char url[512];
+  struct ash_cli_request request = { .url = url, .method = method, .key = arguments->key };
+  struct ash_cli_answer answer;
+  enum exit_code code;
+
+  snprintf (url, sizeof url, "%s%s", arguments->entry, path);
+  ash_cli_fetch (&request, &answer);
+  code = print_answer (arguments, &answer, 1);
+  ash_cli_answer_finish (&answer);
+  return code;
+}
+
+static enum exit_code
+run_addresses (const struct arguments *arguments)
+{
+  char path[256];
+
+  snprintf (path, sizeof path, "/v1/addresses?account=%s&service=%s", arguments->account,
+            arguments->words[1]);
+  return run_get (arguments, "GET", path);
+}
+
+static enum exit_code
+run_mint (const struct arguments *arguments)
+{
+  char path[256];
+
+  snprintf (path, sizeof path, "/v1/keys?service=%s", arguments->words[1]);
+  return run_get (arguments, "POST", path);
+}
+
+static enum exit_code
+run_status (const struct arguments *arguments)
+{
+  return run_get (arguments, "GET", "/v1/status");
+}
+
+static enum exit_code
+run_hash (const struct arguments *arguments)
+{
+  uint8_t hash[ASH_KEY_HASH_BYTES];
+  char hex[2 * ASH_KEY_HASH_BYTES + 1];
+
+  ash_key_hash (arguments->words[1], strlen (arguments->words[1]), hash);
+  sodium_bin2hex (hex, sizeof hex, hash, sizeof hash);
+  printf ("%s\n", hex);
+  return EXIT_OK;
+}
+
+struct command
+{
+  const char *name;
+  unsigned words; /* the command itself included */
+  enum exit_code (*run) (const struct arguments *arguments);
+};
+
+static const struct command commands[] = {
+  { "chat", 3, run_chat }, { "call", 3, run_call },     { "addresses", 2, run_addresses },
+  { "mint", 2, run_mint }, { "status", 1, run_status }, { "hash", 2, run_hash },
+};
+
+static const char *
+from_environment (const char *name, const char *fallback)
+{
+  const char *value = getenv (name);
+
+  return value && *value ? value : fallback;
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp argp = { argp_options, parse, "COMMAND [ARGUMENT...]", argp_doc, NULL,
+                                    NULL,         NULL };
+  struct arguments arguments = {
+    .entry = from_environment ("ASHCTL_ENTRY", "http://127.0.0.1:8080"),
+    .key = from_environment ("ASHCTL_KEY", NULL),
+    .account = from_environment ("ASHCTL_ACCOUNT", ""),
+  };
+  enum exit_code code = EXIT_USAGE;
+
+  argp_err_exit_status = EXIT_USAGE;
+  argp_parse (&argp, argc, argv, 0, NULL, &arguments);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  for (size_t i = 0; i < sizeof commands / sizeof commands[0]; i++)
+    {
+      if (strcmp (commands[i].name, arguments.words[0]) != 0)
+        continue;
+      if (arguments.word_count != commands[i].words)
+        fprintf (stderr, "ashctl: '%s' takes %u argument%s\n", commands[i].name,
+                 commands[i].words - 1, commands[i].words == 2 ? "" : "s");
+      else
+        code = commands[i].run (&arguments);
+      curl_global_cleanup ();
+      return code;
+    }
+  fprintf (stderr, "ashctl: no command '%s'; see ashctl --help\n", arguments.words[0]);
+  return EXIT_USAGE;
+}
--- /dev/null
+++ b/common/events.h
@@ -0,0 +1,48 @@
+/**
+ * @file
+ * The numbered events of the log: number, level, name, and what it means.
+ * docs/EVENTS.md lists the same; a test holds the two together. Numbers are
+ * never used again for something else.
+ */
+#ifndef ASH_EVENTS_H
+#define ASH_EVENTS_H
+
+/* clang-format off */
+#define ASH_EVENT_LIST(X) \
+  X (100, INFO, STARTED,            "the process has started") \
+  X (101, INFO, READY,              "it has a configuration and serves") \
+  X (102, INFO, STOPPING,           "a planned stop has begun") \
+  X (103, INFO, STOPPED,            "the process ends") \
+  X (104, WARN, CUT_SHORT,          "a second signal cut the planned stop short") \
+  X (105, WARN, WOKE,               "the process had been paused") \
+  X (106, ERROR, BAD_SETTINGS,      "the settings have findings") \
+  X (107, ERROR, CANNOT_LISTEN,     "an address can't be listened on") \
+  X (200, INFO, CONFIG_ACCEPTED,    "a configuration is in force") \
+  X (201, WARN, CONFIG_REFUSED,     "a published document has findings; the last accepted one stays") \
+  X (202, WARN, CONFIG_OLDER,       "an older revision than the one in force was offered and ignored") \
+  X (203, WARN, PLATFORM_DOWN,      "the platform does not answer") \
+  X (204, INFO, PLATFORM_UP,        "the platform answers again") \
+  X (300, INFO, LINK_UP,            "a peer link is up") \
+  X (301, INFO, LINK_DOWN,          "a peer link is down") \
+  X (302, WARN, PEER_REFUSED,       "a peer could not prove the fleet key, or broke the protocol") \
+  X (303, INFO, BOX_LEAVING,        "a box is leaving; it gets no new work") \
+  X (304, INFO, NEW_INCARNATION,    "an endpoint's agent has a new life") \
+  X (400, DEBUG, REQUEST_SENT,      "an attempt of a request was sent to an endpoint") \
+  X (401, INFO, REQUEST_ENDED,      "a request got its final answer") \
+  X (402, INFO, REQUEST_RETRIED,    "a request goes to another endpoint") \
+  X (403, DEBUG, REQUEST_RESUMED,   "an answer is asked for again after a cut") \
+  X (500, DEBUG, RUN_STARTED,       "an endpoint started a request") \
+  X (501, DEBUG, RUN_ENDED,         "an endpoint's engine ended a request") \
+  X (502, INFO, RUN_REFUSED,        "an endpoint refused a request") \
+  X (503, INFO, RUN_CANCELLED,      "a request was cancelled at the engine") \
+  X (504, WARN, LEDGER_FULL,        "the ledger has no room; new work is refused")
+/* clang-format on */
+
+#define ASH_EVENT_ENUM(number, level, name, text) ASH_EV_##name = (number),
+enum ash_event
+{
+  ASH_EVENT_LIST (ASH_EVENT_ENUM)
+};
+#undef ASH_EVENT_ENUM
+
+#endif
--- /dev/null
+++ b/common/finding.h
@@ -0,0 +1,47 @@
+/**
+ * @file
+ * Findings: what a check has found wrong, each with its place, collected and
+ * reported together instead of stopping at the first.
+ */
+#ifndef ASH_FINDING_H
+#define ASH_FINDING_H
+
+#include <stdint.h>
+#include <stdio.h>
+
+/** More findings than this are counted, not kept. */
+#define ASH_FINDINGS_MAX 100
+
+/** One thing found wrong. */
+struct ash_finding
+{
+  uint32_t line;   /**< from 1; 0 if the place has no line */
+  char place[128]; /**< the key's path, as `endpoint[3].slots` */
+  char text[256];
+};
+
+/** A list of findings about one file or document. */
+struct ash_findings
+{
+  const char *file; /**< name to print, owned by the caller */
+  uint32_t count;   /**< all found, those not kept included */
+  struct ash_finding *items;
+};
+
+/** Starts an empty list about @p file. */
+void ash_findings_init (struct ash_findings *findings, const char *file);
+
+/** Frees what the list holds. */
+void ash_findings_finish (struct ash_findings *findings);
+
+/** Adds a finding at @p line and @p place. */
+void ash_findings_add (struct ash_findings *findings,
+                       uint32_t line,
+                       const char *place,
+                       const char *format,
+                       ...) __attribute__ ((format (printf, 4, 5)));
+
+/** Prints one `file:line: place: text` a line. */
+void ash_findings_print (const struct ash_findings *findings, FILE *out);
+
+#endif
--- /dev/null
+++ b/controllers/agent.c
@@ -0,0 +1,773 @@
+#include "controllers/agent.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+/* Largest piece of an answer in one message. */
+#define DATA_MAX_BYTES 65536
+
+/* New runs count an eighth in the smoothed time. */
+#define SMOOTHING_SHIFT 3
+#define US_PER_MS 1000
+
+/* What Submit and Resume have in common: who asks for which request. */
+struct asker
+{
+  const char *peer;
+  struct ash_id id;
+  uint64_t attempt;
+  uint32_t caller_attempt;
+  bool keyed;
+  bool minted;
+  bool no_repeat;
+};
+
+void
+ash_agent_init (struct ash_agent *agent,
+                const struct ash_settings *settings,
+                uint64_t incarnation,
+                struct ash_time now,
+                struct ash_sink sink)
+{
+  *agent = (struct ash_agent){
+    .settings = settings, .sink = sink, .incarnation = incarnation, .born = now
+  };
+  ash_random_init (&agent->random, incarnation);
+  ash_config_init (&agent->config);
+  ash_membership_init (&agent->membership);
+  ash_ledger_init (&agent->ledger);
+}
+
+void
+ash_agent_finish (struct ash_agent *agent)
+{
+  ash_ledger_finish (&agent->ledger);
+  ash_membership_finish (&agent->membership);
+  ash_config_finish (&agent->config);
+}
+
+bool
+ash_agent_idle (const struct ash_agent *agent)
+{
+  return agent->ledger.queued_count == 0 && agent->ledger.running_count == 0;
+}
+
+void
+ash_agent_heartbeat (const struct ash_agent *agent, struct Ash__Heartbeat *heartbeat)
+{
+  heartbeat->revision = agent->config.ready ? agent->config.document.revision : 0;
+  heartbeat->leaving = agent->leaving;
+  heartbeat->in_flight = agent->ledger.running_count;
+  heartbeat->queued = agent->ledger.queued_count;
+  heartbeat->step_us = agent->service_us;
+}
+
+/* ---- what is told to an entry ---- */
+
+static void
+tell_refused (struct ash_agent *agent, const struct asker *asker, int reason, int outcome)
+{
+  struct Ash__Refused refused = ASH__REFUSED__INIT;
+  uint32_t base_ms = agent->settings->retry_after_ms;
+
+  refused.id_hi = asker->id.hi;
+  refused.id_lo = asker->id.lo;
+  refused.incarnation = agent->incarnation;
+  refused.attempt = asker->attempt;
+  refused.reason = (Ash__Reason) reason;
+  refused.outcome = (Ash__Outcome) outcome;
+  /* Spread, so that those refused together do not return together. */
+  refused.retry_ms = base_ms + ash_random_below (&agent->random, base_ms);
+  ash_emit (&agent->sink, asker->peer, ASH__EVENT__KIND_REFUSED, &refused);
+}
+
+static void
+tell_head (struct ash_agent *agent,
+           const struct ash_record *record,
+           const char *peer,
+           uint64_t attempt)
+{
+  struct Ash__Head head = ASH__HEAD__INIT;
+
+  head.id_hi = record->id.hi;
+  head.id_lo = record->id.lo;
+  head.incarnation = agent->incarnation;
+  head.attempt = attempt;
+  head.status = record->answer.status;
+  head.content_type = record->answer.content_type ? record->answer.content_type : ash_text ("");
+  head.wait_ms = record->wait_ms;
+  ash_emit (&agent->sink, peer, ASH__EVENT__KIND_HEAD, &head);
+}
+
+/* Sends the kept bytes from that offset on. */
+static void
+tell_data (struct ash_agent *agent,
+           const struct ash_record *record,
+           const char *peer,
+           uint64_t attempt,
+           uint64_t offset)
+{
+  struct Ash__Data data = ASH__DATA__INIT;
+  uint64_t end = record->answer.base + record->answer.length;
+
+  data.id_hi = record->id.hi;
+  data.id_lo = record->id.lo;
+  data.incarnation = agent->incarnation;
+  data.attempt = attempt;
+  while (offset < end)
+    {
+      size_t length = end - offset < DATA_MAX_BYTES ? end - offset : DATA_MAX_BYTES;
+
+      data.offset = offset;
+      data.bytes.data = record->answer.bytes + (offset - record->answer.base);
+      data.bytes.len = length;
+      ash_emit (&agent->sink, peer, ASH__EVENT__KIND_DATA, &data);
+      offset += length;
+    }
+}
+
+static void
+tell_end (struct ash_agent *agent,
+          const struct ash_record *record,
+          const char *peer,
+          uint64_t attempt,
+          bool whole,
+          int reason)
+{
+  struct Ash__End end = ASH__END__INIT;
+
+  end.id_hi = record->id.hi;
+  end.id_lo = record->id.lo;
+  end.incarnation = agent->incarnation;
+  end.attempt = attempt;
+  end.length = record->answer.base + record->answer.length;
+  end.whole = whole;
+  end.reason = (Ash__Reason) reason;
+  ash_emit (&agent->sink, peer, ASH__EVENT__KIND_END, &end);
+}
+
+/* ---- endings ---- */
+
+static struct ash_time
+expiry (const struct ash_agent *agent, struct ash_time now, const struct ash_record *record)
+{
+  return ash_time_add (now,
+                       record->keyed ? agent->settings->key_life_ms : agent->settings->id_life_ms);
+}
+
+/* Whether this life can know of every earlier attempt of the request. Requests
+ * without a key have only the one that is asked about. */
+static bool
+knows_all_attempts (const struct ash_agent *agent, struct ash_time now, const struct asker *asker)
+{
+  if (!asker->keyed || asker->minted || asker->caller_attempt == 1)
+    return true;
+  return ash_time_diff (agent->born, now) >= agent->settings->key_life_ms;
+}
+
+/* Writes the refusal into the ledger, then tells every entry that waits. */
+static void
+refuse_record (struct ash_agent *agent,
+               struct ash_time now,
+               struct ash_record *record,
+               int reason,
+               int outcome)
+{
+  struct ash_watcher *watcher;
+  char id[ASH_ID_TEXT_BYTES];
+
+  record->reason = reason;
+  record->outcome = outcome;
+  ash_ledger_end (&agent->ledger, record, ASH_RECORD_REFUSED, expiry (agent, now, record));
+  ash_id_format (record->id, id);
+  ash_log_event (&agent->log, ASH_EV_RUN_REFUSED, "id=%s reason=%d outcome=%d", id, reason,
+                 outcome);
+  while ((watcher = record->watchers))
+    {
+      struct asker asker = { .peer = watcher->peer, .id = record->id, .attempt = watcher->attempt };
+
+      tell_refused (agent, &asker, reason, outcome);
+      ash_record_unwatch (record, watcher);
+    }
+}
+
+static void
+finish_record (
+    struct ash_agent *agent, struct ash_time now, struct ash_record *record, bool whole, int reason)
+{
+  struct ash_watcher *watcher;
+
+  record->whole = whole;
+  record->reason = reason;
+  ash_ledger_end (&agent->ledger, record, ASH_RECORD_FINISHED, expiry (agent, now, record));
+  while ((watcher = record->watchers))
+    {
+      tell_end (agent, record, watcher->peer, watcher->attempt, whole, reason);
+      ash_record_unwatch (record, watcher);
+    }
+}
+
+static void
+cancel_run (struct ash_agent *agent, struct ash_time now, struct ash_record *record, int reason)
+{
+  struct Ash__EngineCancel cancel = ASH__ENGINE_CANCEL__INIT;
+  char id[ASH_ID_TEXT_BYTES];
+
+  cancel.run = record->run;
+  ash_emit (&agent->sink, "", ASH__EVENT__KIND_ENGINE_CANCEL, &cancel);
+  ash_id_format (record->id, id);
+  ash_log_event (&agent->log, ASH_EV_RUN_CANCELLED, "id=%s reason=%d", id, reason);
+  finish_record (agent, now, record, false, reason);
+}
+
+/* ---- starting ---- */
+
+static uint32_t
+slots (const struct ash_agent *agent)
+{
+  const struct ash_endpoint *endpoint =
+      agent->config.ready ? ash_document_endpoint (&agent->config.document, agent->settings->box)
+                          : NULL;
+
+  return endpoint ? endpoint->slots : agent->settings->slots;
+}
+
+static void
+start_run (struct ash_agent *agent, struct ash_time now, struct ash_record *record)
+{
+  const struct Ash__Submit *submit = record->submit;
+  struct Ash__EngineStart start = ASH__ENGINE_START__INIT;
+  char id[ASH_ID_TEXT_BYTES];
+
+  record->run = ++agent->last_run;
+  record->started = now;
+  record->wait_ms = (uint32_t) ash_time_diff (record->arrived, now);
+  start.run = record->run;
+  start.id_hi = record->id.hi;
+  start.id_lo = record->id.lo;
+  start.method = submit->method;
+  start.path = submit->path;
+  start.content_type = submit->content_type;
+  start.body = submit->body;
+  start.no_repeat = submit->no_repeat;
+  start.priority = submit->priority;
+  ash_emit (&agent->sink, "", ASH__EVENT__KIND_ENGINE_START, &start);
+  ash_ledger_run (&agent->ledger, record);
+  ash_id_format (record->id, id);
+  ash_log_event (&agent->log, ASH_EV_RUN_STARTED, "id=%s wait_ms=%u", id, record->wait_ms);
+}
+
+static void
+start_queued (struct ash_agent *agent, struct ash_time now)
+{
+  while (agent->ledger.queued && agent->ledger.running_count < slots (agent))
+    {
+      struct ash_record *record = agent->ledger.queued;
+
+      if (ash_time_before (now, record->deadline))
+        start_run (agent, now, record);
+      else
+        refuse_record (agent, now, record, ASH__REASON__DEADLINE, record->outcome);
+    }
+}
+
+/* How long a new request of that priority would wait, as far as can be told. */
+static int64_t
+expected_wait_ms (const struct ash_agent *agent, uint32_t priority)
+{
+  const struct ash_record *record;
+  int64_t ahead = 1;
+
+  if (agent->ledger.running_count < slots (agent))
+    return 0;
+  DL_FOREACH (agent->ledger.queued, record)
+  if (record->priority <= priority)
+    ahead++;
+  return ahead * agent->service_us / US_PER_MS / slots (agent);
+}
+
+/* ---- Submit ---- */
+
+/* Why a request that the ledger does not hold can't be taken, or REASON_NONE. */
+static int
+admission (const struct ash_agent *agent,
+           struct ash_time now,
+           const struct asker *asker,
+           const struct Ash__Submit *submit)
+{
+  const struct ash_endpoint *home;
+  int64_t age_ms = ash_time_diff (agent->born, now);
+
+  if (agent->leaving)
+    return ASH__REASON__LEAVING;
+  if (asker->keyed && asker->no_repeat)
+    {
+      if (!knows_all_attempts (agent, now, asker))
+        return ASH__REASON__NEW_LIFE;
+      /* A first attempt may have been on its way to here for guard_ms while a
+       * later one ran in the life before. */
+      if (!asker->minted && age_ms < agent->settings->guard_ms)
+        return ASH__REASON__NEW_LIFE;
+      home = agent->config.ready
+                 ? ash_document_home (&agent->config.document, submit->service, asker->id)
+                 : NULL;
+      if (home && !asker->minted && !submit->moved &&
+          submit->revision <= agent->config.document.revision &&
+          strcmp (home->name, agent->settings->box) != 0)
+        return ASH__REASON__NOT_HOME;
+    }
+  if (agent->ledger.count >= agent->settings->ledger_max)
+    return ASH__REASON__OVERLOAD;
+  if (agent->ledger.queued_count >= agent->settings->queue_max &&
+      agent->ledger.running_count >= slots (agent))
+    return ASH__REASON__OVERLOAD;
+  if (expected_wait_ms (agent, submit->priority) > submit->budget_ms)
+    return ASH__REASON__OVERLOAD;
+  return ASH__REASON__REASON_NONE;
+}
+
+/* A record for the asker, or NULL if nothing can be written any more. */
+static struct ash_record *
+write_record (struct ash_agent *agent, const struct asker *asker)
+{
+  struct ash_record *record;
+
+  /* Refusals must be written too, so they may use twice the room. */
+  if (agent->ledger.count >= 2 * agent->settings->ledger_max)
+    return NULL;
+  record = ash_ledger_add (&agent->ledger, asker->id);
+  if (!record)
+    return NULL;
+  record->keyed = asker->keyed;
+  record->no_repeat = asker->no_repeat;
+  return record;
+}
+
+static void
+refuse_asker (struct ash_agent *agent,
+              struct ash_time now,
+              const struct asker *asker,
+              struct ash_record *record,
+              int reason)
+{
+  bool known = knows_all_attempts (agent, now, asker);
+
+  if (!record)
+    record = write_record (agent, asker);
+  if (!record)
+    {
+      /* A refusal that can't be written must not be told as "not run". */
+      ash_log_event (&agent->log, ASH_EV_LEDGER_FULL, "count=%u", agent->ledger.count);
+      tell_refused (agent, asker, ASH__REASON__OVERLOAD, ASH__OUTCOME__UNKNOWN);
+      return;
+    }
+  if (record->refused_upto < asker->caller_attempt)
+    record->refused_upto = asker->caller_attempt;
+  ash_record_watch (record, asker->peer, asker->attempt);
+  refuse_record (agent, now, record, reason, known ? ASH__OUTCOME__NOT_RUN : ASH__OUTCOME__UNKNOWN);
+}
+
+/* The ledger holds the request: hand over what there is, and what follows. */
+static void
+attach (struct ash_agent *agent,
+        struct ash_record *record,
+        const struct asker *asker,
+        uint64_t offset)
+{
+  if (offset < record->answer.base || offset > record->answer.base + record->answer.length)
+    {
+      tell_end (agent, record, asker->peer, asker->attempt, false, ASH__REASON__ANSWER_GONE);
+      return;
+    }
+  if (record->state != ASH_RECORD_FINISHED)
+    ash_record_watch (record, asker->peer, asker->attempt);
+  if (record->answer.status)
+    tell_head (agent, record, asker->peer, asker->attempt);
+  tell_data (agent, record, asker->peer, asker->attempt, offset);
+  if (record->state == ASH_RECORD_FINISHED)
+    tell_end (agent, record, asker->peer, asker->attempt, record->whole, record->reason);
+}
+
+static struct Ash__Submit *
+copy_submit (const struct Ash__Submit *submit)
+{
+  size_t size = ash__submit__get_packed_size (submit);
+  uint8_t *packed = malloc (size ? size : 1);
+  struct Ash__Submit *copy;
+
+  if (!packed)
+    return NULL;
+  ash__submit__pack (submit, packed);
+  copy = ash__submit__unpack (NULL, size, packed);
+  free (packed);
+  return copy;
+}
+
+static void
+admit (struct ash_agent *agent,
+       struct ash_time now,
+       const struct asker *asker,
+       struct ash_record *record,
+       const struct Ash__Submit *submit)
+{
+  int reason = admission (agent, now, asker, submit);
+
+  if (reason != ASH__REASON__REASON_NONE)
+    {
+      refuse_asker (agent, now, asker, record, reason);
+      return;
+    }
+  if (!record)
+    record = write_record (agent, asker);
+  if (record)
+    record->submit = copy_submit (submit);
+  if (!record || !record->submit)
+    {
+      refuse_asker (agent, now, asker, record, ASH__REASON__OVERLOAD);
+      return;
+    }
+  record->priority = submit->priority;
+  record->arrived = now;
+  record->deadline = ash_time_add (now, submit->budget_ms);
+  /* Should it have to be refused from the queue, this is what can be said. */
+  record->outcome =
+      knows_all_attempts (agent, now, asker) ? ASH__OUTCOME__NOT_RUN : ASH__OUTCOME__UNKNOWN;
+  record->refused_upto = asker->caller_attempt;
+  ash_record_watch (record, asker->peer, asker->attempt);
+  ash_ledger_queue (&agent->ledger, record);
+  start_queued (agent, now);
+}
+
+static void
+handle_submit (struct ash_agent *agent,
+               struct ash_time now,
+               const char *peer,
+               const struct Ash__Submit *submit)
+{
+  struct asker asker = {
+    .peer = peer,
+    .id = { submit->id_hi, submit->id_lo },
+    .attempt = submit->attempt,
+    .caller_attempt = submit->caller_attempt,
+    .keyed = submit->keyed,
+    .minted = submit->minted,
+    .no_repeat = submit->no_repeat,
+  };
+  struct ash_record *record = ash_ledger_find (&agent->ledger, asker.id);
+
+  if (submit->incarnation != agent->incarnation)
+    {
+      /* Every copy names that earlier life, so none can run here: nothing needs
+       * to be written. But the life it was meant for may have run it. */
+      tell_refused (agent, &asker, ASH__REASON__STALE_INCARNATION, ASH__OUTCOME__UNKNOWN);
+      return;
+    }
+  if (!record)
+    {
+      admit (agent, now, &asker, NULL, submit);
+      return;
+    }
+  if (record->state != ASH_RECORD_REFUSED)
+    {
+      /* The same frame again: its answer is on its way already. */
+      if (ash_record_watcher (record, peer, asker.attempt))
+        return;
+      if (record->refused_upto < asker.caller_attempt)
+        record->refused_upto = asker.caller_attempt;
+      attach (agent, record, &asker, 0);
+    }
+  else if (record->keyed && asker.caller_attempt > record->refused_upto)
+    {
+      ash_ledger_revive (&agent->ledger, record);
+      admit (agent, now, &asker, record, submit);
+    }
+  else
+    tell_refused (agent, &asker, ASH__REASON__REFUSED_BEFORE, record->outcome);
+}
+
+static void
+handle_resume (struct ash_agent *agent,
+               struct ash_time now,
+               const char *peer,
+               const struct Ash__Resume *resume)
+{
+  struct asker asker = {
+    .peer = peer,
+    .id = { resume->id_hi, resume->id_lo },
+    .attempt = resume->attempt,
+    .caller_attempt = resume->caller_attempt,
+    .keyed = resume->keyed,
+    .minted = resume->minted,
+    .no_repeat = resume->no_repeat,
+  };
+  struct ash_record *record = ash_ledger_find (&agent->ledger, asker.id);
+
+  if (resume->incarnation != agent->incarnation)
+    tell_refused (agent, &asker, ASH__REASON__STALE_INCARNATION, ASH__OUTCOME__UNKNOWN);
+  else if (!record)
+    refuse_asker (agent, now, &asker, NULL, ASH__REASON__NOT_RECEIVED);
+  else if (record->state == ASH_RECORD_REFUSED)
+    tell_refused (agent, &asker, ASH__REASON__REFUSED_BEFORE, record->outcome);
+  else
+    attach (agent, record, &asker, resume->offset);
+}
+
+/* ---- other messages ---- */
+
+static bool
+may_cancel_at_once (const struct ash_record *record)
+{
+  /* With a key the caller may still come back for it through another entry. */
+  return !record->keyed;
+}
+
+static void
+lose_watcher (struct ash_agent *agent, struct ash_time now, struct ash_record *record, bool cancel)
+{
+  if (record->watchers)
+    return;
+  if (cancel && may_cancel_at_once (record))
+    {
+      if (record->state == ASH_RECORD_QUEUED)
+        refuse_record (agent, now, record, ASH__REASON__CANCELLED, record->outcome);
+      else
+        cancel_run (agent, now, record, ASH__REASON__CANCELLED);
+    }
+  else
+    record->orphan_since = now;
+}
+
+static void
+handle_cancel (struct ash_agent *agent,
+               struct ash_time now,
+               const char *peer,
+               const struct Ash__Cancel *cancel)
+{
+  struct ash_id id = { cancel->id_hi, cancel->id_lo };
+  struct ash_record *record = ash_ledger_find (&agent->ledger, id);
+  struct ash_watcher *watcher;
+
+  if (cancel->incarnation != agent->incarnation || !record)
+    return;
+  /* A late cancel of an earlier attempt must not end a later one. */
+  watcher = ash_record_watcher (record, peer, cancel->attempt);
+  if (!watcher)
+    return;
+  ash_record_unwatch (record, watcher);
+  lose_watcher (agent, now, record, true);
+  start_queued (agent, now);
+}
+
+static void
+drop_peer (struct ash_agent *agent, struct ash_time now, struct ash_record *list, const char *peer)
+{
+  struct ash_record *record;
+
+  DL_FOREACH (list, record)
+  if (ash_record_unwatch_box (record, peer))
+    lose_watcher (agent, now, record, false);
+}
+
+static void
+handle_link_down (struct ash_agent *agent, struct ash_time now, const char *peer)
+{
+  ash_membership_link_down (&agent->membership, peer);
+  drop_peer (agent, now, agent->ledger.queued, peer);
+  drop_peer (agent, now, agent->ledger.running, peer);
+}
+
+static void
+handle_disown (struct ash_agent *agent,
+               struct ash_time now,
+               const char *peer,
+               const struct Ash__Disown *disown)
+{
+  struct asker asker = { .peer = peer, .id = { disown->id_hi, disown->id_lo }, .keyed = true };
+  struct ash_record *record = ash_ledger_find (&agent->ledger, asker.id);
+  struct Ash__Disowned disowned = ASH__DISOWNED__INIT;
+
+  disowned.id_hi = disown->id_hi;
+  disowned.id_lo = disown->id_lo;
+  disowned.incarnation = agent->incarnation;
+  disowned.attempt = disown->attempt;
+  disowned.unsure = ash_time_diff (agent->born, now) < agent->settings->key_life_ms;
+  if (!record)
+    {
+      record = write_record (agent, &asker);
+      /* Without a record it could still run here: the other home must not. */
+      disowned.has_it = record == NULL;
+      if (record)
+        {
+          record->refused_upto = UINT32_MAX;
+          refuse_record (agent, now, record, ASH__REASON__NOT_HOME, ASH__OUTCOME__UNKNOWN);
+        }
+    }
+  else if (record->state == ASH_RECORD_REFUSED)
+    record->refused_upto = UINT32_MAX;
+  else
+    disowned.has_it = true;
+  ash_emit (&agent->sink, peer, ASH__EVENT__KIND_DISOWNED, &disowned);
+}
+
+static void
+handle_engine_head (struct ash_agent *agent, const struct Ash__EngineHead *head)
+{
+  struct ash_record *record = ash_ledger_find_run (&agent->ledger, head->run);
+  struct ash_watcher *watcher;
+
+  if (!record || record->answer.status)
+    return;
+  record->answer.status = head->status;
+  record->answer.content_type = strdup (head->content_type);
+  LL_FOREACH (record->watchers, watcher)
+  tell_head (agent, record, watcher->peer, watcher->attempt);
+}
+
+static void
+handle_engine_data (struct ash_agent *agent,
+                    struct ash_time now,
+                    const struct Ash__EngineData *data)
+{
+  struct ash_record *record = ash_ledger_find_run (&agent->ledger, data->run);
+  struct ash_watcher *watcher;
+  uint64_t offset;
+
+  if (!record)
+    return;
+  offset = record->answer.base + record->answer.length;
+  if (!ash_answer_append (&record->answer, data->bytes.data, data->bytes.len,
+                          agent->settings->answer_keep_bytes))
+    {
+      cancel_run (agent, now, record, ASH__REASON__ANSWER_TOO_LARGE);
+      return;
+    }
+  LL_FOREACH (record->watchers, watcher)
+  tell_data (agent, record, watcher->peer, watcher->attempt, offset);
+}
+
+static void
+handle_engine_end (struct ash_agent *agent, struct ash_time now, const struct Ash__EngineEnd *end)
+{
+  struct ash_record *record = ash_ledger_find_run (&agent->ledger, end->run);
+  uint32_t took_us;
+
+  if (!record)
+    return;
+  if (end->not_started)
+    refuse_record (agent, now, record, ASH__REASON__ENDPOINT_FAILED, record->outcome);
+  else
+    {
+      took_us = (uint32_t) ash_time_diff (record->started, now) * US_PER_MS;
+      if (!agent->service_us)
+        agent->service_us = took_us;
+      else
+        agent->service_us += (int32_t) (took_us - agent->service_us) / (1 << SMOOTHING_SHIFT);
+      finish_record (agent, now, record, end->whole,
+                     end->whole ? ASH__REASON__REASON_NONE : ASH__REASON__ENDPOINT_FAILED);
+    }
+  start_queued (agent, now);
+}
+
+static bool
+is_orphan (const struct ash_agent *agent, struct ash_time now, const struct ash_record *record)
+{
+  uint32_t grace_ms = record->keyed ? agent->settings->keyed_orphan_ms : agent->settings->orphan_ms;
+
+  return !ash_time_before (now, ash_time_add (record->orphan_since, grace_ms));
+}
+
+static void
+check_queued (struct ash_agent *agent, struct ash_time now)
+{
+  struct ash_record *record;
+  struct ash_record *next;
+
+  DL_FOREACH_SAFE (agent->ledger.queued, record, next)
+  {
+    if (is_orphan (agent, now, record))
+      refuse_record (agent, now, record, ASH__REASON__CANCELLED, record->outcome);
+    else if (!ash_time_before (now, record->deadline))
+      refuse_record (agent, now, record, ASH__REASON__DEADLINE, record->outcome);
+  }
+}
+
+static void
+check_running (struct ash_agent *agent, struct ash_time now)
+{
+  struct ash_record *record;
+  struct ash_record *next;
+
+  DL_FOREACH_SAFE (agent->ledger.running, record, next)
+  {
+    /* Work of a caller's key that nobody waits for gets the orphan's grace
+     * past its deadline: the caller may come for the answer. */
+    struct ash_time late = record->keyed
+                               ? ash_time_add (record->deadline, agent->settings->keyed_orphan_ms)
+                               : record->deadline;
+
+    if (is_orphan (agent, now, record))
+      cancel_run (agent, now, record, ASH__REASON__CANCELLED);
+    else if (!ash_time_before (now, late))
+      cancel_run (agent, now, record, ASH__REASON__DEADLINE);
+  }
+}
+
+static void
+handle_tick (struct ash_agent *agent, struct ash_time now)
+{
+  check_queued (agent, now);
+  check_running (agent, now);
+  ash_ledger_expire (&agent->ledger, now, agent->settings->answers_keep_bytes);
+  start_queued (agent, now);
+}
+
+void
+ash_agent_handle (struct ash_agent *agent, struct ash_time now, const struct Ash__Event *event)
+{
+  const char *peer = event->peer;
+
+  switch (event->kind_case)
+    {
+    case ASH__EVENT__KIND_SUBMIT:
+      handle_submit (agent, now, peer, event->submit);
+      break;
+    case ASH__EVENT__KIND_RESUME:
+      handle_resume (agent, now, peer, event->resume);
+      break;
+    case ASH__EVENT__KIND_CANCEL:
+      handle_cancel (agent, now, peer, event->cancel);
+      break;
+    case ASH__EVENT__KIND_DISOWN:
+      handle_disown (agent, now, peer, event->disown);
+      break;
+    case ASH__EVENT__KIND_HEARTBEAT:
+      ash_membership_heartbeat (&agent->membership, peer, event->heartbeat);
+      break;
+    case ASH__EVENT__KIND_LINK_UP:
+      ash_membership_link_up (&agent->membership, now, peer, (int) event->link_up->role,
+                              event->link_up->incarnation);
+      break;
+    case ASH__EVENT__KIND_LINK_DOWN:
+      handle_link_down (agent, now, peer);
+      break;
+    case ASH__EVENT__KIND_ENGINE_HEAD:
+      handle_engine_head (agent, event->engine_head);
+      break;
+    case ASH__EVENT__KIND_ENGINE_DATA:
+      handle_engine_data (agent, now, event->engine_data);
+      break;
+    case ASH__EVENT__KIND_ENGINE_END:
+      handle_engine_end (agent, now, event->engine_end);
+      break;
+    case ASH__EVENT__KIND_TICK:
+      handle_tick (agent, now);
+      break;
+    case ASH__EVENT__KIND_STOP:
+      agent->leaving = true;
+      break;
+    default:
+      /* Everything else is for entries, or the daemon's own. */
+      break;
+    }
+}
--- /dev/null
+++ b/controllers/config.c
@@ -0,0 +1,160 @@
+#include "controllers/config.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define MS_PER_S 1000
+
+void
+ash_config_init (struct ash_config *config)
+{
+  *config = (struct ash_config){ 0 };
+}
+
+void
+ash_config_finish (struct ash_config *config)
+{
+  for (uint32_t i = 0; i < config->past_count; i++)
+    ash_document_finish (&config->past[i].document);
+  ash_document_finish (&config->document);
+  free (config->text);
+  *config = (struct ash_config){ 0 };
+}
+
+static void
+drop_oldest (struct ash_config *config)
+{
+  ash_document_finish (&config->past[0].document);
+  config->past_count--;
+  memmove (&config->past[0], &config->past[1], config->past_count * sizeof config->past[0]);
+}
+
+static bool
+same_endpoints (const struct ash_document *a, const struct ash_document *b)
+{
+  if (a->endpoint_count != b->endpoint_count)
+    return false;
+  for (uint32_t i = 0; i < a->endpoint_count; i++)
+    if (strcmp (a->endpoints[i].name, b->endpoints[i].name) != 0 ||
+        strcmp (a->endpoints[i].service, b->endpoints[i].service) != 0)
+      return false;
+  return true;
+}
+
+/* Accounts are most of a document and never asked for again. */
+static void
+forget_accounts (struct ash_document *document)
+{
+  free (document->accounts);
+  free (document->account_slots);
+  document->accounts = NULL;
+  document->account_slots = NULL;
+  document->account_count = 0;
+}
+
+static void
+remember (struct ash_config *config, struct ash_time now, int64_t keep_ms)
+{
+  struct ash_config_past *past;
+
+  while (config->past_count && ash_time_diff (config->past[0].until, now) > keep_ms)
+    drop_oldest (config);
+  if (config->past_count == ASH_CONFIG_HISTORY_MAX)
+    {
+      /* More changes than are kept: from here back, homes are not known. */
+      config->known_since = config->past[0].until;
+      drop_oldest (config);
+    }
+  past = &config->past[config->past_count++];
+  past->document = config->document;
+  past->until = now;
+  forget_accounts (&past->document);
+}
+
+enum ash_config_result
+ash_config_offer (struct ash_config *config,
+                  struct ash_time now,
+                  uint64_t revision,
+                  const char *text,
+                  size_t text_bytes,
+                  int64_t keep_ms,
+                  struct ash_findings *findings)
+{
+  struct ash_document document;
+  char *copy;
+
+  if (config->ready && revision < config->document.revision)
+    return ASH_CONFIG_OLDER;
+  if (config->ready && revision == config->document.revision)
+    return ASH_CONFIG_SAME;
+  if (revision == config->refused_revision)
+    return ASH_CONFIG_SAME;
+  ash_document_init (&document, revision, text, text_bytes, findings);
+  copy = findings->count == 0 ? malloc (text_bytes + 1) : NULL;
+  if (!copy)
+    {
+      ash_document_finish (&document);
+      config->refused_revision = revision;
+      return ASH_CONFIG_REFUSED;
+    }
+  memcpy (copy, text, text_bytes);
+  copy[text_bytes] = '\0';
+  free (config->text);
+  config->text = copy;
+  config->text_bytes = text_bytes;
+  if (!config->ready)
+    config->known_since = now;
+  else if (same_endpoints (&config->document, &document))
+    ash_document_finish (&config->document);
+  else
+    remember (config, now, keep_ms);
+  config->document = document;
+  config->ready = true;
+  return ASH_CONFIG_ACCEPTED;
+}
+
+bool
+ash_config_knows_homes (const struct ash_config *config,
+                        const char *service_name,
+                        struct ash_time now,
+                        int64_t unix_s,
+                        int64_t life_ms)
+{
+  /* The oldest document that is known here states how far back it holds. */
+  const struct ash_document *oldest =
+      config->past_count ? &config->past[0].document : &config->document;
+  const struct ash_service *service = ash_document_service (oldest, service_name);
+
+  if (ash_time_diff (config->known_since, now) >= life_ms)
+    return true;
+  if (!service || !service->homes_since_s)
+    return false;
+  return (unix_s - (int64_t) service->homes_since_s) * MS_PER_S >= life_ms;
+}
+
+uint32_t
+ash_config_past_homes (const struct ash_config *config,
+                       const char *service,
+                       struct ash_id id,
+                       struct ash_time now,
+                       int64_t life_ms,
+                       const char *homes[ASH_CONFIG_HISTORY_MAX])
+{
+  const struct ash_endpoint *present = ash_document_home (&config->document, service, id);
+  uint32_t count = 0;
+
+  for (uint32_t i = config->past_count; i > 0; i--)
+    {
+      const struct ash_config_past *past = &config->past[i - 1];
+      const struct ash_endpoint *home = ash_document_home (&past->document, service, id);
+      bool known = !home || (present && strcmp (home->name, present->name) == 0);
+
+      if (ash_time_diff (past->until, now) > life_ms)
+        break;
+      for (uint32_t j = 0; !known && j < count; j++)
+        known = strcmp (homes[j], home->name) == 0;
+      if (!known)
+        homes[count++] = home->name;
+    }
+  return count;
+}
--- /dev/null
+++ b/controllers/membership.c
@@ -0,0 +1,143 @@
+#include "controllers/membership.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void
+ash_membership_init (struct ash_membership *membership)
+{
+  membership->boxes = NULL;
+}
+
+void
+ash_membership_finish (struct ash_membership *membership)
+{
+  struct ash_box *box;
+  struct ash_box *next;
+
+  HASH_ITER (hh, membership->boxes, box, next)
+  {
+    HASH_DEL (membership->boxes, box);
+    free (box);
+  }
+}
+
+struct ash_box *
+ash_membership_find (const struct ash_membership *membership, const char *name)
+{
+  struct ash_box *box;
+
+  HASH_FIND_STR (membership->boxes, name, box);
+  return box;
+}
+
+static struct ash_box *
+find_or_add (struct ash_membership *membership, const char *name)
+{
+  struct ash_box *box = ash_membership_find (membership, name);
+
+  if (box || strlen (name) >= ASH_NAME_BYTES)
+    return box;
+  box = calloc (1, sizeof *box);
+  if (!box)
+    return NULL;
+  strcpy (box->name, name);
+  HASH_ADD_STR (membership->boxes, name, box);
+  return box;
+}
+
+bool
+ash_membership_link_up (struct ash_membership *membership,
+                        struct ash_time now,
+                        const char *name,
+                        int role,
+                        uint64_t incarnation)
+{
+  struct ash_box *box = find_or_add (membership, name);
+  bool is_new;
+
+  if (!box)
+    return false;
+  is_new = box->incarnation != incarnation;
+  box->linked = true;
+  box->role = role;
+  if (is_new)
+    {
+      box->incarnation = incarnation;
+      box->learned = now;
+      box->reported = 0;
+    }
+  return is_new;
+}
+
+void
+ash_membership_link_down (struct ash_membership *membership, const char *name)
+{
+  struct ash_box *box = ash_membership_find (membership, name);
+
+  if (box)
+    box->linked = false;
+}
+
+bool
+ash_box_leaving (const struct ash_box *box)
+{
+  if (box->leaving_incarnation && box->leaving_incarnation == box->incarnation)
+    return true;
+  /* The list lags: when a box comes back with a new life, its old entry in the
+   * list says nothing about that one. */
+  return box->listed_leaving && box->listed_incarnation == box->incarnation;
+}
+
+bool
+ash_box_usable (const struct ash_box *box)
+{
+  return box->linked && !ash_box_leaving (box);
+}
+
+static bool
+set_leaving (struct ash_box *box, uint64_t incarnation)
+{
+  if (!box || !incarnation || box->leaving_incarnation == incarnation)
+    return false;
+  /* Hearsay of a life that is not the present one must not replace it. */
+  if (box->incarnation && box->incarnation != incarnation)
+    return false;
+  box->leaving_incarnation = incarnation;
+  return true;
+}
+
+uint32_t
+ash_membership_heartbeat (struct ash_membership *membership,
+                          const char *name,
+                          const struct Ash__Heartbeat *heartbeat)
+{
+  struct ash_box *box = find_or_add (membership, name);
+  uint32_t changes = 0;
+
+  if (!box)
+    return 0;
+  box->revision = heartbeat->revision;
+  box->reported = heartbeat->in_flight + heartbeat->queued;
+  box->step_us = heartbeat->step_us;
+  if (heartbeat->leaving)
+    changes += set_leaving (box, box->incarnation);
+  for (size_t i = 0; i < heartbeat->n_leaving_boxes && i < heartbeat->n_leaving_incarnations; i++)
+    {
+      box = ash_membership_find (membership, heartbeat->leaving_boxes[i]);
+      changes += set_leaving (box, heartbeat->leaving_incarnations[i]);
+    }
+  return changes;
+}
+
+bool
+ash_membership_listed (struct ash_membership *membership, const char *name, bool leaving)
+{
+  struct ash_box *box = ash_membership_find (membership, name);
+
+  if (!box || box->listed_leaving == leaving)
+    return false;
+  box->listed_leaving = leaving;
+  box->listed_incarnation = leaving ? box->incarnation : 0;
+  return true;
+}
--- /dev/null
+++ b/controllers/membership.h
@@ -0,0 +1,74 @@
+/**
+ * @file
+ * What this process knows of the other boxes: whether a link is up, to which
+ * life, and whether the box is leaving. Evidence is a box's own word, a peer's
+ * word, or the platform's lagging list; each counts on its own.
+ */
+#ifndef ASH_MEMBERSHIP_H
+#define ASH_MEMBERSHIP_H
+
+#include "common/clock.h"
+#include "options/option.h"
+#include "proto/ash.pb-c.h"
+
+#include <uthash.h>
+
+/** A box as seen from here. */
+struct ash_box
+{
+  char name[ASH_NAME_BYTES];
+  int role;                     /**< enum Ash__Role */
+  bool linked;                  /**< a link to it is up */
+  uint64_t incarnation;         /**< the last known; 0: none yet */
+  struct ash_time learned;      /**< when this incarnation was learned */
+  uint64_t leaving_incarnation; /**< the life that is leaving; 0: none */
+  bool listed_leaving;          /**< by the platform's list, which names no life */
+  uint64_t listed_incarnation;  /**< the life known when the list said so */
+  uint64_t revision;            /**< configuration it has in force */
+  uint64_t offered;             /**< the last revision that it was sent from here */
+  uint32_t reported;            /**< in flight and queued, as it last said */
+  uint32_t step_us;
+  uint32_t in_flight; /**< of this process at that box */
+  UT_hash_handle hh;
+};
+
+/** All boxes known here. */
+struct ash_membership
+{
+  struct ash_box *boxes;
+};
+
+void ash_membership_init (struct ash_membership *membership);
+void ash_membership_finish (struct ash_membership *membership);
+
+/** @return the box, or NULL if it was never heard of. */
+struct ash_box *ash_membership_find (const struct ash_membership *membership, const char *name);
+
+/** A link to the box is up. @return whether its incarnation is new here. */
+bool ash_membership_link_up (struct ash_membership *membership,
+                             struct ash_time now,
+                             const char *name,
+                             int role,
+                             uint64_t incarnation);
+
+/** The link is down. What was known otherwise stays. */
+void ash_membership_link_down (struct ash_membership *membership, const char *name);
+
+/**
+ * Takes in a heartbeat, hearsay about leaving boxes included.
+ * @return how many boxes are newly known to be leaving.
+ */
+uint32_t ash_membership_heartbeat (struct ash_membership *membership,
+                                   const char *name,
+                                   const struct Ash__Heartbeat *heartbeat);
+
+/** The platform's list names a box as leaving, or no longer does. @return whether that is new. */
+bool ash_membership_listed (struct ash_membership *membership, const char *name, bool leaving);
+
+/** @return whether the present life of the box is leaving. */
+bool ash_box_leaving (const struct ash_box *box);
+
+/** @return whether the box may be sent new work: linked and not leaving. */
+bool ash_box_usable (const struct ash_box *box);
+
+#endif
--- /dev/null
+++ b/daemon/api.c
@@ -0,0 +1,506 @@
+#include "daemon/api.h"
+
+#include "controllers/addresses.h"
+#include "filters/minted_key.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define BEARER "Bearer "
+#define SERVICES_PATH "/v1/services/"
+#define MS_PER_S 1000
+#define JSON_TYPE "application/json"
+#define IDEMPOTENCY_KEY_MAX 200
+
+/* ---- answers ---- */
+
+static void
+reply_json (struct ash_api *api,
+            uint64_t number,
+            uint32_t status,
+            struct ash_http_headers *headers,
+            json_t *body)
+{
+  char *text = json_dumps (body, JSON_COMPACT);
+
+  ash_http_headers_add (headers, "Content-Type", JSON_TYPE);
+  if (api->entry->leaving)
+    ash_http_headers_add (headers, "Connection", "close");
+  ash_http_reply (&api->server, number, status, headers, (const uint8_t *) (text ? text : "{}"),
+                  text ? strlen (text) : 2);
+  free (text);
+  json_decref (body);
+}
+
+static json_t *
+error_body (int reason, const char *message, const char *id, const char *outcome, uint32_t retry_ms)
+{
+  uint32_t status = ash_entry_status (reason);
+  const char *type = status < 500 && status != 429 ? "invalid_request_error" : "server_error";
+
+  if (status == 429)
+    type = "rate_limit_error";
+  return json_pack ("{s:{s:s, s:s, s:s, s:s, s:s, s:i}}", "error", "message", message, "type", type,
+                    "code", ash_entry_reason_name (reason), "request_id", id, "outcome", outcome,
+                    "retry_after_ms", (int) retry_ms);
+}
+
+static void
+add_outcome (struct ash_http_headers *headers, const char *id, int outcome)
+{
+  ash_http_headers_add (headers, "Ash-Request-Id", "%s", id);
+  ash_http_headers_add (headers, "Ash-Outcome", "%s", ash_entry_outcome_name (outcome));
+}
+
+static void
+add_retry (struct ash_http_headers *headers, uint32_t retry_ms)
+{
+  ash_http_headers_add (headers, "Retry-After", "%u", (retry_ms + MS_PER_S - 1) / MS_PER_S);
+  ash_http_headers_add (headers, "Ash-Retry-After-Ms", "%u", retry_ms);
+}
+
+/* A call that does not get as far as the core: it ran nowhere. */
+static void
+reply_bad (struct ash_api *api, uint64_t number, int reason, const char *message)
+{
+  struct ash_http_headers headers = { 0 };
+  char id[ASH_ID_TEXT_BYTES];
+
+  ash_id_format ((struct ash_id){ 0, number }, id);
+  add_outcome (&headers, id, ASH__OUTCOME__NOT_RUN);
+  add_retry (&headers, 0);
+  reply_json (api, number, ash_entry_status (reason), &headers,
+              error_body (reason, message, id, "not-run", 0));
+}
+
+static void
+add_served (struct ash_api *api,
+            struct ash_http_headers *headers,
+            const char *id,
+            const struct Ash__Reply *reply)
+{
+  add_outcome (headers, id, (int) reply->outcome);
+  ash_http_headers_add (headers, "Ash-Entry", "%s", api->daemon->settings->box);
+  ash_http_headers_add (headers, "Ash-Endpoint", "%s", reply->box);
+  ash_http_headers_add (headers, "Ash-Wait-Ms", "%u", reply->wait_ms);
+  if (*reply->content_type)
+    ash_http_headers_add (headers, "Content-Type", "%s", reply->content_type);
+  if (api->entry->leaving)
+    ash_http_headers_add (headers, "Connection", "close");
+}
+
+static void
+take_reply (struct ash_api *api, const struct Ash__Reply *reply)
+{
+  struct ash_http_headers headers = { 0 };
+  char id[ASH_ID_TEXT_BYTES];
+
+  ash_id_format ((struct ash_id){ reply->id_hi, reply->id_lo }, id);
+  if (reply->reason != ASH__REASON__REASON_NONE)
+    {
+      add_outcome (&headers, id, (int) reply->outcome);
+      ash_http_headers_add (&headers, "Ash-Entry", "%s", api->daemon->settings->box);
+      add_retry (&headers, reply->retry_ms);
+      reply_json (api, reply->call, reply->status, &headers,
+                  error_body ((int) reply->reason, ash_entry_reason_text ((int) reply->reason), id,
+                              ash_entry_outcome_name ((int) reply->outcome), reply->retry_ms));
+      return;
+    }
+  add_served (api, &headers, id, reply);
+  if (reply->final)
+    ash_http_reply (&api->server, reply->call, reply->status, &headers, reply->body.data,
+                    reply->body.len);
+  else
+    ash_http_begin (&api->server, reply->call, reply->status, &headers);
+}
+
+/* A stream that can't be whole says so, and then is no well-formed answer
+ * either, for callers that read no events. */
+static void
+take_reply_end (struct ash_api *api, const struct Ash__ReplyEnd *end)
+{
+  char event[512];
+  int length;
+
+  if (!end->whole)
+    {
+      length = snprintf (event, sizeof event,
+                         "\n\nevent: error\ndata: {\"error\":{\"message\":\"%s\",\"type\":"
+                         "\"server_error\",\"code\":\"%s\",\"outcome\":\"%s\"}}\n\n",
+                         ash_entry_reason_text ((int) end->reason),
+                         ash_entry_reason_name ((int) end->reason),
+                         ash_entry_outcome_name ((int) end->outcome));
+      ash_http_append (&api->server, end->call, (const uint8_t *) event, (size_t) length);
+    }
+  ash_http_end (&api->server, end->call, end->whole);
+}
+
+bool
+ash_api_take (struct ash_api *api, const struct Ash__Event *event)
+{
+  switch (event->kind_case)
+    {
+    case ASH__EVENT__KIND_REPLY:
+      take_reply (api, event->reply);
+      return true;
+    case ASH__EVENT__KIND_REPLY_DATA:
+      ash_http_append (&api->server, event->reply_data->call, event->reply_data->bytes.data,
+                       event->reply_data->bytes.len);
+      return true;
+    case ASH__EVENT__KIND_REPLY_END:
+      take_reply_end (api, event->reply_end);
+      return true;
+    default:
+      return false;
+    }
+}
+
+/* ---- calls ---- */
+
+static bool
+hash_bearer (const struct ash_http_request *request, uint8_t hash[ASH_KEY_HASH_BYTES])
+{
+  const char *value = ash_http_header (request, "Authorization");
+
+  if (!value || strncmp (value, BEARER, strlen (BEARER)) != 0)
+    return false;
+  value += strlen (BEARER);
+  ash_key_hash (value, strlen (value), hash);
+  return true;
+}
+
+/* Reads a whole number from a header. @return false if there is one and it is none. */
+static bool
+number_header (const struct ash_http_request *request, const char *name, uint32_t *number)
+{
+  const char *value = ash_http_header (request, name);
+  char *end;
+  unsigned long long parsed;
+
+  *number = 0;
+  if (!value)
+    return true;
+  parsed = strtoull (value, &end, 10);
+  if (end == value || *end || *value == '-' || parsed == 0 || parsed > UINT32_MAX)
+    return false;
+  *number = (uint32_t) parsed;
+  return true;
+}
+
+/* Fills what all calls have in their headers. @return what is wrong, or NULL. */
+static const char *
+read_headers (struct ash_api *api, const struct ash_http_request *request, struct Ash__Call *call)
+{
+  const char *key = ash_http_header (request, "Idempotency-Key");
+  const char *no_repeat = ash_http_header (request, "Ash-No-Repeat");
+  const char *type = ash_http_header (request, "Content-Type");
+
+  if (!number_header (request, "Ash-Deadline-Ms", &call->deadline_ms))
+    return "header Ash-Deadline-Ms must be a whole number above 0";
+  if (!number_header (request, "Ash-Attempt", &call->caller_attempt))
+    return "header Ash-Attempt must be a whole number above 0";
+  if (key && strlen (key) > IDEMPOTENCY_KEY_MAX)
+    return "header Idempotency-Key is longer than 200 characters";
+  if (no_repeat && strcmp (no_repeat, "1") != 0 && strcmp (no_repeat, "0") != 0)
+    return "header Ash-No-Repeat must be 0 or 1";
+  call->call = request->number;
+  call->method = ash_text (request->method);
+  call->idempotency_key = ash_text (key ? key : "");
+  call->no_repeat = no_repeat && *no_repeat == '1';
+  call->content_type = ash_text (type ? type : "");
+  call->body.data = (uint8_t *) (uintptr_t) request->body;
+  call->body.len = request->body_bytes;
+  call->unix_s = (int64_t) time (NULL);
+  call->may_be_old = ash_time_before (ash_clock_now (), api->woke_until);
+  return NULL;
+}
+
+static void
+give_call (struct ash_api *api, const struct ash_http_request *request, struct Ash__Call *call)
+{
+  struct Ash__Event event = ASH__EVENT__INIT;
+  uint8_t hash[ASH_KEY_HASH_BYTES];
+  const char *wrong = read_headers (api, request, call);
+
+  if (wrong)
+    {
+      reply_bad (api, request->number, ASH__REASON__BAD_REQUEST, wrong);
+      return;
+    }
+  if (hash_bearer (request, hash))
+    {
+      call->key_hash.data = hash;
+      call->key_hash.len = sizeof hash;
+    }
+  event.kind_case = ASH__EVENT__KIND_CALL;
+  event.call = call;
+  ash_entry_handle (api->entry, ash_clock_now (), &event);
+}
+
+static void
+handle_completion (struct ash_api *api, const struct ash_http_request *request)
+{
+  struct Ash__Call call = ASH__CALL__INIT;
+  json_error_t error;
+  json_t *body = json_loadb ((const char *) request->body, request->body_bytes, 0, &error);
+  const char *model = json_string_value (json_object_get (body, "model"));
+  const json_t *stream = json_object_get (body, "stream");
+  char message[256];
+
+  if (!body)
+    {
+      snprintf (message, sizeof message, "line %d, column %d: %s", error.line, error.column,
+                error.text);
+      reply_bad (api, request->number, ASH__REASON__BAD_REQUEST, message);
+    }
+  else if (!model)
+    reply_bad (api, request->number, ASH__REASON__BAD_REQUEST, "'model' must be a string");
+  else if (stream && !json_is_boolean (stream))
+    reply_bad (api, request->number, ASH__REASON__BAD_REQUEST, "'stream' must be true or false");
+  else
+    {
+      call.service = ash_text (model);
+      call.path = ash_text (request->path);
+      call.stream = json_is_true (stream);
+      give_call (api, request, &call);
+    }
+  json_decref (body);
+}
+
+static void
+handle_service (struct ash_api *api, const struct ash_http_request *request)
+{
+  struct Ash__Call call = ASH__CALL__INIT;
+  const char *name = request->path + strlen (SERVICES_PATH);
+  const char *slash = strchr (name, '/');
+  char service[ASH_NAME_BYTES];
+  char path[2048];
+  size_t length = slash ? (size_t) (slash - name) : strlen (name);
+  int path_length;
+
+  if (length == 0 || length >= sizeof service)
+    {
+      reply_bad (api, request->number, ASH__REASON__NO_SERVICE, "no such service");
+      return;
+    }
+  memcpy (service, name, length);
+  service[length] = '\0';
+  path_length = snprintf (path, sizeof path, "%s%s%s", slash ? slash : "/",
+                          *request->query ? "?" : "", request->query);
+  if (path_length >= (int) sizeof path)
+    {
+      reply_bad (api, request->number, ASH__REASON__BAD_REQUEST, "the path is too long");
+      return;
+    }
+  call.service = service;
+  call.path = path;
+  give_call (api, request, &call);
+}
+
+/* ---- the other paths ---- */
+
+static void
+handle_addresses (struct ash_api *api, const struct ash_http_request *request)
+{
+  struct ash_entry *entry = api->entry;
+  const char *account = ash_http_query (request, "account");
+  const char *service = ash_http_query (request, "service");
+  struct ash_addresses addresses;
+  struct ash_http_headers headers = { 0 };
+  json_t *list;
+
+  if (!entry->config.ready)
+    {
+      reply_bad (api, request->number, ASH__REASON__NOT_READY, "no configuration yet");
+      return;
+    }
+  if (!account || !ash_document_account (&entry->config.document, account))
+    {
+      reply_bad (api, request->number, ASH__REASON__NO_SERVICE, "no such account");
+      return;
+    }
+  if (!service || !ash_document_service (&entry->config.document, service))
+    {
+      reply_bad (api, request->number, ASH__REASON__NO_SERVICE, "no such service");
+      return;
+    }
+  ash_addresses_find (&addresses, &entry->config.document, &entry->membership,
+                      api->daemon->settings, entry->leaving,
+                      ash_document_account (&entry->config.document, account), &entry->random);
+  list = json_array ();
+  for (uint32_t i = 0; i < addresses.count; i++)
+    json_array_append_new (list, json_pack ("{s:s, s:s}", "box", addresses.boxes[i]->name,
+                                            "address", addresses.boxes[i]->http));
+  reply_json (api, request->number, MHD_HTTP_OK, &headers,
+              json_pack ("{s:o, s:i, s:I}", "addresses", list, "keep_ms", (int) addresses.keep_ms,
+                         "revision", (json_int_t) entry->config.document.revision));
+}
+
+/* A key for a request that may not be repeated: names its home and that home's
+ * present life, so that it needs no word on which attempt it is. */
+static void
+handle_mint (struct ash_api *api, const struct ash_http_request *request)
+{
+  struct ash_entry *entry = api->entry;
+  const char *service = ash_http_query (request, "service");
+  struct ash_request choice = { 0 };
+  struct ash_minted_key key = { 0 };
+  struct ash_http_headers headers = { 0 };
+  char text[ASH_MINTED_KEY_BYTES];
+  uint8_t hash[ASH_KEY_HASH_BYTES];
+
+  if (!entry->config.ready)
+    reply_bad (api, request->number, ASH__REASON__NOT_READY, "no configuration yet");
+  else if (!hash_bearer (request, hash) ||
+           !ash_document_account_by_key (&entry->config.document, hash))
+    reply_bad (api, request->number, ASH__REASON__BAD_KEY, "the bearer key belongs to no account");
+  else if (!service || !ash_document_service (&entry->config.document, service))
+    reply_bad (api, request->number, ASH__REASON__NO_SERVICE, "no such service");
+  else if (!ash_entry_choose (entry, service, &choice))
+    reply_bad (api, request->number, ASH__REASON__NO_ENDPOINT,
+               ash_entry_reason_text (ASH__REASON__NO_ENDPOINT));
+  else
+    {
+      strcpy (key.home, choice.box);
+      key.incarnation = choice.incarnation;
+      key.expires_s = (int64_t) time (NULL) + api->daemon->settings->key_life_ms / MS_PER_S;
+      key.nonce = ash_random_next (&entry->random);
+      ash_minted_key_format (&key, entry->fleet_key, text);
+      reply_json (api, request->number, MHD_HTTP_OK, &headers,
+                  json_pack ("{s:s, s:s, s:I}", "key", text, "home", key.home, "expires_s",
+                             (json_int_t) key.expires_s));
+    }
+}
+
+static void
+handle_health (struct ash_api *api, const struct ash_http_request *request)
+{
+  struct ash_http_headers headers = { 0 };
+  bool is_ready = api->entry->config.ready && !api->entry->leaving;
+  bool asks_ready = strcmp (request->path, "/readyz") == 0;
+  const char *text = "ok";
+
+  if (asks_ready && !is_ready)
+    text = api->entry->leaving ? "leaving" : "no configuration";
+  reply_json (api, request->number,
+              asks_ready && !is_ready ? MHD_HTTP_SERVICE_UNAVAILABLE : MHD_HTTP_OK, &headers,
+              json_pack ("{s:s}", "status", text));
+}
+
+static void
+handle_metrics (struct ash_api *api, const struct ash_http_request *request)
+{
+  struct ash_http_headers headers = { 0 };
+  char *text = NULL;
+  size_t length = 0;
+  FILE *out = open_memstream (&text, &length);
+
+  if (!out)
+    return;
+  ash_metrics_set (&api->daemon->metrics, "ash_config_revision", "",
+                   api->entry->config.ready ? api->entry->config.document.revision : 0);
+  ash_metrics_set (&api->daemon->metrics, "ash_peer_bytes_out", "", api->daemon->peers.bytes_out);
+  ash_metrics_set (&api->daemon->metrics, "ash_peer_bytes_in", "", api->daemon->peers.bytes_in);
+  ash_metrics_print (&api->daemon->metrics, out);
+  fclose (out);
+  ash_http_headers_add (&headers, "Content-Type", "text/plain; version=0.0.4");
+  ash_http_reply (&api->server, request->number, MHD_HTTP_OK, &headers, (const uint8_t *) text,
+                  length);
+  free (text);
+}
+
+static json_t *
+box_json (const struct ash_box *box)
+{
+  const char *state = "gone";
+
+  if (box->linked)
+    state = ash_box_leaving (box) ? "leaving" : "live";
+  return json_pack ("{s:s, s:s, s:s, s:I, s:i, s:i}", "box", box->name, "role",
+                    box->role == ASH__ROLE__ENTRY ? "entry" : "endpoint", "state", state,
+                    "revision", (json_int_t) box->revision, "in_flight", (int) box->in_flight,
+                    "reported", (int) box->reported);
+}
+
+static void
+handle_status (struct ash_api *api, const struct ash_http_request *request)
+{
+  struct ash_entry *entry = api->entry;
+  struct ash_http_headers headers = { 0 };
+  json_t *boxes = json_array ();
+
+  for (struct ash_box *box = entry->membership.boxes; box; box = box->hh.next)
+    json_array_append_new (boxes, box_json (box));
+  reply_json (api, request->number, MHD_HTTP_OK, &headers,
+              json_pack ("{s:s, s:s, s:I, s:s, s:o}", "box", api->daemon->settings->box, "state",
+                         entry->leaving ? "leaving" : "live", "revision",
+                         (json_int_t) (entry->config.ready ? entry->config.document.revision : 0),
+                         "hall", api->daemon->settings->hall, "boxes", boxes));
+}
+
+struct route
+{
+  const char *path;
+  const char *method;
+  void (*handle) (struct ash_api *api, const struct ash_http_request *request);
+};
+
+static const struct route routes[] = {
+  { "/v1/chat/completions", "POST", handle_completion },
+  { "/v1/completions", "POST", handle_completion },
+  { "/v1/addresses", "GET", handle_addresses },
+  { "/v1/keys", "POST", handle_mint },
+  { "/v1/status", "GET", handle_status },
+  { "/healthz", "GET", handle_health },
+  { "/readyz", "GET", handle_health },
+  { "/metrics", "GET", handle_metrics },
+};
+
+static void
+on_request (void *data, const struct ash_http_request *request)
+{
+  struct ash_api *api = data;
+
+  for (size_t i = 0; i < sizeof routes / sizeof routes[0]; i++)
+    if (strcmp (request->path, routes[i].path) == 0 &&
+        strcmp (request->method, routes[i].method) == 0)
+      {
+        routes[i].handle (api, request);
+        return;
+      }
+  if (strncmp (request->path, SERVICES_PATH, strlen (SERVICES_PATH)) == 0)
+    handle_service (api, request);
+  else
+    reply_bad (api, request->number, ASH__REASON__NO_SERVICE, "no such path or method");
+}
+
+static void
+on_gone (void *data, uint64_t number)
+{
+  struct ash_api *api = data;
+  struct Ash__CallerGone gone = ASH__CALLER_GONE__INIT;
+  struct Ash__Event event = ASH__EVENT__INIT;
+
+  gone.call = number;
+  event.kind_case = ASH__EVENT__KIND_CALLER_GONE;
+  event.caller_gone = &gone;
+  ash_entry_handle (api->entry, ash_clock_now (), &event);
+}
+
+bool
+ash_api_init (struct ash_api *api, struct ash_daemon *daemon, struct ash_entry *entry)
+{
+  api->daemon = daemon;
+  api->entry = entry;
+  api->server.settings = daemon->settings;
+  api->server.handler = (struct ash_http_handler){ on_request, on_gone, api };
+  return ash_http_server_init (&api->server, daemon->loop);
+}
+
+void
+ash_api_finish (struct ash_api *api)
+{
+  ash_http_server_finish (&api->server);
+}
--- /dev/null
+++ b/daemon/api.h
@@ -0,0 +1,30 @@
+/**
+ * @file
+ * The HTTP interface of an entry: calls become messages for its core, the
+ * core's messages become answers.
+ */
+#ifndef ASH_API_H
+#define ASH_API_H
+
+#include "daemon/daemon.h"
+#include "filters/entry.h"
+#include "net/http_server.h"
+
+/** The interface of one entry. */
+struct ash_api
+{
+  struct ash_daemon *daemon;
+  struct ash_entry *entry;
+  struct ash_http_server server;
+  struct ash_time woke_until; /**< until then calls count as possibly old */
+};
+
+/** Listens. @return false with errno set. */
+bool ash_api_init (struct ash_api *api, struct ash_daemon *daemon, struct ash_entry *entry);
+
+void ash_api_finish (struct ash_api *api);
+
+/** Takes what the core gives out for a caller. @return false if it is none of that. */
+bool ash_api_take (struct ash_api *api, const struct Ash__Event *event);
+
+#endif
--- /dev/null
+++ b/daemon/daemon.c
@@ -0,0 +1,281 @@
+#include "daemon/daemon.h"
+
+#include "common/id.h"
+
+#include <errno.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_S 0.05
+
+/* ---- configuration ---- */
+
+static void
+log_findings (struct ash_daemon *daemon, const struct ash_findings *findings)
+{
+  uint32_t kept = findings->count < ASH_FINDINGS_MAX ? findings->count : ASH_FINDINGS_MAX;
+
+  for (uint32_t i = 0; findings->items && i < kept; i++)
+    ash_log_event (&daemon->log, ASH_EV_CONFIG_REFUSED, "line=%u place=\"%s\" finding=\"%s\"",
+                   findings->items[i].line, findings->items[i].place, findings->items[i].text);
+}
+
+void
+ash_daemon_offer (struct ash_daemon *daemon,
+                  uint64_t revision,
+                  const char *text,
+                  size_t text_bytes,
+                  const char *source)
+{
+  struct ash_findings findings;
+
+  ash_findings_init (&findings, "published");
+  switch (ash_config_offer (daemon->config, ash_clock_now (), revision, text, text_bytes,
+                            daemon->settings->key_life_ms, &findings))
+    {
+    case ASH_CONFIG_ACCEPTED:
+      ash_log_event (&daemon->log, ASH_EV_CONFIG_ACCEPTED, "revision=%llu digest=%016llx source=%s",
+                     (unsigned long long) revision,
+                     (unsigned long long) daemon->config->document.digest, source);
+      daemon->role.configured (daemon->role.data);
+      ash_peers_beat (&daemon->peers);
+      break;
+    case ASH_CONFIG_OLDER:
+      ash_log_event (&daemon->log, ASH_EV_CONFIG_OLDER, "revision=%llu in_force=%llu source=%s",
+                     (unsigned long long) revision,
+                     (unsigned long long) daemon->config->document.revision, source);
+      break;
+    case ASH_CONFIG_REFUSED:
+      log_findings (daemon, &findings);
+      break;
+    case ASH_CONFIG_SAME:
+      break;
+    }
+  ash_findings_finish (&findings);
+}
+
+/* A peer with an older configuration is sent this one, once. */
+static void
+offer_to (struct ash_daemon *daemon, const char *name)
+{
+  struct ash_box *box = ash_membership_find (daemon->membership, name);
+  struct Ash__ConfigOffer offer = ASH__CONFIG_OFFER__INIT;
+  struct Ash__Event event = ASH__EVENT__INIT;
+  uint64_t revision = daemon->config->ready ? daemon->config->document.revision : 0;
+
+  if (!box || box->revision >= revision || box->offered == revision)
+    return;
+  box->offered = revision;
+  offer.revision = revision;
+  offer.document.data = (uint8_t *) daemon->config->text;
+  offer.document.len = daemon->config->text_bytes;
+  event.peer = ash_text (name);
+  event.kind_case = ASH__EVENT__KIND_CONFIG_OFFER;
+  event.config_offer = &offer;
+  ash_daemon_send (daemon, &event);
+}
+
+/* ---- messages ---- */
+
+bool
+ash_daemon_send (struct ash_daemon *daemon, const struct Ash__Event *event)
+{
+  return ash_peers_send (&daemon->peers, event->peer, event);
+}
+
+static void
+on_peer_event (void *data, const struct Ash__Event *event)
+{
+  struct ash_daemon *daemon = data;
+  struct ash_box *box;
+
+  switch (event->kind_case)
+    {
+    case ASH__EVENT__KIND_CONFIG_OFFER:
+      ash_daemon_offer (daemon, event->config_offer->revision,
+                        (const char *) event->config_offer->document.data,
+                        event->config_offer->document.len, event->peer);
+      return;
+    case ASH__EVENT__KIND_LINK_UP:
+      daemon->role.event (daemon->role.data, event);
+      /* A new link may lead to a new life, which has nothing yet. */
+      box = ash_membership_find (daemon->membership, event->peer);
+      if (box)
+        box->offered = 0;
+      return;
+    case ASH__EVENT__KIND_HEARTBEAT:
+      daemon->role.event (daemon->role.data, event);
+      offer_to (daemon, event->peer);
+      return;
+    default:
+      daemon->role.event (daemon->role.data, event);
+    }
+}
+
+static uint64_t
+own_revision (void *data)
+{
+  const struct ash_daemon *daemon = data;
+
+  return daemon->config->ready ? daemon->config->document.revision : 0;
+}
+
+static void
+own_heartbeat (void *data, struct Ash__Heartbeat *heartbeat)
+{
+  struct ash_daemon *daemon = data;
+
+  daemon->role.heartbeat (daemon->role.data, heartbeat);
+}
+
+/* ---- time and the end ---- */
+
+static void
+give_local (struct ash_daemon *daemon, Ash__Event__KindCase kind, const void *message)
+{
+  struct ash_sink sink = { daemon->role.event, daemon->role.data };
+
+  ash_emit (&sink, "", kind, message);
+}
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct ash_daemon *daemon = timer->data;
+  struct Ash__Tick tick = ASH__TICK__INIT;
+
+  (void) events;
+  give_local (daemon, ASH__EVENT__KIND_TICK, &tick);
+  if (daemon->stopping && daemon->role.may_end (daemon->role.data))
+    ev_break (loop, EVBREAK_ALL);
+}
+
+/* Runs first after each sleep of the loop, which lasts a tick at most. A longer
+ * gap means that the process was stopped, and that all it holds is old. */
+static void
+on_wake_check (struct ev_loop *loop, ev_check *check, int events)
+{
+  struct ash_daemon *daemon = check->data;
+  struct ash_time now = ash_clock_now ();
+  int64_t gap_ms = ash_time_diff (daemon->last_seen, now);
+
+  (void) loop;
+  (void) events;
+  daemon->last_seen = now;
+  if (gap_ms <= daemon->settings->pause_ms)
+    return;
+  ash_log_event (&daemon->log, ASH_EV_WOKE, "gap_ms=%lld", (long long) gap_ms);
+  daemon->role.woke (daemon->role.data);
+  ash_peers_reset (&daemon->peers);
+}
+
+static void
+on_signal (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  struct ash_daemon *daemon = watcher->data;
+  struct Ash__Stop stop = ASH__STOP__INIT;
+
+  (void) events;
+  if (daemon->stopping)
+    {
+      ash_log_event (&daemon->log, ASH_EV_CUT_SHORT, "signal=%d", watcher->signum);
+      ev_break (loop, EVBREAK_ALL);
+      return;
+    }
+  daemon->stopping = true;
+  ash_log_event (&daemon->log, ASH_EV_STOPPING, "signal=%d", watcher->signum);
+  give_local (daemon, ASH__EVENT__KIND_STOP, &stop);
+  ash_peers_beat (&daemon->peers);
+}
+
+/* ---- life ---- */
+
+bool
+ash_daemon_init (struct ash_daemon *daemon, const struct ash_settings *settings)
+{
+  *daemon = (struct ash_daemon){ .settings = settings };
+  signal (SIGPIPE, SIG_IGN);
+  if (sodium_init () < 0)
+    return false;
+  daemon->log_sink = (struct ash_log_sink){
+    .out = stderr,
+    .level = (enum ash_log_level) settings->log_level,
+    .json = settings->log_format == 1,
+    .box = settings->box,
+  };
+  daemon->log = (struct ash_log){ &daemon->log_sink, "daemon" };
+  daemon->loop = ev_default_loop (EVFLAG_AUTO);
+  ash_metrics_init (&daemon->metrics);
+  while (!daemon->incarnation)
+    randombytes_buf (&daemon->incarnation, sizeof daemon->incarnation);
+  return daemon->loop && ash_http_client_init (&daemon->http_client, daemon->loop);
+}
+
+static bool
+open_links (struct ash_daemon *daemon)
+{
+  struct ash_peers *peers = &daemon->peers;
+
+  peers->settings = daemon->settings;
+  peers->identity.box = daemon->settings->box;
+  peers->identity.role =
+      daemon->settings->role == ASH_SETTINGS_ENTRY ? ASH__ROLE__ENTRY : ASH__ROLE__ENDPOINT;
+  peers->identity.incarnation = daemon->incarnation;
+  ash_hex_decode (daemon->settings->fleet_key, peers->identity.fleet_key,
+                  sizeof peers->identity.fleet_key);
+  peers->log = (struct ash_log){ &daemon->log_sink, "peer" };
+  peers->handler = (struct ash_sink){ on_peer_event, daemon };
+  peers->revision = own_revision;
+  peers->heartbeat = own_heartbeat;
+  peers->data = daemon;
+  if (ash_peers_init (peers, daemon->loop))
+    return true;
+  ash_log_event (&daemon->log, ASH_EV_CANNOT_LISTEN, "address=%s error=\"%s\"",
+                 daemon->settings->peer_listen, strerror (errno));
+  return false;
+}
+
+static void
+watch_signal (struct ash_daemon *daemon, ev_signal *watcher, int number)
+{
+  ev_signal_init (watcher, on_signal, number);
+  watcher->data = daemon;
+  ev_signal_start (daemon->loop, watcher);
+}
+
+bool
+ash_daemon_run (struct ash_daemon *daemon)
+{
+  if (!open_links (daemon))
+    return false;
+  for (uint32_t i = 0; i < daemon->settings->peer_count; i++)
+    ash_peers_dial (&daemon->peers, "", daemon->settings->peers[i]);
+  daemon->last_seen = ash_clock_now ();
+  ev_timer_init (&daemon->tick, on_tick, TICK_S, TICK_S);
+  daemon->tick.data = daemon;
+  ev_timer_start (daemon->loop, &daemon->tick);
+  ev_check_init (&daemon->wake_check, on_wake_check);
+  ev_set_priority (&daemon->wake_check, EV_MAXPRI);
+  daemon->wake_check.data = daemon;
+  ev_check_start (daemon->loop, &daemon->wake_check);
+  watch_signal (daemon, &daemon->on_term, SIGTERM);
+  watch_signal (daemon, &daemon->on_int, SIGINT);
+  ash_log_event (&daemon->log, ASH_EV_STARTED, "incarnation=%016llx peer_port=%u",
+                 (unsigned long long) daemon->incarnation, ash_peers_port (&daemon->peers));
+  ev_run (daemon->loop, 0);
+  ash_log_event (&daemon->log, ASH_EV_STOPPED, "bytes_in=%llu bytes_out=%llu",
+                 (unsigned long long) daemon->peers.bytes_in,
+                 (unsigned long long) daemon->peers.bytes_out);
+  ash_peers_finish (&daemon->peers);
+  return true;
+}
+
+void
+ash_daemon_finish (struct ash_daemon *daemon)
+{
+  ash_http_client_finish (&daemon->http_client);
+  ash_metrics_finish (&daemon->metrics);
+  ev_loop_destroy (daemon->loop);
+}
--- /dev/null
+++ b/daemon/endpoint.c
@@ -0,0 +1,226 @@
+/**
+ * @file
+ * The endpoint role: an agent's core, its links, and the engine of its box.
+ */
+#include "controllers/agent.h"
+#include "daemon/daemon.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+/* After the last request, so long for an entry that was just cut off to come
+ * for the end of its answer. */
+#define LAST_CALL_MS 300
+
+struct endpoint;
+
+/* A run at the engine. */
+struct run
+{
+  struct endpoint *endpoint;
+  uint64_t number;
+  struct ash_fetch *fetch;
+  struct run *prev;
+  struct run *next;
+};
+
+struct endpoint
+{
+  struct ash_daemon daemon;
+  struct ash_agent agent;
+  struct run *runs;
+  struct ash_time idle_since;
+};
+
+static void
+give_agent (struct endpoint *endpoint, Ash__Event__KindCase kind, const void *message)
+{
+  struct Ash__Event event = ASH__EVENT__INIT;
+
+  event.kind_case = kind;
+  event.heartbeat = (void *) (uintptr_t) message;
+  ash_agent_handle (&endpoint->agent, ash_clock_now (), &event);
+}
+
+/* ---- the engine ---- */
+
+static void
+on_head (void *data, uint32_t status, const char *content_type, uint64_t revision)
+{
+  struct run *run = data;
+  struct Ash__EngineHead head = ASH__ENGINE_HEAD__INIT;
+
+  (void) revision;
+  head.run = run->number;
+  head.status = status;
+  head.content_type = ash_text (content_type);
+  give_agent (run->endpoint, ASH__EVENT__KIND_ENGINE_HEAD, &head);
+}
+
+static void
+on_bytes (void *data, const uint8_t *bytes, size_t length)
+{
+  struct run *run = data;
+  struct Ash__EngineData message = ASH__ENGINE_DATA__INIT;
+
+  message.run = run->number;
+  message.bytes.data = (uint8_t *) (uintptr_t) bytes;
+  message.bytes.len = length;
+  give_agent (run->endpoint, ASH__EVENT__KIND_ENGINE_DATA, &message);
+}
+
+static void
+on_end (void *data, enum ash_fetch_result result)
+{
+  struct run *run = data;
+  struct endpoint *endpoint = run->endpoint;
+  struct Ash__EngineEnd end = ASH__ENGINE_END__INIT;
+
+  end.run = run->number;
+  end.whole = result == ASH_FETCH_WHOLE;
+  end.not_started = result == ASH_FETCH_NOT_SENT;
+  DL_DELETE (endpoint->runs, run);
+  free (run);
+  give_agent (endpoint, ASH__EVENT__KIND_ENGINE_END, &end);
+}
+
+static void
+start_run (struct endpoint *endpoint, const struct Ash__EngineStart *start)
+{
+  struct ash_id id = { start->id_hi, start->id_lo };
+  char id_text[ASH_ID_TEXT_BYTES];
+  char url[2 * ASH_OPTION_TEXT_BYTES + 2048];
+  struct run *run = calloc (1, sizeof *run);
+  struct ash_fetch_handler handler = { on_head, on_bytes, on_end, run };
+  struct ash_fetch_request request = {
+    .url = url,
+    .method = start->method,
+    .content_type = start->content_type,
+    .request_id = id_text,
+    .body = start->body.data,
+    .body_bytes = start->body.len,
+    .fresh_connection = start->no_repeat,
+  };
+
+  /* Without memory the run never ends here; its deadline ends it. */
+  if (!run)
+    return;
+  run->endpoint = endpoint;
+  run->number = start->run;
+  ash_id_format (id, id_text);
+  snprintf (url, sizeof url, "%s%s", endpoint->daemon.settings->engine_url, start->path);
+  DL_APPEND (endpoint->runs, run);
+  run->fetch = ash_http_client_start (&endpoint->daemon.http_client, &request, &handler);
+}
+
+static void
+cancel_run (struct endpoint *endpoint, uint64_t number)
+{
+  struct run *run;
+
+  DL_FOREACH (endpoint->runs, run)
+  if (run->number == number)
+    {
+      if (run->fetch)
+        ash_http_client_cancel (run->fetch);
+      DL_DELETE (endpoint->runs, run);
+      free (run);
+      return;
+    }
+}
+
+/* ---- the role ---- */
+
+static void
+on_emit (void *data, const struct Ash__Event *event)
+{
+  struct endpoint *endpoint = data;
+
+  switch (event->kind_case)
+    {
+    case ASH__EVENT__KIND_ENGINE_START:
+      start_run (endpoint, event->engine_start);
+      break;
+    case ASH__EVENT__KIND_ENGINE_CANCEL:
+      cancel_run (endpoint, event->engine_cancel->run);
+      break;
+    default:
+      ash_daemon_send (&endpoint->daemon, event);
+    }
+}
+
+static void
+on_event (void *data, const struct Ash__Event *event)
+{
+  struct endpoint *endpoint = data;
+
+  ash_agent_handle (&endpoint->agent, ash_clock_now (), event);
+}
+
+static void
+on_configured (void *data)
+{
+  (void) data;
+}
+
+static void
+on_heartbeat (void *data, struct Ash__Heartbeat *heartbeat)
+{
+  const struct endpoint *endpoint = data;
+
+  ash_agent_heartbeat (&endpoint->agent, heartbeat);
+}
+
+static void
+on_woke (void *data)
+{
+  (void) data;
+}
+
+static bool
+may_end (void *data)
+{
+  struct endpoint *endpoint = data;
+  struct ash_time now = ash_clock_now ();
+
+  if (!ash_agent_idle (&endpoint->agent))
+    {
+      endpoint->idle_since = now;
+      return false;
+    }
+  if (!endpoint->idle_since.ms)
+    endpoint->idle_since = now;
+  return ash_time_diff (endpoint->idle_since, now) >= LAST_CALL_MS;
+}
+
+bool
+ash_run_endpoint (const struct ash_settings *settings)
+{
+  struct endpoint endpoint = { 0 };
+  struct ash_daemon *daemon = &endpoint.daemon;
+  bool ok = false;
+
+  if (!ash_daemon_init (daemon, settings))
+    return false;
+  ash_agent_init (&endpoint.agent, settings, daemon->incarnation, ash_clock_now (),
+                  (struct ash_sink){ on_emit, &endpoint });
+  endpoint.agent.log = (struct ash_log){ &daemon->log_sink, "agent" };
+  endpoint.agent.metrics = &daemon->metrics;
+  daemon->config = &endpoint.agent.config;
+  daemon->membership = &endpoint.agent.membership;
+  daemon->role = (struct ash_role){
+    .event = on_event,
+    .configured = on_configured,
+    .heartbeat = on_heartbeat,
+    .woke = on_woke,
+    .may_end = may_end,
+    .data = &endpoint,
+  };
+  ok = ash_daemon_run (daemon);
+  while (endpoint.runs)
+    cancel_run (&endpoint, endpoint.runs->number);
+  ash_agent_finish (&endpoint.agent);
+  ash_daemon_finish (daemon);
+  return ok;
+}
--- /dev/null
+++ b/daemon/entry.c
@@ -0,0 +1,215 @@
+/**
+ * @file
+ * The entry role: an entry's core, its callers, its links and the platform.
+ */
+#include "daemon/api.h"
+#include "daemon/platform.h"
+#include "filters/entry.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Past the time that callers keep an address, until it takes no more. */
+#define LINGER_MARGIN_MS 200
+
+struct entry
+{
+  struct ash_daemon daemon;
+  struct ash_entry core;
+  struct ash_api api;
+  struct ash_platform platform;
+  struct ash_time stop_since;
+};
+
+/* ---- links ---- */
+
+/* Of two entries the one whose name comes first dials. */
+static bool
+dials_entry (const struct entry *entry, const char *name)
+{
+  return strcmp (entry->daemon.settings->box, name) < 0;
+}
+
+static bool
+wants_dial (void *data, const char *box, const char *address)
+{
+  const struct entry *entry = data;
+  const struct ash_document *document = &entry->core.config.document;
+  const struct ash_endpoint *endpoint = ash_document_endpoint (document, box);
+  const struct ash_entry_box *other = ash_document_entry (document, box);
+
+  if (endpoint)
+    return strcmp (endpoint->peer, address) == 0;
+  return other && dials_entry (entry, box) && strcmp (other->peer, address) == 0;
+}
+
+static void
+on_configured (void *data)
+{
+  struct entry *entry = data;
+  const struct ash_document *document = &entry->core.config.document;
+  struct ash_peers *peers = &entry->daemon.peers;
+
+  ash_peers_drop_dials (peers, wants_dial, entry);
+  for (uint32_t i = 0; i < document->endpoint_count; i++)
+    ash_peers_dial (peers, document->endpoints[i].name, document->endpoints[i].peer);
+  for (uint32_t i = 0; i < document->entry_count; i++)
+    if (dials_entry (entry, document->entries[i].name))
+      ash_peers_dial (peers, document->entries[i].name, document->entries[i].peer);
+  ash_log_event (&entry->daemon.log, ASH_EV_READY, "revision=%llu endpoints=%u",
+                 (unsigned long long) document->revision, document->endpoint_count);
+}
+
+static uint32_t
+leaving_count (const struct ash_membership *membership)
+{
+  uint32_t count = 0;
+
+  for (const struct ash_box *box = membership->boxes; box; box = box->hh.next)
+    count += ash_box_leaving (box);
+  return count;
+}
+
+/* Whoever hears that a box is leaving tells all peers. */
+static void
+on_heartbeat (void *data, struct Ash__Heartbeat *heartbeat)
+{
+  struct entry *entry = data;
+  const struct ash_membership *membership = &entry->core.membership;
+  uint32_t count = leaving_count (membership);
+
+  heartbeat->revision = entry->core.config.ready ? entry->core.config.document.revision : 0;
+  heartbeat->leaving = entry->core.leaving;
+  if (!count)
+    return;
+  heartbeat->leaving_boxes = calloc (count, sizeof *heartbeat->leaving_boxes);
+  heartbeat->leaving_incarnations = calloc (count, sizeof *heartbeat->leaving_incarnations);
+  if (!heartbeat->leaving_boxes || !heartbeat->leaving_incarnations)
+    return;
+  for (struct ash_box *box = membership->boxes; box; box = box->hh.next)
+    {
+      if (!ash_box_leaving (box))
+        continue;
+      heartbeat->leaving_boxes[heartbeat->n_leaving_boxes++] = box->name;
+      heartbeat->leaving_incarnations[heartbeat->n_leaving_incarnations++] = box->incarnation;
+    }
+}
+
+/* ---- messages ---- */
+
+static void
+on_emit (void *data, const struct Ash__Event *event)
+{
+  struct entry *entry = data;
+
+  if (!ash_api_take (&entry->api, event))
+    ash_daemon_send (&entry->daemon, event);
+}
+
+static void
+on_event (void *data, const struct Ash__Event *event)
+{
+  struct entry *entry = data;
+  uint32_t leaving = leaving_count (&entry->core.membership);
+
+  ash_entry_handle (&entry->core, ash_clock_now (), event);
+  if (leaving_count (&entry->core.membership) > leaving)
+    ash_peers_beat (&entry->daemon.peers);
+}
+
+static void
+on_document (void *data, uint64_t revision, const char *text, size_t text_bytes)
+{
+  struct entry *entry = data;
+
+  ash_daemon_offer (&entry->daemon, revision, text, text_bytes, "platform");
+}
+
+static void
+on_listed_box (void *data, const char *name, bool leaving)
+{
+  struct entry *entry = data;
+
+  if (!ash_membership_listed (&entry->core.membership, name, leaving) || !leaving)
+    return;
+  ash_log_event (&entry->daemon.log, ASH_EV_BOX_LEAVING, "box=%s source=platform", name);
+  ash_peers_beat (&entry->daemon.peers);
+}
+
+/* ---- time and the end ---- */
+
+static void
+on_woke (void *data)
+{
+  struct entry *entry = data;
+
+  entry->api.woke_until = ash_time_add (ash_clock_now (), entry->daemon.settings->wake_ms);
+}
+
+/* Callers that still keep this address are served while they may keep it; then
+ * nothing new is taken, and what is in flight ends. */
+static bool
+may_end (void *data)
+{
+  struct entry *entry = data;
+  struct ash_time now = ash_clock_now ();
+
+  if (!entry->stop_since.ms)
+    entry->stop_since = now;
+  if (ash_time_diff (entry->stop_since, now) <
+      entry->daemon.settings->address_keep_ms + LINGER_MARGIN_MS)
+    return false;
+  ash_http_server_quiesce (&entry->api.server);
+  return ash_entry_idle (&entry->core) && ash_http_server_open (&entry->api.server) == 0;
+}
+
+static void
+start_role (struct entry *entry)
+{
+  struct ash_daemon *daemon = &entry->daemon;
+
+  entry->core.log = (struct ash_log){ &daemon->log_sink, "entry" };
+  entry->core.metrics = &daemon->metrics;
+  daemon->config = &entry->core.config;
+  daemon->membership = &entry->core.membership;
+  daemon->role = (struct ash_role){
+    .event = on_event,
+    .configured = on_configured,
+    .heartbeat = on_heartbeat,
+    .woke = on_woke,
+    .may_end = may_end,
+    .data = entry,
+  };
+}
+
+bool
+ash_run_entry (const struct ash_settings *settings)
+{
+  struct entry entry = { 0 };
+  struct ash_daemon *daemon = &entry.daemon;
+  struct ash_platform_handler platform = { on_document, on_listed_box, &entry };
+  bool ok = false;
+
+  if (!ash_daemon_init (daemon, settings))
+    return false;
+  if (!ash_entry_init (&entry.core, settings, daemon->incarnation,
+                       (struct ash_sink){ on_emit, &entry }))
+    goto finish_daemon;
+  start_role (&entry);
+  if (!ash_api_init (&entry.api, daemon, &entry.core))
+    {
+      ash_log_event (&daemon->log, ASH_EV_CANNOT_LISTEN, "address=%s error=\"%s\"",
+                     settings->http_listen, strerror (errno));
+      goto finish_core;
+    }
+  ash_platform_init (&entry.platform, daemon, &platform);
+  ok = ash_daemon_run (daemon);
+  ash_platform_finish (&entry.platform);
+  ash_api_finish (&entry.api);
+finish_core:
+  ash_entry_finish (&entry.core);
+finish_daemon:
+  ash_daemon_finish (daemon);
+  return ok;
+}
--- /dev/null
+++ b/daemon/platform.c
@@ -0,0 +1,211 @@
+#include "daemon/platform.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MS_PER_S 1000.0
+
+/* A watch waits this long at the platform; a read may take that and a bit. */
+#define WATCH_MS 10000
+#define READ_TIMEOUT_MS 3000
+
+/* The list is read at this period. A leaving box tells its peers itself; the
+ * list is one more source, which lags by more than this anyway. */
+#define LIST_PERIOD_MS 1000
+
+#define BACK_OFF_FIRST_MS 100
+#define BACK_OFF_MAX_MS 5000
+#define HTTP_OK 200
+#define HTTP_NOT_MODIFIED 304
+
+static void start_read (struct ash_platform_read *read);
+
+static void
+start_later (struct ash_platform_read *read, uint32_t wait_ms)
+{
+  ev_timer_stop (read->platform->daemon->loop, &read->timer);
+  ev_timer_set (&read->timer, wait_ms / MS_PER_S, 0);
+  ev_timer_start (read->platform->daemon->loop, &read->timer);
+}
+
+/* Doubles with each failure, then half to all of it at random, so that a fleet
+ * does not come back to the platform in step. */
+static uint32_t
+back_off_ms (struct ash_platform_read *read)
+{
+  uint32_t wait_ms = BACK_OFF_FIRST_MS;
+
+  for (uint32_t i = 1; i < read->failures && wait_ms < BACK_OFF_MAX_MS; i++)
+    wait_ms *= 2;
+  if (wait_ms > BACK_OFF_MAX_MS)
+    wait_ms = BACK_OFF_MAX_MS;
+  return wait_ms / 2 + ash_random_below (&read->platform->random, wait_ms / 2 + 1);
+}
+
+static void
+take_document (struct ash_platform_read *read)
+{
+  struct ash_platform *platform = read->platform;
+
+  platform->seen_revision = read->revision;
+  platform->handler.document (platform->handler.data, read->revision, read->body ? read->body : "",
+                              read->body_bytes);
+}
+
+static bool
+take_list (struct ash_platform_read *read)
+{
+  struct ash_platform *platform = read->platform;
+  json_t *root = json_loadb (read->body ? read->body : "", read->body_bytes, 0, NULL);
+  json_t *boxes = json_object_get (root, "boxes");
+  json_t *row;
+  size_t i;
+  bool is_list = json_is_array (boxes);
+
+  json_array_foreach (boxes, i, row)
+  {
+    const char *name = json_string_value (json_object_get (row, "box"));
+    const char *state = json_string_value (json_object_get (row, "state"));
+
+    if (name && state)
+      platform->handler.box (platform->handler.data, name, strcmp (state, "leaving") == 0);
+  }
+  json_decref (root);
+  return is_list;
+}
+
+static void
+on_head (void *data, uint32_t status, const char *content_type, uint64_t revision)
+{
+  struct ash_platform_read *read = data;
+
+  (void) content_type;
+  read->status = status;
+  read->revision = revision;
+}
+
+static void
+on_bytes (void *data, const uint8_t *bytes, size_t length)
+{
+  struct ash_platform_read *read = data;
+  char *grown;
+
+  if (read->body_bytes + length > ASH_DOCUMENT_MAX_BYTES)
+    {
+      /* Refused below: more than a document may hold. */
+      read->status = 0;
+      return;
+    }
+  grown = realloc (read->body, read->body_bytes + length);
+  if (!grown)
+    return;
+  read->body = grown;
+  memcpy (read->body + read->body_bytes, bytes, length);
+  read->body_bytes += length;
+}
+
+static bool
+take_answer (struct ash_platform_read *read, enum ash_fetch_result result)
+{
+  if (result != ASH_FETCH_WHOLE)
+    return false;
+  if (read->status == HTTP_NOT_MODIFIED)
+    return true;
+  if (read->status != HTTP_OK)
+    return false;
+  if (read->is_list)
+    return take_list (read);
+  if (!read->revision)
+    return false;
+  take_document (read);
+  return true;
+}
+
+static void
+on_end (void *data, enum ash_fetch_result result)
+{
+  struct ash_platform_read *read = data;
+  const struct ash_log *log = &read->platform->log;
+  const char *what = read->is_list ? "boxes" : "configuration";
+  bool ok = take_answer (read, result);
+
+  read->running = false;
+  free (read->body);
+  read->body = NULL;
+  read->body_bytes = 0;
+  if (ok && read->failures)
+    ash_log_event (log, ASH_EV_PLATFORM_UP, "what=%s failures=%u", what, read->failures);
+  if (!ok && !read->failures)
+    ash_log_event (log, ASH_EV_PLATFORM_DOWN, "what=%s status=%u", what, read->status);
+  read->failures = ok ? 0 : read->failures + 1;
+  if (!ok)
+    start_later (read, back_off_ms (read));
+  else
+    start_later (read, read->is_list ? LIST_PERIOD_MS : 1);
+}
+
+static void
+start_read (struct ash_platform_read *read)
+{
+  struct ash_platform *platform = read->platform;
+  struct ash_daemon *daemon = platform->daemon;
+  char url[2 * ASH_OPTION_TEXT_BYTES];
+  struct ash_fetch_handler handler = { on_head, on_bytes, on_end, read };
+  struct ash_fetch_request request = { .url = url, .method = "GET", .timeout_ms = READ_TIMEOUT_MS };
+  uint64_t after = platform->seen_revision;
+
+  /* An older answer must not make this wait for what it has already. */
+  if (daemon->config->ready && daemon->config->document.revision > after)
+    after = daemon->config->document.revision;
+  if (read->is_list)
+    snprintf (url, sizeof url, "%s/v1/boxes", daemon->settings->platform_url);
+  else
+    {
+      snprintf (url, sizeof url, "%s/v1/config?after=%llu&wait_ms=%d",
+                daemon->settings->platform_url, (unsigned long long) after, WATCH_MS);
+      request.timeout_ms += WATCH_MS;
+    }
+  read->status = 0;
+  read->running = true;
+  if (!ash_http_client_start (&daemon->http_client, &request, &handler))
+    start_later (read, BACK_OFF_MAX_MS);
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void) loop;
+  (void) events;
+  start_read (timer->data);
+}
+
+static void
+init_read (struct ash_platform_read *read, struct ash_platform *platform, bool is_list)
+{
+  *read = (struct ash_platform_read){ .platform = platform, .is_list = is_list };
+  ev_timer_init (&read->timer, on_timer, 0, 0);
+  read->timer.data = read;
+  start_later (read, 1);
+}
+
+void
+ash_platform_init (struct ash_platform *platform,
+                   struct ash_daemon *daemon,
+                   const struct ash_platform_handler *handler)
+{
+  *platform = (struct ash_platform){ .daemon = daemon, .handler = *handler };
+  platform->log = (struct ash_log){ &daemon->log_sink, "platform" };
+  ash_random_init (&platform->random, daemon->incarnation);
+  init_read (&platform->config, platform, false);
+  init_read (&platform->list, platform, true);
+}
+
+void
+ash_platform_finish (struct ash_platform *platform)
+{
+  ev_timer_stop (platform->daemon->loop, &platform->config.timer);
+  ev_timer_stop (platform->daemon->loop, &platform->list.timer);
+  free (platform->config.body);
+  free (platform->list.body);
+}
--- /dev/null
+++ b/filters/key.c
@@ -0,0 +1,94 @@
+/**
+ * @file
+ * Filter: the request's id, and for a key whose request may not be repeated
+ * its home, the one endpoint that may run it.
+ */
+#include "filters/filter.h"
+#include "filters/minted_key.h"
+
+#include <string.h>
+
+static void
+own_id (const struct ash_filter_context *context, struct ash_request *request)
+{
+  request->id.hi = ash_random_next (context->random);
+  request->id.lo = ash_random_next (context->random);
+}
+
+static enum ash_verdict
+take_minted (const struct ash_filter_context *context,
+             const struct Ash__Call *call,
+             struct ash_request *request)
+{
+  struct ash_minted_key key;
+
+  if (!ash_minted_key_parse (call->idempotency_key, context->fleet_key, &key))
+    return ash_refuse (request, ASH__REASON__BAD_REQUEST, ash_spread_retry_ms (context));
+  request->minted = true;
+  if (key.expires_s <= call->unix_s)
+    return ash_refuse (request, ASH__REASON__KEY_EXPIRED, ash_spread_retry_ms (context));
+  strcpy (request->box, key.home);
+  request->incarnation = key.incarnation;
+  return ASH_VERDICT_NEXT;
+}
+
+/* Any other key finds its home over the endpoints that are declared. The life
+ * of the home is the one known now, before the request is sent anywhere. */
+static enum ash_verdict
+find_home (const struct ash_filter_context *context,
+           struct ash_time now,
+           const struct Ash__Call *call,
+           struct ash_request *request)
+{
+  const struct ash_endpoint *home =
+      ash_document_home (&context->config->document, call->service, request->id);
+  const char *earlier[ASH_CONFIG_HISTORY_MAX];
+  const struct ash_box *box;
+
+  if (!ash_config_knows_homes (context->config, call->service, now, call->unix_s,
+                               context->settings->key_life_ms))
+    return ash_refuse (request, ASH__REASON__NEW_LIFE, ash_spread_retry_ms (context));
+  if (!home)
+    return ash_refuse (request, ASH__REASON__NO_ENDPOINT, ash_spread_retry_ms (context));
+  strcpy (request->box, home->name);
+  box = ash_membership_find (context->membership, home->name);
+  request->incarnation = box ? box->incarnation : 0;
+  request->asked_count = ash_config_past_homes (context->config, call->service, request->id, now,
+                                                context->settings->key_life_ms, earlier);
+  for (uint32_t i = 0; i < request->asked_count; i++)
+    strcpy (request->asked[i], earlier[i]);
+  return ASH_VERDICT_NEXT;
+}
+
+static enum ash_verdict
+request_key (struct priv *priv,
+             const struct ash_filter_context *context,
+             struct ash_time now,
+             const struct Ash__Call *call,
+             struct ash_request *request)
+{
+  (void) priv;
+  if (*call->idempotency_key == '\0')
+    {
+      own_id (context, request);
+      return ASH_VERDICT_NEXT;
+    }
+  request->keyed = true;
+  request->id = ash_id_from_key (request->account, call->service, call->idempotency_key);
+  request->caller_attempt = call->caller_attempt;
+  /* What was read just after a pause may have waited here for as long as the
+   * pause was: the caller's word that it is the first is out of date. */
+  if (call->may_be_old)
+    request->caller_attempt = 0;
+  request->bound = request->no_repeat;
+  if (ash_minted_key_claimed (call->idempotency_key))
+    return take_minted (context, call, request);
+  if (request->bound)
+    return find_home (context, now, call, request);
+  return ASH_VERDICT_NEXT;
+}
+
+const struct ash_filter_info ash_filter_key = {
+  .name = "key",
+  .request = request_key,
+};
--- /dev/null
+++ b/filters/route.c
@@ -0,0 +1,123 @@
+/**
+ * @file
+ * Filter: the endpoint, for requests that have no home.
+ */
+#include "filters/route.h"
+
+#include <string.h>
+
+/* Random picks before all endpoints are gone through one by one. */
+#define RANDOM_PICKS 8
+
+struct candidate
+{
+  const struct ash_endpoint *endpoint;
+  const struct ash_box *box;
+};
+
+static bool
+was_tried (const struct ash_request *request, const char *name)
+{
+  for (uint32_t i = 0; i < request->tries && i < ASH_REQUEST_TRIES_MAX; i++)
+    if (strcmp (request->tried[i], name) == 0)
+      return true;
+  return false;
+}
+
+static bool
+consider (const struct ash_filter_context *context,
+          const struct ash_request *request,
+          const struct ash_service *service,
+          uint32_t index,
+          struct candidate *candidate)
+{
+  const struct ash_endpoint *endpoint =
+      ash_document_service_endpoint (&context->config->document, service, index);
+  const struct ash_box *box = ash_membership_find (context->membership, endpoint->name);
+
+  if (!box || !ash_box_usable (box) || was_tried (request, endpoint->name))
+    return false;
+  *candidate = (struct candidate){ endpoint, box };
+  return true;
+}
+
+/* Load in thousandths of the endpoint's slots. The report covers this entry's
+ * own requests too, but lags; the larger of both is nearer the truth than the
+ * sum, which would count them twice. */
+static uint64_t
+load_milli (const struct candidate *candidate)
+{
+  uint64_t load = candidate->box->in_flight;
+
+  if (candidate->box->reported > load)
+    load = candidate->box->reported;
+  return load * 1000 / candidate->endpoint->slots;
+}
+
+static bool
+pick_any (const struct ash_filter_context *context,
+          const struct ash_request *request,
+          const struct ash_service *service,
+          struct candidate *candidate)
+{
+  uint32_t start = ash_random_below (context->random, service->endpoint_count);
+
+  for (uint32_t i = 0; i < RANDOM_PICKS && i < service->endpoint_count; i++)
+    if (consider (context, request, service,
+                  ash_random_below (context->random, service->endpoint_count), candidate))
+      return true;
+  for (uint32_t i = 0; i < service->endpoint_count; i++)
+    if (consider (context, request, service, (start + i) % service->endpoint_count, candidate))
+      return true;
+  return false;
+}
+
+bool
+ash_route_choose (const struct ash_filter_context *context,
+                  const char *service_name,
+                  struct ash_request *request)
+{
+  const struct ash_service *service =
+      ash_document_service (&context->config->document, service_name);
+  struct candidate first;
+  struct candidate second;
+
+  if (!service || service->endpoint_count == 0)
+    return false;
+  if (!pick_any (context, request, service, &first))
+    return false;
+  if (pick_any (context, request, service, &second) && load_milli (&second) < load_milli (&first))
+    first = second;
+  strcpy (request->box, first.box->name);
+  request->incarnation = first.box->incarnation;
+  return true;
+}
+
+static enum ash_verdict
+request_route (struct priv *priv,
+               const struct ash_filter_context *context,
+               struct ash_time now,
+               const struct Ash__Call *call,
+               struct ash_request *request)
+{
+  const struct ash_box *home;
+
+  (void) priv;
+  (void) now;
+  if (*request->box == '\0')
+    {
+      if (ash_route_choose (context, call->service, request))
+        return ASH_VERDICT_NEXT;
+      return ash_refuse (request, ASH__REASON__NO_ENDPOINT, ash_spread_retry_ms (context));
+    }
+  home = ash_membership_find (context->membership, request->box);
+  /* A home that is gone or has another life: never a second home. */
+  if (!home || !home->linked || home->incarnation != request->incarnation)
+    return ash_refuse (request, ASH__REASON__NO_ENDPOINT, ash_spread_retry_ms (context));
+  return ASH_VERDICT_NEXT;
+}
+
+const struct ash_filter_info ash_filter_route = {
+  .name = "route",
+  .request = request_route,
+};
--- /dev/null
+++ b/net/http_client.c
@@ -0,0 +1,328 @@
+#include "net/http_client.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#define MS_PER_S 1000.0
+#define CONNECT_TIMEOUT_MS 1000
+#define REVISION_HEADER "Ash-Revision:"
+
+struct ash_fetch
+{
+  struct ash_http_client *client;
+  struct ash_fetch_handler handler;
+  CURL *easy;
+  struct curl_slist *headers;
+  bool head_told;
+  bool cancelled;
+  uint64_t revision;
+  struct ash_fetch *prev;
+  struct ash_fetch *next;
+};
+
+struct socket_watch
+{
+  ev_io io;
+  struct ash_http_client *client;
+};
+
+static void
+free_fetch (struct ash_fetch *fetch)
+{
+  DL_DELETE (fetch->client->fetches, fetch);
+  curl_multi_remove_handle (fetch->client->multi, fetch->easy);
+  curl_easy_cleanup (fetch->easy);
+  curl_slist_free_all (fetch->headers);
+  free (fetch);
+}
+
+static enum ash_fetch_result
+result_of (CURLcode code)
+{
+  switch (code)
+    {
+    case CURLE_OK:
+      return ASH_FETCH_WHOLE;
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_COULDNT_RESOLVE_HOST:
+    case CURLE_URL_MALFORMAT:
+      return ASH_FETCH_NOT_SENT;
+    default:
+      return ASH_FETCH_BROKEN;
+    }
+}
+
+/* libcurl must not be asked to drop a transfer from within its own calls. */
+static void
+free_cancelled (struct ash_http_client *client)
+{
+  struct ash_fetch *fetch;
+  struct ash_fetch *next;
+
+  if (!client->has_cancelled || client->depth)
+    return;
+  client->has_cancelled = false;
+  DL_FOREACH_SAFE (client->fetches, fetch, next)
+  if (fetch->cancelled)
+    free_fetch (fetch);
+}
+
+static void
+tell_head (struct ash_fetch *fetch)
+{
+  const char *content_type = NULL;
+  long status = 0;
+
+  if (fetch->head_told)
+    return;
+  fetch->head_told = true;
+  curl_easy_getinfo (fetch->easy, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo (fetch->easy, CURLINFO_CONTENT_TYPE, &content_type);
+  fetch->handler.head (fetch->handler.data, (uint32_t) status, content_type ? content_type : "",
+                       fetch->revision);
+}
+
+static void
+take_finished (struct ash_http_client *client)
+{
+  CURLMsg *message;
+  int left;
+
+  while ((message = curl_multi_info_read (client->multi, &left)))
+    {
+      struct ash_fetch *fetch;
+      struct ash_fetch_handler handler;
+      CURLcode code = message->data.result;
+
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &fetch);
+      if (fetch->cancelled)
+        {
+          free_fetch (fetch);
+          continue;
+        }
+      if (code == CURLE_OK)
+        tell_head (fetch);
+      handler = fetch->handler;
+      free_fetch (fetch);
+      handler.end (handler.data, result_of (code));
+    }
+}
+
+static void
+act (struct ash_http_client *client, curl_socket_t fd, int action)
+{
+  int running;
+
+  client->depth++;
+  curl_multi_socket_action (client->multi, fd, action, &running);
+  client->depth--;
+  take_finished (client);
+  free_cancelled (client);
+}
+
+static void
+on_socket (struct ev_loop *loop, ev_io *io, int events)
+{
+  struct socket_watch *watch = io->data;
+  struct ash_http_client *client = watch->client;
+  int action =
+      (events & EV_READ ? CURL_CSELECT_IN : 0) | (events & EV_WRITE ? CURL_CSELECT_OUT : 0);
+
+  (void) loop;
+  act (client, io->fd, action);
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void) loop;
+  (void) events;
+  act (timer->data, CURL_SOCKET_TIMEOUT, 0);
+}
+
+static int
+watch_socket (CURL *easy, curl_socket_t fd, int what, void *data, void *socket_data)
+{
+  struct ash_http_client *client = data;
+  struct socket_watch *watch = socket_data;
+  int events = (what & CURL_POLL_IN ? EV_READ : 0) | (what & CURL_POLL_OUT ? EV_WRITE : 0);
+
+  (void) easy;
+  if (!watch)
+    {
+      if (what == CURL_POLL_REMOVE)
+        return 0;
+      watch = calloc (1, sizeof *watch);
+      if (!watch)
+        return -1;
+      watch->client = client;
+      ev_init (&watch->io, on_socket);
+      watch->io.data = watch;
+      curl_multi_assign (client->multi, fd, watch);
+    }
+  ev_io_stop (client->loop, &watch->io);
+  if (what == CURL_POLL_REMOVE)
+    {
+      curl_multi_assign (client->multi, fd, NULL);
+      free (watch);
+      return 0;
+    }
+  ev_io_set (&watch->io, fd, events);
+  ev_io_start (client->loop, &watch->io);
+  return 0;
+}
+
+static int
+watch_timer (CURLM *multi, long timeout_ms, void *data)
+{
+  struct ash_http_client *client = data;
+
+  (void) multi;
+  ev_timer_stop (client->loop, &client->timer);
+  if (timeout_ms < 0)
+    return 0;
+  ev_timer_set (&client->timer, (double) timeout_ms / MS_PER_S, 0);
+  ev_timer_start (client->loop, &client->timer);
+  return 0;
+}
+
+bool
+ash_http_client_init (struct ash_http_client *client, struct ev_loop *loop)
+{
+  *client = (struct ash_http_client){ .loop = loop };
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  client->multi = curl_multi_init ();
+  if (!client->multi)
+    return false;
+  ev_timer_init (&client->timer, on_timer, 0, 0);
+  client->timer.data = client;
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, watch_timer);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
+  return true;
+}
+
+void
+ash_http_client_finish (struct ash_http_client *client)
+{
+  while (client->fetches)
+    free_fetch (client->fetches);
+  curl_multi_cleanup (client->multi);
+  ev_timer_stop (client->loop, &client->timer);
+  curl_global_cleanup ();
+}
+
+static size_t
+on_body (char *bytes, size_t size, size_t count, void *data)
+{
+  struct ash_fetch *fetch = data;
+
+  if (fetch->cancelled)
+    return 0;
+  tell_head (fetch);
+  if (fetch->cancelled)
+    return 0;
+  fetch->handler.bytes (fetch->handler.data, (const uint8_t *) bytes, size * count);
+  return size * count;
+}
+
+static size_t
+on_header (char *line, size_t size, size_t count, void *data)
+{
+  struct ash_fetch *fetch = data;
+  char text[64];
+  size_t length = size * count;
+
+  if (length < sizeof text && length > strlen (REVISION_HEADER) &&
+      strncasecmp (line, REVISION_HEADER, strlen (REVISION_HEADER)) == 0)
+    {
+      memcpy (text, line, length);
+      text[length] = '\0';
+      fetch->revision = strtoull (text + strlen (REVISION_HEADER), NULL, 10);
+    }
+  return length;
+}
+
+static void
+add_header (struct ash_fetch *fetch, const char *name, const char *value)
+{
+  char line[512];
+
+  snprintf (line, sizeof line, "%s%s", name, value);
+  fetch->headers = curl_slist_append (fetch->headers, line);
+}
+
+static void
+set_options (struct ash_fetch *fetch, const struct ash_fetch_request *request)
+{
+  CURL *easy = fetch->easy;
+
+  curl_easy_setopt (easy, CURLOPT_URL, request->url);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, fetch);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, fetch);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, fetch);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long) CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long) request->timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, request->fresh_connection ? 1L : 0L);
+  curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, request->fresh_connection ? 1L : 0L);
+  if (request->body_bytes)
+    {
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t) request->body_bytes);
+      curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS, request->body);
+    }
+  else if (strcmp (request->method, "HEAD") == 0)
+    curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
+  else if (strcmp (request->method, "POST") == 0)
+    curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE, 0L);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, request->method);
+  add_header (fetch, "Expect:", "");
+  add_header (fetch, "Content-Type: ", request->content_type ? request->content_type : "");
+  if (request->request_id)
+    add_header (fetch, "X-Request-Id: ", request->request_id);
+  if (request->extra_header)
+    add_header (fetch, request->extra_header, "");
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, fetch->headers);
+}
+
+struct ash_fetch *
+ash_http_client_start (struct ash_http_client *client,
+                       const struct ash_fetch_request *request,
+                       const struct ash_fetch_handler *handler)
+{
+  struct ash_fetch *fetch = calloc (1, sizeof *fetch);
+
+  if (!fetch)
+    return NULL;
+  fetch->client = client;
+  fetch->handler = *handler;
+  fetch->easy = curl_easy_init ();
+  if (!fetch->easy)
+    {
+      free (fetch);
+      return NULL;
+    }
+  set_options (fetch, request);
+  DL_APPEND (client->fetches, fetch);
+  curl_multi_add_handle (client->multi, fetch->easy);
+  return fetch;
+}
+
+void
+ash_http_client_cancel (struct ash_fetch *fetch)
+{
+  if (!fetch->client->depth)
+    {
+      free_fetch (fetch);
+      return;
+    }
+  fetch->cancelled = true;
+  fetch->client->has_cancelled = true;
+}
--- /dev/null
+++ b/net/http_server.c
@@ -0,0 +1,666 @@
+#include "net/http_server.h"
+
+#include "common/clock.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <uthash.h>
+#include <utlist.h>
+
+#define MS_PER_S 1000
+#define SWEEP_S 0.2
+#define HEADERS_MAX_BYTES 32768
+#define BLOCK_BYTES 32768
+
+/* What may wait for a caller that reads slowly. */
+#define PENDING_MAX_BYTES (4 * 1024 * 1024)
+
+enum exchange_state
+{
+  EXCHANGE_UPLOAD,  /* the request is coming in */
+  EXCHANGE_WAIT,    /* handed out, not answered */
+  EXCHANGE_STREAM,  /* the answer is going out */
+  EXCHANGE_REPLIED, /* a whole answer was queued */
+};
+
+/* A request and its answer. */
+struct ash_exchange
+{
+  struct ash_http_server *server;
+  struct MHD_Connection *connection;
+  uint64_t number;
+  enum exchange_state state;
+  char *query;
+  bool begun; /* the library has handed out the headers */
+  bool suspended;
+  bool too_large;
+  struct ash_time since;
+  uint8_t *body; /* of the request */
+  size_t body_bytes;
+  size_t body_capacity;
+  struct MHD_Response *response; /* to be queued when the connection resumes */
+  uint32_t status;
+  uint8_t *pending; /* of a streamed answer: not sent yet */
+  size_t pending_bytes;
+  size_t pending_capacity;
+  bool ended;
+  bool broken;
+  UT_hash_handle hh;
+};
+
+/* A connection, to close those whose headers don't come. */
+struct ash_conn
+{
+  struct MHD_Connection *connection;
+  struct ash_time since; /* opened, or its last request ended */
+  bool in_request;
+  struct ash_conn *prev;
+  struct ash_conn *next;
+};
+
+static struct ash_exchange *
+find_exchange (const struct ash_http_server *server, uint64_t number)
+{
+  struct ash_exchange *exchange;
+
+  HASH_FIND (hh, server->exchanges, &number, sizeof number, exchange);
+  return exchange;
+}
+
+static void
+resume (struct ash_exchange *exchange)
+{
+  if (!exchange->suspended)
+    return;
+  exchange->suspended = false;
+  exchange->server->resumed = true;
+  MHD_resume_connection (exchange->connection);
+}
+
+static void
+suspend (struct ash_exchange *exchange)
+{
+  exchange->suspended = true;
+  MHD_suspend_connection (exchange->connection);
+}
+
+static void
+free_exchange (struct ash_exchange *exchange)
+{
+  HASH_DEL (exchange->server->exchanges, exchange);
+  if (exchange->response)
+    MHD_destroy_response (exchange->response);
+  free (exchange->query);
+  free (exchange->body);
+  free (exchange->pending);
+  free (exchange);
+}
+
+/* ---- requests ---- */
+
+static struct ash_conn *
+conn_of (struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info =
+      MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+  return info ? info->socket_context : NULL;
+}
+
+static struct ash_exchange *
+new_exchange (struct ash_http_server *server, struct MHD_Connection *connection)
+{
+  struct ash_exchange *exchange = calloc (1, sizeof *exchange);
+  struct ash_conn *conn = conn_of (connection);
+
+  if (!exchange)
+    return NULL;
+  exchange->server = server;
+  exchange->connection = connection;
+  exchange->number = ++server->last_number;
+  exchange->since = ash_clock_now ();
+  HASH_ADD (hh, server->exchanges, number, sizeof exchange->number, exchange);
+  if (conn)
+    conn->in_request = true;
+  return exchange;
+}
+
+/* Called with the request line; what it returns is the request's context. */
+static void *
+on_uri (void *data, const char *uri, struct MHD_Connection *connection)
+{
+  struct ash_exchange *exchange = new_exchange (data, connection);
+  const char *question = strchr (uri, '?');
+
+  if (exchange && question)
+    exchange->query = strdup (question + 1);
+  return exchange;
+}
+
+static bool
+grow (uint8_t **bytes, size_t *capacity, size_t wanted)
+{
+  size_t size = *capacity ? *capacity : 1024;
+  uint8_t *grown;
+
+  while (size < wanted)
+    size *= 2;
+  if (size == *capacity)
+    return true;
+  grown = realloc (*bytes, size);
+  if (!grown)
+    return false;
+  *bytes = grown;
+  *capacity = size;
+  return true;
+}
+
+static void
+take_upload (struct ash_exchange *exchange, const char *bytes, size_t length)
+{
+  if (exchange->too_large)
+    return;
+  if (exchange->body_bytes + length > exchange->server->settings->body_max_bytes ||
+      !grow (&exchange->body, &exchange->body_capacity, exchange->body_bytes + length))
+    {
+      exchange->too_large = true;
+      return;
+    }
+  memcpy (exchange->body + exchange->body_bytes, bytes, length);
+  exchange->body_bytes += length;
+}
+
+static enum MHD_Result
+reply_too_large (struct ash_exchange *exchange)
+{
+  static const char text[] = "{\"error\":{\"message\":\"the body is too large\",\"type\":"
+                             "\"invalid_request_error\",\"code\":\"bad_request\"}}\n";
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      sizeof text - 1, (void *) (uintptr_t) text, MHD_RESPMEM_PERSISTENT);
+  enum MHD_Result result;
+
+  MHD_add_response_header (response, "Content-Type", "application/json");
+  MHD_add_response_header (response, "Ash-Outcome", "not-run");
+  MHD_add_response_header (response, "Retry-After", "0");
+  result = MHD_queue_response (exchange->connection, MHD_HTTP_CONTENT_TOO_LARGE, response);
+  MHD_destroy_response (response);
+  exchange->state = EXCHANGE_REPLIED;
+  return result;
+}
+
+static enum MHD_Result
+queue_response (struct ash_exchange *exchange)
+{
+  enum MHD_Result result =
+      MHD_queue_response (exchange->connection, exchange->status, exchange->response);
+
+  MHD_destroy_response (exchange->response);
+  exchange->response = NULL;
+  return result;
+}
+
+static enum MHD_Result
+hand_out (struct ash_exchange *exchange, const char *method, const char *path)
+{
+  struct ash_http_server *server = exchange->server;
+  struct ash_http_request request = {
+    .number = exchange->number,
+    .method = method,
+    .path = path,
+    .query = exchange->query ? exchange->query : "",
+    .body = exchange->body,
+    .body_bytes = exchange->body_bytes,
+    .connection = exchange->connection,
+  };
+
+  exchange->state = EXCHANGE_WAIT;
+  server->handler.request (server->handler.data, &request);
+  if (exchange->response)
+    return queue_response (exchange);
+  suspend (exchange);
+  return MHD_YES;
+}
+
+static enum MHD_Result
+on_request (void *data,
+            struct MHD_Connection *connection,
+            const char *path,
+            const char *method,
+            const char *version,
+            const char *upload,
+            size_t *upload_bytes,
+            void **context)
+{
+  struct ash_exchange *exchange = *context;
+
+  (void) version;
+  (void) data;
+  (void) connection;
+  if (!exchange)
+    return MHD_NO;
+  if (!exchange->begun)
+    {
+      exchange->begun = true;
+      return MHD_YES;
+    }
+  if (*upload_bytes)
+    {
+      take_upload (exchange, upload, *upload_bytes);
+      *upload_bytes = 0;
+      return MHD_YES;
+    }
+  if (exchange->response)
+    return queue_response (exchange);
+  if (exchange->state != EXCHANGE_UPLOAD)
+    return MHD_YES;
+  if (exchange->too_large)
+    return reply_too_large (exchange);
+  return hand_out (exchange, method, path);
+}
+
+static void
+on_completed (void *data,
+              struct MHD_Connection *connection,
+              void **context,
+              enum MHD_RequestTerminationCode code)
+{
+  struct ash_http_server *server = data;
+  struct ash_exchange *exchange = *context;
+  struct ash_conn *conn = conn_of (connection);
+  bool gone;
+
+  if (conn)
+    {
+      conn->in_request = false;
+      conn->since = ash_clock_now ();
+    }
+  if (!exchange)
+    return;
+  gone = code != MHD_REQUEST_TERMINATED_COMPLETED_OK && !exchange->ended &&
+         (exchange->state == EXCHANGE_WAIT || exchange->state == EXCHANGE_STREAM);
+  if (gone)
+    server->handler.gone (server->handler.data, exchange->number);
+  free_exchange (exchange);
+  *context = NULL;
+}
+
+static void
+on_connection (void *data,
+               struct MHD_Connection *connection,
+               void **context,
+               enum MHD_ConnectionNotificationCode code)
+{
+  struct ash_http_server *server = data;
+  struct ash_conn *conn = *context;
+
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    {
+      conn = calloc (1, sizeof *conn);
+      if (!conn)
+        return;
+      conn->connection = connection;
+      conn->since = ash_clock_now ();
+      DL_APPEND (server->conns, conn);
+      *context = conn;
+      return;
+    }
+  if (!conn)
+    return;
+  DL_DELETE (server->conns, conn);
+  free (conn);
+  *context = NULL;
+}
+
+/* ---- answers ---- */
+
+void
+ash_http_headers_add (struct ash_http_headers *headers, const char *name, const char *format, ...)
+{
+  va_list args;
+
+  if (headers->count == ASH_HTTP_HEADERS_MAX)
+    return;
+  headers->items[headers->count].name = name;
+  va_start (args, format);
+  vsnprintf (headers->items[headers->count].value, sizeof headers->items[0].value, format, args);
+  va_end (args);
+  headers->count++;
+}
+
+static void
+set_response (struct ash_exchange *exchange,
+              struct MHD_Response *response,
+              uint32_t status,
+              const struct ash_http_headers *headers)
+{
+  for (uint32_t i = 0; headers && i < headers->count; i++)
+    MHD_add_response_header (response, headers->items[i].name, headers->items[i].value);
+  exchange->response = response;
+  exchange->status = status;
+  resume (exchange);
+}
+
+void
+ash_http_reply (struct ash_http_server *server,
+                uint64_t number,
+                uint32_t status,
+                const struct ash_http_headers *headers,
+                const uint8_t *body,
+                size_t body_bytes)
+{
+  struct ash_exchange *exchange = find_exchange (server, number);
+  struct MHD_Response *response;
+
+  if (!exchange || exchange->state != EXCHANGE_WAIT)
+    return;
+  response = MHD_create_response_from_buffer (body_bytes, (void *) (uintptr_t) body,
+                                              MHD_RESPMEM_MUST_COPY);
+  exchange->state = EXCHANGE_REPLIED;
+  if (response)
+    set_response (exchange, response, status, headers);
+}
+
+static ssize_t
+on_more (void *data, uint64_t position, char *out, size_t room)
+{
+  struct ash_exchange *exchange = data;
+  size_t length = exchange->pending_bytes < room ? exchange->pending_bytes : room;
+
+  (void) position;
+  if (length)
+    {
+      memcpy (out, exchange->pending, length);
+      exchange->pending_bytes -= length;
+      memmove (exchange->pending, exchange->pending + length, exchange->pending_bytes);
+      return (ssize_t) length;
+    }
+  if (exchange->broken)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  if (exchange->ended)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  suspend (exchange);
+  return 0;
+}
+
+void
+ash_http_begin (struct ash_http_server *server,
+                uint64_t number,
+                uint32_t status,
+                const struct ash_http_headers *headers)
+{
+  struct ash_exchange *exchange = find_exchange (server, number);
+  struct MHD_Response *response;
+
+  if (!exchange || exchange->state != EXCHANGE_WAIT)
+    return;
+  response =
+      MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, BLOCK_BYTES, on_more, exchange, NULL);
+  exchange->state = EXCHANGE_STREAM;
+  if (response)
+    set_response (exchange, response, status, headers);
+}
+
+void
+ash_http_append (struct ash_http_server *server,
+                 uint64_t number,
+                 const uint8_t *bytes,
+                 size_t length)
+{
+  struct ash_exchange *exchange = find_exchange (server, number);
+
+  if (!exchange || exchange->state != EXCHANGE_STREAM || exchange->ended)
+    return;
+  if (exchange->pending_bytes + length > PENDING_MAX_BYTES ||
+      !grow (&exchange->pending, &exchange->pending_capacity, exchange->pending_bytes + length))
+    exchange->broken = true;
+  else
+    {
+      memcpy (exchange->pending + exchange->pending_bytes, bytes, length);
+      exchange->pending_bytes += length;
+    }
+  resume (exchange);
+}
+
+void
+ash_http_end (struct ash_http_server *server, uint64_t number, bool whole)
+{
+  struct ash_exchange *exchange = find_exchange (server, number);
+
+  if (!exchange || exchange->state != EXCHANGE_STREAM)
+    return;
+  exchange->ended = true;
+  if (!whole)
+    exchange->broken = true;
+  resume (exchange);
+}
+
+const char *
+ash_http_header (const struct ash_http_request *request, const char *name)
+{
+  return MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND, name);
+}
+
+const char *
+ash_http_query (const struct ash_http_request *request, const char *name)
+{
+  return MHD_lookup_connection_value (request->connection, MHD_GET_ARGUMENT_KIND, name);
+}
+
+/* ---- the loop ---- */
+
+static void
+run (struct ash_http_server *server)
+{
+  server->resumed = false;
+  MHD_run (server->daemon);
+}
+
+static void
+on_io (struct ev_loop *loop, ev_io *io, int events)
+{
+  (void) loop;
+  (void) events;
+  run (io->data);
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void) loop;
+  (void) events;
+  run (timer->data);
+}
+
+/* Before the loop sleeps: the library tells when it wants to run again. It does
+ * not count connections that were resumed outside of its own calls (0.9.75). */
+static void
+on_prepare (struct ev_loop *loop, ev_prepare *prepare, int events)
+{
+  struct ash_http_server *server = prepare->data;
+  MHD_UNSIGNED_LONG_LONG wait_ms;
+
+  (void) events;
+  ev_timer_stop (loop, &server->timer);
+  if (server->resumed)
+    wait_ms = 0;
+  else if (MHD_get_timeout (server->daemon, &wait_ms) != MHD_YES)
+    return;
+  ev_timer_set (&server->timer, (double) wait_ms / MS_PER_S, 0);
+  ev_timer_start (loop, &server->timer);
+}
+
+static int
+socket_of (struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info =
+      MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+  return info ? info->connect_fd : -1;
+}
+
+/* Whether the caller has closed: the library does not look at the socket of a
+ * suspended connection. A caller that only shuts down its sending side counts
+ * as gone too. */
+static bool
+is_closed (const struct ash_exchange *exchange)
+{
+  char byte;
+  ssize_t length =
+      recv (socket_of (exchange->connection), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+
+  return length == 0 || (length < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+static void
+on_sweep (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct ash_http_server *server = timer->data;
+  struct ash_time now = ash_clock_now ();
+  struct ash_time latest = ash_time_add (now, -(int64_t) server->settings->upload_ms);
+  struct ash_time idle = ash_time_add (now, -(int64_t) server->settings->idle_ms);
+  struct ash_exchange *exchange;
+  struct ash_exchange *next;
+  struct ash_conn *conn;
+
+  (void) loop;
+  (void) events;
+  HASH_ITER (hh, server->exchanges, exchange, next)
+  {
+    if (exchange->suspended && is_closed (exchange))
+      {
+        /* The error surfaces in on_more() or on writing the answer. */
+        server->handler.gone (server->handler.data, exchange->number);
+        shutdown (socket_of (exchange->connection), SHUT_RDWR);
+        exchange->broken = true;
+        exchange->ended = true;
+        if (exchange->state == EXCHANGE_WAIT)
+          ash_http_reply (server, exchange->number, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, NULL, 0);
+        else
+          resume (exchange);
+      }
+    else if (exchange->state == EXCHANGE_UPLOAD && ash_time_before (exchange->since, latest))
+      shutdown (socket_of (exchange->connection), SHUT_RDWR);
+  }
+  DL_FOREACH (server->conns, conn)
+  /* Sends headers slowly, or nothing at all. */
+  if (!conn->in_request && ash_time_before (conn->since, idle))
+    shutdown (socket_of (conn->connection), SHUT_RDWR);
+}
+
+static int
+open_listener (const char *text)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  uint16_t port;
+  char ip[16];
+  int fd;
+
+  if (!ash_address_parse (text, ip, &port))
+    {
+      errno = EINVAL;
+      return -1;
+    }
+  address.sin_port = htons (port);
+  inet_pton (AF_INET, ip, &address.sin_addr);
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return -1;
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &(int){ 1 }, sizeof (int));
+  if (bind (fd, (struct sockaddr *) &address, sizeof address) < 0 || listen (fd, SOMAXCONN) < 0)
+    {
+      int error = errno;
+
+      close (fd);
+      errno = error;
+      return -1;
+    }
+  return fd;
+}
+
+bool
+ash_http_server_init (struct ash_http_server *server, struct ev_loop *loop)
+{
+  const union MHD_DaemonInfo *info;
+  uint32_t idle_s = server->settings->idle_ms / MS_PER_S;
+
+  server->loop = loop;
+  server->listen_fd = open_listener (server->settings->http_listen);
+  if (server->listen_fd < 0)
+    return false;
+  server->daemon = MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_request, server,
+      MHD_OPTION_LISTEN_SOCKET, server->listen_fd, MHD_OPTION_CONNECTION_LIMIT,
+      (unsigned) server->settings->connections_max, MHD_OPTION_CONNECTION_TIMEOUT,
+      (unsigned) idle_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) HEADERS_MAX_BYTES,
+      MHD_OPTION_URI_LOG_CALLBACK, on_uri, server, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+      server, MHD_OPTION_NOTIFY_CONNECTION, on_connection, server, MHD_OPTION_END);
+  if (!server->daemon)
+    {
+      close (server->listen_fd);
+      errno = EIO;
+      return false;
+    }
+  info = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  ev_io_init (&server->io, on_io, info->epoll_fd, EV_READ);
+  ev_timer_init (&server->timer, on_timer, 0, 0);
+  ev_prepare_init (&server->prepare, on_prepare);
+  ev_timer_init (&server->sweep, on_sweep, SWEEP_S, SWEEP_S);
+  server->io.data = server;
+  server->timer.data = server;
+  server->prepare.data = server;
+  server->sweep.data = server;
+  ev_io_start (loop, &server->io);
+  ev_prepare_start (loop, &server->prepare);
+  ev_timer_start (loop, &server->sweep);
+  return true;
+}
+
+void
+ash_http_server_quiesce (struct ash_http_server *server)
+{
+  if (server->listen_fd < 0)
+    return;
+  MHD_quiesce_daemon (server->daemon);
+  close (server->listen_fd);
+  server->listen_fd = -1;
+}
+
+uint32_t
+ash_http_server_open (const struct ash_http_server *server)
+{
+  return HASH_COUNT (server->exchanges);
+}
+
+void
+ash_http_server_finish (struct ash_http_server *server)
+{
+  struct ash_exchange *exchange;
+  struct ash_exchange *next;
+
+  ev_io_stop (server->loop, &server->io);
+  ev_prepare_stop (server->loop, &server->prepare);
+  ev_timer_stop (server->loop, &server->timer);
+  ev_timer_stop (server->loop, &server->sweep);
+  /* The library wants no connection suspended when it stops. */
+  HASH_ITER (hh, server->exchanges, exchange, next)
+  {
+    exchange->broken = true;
+    exchange->ended = true;
+    if (exchange->state == EXCHANGE_WAIT)
+      ash_http_reply (server, exchange->number, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, NULL, 0);
+    else
+      resume (exchange);
+  }
+  run (server);
+  MHD_stop_daemon (server->daemon);
+  if (server->listen_fd >= 0)
+    close (server->listen_fd);
+}
--- /dev/null
+++ b/net/http_server.h
@@ -0,0 +1,119 @@
+/**
+ * @file
+ * HTTP for callers and operators, by libmicrohttpd on libev. The task owns its
+ * sockets; a whole request is handed out once, and answered later by its
+ * number. Headers, bodies, connections and slow senders are bounded.
+ */
+#ifndef ASH_HTTP_SERVER_H
+#define ASH_HTTP_SERVER_H
+
+#include "options/settings.h"
+
+#include <ev.h>
+#include <microhttpd.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** Headers of an answer at most. */
+#define ASH_HTTP_HEADERS_MAX 10
+
+/** A request, whole. */
+struct ash_http_request
+{
+  uint64_t number; /**< names it for the answer */
+  const char *method;
+  const char *path;
+  const char *query; /**< as sent, without the question mark; may be "" */
+  const uint8_t *body;
+  size_t body_bytes;
+  struct MHD_Connection *connection; /**< for ash_http_header() and ash_http_query() */
+};
+
+/** Headers of an answer; names and values need to live through the call only. */
+struct ash_http_headers
+{
+  struct
+  {
+    const char *name;
+    char value[160];
+  } items[ASH_HTTP_HEADERS_MAX];
+  uint32_t count;
+};
+
+/** Who gets the requests. */
+struct ash_http_handler
+{
+  void (*request) (void *data, const struct ash_http_request *request);
+  /** The caller has gone before the answer was whole. */
+  void (*gone) (void *data, uint64_t number);
+  void *data;
+};
+
+struct ash_exchange;
+
+/** The task. */
+struct ash_http_server
+{
+  struct ev_loop *loop;
+  const struct ash_settings *settings;
+  struct ash_http_handler handler;
+  struct MHD_Daemon *daemon;
+  ev_io io;
+  ev_timer timer;
+  ev_prepare prepare;
+  ev_timer sweep;
+  struct ash_exchange *exchanges;
+  struct ash_conn *conns;
+  uint64_t last_number;
+  bool resumed; /**< a connection waits for the library to run */
+  int listen_fd;
+};
+
+/** Listens at http_listen of the settings. @return false with errno set. */
+bool ash_http_server_init (struct ash_http_server *server, struct ev_loop *loop);
+
+/** Closes everything. */
+void ash_http_server_finish (struct ash_http_server *server);
+
+/** Takes no new connections any more; open ones are still served. */
+void ash_http_server_quiesce (struct ash_http_server *server);
+
+/** @return how many answers are not whole yet. */
+uint32_t ash_http_server_open (const struct ash_http_server *server);
+
+/** @return a header of the request, or NULL. */
+const char *ash_http_header (const struct ash_http_request *request, const char *name);
+
+/** @return a query argument, or NULL. */
+const char *ash_http_query (const struct ash_http_request *request, const char *name);
+
+/** Adds a header. */
+void
+ash_http_headers_add (struct ash_http_headers *headers, const char *name, const char *format, ...)
+    __attribute__ ((format (printf, 3, 4)));
+
+/** Answers with a whole body. */
+void ash_http_reply (struct ash_http_server *server,
+                     uint64_t number,
+                     uint32_t status,
+                     const struct ash_http_headers *headers,
+                     const uint8_t *body,
+                     size_t body_bytes);
+
+/** Begins an answer whose body follows piece by piece. */
+void ash_http_begin (struct ash_http_server *server,
+                     uint64_t number,
+                     uint32_t status,
+                     const struct ash_http_headers *headers);
+
+/** Adds to it. A caller that reads too slowly is cut off. */
+void ash_http_append (struct ash_http_server *server,
+                      uint64_t number,
+                      const uint8_t *bytes,
+                      size_t length);
+
+/** Ends it: properly, or by breaking the connection if it is not whole. */
+void ash_http_end (struct ash_http_server *server, uint64_t number, bool whole);
+
+#endif
--- /dev/null
+++ b/net/peer.c
@@ -0,0 +1,662 @@
+#include "net/peer.h"
+
+#include "common/clock.h"
+#include "common/id.h"
+#include "net/handshake.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utlist.h>
+
+#define LISTEN_BACKLOG 256
+#define READ_BYTES 65536
+#define MS_PER_S 1000.0
+#define ACCEPTED_MAX 2048
+
+/* What may wait for a slow peer before its link is closed. */
+#define OUT_MAX_BYTES (16 * 1024 * 1024)
+
+enum link_state
+{
+  LINK_CONNECTING, /* dialled, not connected yet */
+  LINK_CHALLENGED, /* accepting: challenge sent; dialling: waits for it */
+  LINK_PROVING,    /* dialling: hello sent, waits for the other's */
+  LINK_UP,
+};
+
+struct ash_link
+{
+  struct ash_peers *peers;
+  struct ash_dial *dial; /* NULL if accepted */
+  enum link_state state;
+  char box[ASH_NAME_BYTES];
+  struct ash_nonces nonces;
+  int fd;
+  ev_io read_io;
+  ev_io write_io;
+  struct ash_time heard; /* the last frame, or the link's start */
+  struct ash_buffer in;
+  struct ash_buffer out;
+  struct ash_frame_key in_key;
+  struct ash_frame_key out_key;
+  bool broken; /* to be closed when the loop comes round */
+  struct ash_link *prev;
+  struct ash_link *next;
+};
+
+/* An address to keep a link to. */
+struct ash_dial
+{
+  char box[ASH_NAME_BYTES];
+  char address[ASH_NAME_BYTES];
+  struct ash_link *link; /* NULL: none at the moment */
+  struct ash_time next_try;
+  struct ash_dial *prev;
+  struct ash_dial *next;
+};
+
+/* ---- links ---- */
+
+static void
+give (struct ash_link *link, Ash__Event__KindCase kind, const void *message)
+{
+  ash_emit (&link->peers->handler, link->box, kind, message);
+}
+
+static void
+close_link (struct ash_link *link, const char *why)
+{
+  struct ash_peers *peers = link->peers;
+  struct Ash__LinkDown down = ASH__LINK_DOWN__INIT;
+  bool was_up = link->state == LINK_UP;
+  uint32_t wait_ms = peers->settings->dial_retry_ms;
+
+  ev_io_stop (peers->loop, &link->read_io);
+  ev_io_stop (peers->loop, &link->write_io);
+  close (link->fd);
+  DL_DELETE (peers->links, link);
+  if (link->dial)
+    {
+      link->dial->link = NULL;
+      /* Half to one and a half times the wait, so that a fleet that lost a
+       * peer at once does not dial it at once. */
+      wait_ms = wait_ms / 2 + ash_random_below (&peers->random, wait_ms + 1);
+      link->dial->next_try = ash_time_add (ash_clock_now (), wait_ms);
+    }
+  if (was_up)
+    {
+      ash_log_event (&peers->log, ASH_EV_LINK_DOWN, "box=%s why=\"%s\"", link->box, why);
+      give (link, ASH__EVENT__KIND_LINK_DOWN, &down);
+    }
+  ash_buffer_finish (&link->in);
+  ash_buffer_finish (&link->out);
+  free (link);
+}
+
+static void
+flush (struct ash_link *link)
+{
+  while (link->out.length)
+    {
+      ssize_t sent =
+          send (link->fd, link->out.bytes + link->out.start, link->out.length, MSG_NOSIGNAL);
+
+      if (sent < 0 && errno == EINTR)
+        continue;
+      if (sent < 0)
+        {
+          /* Closing is left to the loop: flush() may be called from a core. */
+          if (errno != EAGAIN)
+            link->broken = true;
+          break;
+        }
+      link->peers->bytes_out += (uint64_t) sent;
+      ash_buffer_consume (&link->out, (size_t) sent);
+    }
+  if (link->out.length || link->broken)
+    ev_io_start (link->peers->loop, &link->write_io);
+  else
+    ev_io_stop (link->peers->loop, &link->write_io);
+}
+
+static void
+send_event (struct ash_link *link, const struct Ash__Event *event)
+{
+  if (link->out.length > OUT_MAX_BYTES || !ash_frame_write (&link->out, &link->out_key, event))
+    link->broken = true;
+  flush (link);
+}
+
+static void
+send_message (struct ash_link *link, Ash__Event__KindCase kind, const void *message)
+{
+  struct Ash__Event event = ASH__EVENT__INIT;
+
+  event.kind_case = kind;
+  event.heartbeat = (void *) (uintptr_t) message;
+  send_event (link, &event);
+}
+
+static void
+send_hello (struct ash_link *link, enum ash_link_side side)
+{
+  struct ash_peers *peers = link->peers;
+  struct Ash__Hello hello = ASH__HELLO__INIT;
+  uint8_t proof[ASH_PROOF_BYTES];
+
+  hello.box = ash_text (peers->identity.box);
+  hello.role = peers->identity.role;
+  hello.incarnation = peers->identity.incarnation;
+  hello.revision = peers->revision (peers->data);
+  hello.nonce.data = link->nonces.dial;
+  hello.nonce.len = sizeof link->nonces.dial;
+  ash_handshake_prove (peers->identity.fleet_key, &link->nonces, side, &hello, proof);
+  hello.proof.data = proof;
+  hello.proof.len = sizeof proof;
+  send_message (link, ASH__EVENT__KIND_HELLO, &hello);
+}
+
+static void
+send_heartbeat (struct ash_link *link)
+{
+  struct Ash__Heartbeat heartbeat = ASH__HEARTBEAT__INIT;
+
+  link->peers->heartbeat (link->peers->data, &heartbeat);
+  send_message (link, ASH__EVENT__KIND_HEARTBEAT, &heartbeat);
+  free (heartbeat.leaving_boxes);
+  free (heartbeat.leaving_incarnations);
+}
+
+static struct ash_link *
+find_up (const struct ash_peers *peers, const char *box)
+{
+  struct ash_link *link;
+
+  DL_FOREACH (peers->links, link)
+  if (link->state == LINK_UP && strcmp (link->box, box) == 0)
+    return link;
+  return NULL;
+}
+
+static void
+go_up (struct ash_link *link, const struct Ash__Hello *hello)
+{
+  struct ash_peers *peers = link->peers;
+  struct Ash__LinkUp up = ASH__LINK_UP__INIT;
+  struct ash_link *older = find_up (peers, hello->box);
+
+  /* One link a box: the newer one is the one that the box believes in. */
+  if (older)
+    close_link (older, "replaced");
+  snprintf (link->box, sizeof link->box, "%s", hello->box);
+  link->state = LINK_UP;
+  up.role = hello->role;
+  up.incarnation = hello->incarnation;
+  ash_log_event (&peers->log, ASH_EV_LINK_UP, "box=%s incarnation=%016llx", link->box,
+                 (unsigned long long) hello->incarnation);
+  give (link, ASH__EVENT__KIND_LINK_UP, &up);
+  send_heartbeat (link);
+}
+
+/* ---- handshake ---- */
+
+/* Each returns why the link must be closed, or NULL. */
+
+static const char *
+take_challenge (struct ash_link *link, const struct Ash__Event *event)
+{
+  if (!link->dial || event->kind_case != ASH__EVENT__KIND_CHALLENGE ||
+      event->challenge->nonce.len != ASH_NONCE_BYTES)
+    return "expected a challenge";
+  memcpy (link->nonces.accept, event->challenge->nonce.data, ASH_NONCE_BYTES);
+  randombytes_buf (link->nonces.dial, ASH_NONCE_BYTES);
+  send_hello (link, ASH_SIDE_DIAL);
+  link->state = LINK_PROVING;
+  return NULL;
+}
+
+static const char *
+take_hello (struct ash_link *link, const struct Ash__Event *event)
+{
+  struct ash_peers *peers = link->peers;
+  const uint8_t *fleet_key = peers->identity.fleet_key;
+  enum ash_link_side sender = link->dial ? ASH_SIDE_ACCEPT : ASH_SIDE_DIAL;
+  const struct Ash__Hello *hello = event->hello;
+
+  if (event->kind_case != ASH__EVENT__KIND_HELLO || hello->nonce.len != ASH_NONCE_BYTES ||
+      strlen (hello->box) >= ASH_NAME_BYTES)
+    return "expected a hello";
+  if (!link->dial)
+    memcpy (link->nonces.dial, hello->nonce.data, ASH_NONCE_BYTES);
+  if (!ash_handshake_check (fleet_key, &link->nonces, sender, hello))
+    return "wrong proof of the fleet key";
+  if (link->dial && *link->dial->box && strcmp (link->dial->box, hello->box) != 0)
+    return "another box answers at this address";
+  if (strcmp (hello->box, peers->identity.box) == 0)
+    return "it has this box's own name";
+  if (!link->dial)
+    send_hello (link, ASH_SIDE_ACCEPT);
+  ash_handshake_frame_key (fleet_key, &link->nonces, sender, &link->in_key);
+  ash_handshake_frame_key (fleet_key, &link->nonces, link->dial ? ASH_SIDE_DIAL : ASH_SIDE_ACCEPT,
+                           &link->out_key);
+  go_up (link, hello);
+  return NULL;
+}
+
+static const char *
+take_event (struct ash_link *link, struct Ash__Event *event)
+{
+  switch (link->state)
+    {
+    case LINK_CONNECTING:
+      return "a frame before the connection";
+    case LINK_CHALLENGED:
+      return link->dial ? take_challenge (link, event) : take_hello (link, event);
+    case LINK_PROVING:
+      return take_hello (link, event);
+    case LINK_UP:
+      if (event->kind_case == ASH__EVENT__KIND_HELLO ||
+          event->kind_case == ASH__EVENT__KIND_CHALLENGE)
+        return "a hello on a link that is up";
+      break;
+    }
+  /* Who sent it is what the link has proved, whatever the frame says. */
+  free (event->peer == protobuf_c_empty_string ? NULL : event->peer);
+  event->peer = link->box;
+  link->peers->handler.emit (link->peers->handler.data, event);
+  event->peer = ash_text (protobuf_c_empty_string);
+  return NULL;
+}
+
+/* ---- sockets ---- */
+
+/* @return why the link must be closed, or NULL. */
+static const char *
+read_frames (struct ash_link *link)
+{
+  struct Ash__Event *event;
+  const char *why = NULL;
+
+  while (!why)
+    {
+      switch (ash_frame_read (&link->in, &link->in_key, &event))
+        {
+        case ASH_FRAME_NONE:
+          return NULL;
+        case ASH_FRAME_WRONG:
+          return "a wrong frame";
+        case ASH_FRAME_READ:
+          link->heard = ash_clock_now ();
+          why = take_event (link, event);
+          ash__event__free_unpacked (event, NULL);
+          if (!why && link->broken)
+            why = "can't send";
+          break;
+        }
+    }
+  return why;
+}
+
+static bool
+is_silent (const struct ash_link *link, struct ash_time now)
+{
+  return ash_time_diff (link->heard, now) > link->peers->settings->link_silence_ms;
+}
+
+static void
+on_readable (struct ev_loop *loop, ev_io *io, int events)
+{
+  struct ash_link *link = io->data;
+  struct ash_peers *peers = link->peers;
+  uint8_t *at = ash_buffer_reserve (&link->in, READ_BYTES);
+  const char *why = NULL;
+  bool was_up = link->state == LINK_UP;
+  ssize_t length;
+
+  (void) loop;
+  (void) events;
+  /* After a pause of this process: what waits here is too late to act on. */
+  if (is_silent (link, ash_clock_now ()))
+    {
+      close_link (link, "silent");
+      return;
+    }
+  length = at ? recv (link->fd, at, READ_BYTES, 0) : -1;
+  if (length < 0 && at && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (length <= 0)
+    {
+      close_link (link, length == 0 ? "closed by the peer" : "can't read");
+      return;
+    }
+  peers->bytes_in += (uint64_t) length;
+  link->in.length += (size_t) length;
+  why = read_frames (link);
+  if (!why)
+    return;
+  if (!was_up)
+    ash_log_event (&peers->log, ASH_EV_PEER_REFUSED, "address=%s why=\"%s\"",
+                   link->dial ? link->dial->address : "accepted", why);
+  close_link (link, why);
+}
+
+static void
+on_writable (struct ev_loop *loop, ev_io *io, int events)
+{
+  struct ash_link *link = io->data;
+  int error = 0;
+  socklen_t error_bytes = sizeof error;
+
+  (void) loop;
+  (void) events;
+  if (link->broken)
+    {
+      close_link (link, "can't send");
+      return;
+    }
+  if (link->state == LINK_CONNECTING)
+    {
+      getsockopt (link->fd, SOL_SOCKET, SO_ERROR, &error, &error_bytes);
+      if (error)
+        {
+          close_link (link, "can't connect");
+          return;
+        }
+      link->state = LINK_CHALLENGED;
+    }
+  flush (link);
+}
+
+static struct ash_link *
+new_link (struct ash_peers *peers, int fd, enum link_state state)
+{
+  struct ash_link *link = calloc (1, sizeof *link);
+  int on = 1;
+
+  if (!link)
+    {
+      close (fd);
+      return NULL;
+    }
+  fcntl (fd, F_SETFL, fcntl (fd, F_GETFL) | O_NONBLOCK);
+  fcntl (fd, F_SETFD, FD_CLOEXEC);
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  link->peers = peers;
+  link->state = state;
+  link->fd = fd;
+  link->heard = ash_clock_now ();
+  ev_io_init (&link->read_io, on_readable, fd, EV_READ);
+  ev_io_init (&link->write_io, on_writable, fd, EV_WRITE);
+  link->read_io.data = link;
+  link->write_io.data = link;
+  DL_APPEND (peers->links, link);
+  ev_io_start (peers->loop, &link->read_io);
+  return link;
+}
+
+static uint32_t
+accepted_count (const struct ash_peers *peers)
+{
+  const struct ash_link *link;
+  uint32_t count = 0;
+
+  DL_FOREACH (peers->links, link)
+  count += link->dial == NULL;
+  return count;
+}
+
+static void
+on_acceptable (struct ev_loop *loop, ev_io *io, int events)
+{
+  struct ash_peers *peers = io->data;
+  struct Ash__Challenge challenge = ASH__CHALLENGE__INIT;
+  struct ash_link *link;
+  int fd = accept (peers->listen_fd, NULL, NULL);
+
+  (void) loop;
+  (void) events;
+  if (fd < 0)
+    return;
+  if (accepted_count (peers) >= ACCEPTED_MAX)
+    {
+      close (fd);
+      return;
+    }
+  link = new_link (peers, fd, LINK_CHALLENGED);
+  if (!link)
+    return;
+  randombytes_buf (link->nonces.accept, ASH_NONCE_BYTES);
+  challenge.nonce.data = link->nonces.accept;
+  challenge.nonce.len = ASH_NONCE_BYTES;
+  send_message (link, ASH__EVENT__KIND_CHALLENGE, &challenge);
+}
+
+static bool
+socket_address (const char *text, struct sockaddr_in *address)
+{
+  char ip[16];
+  uint16_t port;
+
+  if (!ash_address_parse (text, ip, &port))
+    return false;
+  *address = (struct sockaddr_in){ .sin_family = AF_INET, .sin_port = htons (port) };
+  return inet_pton (AF_INET, ip, &address->sin_addr) == 1;
+}
+
+static void
+connect_dial (struct ash_peers *peers, struct ash_dial *dial)
+{
+  struct sockaddr_in address;
+  int fd;
+
+  if (!socket_address (dial->address, &address))
+    return;
+  fd = socket (AF_INET, SOCK_STREAM, 0);
+  if (fd < 0)
+    return;
+  dial->link = new_link (peers, fd, LINK_CONNECTING);
+  if (!dial->link)
+    return;
+  dial->link->dial = dial;
+  if (connect (fd, (struct sockaddr *) &address, sizeof address) < 0 && errno != EINPROGRESS)
+    close_link (dial->link, "can't connect");
+  else
+    ev_io_start (peers->loop, &dial->link->write_io);
+}
+
+/* ---- the task ---- */
+
+static void
+check_dials (struct ash_peers *peers, struct ash_time now)
+{
+  struct ash_dial *dial;
+
+  DL_FOREACH (peers->dials, dial)
+  {
+    if (dial->link || ash_time_before (now, dial->next_try))
+      continue;
+    /* The box may have a link to here that it dialled itself. */
+    if (*dial->box && find_up (peers, dial->box))
+      continue;
+    connect_dial (peers, dial);
+  }
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct ash_peers *peers = timer->data;
+  struct ash_time now = ash_clock_now ();
+  struct ash_link *link;
+  struct ash_link *next;
+
+  (void) loop;
+  (void) events;
+  DL_FOREACH_SAFE (peers->links, link, next)
+  {
+    if (is_silent (link, now))
+      close_link (link, "silent");
+  }
+  check_dials (peers, now);
+  ash_peers_beat (peers);
+}
+
+void
+ash_peers_beat (struct ash_peers *peers)
+{
+  struct ash_link *link;
+
+  DL_FOREACH (peers->links, link)
+  if (link->state == LINK_UP)
+    send_heartbeat (link);
+}
+
+static int
+listen_on (const char *text)
+{
+  struct sockaddr_in address;
+  int fd;
+
+  if (!socket_address (text, &address))
+    {
+      errno = EINVAL;
+      return -1;
+    }
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return -1;
+#ifdef SO_REUSEADDR
+  /* Past connections may still be in TIME_WAIT. Unlike SO_REUSEPORT this does
+   * not let two processes listen on one port. */
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &(int){ 1 }, sizeof (int));
+#endif
+  if (bind (fd, (struct sockaddr *) &address, sizeof address) < 0 ||
+      listen (fd, LISTEN_BACKLOG) < 0)
+    {
+      int error = errno;
+
+      close (fd);
+      errno = error;
+      return -1;
+    }
+  return fd;
+}
+
+bool
+ash_peers_init (struct ash_peers *peers, struct ev_loop *loop)
+{
+  double period_s = peers->settings->heartbeat_ms / MS_PER_S;
+
+  peers->loop = loop;
+  peers->links = NULL;
+  peers->dials = NULL;
+  peers->listen_fd = listen_on (peers->settings->peer_listen);
+  if (peers->listen_fd < 0)
+    return false;
+  ash_random_init (&peers->random, peers->identity.incarnation);
+  ev_io_init (&peers->listen_io, on_acceptable, peers->listen_fd, EV_READ);
+  peers->listen_io.data = peers;
+  ev_io_start (loop, &peers->listen_io);
+  ev_timer_init (&peers->timer, on_timer, 0, period_s);
+  peers->timer.data = peers;
+  ev_timer_start (loop, &peers->timer);
+  return true;
+}
+
+void
+ash_peers_finish (struct ash_peers *peers)
+{
+  struct ash_dial *dial;
+  struct ash_dial *next;
+
+  ev_io_stop (peers->loop, &peers->listen_io);
+  ev_timer_stop (peers->loop, &peers->timer);
+  while (peers->links)
+    close_link (peers->links, "stopped");
+  DL_FOREACH_SAFE (peers->dials, dial, next)
+  free (dial);
+  peers->dials = NULL;
+  if (peers->listen_fd >= 0)
+    close (peers->listen_fd);
+}
+
+uint16_t
+ash_peers_port (const struct ash_peers *peers)
+{
+  struct sockaddr_in address;
+  socklen_t length = sizeof address;
+
+  if (getsockname (peers->listen_fd, (struct sockaddr *) &address, &length) < 0)
+    return 0;
+  return ntohs (address.sin_port);
+}
+
+void
+ash_peers_dial (struct ash_peers *peers, const char *box, const char *address)
+{
+  struct ash_dial *dial;
+
+  DL_FOREACH (peers->dials, dial)
+  if (strcmp (dial->address, address) == 0 && strcmp (dial->box, box) == 0)
+    return;
+  dial = calloc (1, sizeof *dial);
+  if (!dial)
+    return;
+  snprintf (dial->box, sizeof dial->box, "%s", box);
+  snprintf (dial->address, sizeof dial->address, "%s", address);
+  DL_APPEND (peers->dials, dial);
+}
+
+void
+ash_peers_drop_dials (struct ash_peers *peers,
+                      bool (*wanted) (void *data, const char *box, const char *address),
+                      void *data)
+{
+  struct ash_dial *dial;
+  struct ash_dial *next;
+
+  DL_FOREACH_SAFE (peers->dials, dial, next)
+  {
+    if (wanted (data, dial->box, dial->address))
+      continue;
+    DL_DELETE (peers->dials, dial);
+    /* The link itself is marked and closed by the loop: this may be called
+     * while one of its frames is being handled. */
+    if (dial->link)
+      {
+        dial->link->dial = NULL;
+        dial->link->broken = true;
+        ev_io_start (peers->loop, &dial->link->write_io);
+      }
+    free (dial);
+  }
+}
+
+bool
+ash_peers_send (struct ash_peers *peers, const char *box, const struct Ash__Event *event)
+{
+  struct ash_link *link = find_up (peers, box);
+  struct Ash__Event copy = *event;
+
+  if (!link || link->broken)
+    return false;
+  /* The receiver knows who sends; the name need not travel. */
+  copy.peer = ash_text (protobuf_c_empty_string);
+  send_event (link, &copy);
+  return true;
+}
+
+void
+ash_peers_reset (struct ash_peers *peers)
+{
+  while (peers->links)
+    close_link (peers->links, "paused");
+}
--- /dev/null
+++ b/options/option.c
@@ -0,0 +1,185 @@
+#include "options/option.h"
+
+#include "common/id.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct reader
+{
+  const struct ash_option *option;
+  uint32_t line;
+  char place[128];
+  struct ash_findings *findings;
+};
+
+static void
+store_number (const struct reader *reader, double value, void *field)
+{
+  const struct ash_option *option = reader->option;
+
+  if (!(value >= option->min && value <= option->max))
+    {
+      ash_findings_add (reader->findings, reader->line, reader->place, "%g is outside %g to %g%s%s",
+                        value, option->min, option->max, option->unit ? " " : "",
+                        option->unit ? option->unit : "");
+      return;
+    }
+  if (option->type == ASH_OPTION_UINT)
+    *(uint32_t *) field = (uint32_t) value;
+  else
+    *(double *) field = value;
+}
+
+static void
+store_text (const struct reader *reader, const char *value, void *field)
+{
+  if (strlen (value) >= (size_t) reader->option->max)
+    ash_findings_add (reader->findings, reader->line, reader->place, "longer than %g characters",
+                      reader->option->max - 1);
+  else
+    strcpy (field, value);
+}
+
+static void
+store_hex (const struct reader *reader, const char *value, void *field)
+{
+  if (!ash_hex_decode (value, field, (size_t) reader->option->max))
+    ash_findings_add (reader->findings, reader->line, reader->place, "must be %g hex digits",
+                      2 * reader->option->max);
+}
+
+static void
+store_choice (const struct reader *reader, const char *value, void *field)
+{
+  char known[160] = "";
+
+  for (int i = 0; reader->option->choices[i]; i++)
+    {
+      if (strcmp (value, reader->option->choices[i]) == 0)
+        {
+          *(int *) field = i;
+          return;
+        }
+      strncat (known, i ? ", " : "", sizeof known - strlen (known) - 1);
+      strncat (known, reader->option->choices[i], sizeof known - strlen (known) - 1);
+    }
+  ash_findings_add (reader->findings, reader->line, reader->place, "'%s' is none of %s", value,
+                    known);
+}
+
+static void
+store_fallback (const struct reader *reader, void *field)
+{
+  const char *text = reader->option->fallback;
+
+  switch (reader->option->type)
+    {
+    case ASH_OPTION_TEXT:
+      store_text (reader, text, field);
+      break;
+    case ASH_OPTION_HEX:
+      store_hex (reader, text, field);
+      break;
+    case ASH_OPTION_UINT:
+    case ASH_OPTION_NUMBER:
+      store_number (reader, strtod (text, NULL), field);
+      break;
+    case ASH_OPTION_BOOL:
+      *(bool *) field = strcmp (text, "true") == 0;
+      break;
+    case ASH_OPTION_CHOICE:
+      store_choice (reader, text, field);
+      break;
+    }
+}
+
+static bool
+check_kind (const struct reader *reader, const struct ash_node *node, enum ash_node_kind wanted)
+{
+  if (node->kind == wanted)
+    return true;
+  ash_findings_add (reader->findings, reader->line, reader->place, "expected a %s, found a %s",
+                    ash_node_kind_name (wanted), ash_node_kind_name (node->kind));
+  return false;
+}
+
+static void
+store_node (const struct reader *reader, const struct ash_node *node, void *field)
+{
+  switch (reader->option->type)
+    {
+    case ASH_OPTION_TEXT:
+      if (check_kind (reader, node, ASH_NODE_STRING))
+        store_text (reader, node->string, field);
+      break;
+    case ASH_OPTION_HEX:
+      if (check_kind (reader, node, ASH_NODE_STRING))
+        store_hex (reader, node->string, field);
+      break;
+    case ASH_OPTION_UINT:
+      if (check_kind (reader, node, ASH_NODE_INTEGER))
+        store_number (reader, (double) node->integer, field);
+      break;
+    case ASH_OPTION_NUMBER:
+      if (node->kind == ASH_NODE_INTEGER)
+        store_number (reader, (double) node->integer, field);
+      else if (check_kind (reader, node, ASH_NODE_FLOAT))
+        store_number (reader, node->number, field);
+      break;
+    case ASH_OPTION_BOOL:
+      if (check_kind (reader, node, ASH_NODE_BOOL))
+        *(bool *) field = node->boolean;
+      break;
+    case ASH_OPTION_CHOICE:
+      if (check_kind (reader, node, ASH_NODE_STRING))
+        store_choice (reader, node->string, field);
+      break;
+    }
+}
+
+void
+ash_options_read (const struct ash_option *options,
+                  struct ash_node *table,
+                  const char *place,
+                  void *target,
+                  struct ash_findings *findings)
+{
+  for (const struct ash_option *option = options; option->key; option++)
+    {
+      struct reader reader = { .option = option, .line = table->line, .findings = findings };
+      struct ash_node *node = ash_node_get (table, option->key);
+      void *field = (char *) target + option->offset;
+
+      snprintf (reader.place, sizeof reader.place, "%s%s%s", place, *place ? "." : "", option->key);
+      if (node)
+        reader.line = node->line;
+      if (node)
+        store_node (&reader, node, field);
+      else if (option->fallback)
+        store_fallback (&reader, field);
+      else
+        ash_findings_add (findings, table->line, reader.place, "must be given");
+    }
+}
+
+void
+ash_options_print_help (const struct ash_option *options, FILE *out)
+{
+  for (const struct ash_option *option = options; option->key; option++)
+    {
+      fprintf (out, "%s", option->key);
+      if (option->type == ASH_OPTION_UINT || option->type == ASH_OPTION_NUMBER)
+        fprintf (out, " (%g to %g%s%s)", option->min, option->max, option->unit ? " " : "",
+                 option->unit ? option->unit : "");
+      for (int i = 0; option->choices && option->choices[i]; i++)
+        fprintf (out, "%s%s", i ? " | " : " (", option->choices[i]);
+      if (option->choices)
+        fprintf (out, ")");
+      if (option->fallback)
+        fprintf (out, ", default %s\n", *option->fallback ? option->fallback : "none");
+      else
+        fprintf (out, ", required\n");
+      fprintf (out, "    %s\n", option->help);
+    }
+}
--- /dev/null
+++ b/options/settings.c
@@ -0,0 +1,250 @@
+#include "options/settings.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FILE_MAX_BYTES (1024 * 1024)
+#define HOUR_MS 3600000
+#define FLEET_KEY_CHARACTERS 64
+
+static const char *const roles[] = { "entry", "endpoint", NULL };
+static const char *const log_formats[] = { "text", "json", NULL };
+static const char *const log_levels[] = { "debug", "info", "warn", "error", NULL };
+
+#define AT(field) offsetof (struct ash_settings, field)
+/* clang-format off */
+#define TEXT(name, fallback, help) \
+  { #name, ASH_OPTION_TEXT, AT (name), fallback, 0, ASH_OPTION_TEXT_BYTES, NULL, NULL, help }
+#define CHOICE(name, fallback, list, help) \
+  { #name, ASH_OPTION_CHOICE, AT (name), fallback, 0, 0, list, NULL, help }
+#define MS(name, fallback, min, max, help) \
+  { #name, ASH_OPTION_UINT, AT (name), fallback, min, max, NULL, "ms", help }
+#define COUNT(name, fallback, min, max, unit, help) \
+  { #name, ASH_OPTION_UINT, AT (name), fallback, min, max, NULL, unit, help }
+/* clang-format on */
+
+const struct ash_option ash_settings_options[] = {
+  TEXT (box, NULL, "name of this box, as in the published configuration"),
+  CHOICE (role, NULL, roles, "what the daemon does here"),
+  TEXT (hall, NULL, "failure domain of this box"),
+  TEXT (fleet_key, NULL, "64 hex digits; proves peers to each other"),
+  TEXT (peer_listen, NULL, "IP:PORT for peer links"),
+  TEXT (http_listen, "", "IP:PORT for callers and operators (entry)"),
+  TEXT (platform_url, "", "base URL of the platform's configuration service (entry)"),
+  TEXT (engine_url, "", "base URL of this box's engine or service (endpoint)"),
+  CHOICE (log_format, "text", log_formats, "a line's form"),
+  CHOICE (log_level, "info", log_levels, "lowest level written"),
+  MS (heartbeat_ms, "500", 10, 60000, "period of heartbeats on a link"),
+  MS (link_silence_ms,
+      "2000",
+      50,
+      600000,
+      "a link without a frame for so long is closed; bounds how late a frame can be"),
+  MS (dial_retry_ms, "300", 10, 60000, "mean wait before a link is dialled again"),
+  MS (deadline_default_ms, "30000", 10, HOUR_MS, "deadline of a call that states none"),
+  MS (deadline_max_ms, "600000", 10, HOUR_MS, "longest deadline a call may state"),
+  MS (address_keep_ms, "5000", 100, HOUR_MS, "how long callers may keep an address"),
+  MS (retry_after_ms,
+      "1000",
+      1,
+      HOUR_MS,
+      "least time to come back that a refusal names; spread up to twice that"),
+  MS (resume_ms,
+      "1000",
+      10,
+      HOUR_MS,
+      "how long an entry waits for a cut link before it retries what may be repeated"),
+  MS (key_life_ms, "600000", 100, HOUR_MS, "how long an idempotency key is remembered"),
+  MS (guard_ms,
+      "10000",
+      0,
+      HOUR_MS,
+      "longest time from a caller's sending to an entry's reading; a new life runs no caller's "
+      "key that young unless minted"),
+  MS (id_life_ms,
+      "60000",
+      100,
+      HOUR_MS,
+      "how long requests without a key are remembered; above the lateness of any frame"),
+  MS (orphan_ms,
+      "1500",
+      10,
+      HOUR_MS,
+      "work that no entry asks for any more is cancelled after this"),
+  MS (keyed_orphan_ms, "15000", 10, HOUR_MS, "the same for work with a key, which may come back"),
+  MS (pause_ms, "1000", 50, 60000, "a clock jump above this means that the process was paused"),
+  MS (wake_ms, "1000", 0, 60000, "so long after a pause calls count as possibly old"),
+  COUNT (slots, "32", 1, 100000, "requests", "requests the engine works on at once (endpoint)"),
+  COUNT (queue_max, "256", 0, 100000, "requests", "requests that may wait (endpoint)"),
+  COUNT (ledger_max, "100000", 16, 10000000, "requests", "requests remembered (endpoint)"),
+  COUNT (answer_keep_bytes, "262144", 1024, 67108864, "bytes", "tail kept of one answer"),
+  COUNT (answers_keep_bytes, "8388608", 1024, 1073741824, "bytes", "kept of finished answers"),
+  COUNT (answer_max_bytes,
+         "4194304",
+         1024,
+         1073741824,
+         "bytes",
+         "largest answer that is not streamed (entry)"),
+  COUNT (body_max_bytes, "1048576", 1, 16777216, "bytes", "largest body of a call"),
+  COUNT (connections_max, "4096", 4, 100000, "connections", "callers connected at once (entry)"),
+  MS (idle_ms, "75000", 1000, HOUR_MS, "a caller's silent connection is closed after this"),
+  MS (upload_ms, "10000", 100, HOUR_MS, "a caller must have sent all of a call within this"),
+  { 0 },
+};
+
+bool
+ash_address_parse (const char *text, char ip[16], uint16_t *port)
+{
+  const char *colon = strrchr (text, ':');
+  struct in_addr address;
+  char *end;
+  long number;
+
+  if (!colon || colon - text >= 16 || colon[1] < '0' || colon[1] > '9')
+    return false;
+  memcpy (ip, text, (size_t) (colon - text));
+  ip[colon - text] = '\0';
+  number = strtol (colon + 1, &end, 10);
+  if (*end || number > UINT16_MAX || inet_pton (AF_INET, ip, &address) != 1)
+    return false;
+  *port = (uint16_t) number;
+  return true;
+}
+
+static void
+check_address (const struct ash_node *root,
+               const char *key,
+               const char *value,
+               struct ash_findings *findings)
+{
+  const struct ash_node *node = ash_node_get ((struct ash_node *) root, key);
+  char ip[16];
+  uint16_t port;
+
+  if (!ash_address_parse (value, ip, &port))
+    ash_findings_add (findings, node ? node->line : 0, key, "'%s' is not IP:PORT", value);
+}
+
+static void
+check_url (const struct ash_node *root,
+           const char *key,
+           const char *value,
+           struct ash_findings *findings)
+{
+  const struct ash_node *node = ash_node_get ((struct ash_node *) root, key);
+
+  if (strncmp (value, "http://", strlen ("http://")) != 0)
+    ash_findings_add (findings, node ? node->line : 0, key, "must be given and start with http://");
+}
+
+static void
+read_peers (struct ash_settings *settings, struct ash_node *root, struct ash_findings *findings)
+{
+  struct ash_node *node = ash_node_get (root, "peers");
+  char ip[16];
+  uint16_t port;
+
+  if (!node)
+    return;
+  if (node->kind != ASH_NODE_ARRAY)
+    {
+      ash_findings_add (findings, node->line, "peers", "expected an array of \"IP:PORT\"");
+      return;
+    }
+  for (struct ash_node *item = node->children; item; item = item->next)
+    {
+      if (item->kind != ASH_NODE_STRING || !ash_address_parse (item->string, ip, &port))
+        ash_findings_add (findings, item->line, "peers", "each must be a string IP:PORT");
+      else if (settings->peer_count == ASH_SETTINGS_PEERS_MAX)
+        ash_findings_add (findings, item->line, "peers", "more than %d", ASH_SETTINGS_PEERS_MAX);
+      else
+        strcpy (settings->peers[settings->peer_count++], item->string);
+    }
+}
+
+/* What no single option's range can say. */
+static void
+check_together (const struct ash_settings *settings,
+                const struct ash_node *root,
+                struct ash_findings *findings)
+{
+  /* A required key that is missing has its finding already. */
+  if (*settings->fleet_key &&
+      (strlen (settings->fleet_key) != FLEET_KEY_CHARACTERS ||
+       strspn (settings->fleet_key, "0123456789abcdefABCDEF") != FLEET_KEY_CHARACTERS))
+    ash_findings_add (findings, 0, "fleet_key", "must be %d hex digits", FLEET_KEY_CHARACTERS);
+  if (*settings->peer_listen)
+    check_address (root, "peer_listen", settings->peer_listen, findings);
+  if (settings->role == ASH_SETTINGS_ENTRY)
+    {
+      check_address (root, "http_listen", settings->http_listen, findings);
+      check_url (root, "platform_url", settings->platform_url, findings);
+    }
+  else
+    check_url (root, "engine_url", settings->engine_url, findings);
+  if (settings->link_silence_ms < 2 * settings->heartbeat_ms)
+    ash_findings_add (findings, 0, "link_silence_ms", "must be at least twice heartbeat_ms");
+  if (settings->id_life_ms < 2 * settings->link_silence_ms)
+    ash_findings_add (findings, 0, "id_life_ms", "must be at least twice link_silence_ms");
+  if (settings->key_life_ms < settings->id_life_ms)
+    ash_findings_add (findings, 0, "key_life_ms", "must be at least id_life_ms");
+  if (settings->deadline_default_ms > settings->deadline_max_ms)
+    ash_findings_add (findings, 0, "deadline_default_ms", "must not be above deadline_max_ms");
+}
+
+void
+ash_settings_init (struct ash_settings *settings)
+{
+  struct ash_node empty = { .kind = ASH_NODE_TABLE };
+  struct ash_findings ignored;
+
+  /* The required keys are missing here; their findings are of no interest. */
+  ash_findings_init (&ignored, "defaults");
+  *settings = (struct ash_settings){ 0 };
+  ash_options_read (ash_settings_options, &empty, "", settings, &ignored);
+  ash_findings_finish (&ignored);
+}
+
+void
+ash_settings_read (struct ash_settings *settings,
+                   const char *text,
+                   size_t text_bytes,
+                   struct ash_findings *findings)
+{
+  struct ash_node *root = ash_node_read_toml (text, text_bytes, findings);
+
+  ash_settings_init (settings);
+  if (!root)
+    return;
+  ash_options_read (ash_settings_options, root, "", settings, findings);
+  read_peers (settings, root, findings);
+  ash_node_report_unused (root, "", findings);
+  check_together (settings, root, findings);
+  ash_node_free (root);
+}
+
+void
+ash_settings_read_file (struct ash_settings *settings,
+                        const char *path,
+                        struct ash_findings *findings)
+{
+  FILE *file = fopen (path, "rb");
+  char *text = NULL;
+  size_t length;
+
+  if (!file)
+    {
+      ash_findings_add (findings, 0, "file", "%s", strerror (errno));
+      return;
+    }
+  text = malloc (FILE_MAX_BYTES);
+  length = text ? fread (text, 1, FILE_MAX_BYTES, file) : 0;
+  if (!text || ferror (file) || length == FILE_MAX_BYTES)
+    ash_findings_add (findings, 0, "file", "can't be read, or is above %d bytes", FILE_MAX_BYTES);
+  else
+    ash_settings_read (settings, text, length, findings);
+  free (text);
+  fclose (file);
+}
--- /dev/null
+++ b/options/settings.h
@@ -0,0 +1,86 @@
+/**
+ * @file
+ * The settings of one daemon: who it is, where it listens, whom it asks, and
+ * its time-outs. Read once at the start.
+ */
+#ifndef ASH_SETTINGS_H
+#define ASH_SETTINGS_H
+
+#include "options/option.h"
+
+/** Addresses of other boxes that a new process may ask first. */
+#define ASH_SETTINGS_PEERS_MAX 16
+
+/** What a daemon does on its box. */
+enum ash_settings_role
+{
+  ASH_SETTINGS_ENTRY,
+  ASH_SETTINGS_ENDPOINT,
+};
+
+/** The settings of a daemon; times in milliseconds. */
+struct ash_settings
+{
+  char box[ASH_OPTION_TEXT_BYTES];
+  int role;
+  char hall[ASH_OPTION_TEXT_BYTES];
+  char fleet_key[ASH_OPTION_TEXT_BYTES];
+  char peer_listen[ASH_OPTION_TEXT_BYTES];
+  char http_listen[ASH_OPTION_TEXT_BYTES];
+  char platform_url[ASH_OPTION_TEXT_BYTES];
+  char engine_url[ASH_OPTION_TEXT_BYTES];
+  int log_format;
+  int log_level;
+  uint32_t heartbeat_ms;
+  uint32_t link_silence_ms;
+  uint32_t dial_retry_ms;
+  uint32_t deadline_default_ms;
+  uint32_t deadline_max_ms;
+  uint32_t address_keep_ms;
+  uint32_t retry_after_ms;
+  uint32_t resume_ms;
+  uint32_t key_life_ms;
+  uint32_t guard_ms;
+  uint32_t id_life_ms;
+  uint32_t orphan_ms;
+  uint32_t keyed_orphan_ms;
+  uint32_t pause_ms;
+  uint32_t wake_ms;
+  uint32_t slots;
+  uint32_t queue_max;
+  uint32_t ledger_max;
+  uint32_t answer_keep_bytes;
+  uint32_t answers_keep_bytes;
+  uint32_t answer_max_bytes;
+  uint32_t body_max_bytes;
+  uint32_t connections_max;
+  uint32_t idle_ms;
+  uint32_t upload_ms;
+  char peers[ASH_SETTINGS_PEERS_MAX][ASH_OPTION_TEXT_BYTES];
+  uint32_t peer_count;
+};
+
+/** The table of all options, for help and docs. */
+extern const struct ash_option ash_settings_options[];
+
+/** Fills @p settings with the defaults, as an empty file would. */
+void ash_settings_init (struct ash_settings *settings);
+
+/** Reads and checks a TOML text; the settings count only without findings. */
+void ash_settings_read (struct ash_settings *settings,
+                        const char *text,
+                        size_t text_bytes,
+                        struct ash_findings *findings);
+
+/** Reads a file; a file that can't be read is a finding too. */
+void ash_settings_read_file (struct ash_settings *settings,
+                             const char *path,
+                             struct ash_findings *findings);
+
+/**
+ * Splits `IP:PORT`.
+ * @return false if it is not an IPv4 number and a port from 0 to 65535.
+ */
+bool ash_address_parse (const char *text, char ip[16], uint16_t *port);
+
+#endif
--- /dev/null
+++ b/test/standin_engine.c
@@ -0,0 +1,285 @@
+/**
+ * @file
+ * The stand-in of a model engine and of a plain service. It works on a batch
+ * of up to SLOTS requests, each gets a token a step, and it records each run
+ * of each request id, which tests compare with what callers were told.
+ *
+ * POST /v1/chat/completions, /v1/completions   `max_tokens` tokens
+ * any  other path                              a plain call; ?work_ms=W
+ * GET  /runs                                   {"ID": {"runs": n, "ended": n, "cancelled": n}}
+ * GET  /load                                   running, waiting; lags
+ * POST /control?break_after=N                  breaks answers after N tokens
+ * POST /control?drop=1                         takes requests, then drops them unanswered
+ *
+ * The text of an answer is made from the request's id alone, so that every
+ * byte that a caller gets can be checked to be of its own request.
+ */
+#include "test/standin.h"
+
+#include <jansson.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LOAD_LAG_MS 200
+#define TOKENS_DEFAULT 16
+
+struct generation
+{
+  char id[64];
+  bool stream;
+  int64_t tokens;
+  int64_t sent;
+  bool closing; /* the end of the stream was sent */
+};
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static json_t *runs; /* id -> counts */
+static int64_t slots = 8;
+static int64_t step_ms = 5;
+static int64_t running;
+static int64_t waiting;
+static int64_t break_after = -1;
+static bool drop;
+static int64_t shown_running;
+static int64_t shown_waiting;
+static int64_t shown_ms;
+
+static void
+count (const char *id, const char *what)
+{
+  json_t *row;
+
+  pthread_mutex_lock (&lock);
+  row = json_object_get (runs, id);
+  if (!row)
+    {
+      row = json_pack ("{s:i, s:i, s:i}", "runs", 0, "ended", 0, "cancelled", 0);
+      json_object_set_new (runs, id, row);
+    }
+  json_object_set_new (row, what,
+                       json_integer (json_integer_value (json_object_get (row, what)) + 1));
+  pthread_mutex_unlock (&lock);
+}
+
+static void
+enter_batch (void)
+{
+  pthread_mutex_lock (&lock);
+  waiting++;
+  while (running >= slots)
+    {
+      pthread_mutex_unlock (&lock);
+      standin_sleep_ms (1);
+      pthread_mutex_lock (&lock);
+    }
+  waiting--;
+  running++;
+  pthread_mutex_unlock (&lock);
+}
+
+static void
+leave_batch (void)
+{
+  pthread_mutex_lock (&lock);
+  running--;
+  pthread_mutex_unlock (&lock);
+}
+
+/* All requests of the batch step together: to the next whole step. */
+static void
+wait_step (void)
+{
+  standin_sleep_ms (step_ms - standin_now_ms () % step_ms);
+}
+
+static int
+print_token (const struct generation *generation, char *out)
+{
+  return sprintf (
+      out,
+      "data: {\"id\":\"%s\",\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":"
+      "0,\"delta\":{\"content\":\"%.8s-%lld \"}}]}\n\n",
+      generation->id, generation->id, (long long) generation->sent);
+}
+
+static ssize_t
+on_more (void *data, uint64_t position, char *out, size_t room)
+{
+  struct generation *generation = data;
+
+  (void) position;
+  if (room < 512)
+    return 0;
+  if (generation->closing)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  if (break_after >= 0 && generation->sent >= break_after)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  if (generation->sent == generation->tokens)
+    {
+      generation->closing = true;
+      return sprintf (out, "data: [DONE]\n\n");
+    }
+  wait_step ();
+  generation->sent++;
+  return print_token (generation, out);
+}
+
+static void
+on_free (void *data)
+{
+  struct generation *generation = data;
+
+  leave_batch ();
+  count (generation->id, generation->closing ? "ended" : "cancelled");
+  free (generation);
+}
+
+static enum MHD_Result
+reply_stream (struct standin_request *request, struct generation *generation)
+{
+  struct MHD_Response *response =
+      MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, 1024, on_more, generation, on_free);
+  enum MHD_Result result;
+
+  MHD_add_response_header (response, "Content-Type", "text/event-stream");
+  result = MHD_queue_response (request->connection, MHD_HTTP_OK, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static enum MHD_Result
+reply_whole (struct standin_request *request, struct generation *generation)
+{
+  size_t room = 256 + (size_t) generation->tokens * 32;
+  char *text = malloc (room);
+  int length = snprintf (text, room,
+                         "{\"id\":\"%s\",\"object\":\"chat.completion\",\"choices\":[{\"index\":0,"
+                         "\"message\":{\"role\":\"assistant\",\"content\":\"",
+                         generation->id);
+  enum MHD_Result result;
+
+  for (int64_t i = 1; i <= generation->tokens; i++)
+    {
+      wait_step ();
+      length += sprintf (text + length, "%.8s-%lld ", generation->id, (long long) i);
+    }
+  length += sprintf (text + length, "\"}}]}\n");
+  result = standin_reply (request, MHD_HTTP_OK, "application/json", text, (size_t) length);
+  generation->closing = true;
+  on_free (generation);
+  free (text);
+  return result;
+}
+
+static enum MHD_Result
+handle_completion (struct standin_request *request, const char *id)
+{
+  struct generation *generation = calloc (1, sizeof *generation);
+  json_t *body = json_loadb (request->body, request->body_bytes, 0, NULL);
+  const json_t *tokens = json_object_get (body, "max_tokens");
+
+  snprintf (generation->id, sizeof generation->id, "%s", id);
+  generation->stream = json_is_true (json_object_get (body, "stream"));
+  generation->tokens = tokens ? json_integer_value (tokens) : TOKENS_DEFAULT;
+  json_decref (body);
+  enter_batch ();
+  count (id, "runs");
+  return generation->stream ? reply_stream (request, generation)
+                            : reply_whole (request, generation);
+}
+
+static enum MHD_Result
+handle_plain (struct standin_request *request, const char *id)
+{
+  char text[256];
+  int length;
+
+  enter_batch ();
+  count (id, "runs");
+  standin_sleep_ms (standin_number (request, "work_ms", 1));
+  leave_batch ();
+  count (id, "ended");
+  length = snprintf (text, sizeof text,
+                     "{\"id\":\"%s\",\"method\":\"%s\",\"path\":\"%s\",\"body_bytes\":%zu}\n", id,
+                     request->method, request->path, request->body_bytes);
+  return standin_reply (request, MHD_HTTP_OK, "application/json", text, (size_t) length);
+}
+
+static enum MHD_Result
+handle_runs (struct standin_request *request)
+{
+  enum MHD_Result result;
+  char *text;
+
+  pthread_mutex_lock (&lock);
+  text = json_dumps (runs, JSON_COMPACT);
+  pthread_mutex_unlock (&lock);
+  result = standin_reply (request, MHD_HTTP_OK, "application/json", text, strlen (text));
+  free (text);
+  return result;
+}
+
+static enum MHD_Result
+handle_load (struct standin_request *request)
+{
+  char text[96];
+  int length;
+
+  pthread_mutex_lock (&lock);
+  if (standin_now_ms () - shown_ms > LOAD_LAG_MS)
+    {
+      shown_running = running;
+      shown_waiting = waiting;
+      shown_ms = standin_now_ms ();
+    }
+  length =
+      sprintf (text, "{\"running\":%lld,\"waiting\":%lld,\"step_us\":%lld}\n",
+               (long long) shown_running, (long long) shown_waiting, (long long) step_ms * 1000);
+  pthread_mutex_unlock (&lock);
+  return standin_reply (request, MHD_HTTP_OK, "application/json", text, (size_t) length);
+}
+
+static enum MHD_Result
+handle (struct standin_request *request)
+{
+  const char *id =
+      MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND, "X-Request-Id");
+
+  if (strcmp (request->path, "/runs") == 0)
+    return handle_runs (request);
+  if (strcmp (request->path, "/load") == 0)
+    return handle_load (request);
+  if (strcmp (request->path, "/control") == 0)
+    {
+      break_after = standin_number (request, "break_after", break_after);
+      drop = standin_number (request, "drop", drop) != 0;
+      step_ms = standin_number (request, "step_ms", step_ms);
+      return standin_reply (request, MHD_HTTP_OK, "text/plain", "ok\n", 3);
+    }
+  if (!id)
+    id = "direct";
+  if (drop)
+    {
+      count (id, "runs");
+      return MHD_NO;
+    }
+  if (strcmp (request->path, "/v1/chat/completions") == 0 ||
+      strcmp (request->path, "/v1/completions") == 0)
+    return handle_completion (request, id);
+  return handle_plain (request, id);
+}
+
+int
+standin_engine (int argc, char **argv)
+{
+  if (argc < 2)
+    return 2;
+  if (argc > 2)
+    slots = atoi (argv[2]);
+  if (argc > 3)
+    step_ms = atoi (argv[3]);
+  runs = json_object ();
+  return standin_serve ((uint16_t) atoi (argv[1]), handle);
+}
--- /dev/null
+++ b/test/standin_link.c
@@ -0,0 +1,162 @@
+/**
+ * @file
+ * The stand-in of a network link: passes TCP bytes on to a port and can be cut.
+ *
+ * POST /control?mode=0  passes bytes
+ * POST /control?mode=1  cut: keeps connections, passes nothing, loses nothing
+ * POST /control?mode=2  one way: only towards the target
+ * POST /control?mode=3  closes connections and takes no new ones
+ */
+#include "test/standin.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum mode
+{
+  MODE_PASS,
+  MODE_CUT,
+  MODE_ONE_WAY,
+  MODE_CLOSED,
+};
+
+#define POLL_MS 5
+
+static atomic_int mode;
+static uint16_t target_port;
+
+struct pair
+{
+  int caller;
+  int target;
+};
+
+static int
+connect_target (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (target_port) };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  if (connect (fd, (struct sockaddr *) &address, sizeof address) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+/* Passes on what there is. @return false at the end of the connection. */
+static bool
+pass (int from, int to)
+{
+  char bytes[65536];
+  ssize_t length = recv (from, bytes, sizeof bytes, MSG_DONTWAIT);
+
+  if (length == 0)
+    return false;
+  for (ssize_t sent = 0; sent < length;)
+    {
+      ssize_t n = send (to, bytes + sent, (size_t) (length - sent), MSG_NOSIGNAL);
+
+      if (n <= 0)
+        return false;
+      sent += n;
+    }
+  return true;
+}
+
+static void *
+serve_pair (void *data)
+{
+  struct pair *pair = data;
+  bool open = true;
+
+  while (open && mode != MODE_CLOSED)
+    {
+      struct pollfd fds[] = { { pair->caller, POLLIN, 0 }, { pair->target, POLLIN, 0 } };
+      enum mode now = (enum mode) mode;
+
+      if (now == MODE_CUT)
+        {
+          standin_sleep_ms (POLL_MS);
+          continue;
+        }
+      poll (fds, 2, POLL_MS);
+      if (fds[0].revents)
+        open = pass (pair->caller, pair->target);
+      if (open && now == MODE_PASS && fds[1].revents)
+        open = pass (pair->target, pair->caller);
+      if (now == MODE_ONE_WAY && fds[1].revents)
+        standin_sleep_ms (POLL_MS);
+    }
+  close (pair->caller);
+  close (pair->target);
+  free (pair);
+  return NULL;
+}
+
+static void *
+accept_pairs (void *data)
+{
+  int listener = *(int *) data;
+
+  for (;;)
+    {
+      struct pair *pair = calloc (1, sizeof *pair);
+      pthread_t thread;
+      int on = 1;
+
+      pair->caller = accept (listener, NULL, NULL);
+      pair->target = mode == MODE_CLOSED ? -1 : connect_target ();
+      if (pair->target < 0)
+        {
+          close (pair->caller);
+          free (pair);
+          continue;
+        }
+      setsockopt (pair->caller, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+      setsockopt (pair->target, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+      pthread_create (&thread, NULL, serve_pair, pair);
+      pthread_detach (thread);
+    }
+  return NULL;
+}
+
+static enum MHD_Result
+handle (struct standin_request *request)
+{
+  mode = (int) standin_number (request, "mode", mode);
+  return standin_reply (request, MHD_HTTP_OK, "text/plain", "ok\n", 3);
+}
+
+int
+standin_link (int argc, char **argv)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  static int listener;
+  pthread_t thread;
+
+  if (argc < 4)
+    return 2;
+  target_port = (uint16_t) atoi (argv[2]);
+  listener = socket (AF_INET, SOCK_STREAM, 0);
+  setsockopt (listener, SOL_SOCKET, SO_REUSEADDR, &(int){ 1 }, sizeof (int));
+  address.sin_port = htons ((uint16_t) atoi (argv[1]));
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  if (bind (listener, (struct sockaddr *) &address, sizeof address) < 0 ||
+      listen (listener, SOMAXCONN) < 0)
+    {
+      perror ("stand-in link");
+      return EXIT_FAILURE;
+    }
+  pthread_create (&thread, NULL, accept_pairs, &listener);
+  return standin_serve ((uint16_t) atoi (argv[3]), handle);
+}
