--- /dev/null
+++ b/test/standin_platform.c
@@ -0,0 +1,234 @@
+/**
+ * @file
+ * The platform's stand-in: a configuration that is read and watched, and a
+ * list of boxes that lags. Tests publish and break it through /control.
+ *
+ * GET  /v1/config?after=R&wait_ms=W   the document above R, or 304 after W
+ * GET  /v1/boxes                      the list
+ * PUT  /control/config?revision=R     publishes (without R: the next one)
+ * PUT  /control/box?box=B&state=S     as the list will say after its lag
+ * POST /control/mode?config=M&list=M&lag_ms=L
+ *      M: 0 answers, 1 fails, 2 stale (nothing new is seen), 3 an older one
+ * GET  /control/calls                 how many calls there were, by kind
+ */
+#include "test/standin.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BOXES_MAX 64
+#define NAME_BYTES 40
+
+enum mode
+{
+  MODE_OK,
+  MODE_FAIL,
+  MODE_STALE,
+  MODE_OLDER,
+};
+
+struct published
+{
+  uint64_t revision;
+  char *text;
+};
+
+struct listed
+{
+  char name[NAME_BYTES];
+  char state[16];
+  char next_state[16];
+  int64_t next_ms; /* when next_state shows */
+};
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static struct published present;
+static struct published older;
+static uint64_t stale_revision; /* in MODE_STALE nothing above it is shown */
+static enum mode config_mode;
+static enum mode list_mode;
+static int64_t list_lag_ms;
+static struct listed boxes[BOXES_MAX];
+static unsigned box_count;
+static unsigned config_calls;
+static unsigned list_calls;
+
+static void
+publish (const char *text, uint64_t revision)
+{
+  free (older.text);
+  older = present;
+  present.revision = revision ? revision : older.revision + 1;
+  present.text = strdup (text);
+}
+
+static enum MHD_Result
+reply_document (struct standin_request *request, const struct published *document)
+{
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      strlen (document->text), document->text, MHD_RESPMEM_MUST_COPY);
+  char revision[32];
+  enum MHD_Result result;
+
+  snprintf (revision, sizeof revision, "%llu", (unsigned long long) document->revision);
+  MHD_add_response_header (response, "Ash-Revision", revision);
+  result = MHD_queue_response (request->connection, MHD_HTTP_OK, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+/* What a read sees now, or NULL. */
+static const struct published *
+visible (uint64_t after)
+{
+  if (config_mode == MODE_OLDER)
+    return older.text ? &older : NULL;
+  if (!present.text || present.revision <= after)
+    return NULL;
+  if (config_mode == MODE_STALE && present.revision > stale_revision)
+    return NULL;
+  return &present;
+}
+
+static enum MHD_Result
+handle_config (struct standin_request *request)
+{
+  uint64_t after = (uint64_t) standin_number (request, "after", 0);
+  int64_t until_ms = standin_now_ms () + standin_number (request, "wait_ms", 0);
+  const struct published *document;
+  enum MHD_Result result;
+  bool is_older;
+
+  pthread_mutex_lock (&lock);
+  config_calls++;
+  while (config_mode != MODE_FAIL && !(document = visible (after)) && standin_now_ms () < until_ms)
+    {
+      pthread_mutex_unlock (&lock);
+      standin_sleep_ms (5);
+      pthread_mutex_lock (&lock);
+    }
+  if (config_mode == MODE_FAIL)
+    result = standin_reply (request, MHD_HTTP_SERVICE_UNAVAILABLE, "text/plain", "down\n", 5);
+  else if ((document = visible (after)))
+    result = reply_document (request, document);
+  else
+    result = standin_reply (request, MHD_HTTP_NOT_MODIFIED, "text/plain", "", 0);
+  is_older = config_mode == MODE_OLDER;
+  pthread_mutex_unlock (&lock);
+  /* An older answer comes at once whatever is asked for: keep that bearable. */
+  if (is_older)
+    standin_sleep_ms (50);
+  return result;
+}
+
+static enum MHD_Result
+handle_list (struct standin_request *request)
+{
+  char text[BOXES_MAX * 96 + 32];
+  size_t length;
+  bool fail;
+
+  pthread_mutex_lock (&lock);
+  list_calls++;
+  fail = list_mode == MODE_FAIL;
+  length = (size_t) sprintf (text, "{\"boxes\":[");
+  for (unsigned i = 0; i < box_count; i++)
+    {
+      if (boxes[i].next_ms && standin_now_ms () >= boxes[i].next_ms)
+        {
+          strcpy (boxes[i].state, boxes[i].next_state);
+          boxes[i].next_ms = 0;
+        }
+      length += (size_t) sprintf (text + length, "%s{\"box\":\"%s\",\"state\":\"%s\"}",
+                                  i ? "," : "", boxes[i].name, boxes[i].state);
+    }
+  length += (size_t) sprintf (text + length, "]}\n");
+  pthread_mutex_unlock (&lock);
+  if (fail)
+    return standin_reply (request, MHD_HTTP_SERVICE_UNAVAILABLE, "text/plain", "down\n", 5);
+  return standin_reply (request, MHD_HTTP_OK, "application/json", text, length);
+}
+
+static void
+set_box (struct standin_request *request)
+{
+  const char *name =
+      MHD_lookup_connection_value (request->connection, MHD_GET_ARGUMENT_KIND, "box");
+  const char *state =
+      MHD_lookup_connection_value (request->connection, MHD_GET_ARGUMENT_KIND, "state");
+  unsigned i = 0;
+
+  if (!name || !state)
+    return;
+  while (i < box_count && strcmp (boxes[i].name, name) != 0)
+    i++;
+  if (i == BOXES_MAX)
+    return;
+  if (i == box_count)
+    {
+      snprintf (boxes[i].name, sizeof boxes[i].name, "%s", name);
+      strcpy (boxes[i].state, "live");
+      box_count++;
+    }
+  snprintf (boxes[i].next_state, sizeof boxes[i].next_state, "%s", state);
+  boxes[i].next_ms = standin_now_ms () + list_lag_ms;
+}
+
+static enum MHD_Result
+handle_control (struct standin_request *request)
+{
+  char text[96];
+  int length;
+
+  pthread_mutex_lock (&lock);
+  if (strcmp (request->path, "/control/config") == 0)
+    publish (request->body, (uint64_t) standin_number (request, "revision", 0));
+  else if (strcmp (request->path, "/control/box") == 0)
+    set_box (request);
+  else if (strcmp (request->path, "/control/mode") == 0)
+    {
+      config_mode = (enum mode) standin_number (request, "config", config_mode);
+      list_mode = (enum mode) standin_number (request, "list", list_mode);
+      list_lag_ms = standin_number (request, "lag_ms", list_lag_ms);
+      stale_revision = present.revision;
+    }
+  length = sprintf (text, "{\"config\":%u,\"list\":%u,\"revision\":%llu}\n", config_calls,
+                    list_calls, (unsigned long long) present.revision);
+  pthread_mutex_unlock (&lock);
+  return standin_reply (request, MHD_HTTP_OK, "application/json", text, (size_t) length);
+}
+
+static enum MHD_Result
+handle (struct standin_request *request)
+{
+  if (strcmp (request->path, "/v1/config") == 0)
+    return handle_config (request);
+  if (strcmp (request->path, "/v1/boxes") == 0)
+    return handle_list (request);
+  return handle_control (request);
+}
+
+int
+standin_platform (int argc, char **argv)
+{
+  static char text[1024 * 1024];
+  FILE *file;
+
+  if (argc < 2)
+    return 2;
+  if (argc > 2)
+    {
+      file = fopen (argv[2], "rb");
+      if (!file)
+        {
+          perror (argv[2]);
+          return EXIT_FAILURE;
+        }
+      text[fread (text, 1, sizeof text - 1, file)] = '\0';
+      fclose (file);
+      publish (text, 1);
+    }
+  return standin_serve ((uint16_t) atoi (argv[1]), handle);
+}
