request core: random schedules find seven broken promises; mended

- a lost life's answer of which a part was seen counted as "not may have run": a request that may not be repeated went to a second endpoint;
- a run that was cancelled before its engine's head was told as "ran";
- a refusal of an attempt whose number the caller had not stated did not cover earlier ones under way: told "not run", then ran;
- a refusal told again did not cover the one that it was told to;
- an entry that woke late asked for what the ledger had done and forgotten, and was told "never received, not run" (Resume now says how old it is);
- a home that has moved: the old home told "not run" of what the new one may run, and the new one ran attempts that the old one had refused (Disowned now carries refused_upto, and an old home says "unknown");
- frames of an agent to an earlier life of an entry fitted the new one's count of attempts (the id is compared as well).

And one that the schedules' own bound showed: a link that is not silent does not bound how late a frame is, where the delay grows slowly. Frames now carry the sender's clock; net/lateness closes a link with a frame above link_silence_ms. The guard after a restart counts that time too.

Ruled out: keeping "not run" to a number the caller need not state (a caller who does not state it gets "unknown" or a used-up key instead).

--- a/controllers/agent.c
+++ b/controllers/agent.c
@@ -156,6 +156,21 @@
                        record->keyed ? agent->settings->key_life_ms : agent->settings->id_life_ms);
 }
 
+static int64_t
+age_ms (const struct ash_agent *agent, struct ash_time now)
+{
+  return ash_time_diff (agent->born, now);
+}
+
+/* Whether a caller's first attempt may have been sent before this life began:
+ * it may be on its way to the entry for guard_ms, and from there for as long
+ * as a link may be silent. */
+static bool
+is_guarded (const struct ash_agent *agent, struct ash_time now)
+{
+  return age_ms (agent, now) < agent->settings->guard_ms + agent->settings->link_silence_ms;
+}
+
 /* Whether this life can know of every earlier attempt of the request. Requests
  * without a key have only the one that is asked about. */
 static bool
@@ -163,7 +178,16 @@
 {
   if (!asker->keyed || asker->minted || asker->caller_attempt == 1)
     return true;
-  return ash_time_diff (agent->born, now) >= agent->settings->key_life_ms;
+  return age_ms (agent, now) >= agent->settings->key_life_ms;
+}
+
+/* Up to which of the caller's attempts a refusal holds. Where the caller has
+ * not said which one this is, any other may be an earlier one that is still
+ * under way: then it holds for all, and the key is used up. */
+static uint32_t
+refused_upto (const struct asker *asker)
+{
+  return asker->caller_attempt ? asker->caller_attempt : UINT32_MAX;
 }
 
 /* Writes the refusal into the ledger, then tells every entry that waits. */
@@ -198,8 +222,13 @@
 {
   struct ash_watcher *watcher;
 
+  char id[ASH_ID_TEXT_BYTES];
+
   record->whole = whole;
   record->reason = reason;
+  ash_id_format (record->id, id);
+  ash_log_event (&agent->log, ASH_EV_RUN_ENDED, "id=%s whole=%d bytes=%llu reason=%d", id, whole,
+                 (unsigned long long) (record->answer.base + record->answer.length), reason);
   ash_ledger_end (&agent->ledger, record, ASH_RECORD_FINISHED, expiry (agent, now, record));
   while ((watcher = record->watchers))
     {
@@ -297,7 +326,6 @@
            const struct Ash__Submit *submit)
 {
   const struct ash_endpoint *home;
-  int64_t age_ms = ash_time_diff (agent->born, now);
 
   if (agent->leaving)
     return ASH__REASON__LEAVING;
@@ -305,9 +333,8 @@
     {
       if (!knows_all_attempts (agent, now, asker))
         return ASH__REASON__NEW_LIFE;
-      /* A first attempt may have been on its way to here for guard_ms while a
-       * later one ran in the life before. */
-      if (!asker->minted && age_ms < agent->settings->guard_ms)
+      /* A later attempt may have run in the life before. */
+      if (!asker->minted && is_guarded (agent, now))
         return ASH__REASON__NEW_LIFE;
       home = agent->config.ready
                  ? ash_document_home (&agent->config.document, submit->service, asker->id)
@@ -353,6 +380,10 @@
 {
   bool known = knows_all_attempts (agent, now, asker);
 
+  /* Who is not the home can't know what the home has done with other attempts. */
+  if (reason == ASH__REASON__NOT_HOME)
+    known = asker->caller_attempt == 1;
+
   if (!record)
     record = write_record (agent, asker);
   if (!record)
@@ -362,12 +393,22 @@
       tell_refused (agent, asker, ASH__REASON__OVERLOAD, ASH__OUTCOME__UNKNOWN);
       return;
     }
-  if (record->refused_upto < asker->caller_attempt)
-    record->refused_upto = asker->caller_attempt;
+  if (record->refused_upto < refused_upto (asker))
+    record->refused_upto = refused_upto (asker);
   ash_record_watch (record, asker->peer, asker->attempt);
   refuse_record (agent, now, record, reason, known ? ASH__OUTCOME__NOT_RUN : ASH__OUTCOME__UNKNOWN);
 }
 
+/* Tells a refusal that is in the ledger; what it covers grows with each attempt
+ * that is told. */
+static void
+refuse_again (struct ash_agent *agent, const struct asker *asker, struct ash_record *record)
+{
+  if (record->refused_upto < refused_upto (asker))
+    record->refused_upto = refused_upto (asker);
+  tell_refused (agent, asker, ASH__REASON__REFUSED_BEFORE, record->outcome);
+}
+
 /* The ledger holds the request: hand over what there is, and what follows. */
 static void
 attach (struct ash_agent *agent,
@@ -433,7 +474,7 @@
   /* Should it have to be refused from the queue, this is what can be said. */
   record->outcome =
       knows_all_attempts (agent, now, asker) ? ASH__OUTCOME__NOT_RUN : ASH__OUTCOME__UNKNOWN;
-  record->refused_upto = asker->caller_attempt;
+  record->refused_upto = refused_upto (asker);
   ash_record_watch (record, asker->peer, asker->attempt);
   ash_ledger_queue (&agent->ledger, record);
   start_queued (agent, now);
@@ -473,17 +514,27 @@
       /* The same frame again: its answer is on its way already. */
       if (ash_record_watcher (record, peer, asker.attempt))
         return;
-      if (record->refused_upto < asker.caller_attempt)
-        record->refused_upto = asker.caller_attempt;
+      if (record->refused_upto < refused_upto (&asker))
+        record->refused_upto = refused_upto (&asker);
       attach (agent, record, &asker, 0);
     }
-  else if (record->keyed && asker.caller_attempt > record->refused_upto)
+  else if (record->keyed && !record->disowned && asker.caller_attempt > record->refused_upto)
     {
       ash_ledger_revive (&agent->ledger, record);
       admit (agent, now, &asker, record, submit);
     }
   else
-    tell_refused (agent, &asker, ASH__REASON__REFUSED_BEFORE, record->outcome);
+    refuse_again (agent, &asker, record);
+}
+
+/* Whether the ledger would still hold the request, had it arrived: an entry
+ * that was paused for long may ask for what was done and forgotten. */
+static bool
+remembers (const struct ash_agent *agent, const struct Ash__Resume *resume)
+{
+  uint32_t life_ms = resume->keyed ? agent->settings->key_life_ms : agent->settings->id_life_ms;
+
+  return (uint64_t) resume->age_ms + agent->settings->link_silence_ms < life_ms;
 }
 
 static void
@@ -505,10 +556,12 @@
 
   if (resume->incarnation != agent->incarnation)
     tell_refused (agent, &asker, ASH__REASON__STALE_INCARNATION, ASH__OUTCOME__UNKNOWN);
+  else if (!record && !remembers (agent, resume))
+    tell_refused (agent, &asker, ASH__REASON__ANSWER_GONE, ASH__OUTCOME__UNKNOWN);
   else if (!record)
     refuse_asker (agent, now, &asker, NULL, ASH__REASON__NOT_RECEIVED);
   else if (record->state == ASH_RECORD_REFUSED)
-    tell_refused (agent, &asker, ASH__REASON__REFUSED_BEFORE, record->outcome);
+    refuse_again (agent, &asker, record);
   else
     attach (agent, record, &asker, resume->offset);
 }
@@ -587,26 +640,27 @@
   struct ash_record *record = ash_ledger_find (&agent->ledger, asker.id);
   struct Ash__Disowned disowned = ASH__DISOWNED__INIT;
 
-  disowned.id_hi = disown->id_hi;
-  disowned.id_lo = disown->id_lo;
-  disowned.incarnation = agent->incarnation;
-  disowned.attempt = disown->attempt;
-  disowned.unsure = ash_time_diff (agent->born, now) < agent->settings->key_life_ms;
   if (!record)
     {
       record = write_record (agent, &asker);
-      /* Without a record it could still run here: the other home must not. */
-      disowned.has_it = record == NULL;
       if (record)
-        {
-          record->refused_upto = UINT32_MAX;
-          refuse_record (agent, now, record, ASH__REASON__NOT_HOME, ASH__OUTCOME__UNKNOWN);
-        }
+        refuse_record (agent, now, record, ASH__REASON__NOT_HOME, ASH__OUTCOME__UNKNOWN);
     }
-  else if (record->state == ASH_RECORD_REFUSED)
-    record->refused_upto = UINT32_MAX;
-  else
-    disowned.has_it = true;
+  /* Without a record it could still run here: the other home must not. */
+  disowned.has_it = !record || record->state != ASH_RECORD_REFUSED;
+  if (!disowned.has_it)
+    {
+      /* From now on it may run at the other home, which is not known here. */
+      record->disowned = true;
+      record->outcome = ASH__OUTCOME__UNKNOWN;
+    }
+  disowned.id_hi = disown->id_hi;
+  disowned.id_lo = disown->id_lo;
+  disowned.incarnation = agent->incarnation;
+  disowned.attempt = disown->attempt;
+  disowned.unsure = age_ms (agent, now) < agent->settings->key_life_ms;
+  disowned.guarded = is_guarded (agent, now);
+  disowned.refused_upto = record ? record->refused_upto : 0;
   ash_emit (&agent->sink, peer, ASH__EVENT__KIND_DISOWNED, &disowned);
 }
 
--- a/controllers/ledger.h
+++ b/controllers/ledger.h
@@ -54,6 +54,7 @@
   int reason;            /**< enum Ash__Reason: why refused or broken */
   int outcome;           /**< enum Ash__Outcome told with a refusal */
   uint32_t refused_upto; /**< caller's attempts that the refusal covers */
+  bool disowned;         /**< another endpoint is its home now: it never runs here */
   uint64_t run;          /**< names it towards the engine */
   uint32_t priority;
   uint32_t wait_ms;
--- a/filters/entry.c
+++ b/filters/entry.c
@@ -225,6 +225,8 @@
 static int
 unsent_outcome (const struct ash_request *request)
 {
+  if (request->ran)
+    return ASH__OUTCOME__RAN;
   if (request->maybe_run)
     return ASH__OUTCOME__UNKNOWN;
   if (request->keyed && request->caller_attempt != 1)
@@ -246,6 +248,7 @@
   request->tries++;
   bind_new (entry, request);
   request->state = ASH_REQUEST_SENT;
+  request->sent = now;
   submit->id_hi = request->id.hi;
   submit->id_lo = request->id.lo;
   submit->incarnation = request->incarnation;
@@ -303,8 +306,10 @@
   bool is_free = reason == ASH__REASON__LEAVING || reason == ASH__REASON__NOT_RECEIVED;
   char id[ASH_ID_TEXT_BYTES];
 
-  if (outcome == ASH__OUTCOME__UNKNOWN)
+  if (outcome != ASH__OUTCOME__NOT_RUN)
     request->maybe_run = true;
+  if (outcome == ASH__OUTCOME__RAN)
+    request->ran = true;
   if (request->told || request->bound || (request->no_repeat && request->maybe_run) ||
       request->tries >= ASH_REQUEST_TRIES_MAX ||
       ash_time_diff (now, request->deadline) <= ASH_ENTRY_MARGIN_MS)
@@ -393,10 +398,16 @@
 /* ---- answers ---- */
 
 static bool
-is_from_bound (const struct ash_request *request, const char *peer, uint64_t incarnation)
+is_from_bound (const struct ash_request *request,
+               const char *peer,
+               uint64_t incarnation,
+               struct ash_id id)
 {
+  /* The attempt's number alone would do, were it not for an agent that still
+   * sends to an earlier life of this entry, which counted from 1 as well. */
   return request && (request->state == ASH_REQUEST_SENT || request->state == ASH_REQUEST_CUT) &&
-         request->incarnation == incarnation && strcmp (request->box, peer) == 0;
+         request->incarnation == incarnation && ash_id_equal (request->id, id) &&
+         strcmp (request->box, peer) == 0;
 }
 
 static void
@@ -407,8 +418,10 @@
 {
   struct ash_request *request = find_attempt (entry, refused->attempt);
   int outcome = (int) refused->outcome;
+  struct ash_id id = { refused->id_hi, refused->id_lo };
 
-  if (!request || strcmp (request->box, peer) != 0 || request->state == ASH_REQUEST_DISOWNING)
+  if (!request || request->state == ASH_REQUEST_DISOWNING || strcmp (request->box, peer) != 0 ||
+      !ash_id_equal (request->id, id))
     return;
   /* Another life than the one addressed can't know. */
   if (request->incarnation != refused->incarnation)
@@ -428,7 +441,9 @@
   struct ash_request *request = find_attempt (entry, head->attempt);
   struct Ash__Reply reply = ASH__REPLY__INIT;
 
-  if (!is_from_bound (request, peer, head->incarnation) || request->status)
+  if (!is_from_bound (request, peer, head->incarnation,
+                      (struct ash_id){ head->id_hi, head->id_lo }) ||
+      request->status)
     return;
   request->status = head->status;
   request->wait_ms = head->wait_ms;
@@ -449,7 +464,7 @@
 }
 
 static void
-send_resume (struct ash_entry *entry, const struct ash_request *request)
+send_resume (struct ash_entry *entry, struct ash_time now, const struct ash_request *request)
 {
   struct Ash__Resume resume = ASH__RESUME__INIT;
   char id[ASH_ID_TEXT_BYTES];
@@ -459,6 +474,7 @@
   resume.incarnation = request->incarnation;
   resume.attempt = request->attempt;
   resume.offset = request->received;
+  resume.age_ms = (uint32_t) ash_time_diff (request->sent, now);
   resume.caller_attempt = request->caller_attempt;
   resume.keyed = request->keyed;
   resume.minted = request->minted;
@@ -505,12 +521,14 @@
   struct Ash__ReplyData reply = ASH__REPLY_DATA__INIT;
   uint64_t skip;
 
-  if (!is_from_bound (request, peer, data->incarnation) || !request->status)
+  if (!is_from_bound (request, peer, data->incarnation,
+                      (struct ash_id){ data->id_hi, data->id_lo }) ||
+      !request->status)
     return;
   if (data->offset > request->received)
     {
       /* A hole: ask again from where it begins; this piece comes again. */
-      send_resume (entry, request);
+      send_resume (entry, now, request);
       return;
     }
   skip = request->received - data->offset;
@@ -565,18 +583,22 @@
 {
   struct ash_request *request = find_attempt (entry, end->attempt);
 
-  if (!is_from_bound (request, peer, end->incarnation))
+  if (!is_from_bound (request, peer, end->incarnation, (struct ash_id){ end->id_hi, end->id_lo }))
     return;
   if (!end->whole)
     {
-      /* It ran, at least in part: only what may be repeated goes elsewhere. */
-      request->maybe_run = true;
-      try_elsewhere (entry, now, request, (int) end->reason, ASH__OUTCOME__RAN, 0);
+      /* With a head it ran, at least in part. Without one the engine may never
+       * have begun; only what may be repeated goes elsewhere then, too. */
+      try_elsewhere (entry, now, request, (int) end->reason,
+                     request->status || end->reason == ASH__REASON__ANSWER_GONE
+                         ? ASH__OUTCOME__RAN
+                         : ASH__OUTCOME__UNKNOWN,
+                     0);
     }
   else if (request->status && end->length == request->received)
     answer_whole (entry, now, request);
   else
-    send_resume (entry, request);
+    send_resume (entry, now, request);
 }
 
 static void
@@ -588,7 +610,8 @@
   struct ash_request *request = find_attempt (entry, disowned->attempt);
   uint32_t i = 0;
 
-  if (!request || request->state != ASH_REQUEST_DISOWNING)
+  if (!request || request->state != ASH_REQUEST_DISOWNING ||
+      !ash_id_equal (request->id, (struct ash_id){ disowned->id_hi, disowned->id_lo }))
     return;
   while (i < request->asked_count && strcmp (request->asked[i], peer) != 0)
     i++;
@@ -603,9 +626,16 @@
       send_submit (entry, now, request);
       return;
     }
-  if (disowned->unsure && request->caller_attempt != 1)
+  if (disowned->guarded || (disowned->unsure && request->caller_attempt != 1))
     {
-      give_up (entry, now, request, ASH__REASON__NOT_HOME, ASH__OUTCOME__UNKNOWN, 0);
+      give_up (entry, now, request, ASH__REASON__NOT_HOME, unsent_outcome (request), 0);
+      return;
+    }
+  /* An attempt that the earlier home has refused must not run at the new one. */
+  if (disowned->refused_upto &&
+      (!request->caller_attempt || request->caller_attempt <= disowned->refused_upto))
+    {
+      give_up (entry, now, request, ASH__REASON__REFUSED_BEFORE, unsent_outcome (request), 0);
       return;
     }
   request->asked_count--;
@@ -621,6 +651,9 @@
 
 /* ---- links ---- */
 
+static void
+check_request (struct ash_entry *entry, struct ash_time now, struct ash_request *request);
+
 static bool
 waits_for (const struct ash_request *request, const char *peer)
 {
@@ -668,10 +701,12 @@
   {
     if (request->state != ASH_REQUEST_CUT || strcmp (request->box, peer) != 0)
       continue;
-    if (request->incarnation == up->incarnation)
+    if (!ash_time_before (now, request->deadline))
+      check_request (entry, now, request);
+    else if (request->incarnation == up->incarnation)
       {
         request->state = ASH_REQUEST_SENT;
-        send_resume (entry, request);
+        send_resume (entry, now, request);
       }
     else
       /* That life is gone, and what it did with it can't be known any more. */
--- a/filters/request.h
+++ b/filters/request.h
@@ -48,9 +48,11 @@
   char box[ASH_NAME_BYTES]; /**< where the present attempt is, or is to go */
   uint64_t incarnation;     /**< the life that it is meant for */
   uint64_t attempt;         /**< names the present attempt; 0: none yet */
+  struct ash_time sent;     /**< when the present attempt was */
   uint32_t tries;
   char tried[ASH_REQUEST_TRIES_MAX][ASH_NAME_BYTES];
   bool maybe_run; /**< an earlier attempt may have run, or did */
+  bool ran;       /**< an earlier attempt certainly ran, at least in part */
   struct ash_time cut_since;
   char asked[ASH_CONFIG_HISTORY_MAX][ASH_NAME_BYTES]; /**< earlier homes to answer yet */
   uint32_t asked_count;
--- a/net/peer.c
+++ b/net/peer.c
@@ -3,6 +3,7 @@
 #include "common/clock.h"
 #include "common/id.h"
 #include "net/handshake.h"
+#include "net/lateness.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -47,7 +48,8 @@
   struct ash_buffer out;
   struct ash_frame_key in_key;
   struct ash_frame_key out_key;
-  bool broken; /* to be closed when the loop comes round */
+  struct ash_lateness lateness; /* of what comes in */
+  bool broken;                  /* to be closed when the loop comes round */
   struct ash_link *prev;
   struct ash_link *next;
 };
@@ -130,7 +132,10 @@
 static void
 send_event (struct ash_link *link, const struct Ash__Event *event)
 {
-  if (link->out.length > OUT_MAX_BYTES || !ash_frame_write (&link->out, &link->out_key, event))
+  struct Ash__Event stamped = *event;
+
+  stamped.sent_ms = (uint32_t) ash_clock_now ().ms;
+  if (link->out.length > OUT_MAX_BYTES || !ash_frame_write (&link->out, &link->out_key, &stamped))
     link->broken = true;
   flush (link);
 }
@@ -268,6 +273,9 @@
         return "a hello on a link that is up";
       break;
     }
+  if (ash_lateness_of (&link->lateness, ash_clock_now (), event->sent_ms) >
+      link->peers->settings->link_silence_ms)
+    return "a frame that is too late";
   /* Who sent it is what the link has proved, whatever the frame says. */
   free (event->peer == protobuf_c_empty_string ? NULL : event->peer);
   event->peer = link->box;
@@ -393,6 +401,7 @@
   link->state = state;
   link->fd = fd;
   link->heard = ash_clock_now ();
+  ash_lateness_init (&link->lateness);
   ev_io_init (&link->read_io, on_readable, fd, EV_READ);
   ev_io_init (&link->write_io, on_writable, fd, EV_WRITE);
   link->read_io.data = link;
--- a/proto/ash.pb-c.c
+++ b/proto/ash.pb-c.c
@@ -1834,7 +1834,7 @@
   (ProtobufCMessageInit) ash__submit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__resume__field_descriptors[9] =
+static const ProtobufCFieldDescriptor ash__resume__field_descriptors[10] =
 {
   {
     "id_hi",
@@ -1944,8 +1944,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "age_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ash__Resume, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ash__resume__field_indices_by_name[] = {
+  9,   /* field[9] = age_ms */
   3,   /* field[3] = attempt */
   5,   /* field[5] = caller_attempt */
   0,   /* field[0] = id_hi */
@@ -1959,7 +1972,7 @@
 static const ProtobufCIntRange ash__resume__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor ash__resume__descriptor =
 {
@@ -1969,7 +1982,7 @@
   "Ash__Resume",
   "ash",
   sizeof(Ash__Resume),
-  9,
+  10,
   ash__resume__field_descriptors,
   ash__resume__field_indices_by_name,
   1,  ash__resume__number_ranges,
@@ -2581,7 +2594,7 @@
   (ProtobufCMessageInit) ash__disown__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__disowned__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ash__disowned__field_descriptors[8] =
 {
   {
     "id_hi",
@@ -2655,19 +2668,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "guarded",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ash__Disowned, guarded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused_upto",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ash__Disowned, refused_upto),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ash__disowned__field_indices_by_name[] = {
   3,   /* field[3] = attempt */
+  6,   /* field[6] = guarded */
   4,   /* field[4] = has_it */
   0,   /* field[0] = id_hi */
   1,   /* field[1] = id_lo */
   2,   /* field[2] = incarnation */
+  7,   /* field[7] = refused_upto */
   5,   /* field[5] = unsure */
 };
 static const ProtobufCIntRange ash__disowned__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ash__disowned__descriptor =
 {
@@ -2677,7 +2716,7 @@
   "Ash__Disowned",
   "ash",
   sizeof(Ash__Disowned),
-  6,
+  8,
   ash__disowned__field_descriptors,
   ash__disowned__field_indices_by_name,
   1,  ash__disowned__number_ranges,
@@ -3742,7 +3781,7 @@
   (ProtobufCMessageInit) ash__engine_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__event__field_descriptors[28] =
+static const ProtobufCFieldDescriptor ash__event__field_descriptors[29] =
 {
   {
     "peer",
@@ -4080,6 +4119,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent_ms",
+    60,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ash__Event, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ash__event__field_indices_by_name[] = {
   14,   /* field[14] = call */
@@ -4107,15 +4158,17 @@
   17,   /* field[17] = reply_data */
   18,   /* field[18] = reply_end */
   4,   /* field[4] = resume */
+  28,   /* field[28] = sent_ms */
   22,   /* field[22] = stop */
   3,   /* field[3] = submit */
   21,   /* field[21] = tick */
 };
-static const ProtobufCIntRange ash__event__number_ranges[2 + 1] =
+static const ProtobufCIntRange ash__event__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 30, 14 },
-  { 0, 28 }
+  { 60, 28 },
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor ash__event__descriptor =
 {
@@ -4125,10 +4178,10 @@
   "Ash__Event",
   "ash",
   sizeof(Ash__Event),
-  28,
+  29,
   ash__event__field_descriptors,
   ash__event__field_indices_by_name,
-  2,  ash__event__number_ranges,
+  3,  ash__event__number_ranges,
   (ProtobufCMessageInit) ash__event__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/ash.pb-c.h
+++ b/proto/ash.pb-c.h
@@ -302,10 +302,14 @@
   protobuf_c_boolean keyed;
   protobuf_c_boolean minted;
   protobuf_c_boolean no_repeat;
+  /*
+   * since the Submit was sent: is it in the ledger's memory?
+   */
+  uint32_t age_ms;
 };
 #define ASH__RESUME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ash__resume__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Ash__Cancel
@@ -418,13 +422,21 @@
    */
   protobuf_c_boolean has_it;
   /*
-   * this life is too young to know
+   * this life is too young to know of all but a first attempt
    */
   protobuf_c_boolean unsure;
+  /*
+   * it is too young to know of any
+   */
+  protobuf_c_boolean guarded;
+  /*
+   * attempts that were refused there, and told so
+   */
+  uint32_t refused_upto;
 };
 #define ASH__DISOWNED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ash__disowned__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Ash__Call
@@ -683,6 +695,10 @@
    * the box it comes from or goes to; empty: local
    */
   char *peer;
+  /*
+   * on a link: the sender's clock, to tell how late it is
+   */
+  uint32_t sent_ms;
   Ash__Event__KindCase kind_case;
   union {
     Ash__Heartbeat *heartbeat;
@@ -719,7 +735,7 @@
 };
 #define ASH__EVENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ash__event__descriptor) \
-    , (char *)protobuf_c_empty_string, ASH__EVENT__KIND__NOT_SET, {0} }
+    , (char *)protobuf_c_empty_string, 0, ASH__EVENT__KIND__NOT_SET, {0} }
 
 
 /* Ash__Challenge methods */
--- /dev/null
+++ b/test/session.c
@@ -0,0 +1,115 @@
+#include "test/session.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void
+session_settings (struct ash_settings *settings, const char *box, bool is_entry)
+{
+  ash_settings_init (settings);
+  snprintf (settings->box, sizeof settings->box, "%s", box);
+  memset (settings->fleet_key, 'a', 64);
+  settings->role = is_entry ? ASH_SETTINGS_ENTRY : ASH_SETTINGS_ENDPOINT;
+}
+
+static void
+write_line (struct session *session, char direction, const struct Ash__Event *event)
+{
+  if (!session->transcript)
+    return;
+  fprintf (session->transcript, "%lld %c ", (long long) session->now.ms, direction);
+  ash_event_print (event, session->transcript);
+  fputc ('\n', session->transcript);
+}
+
+static void
+on_emit (void *data, const struct Ash__Event *event)
+{
+  struct session *session = data;
+
+  write_line (session, '>', event);
+  if (session->emitted)
+    session->emitted (session->data, session, event);
+}
+
+void
+session_init (struct session *session, uint64_t seed, struct ash_time now)
+{
+  struct ash_sink sink = { on_emit, session };
+
+  session->now = now;
+  session->is_entry = session->settings.role == ASH_SETTINGS_ENTRY;
+  if (session->is_entry)
+    ash_entry_init (&session->entry, &session->settings, seed, sink);
+  else
+    ash_agent_init (&session->agent, &session->settings, seed, now, sink);
+}
+
+void
+session_finish (struct session *session)
+{
+  if (session->is_entry)
+    ash_entry_finish (&session->entry);
+  else
+    ash_agent_finish (&session->agent);
+}
+
+void
+session_give (struct session *session, struct ash_time now, const struct Ash__Event *event)
+{
+  session->now = now;
+  write_line (session, '<', event);
+  if (session->is_entry)
+    ash_entry_handle (&session->entry, now, event);
+  else
+    ash_agent_handle (&session->agent, now, event);
+}
+
+void
+session_give_message (struct session *session,
+                      struct ash_time now,
+                      const char *peer,
+                      Ash__Event__KindCase kind,
+                      const void *message)
+{
+  struct Ash__Event event = ASH__EVENT__INIT;
+
+  event.peer = ash_text (peer);
+  event.kind_case = kind;
+  event.heartbeat = (void *) (uintptr_t) message;
+  session_give (session, now, &event);
+}
+
+enum ash_config_result
+session_offer (struct session *session,
+               struct ash_time now,
+               uint64_t revision,
+               const char *text,
+               size_t text_bytes)
+{
+  struct ash_config *config = session->is_entry ? &session->entry.config : &session->agent.config;
+  struct ash_findings findings;
+  enum ash_config_result result;
+
+  session->now = now;
+  ash_findings_init (&findings, "published");
+  result = ash_config_offer (config, now, revision, text, text_bytes, session->settings.key_life_ms,
+                             &findings);
+  if (findings.count)
+    ash_findings_print (&findings, stderr);
+  ash_findings_finish (&findings);
+  return result;
+}
+
+struct Ash__Event *
+session_copy (const struct Ash__Event *event)
+{
+  size_t size = ash__event__get_packed_size (event);
+  uint8_t *packed = malloc (size ? size : 1);
+  struct Ash__Event *copy;
+
+  ash__event__pack (event, packed);
+  copy = ash__event__unpack (NULL, size, packed);
+  free (packed);
+  return copy;
+}
--- a/test/standin.c
+++ b/test/standin.c
@@ -152,8 +152,8 @@
       int fd = socket (AF_INET, SOCK_STREAM, 0);
 
       address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-      if (bind (fd, (struct sockaddr *) &address, sizeof address) < 0
-          || getsockname (fd, (struct sockaddr *) &address, &length) < 0)
+      if (bind (fd, (struct sockaddr *) &address, sizeof address) < 0 ||
+          getsockname (fd, (struct sockaddr *) &address, &length) < 0)
         return EXIT_FAILURE;
       printf ("%s%d", i ? " " : "", ntohs (address.sin_port));
     }
