--- a/proto/event.c
+++ b/proto/event.c
@@ -200,22 +200,23 @@
 read_scalar (const ProtobufCFieldDescriptor *field, const char *word, void *value)
 {
   const ProtobufCEnumValue *constant;
+  char *end = NULL;
 
   switch (field->type)
     {
     case PROTOBUF_C_TYPE_BOOL:
       *(protobuf_c_boolean *) value = strcmp (word, "true") == 0;
-      return true;
+      return strcmp (word, "true") == 0 || strcmp (word, "false") == 0;
     case PROTOBUF_C_TYPE_UINT32:
-      *(uint32_t *) value = (uint32_t) strtoul (word, NULL, 10);
-      return true;
+      *(uint32_t *) value = (uint32_t) strtoul (word, &end, 10);
+      return *end == '\0';
     case PROTOBUF_C_TYPE_INT64:
-      *(int64_t *) value = strtoll (word, NULL, 10);
-      return true;
+      *(int64_t *) value = strtoll (word, &end, 10);
+      return *end == '\0';
     case PROTOBUF_C_TYPE_UINT64:
     case PROTOBUF_C_TYPE_FIXED64:
-      *(uint64_t *) value = strtoull (word, NULL, 10);
-      return true;
+      *(uint64_t *) value = strtoull (word, &end, 10);
+      return *end == '\0';
     case PROTOBUF_C_TYPE_ENUM:
       constant = protobuf_c_enum_descriptor_get_value_by_name (field->descriptor, word);
       if (constant)
--- /dev/null
+++ b/test/faults.c
@@ -0,0 +1,636 @@
+/**
+ * @file
+ * Fault tests with real processes on loopback: kills, pauses, cuts, planned
+ * stops. What callers were told is compared with the stand-ins' own records.
+ */
+#include "test/fleet.h"
+
+#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define STREAMS 200
+#define LOAD 24
+
+/* Short times, so that the tests wait little; the guard is off where the case
+ * is not about it. */
+#define LINKS                                                                                      \
+  "heartbeat_ms = 100\nlink_silence_ms = 800\ndial_retry_ms = 50\naddress_keep_ms = 400\n"         \
+  "orphan_ms = 400\nkeyed_orphan_ms = 5000\npause_ms = 500\nresume_ms = 2000\n"
+#define NO_GUARD LINKS "id_life_ms = 20000\nguard_ms = 0\n"
+
+/* A life is old enough to know of all attempts after this. */
+#define OLD_MS 2200
+#define SHORT_LIFE LINKS "id_life_ms = 1700\nkey_life_ms = 2000\nguard_ms = 0\n"
+
+static bool
+told (const struct fleet_call *call, const char *outcome)
+{
+  return strcmp (call->answer.outcome, outcome) == 0;
+}
+
+/* Waits until the guard after the start of an agent's life is over. */
+static void
+wait_guard (void)
+{
+  fleet_sleep (900);
+}
+
+static bool
+wait_runs (struct fleet *fleet, int a, const char *kind, int count)
+{
+  int64_t until_ms = fleet_now () + 10000;
+
+  while (fleet_runs (fleet, a, NULL, kind) < count)
+    {
+      if (fleet_now () > until_ms)
+        return false;
+      fleet_sleep (10);
+    }
+  return true;
+}
+
+/* Waits until either model's engine runs something. */
+static bool
+wait_model_run (struct fleet *fleet)
+{
+  int64_t until_ms = fleet_now () + 10000;
+
+  while (fleet_runs (fleet, 0, NULL, "runs") + fleet_runs (fleet, 1, NULL, "runs") == 0)
+    {
+      if (fleet_now () > until_ms)
+        return false;
+      fleet_sleep (10);
+    }
+  return true;
+}
+
+static void
+test_one_key_two_entries (void)
+{
+  struct fleet fleet;
+  struct fleet_call calls[2];
+
+  fleet_start (&fleet, SHORT_LIFE);
+  fleet_sleep (OLD_MS);
+  fleet_order (&fleet, &calls[0], 0, "order-1", 1, 300, 0);
+  fleet_order (&fleet, &calls[1], 1, "order-1", 2, 300, 0);
+  for (int i = 0; i < 2; i++)
+    {
+      fleet_wait (&calls[i]);
+      CU_ASSERT_EQUAL (calls[i].answer.status, 200);
+      CU_ASSERT (told (&calls[i], "ran"));
+    }
+  CU_ASSERT_STRING_EQUAL (calls[0].answer.request_id, calls[1].answer.request_id);
+  CU_ASSERT_EQUAL (fleet_runs (&fleet, FLEET_STOCK, NULL, "runs"), 1);
+  for (int i = 0; i < 2; i++)
+    ash_cli_answer_finish (&calls[i].answer);
+  fleet_stop (&fleet);
+}
+
+static void
+test_entry_killed (void)
+{
+  struct fleet fleet;
+  struct fleet_call calls[2];
+
+  fleet_start (&fleet, NO_GUARD);
+  wait_guard ();
+  fleet_order (&fleet, &calls[0], 0, "order-1", 1, 600, 0);
+  CU_ASSERT (wait_runs (&fleet, FLEET_STOCK, "runs", 1));
+  fleet_end (&fleet.entries[0].pid, SIGKILL);
+  fleet_wait (&calls[0]);
+  CU_ASSERT_EQUAL (calls[0].answer.status, 0);
+  /* The caller comes through the other entry for the same run's answer. */
+  fleet_order (&fleet, &calls[1], 1, "order-1", 2, 600, 0);
+  fleet_wait (&calls[1]);
+  CU_ASSERT_EQUAL (calls[1].answer.status, 200);
+  CU_ASSERT (told (&calls[1], "ran"));
+  CU_ASSERT_EQUAL (fleet_runs (&fleet, FLEET_STOCK, NULL, "runs"), 1);
+  for (int i = 0; i < 2; i++)
+    ash_cli_answer_finish (&calls[i].answer);
+  fleet_stop (&fleet);
+}
+
+static void
+test_agent_killed (void)
+{
+  struct fleet fleet;
+  struct fleet_call calls[3];
+
+  fleet_start (&fleet, NO_GUARD);
+  wait_guard ();
+  fleet_order (&fleet, &calls[0], 0, "order-1", 1, 5000, 8000);
+  fleet_order (&fleet, &calls[1], 1, NULL, 0, 5000, 8000);
+  CU_ASSERT (wait_runs (&fleet, FLEET_STOCK, "runs", 2));
+  fleet_end (&fleet.endpoints[FLEET_STOCK].pid, SIGKILL);
+  fleet_start_endpoint (&fleet, FLEET_STOCK);
+  for (int i = 0; i < 2; i++)
+    {
+      fleet_wait (&calls[i]);
+      CU_ASSERT (told (&calls[i], "unknown"));
+      CU_ASSERT_EQUAL (calls[i].answer.status, 502);
+    }
+  CU_ASSERT (fleet_wait_live (&fleet, 0, FLEET_ENDPOINTS));
+  wait_guard ();
+  /* The new life can't know what the old one did with that key. */
+  fleet_order (&fleet, &calls[2], 0, "order-1", 2, 1, 0);
+  fleet_wait (&calls[2]);
+  CU_ASSERT (told (&calls[2], "unknown"));
+  CU_ASSERT_EQUAL (fleet_runs (&fleet, FLEET_STOCK, NULL, "runs"), 2);
+  for (int i = 0; i < 3; i++)
+    ash_cli_answer_finish (&calls[i].answer);
+  fleet_stop (&fleet);
+}
+
+static void
+test_young_life_runs_no_key (void)
+{
+  struct fleet fleet;
+  struct fleet_call call;
+
+  fleet_start (&fleet, LINKS "id_life_ms = 20000\nguard_ms = 60000\n");
+  fleet_order (&fleet, &call, 0, "order-1", 1, 1, 0);
+  fleet_wait (&call);
+  CU_ASSERT (told (&call, "not-run"));
+  CU_ASSERT_EQUAL (call.answer.status, 503);
+  CU_ASSERT (call.answer.retry_ms > 0);
+  CU_ASSERT_EQUAL (fleet_runs (&fleet, FLEET_STOCK, NULL, "runs"), 0);
+  ash_cli_answer_finish (&call.answer);
+  fleet_stop (&fleet);
+}
+
+/* A minted key names its home's life: it runs in a young one, once, whichever
+ * attempt it is; and it does not run in the next life. */
+static void
+test_minted_key (void)
+{
+  struct fleet fleet;
+  struct fleet_call calls[3];
+  char key[256];
+
+  fleet_start (&fleet, LINKS "id_life_ms = 20000\nguard_ms = 60000\n");
+  CU_ASSERT (fleet_mint (&fleet, 0, "stock", key));
+  for (int i = 0; i < 2; i++)
+    {
+      fleet_order (&fleet, &calls[i], i, key, 0, 1, 0);
+      fleet_wait (&calls[i]);
+      CU_ASSERT (told (&calls[i], "ran"));
+    }
+  fleet_end (&fleet.endpoints[FLEET_STOCK].pid, SIGKILL);
+  fleet_start_endpoint (&fleet, FLEET_STOCK);
+  CU_ASSERT (fleet_wait_live (&fleet, 0, FLEET_ENDPOINTS));
+  fleet_order (&fleet, &calls[2], 0, key, 0, 1, 0);
+  fleet_wait (&calls[2]);
+  CU_ASSERT (told (&calls[2], "unknown"));
+  CU_ASSERT_EQUAL (fleet_runs (&fleet, FLEET_STOCK, NULL, "runs"), 1);
+  for (int i = 0; i < 3; i++)
+    ash_cli_answer_finish (&calls[i].answer);
+  fleet_stop (&fleet);
+}
+
+static void
+test_entry_paused (void)
+{
+  struct fleet fleet;
+  struct fleet_call calls[2];
+
+  fleet_start (&fleet, SHORT_LIFE);
+  fleet_sleep (OLD_MS);
+  kill (fleet.entries[0].pid, SIGSTOP);
+  /* Waits in the paused entry's socket for longer than its deadline. */
+  fleet_order (&fleet, &calls[0], 0, "order-1", 1, 1, 1000);
+  fleet_order (&fleet, &calls[1], 1, "order-1", 2, 1, 0);
+  fleet_wait (&calls[1]);
+  CU_ASSERT (told (&calls[1], "ran"));
+  /* The agent restarts and forgets; then the paused entry wakes with the first
+   * submission in its hands. */
+  fleet_end (&fleet.endpoints[FLEET_STOCK].pid, SIGKILL);
+  fleet_start_endpoint (&fleet, FLEET_STOCK);
+  CU_ASSERT (fleet_wait_live (&fleet, 1, FLEET_ENDPOINTS));
+  fleet_sleep (1200);
+  kill (fleet.entries[0].pid, SIGCONT);
+  fleet_wait (&calls[0]);
+  CU_ASSERT_FALSE (told (&calls[0], "ran"));
+  CU_ASSERT_EQUAL (fleet_runs (&fleet, FLEET_STOCK, NULL, "runs"), 1);
+  CU_ASSERT (fleet_log_count (&fleet, "entry-1", " 105 woke ") > 0);
+  for (int i = 0; i < 2; i++)
+    ash_cli_answer_finish (&calls[i].answer);
+  fleet_stop (&fleet);
+}
+
+/* Streams over links that are cut in the middle and healed. */
+static void
+test_streams_over_a_cut (void)
+{
+  static struct fleet_call calls[STREAMS];
+  struct fleet fleet;
+  int whole = 0;
+
+  fleet_start (&fleet, NO_GUARD);
+  for (int i = 0; i < STREAMS; i++)
+    fleet_chat (&fleet, &calls[i], i % FLEET_ENTRIES, true, 150);
+  CU_ASSERT (wait_model_run (&fleet));
+  fleet_sleep (200);
+  fleet_control (fleet.endpoints[0].control_port, "/control?mode=1");
+  fleet_sleep (300);
+  fleet_control (fleet.endpoints[0].control_port, "/control?mode=0");
+  fleet_control (fleet.endpoints[1].control_port, "/control?mode=3");
+  fleet_sleep (200);
+  fleet_control (fleet.endpoints[1].control_port, "/control?mode=0");
+  for (int i = 0; i < STREAMS; i++)
+    {
+      fleet_wait (&calls[i]);
+      whole += fleet_stream_ok (&calls[i].answer, 150);
+      ash_cli_answer_finish (&calls[i].answer);
+    }
+  CU_ASSERT_EQUAL (whole, STREAMS);
+  CU_ASSERT (fleet_log_count (&fleet, "entry-1", " 403 request_resumed ") > 0);
+  fleet_stop (&fleet);
+}
+
+static void
+test_one_way_cut (void)
+{
+  struct fleet fleet;
+  struct fleet_call call;
+
+  fleet_start (&fleet, NO_GUARD);
+  wait_guard ();
+  fleet_order (&fleet, &call, 0, "order-1", 1, 300, 8000);
+  CU_ASSERT (wait_runs (&fleet, FLEET_STOCK, "runs", 1));
+  fleet_control (fleet.endpoints[FLEET_STOCK].control_port, "/control?mode=2");
+  fleet_sleep (1500);
+  fleet_control (fleet.endpoints[FLEET_STOCK].control_port, "/control?mode=0");
+  fleet_wait (&call);
+  CU_ASSERT (told (&call, "ran"));
+  CU_ASSERT_EQUAL (call.answer.status, 200);
+  CU_ASSERT_EQUAL (fleet_runs (&fleet, FLEET_STOCK, NULL, "runs"), 1);
+  ash_cli_answer_finish (&call.answer);
+  fleet_stop (&fleet);
+}
+
+static void
+test_broken_stream (void)
+{
+  struct fleet fleet;
+  struct fleet_call calls[2];
+
+  fleet_start (&fleet, NO_GUARD);
+  for (int a = 0; a < FLEET_MODELS; a++)
+    fleet_control (fleet.endpoints[a].http_port, "/control?break_after=3");
+  fleet_chat (&fleet, &calls[0], 0, true, 10);
+  fleet_chat (&fleet, &calls[1], 0, false, 10);
+  fleet_wait (&calls[0]);
+  CU_ASSERT_FALSE (calls[0].answer.whole);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (calls[0].answer.body);
+  CU_ASSERT_PTR_NOT_NULL (strstr (calls[0].answer.body, "event: error"));
+  CU_ASSERT_PTR_NULL (strstr (calls[0].answer.body, "[DONE]"));
+  fleet_wait (&calls[1]);
+  CU_ASSERT_EQUAL (calls[1].answer.status, 200);
+  for (int i = 0; i < 2; i++)
+    ash_cli_answer_finish (&calls[i].answer);
+  fleet_stop (&fleet);
+}
+
+/* The engine takes the request and drops the connection without an answer. A
+ * kept connection must not make libcurl send it again by itself. */
+static void
+test_dropped_by_the_engine (void)
+{
+  struct fleet fleet;
+  struct fleet_call calls[2];
+
+  fleet_start (&fleet, NO_GUARD);
+  fleet_order (&fleet, &calls[0], 0, NULL, 0, 1, 0);
+  fleet_wait (&calls[0]);
+  CU_ASSERT (told (&calls[0], "ran"));
+  fleet_control (fleet.endpoints[FLEET_STOCK].http_port, "/control?drop=1");
+  fleet_order (&fleet, &calls[1], 0, NULL, 0, 1, 0);
+  fleet_wait (&calls[1]);
+  CU_ASSERT (told (&calls[1], "unknown"));
+  CU_ASSERT_EQUAL (fleet_runs (&fleet, FLEET_STOCK, NULL, "runs"), 2);
+  for (int i = 0; i < 2; i++)
+    ash_cli_answer_finish (&calls[i].answer);
+  fleet_stop (&fleet);
+}
+
+static void
+test_engine_down (void)
+{
+  struct fleet fleet;
+  struct fleet_call calls[2];
+
+  fleet_start (&fleet, NO_GUARD);
+  fleet_end (&fleet.endpoints[FLEET_STOCK].engine, SIGKILL);
+  fleet_end (&fleet.endpoints[0].engine, SIGKILL);
+  fleet_order (&fleet, &calls[0], 0, NULL, 0, 1, 0);
+  fleet_wait (&calls[0]);
+  CU_ASSERT (told (&calls[0], "not-run"));
+  fleet_chat (&fleet, &calls[1], 0, true, 3);
+  fleet_wait (&calls[1]);
+  CU_ASSERT (fleet_stream_ok (&calls[1].answer, 3));
+  for (int i = 0; i < 2; i++)
+    ash_cli_answer_finish (&calls[i].answer);
+  fleet_stop (&fleet);
+}
+
+/* Work that nobody waits for any more ends at the engine, well before its
+ * deadline: the caller's connection closes, or its entry dies. */
+static void
+test_cancel (bool kill_the_entry)
+{
+  struct fleet fleet;
+  struct fleet_call call;
+
+  fleet_start (&fleet, NO_GUARD);
+  if (kill_the_entry)
+    {
+      fleet_chat (&fleet, &call, 0, true, 2000);
+      CU_ASSERT (wait_model_run (&fleet));
+      fleet_end (&fleet.entries[0].pid, SIGKILL);
+    }
+  else
+    {
+      /* The tool gives up five seconds after the deadline; the stand-in of a
+       * caller that leaves is its whole process, so a child makes the call. */
+      pid_t caller = fork ();
+
+      if (caller == 0)
+        {
+          fleet_chat (&fleet, &call, 0, false, 2000);
+          pause ();
+        }
+      CU_ASSERT (wait_model_run (&fleet));
+      fleet_end (&caller, SIGKILL);
+    }
+  for (int i = 0; i < 300 && !fleet_log_count (&fleet, "model-1", " 503 run_cancelled ") &&
+                  !fleet_log_count (&fleet, "model-2", " 503 run_cancelled ");
+       i++)
+    fleet_sleep (10);
+  CU_ASSERT_EQUAL (fleet_log_count (&fleet, "model-1", " 503 run_cancelled ") +
+                       fleet_log_count (&fleet, "model-2", " 503 run_cancelled "),
+                   1);
+  if (kill_the_entry)
+    {
+      fleet_wait (&call);
+      ash_cli_answer_finish (&call.answer);
+    }
+  fleet_stop (&fleet);
+}
+
+static void
+test_cancel_caller_gone (void)
+{
+  test_cancel (false);
+}
+
+static void
+test_cancel_entry_killed (void)
+{
+  test_cancel (true);
+}
+
+/* ---- leaving and planned stop ---- */
+
+static void *
+keep_calling (void *data)
+{
+  struct fleet *fleet = ((void **) data)[0];
+  volatile bool *stop = ((void **) data)[1];
+  int *bad = ((void **) data)[2];
+  int entry = *(int *) ((void **) data)[3];
+  struct fleet_call calls[LOAD];
+
+  while (!*stop)
+    {
+      for (int i = 0; i < LOAD; i++)
+        fleet_chat (fleet, &calls[i], entry < 0 ? i % FLEET_ENTRIES : entry, i % 2, 5);
+      for (int i = 0; i < LOAD; i++)
+        {
+          fleet_wait (&calls[i]);
+          if (calls[i].answer.status != 200 || !calls[i].answer.whole)
+            {
+              fprintf (stderr, "under load: status %ld outcome %s: %s\n", calls[i].answer.status,
+                       calls[i].answer.outcome,
+                       calls[i].answer.body ? calls[i].answer.body : calls[i].answer.error);
+              (*bad)++;
+            }
+          ash_cli_answer_finish (&calls[i].answer);
+        }
+    }
+  return NULL;
+}
+
+/* Stops and restarts the agents one after the other under load. */
+static void
+test_planned_stop_of_agents (void)
+{
+  struct fleet fleet;
+  volatile bool stop = false;
+  int bad = 0;
+  int entry = -1;
+  void *data[] = { &fleet, (void *) (uintptr_t) &stop, &bad, &entry };
+  pthread_t thread;
+
+  fleet_start (&fleet, NO_GUARD);
+  pthread_create (&thread, NULL, keep_calling, data);
+  for (int a = 0; a < FLEET_MODELS; a++)
+    {
+      fleet_sleep (200);
+      CU_ASSERT_EQUAL (fleet_end (&fleet.endpoints[a].pid, SIGTERM), 0);
+      fleet_start_endpoint (&fleet, a);
+      for (int e = 0; e < FLEET_ENTRIES; e++)
+        CU_ASSERT (fleet_wait_live (&fleet, e, FLEET_ENDPOINTS));
+    }
+  stop = true;
+  pthread_join (thread, NULL);
+  CU_ASSERT_EQUAL (bad, 0);
+  fleet_stop (&fleet);
+}
+
+/* Stops an entry while its callers still use the address that they keep. */
+static void
+test_planned_stop_of_entry (void)
+{
+  struct fleet fleet;
+  struct fleet_call calls[LOAD];
+  struct fleet_call late;
+  pid_t pid;
+
+  fleet_start (&fleet, NO_GUARD);
+  for (int i = 0; i < LOAD; i++)
+    fleet_chat (&fleet, &calls[i], 0, true, 200);
+  CU_ASSERT (wait_model_run (&fleet));
+  pid = fleet.entries[0].pid;
+  kill (pid, SIGTERM);
+  fleet_sleep (100);
+  /* Within the time to keep an address it still serves who comes. */
+  fleet_chat (&fleet, &late, 0, true, 5);
+  fleet_wait (&late);
+  CU_ASSERT (fleet_stream_ok (&late.answer, 5));
+  ash_cli_answer_finish (&late.answer);
+  for (int i = 0; i < LOAD; i++)
+    {
+      fleet_wait (&calls[i]);
+      CU_ASSERT (fleet_stream_ok (&calls[i].answer, 200));
+      ash_cli_answer_finish (&calls[i].answer);
+    }
+  CU_ASSERT_EQUAL (fleet_end (&fleet.entries[0].pid, 0), 0);
+  fleet_start_entry (&fleet, 0);
+  CU_ASSERT (fleet_wait_live (&fleet, 0, FLEET_ENDPOINTS));
+  fleet_stop (&fleet);
+}
+
+/* From one source alone, the platform's list, and heard by one entry alone:
+ * the other learns it from that one. */
+static void
+test_leaving_by_the_list (void)
+{
+  struct fleet fleet;
+  struct fleet_call calls[LOAD];
+  int before;
+
+  fleet_start (&fleet, NO_GUARD);
+  fleet_control (fleet.platform_port, "/control/box?box=model-1&state=leaving");
+  for (int e = 0; e < FLEET_ENTRIES; e++)
+    CU_ASSERT (fleet_wait_live (&fleet, e, FLEET_ENDPOINTS - 1));
+  before = fleet_runs (&fleet, 0, NULL, "runs");
+  for (int i = 0; i < LOAD; i++)
+    fleet_chat (&fleet, &calls[i], i % FLEET_ENTRIES, true, 3);
+  for (int i = 0; i < LOAD; i++)
+    {
+      fleet_wait (&calls[i]);
+      CU_ASSERT (fleet_stream_ok (&calls[i].answer, 3));
+      ash_cli_answer_finish (&calls[i].answer);
+    }
+  CU_ASSERT_EQUAL (fleet_runs (&fleet, 0, NULL, "runs"), before);
+  fleet_stop (&fleet);
+}
+
+/* The agent's own signal, while the list lags and says it is live. */
+static void
+test_leaving_by_its_own_word (void)
+{
+  struct fleet fleet;
+  struct fleet_call slow;
+  struct fleet_call order;
+
+  fleet_start (&fleet, NO_GUARD);
+  fleet_control (fleet.platform_port, "/control/mode?lag_ms=30000");
+  fleet_order (&fleet, &slow, 0, NULL, 0, 1000, 0);
+  CU_ASSERT (wait_runs (&fleet, FLEET_STOCK, "runs", 1));
+  kill (fleet.endpoints[FLEET_STOCK].pid, SIGTERM);
+  CU_ASSERT (fleet_wait_live (&fleet, 1, FLEET_ENDPOINTS - 1));
+  fleet_order (&fleet, &order, 1, NULL, 0, 1, 0);
+  fleet_wait (&order);
+  CU_ASSERT (told (&order, "not-run"));
+  fleet_wait (&slow);
+  CU_ASSERT (told (&slow, "ran"));
+  CU_ASSERT_EQUAL (fleet_runs (&fleet, FLEET_STOCK, NULL, "runs"), 1);
+  CU_ASSERT_EQUAL (fleet_end (&fleet.endpoints[FLEET_STOCK].pid, 0), 0);
+  ash_cli_answer_finish (&order.answer);
+  ash_cli_answer_finish (&slow.answer);
+  fleet_stop (&fleet);
+}
+
+/* ---- configuration ---- */
+
+static bool
+wait_revision (struct fleet *fleet, int e, int64_t revision)
+{
+  int64_t until_ms = fleet_now () + 10000;
+
+  while (fleet_revision (fleet, e) != revision)
+    {
+      if (fleet_now () > until_ms)
+        return false;
+      fleet_sleep (20);
+    }
+  return true;
+}
+
+static void
+test_configuration (void)
+{
+  struct fleet fleet;
+
+  fleet_start (&fleet, NO_GUARD);
+  fleet_publish (&fleet, "[[hall]]\nname = \"h2\"\n", 2);
+  for (int e = 0; e < FLEET_ENTRIES; e++)
+    CU_ASSERT (wait_revision (&fleet, e, 2));
+  /* A bad document is refused, the last accepted one stays. */
+  fleet_publish (&fleet, "[[hall]]\nnome = \"h2\"\n", 3);
+  for (int i = 0; i < 200 && !fleet_log_count (&fleet, "entry-1", "place=\"hall[1].nome\""); i++)
+    fleet_sleep (20);
+  CU_ASSERT (fleet_log_count (&fleet, "entry-1", "place=\"hall[1].nome\"") > 0);
+  CU_ASSERT_EQUAL (fleet_revision (&fleet, 0), 2);
+  /* The platform goes down; a replaced entry gets it from its peers. */
+  fleet_control (fleet.platform_port, "/control/mode?config=1&list=1");
+  fleet_end (&fleet.entries[0].pid, SIGKILL);
+  fleet_start_entry (&fleet, 0);
+  CU_ASSERT (wait_revision (&fleet, 0, 2));
+  CU_ASSERT (fleet_wait_live (&fleet, 0, FLEET_ENDPOINTS));
+  /* It comes back with an older one, which is ignored. */
+  fleet_control (fleet.platform_port, "/control/mode?config=3&list=0");
+  fleet_sleep (500);
+  for (int e = 0; e < FLEET_ENTRIES; e++)
+    CU_ASSERT_EQUAL (fleet_revision (&fleet, e), 2);
+  fleet_control (fleet.platform_port, "/control/mode?config=0");
+  fleet_publish (&fleet, "[[hall]]\nname = \"h4\"\n", 4);
+  for (int e = 0; e < FLEET_ENTRIES; e++)
+    CU_ASSERT (wait_revision (&fleet, e, 4));
+  fleet_stop (&fleet);
+}
+
+struct fault_test
+{
+  const char *name;
+  void (*run) (void);
+};
+
+static const struct fault_test tests[] = {
+  { "one key through two entries runs once", test_one_key_two_entries },
+  { "an entry is killed", test_entry_killed },
+  { "an agent is killed", test_agent_killed },
+  { "a young life runs no caller's key", test_young_life_runs_no_key },
+  { "a minted key", test_minted_key },
+  { "an entry is paused past the deadline", test_entry_paused },
+  { "200 streams over a cut", test_streams_over_a_cut },
+  { "a cut one way", test_one_way_cut },
+  { "a broken stream says so", test_broken_stream },
+  { "an engine drops a request", test_dropped_by_the_engine },
+  { "an engine is down", test_engine_down },
+  { "cancel: the caller goes away", test_cancel_caller_gone },
+  { "cancel: the entry is killed", test_cancel_entry_killed },
+  { "planned stop of agents under load", test_planned_stop_of_agents },
+  { "planned stop of an entry", test_planned_stop_of_entry },
+  { "leaving by the platform's list", test_leaving_by_the_list },
+  { "leaving by its own word", test_leaving_by_its_own_word },
+  { "configuration: bad, down, older", test_configuration },
+};
+
+/* usage: test-faults [PART OF A NAME] */
+int
+main (int argc, char **argv)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  signal (SIGPIPE, SIG_IGN);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  CU_initialize_registry ();
+  suite = CU_add_suite ("faults", NULL, NULL);
+  for (size_t i = 0; i < sizeof tests / sizeof tests[0]; i++)
+    if (argc < 2 || strstr (tests[i].name, argv[1]))
+      CU_add_test (suite, tests[i].name, tests[i].run);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/test/fleet.c
@@ -0,0 +1,545 @@
+#include "test/fleet.h"
+
+#include "common/clock.h"
+#include "common/id.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <jansson.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+#define BEARER "fleet-test-key"
+#define DOCUMENT_BYTES 8192
+#define WAIT_LIVE_MS 10000
+
+static const char *const endpoint_names[FLEET_ENDPOINTS] = { "model-1", "model-2", "stock-1" };
+
+void
+fleet_sleep (int64_t wait_ms)
+{
+  struct timespec ts = { wait_ms / 1000, wait_ms % 1000 * 1000000 };
+
+  nanosleep (&ts, NULL);
+}
+
+int64_t
+fleet_now (void)
+{
+  return ash_clock_now ().ms;
+}
+
+/* ---- processes ---- */
+
+static const char *
+program (const char *name)
+{
+  static char path[256];
+  const char *folder = getenv ("ASH_BUILD");
+
+  snprintf (path, sizeof path, "%s/%s", folder ? folder : "build", name);
+  return path;
+}
+
+static pid_t
+spawn (struct fleet *fleet, const char *log_name, const char *name, ...)
+{
+  char *arguments[8] = { 0 };
+  char log[128];
+  va_list args;
+  pid_t pid;
+  int count = 1;
+  int fd;
+
+  arguments[0] = strdup (program (name));
+  va_start (args, name);
+  while (count < 7 && (arguments[count] = va_arg (args, char *)))
+    count++;
+  va_end (args);
+  snprintf (log, sizeof log, "%s/%s.log", fleet->folder, log_name);
+  pid = fork ();
+  if (pid == 0)
+    {
+      fd = open (log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+      dup2 (fd, STDOUT_FILENO);
+      dup2 (fd, STDERR_FILENO);
+      execv (arguments[0], arguments);
+      _exit (127);
+    }
+  free (arguments[0]);
+  return pid;
+}
+
+int
+fleet_end (pid_t *pid, int signal)
+{
+  int status = 0;
+
+  if (*pid <= 0)
+    return 0;
+  kill (*pid, signal);
+  /* A paused process acts on nothing but SIGKILL. */
+  if (signal != SIGKILL)
+    kill (*pid, SIGCONT);
+  waitpid (*pid, &status, 0);
+  *pid = 0;
+  return WIFEXITED (status) ? WEXITSTATUS (status) : -1;
+}
+
+static void
+free_ports (uint16_t *ports, int count)
+{
+  int fds[32];
+
+  for (int i = 0; i < count; i++)
+    {
+      struct sockaddr_in address = { .sin_family = AF_INET };
+      socklen_t length = sizeof address;
+
+      address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+      fds[i] = socket (AF_INET, SOCK_STREAM, 0);
+      bind (fds[i], (struct sockaddr *) &address, sizeof address);
+      getsockname (fds[i], (struct sockaddr *) &address, &length);
+      ports[i] = ntohs (address.sin_port);
+    }
+  for (int i = 0; i < count; i++)
+    close (fds[i]);
+}
+
+static FILE *
+open_file (struct fleet *fleet, const char *name)
+{
+  char path[128];
+
+  snprintf (path, sizeof path, "%s/%s", fleet->folder, name);
+  return fopen (path, "w");
+}
+
+static void
+write_settings (struct fleet *fleet, const struct fleet_box *box, const char *role)
+{
+  char name[64];
+  FILE *file;
+
+  snprintf (name, sizeof name, "%s.toml", box->name);
+  file = open_file (fleet, name);
+  fprintf (file,
+           "box = \"%s\"\nrole = \"%s\"\nhall = \"h\"\npeer_listen = \"127.0.0.1:%u\"\n"
+           "fleet_key = \"%064d\"\nlog_level = \"debug\"\n%s\n",
+           box->name, role, box->peer_port, 7, fleet->extra ? fleet->extra : "");
+  if (strcmp (role, "entry") == 0)
+    fprintf (file,
+             "http_listen = \"127.0.0.1:%u\"\nplatform_url = \"http://127.0.0.1:%u\"\n"
+             "peers = [\"127.0.0.1:%u\"]\n",
+             box->http_port, fleet->platform_port,
+             fleet->entries[box == &fleet->entries[0]].peer_port);
+  else
+    fprintf (file, "engine_url = \"http://127.0.0.1:%u\"\n", box->http_port);
+  fclose (file);
+}
+
+static pid_t
+start_daemon (struct fleet *fleet, const struct fleet_box *box, const char *role)
+{
+  char path[128];
+
+  write_settings (fleet, box, role);
+  snprintf (path, sizeof path, "%s/%s.toml", fleet->folder, box->name);
+  return spawn (fleet, box->name, "ashspindled", path, NULL);
+}
+
+void
+fleet_start_entry (struct fleet *fleet, int e)
+{
+  fleet->entries[e].pid = start_daemon (fleet, &fleet->entries[e], "entry");
+}
+
+void
+fleet_start_endpoint (struct fleet *fleet, int a)
+{
+  fleet->endpoints[a].pid = start_daemon (fleet, &fleet->endpoints[a], "endpoint");
+}
+
+/* ---- the published document ---- */
+
+static void
+write_document (struct fleet *fleet, const char *more, char *text)
+{
+  uint8_t hash[ASH_KEY_HASH_BYTES];
+  char *p = text;
+
+  ash_key_hash (BEARER, strlen (BEARER), hash);
+  p +=
+      sprintf (p, "[[hall]]\nname = \"h\"\n[[class]]\nname = \"c\"\n"
+                  "[[service]]\nname = \"model\"\n[[service]]\nname = \"stock\"\nkind = \"plain\"\n"
+                  "homes_since_s = 1\n[[account]]\nname = \"a\"\nclass = \"c\"\n"
+                  "rate_per_s = 100000\nburst = 100000\nkey_hash = \"");
+  for (size_t i = 0; i < sizeof hash; i++)
+    p += sprintf (p, "%02x", hash[i]);
+  p += sprintf (p, "\"\n");
+  for (int e = 0; e < FLEET_ENTRIES; e++)
+    p += sprintf (p,
+                  "[[entry]]\nbox = \"%s\"\nhall = \"h\"\nhttp = \"127.0.0.1:%u\"\npeer = "
+                  "\"127.0.0.1:%u\"\n",
+                  fleet->entries[e].name, fleet->entries[e].http_port, fleet->entries[e].peer_port);
+  for (int a = 0; a < FLEET_ENDPOINTS; a++)
+    p += sprintf (p,
+                  "[[endpoint]]\nbox = \"%s\"\nhall = \"h\"\nservice = \"%s\"\nslots = 128\npeer "
+                  "= \"127.0.0.1:%u\"\n",
+                  fleet->endpoints[a].name, a < FLEET_MODELS ? "model" : "stock",
+                  fleet->endpoints[a].link_port);
+  sprintf (p, "%s", more);
+}
+
+void
+fleet_publish (struct fleet *fleet, const char *more, uint64_t revision)
+{
+  char text[DOCUMENT_BYTES];
+  char url[128];
+  struct ash_cli_request request = { .url = url, .method = "PUT", .body = text };
+  struct ash_cli_answer answer;
+
+  write_document (fleet, more, text);
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/control/config?revision=%llu",
+            fleet->platform_port, (unsigned long long) revision);
+  ash_cli_fetch (&request, &answer);
+  ash_cli_answer_finish (&answer);
+}
+
+void
+fleet_control (uint16_t port, const char *path_and_query)
+{
+  char url[256];
+  struct ash_cli_request request = { .url = url, .method = "POST" };
+  struct ash_cli_answer answer;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u%s", port, path_and_query);
+  ash_cli_fetch (&request, &answer);
+  ash_cli_answer_finish (&answer);
+}
+
+/* ---- the whole ---- */
+
+static void
+name_boxes (struct fleet *fleet)
+{
+  uint16_t ports[1 + 2 * FLEET_ENTRIES + 4 * FLEET_ENDPOINTS];
+  int next = 0;
+
+  free_ports (ports, sizeof ports / sizeof ports[0]);
+  fleet->platform_port = ports[next++];
+  for (int e = 0; e < FLEET_ENTRIES; e++)
+    {
+      sprintf (fleet->entries[e].name, "entry-%d", e + 1);
+      fleet->entries[e].http_port = ports[next++];
+      fleet->entries[e].peer_port = ports[next++];
+    }
+  for (int a = 0; a < FLEET_ENDPOINTS; a++)
+    {
+      strcpy (fleet->endpoints[a].name, endpoint_names[a]);
+      fleet->endpoints[a].http_port = ports[next++];
+      fleet->endpoints[a].peer_port = ports[next++];
+      fleet->endpoints[a].link_port = ports[next++];
+      fleet->endpoints[a].control_port = ports[next++];
+    }
+}
+
+static void
+start_stand_ins (struct fleet *fleet, struct fleet_box *box)
+{
+  char engine[8];
+  char link[8];
+  char peer[8];
+  char control[8];
+  char log[64];
+
+  sprintf (engine, "%u", box->http_port);
+  sprintf (link, "%u", box->link_port);
+  sprintf (peer, "%u", box->peer_port);
+  sprintf (control, "%u", box->control_port);
+  snprintf (log, sizeof log, "engine-%s", box->name);
+  box->engine = spawn (fleet, log, "standin", "engine", engine, "128", "5", NULL);
+  snprintf (log, sizeof log, "link-%s", box->name);
+  box->link = spawn (fleet, log, "standin", "link", link, peer, control, NULL);
+}
+
+void
+fleet_start (struct fleet *fleet, const char *extra)
+{
+  char text[DOCUMENT_BYTES];
+  char port[8];
+  char path[128];
+  FILE *file;
+
+  *fleet = (struct fleet){ .extra = extra };
+  strcpy (fleet->folder, "/tmp/ash-fleet-XXXXXX");
+  if (!mkdtemp (fleet->folder))
+    return;
+  name_boxes (fleet);
+  write_document (fleet, "", text);
+  file = open_file (fleet, "published.toml");
+  fputs (text, file);
+  fclose (file);
+  sprintf (port, "%u", fleet->platform_port);
+  snprintf (path, sizeof path, "%s/published.toml", fleet->folder);
+  fleet->platform = spawn (fleet, "platform", "standin", "platform", port, path, NULL);
+  for (int a = 0; a < FLEET_ENDPOINTS; a++)
+    {
+      start_stand_ins (fleet, &fleet->endpoints[a]);
+      fleet_start_endpoint (fleet, a);
+    }
+  for (int e = 0; e < FLEET_ENTRIES; e++)
+    fleet_start_entry (fleet, e);
+  for (int e = 0; e < FLEET_ENTRIES; e++)
+    fleet_wait_live (fleet, e, FLEET_ENDPOINTS);
+}
+
+void
+fleet_stop (struct fleet *fleet)
+{
+  char command[160];
+
+  for (int e = 0; e < FLEET_ENTRIES; e++)
+    fleet_end (&fleet->entries[e].pid, SIGKILL);
+  for (int a = 0; a < FLEET_ENDPOINTS; a++)
+    {
+      fleet_end (&fleet->endpoints[a].pid, SIGKILL);
+      fleet_end (&fleet->endpoints[a].engine, SIGKILL);
+      fleet_end (&fleet->endpoints[a].link, SIGKILL);
+    }
+  fleet_end (&fleet->platform, SIGKILL);
+  if (getenv ("FLEET_KEEP"))
+    {
+      fprintf (stderr, "logs: %s\n", fleet->folder);
+      return;
+    }
+  snprintf (command, sizeof command, "rm -rf %s", fleet->folder);
+  if (system (command) != 0)
+    fprintf (stderr, "can't remove %s\n", fleet->folder);
+}
+
+/* ---- what an entry knows ---- */
+
+static json_t *
+ask_status (struct fleet *fleet, int e)
+{
+  char url[128];
+  struct ash_cli_request request = { .url = url, .method = "GET", .deadline_ms = 1 };
+  struct ash_cli_answer answer;
+  json_t *root;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/status", fleet->entries[e].http_port);
+  ash_cli_fetch (&request, &answer);
+  root = json_loadb (answer.body ? answer.body : "", answer.body_bytes, 0, NULL);
+  ash_cli_answer_finish (&answer);
+  return root;
+}
+
+static int
+count_live (const json_t *status)
+{
+  const json_t *boxes = json_object_get (status, "boxes");
+  int count = 0;
+
+  for (size_t i = 0; i < json_array_size (boxes); i++)
+    {
+      const json_t *box = json_array_get (boxes, i);
+      const char *role = json_string_value (json_object_get (box, "role"));
+      const char *state = json_string_value (json_object_get (box, "state"));
+
+      /* A box counts once it has the configuration, too. */
+      count += role && state && strcmp (role, "endpoint") == 0 && strcmp (state, "live") == 0 &&
+               json_integer_value (json_object_get (box, "revision")) > 0;
+    }
+  return count;
+}
+
+bool
+fleet_wait_live (struct fleet *fleet, int e, int count)
+{
+  int64_t until_ms = fleet_now () + WAIT_LIVE_MS;
+  bool ok = false;
+
+  while (!ok && fleet_now () < until_ms)
+    {
+      json_t *status = ask_status (fleet, e);
+
+      ok = count_live (status) == count;
+      json_decref (status);
+      if (!ok)
+        fleet_sleep (20);
+    }
+  return ok;
+}
+
+int64_t
+fleet_revision (struct fleet *fleet, int e)
+{
+  json_t *status = ask_status (fleet, e);
+  int64_t revision = json_integer_value (json_object_get (status, "revision"));
+
+  json_decref (status);
+  return revision;
+}
+
+int
+fleet_log_count (struct fleet *fleet, const char *box, const char *text)
+{
+  char path[160];
+  char line[2048];
+  int count = 0;
+  FILE *file;
+
+  snprintf (path, sizeof path, "%s/%s.log", fleet->folder, box);
+  file = fopen (path, "r");
+  while (file && fgets (line, sizeof line, file))
+    count += strstr (line, text) != NULL;
+  if (file)
+    fclose (file);
+  return count;
+}
+
+/* ---- calls ---- */
+
+static void *
+run_call (void *data)
+{
+  struct fleet_call *call = data;
+
+  ash_cli_fetch (&call->request, &call->answer);
+  call->took_ms = fleet_now () - call->started_ms;
+  return NULL;
+}
+
+static void
+begin (struct fleet_call *call)
+{
+  call->request.url = call->url;
+  call->request.key = BEARER;
+  call->started_ms = fleet_now ();
+  pthread_create (&call->thread, NULL, run_call, call);
+}
+
+void
+fleet_chat (struct fleet *fleet, struct fleet_call *call, int e, bool stream, int tokens)
+{
+  static const char *const bodies[] = {
+    "{\"model\":\"model\",\"stream\":false,\"max_tokens\":%d}",
+    "{\"model\":\"model\",\"stream\":true,\"max_tokens\":%d}",
+  };
+
+  *call = (struct fleet_call){ 0 };
+  snprintf (call->key, sizeof call->key, bodies[stream], tokens);
+  snprintf (call->url, sizeof call->url, "http://127.0.0.1:%u/v1/chat/completions",
+            fleet->entries[e].http_port);
+  call->request.method = "POST";
+  call->request.body = call->key;
+  begin (call);
+}
+
+void
+fleet_order (struct fleet *fleet,
+             struct fleet_call *call,
+             int e,
+             const char *key,
+             unsigned attempt,
+             int work_ms,
+             unsigned deadline_ms)
+{
+  *call = (struct fleet_call){ 0 };
+  snprintf (call->url, sizeof call->url, "http://127.0.0.1:%u/v1/services/stock/orders?work_ms=%d",
+            fleet->entries[e].http_port, work_ms);
+  call->request.method = "POST";
+  call->request.body = "{\"order\":1}";
+  call->request.no_repeat = true;
+  call->request.attempt = attempt;
+  call->request.deadline_ms = deadline_ms;
+  if (key)
+    {
+      snprintf (call->key, sizeof call->key, "%s", key);
+      call->request.idempotency_key = call->key;
+    }
+  begin (call);
+}
+
+bool
+fleet_mint (struct fleet *fleet, int e, const char *service, char key[256])
+{
+  char url[160];
+  struct ash_cli_request request = { .url = url, .method = "POST", .key = BEARER };
+  struct ash_cli_answer answer;
+  json_t *root;
+  const char *minted;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/keys?service=%s", fleet->entries[e].http_port,
+            service);
+  ash_cli_fetch (&request, &answer);
+  root = json_loadb (answer.body ? answer.body : "", answer.body_bytes, 0, NULL);
+  minted = json_string_value (json_object_get (root, "key"));
+  snprintf (key, 256, "%s", minted ? minted : "");
+  json_decref (root);
+  ash_cli_answer_finish (&answer);
+  return *key != '\0';
+}
+
+void
+fleet_wait (struct fleet_call *call)
+{
+  pthread_join (call->thread, NULL);
+}
+
+int
+fleet_runs (struct fleet *fleet, int a, const char *id, const char *kind)
+{
+  char url[128];
+  struct ash_cli_request request = { .url = url, .method = "GET" };
+  struct ash_cli_answer answer;
+  const char *row_id;
+  json_t *root;
+  json_t *row;
+  int count = 0;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/runs", fleet->endpoints[a].http_port);
+  ash_cli_fetch (&request, &answer);
+  root = json_loadb (answer.body ? answer.body : "", answer.body_bytes, 0, NULL);
+  json_object_foreach (root, row_id, row)
+  {
+    if (!id || strcmp (row_id, id) == 0)
+      count += (int) json_integer_value (json_object_get (row, kind));
+  }
+  json_decref (root);
+  ash_cli_answer_finish (&answer);
+  return count;
+}
+
+bool
+fleet_stream_ok (const struct ash_cli_answer *answer, int tokens)
+{
+  char expected[256];
+  const char *at = answer->body ? answer->body : "";
+
+  if (!answer->whole)
+    return false;
+  for (int i = 1; i <= tokens; i++)
+    {
+      int length =
+          snprintf (expected, sizeof expected,
+                    "data: {\"id\":\"%s\",\"object\":\"chat.completion.chunk\",\"choices\":"
+                    "[{\"index\":0,\"delta\":{\"content\":\"%.8s-%d \"}}]}\n\n",
+                    answer->request_id, answer->request_id, i);
+
+      if (strncmp (at, expected, (size_t) length) != 0)
+        return false;
+      at += length;
+    }
+  return strcmp (at, "data: [DONE]\n\n") == 0;
+}
