--- a/test/faults.c
+++ b/test/faults.c
@@ -20,7 +20,8 @@
  * is not about it. */
 #define LINKS                                                                                      \
   "heartbeat_ms = 100\nlink_silence_ms = 800\ndial_retry_ms = 50\naddress_keep_ms = 400\n"         \
-  "orphan_ms = 400\nkeyed_orphan_ms = 5000\npause_ms = 500\nresume_ms = 2000\n"
+  "log_level = \"debug\"\norphan_ms = 400\nkeyed_orphan_ms = 5000\npause_ms = 500\nresume_ms = "   \
+  "2000\n"
 #define NO_GUARD LINKS "id_life_ms = 20000\nguard_ms = 0\n"
 
 /* A life is old enough to know of all attempts after this. */
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -135,7 +135,7 @@
   file = open_file (fleet, name);
   fprintf (file,
            "box = \"%s\"\nrole = \"%s\"\nhall = \"h\"\npeer_listen = \"127.0.0.1:%u\"\n"
-           "fleet_key = \"%064d\"\nlog_level = \"debug\"\n%s\n",
+           "fleet_key = \"%064d\"\n%s\n",
            box->name, role, box->peer_port, 7, fleet->extra ? fleet->extra : "");
   if (strcmp (role, "entry") == 0)
     fprintf (file,
