test: bounds of what comes from outside, against a real entry

Malformed JSON with its place, bodies and headers that are too large, slow senders, too many connections; garbage, silence, a wrong key and a replayed hello on a peer link.

--- /dev/null
+++ b/test/bounds.c
@@ -0,0 +1,345 @@
+/**
+ * @file
+ * What comes from outside is bounded: HTTP and peer links of a real entry are
+ * fed too much, too slowly, malformed or forged. After each it still serves.
+ */
+#include "common/id.h"
+#include "net/frame.h"
+#include "net/handshake.h"
+#include "test/fleet.h"
+
+#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#define TOO_MANY 12
+#define SETTINGS                                                                                   \
+  "heartbeat_ms = 100\nlink_silence_ms = 600\ndial_retry_ms = 50\nid_life_ms = 20000\n"            \
+  "guard_ms = 0\nupload_ms = 400\nidle_ms = 1000\nbody_max_bytes = 1000\nconnections_max = 8\n"
+
+static struct fleet fleet;
+static uint8_t fleet_key[ASH_FRAME_KEY_BYTES];
+
+static int
+open_raw (uint16_t port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (port) };
+  struct timeval patience = { .tv_sec = 8 };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+  if (connect (fd, (struct sockaddr *) &address, sizeof address) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+static void
+send_raw (int fd, const void *bytes, size_t length)
+{
+  size_t sent = 0;
+
+  while (sent < length)
+    {
+      ssize_t n = send (fd, (const char *) bytes + sent, length - sent, MSG_NOSIGNAL);
+
+      if (n <= 0)
+        return;
+      sent += (size_t) n;
+    }
+}
+
+/* Reads all there is until the other side closes. @return whether it closed,
+ * instead of keeping the connection open without a word. */
+static bool
+read_to_close (int fd, char *text, size_t room)
+{
+  size_t length = 0;
+  ssize_t n;
+  bool closed;
+
+  while ((n = recv (fd, text + length, room - 1 - length, 0)) > 0 && length < room - 1)
+    length += (size_t) n;
+  closed = n == 0 || (n < 0 && errno != EAGAIN);
+  text[length] = '\0';
+  close (fd);
+  return closed;
+}
+
+static void
+still_serves (void)
+{
+  struct fleet_call call;
+
+  fleet_chat (&fleet, &call, 0, true, 2);
+  fleet_wait (&call);
+  CU_ASSERT (fleet_stream_ok (&call.answer, 2));
+  ash_cli_answer_finish (&call.answer);
+}
+
+static void
+post_raw (const char *body, struct ash_cli_answer *answer)
+{
+  char url[128];
+  struct ash_cli_request request = {
+    .url = url, .method = "POST", .key = "fleet-test-key", .body = body
+  };
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/v1/completions", fleet.entries[0].http_port);
+  ash_cli_fetch (&request, answer);
+}
+
+/* ---- HTTP ---- */
+
+static void
+test_malformed (void)
+{
+  static const char *const bodies[] = { "{\"model\":\n  \"model\",, }", "{\"model\":7}",
+                                        "{\"model\":\"model\",\"stream\":1}", "[]" };
+  static const char *const parts[] = { "line 2, column", "'model'", "'stream'", "'model'" };
+
+  for (size_t i = 0; i < sizeof bodies / sizeof bodies[0]; i++)
+    {
+      struct ash_cli_answer answer = { 0 };
+
+      post_raw (bodies[i], &answer);
+      CU_ASSERT_EQUAL (answer.status, 400);
+      CU_ASSERT_STRING_EQUAL (answer.outcome, "not-run");
+      CU_ASSERT_PTR_NOT_NULL (strstr (answer.body ? answer.body : "", parts[i]));
+      ash_cli_answer_finish (&answer);
+    }
+  still_serves ();
+}
+
+static void
+test_large_body (void)
+{
+  struct ash_cli_answer answer = { 0 };
+  char body[2001];
+
+  memset (body, ' ', sizeof body - 1);
+  body[sizeof body - 1] = '\0';
+  post_raw (body, &answer);
+  CU_ASSERT_EQUAL (answer.status, 413);
+  CU_ASSERT_STRING_EQUAL (answer.outcome, "not-run");
+  ash_cli_answer_finish (&answer);
+  still_serves ();
+}
+
+static void
+test_large_headers (void)
+{
+  static char text[65536];
+  static char header[60000];
+  int fd = open_raw (fleet.entries[0].http_port);
+
+  memset (header, 'x', sizeof header);
+  send_raw (fd, "GET /healthz HTTP/1.1\r\nX: ", 26);
+  send_raw (fd, header, sizeof header);
+  send_raw (fd, "\r\n\r\n", 4);
+  CU_ASSERT (read_to_close (fd, text, sizeof text));
+  CU_ASSERT_PTR_NULL (strstr (text, " 200 "));
+  still_serves ();
+}
+
+static void
+test_slow_sender (void)
+{
+  static const char start[] =
+      "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n{";
+  char text[4096];
+  int fd = open_raw (fleet.entries[0].http_port);
+
+  send_raw (fd, start, sizeof start - 1);
+  CU_ASSERT (read_to_close (fd, text, sizeof text));
+  /* Headers that never end, a byte at a time so that it is never silent. */
+  fd = open_raw (fleet.entries[0].http_port);
+  for (int i = 0; i < 12; i++)
+    {
+      send_raw (fd, "X", 1);
+      fleet_sleep (150);
+    }
+  CU_ASSERT (read_to_close (fd, text, sizeof text));
+  still_serves ();
+}
+
+static void
+test_many_connections (void)
+{
+  int fds[TOO_MANY];
+  char text[64];
+
+  for (int i = 0; i < TOO_MANY; i++)
+    fds[i] = open_raw (fleet.entries[0].http_port);
+  /* All are closed in the end, the ones that were let in for their silence. */
+  for (int i = 0; i < TOO_MANY; i++)
+    CU_ASSERT (fds[i] < 0 || read_to_close (fds[i], text, sizeof text));
+  still_serves ();
+}
+
+/* ---- peer links ---- */
+
+static int
+open_peer (void)
+{
+  return open_raw (fleet.entries[0].peer_port);
+}
+
+/* Reads the challenge of a new link into nonces. */
+static bool
+read_challenge (int fd, struct ash_nonces *nonces)
+{
+  struct ash_frame_key no_key = { 0 };
+  struct ash_buffer buffer = { 0 };
+  struct Ash__Event *event = NULL;
+  bool ok = false;
+
+  while (ash_frame_read (&buffer, &no_key, &event) == ASH_FRAME_NONE)
+    {
+      ssize_t n = recv (fd, ash_buffer_reserve (&buffer, 256), 256, 0);
+
+      if (n <= 0)
+        break;
+      buffer.length += (size_t) n;
+    }
+  if (event && event->kind_case == ASH__EVENT__KIND_CHALLENGE &&
+      event->challenge->nonce.len == ASH_NONCE_BYTES)
+    {
+      memcpy (nonces->accept, event->challenge->nonce.data, ASH_NONCE_BYTES);
+      ok = true;
+    }
+  ash__event__free_unpacked (event, NULL);
+  ash_buffer_finish (&buffer);
+  return ok;
+}
+
+/* Writes a hello that is proved with that key. */
+static void
+write_hello (struct ash_buffer *buffer, const struct ash_nonces *nonces, const uint8_t *key)
+{
+  struct ash_frame_key no_key = { 0 };
+  struct Ash__Hello hello = ASH__HELLO__INIT;
+  struct Ash__Event event = ASH__EVENT__INIT;
+  uint8_t proof[ASH_PROOF_BYTES];
+
+  hello.box = ash_text ("stranger");
+  hello.role = ASH__ROLE__ENTRY;
+  hello.incarnation = 5;
+  hello.nonce.data = (uint8_t *) (uintptr_t) nonces->dial;
+  hello.nonce.len = ASH_NONCE_BYTES;
+  ash_handshake_prove (key, nonces, ASH_SIDE_DIAL, &hello, proof);
+  hello.proof.data = proof;
+  hello.proof.len = sizeof proof;
+  event.kind_case = ASH__EVENT__KIND_HELLO;
+  event.hello = &hello;
+  ash_frame_write (buffer, &no_key, &event);
+}
+
+static bool
+is_up (void)
+{
+  fleet_sleep (300);
+  return fleet_log_count (&fleet, "entry-1", "link_up box=entry-1 module=peer box=stranger") > 0;
+}
+
+static void
+test_garbage (void)
+{
+  static char bytes[100000];
+  char text[4096];
+  int fd = open_peer ();
+
+  memset (bytes, 0xff, sizeof bytes);
+  send_raw (fd, bytes, sizeof bytes);
+  CU_ASSERT (read_to_close (fd, text, sizeof text));
+  /* Says nothing at all: closed after the silence that a link may have. */
+  CU_ASSERT (read_to_close (open_peer (), text, sizeof text));
+  still_serves ();
+}
+
+static void
+test_wrong_key (void)
+{
+  struct ash_nonces nonces = { { 0 }, { 1 } };
+  struct ash_buffer buffer = { 0 };
+  uint8_t wrong[ASH_FRAME_KEY_BYTES] = { 9 };
+  char text[4096];
+  int fd = open_peer ();
+
+  CU_ASSERT (read_challenge (fd, &nonces));
+  write_hello (&buffer, &nonces, wrong);
+  send_raw (fd, buffer.bytes, buffer.length);
+  CU_ASSERT (read_to_close (fd, text, sizeof text));
+  CU_ASSERT_FALSE (is_up ());
+  ash_buffer_finish (&buffer);
+}
+
+static void
+test_replayed_hello (void)
+{
+  struct ash_nonces nonces = { { 0 }, { 1 } };
+  struct ash_nonces other;
+  struct ash_buffer buffer = { 0 };
+  char text[4096];
+  int fd = open_peer ();
+  int replay;
+
+  /* A hello that is right for one link is sent on another first. */
+  CU_ASSERT (read_challenge (fd, &nonces));
+  write_hello (&buffer, &nonces, fleet_key);
+  replay = open_peer ();
+  CU_ASSERT (read_challenge (replay, &other));
+  send_raw (replay, buffer.bytes, buffer.length);
+  CU_ASSERT (read_to_close (replay, text, sizeof text));
+  CU_ASSERT_FALSE (is_up ());
+  /* On its own link it is right, so the test above has tested the replay. */
+  send_raw (fd, buffer.bytes, buffer.length);
+  CU_ASSERT (is_up ());
+  /* And an unsigned frame on the link that is up ends it. */
+  send_raw (fd, buffer.bytes, buffer.length);
+  CU_ASSERT (read_to_close (fd, text, sizeof text));
+  still_serves ();
+  ash_buffer_finish (&buffer);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  signal (SIGPIPE, SIG_IGN);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  if (sodium_init () < 0)
+    return EXIT_FAILURE;
+  /* The fleet's key is 64 digits whose last is 7. */
+  fleet_key[ASH_FRAME_KEY_BYTES - 1] = 7;
+  fleet_start (&fleet, SETTINGS);
+  CU_initialize_registry ();
+  suite = CU_add_suite ("bounds", NULL, NULL);
+  CU_add_test (suite, "http: malformed, with its place", test_malformed);
+  CU_add_test (suite, "http: a body that is too large", test_large_body);
+  CU_add_test (suite, "http: headers that are too large", test_large_headers);
+  CU_add_test (suite, "http: slow senders", test_slow_sender);
+  CU_add_test (suite, "http: too many connections", test_many_connections);
+  CU_add_test (suite, "links: garbage and silence", test_garbage);
+  CU_add_test (suite, "links: the wrong key", test_wrong_key);
+  CU_add_test (suite, "links: a replayed hello", test_replayed_hello);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  fleet_stop (&fleet);
+  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
