entry: takes callers only once it can reach the endpoints

Cause: an entry listened from its start; restarted under load, it refused with "no endpoint" for the half second in which its links came up, while another box could have taken the call. Found by the new case 'restart one by one under load', seen failing (ten and more refusals) and passing after. Ruled out: the agents' restarts, which lose nothing.

Now it binds its address at the start (a taken address is still an error at once) and listens when each service has a reachable endpoint, or ready_wait_ms after the first configuration: until then the system refuses the connection and the caller goes elsewhere at once.

Also cases for hearsay alone, a storm of retries and a cut with a kill.

--- a/daemon/api.h
+++ b/daemon/api.h
@@ -19,7 +19,7 @@
   struct ash_time woke_until; /**< until then calls count as possibly old */
 };
 
-/** Listens. @return false with errno set. */
+/** Binds its address; it serves after ash_http_server_listen(). @return false with errno set. */
 bool ash_api_init (struct ash_api *api, struct ash_daemon *daemon, struct ash_entry *entry);
 
 void ash_api_finish (struct ash_api *api);
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -19,7 +19,9 @@
   struct ash_entry core;
   struct ash_api api;
   struct ash_platform platform;
+  struct ash_time configured_since; /* the first configuration came */
   struct ash_time stop_since;
+  bool serving;
 };
 
 /* ---- links ---- */
@@ -57,8 +59,60 @@
   for (uint32_t i = 0; i < document->entry_count; i++)
     if (dials_entry (entry, document->entries[i].name))
       ash_peers_dial (peers, document->entries[i].name, document->entries[i].peer);
-  ash_log_event (&entry->daemon.log, ASH_EV_READY, "revision=%llu endpoints=%u",
-                 (unsigned long long) document->revision, document->endpoint_count);
+  if (!entry->configured_since.ms)
+    entry->configured_since = ash_clock_now ();
+}
+
+/* ---- ready to serve ---- */
+
+static bool
+is_reachable (const struct entry *entry, const struct ash_service *service)
+{
+  const struct ash_document *document = &entry->core.config.document;
+
+  for (uint32_t i = 0; i < service->endpoint_count; i++)
+    {
+      const char *name = ash_document_service_endpoint (document, service, i)->name;
+      const struct ash_box *box = ash_membership_find (&entry->core.membership, name);
+
+      if (box && ash_box_usable (box))
+        return true;
+    }
+  return service->endpoint_count == 0;
+}
+
+/* Callers keep this box's address over a restart. Until it has its links it
+ * would refuse what another box could take; a service that nobody can reach
+ * must not keep it waiting for ever, though. */
+static bool
+is_ready (const struct entry *entry)
+{
+  const struct ash_document *document = &entry->core.config.document;
+  struct ash_time latest =
+      ash_time_add (entry->configured_since, entry->daemon.settings->ready_wait_ms);
+
+  if (!entry->core.config.ready)
+    return false;
+  for (uint32_t i = 0; i < document->service_count; i++)
+    if (!is_reachable (entry, &document->services[i]))
+      return !ash_time_before (ash_clock_now (), latest);
+  return true;
+}
+
+static void
+serve_when_ready (struct entry *entry)
+{
+  const struct ash_document *document = &entry->core.config.document;
+
+  if (entry->serving || entry->core.leaving || !is_ready (entry))
+    return;
+  entry->serving = ash_http_server_listen (&entry->api.server);
+  if (entry->serving)
+    ash_log_event (&entry->daemon.log, ASH_EV_READY, "revision=%llu endpoints=%u",
+                   (unsigned long long) document->revision, document->endpoint_count);
+  else
+    ash_log_event (&entry->daemon.log, ASH_EV_CANNOT_LISTEN, "address=%s error=\"%s\"",
+                   entry->daemon.settings->http_listen, strerror (errno));
 }
 
 static uint32_t
@@ -114,6 +168,7 @@
   uint32_t leaving = leaving_count (&entry->core.membership);
 
   ash_entry_handle (&entry->core, ash_clock_now (), event);
+  serve_when_ready (entry);
   if (leaving_count (&entry->core.membership) > leaving)
     ash_peers_beat (&entry->daemon.peers);
 }
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -556,7 +556,7 @@
 }
 
 static int
-open_listener (const char *text)
+bind_listener (const char *text)
 {
   struct sockaddr_in address = { .sin_family = AF_INET };
   uint16_t port;
@@ -574,7 +574,7 @@
   if (fd < 0)
     return -1;
   setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &(int){ 1 }, sizeof (int));
-  if (bind (fd, (struct sockaddr *) &address, sizeof address) < 0 || listen (fd, SOMAXCONN) < 0)
+  if (bind (fd, (struct sockaddr *) &address, sizeof address) < 0)
     {
       int error = errno;
 
@@ -588,38 +588,50 @@
 bool
 ash_http_server_init (struct ash_http_server *server, struct ev_loop *loop)
 {
-  const union MHD_DaemonInfo *info;
-  uint32_t idle_s = server->settings->idle_ms / MS_PER_S;
-
   server->loop = loop;
-  server->listen_fd = open_listener (server->settings->http_listen);
-  if (server->listen_fd < 0)
+  server->daemon = NULL;
+  server->listen_fd = bind_listener (server->settings->http_listen);
+  return server->listen_fd >= 0;
+}
+
+static void
+start_watchers (struct ash_http_server *server)
+{
+  const union MHD_DaemonInfo *info = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+
+  ev_io_init (&server->io, on_io, info->epoll_fd, EV_READ);
+  ev_timer_init (&server->timer, on_timer, 0, 0);
+  ev_prepare_init (&server->prepare, on_prepare);
+  ev_timer_init (&server->sweep, on_sweep, SWEEP_S, SWEEP_S);
+  server->io.data = server;
+  server->timer.data = server;
+  server->prepare.data = server;
+  server->sweep.data = server;
+  ev_io_start (server->loop, &server->io);
+  ev_prepare_start (server->loop, &server->prepare);
+  ev_timer_start (server->loop, &server->sweep);
+}
+
+bool
+ash_http_server_listen (struct ash_http_server *server)
+{
+  unsigned idle_s = server->settings->idle_ms / MS_PER_S;
+
+  if (listen (server->listen_fd, SOMAXCONN) < 0)
     return false;
   server->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_request, server,
       MHD_OPTION_LISTEN_SOCKET, server->listen_fd, MHD_OPTION_CONNECTION_LIMIT,
-      (unsigned) server->settings->connections_max, MHD_OPTION_CONNECTION_TIMEOUT,
-      (unsigned) idle_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) HEADERS_MAX_BYTES,
-      MHD_OPTION_URI_LOG_CALLBACK, on_uri, server, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
-      server, MHD_OPTION_NOTIFY_CONNECTION, on_connection, server, MHD_OPTION_END);
+      (unsigned) server->settings->connections_max, MHD_OPTION_CONNECTION_TIMEOUT, idle_s,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) HEADERS_MAX_BYTES, MHD_OPTION_URI_LOG_CALLBACK,
+      on_uri, server, MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
+      MHD_OPTION_NOTIFY_CONNECTION, on_connection, server, MHD_OPTION_END);
   if (!server->daemon)
     {
-      close (server->listen_fd);
       errno = EIO;
       return false;
     }
-  info = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
-  ev_io_init (&server->io, on_io, info->epoll_fd, EV_READ);
-  ev_timer_init (&server->timer, on_timer, 0, 0);
-  ev_prepare_init (&server->prepare, on_prepare);
-  ev_timer_init (&server->sweep, on_sweep, SWEEP_S, SWEEP_S);
-  server->io.data = server;
-  server->timer.data = server;
-  server->prepare.data = server;
-  server->sweep.data = server;
-  ev_io_start (loop, &server->io);
-  ev_prepare_start (loop, &server->prepare);
-  ev_timer_start (loop, &server->sweep);
+  start_watchers (server);
   return true;
 }
 
@@ -628,7 +640,8 @@
 {
   if (server->listen_fd < 0)
     return;
-  MHD_quiesce_daemon (server->daemon);
+  if (server->daemon)
+    MHD_quiesce_daemon (server->daemon);
   close (server->listen_fd);
   server->listen_fd = -1;
 }
@@ -639,8 +652,8 @@
   return HASH_COUNT (server->exchanges);
 }
 
-void
-ash_http_server_finish (struct ash_http_server *server)
+static void
+stop_daemon (struct ash_http_server *server)
 {
   struct ash_exchange *exchange = NULL;
   struct ash_exchange *next = NULL;
@@ -661,6 +674,13 @@
   }
   run (server);
   MHD_stop_daemon (server->daemon);
+}
+
+void
+ash_http_server_finish (struct ash_http_server *server)
+{
+  if (server->daemon)
+    stop_daemon (server);
   if (server->listen_fd >= 0)
     close (server->listen_fd);
 }
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -70,9 +70,16 @@
   int listen_fd;
 };
 
-/** Listens at http_listen of the settings. @return false with errno set. */
+/**
+ * Binds http_listen of the settings, without listening yet: callers that come
+ * are refused by the system, and go to another box at once.
+ * @return false with errno set.
+ */
 bool ash_http_server_init (struct ash_http_server *server, struct ev_loop *loop);
 
+/** Begins to serve. @return false with errno set. */
+bool ash_http_server_listen (struct ash_http_server *server);
+
 /** Closes everything. */
 void ash_http_server_finish (struct ash_http_server *server);
 
--- a/test/faults.c
+++ b/test/faults.c
@@ -540,6 +540,163 @@
   fleet_stop (&fleet);
 }
 
+/* One entry alone hears of it; the other, which can't read the platform, learns
+ * it from that one. */
+static void
+test_leaving_by_hearsay (void)
+{
+  struct fleet fleet;
+
+  fleet_start (&fleet, NO_GUARD);
+  fleet_end (&fleet.entries[1].pid, SIGKILL);
+  fleet.entries[1].platform_port = fleet.endpoints[0].peer_port;
+  fleet_start_entry (&fleet, 1);
+  CU_ASSERT (fleet_wait_live (&fleet, 1, FLEET_ENDPOINTS));
+  fleet_control (fleet.platform_port, "/control/box?box=model-1&state=leaving");
+  CU_ASSERT (fleet_wait_live (&fleet, 1, FLEET_ENDPOINTS - 1));
+  CU_ASSERT (fleet_log_count (&fleet, "entry-2", " 303 box_leaving ") > 0);
+  CU_ASSERT_EQUAL (fleet_log_count (&fleet, "entry-2", "box=model-1 source=platform"), 0);
+  fleet_stop (&fleet);
+}
+
+/* A caller that knows both entries: where one does not take its connection, it
+ * goes to the other. */
+static void
+call_either (struct fleet *fleet, int e, int *bad)
+{
+  struct fleet_call call;
+
+  for (int i = 0; i < 2; i++)
+    {
+      fleet_chat (fleet, &call, (e + i) % FLEET_ENTRIES, true, 5);
+      fleet_wait (&call);
+      if (call.answer.connected)
+        break;
+      ash_cli_answer_finish (&call.answer);
+    }
+  if (!fleet_stream_ok (&call.answer, 5))
+    {
+      fprintf (stderr, "one by one: status %ld: %s\n", call.answer.status,
+               call.answer.body ? call.answer.body : call.answer.error);
+      (*bad)++;
+    }
+  ash_cli_answer_finish (&call.answer);
+}
+
+struct callers
+{
+  struct fleet *fleet;
+  pthread_t thread;
+  int entry;
+  int bad;
+  volatile bool stop;
+};
+
+static void *
+keep_calling_either (void *data)
+{
+  struct callers *callers = data;
+
+  while (!callers->stop)
+    call_either (callers->fleet, callers->entry, &callers->bad);
+  return NULL;
+}
+
+/* Every daemon is stopped as planned and started again, one after the other. */
+static void
+test_restart_one_by_one (void)
+{
+  struct fleet fleet;
+  struct callers callers[4] = { 0 };
+  int bad = 0;
+
+  fleet_start (&fleet, NO_GUARD);
+  for (int i = 0; i < 4; i++)
+    {
+      callers[i].fleet = &fleet;
+      callers[i].entry = i % FLEET_ENTRIES;
+      pthread_create (&callers[i].thread, NULL, keep_calling_either, &callers[i]);
+    }
+  for (int a = 0; a < FLEET_MODELS; a++)
+    {
+      CU_ASSERT_EQUAL (fleet_end (&fleet.endpoints[a].pid, SIGTERM), 0);
+      fleet_start_endpoint (&fleet, a);
+      for (int e = 0; e < FLEET_ENTRIES; e++)
+        CU_ASSERT (fleet_wait_live (&fleet, e, FLEET_ENDPOINTS));
+    }
+  for (int e = 0; e < FLEET_ENTRIES; e++)
+    {
+      CU_ASSERT_EQUAL (fleet_end (&fleet.entries[e].pid, SIGTERM), 0);
+      fleet_start_entry (&fleet, e);
+      CU_ASSERT (fleet_wait_live (&fleet, e, FLEET_ENDPOINTS));
+    }
+  for (int i = 0; i < 4; i++)
+    {
+      callers[i].stop = true;
+      pthread_join (callers[i].thread, NULL);
+      bad += callers[i].bad;
+    }
+  CU_ASSERT_EQUAL (bad, 0);
+  fleet_stop (&fleet);
+}
+
+/* Every engine fails: retries come out of a budget, so there is no storm. */
+static void
+test_no_retry_storm (void)
+{
+  enum
+  {
+    CALLS = 60,
+    BUDGET = 10
+  };
+  static struct fleet_call calls[CALLS];
+  struct fleet fleet;
+  int runs;
+
+  fleet_start (&fleet, NO_GUARD);
+  for (int a = 0; a < FLEET_MODELS; a++)
+    fleet_control (fleet.endpoints[a].http_port, "/control?drop=1");
+  for (int i = 0; i < CALLS; i++)
+    fleet_chat (&fleet, &calls[i], 0, false, 5);
+  for (int i = 0; i < CALLS; i++)
+    {
+      fleet_wait (&calls[i]);
+      CU_ASSERT (told (&calls[i], "unknown"));
+      CU_ASSERT (calls[i].answer.retry_ms > 0);
+      ash_cli_answer_finish (&calls[i].answer);
+    }
+  runs = fleet_runs (&fleet, 0, NULL, "runs") + fleet_runs (&fleet, 1, NULL, "runs");
+  CU_ASSERT (runs > CALLS);
+  CU_ASSERT (runs <= CALLS + BUDGET);
+  fleet_stop (&fleet);
+}
+
+/* Two at once: the link to the endpoint is cut, then the entry is killed. */
+static void
+test_cut_and_kill (void)
+{
+  struct fleet fleet;
+  struct fleet_call calls[2];
+
+  fleet_start (&fleet, NO_GUARD);
+  wait_guard ();
+  fleet_order (&fleet, &calls[0], 0, "order-1", 1, 800, 0);
+  CU_ASSERT (wait_runs (&fleet, FLEET_STOCK, "runs", 1));
+  fleet_control (fleet.endpoints[FLEET_STOCK].control_port, "/control?mode=1");
+  fleet_end (&fleet.entries[0].pid, SIGKILL);
+  fleet_wait (&calls[0]);
+  fleet_sleep (1000);
+  fleet_control (fleet.endpoints[FLEET_STOCK].control_port, "/control?mode=0");
+  CU_ASSERT (fleet_wait_live (&fleet, 1, FLEET_ENDPOINTS));
+  fleet_order (&fleet, &calls[1], 1, "order-1", 2, 800, 0);
+  fleet_wait (&calls[1]);
+  CU_ASSERT (told (&calls[1], "ran"));
+  CU_ASSERT_EQUAL (fleet_runs (&fleet, FLEET_STOCK, NULL, "runs"), 1);
+  for (int i = 0; i < 2; i++)
+    ash_cli_answer_finish (&calls[i].answer);
+  fleet_stop (&fleet);
+}
+
 /* ---- configuration ---- */
 
 static bool
@@ -613,6 +770,10 @@
   { "planned stop of an entry", test_planned_stop_of_entry },
   { "leaving by the platform's list", test_leaving_by_the_list },
   { "leaving by its own word", test_leaving_by_its_own_word },
+  { "leaving by hearsay", test_leaving_by_hearsay },
+  { "restart one by one under load", test_restart_one_by_one },
+  { "a failing service gets no storm of retries", test_no_retry_storm },
+  { "a cut and a kill", test_cut_and_kill },
   { "configuration: bad, down, older", test_configuration },
 };
 
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -24,9 +24,10 @@
   char name[32];
   pid_t pid;
   uint16_t peer_port;
-  uint16_t http_port;    /**< of an entry; of an endpoint: its engine's */
-  uint16_t link_port;    /**< of an endpoint: the link before its agent */
-  uint16_t control_port; /**< of that link */
+  uint16_t http_port;     /**< of an entry; of an endpoint: its engine's */
+  uint16_t link_port;     /**< of an endpoint: the link before its agent */
+  uint16_t control_port;  /**< of that link */
+  uint16_t platform_port; /**< of an entry: where it reads; 0: the fleet's platform */
   pid_t engine;
   pid_t link;
 };
