--- /dev/null
+++ b/controllers/expert_change.c
@@ -0,0 +1,316 @@
+#include "controllers/expert_change.h"
+
+#include <string.h>
+
+/* A ballot is a round and, below it, the salt of who runs it: another process, or
+ * this one in an earlier life, never has the same. */
+#define BALLOT_SALT_BITS 32
+
+void
+ash_expert_change_init (struct ash_expert_change *change,
+                        const char *group,
+                        const char *const *boxes,
+                        uint32_t rank_count,
+                        uint32_t salt,
+                        struct ash_sink sink)
+{
+  *change = (struct ash_expert_change){
+    .group = group, .boxes = boxes, .rank_count = rank_count, .salt = salt, .sink = sink
+  };
+}
+
+bool
+ash_expert_change_running (const struct ash_expert_change *change)
+{
+  return change->phase != ASH_EXPERT_IDLE && change->phase != ASH_EXPERT_DONE &&
+         change->phase != ASH_EXPERT_FAILED;
+}
+
+/* ---- what the ranks' answers say together ---- */
+
+/* A rank that is not blank and has the newest map, or NULL if all are blank. */
+static const struct ash_expert_answer *
+newest (const struct ash_expert_change *change)
+{
+  const struct ash_expert_answer *found = NULL;
+
+  for (uint32_t i = 0; i < change->rank_count; i++)
+    {
+      const struct ash_expert_answer *answer = &change->answers[i];
+
+      if (!answer->blank && (!found || answer->version > found->version))
+        found = answer;
+    }
+  return found;
+}
+
+static bool
+is_behind (const struct ash_expert_change *change, const struct ash_expert_answer *answer)
+{
+  return !answer->blank && answer->version < newest (change)->version;
+}
+
+static uint64_t
+latest_begun (const struct ash_expert_change *change)
+{
+  uint64_t latest = 0;
+
+  for (uint32_t i = 0; i < change->rank_count; i++)
+    if (!change->answers[i].blank && change->answers[i].begun > latest)
+      latest = change->answers[i].begun;
+  return latest;
+}
+
+/* A replaced rank goes on where the others are. Where one of them has begun a
+ * step, the one that is replaced had begun the step before: that is not run
+ * again, and with which map it was run need not be known any more. */
+static uint64_t
+step_to_go_on_from (const struct ash_expert_change *change)
+{
+  uint64_t latest = latest_begun (change);
+
+  return latest > 0 ? latest - 1 : 0;
+}
+
+/* ---- phases ---- */
+
+/* Which ranks a phase is for. */
+static bool
+is_meant (const struct ash_expert_change *change, const struct ash_expert_answer *answer)
+{
+  switch (change->phase)
+    {
+    case ASH_EXPERT_FINISH:
+      return is_behind (change, answer);
+    case ASH_EXPERT_DISARM:
+      return !answer->blank;
+    case ASH_EXPERT_ADOPT:
+      return answer->blank;
+    default:
+      return true;
+    }
+}
+
+static void
+fill_order (const struct ash_expert_change *change, struct Ash__RankOrder *order)
+{
+  const struct ash_expert_answer *found = newest (change);
+
+  switch (change->phase)
+    {
+    case ASH_EXPERT_PREPARE:
+      order->kind = ASH__RANK_ORDER__KIND__PREPARE;
+      break;
+    case ASH_EXPERT_DISARM:
+      order->kind = ASH__RANK_ORDER__KIND__DISARM;
+      break;
+    case ASH_EXPERT_FINISH:
+    case ASH_EXPERT_ADOPT:
+      order->kind = change->phase == ASH_EXPERT_FINISH ? ASH__RANK_ORDER__KIND__FINISH
+                                                       : ASH__RANK_ORDER__KIND__ADOPT;
+      order->version = found->version;
+      order->map = found->map;
+      order->step = found->from;
+      order->before = found->before;
+      order->begun = step_to_go_on_from (change);
+      break;
+    case ASH_EXPERT_ARM:
+    case ASH_EXPERT_COMMIT:
+      order->kind = change->phase == ASH_EXPERT_ARM ? ASH__RANK_ORDER__KIND__ARM
+                                                    : ASH__RANK_ORDER__KIND__COMMIT;
+      order->map = change->wanted;
+      order->step = change->step;
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+send_orders (struct ash_expert_change *change, struct ash_time now)
+{
+  struct Ash__RankOrder order = ASH__RANK_ORDER__INIT;
+
+  order.group = ash_text (change->group);
+  order.ballot = change->ballot;
+  order.sequence = change->sequence;
+  fill_order (change, &order);
+  change->sent = now;
+  for (uint32_t i = 0; i < change->rank_count; i++)
+    {
+      if (!change->answers[i].awaited)
+        continue;
+      order.rank = i;
+      order.life = change->answers[i].life;
+      ash_emit (&change->sink, change->boxes[i], ASH__EVENT__KIND_RANK_ORDER, &order);
+    }
+}
+
+/* @return whether any rank has something to do in it. */
+static bool
+begin_phase (struct ash_expert_change *change, struct ash_time now, enum ash_expert_phase phase)
+{
+  bool any = false;
+
+  change->phase = phase;
+  change->sequence++;
+  change->since = now;
+  for (uint32_t i = 0; i < change->rank_count; i++)
+    {
+      change->answers[i].awaited = is_meant (change, &change->answers[i]);
+      any |= change->answers[i].awaited;
+    }
+  if (any)
+    send_orders (change, now);
+  return any;
+}
+
+static void
+begin_arm (struct ash_expert_change *change, struct ash_time now)
+{
+  if (change->arms++ == ASH_EXPERT_ARMS_MAX)
+    {
+      change->phase = ASH_EXPERT_FAILED;
+      return;
+    }
+  change->step = latest_begun (change) + ASH_EXPERT_STEPS_AHEAD;
+  begin_phase (change, now, ASH_EXPERT_ARM);
+}
+
+/* After all ranks are read, in this order: what one has committed all must
+ * have, or, if there is nothing newer, older arms are taken back; then replaced
+ * ranks are brought in; then the choice of a map is free. */
+static void
+next_phase (struct ash_expert_change *change, struct ash_time now)
+{
+  switch (change->phase)
+    {
+    case ASH_EXPERT_PREPARE:
+      if (!newest (change))
+        {
+          /* All are new: there is no state to give them. */
+          change->phase = ASH_EXPERT_FAILED;
+          return;
+        }
+      if (begin_phase (change, now, ASH_EXPERT_FINISH))
+        return;
+      begin_phase (change, now, ASH_EXPERT_DISARM);
+      return;
+    case ASH_EXPERT_FINISH:
+    case ASH_EXPERT_DISARM:
+      if (begin_phase (change, now, ASH_EXPERT_ADOPT))
+        return;
+      __attribute__ ((fallthrough));
+    case ASH_EXPERT_ADOPT:
+      if (change->wanted && change->wanted != newest (change)->map)
+        begin_arm (change, now);
+      else
+        change->phase = ASH_EXPERT_DONE;
+      return;
+    case ASH_EXPERT_ARM:
+      begin_phase (change, now, ASH_EXPERT_COMMIT);
+      return;
+    case ASH_EXPERT_COMMIT:
+      change->phase = ASH_EXPERT_DONE;
+      return;
+    default:
+      return;
+    }
+}
+
+/* ---- messages ---- */
+
+void
+ash_expert_change_start (struct ash_expert_change *change, struct ash_time now, uint64_t wanted)
+{
+  uint64_t round = (change->highest >> BALLOT_SALT_BITS) + 1;
+
+  change->ballot = round << BALLOT_SALT_BITS | change->salt;
+  change->arms = 0;
+  change->highest = change->ballot;
+  change->wanted = wanted;
+  memset (change->answers, 0, sizeof change->answers);
+  begin_phase (change, now, ASH_EXPERT_PREPARE);
+}
+
+static void
+keep_answer (struct ash_expert_answer *answer, const struct Ash__RankState *state)
+{
+  answer->blank = state->blank;
+  answer->life = state->life;
+  answer->begun = state->begun;
+  answer->version = state->version;
+  answer->map = state->map;
+  answer->from = state->from;
+  answer->before = state->before;
+}
+
+static bool
+all_answered (const struct ash_expert_change *change)
+{
+  for (uint32_t i = 0; i < change->rank_count; i++)
+    if (change->answers[i].awaited)
+      return false;
+  return true;
+}
+
+static void
+take_refusal (struct ash_expert_change *change,
+              struct ash_time now,
+              const struct Ash__RankState *state)
+{
+  struct ash_expert_answer *answer = &change->answers[state->rank];
+
+  /* It has begun the step, or its last map is not in use yet: arm all again at
+   * a later step. Anything else needs a look at all ranks anew. */
+  if (change->phase != ASH_EXPERT_ARM || state->promised != change->ballot ||
+      state->life != answer->life)
+    {
+      change->phase = ASH_EXPERT_FAILED;
+      return;
+    }
+  answer->begun = state->begun;
+  begin_arm (change, now);
+}
+
+void
+ash_expert_change_take (struct ash_expert_change *change,
+                        struct ash_time now,
+                        const struct Ash__RankState *state)
+{
+  struct ash_expert_answer *answer;
+
+  if (state->promised > change->highest)
+    change->highest = state->promised;
+  if (!ash_expert_change_running (change) || state->rank >= change->rank_count ||
+      state->ballot != change->ballot || state->sequence != change->sequence)
+    return;
+  answer = &change->answers[state->rank];
+  if (!answer->awaited)
+    return;
+  if (!state->accepted)
+    {
+      take_refusal (change, now, state);
+      return;
+    }
+  answer->awaited = false;
+  /* Of the phases after the first, only steps that went on are news: what was
+   * read at first decides until the next phase begins. */
+  if (change->phase == ASH_EXPERT_PREPARE)
+    keep_answer (answer, state);
+  else
+    answer->begun = state->begun;
+  if (all_answered (change))
+    next_phase (change, now);
+}
+
+void
+ash_expert_change_tick (struct ash_expert_change *change, struct ash_time now)
+{
+  if (!ash_expert_change_running (change))
+    return;
+  if (ash_time_diff (change->since, now) >= ASH_EXPERT_GIVE_UP_MS)
+    change->phase = ASH_EXPERT_FAILED;
+  else if (ash_time_diff (change->sent, now) >= ASH_EXPERT_RESEND_MS)
+    send_orders (change, now);
+}
--- /dev/null
+++ b/controllers/expert_rank.c
@@ -0,0 +1,177 @@
+#include "controllers/expert_rank.h"
+
+void
+ash_expert_rank_init (
+    struct ash_expert_rank *rank, const char *group, uint32_t number, uint64_t life, uint64_t map)
+{
+  *rank = (struct ash_expert_rank){
+    .group = group, .rank = number, .life = life, .map = map, .before = map
+  };
+}
+
+void
+ash_expert_rank_init_blank (struct ash_expert_rank *rank,
+                            const char *group,
+                            uint32_t number,
+                            uint64_t life)
+{
+  *rank = (struct ash_expert_rank){ .group = group, .rank = number, .life = life, .blank = true };
+}
+
+static void
+disarm (struct ash_expert_rank *rank)
+{
+  rank->armed = 0;
+  rank->armed_map = 0;
+  rank->armed_step = 0;
+}
+
+static void
+commit (struct ash_expert_rank *rank, uint64_t map, uint64_t step)
+{
+  rank->before = rank->map;
+  rank->map = map;
+  rank->from = step;
+  rank->version++;
+  disarm (rank);
+}
+
+static bool
+take_arm (struct ash_expert_rank *rank, const struct Ash__RankOrder *order)
+{
+  /* Begun already: it was begun with the old map, here and perhaps elsewhere. */
+  if (rank->blank || order->step <= rank->begun)
+    return false;
+  /* A committed map must be in use before the next is armed: there is room for
+   * one map before and one after, and a rank that is replaced may have to run
+   * the present step again. */
+  if (rank->begun < rank->from)
+    return false;
+  rank->armed = order->ballot;
+  rank->armed_map = order->map;
+  rank->armed_step = order->step;
+  return true;
+}
+
+static bool
+take_commit (struct ash_expert_rank *rank, const struct Ash__RankOrder *order)
+{
+  if (rank->blank)
+    return false;
+  if (rank->last_ballot == order->ballot && rank->from == order->step)
+    return true; /* the same order again */
+  if (rank->armed != order->ballot || rank->armed_step != order->step)
+    return false;
+  commit (rank, rank->armed_map, rank->armed_step);
+  rank->last_ballot = order->ballot;
+  return true;
+}
+
+/* Another rank has committed it, so all were armed for it, this one too: it has
+ * not begun that step. */
+static bool
+take_finish (struct ash_expert_rank *rank, const struct Ash__RankOrder *order)
+{
+  if (rank->blank)
+    return false;
+  if (rank->version == order->version)
+    return rank->map == order->map;
+  if (rank->version + 1 != order->version || rank->begun >= order->step)
+    return false;
+  commit (rank, order->map, order->step);
+  return true;
+}
+
+static bool
+take_adopt (struct ash_expert_rank *rank, const struct Ash__RankOrder *order)
+{
+  if (!rank->blank)
+    return rank->version == order->version && rank->map == order->map;
+  rank->blank = false;
+  rank->version = order->version;
+  rank->map = order->map;
+  rank->from = order->step;
+  rank->before = order->before;
+  rank->begun = order->begun;
+  return true;
+}
+
+static bool
+take_kind (struct ash_expert_rank *rank, const struct Ash__RankOrder *order)
+{
+  switch (order->kind)
+    {
+    case ASH__RANK_ORDER__KIND__PREPARE:
+      return true;
+    case ASH__RANK_ORDER__KIND__ARM:
+      return take_arm (rank, order);
+    case ASH__RANK_ORDER__KIND__COMMIT:
+      return take_commit (rank, order);
+    case ASH__RANK_ORDER__KIND__FINISH:
+      return take_finish (rank, order);
+    case ASH__RANK_ORDER__KIND__DISARM:
+      disarm (rank);
+      return true;
+    case ASH__RANK_ORDER__KIND__ADOPT:
+      return take_adopt (rank, order);
+    default:
+      return false;
+    }
+}
+
+static bool
+is_fenced (const struct ash_expert_rank *rank, const struct Ash__RankOrder *order)
+{
+  if (order->ballot < rank->promised)
+    return true;
+  /* A late copy out of an earlier phase: a disarm that comes after the arm would
+   * let this rank begin a step that others have committed a map for. */
+  if (order->ballot == rank->promised && order->sequence < rank->sequence)
+    return true;
+  /* An order to an earlier life of this rank says nothing to this one. */
+  return order->kind != ASH__RANK_ORDER__KIND__PREPARE && order->life != rank->life;
+}
+
+void
+ash_expert_rank_take (struct ash_expert_rank *rank,
+                      const struct Ash__RankOrder *order,
+                      const char *peer,
+                      const struct ash_sink *sink)
+{
+  struct Ash__RankState state = ASH__RANK_STATE__INIT;
+
+  if (!is_fenced (rank, order))
+    {
+      rank->promised = order->ballot;
+      rank->sequence = order->sequence;
+      state.accepted = take_kind (rank, order);
+    }
+  state.group = ash_text (rank->group);
+  state.rank = rank->rank;
+  state.life = rank->life;
+  state.ballot = order->ballot;
+  state.sequence = order->sequence;
+  state.blank = rank->blank;
+  state.promised = rank->promised;
+  state.begun = rank->begun;
+  state.version = rank->version;
+  state.map = rank->map;
+  state.from = rank->from;
+  state.before = rank->before;
+  state.armed = rank->armed;
+  state.armed_step = rank->armed_step;
+  ash_emit (sink, peer, ASH__EVENT__KIND_RANK_STATE, &state);
+}
+
+bool
+ash_expert_rank_may_begin (const struct ash_expert_rank *rank)
+{
+  return !rank->blank && !(rank->armed && rank->armed_step == rank->begun + 1);
+}
+
+uint64_t
+ash_expert_rank_begin (struct ash_expert_rank *rank)
+{
+  rank->begun++;
+  return rank->begun >= rank->from ? rank->map : rank->before;
+}
--- a/proto/ash.pb-c.c
+++ b/proto/ash.pb-c.c
@@ -592,6 +592,96 @@
   assert(message->base.descriptor == &ash__disowned__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ash__rank_order__init
+                     (Ash__RankOrder         *message)
+{
+  static const Ash__RankOrder init_value = ASH__RANK_ORDER__INIT;
+  *message = init_value;
+}
+size_t ash__rank_order__get_packed_size
+                     (const Ash__RankOrder *message)
+{
+  assert(message->base.descriptor == &ash__rank_order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ash__rank_order__pack
+                     (const Ash__RankOrder *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ash__rank_order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ash__rank_order__pack_to_buffer
+                     (const Ash__RankOrder *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ash__rank_order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ash__RankOrder *
+       ash__rank_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ash__RankOrder *)
+     protobuf_c_message_unpack (&ash__rank_order__descriptor,
+                                allocator, len, data);
+}
+void   ash__rank_order__free_unpacked
+                     (Ash__RankOrder *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ash__rank_order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ash__rank_state__init
+                     (Ash__RankState         *message)
+{
+  static const Ash__RankState init_value = ASH__RANK_STATE__INIT;
+  *message = init_value;
+}
+size_t ash__rank_state__get_packed_size
+                     (const Ash__RankState *message)
+{
+  assert(message->base.descriptor == &ash__rank_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ash__rank_state__pack
+                     (const Ash__RankState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ash__rank_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ash__rank_state__pack_to_buffer
+                     (const Ash__RankState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ash__rank_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ash__RankState *
+       ash__rank_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ash__RankState *)
+     protobuf_c_message_unpack (&ash__rank_state__descriptor,
+                                allocator, len, data);
+}
+void   ash__rank_state__free_unpacked
+                     (Ash__RankState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ash__rank_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ash__call__init
                      (Ash__Call         *message)
 {
@@ -2723,6 +2813,432 @@
   (ProtobufCMessageInit) ash__disowned__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCEnumValue ash__rank_order__kind__enum_values_by_number[7] =
+{
+  { "NONE", "ASH__RANK_ORDER__KIND__NONE", 0 },
+  { "PREPARE", "ASH__RANK_ORDER__KIND__PREPARE", 1 },
+  { "ARM", "ASH__RANK_ORDER__KIND__ARM", 2 },
+  { "COMMIT", "ASH__RANK_ORDER__KIND__COMMIT", 3 },
+  { "FINISH", "ASH__RANK_ORDER__KIND__FINISH", 4 },
+  { "DISARM", "ASH__RANK_ORDER__KIND__DISARM", 5 },
+  { "ADOPT", "ASH__RANK_ORDER__KIND__ADOPT", 6 },
+};
+static const ProtobufCIntRange ash__rank_order__kind__value_ranges[] = {
+{0, 0},{0, 7}
+};
+static const ProtobufCEnumValueIndex ash__rank_order__kind__enum_values_by_name[7] =
+{
+  { "ADOPT", 6 },
+  { "ARM", 2 },
+  { "COMMIT", 3 },
+  { "DISARM", 5 },
+  { "FINISH", 4 },
+  { "NONE", 0 },
+  { "PREPARE", 1 },
+};
+const ProtobufCEnumDescriptor ash__rank_order__kind__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "ash.RankOrder.Kind",
+  "Kind",
+  "Ash__RankOrder__Kind",
+  "ash",
+  7,
+  ash__rank_order__kind__enum_values_by_number,
+  7,
+  ash__rank_order__kind__enum_values_by_name,
+  1,
+  ash__rank_order__kind__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCFieldDescriptor ash__rank_order__field_descriptors[11] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankOrder, kind),
+    &ash__rank_order__kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "group",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankOrder, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rank",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankOrder, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "life",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankOrder, life),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ballot",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankOrder, ballot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankOrder, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankOrder, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "map",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankOrder, map),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "step",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankOrder, step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "before",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankOrder, before),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begun",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankOrder, begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ash__rank_order__field_indices_by_name[] = {
+  4,   /* field[4] = ballot */
+  9,   /* field[9] = before */
+  10,   /* field[10] = begun */
+  1,   /* field[1] = group */
+  0,   /* field[0] = kind */
+  3,   /* field[3] = life */
+  7,   /* field[7] = map */
+  2,   /* field[2] = rank */
+  5,   /* field[5] = sequence */
+  8,   /* field[8] = step */
+  6,   /* field[6] = version */
+};
+static const ProtobufCIntRange ash__rank_order__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor ash__rank_order__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ash.RankOrder",
+  "RankOrder",
+  "Ash__RankOrder",
+  "ash",
+  sizeof(Ash__RankOrder),
+  11,
+  ash__rank_order__field_descriptors,
+  ash__rank_order__field_indices_by_name,
+  1,  ash__rank_order__number_ranges,
+  (ProtobufCMessageInit) ash__rank_order__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ash__rank_state__field_descriptors[15] =
+{
+  {
+    "group",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankState, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rank",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankState, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "life",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankState, life),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ballot",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankState, ballot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankState, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accepted",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankState, accepted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "blank",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankState, blank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "promised",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankState, promised),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begun",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankState, begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankState, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "map",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankState, map),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankState, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "before",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankState, before),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "armed",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankState, armed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "armed_step",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankState, armed_step),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ash__rank_state__field_indices_by_name[] = {
+  5,   /* field[5] = accepted */
+  13,   /* field[13] = armed */
+  14,   /* field[14] = armed_step */
+  3,   /* field[3] = ballot */
+  12,   /* field[12] = before */
+  8,   /* field[8] = begun */
+  6,   /* field[6] = blank */
+  11,   /* field[11] = from */
+  0,   /* field[0] = group */
+  2,   /* field[2] = life */
+  10,   /* field[10] = map */
+  7,   /* field[7] = promised */
+  1,   /* field[1] = rank */
+  4,   /* field[4] = sequence */
+  9,   /* field[9] = version */
+};
+static const ProtobufCIntRange ash__rank_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 15 }
+};
+const ProtobufCMessageDescriptor ash__rank_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ash.RankState",
+  "RankState",
+  "Ash__RankState",
+  "ash",
+  sizeof(Ash__RankState),
+  15,
+  ash__rank_state__field_descriptors,
+  ash__rank_state__field_indices_by_name,
+  1,  ash__rank_state__number_ranges,
+  (ProtobufCMessageInit) ash__rank_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ash__call__field_descriptors[14] =
 {
   {
@@ -3781,7 +4297,7 @@
   (ProtobufCMessageInit) ash__engine_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__event__field_descriptors[29] =
+static const ProtobufCFieldDescriptor ash__event__field_descriptors[31] =
 {
   {
     "peer",
@@ -3951,6 +4467,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rank_order",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ash__Event, kind_case),
+    offsetof(Ash__Event, rank_order),
+    &ash__rank_order__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rank_state",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ash__Event, kind_case),
+    offsetof(Ash__Event, rank_state),
+    &ash__rank_state__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "call",
     30,
@@ -4133,8 +4673,8 @@
   },
 };
 static const unsigned ash__event__field_indices_by_name[] = {
-  14,   /* field[14] = call */
-  15,   /* field[15] = caller_gone */
+  16,   /* field[16] = call */
+  17,   /* field[17] = caller_gone */
   5,   /* field[5] = cancel */
   12,   /* field[12] = challenge */
   2,   /* field[2] = config_offer */
@@ -4142,33 +4682,35 @@
   10,   /* field[10] = disown */
   11,   /* field[11] = disowned */
   9,   /* field[9] = end */
-  24,   /* field[24] = engine_cancel */
-  26,   /* field[26] = engine_data */
-  27,   /* field[27] = engine_end */
-  25,   /* field[25] = engine_head */
-  23,   /* field[23] = engine_start */
+  26,   /* field[26] = engine_cancel */
+  28,   /* field[28] = engine_data */
+  29,   /* field[29] = engine_end */
+  27,   /* field[27] = engine_head */
+  25,   /* field[25] = engine_start */
   7,   /* field[7] = head */
   1,   /* field[1] = heartbeat */
   13,   /* field[13] = hello */
-  20,   /* field[20] = link_down */
-  19,   /* field[19] = link_up */
+  22,   /* field[22] = link_down */
+  21,   /* field[21] = link_up */
   0,   /* field[0] = peer */
+  14,   /* field[14] = rank_order */
+  15,   /* field[15] = rank_state */
   6,   /* field[6] = refused */
-  16,   /* field[16] = reply */
-  17,   /* field[17] = reply_data */
-  18,   /* field[18] = reply_end */
+  18,   /* field[18] = reply */
+  19,   /* field[19] = reply_data */
+  20,   /* field[20] = reply_end */
   4,   /* field[4] = resume */
-  28,   /* field[28] = sent_ms */
-  22,   /* field[22] = stop */
+  30,   /* field[30] = sent_ms */
+  24,   /* field[24] = stop */
   3,   /* field[3] = submit */
-  21,   /* field[21] = tick */
+  23,   /* field[23] = tick */
 };
 static const ProtobufCIntRange ash__event__number_ranges[3 + 1] =
 {
   { 1, 0 },
-  { 30, 14 },
-  { 60, 28 },
-  { 0, 29 }
+  { 30, 16 },
+  { 60, 30 },
+  { 0, 31 }
 };
 const ProtobufCMessageDescriptor ash__event__descriptor =
 {
@@ -4178,7 +4720,7 @@
   "Ash__Event",
   "ash",
   sizeof(Ash__Event),
-  29,
+  31,
   ash__event__field_descriptors,
   ash__event__field_indices_by_name,
   3,  ash__event__number_ranges,
--- a/proto/ash.pb-c.h
+++ b/proto/ash.pb-c.h
@@ -28,6 +28,8 @@
 typedef struct Ash__End Ash__End;
 typedef struct Ash__Disown Ash__Disown;
 typedef struct Ash__Disowned Ash__Disowned;
+typedef struct Ash__RankOrder Ash__RankOrder;
+typedef struct Ash__RankState Ash__RankState;
 typedef struct Ash__Call Ash__Call;
 typedef struct Ash__CallerGone Ash__CallerGone;
 typedef struct Ash__Reply Ash__Reply;
@@ -47,6 +49,34 @@
 
 /* --- enums --- */
 
+typedef enum _Ash__RankOrder__Kind {
+  ASH__RANK_ORDER__KIND__NONE = 0,
+  /*
+   * promise the ballot
+   */
+  ASH__RANK_ORDER__KIND__PREPARE = 1,
+  /*
+   * hold `step` until the map is decided
+   */
+  ASH__RANK_ORDER__KIND__ARM = 2,
+  /*
+   * what is armed with this ballot, for this step
+   */
+  ASH__RANK_ORDER__KIND__COMMIT = 3,
+  /*
+   * what another rank has committed already
+   */
+  ASH__RANK_ORDER__KIND__FINISH = 4,
+  /*
+   * take an arm back
+   */
+  ASH__RANK_ORDER__KIND__DISARM = 5,
+  /*
+   * a replaced rank gets the others' state
+   */
+  ASH__RANK_ORDER__KIND__ADOPT = 6
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(ASH__RANK_ORDER__KIND)
+} Ash__RankOrder__Kind;
 /*
  * What is known about a request's run, as told to the caller.
  */
@@ -439,6 +469,87 @@
     , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * What a coordinator orders of a rank. Maps are named by a digest; their weights
+ * are staged before.
+ */
+struct  Ash__RankOrder
+{
+  ProtobufCMessage base;
+  Ash__RankOrder__Kind kind;
+  char *group;
+  uint32_t rank;
+  /*
+   * of the rank; 0 with PREPARE: whichever
+   */
+  uint64_t life;
+  uint64_t ballot;
+  /*
+   * named by the answer
+   */
+  uint64_t sequence;
+  uint64_t version;
+  uint64_t map;
+  /*
+   * from which the map is used
+   */
+  uint64_t step;
+  /*
+   * map that is used until then
+   */
+  uint64_t before;
+  /*
+   * with ADOPT: the step to go on from
+   */
+  uint64_t begun;
+};
+#define ASH__RANK_ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ash__rank_order__descriptor) \
+    , ASH__RANK_ORDER__KIND__NONE, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * A rank's answer to any order: its whole state.
+ */
+struct  Ash__RankState
+{
+  ProtobufCMessage base;
+  char *group;
+  uint32_t rank;
+  uint64_t life;
+  /*
+   * of the order that is answered
+   */
+  uint64_t ballot;
+  uint64_t sequence;
+  protobuf_c_boolean accepted;
+  /*
+   * replaced, and not adopted yet
+   */
+  protobuf_c_boolean blank;
+  uint64_t promised;
+  /*
+   * the last step that it has begun
+   */
+  uint64_t begun;
+  /*
+   * of the committed map
+   */
+  uint64_t version;
+  uint64_t map;
+  uint64_t from;
+  uint64_t before;
+  /*
+   * ballot; 0: nothing is armed
+   */
+  uint64_t armed;
+  uint64_t armed_step;
+};
+#define ASH__RANK_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ash__rank_state__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
 struct  Ash__Call
 {
   ProtobufCMessage base;
@@ -668,6 +779,8 @@
   ASH__EVENT__KIND_DISOWNED = 12,
   ASH__EVENT__KIND_CHALLENGE = 13,
   ASH__EVENT__KIND_HELLO = 14,
+  ASH__EVENT__KIND_RANK_ORDER = 15,
+  ASH__EVENT__KIND_RANK_STATE = 16,
   ASH__EVENT__KIND_CALL = 30,
   ASH__EVENT__KIND_CALLER_GONE = 31,
   ASH__EVENT__KIND_REPLY = 32,
@@ -714,6 +827,8 @@
     Ash__Disowned *disowned;
     Ash__Challenge *challenge;
     Ash__Hello *hello;
+    Ash__RankOrder *rank_order;
+    Ash__RankState *rank_state;
     /*
      * 30 and above never cross a link
      */
@@ -985,6 +1100,44 @@
 void   ash__disowned__free_unpacked
                      (Ash__Disowned *message,
                       ProtobufCAllocator *allocator);
+/* Ash__RankOrder methods */
+void   ash__rank_order__init
+                     (Ash__RankOrder         *message);
+size_t ash__rank_order__get_packed_size
+                     (const Ash__RankOrder   *message);
+size_t ash__rank_order__pack
+                     (const Ash__RankOrder   *message,
+                      uint8_t             *out);
+size_t ash__rank_order__pack_to_buffer
+                     (const Ash__RankOrder   *message,
+                      ProtobufCBuffer     *buffer);
+Ash__RankOrder *
+       ash__rank_order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ash__rank_order__free_unpacked
+                     (Ash__RankOrder *message,
+                      ProtobufCAllocator *allocator);
+/* Ash__RankState methods */
+void   ash__rank_state__init
+                     (Ash__RankState         *message);
+size_t ash__rank_state__get_packed_size
+                     (const Ash__RankState   *message);
+size_t ash__rank_state__pack
+                     (const Ash__RankState   *message,
+                      uint8_t             *out);
+size_t ash__rank_state__pack_to_buffer
+                     (const Ash__RankState   *message,
+                      ProtobufCBuffer     *buffer);
+Ash__RankState *
+       ash__rank_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ash__rank_state__free_unpacked
+                     (Ash__RankState *message,
+                      ProtobufCAllocator *allocator);
 /* Ash__Call methods */
 void   ash__call__init
                      (Ash__Call         *message);
@@ -1311,6 +1464,12 @@
 typedef void (*Ash__Disowned_Closure)
                  (const Ash__Disowned *message,
                   void *closure_data);
+typedef void (*Ash__RankOrder_Closure)
+                 (const Ash__RankOrder *message,
+                  void *closure_data);
+typedef void (*Ash__RankState_Closure)
+                 (const Ash__RankState *message,
+                  void *closure_data);
 typedef void (*Ash__Call_Closure)
                  (const Ash__Call *message,
                   void *closure_data);
@@ -1378,6 +1537,9 @@
 extern const ProtobufCMessageDescriptor ash__end__descriptor;
 extern const ProtobufCMessageDescriptor ash__disown__descriptor;
 extern const ProtobufCMessageDescriptor ash__disowned__descriptor;
+extern const ProtobufCMessageDescriptor ash__rank_order__descriptor;
+extern const ProtobufCEnumDescriptor    ash__rank_order__kind__descriptor;
+extern const ProtobufCMessageDescriptor ash__rank_state__descriptor;
 extern const ProtobufCMessageDescriptor ash__call__descriptor;
 extern const ProtobufCMessageDescriptor ash__caller_gone__descriptor;
 extern const ProtobufCMessageDescriptor ash__reply__descriptor;
--- /dev/null
+++ b/test/expert_schedule.c
@@ -0,0 +1,370 @@
+/**
+ * @file
+ * Random schedules of changes of an expert map: four ranks in lock-step, three
+ * coordinators, orders and answers that are lost, doubled and late, coordinators
+ * that stop or forget, ranks that are replaced. After every event: whatever ranks
+ * have begun a step have begun it with one map. At the end one coordinator must
+ * bring the group into order, and all ranks go on.
+ *
+ * usage: test-expert-schedule [COUNT [FIRST_SEED]]
+ */
+#include "common/random.h"
+#include "controllers/expert_change.h"
+#include "controllers/expert_rank.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define RANKS 4
+#define COORDINATORS 3
+#define STEPS_KEPT 512
+#define FRAMES_MAX 256
+#define EVENTS 500
+#define WORKERS 8
+#define LAST_ROUNDS 40
+
+static const char *const boxes[RANKS] = { "r0", "r1", "r2", "r3" };
+static const char *const names[COORDINATORS] = { "c0", "c1", "c2" };
+
+struct frame
+{
+  int to_rank; /* -1: to a coordinator */
+  int coordinator;
+  struct Ash__RankOrder order;
+  struct Ash__RankState state;
+};
+
+struct world
+{
+  struct ash_random random;
+  struct ash_time now;
+  struct ash_expert_rank ranks[RANKS];
+  uint64_t used[RANKS][STEPS_KEPT]; /* map of each step; 0: not begun by this life */
+  struct ash_expert_change changes[COORDINATORS];
+  int sender; /* whose messages are being emitted */
+  struct frame frames[FRAMES_MAX];
+  unsigned frame_count;
+  uint64_t lives;
+  uint64_t maps;
+  bool traced;
+  bool calm; /* the end: nothing is lost or late any more */
+  const char *broken;
+};
+
+struct totals
+{
+  unsigned long done;
+  unsigned long failed;
+  unsigned long steps;
+  unsigned long replaced;
+};
+
+static struct totals totals;
+
+static uint32_t
+pick (struct world *world, uint32_t bound)
+{
+  return ash_random_below (&world->random, bound);
+}
+
+static void
+fail (struct world *world, const char *why)
+{
+  if (!world->broken)
+    world->broken = why;
+}
+
+static void
+put (struct world *world, const struct frame *frame)
+{
+  /* A full network loses what comes. */
+  if (world->frame_count < FRAMES_MAX)
+    world->frames[world->frame_count++] = *frame;
+}
+
+static void
+on_order (void *data, const struct Ash__Event *event)
+{
+  struct world *world = data;
+  struct frame frame = { .coordinator = world->sender, .order = *event->rank_order };
+
+  frame.to_rank = atoi (event->peer + 1);
+  put (world, &frame);
+}
+
+static void
+on_state (void *data, const struct Ash__Event *event)
+{
+  struct world *world = data;
+  struct frame frame = { .to_rank = -1, .state = *event->rank_state };
+
+  frame.coordinator = atoi (event->peer + 1);
+  put (world, &frame);
+}
+
+/* ---- events ---- */
+
+/* A failing seed is played again with this, as its session. */
+static void
+trace (const struct world *world, const char *to, Ash__Event__KindCase kind, const void *message)
+{
+  struct Ash__Event event = ASH__EVENT__INIT;
+
+  if (!world->traced)
+    return;
+  event.peer = ash_text (to);
+  event.kind_case = kind;
+  event.heartbeat = (void *) (uintptr_t) message;
+  fprintf (stderr, "%" PRId64 " ", world->now.ms);
+  ash_event_print (&event, stderr);
+  fputc ('\n', stderr);
+}
+
+static void
+deliver (struct world *world, const struct frame *frame)
+{
+  struct ash_sink sink = { on_state, world };
+  struct ash_expert_change *change = &world->changes[frame->coordinator];
+  enum ash_expert_phase before = change->phase;
+
+  if (frame->to_rank >= 0)
+    {
+      trace (world, boxes[frame->to_rank], ASH__EVENT__KIND_RANK_ORDER, &frame->order);
+      ash_expert_rank_take (&world->ranks[frame->to_rank], &frame->order, names[frame->coordinator],
+                            &sink);
+      return;
+    }
+  world->sender = frame->coordinator;
+  trace (world, names[frame->coordinator], ASH__EVENT__KIND_RANK_STATE, &frame->state);
+  ash_expert_change_take (change, world->now, &frame->state);
+  totals.done += before != ASH_EXPERT_DONE && change->phase == ASH_EXPERT_DONE;
+  totals.failed += before != ASH_EXPERT_FAILED && change->phase == ASH_EXPERT_FAILED;
+}
+
+static void
+deliver_one (struct world *world)
+{
+  unsigned index;
+  struct frame frame;
+  uint32_t fate = world->calm ? 100 : pick (world, 100);
+
+  if (!world->frame_count)
+    return;
+  index = world->calm ? 0 : pick (world, world->frame_count);
+  frame = world->frames[index];
+  /* One in ten stays in the network as a copy that comes again, late. */
+  if (fate >= 10)
+    {
+      world->frame_count--;
+      memmove (&world->frames[index], &world->frames[index + 1],
+               (world->frame_count - index) * sizeof frame);
+    }
+  if (fate < 20 && fate >= 10)
+    return; /* lost */
+  deliver (world, &frame);
+}
+
+static bool
+is_behind (const struct world *world, int r)
+{
+  for (int q = 0; q < RANKS; q++)
+    if (world->ranks[q].blank || world->ranks[q].begun < world->ranks[r].begun)
+      return false;
+  return true;
+}
+
+/* Lock-step: a rank begins a step when all have begun the one before. */
+static void
+begin_step (struct world *world, int r)
+{
+  struct ash_expert_rank *rank = &world->ranks[r];
+  uint64_t map;
+
+  if (!ash_expert_rank_may_begin (rank) || !is_behind (world, r) || rank->begun + 1 >= STEPS_KEPT)
+    return;
+  map = ash_expert_rank_begin (rank);
+  totals.steps++;
+  if (world->traced)
+    fprintf (stderr, "%" PRId64 " %s begins step %" PRIu64 " with map %" PRIu64 "\n", world->now.ms,
+             boxes[r], rank->begun, map);
+  world->used[r][rank->begun] = map;
+  for (int q = 0; q < RANKS; q++)
+    if (world->used[q][rank->begun] && world->used[q][rank->begun] != map)
+      fail (world, "a step with two maps");
+}
+
+static void
+replace (struct world *world, int r)
+{
+  /* Two that are replaced at once may be all that knew: the group is started
+   * anew then, which is not this protocol's matter. */
+  for (int q = 0; q < RANKS; q++)
+    if (world->ranks[q].blank)
+      return;
+  ash_expert_rank_init_blank (&world->ranks[r], "g", (uint32_t) r, ++world->lives);
+  memset (world->used[r], 0, sizeof world->used[r]);
+  totals.replaced++;
+}
+
+/* A coordinator that forgets all, and its ballots. */
+static void
+forget (struct world *world, int c)
+{
+  struct ash_sink sink = { on_order, world };
+
+  ash_expert_change_init (&world->changes[c], "g", boxes, RANKS, (uint32_t) ++world->lives, sink);
+}
+
+static void
+start_change (struct world *world, int c)
+{
+  world->sender = c;
+  ash_expert_change_start (&world->changes[c], world->now, pick (world, 4) ? ++world->maps : 0);
+}
+
+static void
+tick (struct world *world, int c)
+{
+  enum ash_expert_phase before = world->changes[c].phase;
+
+  world->sender = c;
+  ash_expert_change_tick (&world->changes[c], world->now);
+  totals.failed += before != ASH_EXPERT_FAILED && world->changes[c].phase == ASH_EXPERT_FAILED;
+}
+
+static void
+step (struct world *world)
+{
+  int c = (int) pick (world, COORDINATORS);
+  int r = (int) pick (world, RANKS);
+  uint32_t choice = pick (world, 100);
+
+  if (choice < 60)
+    deliver_one (world);
+  else if (choice < 80)
+    begin_step (world, r);
+  else if (choice < 90)
+    {
+      world->now.ms += pick (world, 60);
+      tick (world, c);
+    }
+  else if (choice < 97)
+    {
+      if (!ash_expert_change_running (&world->changes[c]))
+        start_change (world, c);
+    }
+  else if (choice < 98)
+    forget (world, c);
+  else if (choice < 99)
+    start_change (world, c); /* gives its own up and begins another */
+  else if (pick (world, 4) == 0)
+    replace (world, r);
+}
+
+/* ---- the end: one coordinator, and nothing goes wrong any more ---- */
+
+static void
+go_on (struct world *world)
+{
+  uint64_t before = world->ranks[0].begun;
+
+  world->changes[0].phase = ASH_EXPERT_IDLE;
+  for (int i = 0; i < LAST_ROUNDS && !world->broken; i++)
+    {
+      if (world->changes[0].phase != ASH_EXPERT_DONE &&
+          !ash_expert_change_running (&world->changes[0]))
+        {
+          world->sender = 0;
+          ash_expert_change_start (&world->changes[0], world->now, ++world->maps);
+        }
+      while (world->frame_count)
+        deliver_one (world);
+      for (int r = 0; r < RANKS; r++)
+        begin_step (world, r);
+      world->now.ms += ASH_EXPERT_RESEND_MS;
+      tick (world, 0);
+    }
+  if (world->changes[0].phase != ASH_EXPERT_DONE)
+    fail (world, "the last change did not get through");
+  for (int r = 0; r < RANKS; r++)
+    if (world->ranks[r].blank || world->ranks[r].begun < before + 8)
+      fail (world, "a rank stands still");
+}
+
+static const char *
+run_schedule (uint64_t seed, bool traced)
+{
+  struct world *world = calloc (1, sizeof *world);
+  const char *broken;
+
+  ash_random_init (&world->random, seed);
+  world->traced = traced;
+  world->lives = 1;
+  world->maps = 1;
+  for (int r = 0; r < RANKS; r++)
+    ash_expert_rank_init (&world->ranks[r], "g", (uint32_t) r, ++world->lives, 1);
+  for (int c = 0; c < COORDINATORS; c++)
+    forget (world, c);
+  for (int i = 0; i < EVENTS && !world->broken; i++)
+    step (world);
+  world->calm = true;
+  if (!world->broken)
+    go_on (world);
+  broken = world->broken;
+  free (world);
+  return broken;
+}
+
+static int
+run_worker (uint64_t first, uint64_t count, int out)
+{
+  for (uint64_t seed = first; seed < first + count; seed++)
+    {
+      const char *broken = run_schedule (seed, false);
+
+      if (!broken)
+        continue;
+      fprintf (stderr, "seed %" PRIu64 ": %s\n", seed, broken);
+      run_schedule (seed, true);
+      return EXIT_FAILURE;
+    }
+  return write (out, &totals, sizeof totals) == sizeof totals ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+int
+main (int argc, char **argv)
+{
+  uint64_t count = argc > 1 ? strtoull (argv[1], NULL, 10) : 100000;
+  uint64_t first = argc > 2 ? strtoull (argv[2], NULL, 10) : 1;
+  uint64_t share = (count + WORKERS - 1) / WORKERS;
+  struct totals sum = { 0 };
+  int ends[2];
+  int failures = 0;
+  int status;
+
+  if (pipe (ends) < 0)
+    return EXIT_FAILURE;
+  for (uint64_t i = 0; i < WORKERS; i++)
+    if (fork () == 0)
+      _exit (run_worker (first + i * share, share, ends[1]));
+  for (int i = 0; i < WORKERS; i++)
+    {
+      wait (&status);
+      failures += status != 0;
+    }
+  close (ends[1]);
+  for (struct totals part; read (ends[0], &part, sizeof part) == sizeof part;)
+    {
+      sum.done += part.done;
+      sum.failed += part.failed;
+      sum.steps += part.steps;
+      sum.replaced += part.replaced;
+    }
+  printf ("schedules: %" PRIu64 " from seed %" PRIu64 ": %lu changes done, %lu given up, %lu steps "
+          "begun, %lu ranks replaced; %d of %d workers found a broken promise\n",
+          share * WORKERS, first, sum.done, sum.failed, sum.steps, sum.replaced, failures, WORKERS);
+  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -141,7 +141,8 @@
     fprintf (file,
              "http_listen = \"127.0.0.1:%u\"\nplatform_url = \"http://127.0.0.1:%u\"\n"
              "peers = [\"127.0.0.1:%u\"]\n",
-             box->http_port, box->platform_port ? box->platform_port : fleet->platform_port,
+             box->http_port,
+             (unsigned) (box->platform_port ? box->platform_port : fleet->platform_port),
              fleet->entries[box == &fleet->entries[0]].peer_port);
   else
     fprintf (file, "engine_url = \"http://127.0.0.1:%u\"\n", box->http_port);
