--- /dev/null
+++ b/bench/experts.c
@@ -0,0 +1,254 @@
+/**
+ * @file
+ * The expert policy on seeded traces, against no change and a full repack at
+ * each interval. Markdown on standard output.
+ */
+#include "common/clock.h"
+#include "common/random.h"
+#include "controllers/expert_policy.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define INTERVALS 600
+#define LAG 3
+#define TOKENS 20000
+#define SWING 4
+
+enum trace
+{
+  TRACE_STEADY,
+  TRACE_DRIFT,
+  TRACE_FLIP,
+  TRACE_SWING,
+  TRACE_STALL,
+  TRACE_LOSSY,
+  TRACE_COUNT,
+};
+
+static const char *const trace_names[TRACE_COUNT] = { "steady",       "drift",
+                                                      "flip",         "swing",
+                                                      "stalled rank", "late and missing reports" };
+
+struct size
+{
+  uint32_t ranks;
+  uint32_t experts;
+  uint32_t rank_slots;
+};
+
+static const struct size sizes[] = { { 8, 64, 10 }, { 16, 64, 6 }, { 64, 128, 3 } };
+
+struct method
+{
+  const char *name;
+  bool repack;
+  bool none;
+  struct ash_expert_weights weights;
+};
+
+static const struct method methods[] = {
+  { .name = "no change", .none = true },
+  { .name = "repack each interval", .repack = true },
+  { .name = "radar", .weights = { .skew = 1, .cost = 0.1, .horizon = 10, .moves = 8 } },
+  { .name = "Wadi", .weights = { .skew = 1, .cost = 0.15, .horizon = 10, .moves = 2 } },
+};
+
+struct popularity
+{
+  double first[ASH_EXPERTS_MAX];
+  double second[ASH_EXPERTS_MAX];
+};
+
+/* Zipf's law over a random order of the experts. */
+static void
+make_shares (struct ash_random *random, uint32_t experts, double *shares)
+{
+  uint32_t order[ASH_EXPERTS_MAX];
+  double sum = 0;
+
+  for (uint32_t e = 0; e < experts; e++)
+    order[e] = e;
+  for (uint32_t e = experts - 1; e > 0; e--)
+    {
+      uint32_t other = ash_random_below (random, e + 1);
+      uint32_t kept = order[e];
+
+      order[e] = order[other];
+      order[other] = kept;
+    }
+  for (uint32_t e = 0; e < experts; e++)
+    {
+      shares[order[e]] = 1 / pow (e + 3, 0.7);
+      sum += shares[order[e]];
+    }
+  for (uint32_t e = 0; e < experts; e++)
+    shares[e] /= sum;
+}
+
+/* How far popularity is from the first to the second, at that interval. */
+static double
+progress (enum trace trace, uint32_t interval)
+{
+  switch (trace)
+    {
+    case TRACE_DRIFT:
+    case TRACE_LOSSY:
+      return (double) interval / INTERVALS;
+    case TRACE_FLIP:
+      return interval >= INTERVALS / 2;
+    case TRACE_SWING:
+      return interval / SWING % 2;
+    default:
+      return 0;
+    }
+}
+
+static void
+draw_tokens (struct ash_random *random,
+             const struct popularity *popularity,
+             double part,
+             uint32_t experts,
+             double *tokens)
+{
+  for (uint32_t e = 0; e < experts; e++)
+    {
+      double mean = TOKENS * (popularity->first[e] * (1 - part) + popularity->second[e] * part);
+      double noise = 0;
+
+      /* Twelve uniform numbers less six: nearly a standard normal one. */
+      for (int i = 0; i < 12; i++)
+        noise += ash_random_below (random, 1000000) / 1e6;
+      tokens[e] = mean + (noise - 6) * sqrt (mean);
+      if (tokens[e] < 0)
+        tokens[e] = 0;
+    }
+}
+
+static int
+by_size (const void *a, const void *b)
+{
+  double left = *(const double *) a;
+  double right = *(const double *) b;
+
+  return (left > right) - (left < right);
+}
+
+static uint32_t
+count_moves (const struct ash_expert_placement *a, const struct ash_expert_placement *b)
+{
+  uint32_t moves = 0;
+
+  /* Slots of a rank are alike: an expert that it held already is not moved. */
+  for (uint32_t s = 0; s < a->rank_count * a->rank_slots; s++)
+    {
+      uint32_t first = s / a->rank_slots * a->rank_slots;
+      bool had = false;
+
+      for (uint32_t i = first; i < first + a->rank_slots; i++)
+        had |= a->slots[i] == b->slots[s];
+      moves += !had;
+    }
+  return moves;
+}
+
+struct result
+{
+  double skews[INTERVALS];
+  uint32_t moves;
+  uint32_t decisions;
+  double decision_us[INTERVALS];
+};
+
+static void
+decide (const struct method *method,
+        const struct ash_expert_policy *policy,
+        const double *report,
+        const double *speeds,
+        struct ash_expert_placement *placement,
+        struct result *result)
+{
+  struct ash_expert_placement before = *placement;
+  struct ash_expert_decision decision;
+  int64_t start_us = ash_clock_now_us ();
+
+  if (method->repack && report)
+    ash_expert_repack (placement, report);
+  else if (!method->repack && !method->none)
+    {
+      ash_expert_policy_decide (policy, placement, speeds, &decision);
+      ash_expert_placement_apply (placement, decision.moves, decision.move_count);
+    }
+  result->decision_us[result->decisions++] = (double) (ash_clock_now_us () - start_us);
+  result->moves += count_moves (&before, placement);
+}
+
+static void
+run (const struct size *size, enum trace trace, const struct method *method, struct result *result)
+{
+  static double history[INTERVALS][ASH_EXPERTS_MAX];
+  struct ash_random random;
+  struct popularity popularity;
+  struct ash_expert_placement placement = { .rank_count = size->ranks,
+                                            .rank_slots = size->rank_slots,
+                                            .expert_count = size->experts };
+  struct ash_expert_policy policy;
+  double speeds[ASH_EXPERT_POLICY_RANKS_MAX];
+
+  memset (result, 0, sizeof *result);
+  ash_random_init (&random, 7 + (uint64_t) trace);
+  make_shares (&random, size->experts, popularity.first);
+  make_shares (&random, size->experts, popularity.second);
+  ash_expert_repack (&placement, popularity.first);
+  ash_expert_policy_init (&policy, size->experts, &method->weights);
+  for (uint32_t i = 0; i < INTERVALS; i++)
+    {
+      bool stalled = trace == TRACE_STALL && i >= INTERVALS / 3 && i < 2 * INTERVALS / 3;
+      uint32_t lag = trace == TRACE_LOSSY ? LAG : 1;
+      const double *report = i >= lag ? history[i - lag] : NULL;
+      bool lost = trace == TRACE_LOSSY && ash_random_below (&random, 10) < 3;
+
+      for (uint32_t r = 0; r < size->ranks; r++)
+        speeds[r] = stalled && r == 0 ? 0.7 : 1;
+      draw_tokens (&random, &popularity, progress (trace, i), size->experts, history[i]);
+      if (report && !lost)
+        {
+          ash_expert_policy_report (&policy, report);
+          decide (method, &policy, report, speeds, &placement, result);
+        }
+      result->skews[i] = ash_expert_skew (&placement, history[i], speeds);
+    }
+}
+
+static void
+print_row (const struct size *size, enum trace trace, const struct method *method)
+{
+  static struct result result;
+  double sum = 0;
+
+  run (size, trace, method, &result);
+  for (uint32_t i = 0; i < INTERVALS; i++)
+    sum += result.skews[i];
+  qsort (result.skews, INTERVALS, sizeof result.skews[0], by_size);
+  qsort (result.decision_us, result.decisions, sizeof result.decision_us[0], by_size);
+  printf ("| %u x %u | %s | %s | %.3f | %.3f | %.3f | %u | %.0f | %.0f |\n", size->ranks,
+          size->experts, trace_names[trace], method->name, sum / INTERVALS,
+          result.skews[(int) (INTERVALS * 0.95)], result.skews[(int) (INTERVALS * 0.99)],
+          result.moves, result.decision_us[result.decisions * 99 / 100],
+          result.decision_us[result.decisions - 1]);
+}
+
+int
+main (void)
+{
+  printf (
+      "| ranks x experts | trace | method | mean skew | 95 %% | 99 %% | experts moved | decision "
+      "us 99 %% | worst |\n|---|---|---|---|---|---|---|---|---|\n");
+  for (size_t s = 0; s < sizeof sizes / sizeof sizes[0]; s++)
+    for (int t = 0; t < TRACE_COUNT; t++)
+      for (size_t m = 0; m < sizeof methods / sizeof methods[0]; m++)
+        print_row (&sizes[s], (enum trace) t, &methods[m]);
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/controllers/expert_policy.c
@@ -0,0 +1,409 @@
+#include "controllers/expert_policy.h"
+
+#include <string.h>
+
+/* A new report counts so much in the smoothed loads. */
+#define FAST_SHARE 0.5
+#define SLOW_SHARE 0.1
+
+/* Reports before anything is moved: one alone says little. */
+#define REPORTS_MIN 3
+
+/* The maximum alone does not see that one of several equal maxima was lowered. */
+#define SPREAD_SHARE 0.05
+
+/* A gain below this is noise. */
+#define GAIN_MIN 0.01
+
+/* Loads of the ranks under a placement, and what makes them up. */
+struct loads
+{
+  double tokens[ASH_EXPERTS_MAX]; /* as shares that add up to 1 */
+  uint16_t replicas[ASH_EXPERTS_MAX];
+  double ranks[ASH_EXPERT_POLICY_RANKS_MAX];
+};
+
+void
+ash_expert_policy_init (struct ash_expert_policy *policy,
+                        uint32_t expert_count,
+                        const struct ash_expert_weights *weights)
+{
+  *policy = (struct ash_expert_policy){ .weights = *weights, .expert_count = expert_count };
+}
+
+void
+ash_expert_policy_report (struct ash_expert_policy *policy, const double *tokens)
+{
+  double sum = 0;
+  double fast = policy->reports ? FAST_SHARE : 1;
+  double slow = policy->reports ? SLOW_SHARE : 1;
+
+  for (uint32_t e = 0; e < policy->expert_count; e++)
+    sum += tokens[e];
+  if (sum <= 0)
+    return;
+  for (uint32_t e = 0; e < policy->expert_count; e++)
+    {
+      policy->fast[e] += fast * (tokens[e] / sum - policy->fast[e]);
+      policy->slow[e] += slow * (tokens[e] / sum - policy->slow[e]);
+    }
+  policy->reports++;
+}
+
+/* ---- loads ---- */
+
+static uint32_t
+slot_count (const struct ash_expert_placement *placement)
+{
+  return placement->rank_count * placement->rank_slots;
+}
+
+static void
+compute_loads (struct loads *loads,
+               const struct ash_expert_placement *placement,
+               const double *tokens,
+               const double *speeds)
+{
+  double sum = 0;
+
+  memset (loads, 0, sizeof *loads);
+  for (uint32_t e = 0; e < placement->expert_count; e++)
+    sum += tokens[e];
+  for (uint32_t e = 0; e < placement->expert_count; e++)
+    loads->tokens[e] = sum > 0 ? tokens[e] / sum : 0;
+  for (uint32_t s = 0; s < slot_count (placement); s++)
+    loads->replicas[placement->slots[s]]++;
+  for (uint32_t s = 0; s < slot_count (placement); s++)
+    {
+      uint32_t rank = s / placement->rank_slots;
+      uint16_t expert = placement->slots[s];
+
+      loads->ranks[rank] += loads->tokens[expert] / loads->replicas[expert] / speeds[rank];
+    }
+}
+
+static uint32_t
+slowest_rank (const struct loads *loads, uint32_t rank_count)
+{
+  uint32_t slowest = 0;
+
+  for (uint32_t r = 1; r < rank_count; r++)
+    if (loads->ranks[r] > loads->ranks[slowest])
+      slowest = r;
+  return slowest;
+}
+
+/* What is to be made small: the skew, and a little of the loads' spread. */
+static double
+badness (const double *ranks, uint32_t rank_count)
+{
+  double most = 0;
+  double squares = 0;
+
+  for (uint32_t r = 0; r < rank_count; r++)
+    {
+      most = ranks[r] > most ? ranks[r] : most;
+      squares += ranks[r] * ranks[r];
+    }
+  /* The mean load is 1 / rank_count, as shares add up to 1. */
+  return most * rank_count + SPREAD_SHARE * squares * rank_count;
+}
+
+double
+ash_expert_skew (const struct ash_expert_placement *placement,
+                 const double *tokens,
+                 const double *speeds)
+{
+  struct loads loads;
+
+  compute_loads (&loads, placement, tokens, speeds);
+  return loads.ranks[slowest_rank (&loads, placement->rank_count)] * placement->rank_count;
+}
+
+/* ---- candidates ---- */
+
+/* One move, or two that exchange experts. */
+struct candidate
+{
+  uint32_t count;
+  struct ash_expert_move moves[2];
+};
+
+static bool
+holds (const struct ash_expert_placement *placement, uint32_t rank, uint16_t expert)
+{
+  for (uint32_t i = 0; i < placement->rank_slots; i++)
+    if (placement->slots[rank * placement->rank_slots + i] == expert)
+      return true;
+  return false;
+}
+
+/* The expert gets one more replica, and the one that it displaces one less: all
+ * their other replicas get lighter or heavier. */
+static void
+shift_replica (double *ranks,
+               const struct loads *loads,
+               const struct ash_expert_placement *placement,
+               const double *speeds,
+               const struct ash_expert_move *move)
+{
+  uint16_t other = placement->slots[move->slot];
+  double shares = loads->replicas[move->expert];
+  double others = loads->replicas[other];
+  double relief = loads->tokens[move->expert] * (1 / shares - 1 / (shares + 1));
+  double burden = loads->tokens[other] * (1 / (others - 1) - 1 / others);
+  uint32_t to = move->slot / placement->rank_slots;
+
+  for (uint32_t s = 0; s < slot_count (placement); s++)
+    {
+      uint32_t rank = s / placement->rank_slots;
+
+      if (placement->slots[s] == move->expert)
+        ranks[rank] -= relief / speeds[rank];
+      else if (placement->slots[s] == other && s != move->slot)
+        ranks[rank] += burden / speeds[rank];
+    }
+  ranks[to] +=
+      (loads->tokens[move->expert] / (shares + 1) - loads->tokens[other] / others) / speeds[to];
+}
+
+static void
+exchange (double *ranks,
+          const struct loads *loads,
+          const struct ash_expert_placement *placement,
+          const double *speeds,
+          const struct candidate *candidate)
+{
+  uint16_t expert = candidate->moves[0].expert;
+  uint16_t other = candidate->moves[1].expert;
+  uint32_t to = candidate->moves[0].slot / placement->rank_slots;
+  uint32_t from = candidate->moves[1].slot / placement->rank_slots;
+  double difference = loads->tokens[expert] / loads->replicas[expert] -
+                      loads->tokens[other] / loads->replicas[other];
+
+  ranks[to] += difference / speeds[to];
+  ranks[from] -= difference / speeds[from];
+}
+
+static double
+badness_with (const struct loads *loads,
+              const struct ash_expert_placement *placement,
+              const double *speeds,
+              const struct candidate *candidate)
+{
+  double ranks[ASH_EXPERT_POLICY_RANKS_MAX];
+
+  memcpy (ranks, loads->ranks, placement->rank_count * sizeof ranks[0]);
+  if (candidate->count == 1)
+    shift_replica (ranks, loads, placement, speeds, &candidate->moves[0]);
+  else
+    exchange (ranks, loads, placement, speeds, candidate);
+  return badness (ranks, placement->rank_count);
+}
+
+/* What the state is, on both smoothings, before a candidate is weighed. */
+struct weighing
+{
+  const struct ash_expert_placement *placement;
+  const double *speeds;
+  struct loads fast;
+  struct loads slow;
+  double fast_badness;
+  double slow_badness;
+};
+
+/* A gain counts as far as it shows in what is new and in what lasts: popularity
+ * that swings to and fro shows in one of them only. */
+static double
+gain_of (const struct weighing *weighing, const struct candidate *candidate)
+{
+  double fast = weighing->fast_badness -
+                badness_with (&weighing->fast, weighing->placement, weighing->speeds, candidate);
+  double slow;
+
+  if (fast <= GAIN_MIN)
+    return fast;
+  slow = weighing->slow_badness -
+         badness_with (&weighing->slow, weighing->placement, weighing->speeds, candidate);
+  return fast < slow ? fast : slow;
+}
+
+/* Gives the expert a replica in that slot, or, where what it holds has no other,
+ * exchanges the two. */
+static bool
+make_candidate (const struct ash_expert_placement *placement,
+                const struct loads *loads,
+                uint32_t from,
+                uint32_t to,
+                struct candidate *candidate)
+{
+  uint32_t from_rank = from / placement->rank_slots;
+  uint32_t to_rank = to / placement->rank_slots;
+  uint16_t expert = placement->slots[from];
+  uint16_t other = placement->slots[to];
+
+  if (to_rank == from_rank || holds (placement, to_rank, expert))
+    return false;
+  candidate->moves[0] = (struct ash_expert_move){ (uint16_t) to, expert };
+  candidate->count = 1;
+  if (loads->replicas[other] > 1)
+    return true;
+  if (holds (placement, from_rank, other))
+    return false;
+  candidate->moves[1] = (struct ash_expert_move){ (uint16_t) from, other };
+  candidate->count = 2;
+  /* Only an exchange for something lighter helps. */
+  return loads->tokens[other] < loads->tokens[expert] / loads->replicas[expert];
+}
+
+/* The half of the ranks that have less than the others are worth looking at. */
+static bool
+is_light (const struct loads *loads, uint32_t rank, uint32_t rank_count)
+{
+  return loads->ranks[rank] * rank_count < 1;
+}
+
+static double
+find_best (const struct weighing *weighing, uint32_t room, struct candidate *best)
+{
+  const struct ash_expert_placement *placement = weighing->placement;
+  const struct loads *loads = &weighing->fast;
+  double best_gain = 0;
+  uint32_t first = slowest_rank (loads, placement->rank_count) * placement->rank_slots;
+
+  for (uint32_t from = first; from < first + placement->rank_slots; from++)
+    for (uint32_t to = 0; to < slot_count (placement); to++)
+      {
+        struct candidate candidate;
+        double gain;
+
+        if (!is_light (loads, to / placement->rank_slots, placement->rank_count) ||
+            !make_candidate (placement, loads, from, to, &candidate) || candidate.count > room)
+          continue;
+        gain = gain_of (weighing, &candidate) / candidate.count;
+        if (gain <= best_gain)
+          continue;
+        best_gain = gain;
+        *best = candidate;
+      }
+  return best_gain;
+}
+
+void
+ash_expert_placement_apply (struct ash_expert_placement *placement,
+                            const struct ash_expert_move *moves,
+                            uint32_t move_count)
+{
+  for (uint32_t i = 0; i < move_count; i++)
+    placement->slots[moves[i].slot] = moves[i].expert;
+}
+
+void
+ash_expert_policy_decide (const struct ash_expert_policy *policy,
+                          const struct ash_expert_placement *placement,
+                          const double *speeds,
+                          struct ash_expert_decision *decision)
+{
+  const struct ash_expert_weights *weights = &policy->weights;
+  struct ash_expert_placement changed = *placement;
+  struct weighing weighing = { .placement = &changed, .speeds = speeds };
+  struct candidate best;
+
+  *decision = (struct ash_expert_decision){ 0 };
+  decision->skew_before = ash_expert_skew (placement, policy->fast, speeds);
+  decision->skew_after = decision->skew_before;
+  while (policy->reports >= REPORTS_MIN && decision->move_count < weights->moves &&
+         decision->move_count < ASH_EXPERT_MOVES_MAX)
+    {
+      uint32_t room = weights->moves - decision->move_count;
+      double gain;
+
+      if (room > ASH_EXPERT_MOVES_MAX - decision->move_count)
+        room = ASH_EXPERT_MOVES_MAX - decision->move_count;
+      compute_loads (&weighing.fast, &changed, policy->fast, speeds);
+      compute_loads (&weighing.slow, &changed, policy->slow, speeds);
+      weighing.fast_badness = badness (weighing.fast.ranks, changed.rank_count);
+      weighing.slow_badness = badness (weighing.slow.ranks, changed.rank_count);
+      gain = find_best (&weighing, room, &best);
+      if (gain <= GAIN_MIN || gain * weights->skew * weights->horizon <= weights->cost)
+        {
+          decision->refused_gain = gain;
+          break;
+        }
+      ash_expert_placement_apply (&changed, best.moves, best.count);
+      memcpy (&decision->moves[decision->move_count], best.moves,
+              best.count * sizeof best.moves[0]);
+      decision->move_count += best.count;
+    }
+  decision->skew_after = ash_expert_skew (&changed, policy->fast, speeds);
+}
+
+/* ---- the full repack ---- */
+
+static uint16_t
+heaviest (const struct loads *loads, uint32_t expert_count, const uint16_t *left)
+{
+  uint16_t found = 0;
+  double most = -1;
+
+  for (uint16_t e = 0; e < expert_count; e++)
+    {
+      double share = loads->tokens[e] / loads->replicas[e];
+
+      if ((left && !left[e]) || share <= most)
+        continue;
+      most = share;
+      found = e;
+    }
+  return found;
+}
+
+static uint32_t
+lightest_rank (const struct ash_expert_placement *placement,
+               const double *load,
+               const uint32_t *used,
+               uint16_t expert)
+{
+  uint32_t found = placement->rank_count;
+
+  /* Two replicas on one rank share nothing; allowed only if there is no room. */
+  for (int strict = 1; strict >= 0 && found == placement->rank_count; strict--)
+    for (uint32_t r = 0; r < placement->rank_count; r++)
+      {
+        bool twice = false;
+
+        for (uint32_t i = 0; strict && i < used[r]; i++)
+          twice |= placement->slots[r * placement->rank_slots + i] == expert;
+        if (used[r] < placement->rank_slots && !twice &&
+            (found == placement->rank_count || load[r] < load[found]))
+          found = r;
+      }
+  return found;
+}
+
+void
+ash_expert_repack (struct ash_expert_placement *placement, const double *tokens)
+{
+  struct loads loads = { 0 };
+  uint16_t left[ASH_EXPERTS_MAX];
+  double load[ASH_EXPERT_POLICY_RANKS_MAX] = { 0 };
+  uint32_t used[ASH_EXPERT_POLICY_RANKS_MAX] = { 0 };
+
+  for (uint32_t e = 0; e < placement->expert_count; e++)
+    {
+      loads.tokens[e] = tokens[e];
+      loads.replicas[e] = 1;
+    }
+  for (uint32_t s = placement->expert_count; s < slot_count (placement); s++)
+    loads.replicas[heaviest (&loads, placement->expert_count, NULL)]++;
+  memcpy (left, loads.replicas, sizeof left);
+  for (uint32_t s = 0; s < slot_count (placement); s++)
+    {
+      uint16_t expert = heaviest (&loads, placement->expert_count, left);
+      uint32_t rank = lightest_rank (placement, load, used, expert);
+
+      placement->slots[rank * placement->rank_slots + used[rank]++] = expert;
+      load[rank] += loads.tokens[expert] / loads.replicas[expert];
+      left[expert]--;
+    }
+}
--- a/test/unit.c
+++ b/test/unit.c
@@ -5,7 +5,9 @@
  */
 #include "common/log.h"
 #include "common/metrics.h"
+#include "common/random.h"
 #include "controllers/config.h"
+#include "controllers/expert_policy.h"
 #include "controllers/limits.h"
 #include "controllers/membership.h"
 #include "controllers/retry_budget.h"
@@ -275,6 +277,109 @@
   ash_membership_finish (&membership);
 }
 
+/* ---- experts ---- */
+
+#define EXPERTS 32
+#define RANKS 4
+#define RANK_SLOTS 10
+
+static const double even_speeds[RANKS] = { 1, 1, 1, 1 };
+
+static void
+make_tokens (struct ash_random *random, double *tokens)
+{
+  for (uint32_t e = 0; e < EXPERTS; e++)
+    tokens[e] = 1 + ash_random_below (random, 1000);
+}
+
+static bool
+has_all_experts (const struct ash_expert_placement *placement)
+{
+  for (uint32_t e = 0; e < EXPERTS; e++)
+    {
+      bool found = false;
+
+      for (uint32_t s = 0; s < RANKS * RANK_SLOTS; s++)
+        found |= placement->slots[s] == e;
+      if (!found)
+        return false;
+    }
+  return true;
+}
+
+/* Whatever the loads: no expert is lost, the store's rate is kept, and what is
+ * moved makes the predicted skew no worse. */
+static void
+test_expert_policy_any (void)
+{
+  struct ash_expert_weights weights = { .skew = 1, .cost = 0.1, .horizon = 10, .moves = 5 };
+  struct ash_random random;
+  double tokens[EXPERTS];
+
+  ash_random_init (&random, 1);
+  for (int round = 0; round < 200; round++)
+    {
+      struct ash_expert_placement placement = { .rank_count = RANKS,
+                                                .rank_slots = RANK_SLOTS,
+                                                .expert_count = EXPERTS };
+      struct ash_expert_policy policy;
+      struct ash_expert_decision decision;
+
+      make_tokens (&random, tokens);
+      ash_expert_repack (&placement, tokens);
+      CU_ASSERT (has_all_experts (&placement));
+      ash_expert_policy_init (&policy, EXPERTS, &weights);
+      make_tokens (&random, tokens);
+      for (int i = 0; i < 5; i++)
+        {
+          ash_expert_policy_report (&policy, tokens);
+          ash_expert_policy_decide (&policy, &placement, even_speeds, &decision);
+          CU_ASSERT (decision.move_count <= weights.moves);
+          CU_ASSERT (decision.skew_after <= decision.skew_before + 1e-9);
+          ash_expert_placement_apply (&placement, decision.moves, decision.move_count);
+          CU_ASSERT (has_all_experts (&placement));
+        }
+    }
+}
+
+static void
+test_expert_policy_patience (void)
+{
+  struct ash_expert_weights weights = { .skew = 1, .cost = 0.1, .horizon = 10, .moves = 5 };
+  struct ash_expert_placement placement = { .rank_count = RANKS,
+                                            .rank_slots = RANK_SLOTS,
+                                            .expert_count = EXPERTS };
+  struct ash_expert_policy policy;
+  struct ash_expert_decision decision;
+  struct ash_random random;
+  double usual[EXPERTS];
+  double other[EXPERTS];
+
+  ash_random_init (&random, 2);
+  make_tokens (&random, usual);
+  make_tokens (&random, other);
+  ash_expert_repack (&placement, usual);
+  ash_expert_policy_init (&policy, EXPERTS, &weights);
+  for (int i = 0; i < 30; i++)
+    ash_expert_policy_report (&policy, usual);
+  ash_expert_policy_decide (&policy, &placement, even_speeds, &decision);
+  CU_ASSERT_EQUAL (decision.move_count, 0);
+  /* One odd report moves nothing; what lasts does, and is explained. */
+  ash_expert_policy_report (&policy, other);
+  ash_expert_policy_decide (&policy, &placement, even_speeds, &decision);
+  CU_ASSERT_EQUAL (decision.move_count, 0);
+  for (int i = 0; i < 20; i++)
+    ash_expert_policy_report (&policy, other);
+  ash_expert_policy_decide (&policy, &placement, even_speeds, &decision);
+  CU_ASSERT (decision.move_count > 0);
+  CU_ASSERT (decision.skew_after < decision.skew_before);
+  /* The same at a price that nothing is worth. */
+  policy.weights.cost = 1000;
+  ash_expert_policy_decide (&policy, &placement, even_speeds, &decision);
+  CU_ASSERT_EQUAL (decision.move_count, 0);
+  CU_ASSERT (decision.refused_gain > 0);
+}
+
 /* ---- keys ---- */
 
 static void
@@ -579,6 +684,8 @@
   CU_add_test (suite, "limits: parts make no more than the whole", test_limits);
   CU_add_test (suite, "retry budget", test_retry_budget);
   CU_add_test (suite, "membership: leaving, life by life", test_membership_leaving);
+  CU_add_test (suite, "experts: any loads", test_expert_policy_any);
+  CU_add_test (suite, "experts: patience, and a price", test_expert_policy_patience);
   CU_add_test (suite, "keys: minted", test_minted_keys);
   CU_add_test (suite, "keys: ids", test_ids_of_keys);
   CU_add_test (suite, "links: frames", test_frames);
