group: agents carry orders to engines, coordinate, and take over

An agent of a group carries orders to its own rank's engine over HTTP and brings the answers back to whoever coordinates. The lowest rank that can be reached decides by the policy; whoever sees its rank wait or blank for too long brings the group into order. Nothing is kept: placements come with the ranks' answers. The stand-in of a group runs all ranks in lock-step, each with its own fence, and compares the map of every rank at every step.

Found: a dialled link was closed when the peer's challenge came in the same turn of the loop as the connection ("a frame before the connection"; it was dialled again later, so that only its slowness showed). Mended in net/peer.

--- /dev/null
+++ b/bench/groups.c
@@ -0,0 +1,73 @@
+/**
+ * @file
+ * How long a group with real agents stands still: in the normal case of changes
+ * of its expert map, and when the coordinator is killed in the middle of them.
+ * Markdown on standard output.
+ */
+#include "test/group_fleet.h"
+
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define CHANGES 12
+#define KILLS 12
+
+static void
+print_row (const struct group_fleet *group, const char *what)
+{
+  printf ("| %s | %lld | %lld | %lld | %lld |\n", what,
+          (long long) group_fleet_check (group, "changes"),
+          (long long) group_fleet_check (group, "steps"),
+          (long long) group_fleet_check (group, "longest_wait_ms"),
+          (long long) group_fleet_check (group, "differences"));
+}
+
+static void
+measure_normal (void)
+{
+  struct group_fleet group;
+
+  group_fleet_start (&group);
+  for (int i = 0; i < CHANGES; i++)
+    {
+      int64_t changes = group_fleet_check (&group, "changes");
+
+      group_fleet_make_hot (&group, i);
+      if (!group_fleet_wait (&group, "changes", changes + 1))
+        break;
+    }
+  print_row (&group, "nothing fails");
+  group_fleet_stop (&group);
+}
+
+static void
+measure_killed (void)
+{
+  struct group_fleet group;
+
+  group_fleet_start (&group);
+  for (int i = 0; i < KILLS; i++)
+    {
+      group_fleet_make_hot (&group, i);
+      fleet_sleep (300 + 31 * i);
+      fleet_end (&group.agents[0], SIGKILL);
+      fleet_sleep (1500);
+      group_fleet_start_agent (&group, 0);
+      fleet_sleep (500);
+    }
+  print_row (&group, "the coordinator is killed 12 times");
+  group_fleet_stop (&group);
+}
+
+int
+main (void)
+{
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  printf ("| case | changes in use | steps | longest wait between two steps, ms | steps with two "
+          "maps |\n|---|---|---|---|---|\n");
+  measure_normal ();
+  measure_killed ();
+  return EXIT_SUCCESS;
+}
--- a/controllers/expert_change.c
+++ b/controllers/expert_change.c
@@ -113,13 +113,17 @@
       order->step = found->from;
       order->before = found->before;
       order->begun = step_to_go_on_from (change);
+      order->placement.data = (uint8_t *) (uintptr_t) change->found.placement;
+      order->placement.len = change->found.length;
       break;
     case ASH_EXPERT_ARM:
     case ASH_EXPERT_COMMIT:
       order->kind = change->phase == ASH_EXPERT_ARM ? ASH__RANK_ORDER__KIND__ARM
                                                     : ASH__RANK_ORDER__KIND__COMMIT;
-      order->map = change->wanted;
+      order->map = change->wanted.digest;
       order->step = change->step;
+      order->placement.data = (uint8_t *) (uintptr_t) change->wanted.placement;
+      order->placement.len = change->wanted.length;
       break;
     default:
       break;
@@ -202,7 +206,7 @@
         return;
       __attribute__ ((fallthrough));
     case ASH_EXPERT_ADOPT:
-      if (change->wanted && change->wanted != newest (change)->map)
+      if (change->wanted.digest && change->wanted.digest != newest (change)->map)
         begin_arm (change, now);
       else
         change->phase = ASH_EXPERT_DONE;
@@ -221,21 +225,34 @@
 /* ---- messages ---- */
 
 void
-ash_expert_change_start (struct ash_expert_change *change, struct ash_time now, uint64_t wanted)
+ash_expert_change_start (struct ash_expert_change *change,
+                         struct ash_time now,
+                         const struct ash_expert_map *wanted)
 {
   uint64_t round = (change->highest >> BALLOT_SALT_BITS) + 1;
 
   change->ballot = round << BALLOT_SALT_BITS | change->salt;
   change->arms = 0;
   change->highest = change->ballot;
-  change->wanted = wanted;
+  change->wanted = wanted ? *wanted : (struct ash_expert_map){ 0 };
+  change->found = (struct ash_expert_map){ 0 };
   memset (change->answers, 0, sizeof change->answers);
   begin_phase (change, now, ASH_EXPERT_PREPARE);
 }
 
 static void
-keep_answer (struct ash_expert_answer *answer, const struct Ash__RankState *state)
+keep_answer (struct ash_expert_change *change,
+             struct ash_expert_answer *answer,
+             const struct Ash__RankState *state)
 {
+  /* The placement of the newest map, for ranks that are behind or replaced. */
+  if (!state->blank && state->placement.len <= sizeof change->found.placement &&
+      (!change->found.digest || state->version > newest (change)->version))
+    {
+      change->found.digest = state->map;
+      change->found.length = (uint32_t) state->placement.len;
+      memcpy (change->found.placement, state->placement.data, state->placement.len);
+    }
   answer->blank = state->blank;
   answer->life = state->life;
   answer->begun = state->begun;
@@ -297,7 +314,7 @@
   /* Of the phases after the first, only steps that went on are news: what was
    * read at first decides until the next phase begins. */
   if (change->phase == ASH_EXPERT_PREPARE)
-    keep_answer (answer, state);
+    keep_answer (change, answer, state);
   else
     answer->begun = state->begun;
   if (all_answered (change))
--- a/controllers/expert_change.h
+++ b/controllers/expert_change.h
@@ -27,6 +27,17 @@
 /** How often all ranks are armed anew, for later steps, before it is given up. */
 #define ASH_EXPERT_ARMS_MAX 8
 
+/** Bytes of a placement at most: two for each slot. */
+#define ASH_EXPERT_PLACEMENT_BYTES 2048
+
+/** A map: its digest names it, its placement says what it is. */
+struct ash_expert_map
+{
+  uint64_t digest; /**< 0: none */
+  uint32_t length;
+  uint8_t placement[ASH_EXPERT_PLACEMENT_BYTES];
+};
+
 /** Where a change stands. */
 enum ash_expert_phase
 {
@@ -65,10 +76,11 @@
   uint32_t salt; /**< random, of this process's life: makes its ballots its own */
   uint32_t arms; /**< how often ranks were armed */
   uint64_t ballot;
-  uint64_t sequence; /**< of the present phase's orders */
-  uint64_t highest;  /**< ballot seen anywhere, to go above next time */
-  uint64_t wanted;   /**< the new map; 0: only bring the group into order */
-  uint64_t step;     /**< at which it is armed */
+  uint64_t sequence;            /**< of the present phase's orders */
+  uint64_t highest;             /**< ballot seen anywhere, to go above next time */
+  struct ash_expert_map wanted; /**< the new map; digest 0: only bring order */
+  struct ash_expert_map found;  /**< the newest that a rank has committed */
+  uint64_t step;                /**< at which it is armed */
   struct ash_time sent;
   struct ash_time since; /**< the phase began */
   struct ash_expert_answer answers[ASH_EXPERT_RANKS_MAX];
@@ -83,11 +95,12 @@
 
 /**
  * Begins a change.
- * @param wanted the new map, or 0 to bring the group into order after a change
+ * @param wanted the new map, or NULL to bring the group into order after a change
  * that was abandoned, or after a rank was replaced.
  */
-void
-ash_expert_change_start (struct ash_expert_change *change, struct ash_time now, uint64_t wanted);
+void ash_expert_change_start (struct ash_expert_change *change,
+                              struct ash_time now,
+                              const struct ash_expert_map *wanted);
 
 /** Takes a rank's answer. */
 void ash_expert_change_take (struct ash_expert_change *change,
--- a/daemon/endpoint.c
+++ b/daemon/endpoint.c
@@ -4,6 +4,7 @@
  */
 #include "controllers/agent.h"
 #include "daemon/daemon.h"
+#include "daemon/group.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -29,6 +30,7 @@
 {
   struct ash_daemon daemon;
   struct ash_agent agent;
+  struct ash_group_task group;
   struct run *runs;
   struct ash_time idle_since;
 };
@@ -155,13 +157,19 @@
 {
   struct endpoint *endpoint = data;
 
+  if (ash_group_take (&endpoint->group, event))
+    return;
   ash_agent_handle (&endpoint->agent, ash_clock_now (), event);
+  if (event->kind_case == ASH__EVENT__KIND_TICK)
+    ash_group_tick (&endpoint->group);
 }
 
 static void
 on_configured (void *data)
 {
-  (void) data;
+  struct endpoint *endpoint = data;
+
+  ash_group_configured (&endpoint->group);
 }
 
 static void
@@ -207,6 +215,7 @@
                   (struct ash_sink){ on_emit, &endpoint });
   endpoint.agent.log = (struct ash_log){ &daemon->log_sink, "agent" };
   endpoint.agent.metrics = &daemon->metrics;
+  ash_group_init (&endpoint.group, daemon);
   daemon->config = &endpoint.agent.config;
   daemon->membership = &endpoint.agent.membership;
   daemon->role = (struct ash_role){
@@ -222,5 +231,6 @@
     cancel_run (&endpoint, endpoint.runs->number);
   ash_agent_finish (&endpoint.agent);
   ash_daemon_finish (daemon);
+  ash_group_finish (&endpoint.group);
   return ok;
 }
--- /dev/null
+++ b/daemon/group.c
@@ -0,0 +1,411 @@
+#include "daemon/group.h"
+
+#include "common/id.h"
+#include "proto/json.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+#include <xxhash.h>
+
+#define POLL_MS 200
+#define HTTP_TIMEOUT_MS 1000
+
+/* A rank that waits for a decision, or is blank, for so long: whoever should
+ * have gone on has not. Each rank waits longer than the one before, so that one
+ * agent takes over and not all. */
+#define TAKEOVER_MS 400
+#define TAKEOVER_RANK_MS 150
+
+/* Intervals that a move's gain is counted for. */
+#define HORIZON 10
+
+/* A request to the own engine, with whom to answer. */
+struct engine_call
+{
+  struct ash_group_task *group;
+  char peer[ASH_NAME_BYTES]; /* coordinator that is to get the answer; empty: none */
+  bool is_loads;
+  char *body;
+  size_t length;
+  bool failed;
+  struct engine_call *prev;
+  struct engine_call *next;
+};
+
+/* ---- placements ---- */
+
+static uint64_t
+digest_of (const struct ash_expert_placement *placement)
+{
+  uint64_t digest =
+      XXH3_64bits (placement->slots, 2 * (size_t) placement->rank_count * placement->rank_slots);
+
+  return digest ? digest : 1;
+}
+
+static void
+fill_map (const struct ash_expert_placement *placement, struct ash_expert_map *map)
+{
+  map->digest = digest_of (placement);
+  map->length = 2 * placement->rank_count * placement->rank_slots;
+  memcpy (map->placement, placement->slots, map->length);
+}
+
+/* ---- answers of the engine ---- */
+
+static void
+give_state (struct ash_group_task *group, const char *peer, const struct Ash__RankState *state)
+{
+  struct Ash__Event event = ASH__EVENT__INIT;
+
+  event.peer = ash_text (peer);
+  event.kind_case = ASH__EVENT__KIND_RANK_STATE;
+  event.rank_state = (struct Ash__RankState *) (uintptr_t) state;
+  if (strcmp (peer, group->daemon->settings->box) == 0)
+    ash_expert_change_take (&group->change, ash_clock_now (), state);
+  else
+    ash_daemon_send (group->daemon, &event);
+}
+
+/* What the own rank says tells whether the group needs somebody to go on. */
+static void
+note_state (struct ash_group_task *group, const struct Ash__RankState *state)
+{
+  size_t expected = 2 * (size_t) group->placement.rank_count * group->placement.rank_slots;
+
+  if (!state->blank && !state->armed)
+    group->disorder_since = ASH_TIME_NEVER;
+  else if (group->disorder_since.ms == ASH_TIME_NEVER.ms)
+    group->disorder_since = ash_clock_now ();
+  group->own_map = state->map;
+  if (!state->blank && state->placement.len == expected)
+    memcpy (group->placement.slots, state->placement.data, expected);
+}
+
+static void
+take_state (struct engine_call *call)
+{
+  json_t *root = json_loadb (call->body ? call->body : "", call->length, 0, NULL);
+  struct Ash__RankState *state =
+      (struct Ash__RankState *) (void *) ash_proto_from_json (&ash__rank_state__descriptor, root);
+
+  json_decref (root);
+  if (!state)
+    return;
+  /* The agent names the rank, whatever the engine calls itself. */
+  free (state->group);
+  state->group = strdup (call->group->name);
+  state->rank = call->group->rank;
+  note_state (call->group, state);
+  if (*call->peer)
+    give_state (call->group, call->peer, state);
+  ash__rank_state__free_unpacked (state, NULL);
+}
+
+static void
+take_loads (struct engine_call *call)
+{
+  json_t *root = json_loadb (call->body ? call->body : "", call->length, 0, NULL);
+  json_t *tokens = json_object_get (root, "tokens");
+  double loads[ASH_EXPERTS_MAX] = { 0 };
+  json_t *value;
+  size_t i;
+
+  if (json_array_size (tokens) == call->group->policy.expert_count)
+    {
+      json_array_foreach (tokens, i, value) loads[i] = json_number_value (value);
+      ash_expert_policy_report (&call->group->policy, loads);
+    }
+  json_decref (root);
+}
+
+static void
+on_head (void *data, uint32_t status, const char *content_type, uint64_t revision)
+{
+  struct engine_call *call = data;
+
+  (void) content_type;
+  (void) revision;
+  call->failed = status != 200;
+}
+
+static void
+on_bytes (void *data, const uint8_t *bytes, size_t length)
+{
+  struct engine_call *call = data;
+  char *grown = realloc (call->body, call->length + length);
+
+  if (!grown)
+    return;
+  call->body = grown;
+  memcpy (call->body + call->length, bytes, length);
+  call->length += length;
+}
+
+static void
+free_call (struct engine_call *call)
+{
+  DL_DELETE (call->group->calls, call);
+  free (call->body);
+  free (call);
+}
+
+static void
+on_end (void *data, enum ash_fetch_result result)
+{
+  struct engine_call *call = data;
+
+  if (!call->is_loads && !*call->peer)
+    call->group->polling = false;
+  if (result == ASH_FETCH_WHOLE && !call->failed)
+    {
+      if (call->is_loads)
+        take_loads (call);
+      else
+        take_state (call);
+    }
+  free_call (call);
+}
+
+static void
+ask_engine (struct ash_group_task *group, const char *what, const char *peer, json_t *body)
+{
+  struct engine_call *call = calloc (1, sizeof *call);
+  char *text = body ? json_dumps (body, JSON_COMPACT) : NULL;
+  char url[2 * ASH_OPTION_TEXT_BYTES];
+  struct ash_fetch_handler handler = { on_head, on_bytes, on_end, call };
+  struct ash_fetch_request request = {
+    .url = url,
+    .method = body ? "POST" : "GET",
+    .content_type = "application/json",
+    .body = (const uint8_t *) text,
+    .body_bytes = text ? strlen (text) : 0,
+    .timeout_ms = HTTP_TIMEOUT_MS,
+  };
+
+  if (call)
+    {
+      call->group = group;
+      call->is_loads = strcmp (what, "loads") == 0;
+      snprintf (call->peer, sizeof call->peer, "%s", peer);
+      snprintf (url, sizeof url, "%s/%s", group->daemon->settings->engine_url, what);
+      DL_APPEND (group->calls, call);
+      if (!ash_http_client_start (&group->daemon->http_client, &request, &handler))
+        on_end (call, ASH_FETCH_BROKEN);
+    }
+  free (text);
+  json_decref (body);
+}
+
+/* ---- orders ---- */
+
+static void
+order_own_rank (struct ash_group_task *group, const char *peer, const struct Ash__RankOrder *order)
+{
+  ask_engine (group, "order", peer, ash_proto_to_json (&order->base));
+}
+
+static void
+on_emit (void *data, const struct Ash__Event *event)
+{
+  struct ash_group_task *group = data;
+
+  if (strcmp (event->peer, group->daemon->settings->box) == 0)
+    order_own_rank (group, event->peer, event->rank_order);
+  else
+    ash_daemon_send (group->daemon, event);
+}
+
+bool
+ash_group_take (struct ash_group_task *group, const struct Ash__Event *event)
+{
+  switch (event->kind_case)
+    {
+    case ASH__EVENT__KIND_RANK_ORDER:
+      if (group->member && event->rank_order->rank == group->rank &&
+          strcmp (event->rank_order->group, group->name) == 0)
+        order_own_rank (group, event->peer, event->rank_order);
+      return true;
+    case ASH__EVENT__KIND_RANK_STATE:
+      if (group->member && strcmp (event->rank_state->group, group->name) == 0)
+        ash_expert_change_take (&group->change, ash_clock_now (), event->rank_state);
+      return true;
+    default:
+      return false;
+    }
+}
+
+/* ---- configuration ---- */
+
+void
+ash_group_init (struct ash_group_task *group, struct ash_daemon *daemon)
+{
+  *group = (struct ash_group_task){ .daemon = daemon };
+  group->log = (struct ash_log){ &daemon->log_sink, "group" };
+  group->disorder_since = ASH_TIME_NEVER;
+}
+
+static void
+start_member (struct ash_group_task *group,
+              const struct ash_group *settings,
+              const struct ash_endpoint *own)
+{
+  struct ash_expert_weights weights = {
+    .skew = settings->skew_weight,
+    .cost = settings->cost_weight,
+    .horizon = HORIZON,
+    .moves = settings->moves,
+  };
+  struct ash_sink sink = { on_emit, group };
+
+  group->member = true;
+  strcpy (group->name, settings->name);
+  group->rank = own->rank;
+  group->rank_count = settings->rank_count;
+  group->interval_ms = settings->interval_ms;
+  group->placement.rank_count = settings->rank_count;
+  group->placement.rank_slots = settings->rank_slots;
+  group->placement.expert_count = settings->experts;
+  ash_expert_policy_init (&group->policy, settings->experts, &weights);
+  ash_expert_change_init (&group->change, group->name, group->boxes, group->rank_count,
+                          (uint32_t) group->daemon->incarnation, sink);
+}
+
+/* Of two agents of a group the one whose box's name comes first dials. */
+static void
+meet_members (struct ash_group_task *group, const struct ash_document *document)
+{
+  for (uint32_t i = 0; i < document->endpoint_count; i++)
+    {
+      const struct ash_endpoint *endpoint = &document->endpoints[i];
+
+      if (strcmp (endpoint->group, group->name) != 0 || endpoint->rank >= ASH_EXPERT_RANKS_MAX)
+        continue;
+      strcpy (group->box_names[endpoint->rank], endpoint->name);
+      group->boxes[endpoint->rank] = group->box_names[endpoint->rank];
+      if (strcmp (group->daemon->settings->box, endpoint->name) < 0)
+        ash_peers_dial (&group->daemon->peers, endpoint->name, endpoint->peer);
+    }
+}
+
+void
+ash_group_configured (struct ash_group_task *group)
+{
+  const struct ash_document *document = &group->daemon->config->document;
+  const struct ash_endpoint *own = ash_document_endpoint (document, group->daemon->settings->box);
+  const struct ash_group *settings =
+      own && *own->group ? ash_document_group (document, own->group) : NULL;
+
+  group->member = false;
+  if (!settings || settings->rank_count > ASH_EXPERT_RANKS_MAX ||
+      settings->rank_count * settings->rank_slots > ASH_EXPERT_SLOTS_MAX)
+    return;
+  start_member (group, settings, own);
+  meet_members (group, document);
+}
+
+/* ---- time ---- */
+
+/* By custom the lowest rank that can be reached decides what to move. It needs
+ * no right to: two that think so fence each other off. */
+static bool
+is_first (const struct ash_group_task *group)
+{
+  for (uint32_t r = 0; r < group->rank; r++)
+    {
+      const struct ash_box *box =
+          ash_membership_find (group->daemon->membership, group->box_names[r]);
+
+      if (box && box->linked)
+        return false;
+    }
+  return true;
+}
+
+static void
+log_phase (struct ash_group_task *group)
+{
+  const struct ash_expert_change *change = &group->change;
+
+  if (group->told == change->phase)
+    return;
+  group->told = change->phase;
+  if (change->phase == ASH_EXPERT_DONE)
+    ash_log_event (&group->log, ASH_EV_MAP_CHANGED,
+                   "group=%s ballot=%" PRIu64 " map=%016" PRIx64 " step=%" PRIu64, group->name,
+                   change->ballot, change->wanted.digest, change->step);
+  else if (change->phase == ASH_EXPERT_FAILED)
+    ash_log_event (&group->log, ASH_EV_MAP_GIVEN_UP, "group=%s ballot=%" PRIu64 " highest=%" PRIu64,
+                   group->name, change->ballot, change->highest);
+}
+
+static void
+start_change (struct ash_group_task *group, const struct ash_expert_map *wanted, const char *why)
+{
+  group->told = ASH_EXPERT_IDLE;
+  ash_expert_change_start (&group->change, ash_clock_now (), wanted);
+  ash_log_event (
+      &group->log, ASH_EV_MAP_CHANGE,
+      "group=%s why=\"%s\" ballot=%" PRIu64 " moves=%u skew=%.3f predicted=%.3f refused_gain=%.3f",
+      group->name, why, group->change.ballot, wanted ? group->decision.move_count : 0,
+      group->decision.skew_before, group->decision.skew_after, group->decision.refused_gain);
+}
+
+static void
+decide_moves (struct ash_group_task *group)
+{
+  double speeds[ASH_EXPERT_POLICY_RANKS_MAX];
+  struct ash_expert_placement changed = group->placement;
+  struct ash_expert_map wanted = { 0 };
+
+  ask_engine (group, "loads", "", NULL);
+  if (!group->own_map || !is_first (group) || ash_expert_change_running (&group->change))
+    return;
+  for (uint32_t r = 0; r < group->rank_count; r++)
+    speeds[r] = 1;
+  ash_expert_policy_decide (&group->policy, &group->placement, speeds, &group->decision);
+  if (!group->decision.move_count)
+    return;
+  ash_expert_placement_apply (&changed, group->decision.moves, group->decision.move_count);
+  fill_map (&changed, &wanted);
+  start_change (group, &wanted, "skew");
+}
+
+void
+ash_group_tick (struct ash_group_task *group)
+{
+  struct ash_time now = ash_clock_now ();
+  int64_t patience_ms = TAKEOVER_MS + (int64_t) group->rank * TAKEOVER_RANK_MS;
+
+  if (!group->member)
+    return;
+  ash_expert_change_tick (&group->change, now);
+  log_phase (group);
+  if (!group->polling && !ash_time_before (now, group->next_poll))
+    {
+      group->next_poll = ash_time_add (now, POLL_MS);
+      group->polling = true;
+      ask_engine (group, "state", "", NULL);
+    }
+  if (!ash_time_before (now, group->next_decision))
+    {
+      group->next_decision = ash_time_add (now, group->interval_ms);
+      decide_moves (group);
+    }
+  if (!ash_expert_change_running (&group->change) &&
+      !ash_time_before (now, ash_time_add (group->disorder_since, patience_ms)))
+    {
+      group->disorder_since = now;
+      start_change (group, NULL, "takeover");
+    }
+}
+
+void
+ash_group_finish (struct ash_group_task *group)
+{
+  while (group->calls)
+    free_call (group->calls);
+}
--- /dev/null
+++ b/daemon/group.h
@@ -0,0 +1,55 @@
+/**
+ * @file
+ * An agent's part in its group: carries orders to its own rank's engine, brings
+ * the answers back to whoever coordinates, and may coordinate itself. It keeps
+ * nothing: whoever takes over reads all from the ranks.
+ */
+#ifndef ASH_GROUP_H
+#define ASH_GROUP_H
+
+#include "controllers/expert_change.h"
+#include "controllers/expert_policy.h"
+#include "daemon/daemon.h"
+
+struct engine_call;
+
+/** The group of one endpoint. */
+struct ash_group_task
+{
+  struct ash_daemon *daemon;
+  struct ash_log log;
+  bool member; /**< this endpoint runs in a group */
+  char name[ASH_NAME_BYTES];
+  uint32_t rank;
+  uint32_t rank_count;
+  uint32_t interval_ms;
+  char box_names[ASH_EXPERT_RANKS_MAX][ASH_NAME_BYTES]; /**< by rank */
+  const char *boxes[ASH_EXPERT_RANKS_MAX];
+  struct ash_expert_change change;
+  enum ash_expert_phase told; /**< the last phase that was logged */
+  struct ash_expert_policy policy;
+  struct ash_expert_placement placement; /**< as the newest state here has it */
+  struct ash_expert_decision decision;   /**< the last, for the log */
+  struct ash_time disorder_since;        /**< the own rank waits or is blank since then */
+  struct ash_time next_poll;
+  struct ash_time next_decision;
+  uint64_t own_map;
+  bool polling;
+  struct engine_call *calls; /**< under way */
+};
+
+void ash_group_init (struct ash_group_task *group, struct ash_daemon *daemon);
+
+/** To be called when the HTTP client is finished. */
+void ash_group_finish (struct ash_group_task *group);
+
+/** A new configuration is in force. */
+void ash_group_configured (struct ash_group_task *group);
+
+/** Takes an order or an answer from a peer. @return false if it is neither. */
+bool ash_group_take (struct ash_group_task *group, const struct Ash__Event *event);
+
+/** Time goes on. */
+void ash_group_tick (struct ash_group_task *group);
+
+#endif
--- a/net/peer.c
+++ b/net/peer.c
@@ -319,6 +319,23 @@
   return ash_time_diff (link->heard, now) > link->peers->settings->link_silence_ms;
 }
 
+/* @return whether the link is connected; if not, it is closed. */
+static bool
+finish_connect (struct ash_link *link)
+{
+  int error = 0;
+  socklen_t error_bytes = sizeof error;
+
+  getsockopt (link->fd, SOL_SOCKET, SO_ERROR, &error, &error_bytes);
+  if (error)
+    {
+      close_link (link, "can't connect");
+      return false;
+    }
+  link->state = LINK_CHALLENGED;
+  return true;
+}
+
 static void
 on_readable (struct ev_loop *loop, ev_io *io, int events)
 {
@@ -337,6 +354,9 @@
       close_link (link, "silent");
       return;
     }
+  /* The challenge may be there before the loop has told that it is connected. */
+  if (link->state == LINK_CONNECTING && !finish_connect (link))
+    return;
   length = at ? recv (link->fd, at, READ_BYTES, 0) : -1;
   if (length < 0 && at && (errno == EAGAIN || errno == EINTR))
     return;
@@ -360,27 +380,13 @@
 on_writable (struct ev_loop *loop, ev_io *io, int events)
 {
   struct ash_link *link = io->data;
-  int error = 0;
-  socklen_t error_bytes = sizeof error;
 
   (void) loop;
   (void) events;
   if (link->broken)
-    {
-      close_link (link, "can't send");
-      return;
-    }
-  if (link->state == LINK_CONNECTING)
-    {
-      getsockopt (link->fd, SOL_SOCKET, SO_ERROR, &error, &error_bytes);
-      if (error)
-        {
-          close_link (link, "can't connect");
-          return;
-        }
-      link->state = LINK_CHALLENGED;
-    }
-  flush (link);
+    close_link (link, "can't send");
+  else if (link->state != LINK_CONNECTING || finish_connect (link))
+    flush (link);
 }
 
 static struct ash_link *
--- a/options/document.c
+++ b/options/document.c
@@ -56,6 +56,21 @@
   TEXT (ash_endpoint, "hall", hall, NULL, "its failure domain"),
   TEXT (ash_endpoint, "peer", peer, NULL, "IP:PORT of its agent"),
   COUNT (ash_endpoint, slots, "32", 1, 100000, "requests", "requests it works on at once"),
+  TEXT (ash_endpoint, "group", group, "", "the group that it runs in lock-step with"),
+  COUNT (ash_endpoint, rank, "0", 0, 63, NULL, "its rank in that group"),
+  { 0 },
+};
+
+static const struct ash_option group_options[] = {
+  TEXT (ash_group, "name", name, NULL, "the group's name"),
+  COUNT (ash_group, experts, NULL, 1, 256, "experts", "of a layer"),
+  COUNT (ash_group, rank_slots, NULL, 1, 64, "slots", "experts that a rank holds"),
+  COUNT (ash_group, moves, "4", 1, 16, "experts", "moved in an interval at most"),
+  COUNT (ash_group, interval_ms, "1000", 100, 3600000, "ms", "between two decisions"),
+  { "skew_weight", ASH_OPTION_NUMBER, offsetof (struct ash_group, skew_weight), "1", 0, 1000, NULL,
+    NULL, "worth of a skew (slowest rank over mean) of one for an interval" },
+  { "cost_weight", ASH_OPTION_NUMBER, offsetof (struct ash_group, cost_weight), "0.1", 0, 1000,
+    NULL, NULL, "price of moving one expert's weights" },
   { 0 },
 };
 
@@ -239,6 +254,44 @@
     }
 }
 
+/* The ranks of a group must be 0 to one less than its endpoints, each once, and
+ * all experts must have a slot. */
+static void
+check_groups (struct ash_document *document, struct ash_findings *findings)
+{
+  for (uint32_t g = 0; g < document->group_count; g++)
+    {
+      struct ash_group *group = &document->groups[g];
+      uint64_t seen = 0;
+      char place[64];
+
+      snprintf (place, sizeof place, "group[%u]", g);
+      for (uint32_t i = 0; i < document->endpoint_count; i++)
+        if (strcmp (document->endpoints[i].group, group->name) == 0)
+          {
+            seen |= UINT64_C (1) << document->endpoints[i].rank;
+            group->rank_count++;
+          }
+      if (group->rank_count == 0 || group->rank_count > 64 ||
+          seen != UINT64_MAX >> (64 - group->rank_count))
+        ash_findings_add (findings, group->line, place,
+                          "its endpoints' ranks must be 0, 1, 2 and so on, each once");
+      if (group->rank_count * group->rank_slots < group->experts)
+        ash_findings_add (findings, group->line, place, "%u experts do not fit into %u x %u slots",
+                          group->experts, group->rank_count, group->rank_slots);
+    }
+  for (uint32_t i = 0; i < document->endpoint_count; i++)
+    {
+      const struct ash_endpoint *endpoint = &document->endpoints[i];
+      char place[64];
+
+      snprintf (place, sizeof place, "endpoint[%u]", i);
+      if (*endpoint->group && !ash_document_group (document, endpoint->group))
+        ash_findings_add (findings, endpoint->line, place, "group '%s' is not declared",
+                          endpoint->group);
+    }
+}
+
 static uint32_t
 key_slot (const uint8_t *key_hash, uint32_t slot_count)
 {
@@ -329,6 +382,7 @@
   READ_ROWS (entries, entry_count, entry);
   READ_ROWS (services, service_count, service);
   READ_ROWS (endpoints, endpoint_count, endpoint);
+  READ_ROWS (groups, group_count, group);
   READ_ROWS (classes, class_count, class);
   READ_ROWS (accounts, account_count, account);
   ash_node_report_unused (root, "", findings);
@@ -336,9 +390,11 @@
   CHECK_NAMES (entries, entry_count, "entry");
   CHECK_NAMES (services, service_count, "service");
   CHECK_NAMES (endpoints, endpoint_count, "endpoint");
+  CHECK_NAMES (groups, group_count, "group");
   CHECK_NAMES (classes, class_count, "class");
   CHECK_NAMES (accounts, account_count, "account");
   check_boxes (document, findings);
+  check_groups (document, findings);
   check_accounts (document, findings);
   if (findings->count == 0)
     index_endpoints (document);
@@ -353,6 +409,7 @@
   free (document->services);
   free (document->endpoints);
   free (document->by_service);
+  free (document->groups);
   free (document->classes);
   free (document->accounts);
   free (document->account_slots);
@@ -372,6 +429,12 @@
                    name);
 }
 
+const struct ash_group *
+ash_document_group (const struct ash_document *document, const char *name)
+{
+  return find_row (document->groups, document->group_count, sizeof *document->groups, name);
+}
+
 const struct ash_entry_box *
 ash_document_entry (const struct ash_document *document, const char *name)
 {
--- a/options/document.h
+++ b/options/document.h
@@ -63,6 +63,22 @@
   char hall[ASH_NAME_BYTES];
   char peer[ASH_NAME_BYTES];
   uint32_t slots;
+  char group[ASH_NAME_BYTES]; /**< that it runs in lock-step with; may be empty */
+  uint32_t rank;              /**< in that group */
+};
+
+/** Engines that run in lock-step on an expert map. */
+struct ash_group
+{
+  char name[ASH_NAME_BYTES];
+  uint32_t line;
+  uint32_t experts;    /**< of a layer */
+  uint32_t rank_slots; /**< experts that a rank holds */
+  uint32_t moves;      /**< experts moved an interval at most: the weight store's rate */
+  uint32_t interval_ms;
+  double skew_weight;
+  double cost_weight;
+  uint32_t rank_count; /**< counted from the endpoints */
 };
 
 /** A class of accounts: how urgent, and how counted in the metrics. */
@@ -99,6 +115,8 @@
   uint32_t service_count;
   struct ash_endpoint *endpoints;
   uint32_t endpoint_count;
+  struct ash_group *groups;
+  uint32_t group_count;
   uint32_t *by_service; /**< indices of endpoints, grouped by service */
   struct ash_class *classes;
   uint32_t class_count;
@@ -128,6 +146,7 @@
                                                 const char *name);
 const struct ash_endpoint *ash_document_endpoint (const struct ash_document *document,
                                                   const char *name);
+const struct ash_group *ash_document_group (const struct ash_document *document, const char *name);
 const struct ash_entry_box *ash_document_entry (const struct ash_document *document,
                                                 const char *name);
 const struct ash_account *ash_document_account (const struct ash_document *document,
--- a/proto/ash.pb-c.c
+++ b/proto/ash.pb-c.c
@@ -2851,7 +2851,7 @@
   ash__rank_order__kind__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCFieldDescriptor ash__rank_order__field_descriptors[11] =
+static const ProtobufCFieldDescriptor ash__rank_order__field_descriptors[12] =
 {
   {
     "kind",
@@ -2985,6 +2985,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "placement",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankOrder, placement),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ash__rank_order__field_indices_by_name[] = {
   4,   /* field[4] = ballot */
@@ -2994,6 +3006,7 @@
   0,   /* field[0] = kind */
   3,   /* field[3] = life */
   7,   /* field[7] = map */
+  11,   /* field[11] = placement */
   2,   /* field[2] = rank */
   5,   /* field[5] = sequence */
   8,   /* field[8] = step */
@@ -3002,7 +3015,7 @@
 static const ProtobufCIntRange ash__rank_order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor ash__rank_order__descriptor =
 {
@@ -3012,14 +3025,14 @@
   "Ash__RankOrder",
   "ash",
   sizeof(Ash__RankOrder),
-  11,
+  12,
   ash__rank_order__field_descriptors,
   ash__rank_order__field_indices_by_name,
   1,  ash__rank_order__number_ranges,
   (ProtobufCMessageInit) ash__rank_order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__rank_state__field_descriptors[15] =
+static const ProtobufCFieldDescriptor ash__rank_state__field_descriptors[16] =
 {
   {
     "group",
@@ -3201,6 +3214,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "placement",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Ash__RankState, placement),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ash__rank_state__field_indices_by_name[] = {
   5,   /* field[5] = accepted */
@@ -3214,6 +3239,7 @@
   0,   /* field[0] = group */
   2,   /* field[2] = life */
   10,   /* field[10] = map */
+  15,   /* field[15] = placement */
   7,   /* field[7] = promised */
   1,   /* field[1] = rank */
   4,   /* field[4] = sequence */
@@ -3222,7 +3248,7 @@
 static const ProtobufCIntRange ash__rank_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor ash__rank_state__descriptor =
 {
@@ -3232,7 +3258,7 @@
   "Ash__RankState",
   "ash",
   sizeof(Ash__RankState),
-  15,
+  16,
   ash__rank_state__field_descriptors,
   ash__rank_state__field_indices_by_name,
   1,  ash__rank_state__number_ranges,
--- a/proto/ash.pb-c.h
+++ b/proto/ash.pb-c.h
@@ -502,10 +502,14 @@
    * with ADOPT: the step to go on from
    */
   uint64_t begun;
+  /*
+   * of the map, two bytes a slot; with ARM, FINISH, ADOPT
+   */
+  ProtobufCBinaryData placement;
 };
 #define ASH__RANK_ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ash__rank_order__descriptor) \
-    , ASH__RANK_ORDER__KIND__NONE, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , ASH__RANK_ORDER__KIND__NONE, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, {0,NULL} }
 
 
 /*
@@ -544,10 +548,14 @@
    */
   uint64_t armed;
   uint64_t armed_step;
+  /*
+   * of the committed map
+   */
+  ProtobufCBinaryData placement;
 };
 #define ASH__RANK_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ash__rank_state__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, {0,NULL} }
 
 
 struct  Ash__Call
--- a/test/expert_schedule.c
+++ b/test/expert_schedule.c
@@ -218,11 +218,21 @@
   ash_expert_change_init (&world->changes[c], "g", boxes, RANKS, (uint32_t) ++world->lives, sink);
 }
 
+static void
+start_wanting (struct world *world, int c, bool wants)
+{
+  struct ash_expert_map map = { 0 };
+
+  if (wants)
+    map.digest = ++world->maps;
+  ash_expert_change_start (&world->changes[c], world->now, wants ? &map : NULL);
+}
+
 static void
 start_change (struct world *world, int c)
 {
   world->sender = c;
-  ash_expert_change_start (&world->changes[c], world->now, pick (world, 4) ? ++world->maps : 0);
+  start_wanting (world, c, pick (world, 4) != 0);
 }
 
 static void
@@ -278,7 +288,7 @@
           !ash_expert_change_running (&world->changes[0]))
         {
           world->sender = 0;
-          ash_expert_change_start (&world->changes[0], world->now, ++world->maps);
+          start_wanting (world, 0, true);
         }
       while (world->frame_count)
         deliver_one (world);
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -50,8 +50,8 @@
   return path;
 }
 
-static pid_t
-spawn (struct fleet *fleet, const char *log_name, const char *name, ...)
+pid_t
+fleet_spawn (const char *folder, const char *log_name, const char *name, ...)
 {
   char *arguments[8] = { 0 };
   char log[128];
@@ -65,7 +65,7 @@
   while (count < 7 && (arguments[count] = va_arg (args, char *)))
     count++;
   va_end (args);
-  snprintf (log, sizeof log, "%s/%s.log", fleet->folder, log_name);
+  snprintf (log, sizeof log, "%s/%s.log", folder, log_name);
   pid = fork ();
   if (pid == 0)
     {
@@ -95,8 +95,8 @@
   return WIFEXITED (status) ? WEXITSTATUS (status) : -1;
 }
 
-static void
-free_ports (uint16_t *ports, int count)
+void
+fleet_free_ports (uint16_t *ports, int count)
 {
   int fds[32];
 
@@ -156,7 +156,7 @@
 
   write_settings (fleet, box, role);
   snprintf (path, sizeof path, "%s/%s.toml", fleet->folder, box->name);
-  return spawn (fleet, box->name, "ashspindled", path, (char *) NULL);
+  return fleet_spawn (fleet->folder, box->name, "ashspindled", path, (char *) NULL);
 }
 
 void
@@ -237,7 +237,7 @@
   uint16_t ports[1 + 2 * FLEET_ENTRIES + 4 * FLEET_ENDPOINTS];
   int next = 0;
 
-  free_ports (ports, sizeof ports / sizeof ports[0]);
+  fleet_free_ports (ports, sizeof ports / sizeof ports[0]);
   fleet->platform_port = ports[next++];
   for (int e = 0; e < FLEET_ENTRIES; e++)
     {
@@ -269,9 +269,11 @@
   sprintf (peer, "%u", box->peer_port);
   sprintf (control, "%u", box->control_port);
   snprintf (log, sizeof log, "engine-%s", box->name);
-  box->engine = spawn (fleet, log, "standin", "engine", engine, "128", "5", (char *) NULL);
+  box->engine =
+      fleet_spawn (fleet->folder, log, "standin", "engine", engine, "128", "5", (char *) NULL);
   snprintf (log, sizeof log, "link-%s", box->name);
-  box->link = spawn (fleet, log, "standin", "link", link, peer, control, (char *) NULL);
+  box->link =
+      fleet_spawn (fleet->folder, log, "standin", "link", link, peer, control, (char *) NULL);
 }
 
 void
@@ -293,7 +295,8 @@
   fclose (file);
   sprintf (port, "%u", fleet->platform_port);
   snprintf (path, sizeof path, "%s/published.toml", fleet->folder);
-  fleet->platform = spawn (fleet, "platform", "standin", "platform", port, path, (char *) NULL);
+  fleet->platform =
+      fleet_spawn (fleet->folder, "platform", "standin", "platform", port, path, (char *) NULL);
   for (int a = 0; a < FLEET_ENDPOINTS; a++)
     {
       start_stand_ins (fleet, &fleet->endpoints[a]);
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -108,6 +108,13 @@
 void fleet_sleep (int64_t wait_ms);
 int64_t fleet_now (void);
 
+/** Starts a program of the build with its output in FOLDER/LOG_NAME.log; the
+ * arguments end with NULL. */
+pid_t fleet_spawn (const char *folder, const char *log_name, const char *name, ...);
+
+/** Finds ports of the loopback address that are free. */
+void fleet_free_ports (uint16_t *ports, int count);
+
 /** How many lines of a daemon's log hold the text. */
 int fleet_log_count (struct fleet *fleet, const char *box, const char *text);
 
--- /dev/null
+++ b/test/group_fleet.c
@@ -0,0 +1,163 @@
+#include "test/group_fleet.h"
+
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define EXPERTS "16"
+#define RANK_SLOTS "6"
+#define PATIENCE_MS 10000
+
+static FILE *
+open_file (const struct group_fleet *group, const char *name)
+{
+  char path[128];
+
+  snprintf (path, sizeof path, "%s/%s.toml", group->folder, name);
+  return fopen (path, "w");
+}
+
+static void
+write_document (const struct group_fleet *group)
+{
+  FILE *file = open_file (group, "published");
+
+  fprintf (file,
+           "[[hall]]\nname = \"h\"\n[[service]]\nname = \"model\"\n"
+           "[[entry]]\nbox = \"entry\"\nhall = \"h\"\nhttp = \"127.0.0.1:%u\"\npeer = "
+           "\"127.0.0.1:%u\"\n"
+           "[[group]]\nname = \"g\"\nexperts = " EXPERTS "\nrank_slots = " RANK_SLOTS
+           "\ninterval_ms = 150\n",
+           group->ports[2], group->ports[3]);
+  for (int r = 0; r < GROUP_RANKS; r++)
+    fprintf (file,
+             "[[endpoint]]\nbox = \"m%d\"\nservice = \"model\"\nhall = \"h\"\npeer = "
+             "\"127.0.0.1:%u\"\ngroup = \"g\"\nrank = %d\n",
+             r, group->ports[4 + r], r);
+  fclose (file);
+}
+
+static pid_t
+start_daemon (const struct group_fleet *group, const char *box, const char *rest)
+{
+  FILE *file = open_file (group, box);
+  char path[128];
+
+  fprintf (file,
+           "box = \"%s\"\nhall = \"h\"\nfleet_key = \"%064d\"\nheartbeat_ms = 100\n"
+           "link_silence_ms = 800\ndial_retry_ms = 50\npause_ms = 500\n%s",
+           box, 7, rest);
+  fclose (file);
+  snprintf (path, sizeof path, "%s/%s.toml", group->folder, box);
+  return fleet_spawn (group->folder, box, "ashspindled", path, (char *) NULL);
+}
+
+void
+group_fleet_start_agent (struct group_fleet *group, int r)
+{
+  char rest[256];
+  char box[8];
+
+  snprintf (box, sizeof box, "m%d", r);
+  snprintf (rest, sizeof rest,
+            "role = \"endpoint\"\npeer_listen = \"127.0.0.1:%u\"\nengine_url = "
+            "\"http://127.0.0.1:%u/rank/%d\"\n",
+            group->ports[4 + r], group->ports[1], r);
+  group->agents[r] = start_daemon (group, box, rest);
+}
+
+void
+group_fleet_stop (struct group_fleet *group)
+{
+  char command[160];
+
+  for (int r = 0; r < GROUP_RANKS; r++)
+    fleet_end (&group->agents[r], SIGKILL);
+  fleet_end (&group->entry, SIGKILL);
+  fleet_end (&group->engines, SIGKILL);
+  fleet_end (&group->platform, SIGKILL);
+  if (getenv ("FLEET_KEEP"))
+    {
+      fprintf (stderr, "logs: %s\n", group->folder);
+      return;
+    }
+  snprintf (command, sizeof command, "rm -rf %s", group->folder);
+  if (system (command) != 0)
+    fprintf (stderr, "can't remove %s\n", group->folder);
+}
+
+int64_t
+group_fleet_check (const struct group_fleet *group, const char *what)
+{
+  char url[64];
+  struct ash_cli_request request = { .url = url, .method = "GET" };
+  struct ash_cli_answer answer = { 0 };
+  json_t *root;
+  int64_t value;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/check", group->ports[1]);
+  ash_cli_fetch (&request, &answer);
+  root = json_loadb (answer.body ? answer.body : "", answer.body_bytes, 0, NULL);
+  value = json_integer_value (json_object_get (root, what));
+  json_decref (root);
+  ash_cli_answer_finish (&answer);
+  return value;
+}
+
+bool
+group_fleet_wait (const struct group_fleet *group, const char *what, int64_t least)
+{
+  int64_t until_ms = fleet_now () + PATIENCE_MS;
+
+  while (group_fleet_check (group, what) < least)
+    {
+      if (fleet_now () > until_ms)
+        return false;
+      fleet_sleep (20);
+    }
+  return true;
+}
+
+void
+group_fleet_start (struct group_fleet *group)
+{
+  char port[8];
+  char path[128];
+  char ranks[8];
+  char rest[256];
+
+  *group = (struct group_fleet){ .folder = "/tmp/ash-group-XXXXXX" };
+  if (!mkdtemp (group->folder))
+    return;
+  fleet_free_ports (group->ports, 4 + GROUP_RANKS);
+  write_document (group);
+  snprintf (path, sizeof path, "%s/published.toml", group->folder);
+  snprintf (port, sizeof port, "%u", group->ports[0]);
+  group->platform =
+      fleet_spawn (group->folder, "platform", "standin", "platform", port, path, (char *) NULL);
+  snprintf (port, sizeof port, "%u", group->ports[1]);
+  snprintf (ranks, sizeof ranks, "%d", GROUP_RANKS);
+  group->engines = fleet_spawn (group->folder, "engines", "standin", "group", port, ranks, EXPERTS,
+                                RANK_SLOTS, (char *) NULL);
+  for (int r = 0; r < GROUP_RANKS; r++)
+    group_fleet_start_agent (group, r);
+  snprintf (rest, sizeof rest,
+            "role = \"entry\"\npeer_listen = \"127.0.0.1:%u\"\nhttp_listen = \"127.0.0.1:%u\"\n"
+            "platform_url = \"http://127.0.0.1:%u\"\n",
+            group->ports[3], group->ports[2], group->ports[0]);
+  group->entry = start_daemon (group, "entry", rest);
+  /* Orders to a stand-in that does not listen yet would be lost. */
+  if (!group_fleet_wait (group, "steps", 1))
+    fprintf (stderr, "the stand-in of the group did not come up\n");
+}
+
+void
+group_fleet_make_hot (const struct group_fleet *group, int expert)
+{
+  char path[32];
+
+  snprintf (path, sizeof path, "/control?hot=%d", expert);
+  fleet_control (group->ports[1], path);
+}
--- /dev/null
+++ b/test/groups.c
@@ -0,0 +1,122 @@
+/**
+ * @file
+ * The expert map of a group changes while agents are killed and paused and ranks
+ * are replaced. The stand-in of the group compares the map of every rank at
+ * every step.
+ */
+#include "test/group_fleet.h"
+
+#include <CUnit/Basic.h>
+#include <CUnit/CUnit.h>
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdlib.h>
+
+#define STEPS_SOON 60 /* a group that goes on has begun so many more within seconds */
+
+/* The group goes on, and has never run a step with two maps. */
+static void
+assert_in_order (const struct group_fleet *group)
+{
+  CU_ASSERT (group_fleet_wait (group, "steps", group_fleet_check (group, "steps") + STEPS_SOON));
+  CU_ASSERT_EQUAL (group_fleet_check (group, "differences"), 0);
+}
+
+static void
+test_hot_expert (void)
+{
+  struct group_fleet group;
+
+  group_fleet_start (&group);
+  group_fleet_make_hot (&group, 3);
+  CU_ASSERT (group_fleet_wait (&group, "changes", 1));
+  assert_in_order (&group);
+  group_fleet_stop (&group);
+}
+
+/* The coordinator is killed in the middle of changes, again and again. */
+static void
+test_coordinator_killed (void)
+{
+  struct group_fleet group;
+
+  group_fleet_start (&group);
+  for (int i = 0; i < 6; i++)
+    {
+      group_fleet_make_hot (&group, 2 * i);
+      fleet_sleep (350 + 37 * i);
+      fleet_end (&group.agents[i % 2], SIGKILL);
+      fleet_sleep (150);
+      group_fleet_start_agent (&group, i % 2);
+    }
+  group_fleet_make_hot (&group, 15);
+  CU_ASSERT (group_fleet_wait (&group, "changes", 1));
+  assert_in_order (&group);
+  group_fleet_stop (&group);
+}
+
+/* It is paused, others go on, and it wakes late with what it believed. */
+static void
+test_coordinator_paused (void)
+{
+  struct group_fleet group;
+
+  group_fleet_start (&group);
+  group_fleet_make_hot (&group, 5);
+  CU_ASSERT (group_fleet_wait (&group, "changes", 1));
+  for (int i = 0; i < 3; i++)
+    {
+      group_fleet_make_hot (&group, 6 + i);
+      fleet_sleep (300 + 50 * i);
+      kill (group.agents[0], SIGSTOP);
+      fleet_sleep (1500);
+      kill (group.agents[0], SIGCONT);
+    }
+  assert_in_order (&group);
+  group_fleet_stop (&group);
+}
+
+/* A rank is replaced and forgets all: the others give it their state. */
+static void
+test_rank_replaced (void)
+{
+  struct group_fleet group;
+
+  group_fleet_start (&group);
+  group_fleet_make_hot (&group, 7);
+  CU_ASSERT (group_fleet_wait (&group, "changes", 1));
+  for (int r = 0; r < GROUP_RANKS; r++)
+    {
+      char path[32];
+
+      snprintf (path, sizeof path, "/replace?rank=%d", r);
+      fleet_control (group.ports[1], path);
+      assert_in_order (&group);
+    }
+  group_fleet_make_hot (&group, 1);
+  assert_in_order (&group);
+  group_fleet_stop (&group);
+}
+
+int
+main (int argc, char **argv)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  (void) argc;
+  (void) argv;
+  signal (SIGPIPE, SIG_IGN);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  CU_initialize_registry ();
+  suite = CU_add_suite ("groups", NULL, NULL);
+  CU_add_test (suite, "a hot expert", test_hot_expert);
+  CU_add_test (suite, "the coordinator is killed", test_coordinator_killed);
+  CU_add_test (suite, "the coordinator is paused", test_coordinator_paused);
+  CU_add_test (suite, "ranks are replaced", test_rank_replaced);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/test/standin.c
+++ b/test/standin.c
@@ -170,11 +170,14 @@
     return standin_platform (argc - 1, argv + 1);
   if (argc > 1 && strcmp (argv[1], "engine") == 0)
     return standin_engine (argc - 1, argv + 1);
+  if (argc > 1 && strcmp (argv[1], "group") == 0)
+    return standin_group (argc - 1, argv + 1);
   if (argc > 1 && strcmp (argv[1], "link") == 0)
     return standin_link (argc - 1, argv + 1);
   fprintf (stderr, "usage: standin ports COUNT\n"
                    "       standin platform PORT [FILE]\n"
                    "       standin engine PORT [SLOTS [STEP_MS]]\n"
+                   "       standin group PORT RANKS EXPERTS RANK_SLOTS\n"
                    "       standin link PORT TARGET_PORT CONTROL_PORT\n");
   return 2;
 }
--- a/test/standin.h
+++ b/test/standin.h
@@ -46,5 +46,6 @@
 int standin_platform (int argc, char **argv);
 int standin_engine (int argc, char **argv);
 int standin_link (int argc, char **argv);
+int standin_group (int argc, char **argv);
 
 #endif
