group: a coordinator killed between arm and commit

The worst moment, brought about by a stand-in that loses commits: the group holds one step until somebody takes over. First run: it stood still for ever, as the killed agent was not started again and a group needs all its ranks; the case now starts it, without any memory, as the platform does for a box.

--- a/bench/groups.c
+++ b/bench/groups.c
@@ -4,6 +4,7 @@
  * of its expert map, and when the coordinator is killed in the middle of them.
  * Markdown on standard output.
  */
+#include "proto/ash.pb-c.h"
 #include "test/group_fleet.h"
 
 #include <curl/curl.h>
@@ -13,6 +14,7 @@
 
 #define CHANGES 12
 #define KILLS 12
+#define ABANDONED 5
 
 static void
 print_row (const struct group_fleet *group, const char *what)
@@ -61,6 +63,30 @@
   group_fleet_stop (&group);
 }
 
+/* The worst moment: all ranks are armed, and the coordinator dies before any
+ * commit. It is started again at once; any agent has to find out and take over. */
+static void
+measure_abandoned (void)
+{
+  struct group_fleet group;
+
+  for (int i = 0; i < ABANDONED; i++)
+    {
+      group_fleet_start (&group);
+      group_fleet_lose (&group, ASH__RANK_ORDER__KIND__COMMIT);
+      group_fleet_make_hot (&group, i);
+      if (group_fleet_wait_still (&group))
+        {
+          fleet_end (&group.agents[0], SIGKILL);
+          group_fleet_lose (&group, ASH__RANK_ORDER__KIND__NONE);
+          group_fleet_start_agent (&group, 0);
+          group_fleet_wait (&group, "steps", group_fleet_check (&group, "steps") + 100);
+        }
+      print_row (&group, "killed between arm and commit");
+      group_fleet_stop (&group);
+    }
+}
+
 int
 main (void)
 {
@@ -69,5 +95,6 @@
           "maps |\n|---|---|---|---|---|\n");
   measure_normal ();
   measure_killed ();
+  measure_abandoned ();
   return EXIT_SUCCESS;
 }
--- a/test/group_fleet.c
+++ b/test/group_fleet.c
@@ -161,3 +161,28 @@
   snprintf (path, sizeof path, "/control?hot=%d", expert);
   fleet_control (group->ports[1], path);
 }
+
+void
+group_fleet_lose (const struct group_fleet *group, int kind)
+{
+  char path[32];
+
+  snprintf (path, sizeof path, "/control?lose=%d", kind);
+  fleet_control (group->ports[1], path);
+}
+
+bool
+group_fleet_wait_still (const struct group_fleet *group)
+{
+  int64_t until_ms = fleet_now () + PATIENCE_MS;
+  int64_t steps = -1;
+  int64_t now_steps = group_fleet_check (group, "steps");
+
+  while (steps != now_steps && fleet_now () < until_ms)
+    {
+      steps = now_steps;
+      fleet_sleep (50);
+      now_steps = group_fleet_check (group, "steps");
+    }
+  return steps == now_steps;
+}
--- a/test/group_fleet.h
+++ b/test/group_fleet.h
@@ -33,6 +33,12 @@
 /** Makes one expert get as many tokens as all others together. */
 void group_fleet_make_hot (const struct group_fleet *group, int expert);
 
+/** Loses all orders of a kind (enum of RankOrder; 0: none) from now on. */
+void group_fleet_lose (const struct group_fleet *group, int kind);
+
+/** Waits until the group stands still, between arm and commit. @return false after 10 s. */
+bool group_fleet_wait_still (const struct group_fleet *group);
+
 /** @return a number of the stand-in's record: steps, differences, changes, longest_wait_ms. */
 int64_t group_fleet_check (const struct group_fleet *group, const char *what);
 
--- a/test/groups.c
+++ b/test/groups.c
@@ -4,6 +4,7 @@
  * are replaced. The stand-in of the group compares the map of every rank at
  * every step.
  */
+#include "proto/ash.pb-c.h"
 #include "test/group_fleet.h"
 
 #include <CUnit/Basic.h>
@@ -55,6 +56,27 @@
   group_fleet_stop (&group);
 }
 
+/* It is killed when all ranks are armed and none has heard the commit: they hold
+ * the step until somebody takes over. Its rank is needed for that, so it has to
+ * come back, without any memory, as the box's platform sees to. */
+static void
+test_killed_before_commit (void)
+{
+  struct group_fleet group;
+
+  group_fleet_start (&group);
+  group_fleet_lose (&group, ASH__RANK_ORDER__KIND__COMMIT);
+  group_fleet_make_hot (&group, 3);
+  CU_ASSERT (group_fleet_wait_still (&group));
+  fleet_end (&group.agents[0], SIGKILL);
+  group_fleet_lose (&group, ASH__RANK_ORDER__KIND__NONE);
+  group_fleet_start_agent (&group, 0);
+  assert_in_order (&group);
+  CU_ASSERT (group_fleet_wait (&group, "changes", 1));
+  assert_in_order (&group);
+  group_fleet_stop (&group);
+}
+
 /* It is paused, others go on, and it wakes late with what it believed. */
 static void
 test_coordinator_paused (void)
@@ -112,6 +134,7 @@
   suite = CU_add_suite ("groups", NULL, NULL);
   CU_add_test (suite, "a hot expert", test_hot_expert);
   CU_add_test (suite, "the coordinator is killed", test_coordinator_killed);
+  CU_add_test (suite, "the coordinator is killed before the commit", test_killed_before_commit);
   CU_add_test (suite, "the coordinator is paused", test_coordinator_paused);
   CU_add_test (suite, "ranks are replaced", test_rank_replaced);
   CU_basic_set_mode (CU_BRM_VERBOSE);
--- a/test/standin_group.c
+++ b/test/standin_group.c
@@ -8,6 +8,7 @@
  * POST /rank/N/order        an order; answers the state
  * GET  /rank/N/loads        tokens of each expert in the last interval
  * POST /replace?rank=N      the rank is replaced and forgets all
+ * POST /control?lose=K       orders of that kind are lost (0: none)
  * POST /control?hot=E       expert E gets as many tokens as all others together
  * GET  /check               steps begun by all, differences, changes in use, longest wait
  */
@@ -41,6 +42,7 @@
 static uint32_t rank_count;
 static uint32_t expert_count;
 static int64_t hot = -1;
+static int64_t lose;
 static uint64_t lives = 1;
 static unsigned differences;
 static unsigned changes;
@@ -179,6 +181,7 @@
   struct Ash__RankOrder *order = NULL;
   json_t *body;
   json_t *answer;
+  bool lost;
 
   if (strcmp (what, "loads") == 0)
     return reply_json (request, loads_json ());
@@ -193,10 +196,13 @@
   ask.ballot = ranks[r].promised;
   ask.sequence = ranks[r].sequence;
   ask.life = ranks[r].life;
-  answer = order_rank (r, order ? order : &ask);
+  lost = order && lose && order->kind == lose;
+  answer = lost ? NULL : order_rank (r, order ? order : &ask);
   pthread_mutex_unlock (&lock);
   if (order)
     ash__rank_order__free_unpacked (order, NULL);
+  if (lost)
+    return standin_reply (request, MHD_HTTP_SERVICE_UNAVAILABLE, "text/plain", "lost\n", 5);
   return reply_json (request, answer);
 }
 
@@ -217,6 +223,7 @@
       memset (used[r], 0, sizeof used[r]);
     }
   hot = standin_number (request, "hot", hot);
+  lose = standin_number (request, "lose", lose);
   answer = json_pack ("{s:I, s:i, s:i, s:I}", "steps", (json_int_t) ranks[0].begun, "differences",
                       (int) differences, "changes", (int) changes, "longest_wait_ms",
                       (json_int_t) longest_wait_ms);
