--- a/bench/experts.c
+++ b/bench/experts.c
@@ -66,7 +66,7 @@
 static void
 make_shares (struct ash_random *random, uint32_t experts, double *shares)
 {
-  uint32_t order[ASH_EXPERTS_MAX];
+  uint32_t order[ASH_EXPERTS_MAX] = { 0 };
   double sum = 0;
 
   for (uint32_t e = 0; e < experts; e++)
@@ -142,15 +142,16 @@
   uint32_t moves = 0;
 
   /* Slots of a rank are alike: an expert that it held already is not moved. */
-  for (uint32_t s = 0; s < a->rank_count * a->rank_slots; s++)
-    {
-      uint32_t first = s / a->rank_slots * a->rank_slots;
-      bool had = false;
-
-      for (uint32_t i = first; i < first + a->rank_slots; i++)
-        had |= a->slots[i] == b->slots[s];
-      moves += !had;
-    }
+  for (uint32_t r = 0; r < a->rank_count; r++)
+    for (uint32_t i = 0; i < a->rank_slots; i++)
+      {
+        uint32_t first = r * a->rank_slots;
+        bool had = false;
+
+        for (uint32_t j = 0; j < a->rank_slots; j++)
+          had |= a->slots[first + j] == b->slots[first + i];
+        moves += !had;
+      }
   return moves;
 }
 
@@ -190,12 +191,12 @@
 {
   static double history[INTERVALS][ASH_EXPERTS_MAX];
   struct ash_random random;
-  struct popularity popularity;
+  struct popularity popularity = { 0 };
   struct ash_expert_placement placement = { .rank_count = size->ranks,
                                             .rank_slots = size->rank_slots,
                                             .expert_count = size->experts };
   struct ash_expert_policy policy;
-  double speeds[ASH_EXPERT_POLICY_RANKS_MAX];
+  double speeds[ASH_EXPERT_POLICY_RANKS_MAX] = { 0 };
 
   memset (result, 0, sizeof *result);
   ash_random_init (&random, 7 + (uint64_t) trace);
--- a/controllers/expert_policy.c
+++ b/controllers/expert_policy.c
@@ -191,7 +191,7 @@
               const double *speeds,
               const struct candidate *candidate)
 {
-  double ranks[ASH_EXPERT_POLICY_RANKS_MAX];
+  double ranks[ASH_EXPERT_POLICY_RANKS_MAX] = { 0 };
 
   memcpy (ranks, loads->ranks, placement->rank_count * sizeof ranks[0]);
   if (candidate->count == 1)
@@ -343,10 +343,10 @@
 static uint16_t
 heaviest (const struct loads *loads, uint32_t expert_count, const uint16_t *left)
 {
-  uint16_t found = 0;
+  uint32_t found = 0;
   double most = -1;
 
-  for (uint16_t e = 0; e < expert_count; e++)
+  for (uint32_t e = 0; e < expert_count; e++)
     {
       double share = loads->tokens[e] / loads->replicas[e];
 
@@ -355,7 +355,7 @@
       most = share;
       found = e;
     }
-  return found;
+  return (uint16_t) found;
 }
 
 static uint32_t
--- a/daemon/endpoint.c
+++ b/daemon/endpoint.c
@@ -38,10 +38,8 @@
 static void
 give_agent (struct endpoint *endpoint, Ash__Event__KindCase kind, const void *message)
 {
-  struct Ash__Event event = ASH__EVENT__INIT;
+  struct Ash__Event event = ash_event_of ("", kind, message);
 
-  event.kind_case = kind;
-  event.heartbeat = (void *) (uintptr_t) message;
   ash_agent_handle (&endpoint->agent, ash_clock_now (), &event);
 }
 
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -1,6 +1,7 @@
 #include "net/http_server.h"
 
 #include "common/clock.h"
+#include "net/bind.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -555,42 +556,12 @@
     shutdown (socket_of (conn->connection), SHUT_RDWR);
 }
 
-static int
-bind_listener (const char *text)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  uint16_t port;
-  char ip[16];
-  int fd;
-
-  if (!ash_address_parse (text, ip, &port))
-    {
-      errno = EINVAL;
-      return -1;
-    }
-  address.sin_port = htons (port);
-  inet_pton (AF_INET, ip, &address.sin_addr);
-  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd < 0)
-    return -1;
-  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &(int){ 1 }, sizeof (int));
-  if (bind (fd, (struct sockaddr *) &address, sizeof address) < 0)
-    {
-      int error = errno;
-
-      close (fd);
-      errno = error;
-      return -1;
-    }
-  return fd;
-}
-
 bool
 ash_http_server_init (struct ash_http_server *server, struct ev_loop *loop)
 {
   server->loop = loop;
   server->daemon = NULL;
-  server->listen_fd = bind_listener (server->settings->http_listen);
+  server->listen_fd = ash_bind (server->settings->http_listen);
   return server->listen_fd >= 0;
 }
 
--- a/net/peer.c
+++ b/net/peer.c
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 #include "common/id.h"
+#include "net/bind.h"
 #include "net/handshake.h"
 #include "net/lateness.h"
 
@@ -143,10 +144,8 @@
 static void
 send_message (struct ash_link *link, Ash__Event__KindCase kind, const void *message)
 {
-  struct Ash__Event event = ASH__EVENT__INIT;
+  struct Ash__Event event = ash_event_of ("", kind, message);
 
-  event.kind_case = kind;
-  event.heartbeat = (void *) (uintptr_t) message;
   send_event (link, &event);
 }
 
@@ -454,25 +453,13 @@
   send_message (link, ASH__EVENT__KIND_CHALLENGE, &challenge);
 }
 
-static bool
-socket_address (const char *text, struct sockaddr_in *address)
-{
-  char ip[16];
-  uint16_t port;
-
-  if (!ash_address_parse (text, ip, &port))
-    return false;
-  *address = (struct sockaddr_in){ .sin_family = AF_INET, .sin_port = htons (port) };
-  return inet_pton (AF_INET, ip, &address->sin_addr) == 1;
-}
-
 static void
 connect_dial (struct ash_peers *peers, struct ash_dial *dial)
 {
   struct sockaddr_in address;
   int fd;
 
-  if (!socket_address (dial->address, &address))
+  if (!ash_socket_address (dial->address, &address))
     return;
   fd = socket (AF_INET, SOCK_STREAM, 0);
   if (fd < 0)
@@ -534,37 +521,6 @@
     send_heartbeat (link);
 }
 
-static int
-listen_on (const char *text)
-{
-  struct sockaddr_in address;
-  int fd;
-
-  if (!socket_address (text, &address))
-    {
-      errno = EINVAL;
-      return -1;
-    }
-  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  if (fd < 0)
-    return -1;
-#ifdef SO_REUSEADDR
-  /* Past connections may still be in TIME_WAIT. Unlike SO_REUSEPORT this does
-   * not let two processes listen on one port. */
-  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &(int){ 1 }, sizeof (int));
-#endif
-  if (bind (fd, (struct sockaddr *) &address, sizeof address) < 0 ||
-      listen (fd, LISTEN_BACKLOG) < 0)
-    {
-      int error = errno;
-
-      close (fd);
-      errno = error;
-      return -1;
-    }
-  return fd;
-}
-
 bool
 ash_peers_init (struct ash_peers *peers, struct ev_loop *loop)
 {
@@ -573,8 +529,8 @@
   peers->loop = loop;
   peers->links = NULL;
   peers->dials = NULL;
-  peers->listen_fd = listen_on (peers->settings->peer_listen);
-  if (peers->listen_fd < 0)
+  peers->listen_fd = ash_bind (peers->settings->peer_listen);
+  if (peers->listen_fd < 0 || listen (peers->listen_fd, LISTEN_BACKLOG) < 0)
     return false;
   ash_random_init (&peers->random, peers->identity.incarnation);
   ev_io_init (&peers->listen_io, on_acceptable, peers->listen_fd, EV_READ);
--- a/proto/event.c
+++ b/proto/event.c
@@ -7,11 +7,8 @@
 
 #define WORD_BYTES 64
 
-void
-ash_emit (const struct ash_sink *sink,
-          const char *peer,
-          Ash__Event__KindCase kind,
-          const void *message)
+struct Ash__Event
+ash_event_of (const char *peer, Ash__Event__KindCase kind, const void *message)
 {
   struct Ash__Event event = ASH__EVENT__INIT;
 
@@ -19,6 +16,17 @@
   event.kind_case = kind;
   /* All members of the union are pointers to a message; kind tells which. */
   event.heartbeat = (void *) (uintptr_t) message;
+  return event;
+}
+
+void
+ash_emit (const struct ash_sink *sink,
+          const char *peer,
+          Ash__Event__KindCase kind,
+          const void *message)
+{
+  struct Ash__Event event = ash_event_of (peer, kind, message);
+
   sink->emit (sink->data, &event);
 }
 
--- a/proto/event.h
+++ b/proto/event.h
@@ -24,6 +24,9 @@
   void *data;
 };
 
+/** @return an event that holds @p message, of the type that @p kind names. */
+struct Ash__Event ash_event_of (const char *peer, Ash__Event__KindCase kind, const void *message);
+
 /** Gives @p message, of the type that @p kind names, to @p sink for box @p peer. */
 void ash_emit (const struct ash_sink *sink,
                const char *peer,
--- a/test/expert_schedule.c
+++ b/test/expert_schedule.c
@@ -11,19 +11,17 @@
 #include "common/random.h"
 #include "controllers/expert_change.h"
 #include "controllers/expert_rank.h"
+#include "test/workers.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 #define RANKS 4
 #define COORDINATORS 3
 #define STEPS_KEPT 512
 #define FRAMES_MAX 256
 #define EVENTS 500
-#define WORKERS 8
 #define LAST_ROUNDS 40
 
 static const char *const boxes[RANKS] = { "r0", "r1", "r2", "r3" };
@@ -54,15 +52,16 @@
   const char *broken;
 };
 
-struct totals
+enum total
 {
-  unsigned long done;
-  unsigned long failed;
-  unsigned long steps;
-  unsigned long replaced;
+  TOTAL_DONE,
+  TOTAL_FAILED,
+  TOTAL_STEPS,
+  TOTAL_REPLACED,
+  TOTAL_COUNT,
 };
 
-static struct totals totals;
+static unsigned long totals[TOTAL_COUNT];
 
 static uint32_t
 pick (struct world *world, uint32_t bound)
@@ -111,13 +110,10 @@
 static void
 trace (const struct world *world, const char *to, Ash__Event__KindCase kind, const void *message)
 {
-  struct Ash__Event event = ASH__EVENT__INIT;
+  struct Ash__Event event = ash_event_of (to, kind, message);
 
   if (!world->traced)
     return;
-  event.peer = ash_text (to);
-  event.kind_case = kind;
-  event.heartbeat = (void *) (uintptr_t) message;
   fprintf (stderr, "%" PRId64 " ", world->now.ms);
   ash_event_print (&event, stderr);
   fputc ('\n', stderr);
@@ -140,8 +136,8 @@
   world->sender = frame->coordinator;
   trace (world, names[frame->coordinator], ASH__EVENT__KIND_RANK_STATE, &frame->state);
   ash_expert_change_take (change, world->now, &frame->state);
-  totals.done += before != ASH_EXPERT_DONE && change->phase == ASH_EXPERT_DONE;
-  totals.failed += before != ASH_EXPERT_FAILED && change->phase == ASH_EXPERT_FAILED;
+  totals[TOTAL_DONE] += before != ASH_EXPERT_DONE && change->phase == ASH_EXPERT_DONE;
+  totals[TOTAL_FAILED] += before != ASH_EXPERT_FAILED && change->phase == ASH_EXPERT_FAILED;
 }
 
 static void
@@ -186,7 +182,7 @@
   if (!ash_expert_rank_may_begin (rank) || !is_behind (world, r) || rank->begun + 1 >= STEPS_KEPT)
     return;
   map = ash_expert_rank_begin (rank);
-  totals.steps++;
+  totals[TOTAL_STEPS]++;
   if (world->traced)
     fprintf (stderr, "%" PRId64 " %s begins step %" PRIu64 " with map %" PRIu64 "\n", world->now.ms,
              boxes[r], rank->begun, map);
@@ -206,7 +202,7 @@
       return;
   ash_expert_rank_init_blank (&world->ranks[r], "g", (uint32_t) r, ++world->lives);
   memset (world->used[r], 0, sizeof world->used[r]);
-  totals.replaced++;
+  totals[TOTAL_REPLACED]++;
 }
 
 /* A coordinator that forgets all, and its ballots. */
@@ -242,7 +238,8 @@
 
   world->sender = c;
   ash_expert_change_tick (&world->changes[c], world->now);
-  totals.failed += before != ASH_EXPERT_FAILED && world->changes[c].phase == ASH_EXPERT_FAILED;
+  totals[TOTAL_FAILED] +=
+      before != ASH_EXPERT_FAILED && world->changes[c].phase == ASH_EXPERT_FAILED;
 }
 
 static void
@@ -305,13 +302,13 @@
 }
 
 static const char *
-run_schedule (uint64_t seed, bool traced)
+run_schedule (uint64_t seed, int traced)
 {
   struct world *world = calloc (1, sizeof *world);
   const char *broken;
 
   ash_random_init (&world->random, seed);
-  world->traced = traced;
+  world->traced = traced != 0;
   world->lives = 1;
   world->maps = 1;
   for (int r = 0; r < RANKS; r++)
@@ -328,53 +325,13 @@
   return broken;
 }
 
-static int
-run_worker (uint64_t first, uint64_t count, int out)
-{
-  for (uint64_t seed = first; seed < first + count; seed++)
-    {
-      const char *broken = run_schedule (seed, false);
-
-      if (!broken)
-        continue;
-      fprintf (stderr, "seed %" PRIu64 ": %s\n", seed, broken);
-      run_schedule (seed, true);
-      return EXIT_FAILURE;
-    }
-  return write (out, &totals, sizeof totals) == sizeof totals ? EXIT_SUCCESS : EXIT_FAILURE;
-}
-
 int
 main (int argc, char **argv)
 {
-  uint64_t count = argc > 1 ? strtoull (argv[1], NULL, 10) : 100000;
-  uint64_t first = argc > 2 ? strtoull (argv[2], NULL, 10) : 1;
-  uint64_t share = (count + WORKERS - 1) / WORKERS;
-  struct totals sum = { 0 };
-  int ends[2];
-  int failures = 0;
-  int status;
-
-  if (pipe (ends) < 0)
-    return EXIT_FAILURE;
-  for (uint64_t i = 0; i < WORKERS; i++)
-    if (fork () == 0)
-      _exit (run_worker (first + i * share, share, ends[1]));
-  for (int i = 0; i < WORKERS; i++)
-    {
-      wait (&status);
-      failures += status != 0;
-    }
-  close (ends[1]);
-  for (struct totals part; read (ends[0], &part, sizeof part) == sizeof part;)
-    {
-      sum.done += part.done;
-      sum.failed += part.failed;
-      sum.steps += part.steps;
-      sum.replaced += part.replaced;
-    }
-  printf ("schedules: %" PRIu64 " from seed %" PRIu64 ": %lu changes done, %lu given up, %lu steps "
-          "begun, %lu ranks replaced; %d of %d workers found a broken promise\n",
-          share * WORKERS, first, sum.done, sum.failed, sum.steps, sum.replaced, failures, WORKERS);
+  const struct workers workers = { run_schedule, totals, TOTAL_COUNT };
+  int failures = workers_run (&workers, argc, argv);
+
+  printf ("%lu changes done, %lu given up, %lu steps begun, %lu ranks replaced\n",
+          totals[TOTAL_DONE], totals[TOTAL_FAILED], totals[TOTAL_STEPS], totals[TOTAL_REPLACED]);
   return failures ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/test/schedule.c
+++ b/test/schedule.c
@@ -8,12 +8,10 @@
  * A failing seed prints its sessions as golden files and exits 1.
  */
 #include "test/session.h"
+#include "test/workers.h"
 
-#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/wait.h>
-#include <unistd.h>
 #include <utlist.h>
 
 #define ENTRIES 2
@@ -21,7 +19,6 @@
 #define KEYS 2
 #define CALLS_MAX 24
 #define RUNS_MAX 64
-#define WORKERS 8
 #define PIECES 3
 #define STEPS 200
 #define FRAMES_MAX 100
@@ -123,17 +120,18 @@
   const char *broken;
 };
 
-struct totals
+enum total
 {
-  unsigned long calls;
-  unsigned long ran;
-  unsigned long not_run;
-  unsigned long unknown;
-  unsigned long lost;
-  unsigned long runs;
+  TOTAL_CALLS,
+  TOTAL_RAN,
+  TOTAL_NOT_RUN,
+  TOTAL_UNKNOWN,
+  TOTAL_LOST,
+  TOTAL_RUNS,
+  TOTAL_COUNT,
 };
 
-static struct totals totals;
+static unsigned long totals[TOTAL_COUNT];
 static const char *const entry_names[ENTRIES] = { "e0", "e1" };
 static const char *const agent_names[AGENTS] = { "a0", "a1" };
 
@@ -221,11 +219,8 @@
                 Ash__Event__KindCase kind,
                 const void *message)
 {
-  struct Ash__Event event = ASH__EVENT__INIT;
+  struct Ash__Event event = ash_event_of (peer, kind, message);
 
-  event.peer = ash_text (peer);
-  event.kind_case = kind;
-  event.heartbeat = (void *) (uintptr_t) message;
   append (wire, queue, INT64_MAX, &event);
 }
 
@@ -1007,23 +1002,23 @@
 static void
 count_calls (const struct world *world)
 {
-  totals.runs += world->run_count;
+  totals[TOTAL_RUNS] += world->run_count;
   for (unsigned i = 0; i < world->call_count; i++)
     {
       const struct call *call = &world->calls[i];
 
-      totals.calls++;
-      totals.lost += !call->ended;
-      totals.ran += call->ended && call->outcome == ASH__OUTCOME__RAN;
-      totals.not_run += call->ended && call->outcome == ASH__OUTCOME__NOT_RUN;
-      totals.unknown += call->ended && call->outcome == ASH__OUTCOME__UNKNOWN;
+      totals[TOTAL_CALLS]++;
+      totals[TOTAL_LOST] += !call->ended;
+      totals[TOTAL_RAN] += call->ended && call->outcome == ASH__OUTCOME__RAN;
+      totals[TOTAL_NOT_RUN] += call->ended && call->outcome == ASH__OUTCOME__NOT_RUN;
+      totals[TOTAL_UNKNOWN] += call->ended && call->outcome == ASH__OUTCOME__UNKNOWN;
     }
 }
 
 static const char *
-run_schedule (uint64_t seed, bool record)
+run_schedule (uint64_t seed, int record)
 {
-  struct world *world = new_world (seed, record);
+  struct world *world = new_world (seed, record != 0);
   const char *broken;
 
   for (unsigned i = 0; i < STEPS && !world->broken; i++)
@@ -1036,57 +1031,15 @@
   return broken;
 }
 
-static int
-run_worker (uint64_t first, uint64_t count, int out)
-{
-  for (uint64_t seed = first; seed < first + count; seed++)
-    {
-      const char *broken = run_schedule (seed, false);
-
-      if (!broken)
-        continue;
-      fprintf (stderr, "seed %llu: %s\n", (unsigned long long) seed, broken);
-      run_schedule (seed, true);
-      return EXIT_FAILURE;
-    }
-  return write (out, &totals, sizeof totals) == sizeof totals ? EXIT_SUCCESS : EXIT_FAILURE;
-}
-
 int
 main (int argc, char **argv)
 {
-  uint64_t count = argc > 1 ? strtoull (argv[1], NULL, 10) : 100000;
-  uint64_t first = argc > 2 ? strtoull (argv[2], NULL, 10) : 1;
-  uint64_t share = (count + WORKERS - 1) / WORKERS;
-  struct totals sum = { 0 };
-  int ends[2];
-  int failures = 0;
-  int status;
-
-  if (pipe (ends) < 0)
-    return EXIT_FAILURE;
-  for (uint64_t i = 0; i < WORKERS; i++)
-    if (fork () == 0)
-      _exit (run_worker (first + i * share, share, ends[1]));
-  for (int i = 0; i < WORKERS; i++)
-    {
-      wait (&status);
-      failures += status != 0;
-    }
-  close (ends[1]);
-  for (struct totals part; read (ends[0], &part, sizeof part) == sizeof part;)
-    {
-      sum.calls += part.calls;
-      sum.ran += part.ran;
-      sum.not_run += part.not_run;
-      sum.unknown += part.unknown;
-      sum.lost += part.lost;
-      sum.runs += part.runs;
-    }
-  printf ("schedules: %" PRIu64 " from seed %" PRIu64
-          ": %lu calls, %lu ran, %lu not run, %lu unknown, %lu "
-          "without an answer (entry died), %lu runs; %d of %d workers found a broken promise\n",
-          share * WORKERS, first, sum.calls, sum.ran, sum.not_run, sum.unknown, sum.lost, sum.runs,
-          failures, WORKERS);
+  const struct workers workers = { run_schedule, totals, TOTAL_COUNT };
+  int failures = workers_run (&workers, argc, argv);
+
+  printf ("%lu calls, %lu ran, %lu not run, %lu unknown, %lu without an answer (entry died), %lu "
+          "runs\n",
+          totals[TOTAL_CALLS], totals[TOTAL_RAN], totals[TOTAL_NOT_RUN], totals[TOTAL_UNKNOWN],
+          totals[TOTAL_LOST], totals[TOTAL_RUNS]);
   return failures ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/test/session.c
+++ b/test/session.c
@@ -72,11 +72,8 @@
                       Ash__Event__KindCase kind,
                       const void *message)
 {
-  struct Ash__Event event = ASH__EVENT__INIT;
+  struct Ash__Event event = ash_event_of (peer, kind, message);
 
-  event.peer = ash_text (peer);
-  event.kind_case = kind;
-  event.heartbeat = (void *) (uintptr_t) message;
   session_give (session, now, &event);
 }
 
