--- a/controllers/agent.c
+++ b/controllers/agent.c
@@ -1,29 +1,17 @@
 #include "controllers/agent.h"
 
+#include "controllers/agent_admit.h"
+#include "controllers/agent_tell.h"
+
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
 
-/* Largest piece of an answer in one message. */
-#define DATA_MAX_BYTES 65536
-
 /* New runs count an eighth in the smoothed time. */
 #define SMOOTHING_SHIFT 3
 #define US_PER_MS 1000
 
-/* What Submit and Resume have in common: who asks for which request. */
-struct asker
-{
-  const char *peer;
-  struct ash_id id;
-  uint64_t attempt;
-  uint32_t caller_attempt;
-  bool keyed;
-  bool minted;
-  bool no_repeat;
-};
-
 void
 ash_agent_init (struct ash_agent *agent,
                 const struct ash_settings *settings,
@@ -64,90 +52,6 @@
   heartbeat->step_us = agent->service_us;
 }
 
-/* ---- what is told to an entry ---- */
-
-static void
-tell_refused (struct ash_agent *agent, const struct asker *asker, int reason, int outcome)
-{
-  struct Ash__Refused refused = ASH__REFUSED__INIT;
-  uint32_t base_ms = agent->settings->retry_after_ms;
-
-  refused.id_hi = asker->id.hi;
-  refused.id_lo = asker->id.lo;
-  refused.incarnation = agent->incarnation;
-  refused.attempt = asker->attempt;
-  refused.reason = (Ash__Reason) reason;
-  refused.outcome = (Ash__Outcome) outcome;
-  /* Spread, so that those refused together do not return together. */
-  refused.retry_ms = base_ms + ash_random_below (&agent->random, base_ms);
-  ash_emit (&agent->sink, asker->peer, ASH__EVENT__KIND_REFUSED, &refused);
-}
-
-static void
-tell_head (struct ash_agent *agent,
-           const struct ash_record *record,
-           const char *peer,
-           uint64_t attempt)
-{
-  struct Ash__Head head = ASH__HEAD__INIT;
-
-  head.id_hi = record->id.hi;
-  head.id_lo = record->id.lo;
-  head.incarnation = agent->incarnation;
-  head.attempt = attempt;
-  head.status = record->answer.status;
-  head.content_type = record->answer.content_type ? record->answer.content_type : ash_text ("");
-  head.wait_ms = record->wait_ms;
-  ash_emit (&agent->sink, peer, ASH__EVENT__KIND_HEAD, &head);
-}
-
-/* Sends the kept bytes from that offset on. */
-static void
-tell_data (struct ash_agent *agent,
-           const struct ash_record *record,
-           const char *peer,
-           uint64_t attempt,
-           uint64_t offset)
-{
-  struct Ash__Data data = ASH__DATA__INIT;
-  uint64_t end = record->answer.base + record->answer.length;
-
-  data.id_hi = record->id.hi;
-  data.id_lo = record->id.lo;
-  data.incarnation = agent->incarnation;
-  data.attempt = attempt;
-  while (offset < end)
-    {
-      size_t length = end - offset < DATA_MAX_BYTES ? end - offset : DATA_MAX_BYTES;
-
-      data.offset = offset;
-      data.bytes.data = record->answer.bytes + (offset - record->answer.base);
-      data.bytes.len = length;
-      ash_emit (&agent->sink, peer, ASH__EVENT__KIND_DATA, &data);
-      offset += length;
-    }
-}
-
-static void
-tell_end (struct ash_agent *agent,
-          const struct ash_record *record,
-          const char *peer,
-          uint64_t attempt,
-          bool whole,
-          int reason)
-{
-  struct Ash__End end = ASH__END__INIT;
-
-  end.id_hi = record->id.hi;
-  end.id_lo = record->id.lo;
-  end.incarnation = agent->incarnation;
-  end.attempt = attempt;
-  end.length = record->answer.base + record->answer.length;
-  end.whole = whole;
-  end.reason = (Ash__Reason) reason;
-  ash_emit (&agent->sink, peer, ASH__EVENT__KIND_END, &end);
-}
-
 /* ---- endings ---- */
 
 static struct ash_time
@@ -157,40 +61,6 @@
                        record->keyed ? agent->settings->key_life_ms : agent->settings->id_life_ms);
 }
 
-static int64_t
-age_ms (const struct ash_agent *agent, struct ash_time now)
-{
-  return ash_time_diff (agent->born, now);
-}
-
-/* Whether a caller's first attempt may have been sent before this life began:
- * it may be on its way to the entry for guard_ms, and from there for as long
- * as a link may be silent. */
-static bool
-is_guarded (const struct ash_agent *agent, struct ash_time now)
-{
-  return age_ms (agent, now) < agent->settings->guard_ms + agent->settings->link_silence_ms;
-}
-
-/* Whether this life can know of every earlier attempt of the request. Requests
- * without a key have only the one that is asked about. */
-static bool
-knows_all_attempts (const struct ash_agent *agent, struct ash_time now, const struct asker *asker)
-{
-  if (!asker->keyed || asker->minted || asker->caller_attempt == 1)
-    return true;
-  return age_ms (agent, now) >= agent->settings->key_life_ms;
-}
-
-/* Up to which of the caller's attempts a refusal holds. Where the caller has
- * not said which one this is, any other may be an earlier one that is still
- * under way: then it holds for all, and the key is used up. */
-static uint32_t
-refused_upto (const struct asker *asker)
-{
-  return asker->caller_attempt ? asker->caller_attempt : UINT32_MAX;
-}
-
 /* Writes the refusal into the ledger, then tells every entry that waits. */
 static void
 refuse_record (struct ash_agent *agent,
@@ -210,9 +80,11 @@
                  outcome);
   while ((watcher = record->watchers))
     {
-      struct asker asker = { .peer = watcher->peer, .id = record->id, .attempt = watcher->attempt };
+      struct ash_asker asker = { .peer = watcher->peer,
+                                 .id = record->id,
+                                 .attempt = watcher->attempt };
 
-      tell_refused (agent, &asker, reason, outcome);
+      ash_agent_tell_refused (agent, &asker, reason, outcome);
       ash_record_unwatch (record, watcher);
     }
 }
@@ -233,7 +105,7 @@
   ash_ledger_end (&agent->ledger, record, ASH_RECORD_FINISHED, expiry (agent, now, record));
   while ((watcher = record->watchers))
     {
-      tell_end (agent, record, watcher->peer, watcher->attempt, whole, reason);
+      ash_agent_tell_end (agent, record, watcher->peer, watcher->attempt, whole, reason);
       ash_record_unwatch (record, watcher);
     }
 }
@@ -253,16 +125,6 @@
 
 /* ---- starting ---- */
 
-static uint32_t
-slots (const struct ash_agent *agent)
-{
-  const struct ash_endpoint *endpoint =
-      agent->config.ready ? ash_document_endpoint (&agent->config.document, agent->settings->box)
-                          : NULL;
-
-  return endpoint ? endpoint->slots : agent->settings->slots;
-}
-
 static void
 start_run (struct ash_agent *agent, struct ash_time now, struct ash_record *record)
 {
@@ -291,7 +153,7 @@
 static void
 start_queued (struct ash_agent *agent, struct ash_time now)
 {
-  while (agent->ledger.queued && agent->ledger.running_count < slots (agent))
+  while (agent->ledger.queued && agent->ledger.running_count < ash_agent_slots (agent))
     {
       struct ash_record *record = agent->ledger.queued;
 
@@ -302,62 +164,11 @@
     }
 }
 
-/* How long a new request of that priority would wait, as far as can be told. */
-static int64_t
-expected_wait_ms (const struct ash_agent *agent, uint32_t priority)
-{
-  const struct ash_record *record;
-  int64_t ahead = 1;
-
-  if (agent->ledger.running_count < slots (agent))
-    return 0;
-  DL_FOREACH (agent->ledger.queued, record)
-  if (record->priority <= priority)
-    ahead++;
-  return ahead * agent->service_us / US_PER_MS / slots (agent);
-}
-
 /* ---- Submit ---- */
 
-/* Why a request that the ledger does not hold can't be taken, or REASON_NONE. */
-static int
-admission (const struct ash_agent *agent,
-           struct ash_time now,
-           const struct asker *asker,
-           const struct Ash__Submit *submit)
-{
-  const struct ash_endpoint *home;
-
-  if (agent->leaving)
-    return ASH__REASON__LEAVING;
-  if (asker->keyed && asker->no_repeat)
-    {
-      if (!knows_all_attempts (agent, now, asker))
-        return ASH__REASON__NEW_LIFE;
-      /* A later attempt may have run in the life before. */
-      if (!asker->minted && is_guarded (agent, now))
-        return ASH__REASON__NEW_LIFE;
-      home = agent->config.ready
-                 ? ash_document_home (&agent->config.document, submit->service, asker->id)
-                 : NULL;
-      if (home && !asker->minted && !submit->moved &&
-          submit->revision <= agent->config.document.revision &&
-          strcmp (home->name, agent->settings->box) != 0)
-        return ASH__REASON__NOT_HOME;
-    }
-  if (agent->ledger.count >= agent->settings->ledger_max)
-    return ASH__REASON__OVERLOAD;
-  if (agent->ledger.queued_count >= agent->settings->queue_max &&
-      agent->ledger.running_count >= slots (agent))
-    return ASH__REASON__OVERLOAD;
-  if (expected_wait_ms (agent, submit->priority) > submit->budget_ms)
-    return ASH__REASON__OVERLOAD;
-  return ASH__REASON__REASON_NONE;
-}
-
 /* A record for the asker, or NULL if nothing can be written any more. */
 static struct ash_record *
-write_record (struct ash_agent *agent, const struct asker *asker)
+write_record (struct ash_agent *agent, const struct ash_asker *asker)
 {
   struct ash_record *record;
 
@@ -375,11 +186,11 @@
 static void
 refuse_asker (struct ash_agent *agent,
               struct ash_time now,
-              const struct asker *asker,
+              const struct ash_asker *asker,
               struct ash_record *record,
               int reason)
 {
-  bool known = knows_all_attempts (agent, now, asker);
+  bool known = ash_agent_knows_all (agent, now, asker);
 
   /* Who is not the home can't know what the home has done with other attempts. */
   if (reason == ASH__REASON__NOT_HOME)
@@ -391,11 +202,11 @@
     {
       /* A refusal that can't be written must not be told as "not run". */
       ash_log_event (&agent->log, ASH_EV_LEDGER_FULL, "count=%u", agent->ledger.count);
-      tell_refused (agent, asker, ASH__REASON__OVERLOAD, ASH__OUTCOME__UNKNOWN);
+      ash_agent_tell_refused (agent, asker, ASH__REASON__OVERLOAD, ASH__OUTCOME__UNKNOWN);
       return;
     }
-  if (record->refused_upto < refused_upto (asker))
-    record->refused_upto = refused_upto (asker);
+  if (record->refused_upto < ash_asker_covers (asker))
+    record->refused_upto = ash_asker_covers (asker);
   ash_record_watch (record, asker->peer, asker->attempt);
   refuse_record (agent, now, record, reason, known ? ASH__OUTCOME__NOT_RUN : ASH__OUTCOME__UNKNOWN);
 }
@@ -403,32 +214,33 @@
 /* Tells a refusal that is in the ledger; what it covers grows with each attempt
  * that is told. */
 static void
-refuse_again (struct ash_agent *agent, const struct asker *asker, struct ash_record *record)
+refuse_again (struct ash_agent *agent, const struct ash_asker *asker, struct ash_record *record)
 {
-  if (record->refused_upto < refused_upto (asker))
-    record->refused_upto = refused_upto (asker);
-  tell_refused (agent, asker, ASH__REASON__REFUSED_BEFORE, record->outcome);
+  if (record->refused_upto < ash_asker_covers (asker))
+    record->refused_upto = ash_asker_covers (asker);
+  ash_agent_tell_refused (agent, asker, ASH__REASON__REFUSED_BEFORE, record->outcome);
 }
 
 /* The ledger holds the request: hand over what there is, and what follows. */
 static void
 attach (struct ash_agent *agent,
         struct ash_record *record,
-        const struct asker *asker,
+        const struct ash_asker *asker,
         uint64_t offset)
 {
   if (offset < record->answer.base || offset > record->answer.base + record->answer.length)
     {
-      tell_end (agent, record, asker->peer, asker->attempt, false, ASH__REASON__ANSWER_GONE);
+      ash_agent_tell_end (agent, record, asker->peer, asker->attempt, false,
+                          ASH__REASON__ANSWER_GONE);
       return;
     }
   if (record->state != ASH_RECORD_FINISHED)
     ash_record_watch (record, asker->peer, asker->attempt);
   if (record->answer.status)
-    tell_head (agent, record, asker->peer, asker->attempt);
-  tell_data (agent, record, asker->peer, asker->attempt, offset);
+    ash_agent_tell_head (agent, record, asker->peer, asker->attempt);
+  ash_agent_tell_data (agent, record, asker->peer, asker->attempt, offset);
   if (record->state == ASH_RECORD_FINISHED)
-    tell_end (agent, record, asker->peer, asker->attempt, record->whole, record->reason);
+    ash_agent_tell_end (agent, record, asker->peer, asker->attempt, record->whole, record->reason);
 }
 
 static struct Ash__Submit *
@@ -449,11 +261,11 @@
 static void
 admit (struct ash_agent *agent,
        struct ash_time now,
-       const struct asker *asker,
+       const struct ash_asker *asker,
        struct ash_record *record,
        const struct Ash__Submit *submit)
 {
-  int reason = admission (agent, now, asker, submit);
+  int reason = ash_agent_admission (agent, now, asker, submit);
 
   if (reason != ASH__REASON__REASON_NONE)
     {
@@ -474,8 +286,8 @@
   record->deadline = ash_time_add (now, submit->budget_ms);
   /* Should it have to be refused from the queue, this is what can be said. */
   record->outcome =
-      knows_all_attempts (agent, now, asker) ? ASH__OUTCOME__NOT_RUN : ASH__OUTCOME__UNKNOWN;
-  record->refused_upto = refused_upto (asker);
+      ash_agent_knows_all (agent, now, asker) ? ASH__OUTCOME__NOT_RUN : ASH__OUTCOME__UNKNOWN;
+  record->refused_upto = ash_asker_covers (asker);
   ash_record_watch (record, asker->peer, asker->attempt);
   ash_ledger_queue (&agent->ledger, record);
   start_queued (agent, now);
@@ -487,7 +299,7 @@
                const char *peer,
                const struct Ash__Submit *submit)
 {
-  struct asker asker = {
+  struct ash_asker asker = {
     .peer = peer,
     .id = { submit->id_hi, submit->id_lo },
     .attempt = submit->attempt,
@@ -502,7 +314,7 @@
     {
       /* Every copy names that earlier life, so none can run here: nothing needs
        * to be written. But the life it was meant for may have run it. */
-      tell_refused (agent, &asker, ASH__REASON__STALE_INCARNATION, ASH__OUTCOME__UNKNOWN);
+      ash_agent_tell_refused (agent, &asker, ASH__REASON__STALE_INCARNATION, ASH__OUTCOME__UNKNOWN);
       return;
     }
   if (!record)
@@ -515,8 +327,8 @@
       /* The same frame again: its answer is on its way already. */
       if (ash_record_watcher (record, peer, asker.attempt))
         return;
-      if (record->refused_upto < refused_upto (&asker))
-        record->refused_upto = refused_upto (&asker);
+      if (record->refused_upto < ash_asker_covers (&asker))
+        record->refused_upto = ash_asker_covers (&asker);
       attach (agent, record, &asker, 0);
     }
   else if (record->keyed && !record->disowned && asker.caller_attempt > record->refused_upto)
@@ -544,7 +356,7 @@
                const char *peer,
                const struct Ash__Resume *resume)
 {
-  struct asker asker = {
+  struct ash_asker asker = {
     .peer = peer,
     .id = { resume->id_hi, resume->id_lo },
     .attempt = resume->attempt,
@@ -556,9 +368,9 @@
   struct ash_record *record = ash_ledger_find (&agent->ledger, asker.id);
 
   if (resume->incarnation != agent->incarnation)
-    tell_refused (agent, &asker, ASH__REASON__STALE_INCARNATION, ASH__OUTCOME__UNKNOWN);
+    ash_agent_tell_refused (agent, &asker, ASH__REASON__STALE_INCARNATION, ASH__OUTCOME__UNKNOWN);
   else if (!record && !remembers (agent, resume))
-    tell_refused (agent, &asker, ASH__REASON__ANSWER_GONE, ASH__OUTCOME__UNKNOWN);
+    ash_agent_tell_refused (agent, &asker, ASH__REASON__ANSWER_GONE, ASH__OUTCOME__UNKNOWN);
   else if (!record)
     refuse_asker (agent, now, &asker, NULL, ASH__REASON__NOT_RECEIVED);
   else if (record->state == ASH_RECORD_REFUSED)
@@ -637,7 +449,7 @@
                const char *peer,
                const struct Ash__Disown *disown)
 {
-  struct asker asker = { .peer = peer, .id = { disown->id_hi, disown->id_lo }, .keyed = true };
+  struct ash_asker asker = { .peer = peer, .id = { disown->id_hi, disown->id_lo }, .keyed = true };
   struct ash_record *record = ash_ledger_find (&agent->ledger, asker.id);
   struct Ash__Disowned disowned = ASH__DISOWNED__INIT;
 
@@ -659,8 +471,8 @@
   disowned.id_lo = disown->id_lo;
   disowned.incarnation = agent->incarnation;
   disowned.attempt = disown->attempt;
-  disowned.unsure = age_ms (agent, now) < agent->settings->key_life_ms;
-  disowned.guarded = is_guarded (agent, now);
+  disowned.unsure = ash_agent_age_ms (agent, now) < agent->settings->key_life_ms;
+  disowned.guarded = ash_agent_guarded (agent, now);
   disowned.refused_upto = record ? record->refused_upto : 0;
   ash_emit (&agent->sink, peer, ASH__EVENT__KIND_DISOWNED, &disowned);
 }
@@ -676,7 +488,7 @@
   record->answer.status = head->status;
   record->answer.content_type = strdup (head->content_type);
   LL_FOREACH (record->watchers, watcher)
-  tell_head (agent, record, watcher->peer, watcher->attempt);
+  ash_agent_tell_head (agent, record, watcher->peer, watcher->attempt);
 }
 
 static void
@@ -698,7 +510,7 @@
       return;
     }
   LL_FOREACH (record->watchers, watcher)
-  tell_data (agent, record, watcher->peer, watcher->attempt, offset);
+  ash_agent_tell_data (agent, record, watcher->peer, watcher->attempt, offset);
 }
 
 static void
--- /dev/null
+++ b/controllers/agent_admit.h
@@ -0,0 +1,34 @@
+/**
+ * @file
+ * What an agent may take, and what a life can know of a request's earlier
+ * attempts. Part of the agent's core.
+ */
+#ifndef ASH_AGENT_ADMIT_H
+#define ASH_AGENT_ADMIT_H
+
+#include "controllers/agent_tell.h"
+
+/** @return how long this life has lasted, in milliseconds. */
+int64_t ash_agent_age_ms (const struct ash_agent *agent, struct ash_time now);
+
+/** @return whether a caller's first attempt may have been sent before this life began. */
+bool ash_agent_guarded (const struct ash_agent *agent, struct ash_time now);
+
+/** @return whether this life can know of every earlier attempt of the request. */
+bool ash_agent_knows_all (const struct ash_agent *agent,
+                          struct ash_time now,
+                          const struct ash_asker *asker);
+
+/** @return up to which of the caller's attempts a refusal told to the asker holds. */
+uint32_t ash_asker_covers (const struct ash_asker *asker);
+
+/** @return how many requests the engine works on at once. */
+uint32_t ash_agent_slots (const struct ash_agent *agent);
+
+/** @return why a request that the ledger does not hold can't be taken, or REASON_NONE. */
+int ash_agent_admission (const struct ash_agent *agent,
+                         struct ash_time now,
+                         const struct ash_asker *asker,
+                         const struct Ash__Submit *submit);
+
+#endif
--- a/filters/entry.c
+++ b/filters/entry.c
@@ -1,4 +1,6 @@
 #include "filters/entry.h"
+
+#include "filters/attempt.h"
 #include "filters/route.h"
 
 #include <stdlib.h>
@@ -69,65 +71,6 @@
   return ash_route_choose (&entry->context, service, choice);
 }
 
-/* ---- attempts ---- */
-
-static struct ash_request *
-find_attempt (const struct ash_entry *entry, uint64_t attempt)
-{
-  struct ash_request *request;
-
-  HASH_FIND (hh_attempt, entry->by_attempt, &attempt, sizeof attempt, request);
-  return request;
-}
-
-/* From now on frames of the present attempt are not for this request. */
-static void
-unbind (struct ash_entry *entry, struct ash_request *request)
-{
-  struct ash_box *box;
-
-  if (!request->attempt)
-    return;
-  HASH_DELETE (hh_attempt, entry->by_attempt, request);
-  request->attempt = 0;
-  box = ash_membership_find (&entry->membership, request->box);
-  if (box && box->in_flight)
-    box->in_flight--;
-}
-
-static void
-bind_new (struct ash_entry *entry, struct ash_request *request)
-{
-  struct ash_box *box = ash_membership_find (&entry->membership, request->box);
-
-  request->attempt = ++entry->last_attempt;
-  HASH_ADD (hh_attempt, entry->by_attempt, attempt, sizeof request->attempt, request);
-  if (box)
-    box->in_flight++;
-}
-
-static bool
-is_linked (const struct ash_entry *entry, const char *name)
-{
-  const struct ash_box *box = ash_membership_find (&entry->membership, name);
-
-  return box && box->linked;
-}
-
-static void
-send_cancel (struct ash_entry *entry, const struct ash_request *request)
-{
-  struct Ash__Cancel cancel = ASH__CANCEL__INIT;
-
-  if (request->state != ASH_REQUEST_SENT || !is_linked (entry, request->box))
-    return;
-  cancel.id_hi = request->id.hi;
-  cancel.id_lo = request->id.lo;
-  cancel.incarnation = request->incarnation;
-  cancel.attempt = request->attempt;
-  ash_emit (&entry->sink, request->box, ASH__EVENT__KIND_CANCEL, &cancel);
-}
-
 /* ---- the end of a request ---- */
 
 static void
@@ -164,7 +107,7 @@
 static void
 forget (struct ash_entry *entry, struct ash_request *request)
 {
-  unbind (entry, request);
+  ash_attempt_unbind (entry, request);
   HASH_DEL (entry->by_call, request);
   free_request (request);
 }
@@ -236,52 +179,19 @@
 
 /* ---- sending ---- */
 
-static void
-send_submit (struct ash_entry *entry, struct ash_time now, struct ash_request *request)
-{
-  struct Ash__Submit *submit = request->submit;
-  int64_t left_ms = ash_time_diff (now, request->deadline);
-  char id[ASH_ID_TEXT_BYTES];
-
-  if (request->tries < ASH_REQUEST_TRIES_MAX)
-    strcpy (request->tried[request->tries], request->box);
-  request->tries++;
-  bind_new (entry, request);
-  request->state = ASH_REQUEST_SENT;
-  request->sent = now;
-  submit->id_hi = request->id.hi;
-  submit->id_lo = request->id.lo;
-  submit->incarnation = request->incarnation;
-  submit->attempt = request->attempt;
-  submit->caller_attempt = request->caller_attempt;
-  submit->keyed = request->keyed;
-  submit->minted = request->minted;
-  submit->no_repeat = request->no_repeat;
-  submit->stream = request->stream;
-  submit->moved = request->moved;
-  submit->priority = request->priority;
-  submit->revision = entry->config.document.revision;
-  submit->budget_ms =
-      (uint32_t) (left_ms > 2 * ASH_ENTRY_MARGIN_MS ? left_ms - ASH_ENTRY_MARGIN_MS : left_ms / 2);
-  ash_emit (&entry->sink, request->box, ASH__EVENT__KIND_SUBMIT, submit);
-  ash_id_format (request->id, id);
-  ash_log_event (&entry->log, ASH_EV_REQUEST_SENT, "id=%s endpoint=%s attempt=%llu", id,
-                 request->box, (unsigned long long) request->attempt);
-}
-
 static void
 send_disowns (struct ash_entry *entry, struct ash_time now, struct ash_request *request)
 {
   struct Ash__Disown disown = ASH__DISOWN__INIT;
 
   for (uint32_t i = 0; i < request->asked_count; i++)
-    if (!is_linked (entry, request->asked[i]))
+    if (!ash_entry_linked (entry, request->asked[i]))
       {
         give_up (entry, now, request, ASH__REASON__NOT_HOME, unsent_outcome (request), 0);
         return;
       }
   request->state = ASH_REQUEST_DISOWNING;
-  bind_new (entry, request);
+  ash_attempt_bind (entry, request);
   disown.id_hi = request->id.hi;
   disown.id_lo = request->id.lo;
   disown.attempt = request->attempt;
@@ -317,7 +227,7 @@
       give_up (entry, now, request, reason, outcome, retry_ms);
       return;
     }
-  unbind (entry, request);
+  ash_attempt_unbind (entry, request);
   if (!ash_route_choose (&entry->context, request->submit->service, request))
     {
       give_up (entry, now, request, reason, unsent_outcome (request), retry_ms);
@@ -333,7 +243,7 @@
   ash_id_format (request->id, id);
   ash_log_event (&entry->log, ASH_EV_REQUEST_RETRIED, "id=%s reason=%s endpoint=%s", id,
                  ash_entry_reason_name (reason), request->box);
-  send_submit (entry, now, request);
+  ash_attempt_submit (entry, now, request);
 }
 
 /* ---- callers ---- */
@@ -378,7 +288,7 @@
   else if (request->asked_count)
     send_disowns (entry, now, request);
   else
-    send_submit (entry, now, request);
+    ash_attempt_submit (entry, now, request);
 }
 
 static void
@@ -389,7 +299,7 @@
   HASH_FIND (hh, entry->by_call, &call, sizeof call, request);
   if (!request)
     return;
-  send_cancel (entry, request);
+  ash_attempt_cancel (entry, request);
   request->reason = ASH__REASON__CANCELLED;
   count_end (entry, now, request, ASH__OUTCOME__UNKNOWN);
   forget (entry, request);
@@ -416,7 +326,7 @@
                 const char *peer,
                 const struct Ash__Refused *refused)
 {
-  struct ash_request *request = find_attempt (entry, refused->attempt);
+  struct ash_request *request = ash_attempt_find (entry, refused->attempt);
   int outcome = (int) refused->outcome;
   struct ash_id id = { refused->id_hi, refused->id_lo };
 
@@ -438,7 +348,7 @@
 static void
 handle_head (struct ash_entry *entry, const char *peer, const struct Ash__Head *head)
 {
-  struct ash_request *request = find_attempt (entry, head->attempt);
+  struct ash_request *request = ash_attempt_find (entry, head->attempt);
   struct Ash__Reply reply = ASH__REPLY__INIT;
 
   if (!is_from_bound (request, peer, head->incarnation,
@@ -463,28 +373,6 @@
   ash_emit (&entry->sink, "", ASH__EVENT__KIND_REPLY, &reply);
 }
 
-static void
-send_resume (struct ash_entry *entry, struct ash_time now, const struct ash_request *request)
-{
-  struct Ash__Resume resume = ASH__RESUME__INIT;
-  char id[ASH_ID_TEXT_BYTES];
-
-  resume.id_hi = request->id.hi;
-  resume.id_lo = request->id.lo;
-  resume.incarnation = request->incarnation;
-  resume.attempt = request->attempt;
-  resume.offset = request->received;
-  resume.age_ms = (uint32_t) ash_time_diff (request->sent, now);
-  resume.caller_attempt = request->caller_attempt;
-  resume.keyed = request->keyed;
-  resume.minted = request->minted;
-  resume.no_repeat = request->no_repeat;
-  ash_emit (&entry->sink, request->box, ASH__EVENT__KIND_RESUME, &resume);
-  ash_id_format (request->id, id);
-  ash_log_event (&entry->log, ASH_EV_REQUEST_RESUMED, "id=%s endpoint=%s offset=%llu", id,
-                 request->box, (unsigned long long) request->received);
-}
-
 /* Keeps bytes of an answer that is not streamed. @return false: too large. */
 static bool
 keep_body (struct ash_entry *entry,
@@ -517,7 +405,7 @@
              const char *peer,
              const struct Ash__Data *data)
 {
-  struct ash_request *request = find_attempt (entry, data->attempt);
+  struct ash_request *request = ash_attempt_find (entry, data->attempt);
   struct Ash__ReplyData reply = ASH__REPLY_DATA__INIT;
   uint64_t skip;
 
@@ -528,7 +416,7 @@
   if (data->offset > request->received)
     {
       /* A hole: ask again from where it begins; this piece comes again. */
-      send_resume (entry, now, request);
+      ash_attempt_resume (entry, now, request);
       return;
     }
   skip = request->received - data->offset;
@@ -541,7 +429,7 @@
     ash_emit (&entry->sink, "", ASH__EVENT__KIND_REPLY_DATA, &reply);
   else if (!keep_body (entry, request, reply.bytes.data, reply.bytes.len))
     {
-      send_cancel (entry, request);
+      ash_attempt_cancel (entry, request);
       give_up (entry, now, request, ASH__REASON__ANSWER_TOO_LARGE, ASH__OUTCOME__RAN, 0);
       return;
     }
@@ -581,7 +469,7 @@
             const char *peer,
             const struct Ash__End *end)
 {
-  struct ash_request *request = find_attempt (entry, end->attempt);
+  struct ash_request *request = ash_attempt_find (entry, end->attempt);
 
   if (!is_from_bound (request, peer, end->incarnation, (struct ash_id){ end->id_hi, end->id_lo }))
     return;
@@ -598,7 +486,7 @@
   else if (request->status && end->length == request->received)
     answer_whole (entry, now, request);
   else
-    send_resume (entry, now, request);
+    ash_attempt_resume (entry, now, request);
 }
 
 static void
@@ -607,7 +495,7 @@
                  const char *peer,
                  const struct Ash__Disowned *disowned)
 {
-  struct ash_request *request = find_attempt (entry, disowned->attempt);
+  struct ash_request *request = ash_attempt_find (entry, disowned->attempt);
   uint32_t i = 0;
 
   if (!request || request->state != ASH_REQUEST_DISOWNING ||
@@ -619,11 +507,11 @@
     return;
   if (disowned->has_it)
     {
-      unbind (entry, request);
+      ash_attempt_unbind (entry, request);
       strcpy (request->box, peer);
       request->incarnation = disowned->incarnation;
       request->moved = true;
-      send_submit (entry, now, request);
+      ash_attempt_submit (entry, now, request);
       return;
     }
   if (disowned->guarded || (disowned->unsure && request->caller_attempt != 1))
@@ -642,9 +530,9 @@
   memmove (request->asked[i], request->asked[request->asked_count], ASH_NAME_BYTES);
   if (request->asked_count)
     return;
-  unbind (entry, request);
-  if (is_linked (entry, request->box))
-    send_submit (entry, now, request);
+  ash_attempt_unbind (entry, request);
+  if (ash_entry_linked (entry, request->box))
+    ash_attempt_submit (entry, now, request);
   else
     give_up (entry, now, request, ASH__REASON__NO_ENDPOINT, unsent_outcome (request), 0);
 }
@@ -706,7 +594,7 @@
     else if (request->incarnation == up->incarnation)
       {
         request->state = ASH_REQUEST_SENT;
-        send_resume (entry, now, request);
+        ash_attempt_resume (entry, now, request);
       }
     else
       /* That life is gone, and what it did with it can't be known any more. */
@@ -730,7 +618,7 @@
         outcome = unsent_outcome (request);
       else if (request->received || request->status)
         outcome = ASH__OUTCOME__RAN;
-      send_cancel (entry, request);
+      ash_attempt_cancel (entry, request);
       give_up (entry, now, request, ASH__REASON__DEADLINE, outcome, 0);
     }
   /* What may not be repeated stays with its endpoint until the deadline: the
