group: the agent checks the fence in the engine's place

Not all engines check who orders them. The agent now checks ballot, sequence and life for all alike before it forwards an order; the life that coordinators are told is made from the engine's and the agent's own, so a restarted agent voids all orders before.

--- a/daemon/group.c
+++ b/daemon/group.c
@@ -70,6 +70,45 @@
     ash_daemon_send (group->daemon, &event);
 }
 
+/* ---- the fence ---- */
+
+/* Not all engines check who orders them, so their agent does, for all alike. It
+ * forgets the fence with its life; the life that it tells coordinators is made
+ * from the engine's and its own, so that its end voids all orders before. */
+static uint64_t
+rank_life (const struct ash_group_task *group)
+{
+  return group->engine_life ^ group->daemon->incarnation;
+}
+
+static bool
+passes_fence (struct ash_group_task *group, const struct Ash__RankOrder *order)
+{
+  if (order->ballot < group->promised ||
+      (order->ballot == group->promised && order->sequence < group->sequence))
+    return false;
+  if (order->kind != ASH__RANK_ORDER__KIND__PREPARE &&
+      (!group->engine_life || order->life != rank_life (group)))
+    return false;
+  group->promised = order->ballot;
+  group->sequence = order->sequence;
+  return true;
+}
+
+static void
+refuse (struct ash_group_task *group, const char *peer, const struct Ash__RankOrder *order)
+{
+  struct Ash__RankState state = ASH__RANK_STATE__INIT;
+
+  state.group = group->name;
+  state.rank = group->rank;
+  state.life = rank_life (group);
+  state.ballot = order->ballot;
+  state.sequence = order->sequence;
+  state.promised = group->promised;
+  give_state (group, peer, &state);
+}
+
 /* What the own rank says tells whether the group needs somebody to go on. */
 static void
 note_state (struct ash_group_task *group, const struct Ash__RankState *state)
@@ -80,6 +119,7 @@
     group->disorder_since = ASH_TIME_NEVER;
   else if (group->disorder_since.ms == ASH_TIME_NEVER.ms)
     group->disorder_since = ash_clock_now ();
+  group->engine_life = state->life;
   group->own_map = state->map;
   if (!state->blank && state->placement.len == expected)
     memcpy (group->placement.slots, state->placement.data, expected);
@@ -100,6 +140,9 @@
   state->group = strdup (call->group->name);
   state->rank = call->group->rank;
   note_state (call->group, state);
+  state->life = rank_life (call->group);
+  if (state->promised < call->group->promised)
+    state->promised = call->group->promised;
   if (*call->peer)
     give_state (call->group, call->peer, state);
   ash__rank_state__free_unpacked (state, NULL);
@@ -205,7 +248,15 @@
 static void
 order_own_rank (struct ash_group_task *group, const char *peer, const struct Ash__RankOrder *order)
 {
-  ask_engine (group, "order", peer, ash_proto_to_json (&order->base));
+  struct Ash__RankOrder forwarded = *order;
+
+  if (!passes_fence (group, order))
+    {
+      refuse (group, peer, order);
+      return;
+    }
+  forwarded.life = group->engine_life;
+  ask_engine (group, "order", peer, ash_proto_to_json (&forwarded.base));
 }
 
 static void
--- a/daemon/group.h
+++ b/daemon/group.h
@@ -34,6 +34,9 @@
   struct ash_time next_poll;
   struct ash_time next_decision;
   uint64_t own_map;
+  uint64_t engine_life; /**< as its last answer had it; 0: not known */
+  uint64_t promised;    /**< the fence, checked here for engines that check none */
+  uint64_t sequence;
   bool polling;
   struct engine_call *calls; /**< under way */
 };
--- a/test/group_fleet.c
+++ b/test/group_fleet.c
@@ -186,3 +186,10 @@
     }
   return steps == now_steps;
 }
+
+void
+group_fleet_start_unchecked (struct group_fleet *group)
+{
+  group_fleet_start (group);
+  fleet_control (group->ports[1], "/control?unchecked=1");
+}
--- a/test/group_fleet.h
+++ b/test/group_fleet.h
@@ -22,9 +22,12 @@
   pid_t agents[GROUP_RANKS];
 };
 
-/** Starts everything and waits for the first step. */
+/** Starts everything and waits for the first step; engines check the fence. */
 void group_fleet_start (struct group_fleet *group);
 
+/** The same with engines that check no fence. */
+void group_fleet_start_unchecked (struct group_fleet *group);
+
 void group_fleet_stop (struct group_fleet *group);
 
 /** Starts a rank's agent (again). */
--- a/test/groups.c
+++ b/test/groups.c
@@ -37,11 +37,11 @@
 
 /* The coordinator is killed in the middle of changes, again and again. */
 static void
-test_coordinator_killed (void)
+kill_coordinator (void (*start) (struct group_fleet *group))
 {
   struct group_fleet group;
 
-  group_fleet_start (&group);
+  start (&group);
   for (int i = 0; i < 6; i++)
     {
       group_fleet_make_hot (&group, 2 * i);
@@ -56,6 +56,18 @@
   group_fleet_stop (&group);
 }
 
+static void
+test_coordinator_killed (void)
+{
+  kill_coordinator (group_fleet_start);
+}
+
+static void
+test_coordinator_killed_unchecked (void)
+{
+  kill_coordinator (group_fleet_start_unchecked);
+}
+
 /* It is killed when all ranks are armed and none has heard the commit: they hold
  * the step until somebody takes over. Its rank is needed for that, so it has to
  * come back, without any memory, as the box's platform sees to. */
@@ -79,11 +91,11 @@
 
 /* It is paused, others go on, and it wakes late with what it believed. */
 static void
-test_coordinator_paused (void)
+pause_coordinator (void (*start) (struct group_fleet *group))
 {
   struct group_fleet group;
 
-  group_fleet_start (&group);
+  start (&group);
   group_fleet_make_hot (&group, 5);
   CU_ASSERT (group_fleet_wait (&group, "changes", 1));
   for (int i = 0; i < 3; i++)
@@ -98,6 +110,18 @@
   group_fleet_stop (&group);
 }
 
+static void
+test_coordinator_paused (void)
+{
+  pause_coordinator (group_fleet_start);
+}
+
+static void
+test_coordinator_paused_unchecked (void)
+{
+  pause_coordinator (group_fleet_start_unchecked);
+}
+
 /* A rank is replaced and forgets all: the others give it their state. */
 static void
 test_rank_replaced (void)
@@ -136,6 +160,8 @@
   CU_add_test (suite, "the coordinator is killed", test_coordinator_killed);
   CU_add_test (suite, "the coordinator is killed before the commit", test_killed_before_commit);
   CU_add_test (suite, "the coordinator is paused", test_coordinator_paused);
+  CU_add_test (suite, "killed, and engines check no fence", test_coordinator_killed_unchecked);
+  CU_add_test (suite, "paused, and engines check no fence", test_coordinator_paused_unchecked);
   CU_add_test (suite, "ranks are replaced", test_rank_replaced);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
--- a/test/standin_engine.c
+++ b/test/standin_engine.c
@@ -8,6 +8,8 @@
  * any  other path                              a plain call; ?work_ms=W
  * GET  /runs                                   {"ID": {"runs": n, "ended": n, "cancelled": n}}
  * GET  /load                                   running, waiting; lags
+ * GET  /resume?id=ID&offset=N&max_tokens=T  the rest of a streamed answer
+ * GET  /cache?after=N       cache events above N: late, and every seventh is missing
  * POST /control?break_after=N                  breaks answers after N tokens
  * POST /control?drop=1                         takes requests, then drops them unanswered
  *
@@ -24,6 +26,9 @@
 
 #define LOAD_LAG_MS 200
 #define TOKENS_DEFAULT 16
+#define CACHE_EVENTS 64
+#define CACHE_LAG_MS 300
+#define CACHE_GAP 7
 
 struct generation
 {
@@ -34,6 +39,15 @@
   bool closing; /* the end of the stream was sent */
 };
 
+struct cache_event
+{
+  int64_t number; /* 0: none yet */
+  int64_t shown_ms;
+  char id[64];
+};
+
+static struct cache_event cache_events[CACHE_EVENTS]; /* a ring */
+static int64_t cache_count;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static json_t *runs; /* id -> counts */
 static int64_t slots = 8;
@@ -173,6 +187,20 @@
   return result;
 }
 
+/* A prefix was put into the cache. Events are shown CACHE_LAG_MS later. */
+static void
+note_cached (const char *id)
+{
+  struct cache_event *event;
+
+  pthread_mutex_lock (&lock);
+  event = &cache_events[cache_count++ % CACHE_EVENTS];
+  event->number = cache_count;
+  event->shown_ms = standin_now_ms () + CACHE_LAG_MS;
+  snprintf (event->id, sizeof event->id, "%s", id);
+  pthread_mutex_unlock (&lock);
+}
+
 static enum MHD_Result
 handle_completion (struct standin_request *request, const char *id)
 {
@@ -186,6 +214,7 @@
   json_decref (body);
   enter_batch ();
   count (id, "runs");
+  note_cached (id);
   return generation->stream ? reply_stream (request, generation)
                             : reply_whole (request, generation);
 }
@@ -207,6 +236,57 @@
   return standin_reply (request, MHD_HTTP_OK, "application/json", text, (size_t) length);
 }
 
+/* The text of an answer comes from its id alone, so it can be made again from
+ * any offset, as an engine that resumes streams does from its cache. */
+static enum MHD_Result
+handle_resume (struct standin_request *request)
+{
+  const char *id = MHD_lookup_connection_value (request->connection, MHD_GET_ARGUMENT_KIND, "id");
+  struct generation generation = { .tokens =
+                                       standin_number (request, "max_tokens", TOKENS_DEFAULT) };
+  size_t offset = (size_t) standin_number (request, "offset", 0);
+  char *text = calloc ((size_t) generation.tokens + 1, 256);
+  size_t length = 0;
+  enum MHD_Result result;
+
+  snprintf (generation.id, sizeof generation.id, "%s", id ? id : "direct");
+  for (generation.sent = 1; generation.sent <= generation.tokens; generation.sent++)
+    length += (size_t) print_token (&generation, text + length);
+  length += (size_t) sprintf (text + length, "data: [DONE]\n\n");
+  if (offset > length)
+    offset = length;
+  result =
+      standin_reply (request, MHD_HTTP_OK, "text/event-stream", text + offset, length - offset);
+  free (text);
+  return result;
+}
+
+static enum MHD_Result
+handle_cache (struct standin_request *request)
+{
+  int64_t after = standin_number (request, "after", 0);
+  json_t *list = json_array ();
+  enum MHD_Result result;
+  char *text;
+
+  pthread_mutex_lock (&lock);
+  for (int i = 0; i < CACHE_EVENTS; i++)
+    {
+      const struct cache_event *event = &cache_events[i];
+
+      if (event->number > after && event->number % CACHE_GAP &&
+          event->shown_ms <= standin_now_ms ())
+        json_array_append_new (list, json_pack ("{s:I, s:s}", "number", (json_int_t) event->number,
+                                                "prefix", event->id));
+    }
+  pthread_mutex_unlock (&lock);
+  text = json_dumps (list, JSON_COMPACT);
+  result = standin_reply (request, MHD_HTTP_OK, "application/json", text, strlen (text));
+  free (text);
+  json_decref (list);
+  return result;
+}
+
 static enum MHD_Result
 handle_runs (struct standin_request *request)
 {
@@ -251,6 +331,10 @@
     return handle_runs (request);
   if (strcmp (request->path, "/load") == 0)
     return handle_load (request);
+  if (strcmp (request->path, "/resume") == 0)
+    return handle_resume (request);
+  if (strcmp (request->path, "/cache") == 0)
+    return handle_cache (request);
   if (strcmp (request->path, "/control") == 0)
     {
       break_after = standin_number (request, "break_after", break_after);
--- a/test/standin_group.c
+++ b/test/standin_group.c
@@ -9,6 +9,7 @@
  * GET  /rank/N/loads        tokens of each expert in the last interval
  * POST /replace?rank=N      the rank is replaced and forgets all
  * POST /control?lose=K       orders of that kind are lost (0: none)
+ * POST /control?unchecked=1    the ranks check no fence from now on
  * POST /control?hot=E       expert E gets as many tokens as all others together
  * GET  /check               steps begun by all, differences, changes in use, longest wait
  */
@@ -43,6 +44,7 @@
 static uint32_t expert_count;
 static int64_t hot = -1;
 static int64_t lose;
+static int64_t unchecked;
 static uint64_t lives = 1;
 static unsigned differences;
 static unsigned changes;
@@ -197,6 +199,12 @@
   ask.sequence = ranks[r].sequence;
   ask.life = ranks[r].life;
   lost = order && lose && order->kind == lose;
+  if (order && unchecked)
+    {
+      ranks[r].promised = 0;
+      ranks[r].sequence = 0;
+      order->life = ranks[r].life;
+    }
   answer = lost ? NULL : order_rank (r, order ? order : &ask);
   pthread_mutex_unlock (&lock);
   if (order)
@@ -224,6 +232,7 @@
     }
   hot = standin_number (request, "hot", hot);
   lose = standin_number (request, "lose", lose);
+  unchecked = standin_number (request, "unchecked", unchecked);
   answer = json_pack ("{s:I, s:i, s:i, s:I}", "steps", (json_int_t) ranks[0].begun, "differences",
                       (int) differences, "changes", (int) changes, "longest_wait_ms",
                       (json_int_t) longest_wait_ms);
