--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -108,6 +108,7 @@
   struct Ash__LinkUp up = ASH__LINK_UP__INIT;
   char name[16];
 
+  session->core = SESSION_ENTRY;
   session_settings (&session->settings, "e0", true);
   session->emitted = on_emitted;
   session_init (session, 1, (struct ash_time){ 1000 });
@@ -219,6 +220,7 @@
 static void
 start_agent (struct session *session, uint32_t slots)
 {
+  session->core = SESSION_AGENT;
   session_settings (&session->settings, "m0", false);
   session->settings.slots = slots;
   session->settings.ledger_max = 1000000;
--- a/cli/send.c
+++ b/cli/send.c
@@ -32,13 +32,13 @@
   root = json_loadb (answer.body ? answer.body : "", answer.body_bytes, 0, NULL);
   addresses->count = 0;
   json_array_foreach (json_object_get (root, "addresses"), i, row)
-  {
-    const char *address = json_string_value (json_object_get (row, "address"));
+    {
+      const char *address = json_string_value (json_object_get (row, "address"));
 
-    if (address && addresses->count < ADDRESSES_MAX)
-      snprintf (addresses->urls[addresses->count++], sizeof addresses->urls[0], "http://%s",
-                address);
-  }
+      if (address && addresses->count < ADDRESSES_MAX)
+        snprintf (addresses->urls[addresses->count++], sizeof addresses->urls[0], "http://%s",
+                  address);
+    }
   /* Without an answer the entry that was named is all there is to try. */
   if (addresses->count == 0)
     snprintf (addresses->urls[addresses->count++], sizeof addresses->urls[0], "%s", send->entry);
--- a/common/metrics.c
+++ b/common/metrics.c
@@ -37,10 +37,10 @@
   struct ash_series *next;
 
   HASH_ITER (hh, metrics->series, series, next)
-  {
-    HASH_DEL (metrics->series, series);
-    free (series);
-  }
+    {
+      HASH_DEL (metrics->series, series);
+      free (series);
+    }
 }
 
 static struct ash_series *
--- a/controllers/agent.c
+++ b/controllers/agent.c
@@ -431,8 +431,8 @@
   struct ash_record *record;
 
   DL_FOREACH (list, record)
-  if (ash_record_unwatch_box (record, peer))
-    lose_watcher (agent, now, record, false);
+    if (ash_record_unwatch_box (record, peer))
+      lose_watcher (agent, now, record, false);
 }
 
 static void
@@ -488,7 +488,7 @@
   record->answer.status = head->status;
   record->answer.content_type = strdup (head->content_type);
   LL_FOREACH (record->watchers, watcher)
-  ash_agent_tell_head (agent, record, watcher->peer, watcher->attempt);
+    ash_agent_tell_head (agent, record, watcher->peer, watcher->attempt);
 }
 
 static void
@@ -510,7 +510,7 @@
       return;
     }
   LL_FOREACH (record->watchers, watcher)
-  ash_agent_tell_data (agent, record, watcher->peer, watcher->attempt, offset);
+    ash_agent_tell_data (agent, record, watcher->peer, watcher->attempt, offset);
 }
 
 static void
@@ -551,12 +551,12 @@
   struct ash_record *next;
 
   DL_FOREACH_SAFE (agent->ledger.queued, record, next)
-  {
-    if (is_orphan (agent, now, record))
-      refuse_record (agent, now, record, ASH__REASON__CANCELLED, record->outcome);
-    else if (!ash_time_before (now, record->deadline))
-      refuse_record (agent, now, record, ASH__REASON__DEADLINE, record->outcome);
-  }
+    {
+      if (is_orphan (agent, now, record))
+        refuse_record (agent, now, record, ASH__REASON__CANCELLED, record->outcome);
+      else if (!ash_time_before (now, record->deadline))
+        refuse_record (agent, now, record, ASH__REASON__DEADLINE, record->outcome);
+    }
 }
 
 static void
@@ -566,18 +566,18 @@
   struct ash_record *next;
 
   DL_FOREACH_SAFE (agent->ledger.running, record, next)
-  {
-    /* Work of a caller's key that nobody waits for gets the orphan's grace
-     * past its deadline: the caller may come for the answer. */
-    struct ash_time late = record->keyed
-                               ? ash_time_add (record->deadline, agent->settings->keyed_orphan_ms)
-                               : record->deadline;
-
-    if (is_orphan (agent, now, record))
-      cancel_run (agent, now, record, ASH__REASON__CANCELLED);
-    else if (!ash_time_before (now, late))
-      cancel_run (agent, now, record, ASH__REASON__DEADLINE);
-  }
+    {
+      /* Work of a caller's key that nobody waits for gets the orphan's grace
+       * past its deadline: the caller may come for the answer. */
+      struct ash_time late = record->keyed
+                                 ? ash_time_add (record->deadline, agent->settings->keyed_orphan_ms)
+                                 : record->deadline;
+
+      if (is_orphan (agent, now, record))
+        cancel_run (agent, now, record, ASH__REASON__CANCELLED);
+      else if (!ash_time_before (now, late))
+        cancel_run (agent, now, record, ASH__REASON__DEADLINE);
+    }
 }
 
 static void
--- a/controllers/agent_admit.c
+++ b/controllers/agent_admit.c
@@ -62,8 +62,8 @@
   if (agent->ledger.running_count < ash_agent_slots (agent))
     return 0;
   DL_FOREACH (agent->ledger.queued, record)
-  if (record->priority <= priority)
-    ahead++;
+    if (record->priority <= priority)
+      ahead++;
   return ahead * agent->service_us / US_PER_MS / ash_agent_slots (agent);
 }
 
--- a/controllers/ledger.c
+++ b/controllers/ledger.c
@@ -50,7 +50,7 @@
   struct ash_record *next;
 
   HASH_ITER (hh, ledger->records, record, next)
-  free_record (ledger, record);
+    free_record (ledger, record);
 }
 
 struct ash_record *
@@ -69,8 +69,8 @@
 
   /* As many as the engine has slots: a few dozen. */
   DL_FOREACH (ledger->running, record)
-  if (record->run == run)
-    return record;
+    if (record->run == run)
+      return record;
   return NULL;
 }
 
@@ -255,8 +255,8 @@
   struct ash_watcher *watcher;
 
   LL_FOREACH (record->watchers, watcher)
-  if (watcher->attempt == attempt && strcmp (watcher->peer, peer) == 0)
-    return watcher;
+    if (watcher->attempt == attempt && strcmp (watcher->peer, peer) == 0)
+      return watcher;
   return NULL;
 }
 
@@ -292,11 +292,11 @@
   bool found = false;
 
   LL_FOREACH_SAFE (record->watchers, watcher, next)
-  {
-    if (strcmp (watcher->peer, peer) != 0)
-      continue;
-    ash_record_unwatch (record, watcher);
-    found = true;
-  }
+    {
+      if (strcmp (watcher->peer, peer) != 0)
+        continue;
+      ash_record_unwatch (record, watcher);
+      found = true;
+    }
   return found;
 }
--- a/controllers/limits.c
+++ b/controllers/limits.c
@@ -21,10 +21,10 @@
   struct ash_limit *next;
 
   HASH_ITER (hh, limits->limits, limit, next)
-  {
-    HASH_DEL (limits->limits, limit);
-    free (limit);
-  }
+    {
+      HASH_DEL (limits->limits, limit);
+      free (limit);
+    }
 }
 
 uint32_t
--- a/controllers/membership.c
+++ b/controllers/membership.c
@@ -16,10 +16,10 @@
   struct ash_box *next;
 
   HASH_ITER (hh, membership->boxes, box, next)
-  {
-    HASH_DEL (membership->boxes, box);
-    free (box);
-  }
+    {
+      HASH_DEL (membership->boxes, box);
+      free (box);
+    }
 }
 
 struct ash_box *
--- a/daemon/endpoint.c
+++ b/daemon/endpoint.c
@@ -120,14 +120,14 @@
   struct run *run;
 
   DL_FOREACH (endpoint->runs, run)
-  if (run->number == number)
-    {
-      if (run->fetch)
-        ash_http_client_cancel (run->fetch);
-      DL_DELETE (endpoint->runs, run);
-      free (run);
-      return;
-    }
+    if (run->number == number)
+      {
+        if (run->fetch)
+          ash_http_client_cancel (run->fetch);
+        DL_DELETE (endpoint->runs, run);
+        free (run);
+        return;
+      }
 }
 
 /* ---- the role ---- */
--- a/daemon/group.c
+++ b/daemon/group.c
@@ -159,7 +159,8 @@
 
   if (json_array_size (tokens) == call->group->policy.expert_count)
     {
-      json_array_foreach (tokens, i, value) loads[i] = json_number_value (value);
+      json_array_foreach (tokens, i, value)
+        loads[i] = json_number_value (value);
       ash_expert_policy_report (&call->group->policy, loads);
     }
   json_decref (root);
--- a/daemon/platform.c
+++ b/daemon/platform.c
@@ -64,13 +64,13 @@
   bool is_list = json_is_array (boxes);
 
   json_array_foreach (boxes, i, row)
-  {
-    const char *name = json_string_value (json_object_get (row, "box"));
-    const char *state = json_string_value (json_object_get (row, "state"));
+    {
+      const char *name = json_string_value (json_object_get (row, "box"));
+      const char *state = json_string_value (json_object_get (row, "state"));
 
-    if (name && state)
-      platform->handler.box (platform->handler.data, name, strcmp (state, "leaving") == 0);
-  }
+      if (name && state)
+        platform->handler.box (platform->handler.data, name, strcmp (state, "leaving") == 0);
+    }
   json_decref (root);
   return is_list;
 }
--- a/filters/entry.c
+++ b/filters/entry.c
@@ -50,10 +50,10 @@
 
   HASH_CLEAR (hh_attempt, entry->by_attempt);
   HASH_ITER (hh, entry->by_call, request, next)
-  {
-    HASH_DEL (entry->by_call, request);
-    free_request (request);
-  }
+    {
+      HASH_DEL (entry->by_call, request);
+      free_request (request);
+    }
   ash_chain_finish (&entry->chain);
   ash_membership_finish (&entry->membership);
   ash_config_finish (&entry->config);
@@ -575,18 +575,18 @@
 
   ash_membership_link_down (&entry->membership, peer);
   HASH_ITER (hh, entry->by_call, request, next)
-  {
-    if (request->state == ASH_REQUEST_DISOWNING)
-      {
-        if (waits_for (request, peer))
-          give_up (entry, now, request, ASH__REASON__NOT_HOME, unsent_outcome (request), 0);
-      }
-    else if (request->state == ASH_REQUEST_SENT && strcmp (request->box, peer) == 0)
-      {
-        request->state = ASH_REQUEST_CUT;
-        request->cut_since = now;
-      }
-  }
+    {
+      if (request->state == ASH_REQUEST_DISOWNING)
+        {
+          if (waits_for (request, peer))
+            give_up (entry, now, request, ASH__REASON__NOT_HOME, unsent_outcome (request), 0);
+        }
+      else if (request->state == ASH_REQUEST_SENT && strcmp (request->box, peer) == 0)
+        {
+          request->state = ASH_REQUEST_CUT;
+          request->cut_since = now;
+        }
+    }
 }
 
 static void
@@ -602,21 +602,21 @@
     ash_log_event (&entry->log, ASH_EV_NEW_INCARNATION, "box=%s incarnation=%016llx", peer,
                    (unsigned long long) up->incarnation);
   HASH_ITER (hh, entry->by_call, request, next)
-  {
-    if (request->state != ASH_REQUEST_CUT || strcmp (request->box, peer) != 0)
-      continue;
-    if (!ash_time_before (now, request->deadline))
-      check_request (entry, now, request);
-    else if (request->incarnation == up->incarnation)
-      {
-        request->state = ASH_REQUEST_SENT;
-        ash_attempt_resume (entry, now, request);
-      }
-    else
-      /* That life is gone, and what it did with it can't be known any more. */
-      try_elsewhere (entry, now, request, ASH__REASON__ENDPOINT_LOST,
-                     request->received ? ASH__OUTCOME__RAN : ASH__OUTCOME__UNKNOWN, 0);
-  }
+    {
+      if (request->state != ASH_REQUEST_CUT || strcmp (request->box, peer) != 0)
+        continue;
+      if (!ash_time_before (now, request->deadline))
+        check_request (entry, now, request);
+      else if (request->incarnation == up->incarnation)
+        {
+          request->state = ASH_REQUEST_SENT;
+          ash_attempt_resume (entry, now, request);
+        }
+      else
+        /* That life is gone, and what it did with it can't be known any more. */
+        try_elsewhere (entry, now, request, ASH__REASON__ENDPOINT_LOST,
+                       request->received ? ASH__OUTCOME__RAN : ASH__OUTCOME__UNKNOWN, 0);
+    }
 }
 
 /* ---- time ---- */
@@ -651,7 +651,7 @@
   struct ash_request *next;
 
   HASH_ITER (hh, entry->by_call, request, next)
-  check_request (entry, now, request);
+    check_request (entry, now, request);
 }
 
 void
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -64,8 +64,8 @@
     return;
   client->has_cancelled = false;
   DL_FOREACH_SAFE (client->fetches, fetch, next)
-  if (fetch->cancelled)
-    free_fetch (fetch);
+    if (fetch->cancelled)
+      free_fetch (fetch);
 }
 
 static void
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -533,26 +533,26 @@
   (void) loop;
   (void) events;
   HASH_ITER (hh, server->exchanges, exchange, next)
-  {
-    if (exchange->suspended && is_closed (exchange))
-      {
-        /* The error surfaces in on_more() or on writing the answer. */
-        server->handler.gone (server->handler.data, exchange->number);
+    {
+      if (exchange->suspended && is_closed (exchange))
+        {
+          /* The error surfaces in on_more() or on writing the answer. */
+          server->handler.gone (server->handler.data, exchange->number);
+          shutdown (socket_of (exchange->connection), SHUT_RDWR);
+          exchange->broken = true;
+          exchange->ended = true;
+          if (exchange->state == EXCHANGE_WAIT)
+            ash_http_reply (server, exchange->number, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, NULL, 0);
+          else
+            resume (exchange);
+        }
+      else if (exchange->state == EXCHANGE_UPLOAD && ash_time_before (exchange->since, latest))
         shutdown (socket_of (exchange->connection), SHUT_RDWR);
-        exchange->broken = true;
-        exchange->ended = true;
-        if (exchange->state == EXCHANGE_WAIT)
-          ash_http_reply (server, exchange->number, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, NULL, 0);
-        else
-          resume (exchange);
-      }
-    else if (exchange->state == EXCHANGE_UPLOAD && ash_time_before (exchange->since, latest))
-      shutdown (socket_of (exchange->connection), SHUT_RDWR);
-  }
+    }
   DL_FOREACH (server->conns, conn)
-  /* Sends headers slowly, or nothing at all. */
-  if (!conn->in_request && ash_time_before (conn->since, idle))
-    shutdown (socket_of (conn->connection), SHUT_RDWR);
+    /* Sends headers slowly, or nothing at all. */
+    if (!conn->in_request && ash_time_before (conn->since, idle))
+      shutdown (socket_of (conn->connection), SHUT_RDWR);
 }
 
 bool
@@ -634,14 +634,14 @@
   ev_timer_stop (server->loop, &server->sweep);
   /* The library wants no connection suspended when it stops. */
   HASH_ITER (hh, server->exchanges, exchange, next)
-  {
-    exchange->broken = true;
-    exchange->ended = true;
-    if (exchange->state == EXCHANGE_WAIT)
-      ash_http_reply (server, exchange->number, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, NULL, 0);
-    else
-      resume (exchange);
-  }
+    {
+      exchange->broken = true;
+      exchange->ended = true;
+      if (exchange->state == EXCHANGE_WAIT)
+        ash_http_reply (server, exchange->number, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, NULL, 0);
+      else
+        resume (exchange);
+    }
   run (server);
   MHD_stop_daemon (server->daemon);
 }
--- a/net/peer.c
+++ b/net/peer.c
@@ -185,8 +185,8 @@
   struct ash_link *link;
 
   DL_FOREACH (peers->links, link)
-  if (link->state == LINK_UP && strcmp (link->box, box) == 0)
-    return link;
+    if (link->state == LINK_UP && strcmp (link->box, box) == 0)
+      return link;
   return NULL;
 }
 
@@ -423,7 +423,7 @@
   uint32_t count = 0;
 
   DL_FOREACH (peers->links, link)
-  count += link->dial == NULL;
+    count += link->dial == NULL;
   return count;
 }
 
@@ -482,14 +482,14 @@
   struct ash_dial *dial;
 
   DL_FOREACH (peers->dials, dial)
-  {
-    if (dial->link || ash_time_before (now, dial->next_try))
-      continue;
-    /* The box may have a link to here that it dialled itself. */
-    if (*dial->box && find_up (peers, dial->box))
-      continue;
-    connect_dial (peers, dial);
-  }
+    {
+      if (dial->link || ash_time_before (now, dial->next_try))
+        continue;
+      /* The box may have a link to here that it dialled itself. */
+      if (*dial->box && find_up (peers, dial->box))
+        continue;
+      connect_dial (peers, dial);
+    }
 }
 
 static void
@@ -503,10 +503,10 @@
   (void) loop;
   (void) events;
   DL_FOREACH_SAFE (peers->links, link, next)
-  {
-    if (is_silent (link, now))
-      close_link (link, "silent");
-  }
+    {
+      if (is_silent (link, now))
+        close_link (link, "silent");
+    }
   check_dials (peers, now);
   ash_peers_beat (peers);
 }
@@ -517,8 +517,8 @@
   struct ash_link *link;
 
   DL_FOREACH (peers->links, link)
-  if (link->state == LINK_UP)
-    send_heartbeat (link);
+    if (link->state == LINK_UP)
+      send_heartbeat (link);
 }
 
 bool
@@ -553,7 +553,7 @@
   while (peers->links)
     close_link (peers->links, "stopped");
   DL_FOREACH_SAFE (peers->dials, dial, next)
-  free (dial);
+    free (dial);
   peers->dials = NULL;
   if (peers->listen_fd >= 0)
     close (peers->listen_fd);
@@ -576,8 +576,8 @@
   struct ash_dial *dial;
 
   DL_FOREACH (peers->dials, dial)
-  if (strcmp (dial->address, address) == 0 && strcmp (dial->box, box) == 0)
-    return;
+    if (strcmp (dial->address, address) == 0 && strcmp (dial->box, box) == 0)
+      return;
   dial = calloc (1, sizeof *dial);
   if (!dial)
     return;
@@ -595,20 +595,20 @@
   struct ash_dial *next;
 
   DL_FOREACH_SAFE (peers->dials, dial, next)
-  {
-    if (wanted (data, dial->box, dial->address))
-      continue;
-    DL_DELETE (peers->dials, dial);
-    /* The link itself is marked and closed by the loop: this may be called
-     * while one of its frames is being handled. */
-    if (dial->link)
-      {
-        dial->link->dial = NULL;
-        dial->link->broken = true;
-        ev_io_start (peers->loop, &dial->link->write_io);
-      }
-    free (dial);
-  }
+    {
+      if (wanted (data, dial->box, dial->address))
+        continue;
+      DL_DELETE (peers->dials, dial);
+      /* The link itself is marked and closed by the loop: this may be called
+       * while one of its frames is being handled. */
+      if (dial->link)
+        {
+          dial->link->dial = NULL;
+          dial->link->broken = true;
+          ev_io_start (peers->loop, &dial->link->write_io);
+        }
+      free (dial);
+    }
 }
 
 bool
--- a/options/node.c
+++ b/options/node.c
@@ -90,11 +90,13 @@
     {
     case JSON_OBJECT:
       node = ash_node_add (parent, ASH_NODE_TABLE, key, 0);
-      json_object_foreach (value, name, item) add_json (node, name, item);
+      json_object_foreach (value, name, item)
+        add_json (node, name, item);
       break;
     case JSON_ARRAY:
       node = ash_node_add (parent, ASH_NODE_ARRAY, key, 0);
-      json_array_foreach (value, i, item) add_json (node, "", item);
+      json_array_foreach (value, i, item)
+        add_json (node, "", item);
       break;
     case JSON_STRING:
       node = ash_node_add (parent, ASH_NODE_STRING, key, 0);
@@ -139,7 +141,8 @@
       return NULL;
     }
   root = ash_node_add (NULL, ASH_NODE_TABLE, "", 0);
-  json_object_foreach (json, name, item) add_json (root, name, item);
+  json_object_foreach (json, name, item)
+    add_json (root, name, item);
   json_decref (json);
   return root;
 }
--- a/proto/json.c
+++ b/proto/json.c
@@ -116,14 +116,14 @@
     return NULL;
   descriptor->message_init (message);
   json_object_foreach ((json_t *) (uintptr_t) object, key, value)
-  {
-    const ProtobufCFieldDescriptor *field =
-        protobuf_c_message_descriptor_get_field_by_name (descriptor, key);
+    {
+      const ProtobufCFieldDescriptor *field =
+          protobuf_c_message_descriptor_get_field_by_name (descriptor, key);
 
-    if (!field || value_from_json (field, value, (char *) message + field->offset))
-      continue;
-    protobuf_c_message_free_unpacked (message, NULL);
-    return NULL;
-  }
+      if (!field || value_from_json (field, value, (char *) message + field->offset))
+        continue;
+      protobuf_c_message_free_unpacked (message, NULL);
+      return NULL;
+    }
   return message;
 }
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -517,10 +517,10 @@
   ash_cli_fetch (&request, &answer);
   root = json_loadb (answer.body ? answer.body : "", answer.body_bytes, 0, NULL);
   json_object_foreach (root, row_id, row)
-  {
-    if (!id || strcmp (row_id, id) == 0)
-      count += (int) json_integer_value (json_object_get (row, kind));
-  }
+    {
+      if (!id || strcmp (row_id, id) == 0)
+        count += (int) json_integer_value (json_object_get (row, kind));
+    }
   json_decref (root);
   ash_cli_answer_finish (&answer);
   return count;
--- a/test/golden.c
+++ b/test/golden.c
@@ -3,7 +3,7 @@
  * Plays golden files: whole sessions of a core, one text file each, with a
  * time and a message a line. What the core gives out must be the file's text.
  *
- * `core entry|agent BOX SEED`, `set KEY VALUE` and `config REVISION FILE` come
+ * `core entry|agent|rank BOX SEED`, `set KEY VALUE` and `config REVISION FILE` come
  * before or between `TIME < message` lines; `TIME > message` lines are what is
  * expected. GOLDEN_UPDATE=1 writes the files anew, to be read before committing.
  */
@@ -35,9 +35,13 @@
 
   if (sscanf (line, "core %15s %39s", role, box) != 2)
     {
-      player->error = "core entry|agent BOX SEED";
+      player->error = "core entry|agent|rank BOX SEED";
       return;
     }
+  if (strcmp (role, "entry") == 0)
+    player->session.core = SESSION_ENTRY;
+  else
+    player->session.core = strcmp (role, "rank") == 0 ? SESSION_RANK : SESSION_AGENT;
   session_settings (&player->session.settings, box, strcmp (role, "entry") == 0);
 }
 
--- a/test/schedule.c
+++ b/test/schedule.c
@@ -526,6 +526,7 @@
   process->life = ++world->lives * 1000 + 7;
   process->alive = true;
   process->paused = false;
+  session->core = is_entry ? SESSION_ENTRY : SESSION_AGENT;
   session->emitted = is_entry ? entry_emitted : agent_emitted;
   session->data = world;
   session->transcript =
--- a/test/session.c
+++ b/test/session.c
@@ -38,31 +38,66 @@
   struct ash_sink sink = { on_emit, session };
 
   session->now = now;
-  session->is_entry = session->settings.role == ASH_SETTINGS_ENTRY;
-  if (session->is_entry)
-    ash_entry_init (&session->entry, &session->settings, seed, sink);
-  else
-    ash_agent_init (&session->agent, &session->settings, seed, now, sink);
+  switch (session->core)
+    {
+    case SESSION_ENTRY:
+      if (!ash_entry_init (&session->entry, &session->settings, seed, sink))
+        abort ();
+      break;
+    case SESSION_AGENT:
+      ash_agent_init (&session->agent, &session->settings, seed, now, sink);
+      break;
+    case SESSION_RANK:
+      ash_expert_rank_init (&session->rank, "g", 0, seed, 1);
+      break;
+    }
 }
 
 void
 session_finish (struct session *session)
 {
-  if (session->is_entry)
+  if (session->core == SESSION_ENTRY)
     ash_entry_finish (&session->entry);
-  else
+  else if (session->core == SESSION_AGENT)
     ash_agent_finish (&session->agent);
 }
 
+/* A rank takes orders, and begins a step with each tick if it may. */
+static void
+give_rank (struct session *session, const struct Ash__Event *event)
+{
+  struct ash_sink sink = { on_emit, session };
+
+  if (event->kind_case == ASH__EVENT__KIND_RANK_ORDER)
+    ash_expert_rank_take (&session->rank, event->rank_order, event->peer, &sink);
+  else if (event->kind_case == ASH__EVENT__KIND_TICK && ash_expert_rank_may_begin (&session->rank))
+    {
+      uint64_t map = ash_expert_rank_begin (&session->rank);
+
+      if (session->transcript)
+        fprintf (session->transcript, "%lld > begins step %llu with map %llu\n",
+                 (long long) session->now.ms, (unsigned long long) session->rank.begun,
+                 (unsigned long long) map);
+    }
+}
+
 void
 session_give (struct session *session, struct ash_time now, const struct Ash__Event *event)
 {
   session->now = now;
   write_line (session, '<', event);
-  if (session->is_entry)
-    ash_entry_handle (&session->entry, now, event);
-  else
-    ash_agent_handle (&session->agent, now, event);
+  switch (session->core)
+    {
+    case SESSION_ENTRY:
+      ash_entry_handle (&session->entry, now, event);
+      break;
+    case SESSION_AGENT:
+      ash_agent_handle (&session->agent, now, event);
+      break;
+    case SESSION_RANK:
+      give_rank (session, event);
+      break;
+    }
 }
 
 void
@@ -84,7 +119,8 @@
                const char *text,
                size_t text_bytes)
 {
-  struct ash_config *config = session->is_entry ? &session->entry.config : &session->agent.config;
+  struct ash_config *config =
+      session->core == SESSION_ENTRY ? &session->entry.config : &session->agent.config;
   struct ash_findings findings;
   enum ash_config_result result;
 
--- a/test/session.h
+++ b/test/session.h
@@ -7,15 +7,25 @@
 #define ASH_TEST_SESSION_H
 
 #include "controllers/agent.h"
+#include "controllers/expert_rank.h"
 #include "filters/entry.h"
 
+/** Which core a session drives. */
+enum session_core
+{
+  SESSION_ENTRY,
+  SESSION_AGENT,
+  SESSION_RANK, /**< a rank's side of a change of an expert map */
+};
+
 /** A core and what it is driven with. */
 struct session
 {
-  bool is_entry;
+  enum session_core core;
   struct ash_settings settings;
   struct ash_entry entry;
   struct ash_agent agent;
+  struct ash_expert_rank rank;
   struct ash_time now;
   FILE *transcript; /**< may be NULL */
   void (*emitted) (void *data, struct session *session, const struct Ash__Event *event);
