route: a box with a new life may be tried again

Cause: a request remembered boxes that it had tried, not their lives; where a service has one reachable endpoint whose agent restarts, what may be repeated was given up as "unknown" although the new life could take it.

--- a/filters/attempt.c
+++ b/filters/attempt.c
@@ -67,7 +67,10 @@
   char id[ASH_ID_TEXT_BYTES];
 
   if (request->tries < ASH_REQUEST_TRIES_MAX)
-    strcpy (request->tried[request->tries], request->box);
+    {
+      strcpy (request->tried[request->tries], request->box);
+      request->tried_lives[request->tries] = request->incarnation;
+    }
   request->tries++;
   ash_attempt_bind (entry, request);
   request->state = ASH_REQUEST_SENT;
--- a/filters/request.h
+++ b/filters/request.h
@@ -51,8 +51,9 @@
   struct ash_time sent;     /**< when the present attempt was */
   uint32_t tries;
   char tried[ASH_REQUEST_TRIES_MAX][ASH_NAME_BYTES];
-  bool maybe_run; /**< an earlier attempt may have run, or did */
-  bool ran;       /**< an earlier attempt certainly ran, at least in part */
+  uint64_t tried_lives[ASH_REQUEST_TRIES_MAX]; /**< a box with a new life may be tried again */
+  bool maybe_run;                              /**< an earlier attempt may have run, or did */
+  bool ran; /**< an earlier attempt certainly ran, at least in part */
   struct ash_time cut_since;
   char asked[ASH_CONFIG_HISTORY_MAX][ASH_NAME_BYTES]; /**< earlier homes to answer yet */
   uint32_t asked_count;
--- a/filters/route.c
+++ b/filters/route.c
@@ -16,10 +16,10 @@
 };
 
 static bool
-was_tried (const struct ash_request *request, const char *name)
+was_tried (const struct ash_request *request, const struct ash_box *box)
 {
   for (uint32_t i = 0; i < request->tries && i < ASH_REQUEST_TRIES_MAX; i++)
-    if (strcmp (request->tried[i], name) == 0)
+    if (request->tried_lives[i] == box->incarnation && strcmp (request->tried[i], box->name) == 0)
       return true;
   return false;
 }
@@ -35,7 +35,7 @@
       ash_document_service_endpoint (&context->config->document, service, index);
   const struct ash_box *box = ash_membership_find (context->membership, endpoint->name);
 
-  if (!box || !ash_box_usable (box) || was_tried (request, endpoint->name))
+  if (!box || !ash_box_usable (box) || was_tried (request, box))
     return false;
   *candidate = (struct candidate){ endpoint, box };
   return true;
