intent: plan and confirm, with one winner of two operators

`ashctl plan` turns a piece of a document into the whole one that would bring it about, says what changes, how many keys get another home, how many accounts other entries, and what can't be met; nothing takes effect. `ashctl confirm` hands out the document to publish if the base still stands; it refuses a plan whose base has moved, that was tampered with, or through an entry that is behind or does not hear the platform.

--- a/cli/ashctl.c
+++ b/cli/ashctl.c
@@ -7,11 +7,14 @@
 
 #include <argp.h>
 #include <curl/curl.h>
+#include <errno.h>
 #include <jansson.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
+#define FILE_MAX_BYTES (2 * 1024 * 1024)
+
 const char *argp_program_version = "ashctl " ASH_VERSION;
 
 /* Documented in docs/OPERATING.md. */
@@ -75,6 +78,8 @@
     "  call SERVICE PATH       call a plain service\n"
     "  addresses SERVICE       the entries to use for the account\n"
     "  mint SERVICE            a key for a request that may not be repeated\n"
+    "  plan INTENT.toml        what an intent would change; prints the plan\n"
+    "  confirm PLAN.json       the document to publish, if the base still stands\n"
     "  status                  what an entry knows of the fleet\n"
     "  hash KEY                a bearer key's hash, for the published configuration\n"
     "\vExit status: 0 done; 1 not run; 2 wrong usage; 3 unknown whether it ran; 4 it ran, the "
@@ -308,6 +313,124 @@
   return run_get (arguments, "GET", "/v1/status");
 }
 
+/* Reads a file whole. @return new text, or NULL after saying why. */
+static char *
+read_file (const char *path)
+{
+  FILE *file = fopen (path, "rb");
+  char *text = NULL;
+  size_t length;
+
+  if (!file)
+    {
+      fprintf (stderr, "ashctl: %s: %s\n", path, strerror (errno));
+      return NULL;
+    }
+  text = malloc (FILE_MAX_BYTES + 1);
+  length = text ? fread (text, 1, FILE_MAX_BYTES, file) : 0;
+  if (text)
+    text[length] = '\0';
+  fclose (file);
+  return text;
+}
+
+/* Sends a file to an operators' path. */
+static void
+post_file (const struct arguments *arguments, const char *path, struct ash_cli_answer *answer)
+{
+  char url[512];
+  char *text = read_file (arguments->words[1]);
+  struct ash_cli_request request = {
+    .url = url, .method = "POST", .key = arguments->key, .body = text
+  };
+
+  if (!text)
+    return;
+  snprintf (url, sizeof url, "%s%s", arguments->entry, path);
+  ash_cli_fetch (&request, answer);
+  free (text);
+}
+
+static void
+print_plan (const json_t *plan)
+{
+  const json_t *changes = json_object_get (plan, "changes");
+  const json_t *not_met = json_object_get (plan, "not_met");
+  char *effects = json_dumps (json_object_get (plan, "effects"), JSON_ENCODE_ANY);
+
+  fprintf (stderr, "base revision %lld, would be %lld, digest %s\n",
+           (long long) json_integer_value (json_object_get (plan, "base_revision")),
+           (long long) json_integer_value (json_object_get (plan, "revision")),
+           json_string_value (json_object_get (plan, "digest")));
+  for (size_t i = 0; i < json_array_size (changes); i++)
+    {
+      const json_t *row = json_array_get (changes, i);
+      char *keys = json_dumps (json_object_get (row, "keys"), JSON_COMPACT);
+
+      fprintf (stderr, "  %s %s '%s' %s\n", json_string_value (json_object_get (row, "change")),
+               json_string_value (json_object_get (row, "kind")),
+               json_string_value (json_object_get (row, "name")), keys);
+      free (keys);
+    }
+  fprintf (stderr, "effects: %s\n", effects ? effects : "");
+  for (size_t i = 0; i < json_array_size (not_met); i++)
+    fprintf (stderr, "  can't be met: %s: %s\n",
+             json_string_value (json_object_get (json_array_get (not_met, i), "place")),
+             json_string_value (json_object_get (json_array_get (not_met, i), "text")));
+  free (effects);
+}
+
+/* The plan itself goes to standard output, to be kept and confirmed. */
+static enum exit_code
+run_plan (const struct arguments *arguments)
+{
+  struct ash_cli_answer answer = { 0 };
+  enum exit_code code = EXIT_NOT_RUN;
+  json_t *plan;
+
+  post_file (arguments, "/v1/plan", &answer);
+  plan = json_loadb (answer.body ? answer.body : "", answer.body_bytes, 0, NULL);
+  if (answer.status == 200 && plan)
+    {
+      print_plan (plan);
+      json_dumpf (plan, stdout, JSON_INDENT (1));
+      putchar ('\n');
+      if (json_array_size (json_object_get (plan, "not_met")) == 0)
+        code = EXIT_OK;
+    }
+  else
+    fprintf (stderr, "ashctl: no plan: %s\n", answer.body ? answer.body : answer.error);
+  json_decref (plan);
+  ash_cli_answer_finish (&answer);
+  return code;
+}
+
+/* The document to publish goes to standard output. */
+static enum exit_code
+run_confirm (const struct arguments *arguments)
+{
+  struct ash_cli_answer answer = { 0 };
+  enum exit_code code = EXIT_NOT_RUN;
+  json_t *confirmed;
+
+  post_file (arguments, "/v1/confirm", &answer);
+  confirmed = json_loadb (answer.body ? answer.body : "", answer.body_bytes, 0, NULL);
+  if (answer.status == 200 && confirmed)
+    {
+      fprintf (stderr,
+               "confirmed: publish this as revision %lld; it is in force when 'ashctl "
+               "status' shows that revision for every box\n",
+               (long long) json_integer_value (json_object_get (confirmed, "revision")));
+      printf ("%s\n", json_string_value (json_object_get (confirmed, "document")));
+      code = EXIT_OK;
+    }
+  else
+    fprintf (stderr, "ashctl: not confirmed: %s\n", answer.body ? answer.body : answer.error);
+  json_decref (confirmed);
+  ash_cli_answer_finish (&answer);
+  return code;
+}
+
 static enum exit_code
 run_hash (const struct arguments *arguments)
 {
@@ -328,8 +451,9 @@
 };
 
 static const struct command commands[] = {
-  { "chat", 3, run_chat }, { "call", 3, run_call },     { "addresses", 2, run_addresses },
-  { "mint", 2, run_mint }, { "status", 1, run_status }, { "hash", 2, run_hash },
+  { "chat", 3, run_chat },     { "call", 3, run_call }, { "addresses", 2, run_addresses },
+  { "mint", 2, run_mint },     { "plan", 2, run_plan }, { "confirm", 2, run_confirm },
+  { "status", 1, run_status }, { "hash", 2, run_hash },
 };
 
 static const char *
--- a/daemon/api.c
+++ b/daemon/api.c
@@ -1,6 +1,7 @@
 #include "daemon/api.h"
 
 #include "controllers/addresses.h"
+#include "daemon/intent.h"
 #include "filters/minted_key.h"
 
 #include <jansson.h>
@@ -454,6 +455,8 @@
   { "/v1/addresses", "GET", handle_addresses },
   { "/v1/keys", "POST", handle_mint },
   { "/v1/status", "GET", handle_status },
+  { "/v1/plan", "POST", ash_intent_plan },
+  { "/v1/confirm", "POST", ash_intent_confirm },
   { "/healthz", "GET", handle_health },
   { "/readyz", "GET", handle_health },
   { "/metrics", "GET", handle_metrics },
--- a/daemon/api.h
+++ b/daemon/api.h
@@ -16,7 +16,9 @@
   struct ash_daemon *daemon;
   struct ash_entry *entry;
   struct ash_http_server server;
-  struct ash_time woke_until; /**< until then calls count as possibly old */
+  struct ash_time woke_until;                /**< until then calls count as possibly old */
+  bool (*platform_answers) (void *platform); /**< whether the last read went well */
+  void *platform;
 };
 
 /** Binds its address; it serves after ash_http_server_listen(). @return false with errno set. */
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -178,6 +178,14 @@
     ash_peers_beat (&entry->daemon.peers);
 }
 
+static bool
+platform_answers (void *data)
+{
+  const struct ash_platform *platform = data;
+
+  return platform->config.failures == 0;
+}
+
 static void
 on_document (void *data, uint64_t revision, const char *text, size_t text_bytes)
 {
@@ -264,6 +272,8 @@
       goto finish_core;
     }
   ash_platform_init (&entry.platform, daemon, &platform);
+  entry.api.platform_answers = platform_answers;
+  entry.api.platform = &entry.platform;
   ok = ash_daemon_run (daemon) && !entry.failed;
   ash_platform_finish (&entry.platform);
   ash_api_finish (&entry.api);
--- /dev/null
+++ b/daemon/intent.c
@@ -0,0 +1,246 @@
+#include "daemon/intent.h"
+
+#include "options/intent.h"
+
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <xxhash.h>
+
+#define BEARER "Bearer "
+#define SAMPLES 1000
+#define DIGEST_BYTES 17
+
+/* ---- answers ---- */
+
+static void
+reply (struct ash_api *api, const struct ash_http_request *request, uint32_t status, json_t *body)
+{
+  struct ash_http_headers headers = { 0 };
+  char *text = json_dumps (body, JSON_COMPACT);
+
+  ash_http_headers_add (&headers, "Content-Type", "application/json");
+  ash_http_reply (&api->server, request->number, status, &headers,
+                  (const uint8_t *) (text ? text : "{}"), text ? strlen (text) : 2);
+  free (text);
+  json_decref (body);
+}
+
+static void
+refuse (struct ash_api *api,
+        const struct ash_http_request *request,
+        uint32_t status,
+        const char *code,
+        const char *message)
+{
+  const struct ash_config *config = &api->entry->config;
+
+  reply (api, request, status,
+         json_pack ("{s:{s:s, s:s, s:I}}", "error", "code", code, "message", message, "in_force",
+                    (json_int_t) (config->ready ? config->document.revision : 0)));
+}
+
+/* Whoever may plan and confirm holds the operators' key. */
+static bool
+is_operator (const struct ash_api *api, const struct ash_http_request *request)
+{
+  const char *value = ash_http_header (request, "Authorization");
+  uint8_t wanted[ASH_KEY_HASH_BYTES];
+  uint8_t hash[ASH_KEY_HASH_BYTES];
+
+  if (!value || strncmp (value, BEARER, strlen (BEARER)) != 0 ||
+      !ash_hex_decode (api->daemon->settings->operator_key_hash, wanted, sizeof wanted))
+    return false;
+  value += strlen (BEARER);
+  ash_key_hash (value, strlen (value), hash);
+  return sodium_memcmp (hash, wanted, sizeof hash) == 0;
+}
+
+static void
+format_digest (const char *text, char digest[DIGEST_BYTES])
+{
+  snprintf (digest, DIGEST_BYTES, "%016" PRIx64, (uint64_t) XXH3_64bits (text, strlen (text)));
+}
+
+/* ---- what a plan does ---- */
+
+/* Of a thousand keys that may not be repeated, how many get another home. */
+static json_t *
+moved_homes (const struct ash_document *before, const struct ash_document *after)
+{
+  json_t *moved = json_object ();
+
+  for (uint32_t s = 0; s < after->service_count; s++)
+    {
+      const char *service = after->services[s].name;
+      uint32_t count = 0;
+
+      for (uint32_t i = 0; i < SAMPLES; i++)
+        {
+          struct ash_id id = { i, i };
+          const struct ash_endpoint *old = ash_document_home (before, service, id);
+          const struct ash_endpoint *new = ash_document_home (after, service, id);
+
+          count += old && (!new || strcmp (old->name, new->name) != 0);
+        }
+      if (count)
+        json_object_set_new (moved, service, json_real ((double) count / SAMPLES));
+    }
+  return moved;
+}
+
+/* Accounts that get other entries: their callers ask for addresses again. */
+static uint32_t
+moved_accounts (const struct ash_document *before, const struct ash_document *after)
+{
+  uint32_t count = 0;
+
+  for (uint32_t a = 0; a < after->account_count; a++)
+    {
+      const struct ash_account *old = ash_document_account (before, after->accounts[a].name);
+      bool moved = false;
+
+      for (uint32_t e = 0; old && e < after->entry_count; e++)
+        {
+          const char *entry = after->entries[e].name;
+
+          moved |= (ash_document_entry_rank (before, old, entry) < 0) !=
+                   (ash_document_entry_rank (after, &after->accounts[a], entry) < 0);
+        }
+      count += moved;
+    }
+  return count;
+}
+
+static json_t *
+findings_json (const struct ash_findings *findings)
+{
+  json_t *list = json_array ();
+
+  for (uint32_t i = 0; findings->items && i < findings->count && i < ASH_FINDINGS_MAX; i++)
+    json_array_append_new (
+        list, json_pack ("{s:i, s:s, s:s}", "line", (int) findings->items[i].line, "place",
+                         findings->items[i].place, "text", findings->items[i].text));
+  return list;
+}
+
+static json_t *
+plan_json (const struct ash_config *config,
+           const struct ash_plan *plan,
+           const char *text,
+           struct ash_findings *findings)
+{
+  const struct ash_document *base = &config->document;
+  struct ash_document document;
+  char digest[DIGEST_BYTES];
+  json_t *effects;
+
+  ash_document_init (&document, base->revision + 1, text, strlen (text), findings);
+  format_digest (text, digest);
+  effects = findings->count
+                ? json_object ()
+                : json_pack ("{s:o, s:i}", "keys_with_new_home", moved_homes (base, &document),
+                             "accounts_with_new_entries", (int) moved_accounts (base, &document));
+  ash_document_finish (&document);
+  return json_pack ("{s:I, s:I, s:s, s:O, s:o, s:o, s:s}", "base_revision",
+                    (json_int_t) base->revision, "revision", (json_int_t) base->revision + 1,
+                    "digest", digest, "changes", plan->changes, "effects", effects, "not_met",
+                    findings_json (findings), "document", text);
+}
+
+void
+ash_intent_plan (struct ash_api *api, const struct ash_http_request *request)
+{
+  const struct ash_config *config = &api->entry->config;
+  struct ash_findings findings;
+  struct ash_plan plan;
+  char *text;
+
+  if (!is_operator (api, request))
+    {
+      refuse (api, request, MHD_HTTP_UNAUTHORIZED, "not_operator", "the operators' key is needed");
+      return;
+    }
+  if (!config->ready)
+    {
+      refuse (api, request, MHD_HTTP_SERVICE_UNAVAILABLE, "not_ready", "no configuration yet");
+      return;
+    }
+  ash_findings_init (&findings, "intent");
+  ash_plan_init (&plan, config->text, config->text_bytes, (const char *) request->body,
+                 request->body_bytes, (int64_t) time (NULL), &findings);
+  text = json_dumps (plan.document, JSON_INDENT (1));
+  reply (api, request, MHD_HTTP_OK, plan_json (config, &plan, text ? text : "", &findings));
+  free (text);
+  ash_plan_finish (&plan);
+  ash_findings_finish (&findings);
+}
+
+/* ---- confirm ---- */
+
+/* Whether some box is known to have a newer configuration than this one. */
+static bool
+is_behind (const struct ash_entry *entry)
+{
+  for (const struct ash_box *box = entry->membership.boxes; box; box = box->hh.next)
+    if (box->linked && box->revision > entry->config.document.revision)
+      return true;
+  return false;
+}
+
+/* @return why the plan can't be confirmed, or NULL. */
+static const char *
+check_plan (const struct ash_api *api, const json_t *plan, const char **code)
+{
+  const struct ash_config *config = &api->entry->config;
+  const char *text = json_string_value (json_object_get (plan, "document"));
+  const char *digest = json_string_value (json_object_get (plan, "digest"));
+  json_int_t base = json_integer_value (json_object_get (plan, "base_revision"));
+  char actual[DIGEST_BYTES];
+
+  *code = "bad_plan";
+  if (!text || !digest)
+    return "this is no plan";
+  format_digest (text, actual);
+  if (strcmp (actual, digest) != 0)
+    return "the plan's document is not the one that its digest names";
+  if (json_array_size (json_object_get (plan, "not_met")))
+    return "the plan has parts that can't be met";
+  *code = "cut_off";
+  if (!api->platform_answers (api->platform))
+    return "this box does not hear the platform; confirm at another";
+  *code = "behind";
+  if (is_behind (api->entry))
+    return "this box is behind others; confirm again in a moment";
+  *code = "base_moved";
+  if (base != (json_int_t) config->document.revision)
+    return "another configuration came into force since the plan was made; plan again";
+  return NULL;
+}
+
+void
+ash_intent_confirm (struct ash_api *api, const struct ash_http_request *request)
+{
+  json_t *plan;
+  const char *code;
+  const char *wrong;
+
+  if (!is_operator (api, request))
+    {
+      refuse (api, request, MHD_HTTP_UNAUTHORIZED, "not_operator", "the operators' key is needed");
+      return;
+    }
+  plan = json_loadb ((const char *) request->body, request->body_bytes, 0, NULL);
+  wrong = check_plan (api, plan, &code);
+  if (wrong)
+    refuse (api, request, strcmp (code, "bad_plan") == 0 ? MHD_HTTP_BAD_REQUEST : MHD_HTTP_CONFLICT,
+            code, wrong);
+  else
+    reply (api, request, MHD_HTTP_OK,
+           json_pack ("{s:O, s:O, s:O}", "revision", json_object_get (plan, "revision"), "digest",
+                      json_object_get (plan, "digest"), "document",
+                      json_object_get (plan, "document")));
+  json_decref (plan);
+}
--- a/test/faults.c
+++ b/test/faults.c
@@ -8,6 +8,7 @@
 #include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
 #include <curl/curl.h>
+#include <jansson.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
@@ -770,6 +771,133 @@
   fleet_stop (&fleet);
 }
 
+/* ---- plans ---- */
+
+#define OPERATOR_KEY "operator"
+#define OPERATOR_HASH "5604e62b81938269c7bce4225f8735eff69f4cd4ab5e2db275456a74285a173c"
+
+/* Posts to an operators' path of an entry. @return the answer as JSON. */
+static json_t *
+operate (
+    struct fleet *fleet, int e, const char *path, const char *key, const char *body, long *status)
+{
+  char url[128];
+  struct ash_cli_request request = { .url = url, .method = "POST", .key = key, .body = body };
+  struct ash_cli_answer answer = { 0 };
+  json_t *root;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u%s", fleet->entries[e].http_port, path);
+  ash_cli_fetch (&request, &answer);
+  *status = answer.status;
+  root = json_loadb (answer.body ? answer.body : "", answer.body_bytes, 0, NULL);
+  ash_cli_answer_finish (&answer);
+  return root;
+}
+
+static long
+confirm (struct fleet *fleet, int e, const json_t *plan, const char *code)
+{
+  char *text = json_dumps (plan, 0);
+  long status = 0;
+  json_t *root = operate (fleet, e, "/v1/confirm", OPERATOR_KEY, text, &status);
+  const char *actual =
+      json_string_value (json_object_get (json_object_get (root, "error"), "code"));
+
+  CU_ASSERT_STRING_EQUAL (actual ? actual : "", code);
+  json_decref (root);
+  free (text);
+  return status;
+}
+
+/* Publishes a confirmed plan. @return the platform's status. */
+static long
+publish_plan (struct fleet *fleet, const json_t *plan)
+{
+  char url[128];
+  struct ash_cli_request request = {
+    .url = url, .method = "PUT", .body = json_string_value (json_object_get (plan, "document"))
+  };
+  struct ash_cli_answer answer = { 0 };
+  long status;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/control/config?revision=%d", fleet->platform_port,
+            (int) json_integer_value (json_object_get (plan, "revision")));
+  ash_cli_fetch (&request, &answer);
+  status = answer.status;
+  ash_cli_answer_finish (&answer);
+  return status;
+}
+
+/* Two operators plan on one base: one wins, the other is told so. Nothing takes
+ * effect before it is confirmed and published. */
+static void
+test_operators_race (void)
+{
+  struct fleet fleet;
+  json_t *first;
+  json_t *second;
+  json_t *refused;
+  long status = 0;
+
+  fleet_start (&fleet, NO_GUARD "operator_key_hash = \"" OPERATOR_HASH "\"\n");
+  refused = operate (&fleet, 0, "/v1/plan", "wrong", "x = 1", &status);
+  CU_ASSERT_EQUAL (status, 401);
+  json_decref (refused);
+  first = operate (&fleet, 0, "/v1/plan", OPERATOR_KEY, "[[hall]]\nname = \"h2\"\n", &status);
+  CU_ASSERT_EQUAL (status, 200);
+  CU_ASSERT_EQUAL (json_array_size (json_object_get (first, "changes")), 1);
+  second = operate (&fleet, 1, "/v1/plan", OPERATOR_KEY, "[[account]]\nname = \"a\"\nburst = 7\n",
+                    &status);
+  CU_ASSERT_EQUAL (json_array_size (json_object_get (second, "not_met")), 0);
+  CU_ASSERT_EQUAL (fleet_revision (&fleet, 0), 1);
+  /* Both may be confirmed while the base stands; the platform takes one. */
+  CU_ASSERT_EQUAL (confirm (&fleet, 0, first, ""), 200);
+  CU_ASSERT_EQUAL (confirm (&fleet, 1, second, ""), 200);
+  CU_ASSERT_EQUAL (publish_plan (&fleet, first), 200);
+  CU_ASSERT_EQUAL (publish_plan (&fleet, second), 409);
+  for (int e = 0; e < FLEET_ENTRIES; e++)
+    CU_ASSERT (wait_revision (&fleet, e, 2));
+  CU_ASSERT_EQUAL (confirm (&fleet, 1, second, "base_moved"), 409);
+  CU_ASSERT_EQUAL (confirm (&fleet, 0, first, "base_moved"), 409);
+  json_decref (first);
+  json_decref (second);
+  fleet_stop (&fleet);
+}
+
+static void
+test_plan_refused (void)
+{
+  struct fleet fleet;
+  json_t *plan;
+  long status = 0;
+
+  fleet_start (&fleet, NO_GUARD "operator_key_hash = \"" OPERATOR_HASH "\"\n");
+  /* What can't be met is said in the plan, and can't be confirmed. */
+  plan = operate (&fleet, 0, "/v1/plan", OPERATOR_KEY,
+                  "remove = [\"endpoint nobody\"]\n[[account]]\nname = \"a\"\nclass = \"x\"\n",
+                  &status);
+  CU_ASSERT_EQUAL (json_array_size (json_object_get (plan, "not_met")), 2);
+  CU_ASSERT_EQUAL (confirm (&fleet, 0, plan, "bad_plan"), 400);
+  json_decref (plan);
+  plan =
+      operate (&fleet, 0, "/v1/plan", OPERATOR_KEY, "remove = [\"endpoint model-1\"]\n", &status);
+  CU_ASSERT_EQUAL (json_array_size (json_object_get (plan, "not_met")), 0);
+  CU_ASSERT (json_number_value (json_object_get (
+                 json_object_get (json_object_get (plan, "effects"), "keys_with_new_home"),
+                 "model")) > 0.3);
+  /* Tampered with, and through an entry that does not hear the platform. */
+  json_object_set_new (plan, "digest", json_string ("0000000000000000"));
+  CU_ASSERT_EQUAL (confirm (&fleet, 0, plan, "bad_plan"), 400);
+  json_decref (plan);
+  plan = operate (&fleet, 0, "/v1/plan", OPERATOR_KEY, "[[hall]]\nname = \"h2\"\n", &status);
+  fleet_control (fleet.platform_port, "/control/mode?config=1");
+  for (int i = 0; i < 300 && !fleet_log_count (&fleet, "entry-1", " 203 platform_down "); i++)
+    fleet_sleep (50);
+  CU_ASSERT_EQUAL (confirm (&fleet, 0, plan, "cut_off"), 409);
+  json_decref (plan);
+  fleet_stop (&fleet);
+}
+
 struct fault_test
 {
   const char *name;
@@ -800,6 +928,8 @@
   { "a cut and a kill", test_cut_and_kill },
   { "escapes in a path", test_escaped_path },
   { "configuration: bad, down, older", test_configuration },
+  { "plans: two operators on one base", test_operators_race },
+  { "plans: what can't be met, tampered, cut off", test_plan_refused },
 };
 
 /* usage: test-faults [PART OF A NAME] */
--- a/test/standin_platform.c
+++ b/test/standin_platform.c
@@ -178,12 +178,21 @@
 static enum MHD_Result
 handle_control (struct standin_request *request)
 {
+  unsigned status = MHD_HTTP_OK;
   char text[96];
   int length;
 
   pthread_mutex_lock (&lock);
   if (strcmp (request->path, "/control/config") == 0)
-    publish (request->body, (uint64_t) standin_number (request, "revision", 0));
+    {
+      uint64_t revision = (uint64_t) standin_number (request, "revision", 0);
+
+      /* A platform numbers what it holds: nothing is published twice under one. */
+      if (revision && revision <= present.revision)
+        status = MHD_HTTP_CONFLICT;
+      else
+        publish (request->body, revision);
+    }
   else if (strcmp (request->path, "/control/box") == 0)
     set_box (request);
   else if (strcmp (request->path, "/control/mode") == 0)
@@ -196,7 +205,7 @@
   length = sprintf (text, "{\"config\":%u,\"list\":%u,\"revision\":%llu}\n", config_calls,
                     list_calls, (unsigned long long) present.revision);
   pthread_mutex_unlock (&lock);
-  return standin_reply (request, MHD_HTTP_OK, "application/json", text, (size_t) length);
+  return standin_reply (request, status, "application/json", text, (size_t) length);
 }
 
 static enum MHD_Result
