tidy: one way to answer with JSON, to hash a bearer key, to add headers

What the operators' paths and the command line had written again now calls what was there; the filters' context loses a field that nobody read.

--- a/cli/fetch.c
+++ b/cli/fetch.c
@@ -71,37 +71,40 @@
   return length;
 }
 
+/* Adds `NAME: VALUE`, if there is a value. */
+static struct curl_slist *
+add_header (struct curl_slist *headers, const char *name, const char *value)
+{
+  char line[512];
+
+  if (!value)
+    return headers;
+  snprintf (line, sizeof line, "%s: %s", name, value);
+  return curl_slist_append (headers, line);
+}
+
+static struct curl_slist *
+add_number (struct curl_slist *headers, const char *name, unsigned number)
+{
+  char text[16];
+
+  snprintf (text, sizeof text, "%u", number);
+  return add_header (headers, name, number ? text : NULL);
+}
+
 static struct curl_slist *
 make_headers (const struct ash_cli_request *request)
 {
   struct curl_slist *headers = curl_slist_append (NULL, "Expect:");
-  char line[512];
+  char bearer[300];
 
-  if (request->body)
-    headers = curl_slist_append (headers, "Content-Type: application/json");
-  if (request->key)
-    {
-      snprintf (line, sizeof line, "Authorization: Bearer %s", request->key);
-      headers = curl_slist_append (headers, line);
-    }
-  if (request->idempotency_key)
-    {
-      snprintf (line, sizeof line, "Idempotency-Key: %s", request->idempotency_key);
-      headers = curl_slist_append (headers, line);
-    }
-  if (request->attempt)
-    {
-      snprintf (line, sizeof line, "Ash-Attempt: %u", request->attempt);
-      headers = curl_slist_append (headers, line);
-    }
-  if (request->deadline_ms)
-    {
-      snprintf (line, sizeof line, "Ash-Deadline-Ms: %u", request->deadline_ms);
-      headers = curl_slist_append (headers, line);
-    }
-  if (request->no_repeat)
-    headers = curl_slist_append (headers, "Ash-No-Repeat: 1");
-  return headers;
+  snprintf (bearer, sizeof bearer, "Bearer %s", request->key ? request->key : "");
+  headers = add_header (headers, "Content-Type", request->body ? "application/json" : NULL);
+  headers = add_header (headers, "Authorization", request->key ? bearer : NULL);
+  headers = add_header (headers, "Idempotency-Key", request->idempotency_key);
+  headers = add_number (headers, "Ash-Attempt", request->attempt);
+  headers = add_number (headers, "Ash-Deadline-Ms", request->deadline_ms);
+  return add_header (headers, "Ash-No-Repeat", request->no_repeat ? "1" : NULL);
 }
 
 void
--- a/daemon/api.c
+++ b/daemon/api.c
@@ -18,12 +18,12 @@
 
 /* ---- answers ---- */
 
-static void
-reply_json (struct ash_api *api,
-            uint64_t number,
-            uint32_t status,
-            struct ash_http_headers *headers,
-            json_t *body)
+void
+ash_api_reply_json (struct ash_api *api,
+                    uint64_t number,
+                    uint32_t status,
+                    struct ash_http_headers *headers,
+                    json_t *body)
 {
   char *text = json_dumps (body, JSON_COMPACT);
 
@@ -73,8 +73,8 @@
   ash_id_format ((struct ash_id){ 0, number }, id);
   add_outcome (&headers, id, ASH__OUTCOME__NOT_RUN);
   add_retry (&headers, 0);
-  reply_json (api, number, ash_entry_status (reason), &headers,
-              error_body (reason, message, id, "not-run", 0));
+  ash_api_reply_json (api, number, ash_entry_status (reason), &headers,
+                      error_body (reason, message, id, "not-run", 0));
 }
 
 static void
@@ -105,9 +105,10 @@
       add_outcome (&headers, id, (int) reply->outcome);
       ash_http_headers_add (&headers, "Ash-Entry", "%s", api->daemon->settings->box);
       add_retry (&headers, reply->retry_ms);
-      reply_json (api, reply->call, reply->status, &headers,
-                  error_body ((int) reply->reason, ash_entry_reason_text ((int) reply->reason), id,
-                              ash_entry_outcome_name ((int) reply->outcome), reply->retry_ms));
+      ash_api_reply_json (
+          api, reply->call, reply->status, &headers,
+          error_body ((int) reply->reason, ash_entry_reason_text ((int) reply->reason), id,
+                      ash_entry_outcome_name ((int) reply->outcome), reply->retry_ms));
       return;
     }
   add_served (api, &headers, id, reply);
@@ -161,8 +162,8 @@
 
 /* ---- calls ---- */
 
-static bool
-hash_bearer (const struct ash_http_request *request, uint8_t hash[ASH_KEY_HASH_BYTES])
+bool
+ash_api_hash_bearer (const struct ash_http_request *request, uint8_t hash[ASH_KEY_HASH_BYTES])
 {
   const char *value = ash_http_header (request, "Authorization");
 
@@ -231,7 +232,7 @@
       reply_bad (api, request->number, ASH__REASON__BAD_REQUEST, wrong);
       return;
     }
-  if (hash_bearer (request, hash))
+  if (ash_api_hash_bearer (request, hash))
     {
       call->key_hash.data = hash;
       call->key_hash.len = sizeof hash;
@@ -335,9 +336,10 @@
   for (uint32_t i = 0; i < addresses.count; i++)
     json_array_append_new (list, json_pack ("{s:s, s:s}", "box", addresses.boxes[i]->name,
                                             "address", addresses.boxes[i]->http));
-  reply_json (api, request->number, MHD_HTTP_OK, &headers,
-              json_pack ("{s:o, s:i, s:I}", "addresses", list, "keep_ms", (int) addresses.keep_ms,
-                         "revision", (json_int_t) entry->config.document.revision));
+  ash_api_reply_json (api, request->number, MHD_HTTP_OK, &headers,
+                      json_pack ("{s:o, s:i, s:I}", "addresses", list, "keep_ms",
+                                 (int) addresses.keep_ms, "revision",
+                                 (json_int_t) entry->config.document.revision));
 }
 
 /* A key for a request that may not be repeated: names its home and that home's
@@ -355,7 +357,7 @@
 
   if (!entry->config.ready)
     reply_bad (api, request->number, ASH__REASON__NOT_READY, "no configuration yet");
-  else if (!hash_bearer (request, hash) ||
+  else if (!ash_api_hash_bearer (request, hash) ||
            !ash_document_account_by_key (&entry->config.document, hash))
     reply_bad (api, request->number, ASH__REASON__BAD_KEY, "the bearer key belongs to no account");
   else if (!service || !ash_document_service (&entry->config.document, service))
@@ -370,9 +372,9 @@
       key.expires_s = (int64_t) time (NULL) + api->daemon->settings->key_life_ms / MS_PER_S;
       key.nonce = ash_random_next (&entry->random);
       ash_minted_key_format (&key, entry->fleet_key, text);
-      reply_json (api, request->number, MHD_HTTP_OK, &headers,
-                  json_pack ("{s:s, s:s, s:I}", "key", text, "home", key.home, "expires_s",
-                             (json_int_t) key.expires_s));
+      ash_api_reply_json (api, request->number, MHD_HTTP_OK, &headers,
+                          json_pack ("{s:s, s:s, s:I}", "key", text, "home", key.home, "expires_s",
+                                     (json_int_t) key.expires_s));
     }
 }
 
@@ -386,9 +388,9 @@
 
   if (asks_ready && !is_ready)
     text = api->entry->leaving ? "leaving" : "no configuration";
-  reply_json (api, request->number,
-              asks_ready && !is_ready ? MHD_HTTP_SERVICE_UNAVAILABLE : MHD_HTTP_OK, &headers,
-              json_pack ("{s:s}", "status", text));
+  ash_api_reply_json (api, request->number,
+                      asks_ready && !is_ready ? MHD_HTTP_SERVICE_UNAVAILABLE : MHD_HTTP_OK,
+                      &headers, json_pack ("{s:s}", "status", text));
 }
 
 static void
@@ -435,11 +437,12 @@
 
   for (struct ash_box *box = entry->membership.boxes; box; box = box->hh.next)
     json_array_append_new (boxes, box_json (box));
-  reply_json (api, request->number, MHD_HTTP_OK, &headers,
-              json_pack ("{s:s, s:s, s:I, s:s, s:o}", "box", api->daemon->settings->box, "state",
-                         entry->leaving ? "leaving" : "live", "revision",
-                         (json_int_t) (entry->config.ready ? entry->config.document.revision : 0),
-                         "hall", api->daemon->settings->hall, "boxes", boxes));
+  ash_api_reply_json (
+      api, request->number, MHD_HTTP_OK, &headers,
+      json_pack ("{s:s, s:s, s:I, s:s, s:o}", "box", api->daemon->settings->box, "state",
+                 entry->leaving ? "leaving" : "live", "revision",
+                 (json_int_t) (entry->config.ready ? entry->config.document.revision : 0), "hall",
+                 api->daemon->settings->hall, "boxes", boxes));
 }
 
 struct route
--- a/daemon/api.h
+++ b/daemon/api.h
@@ -10,6 +10,8 @@
 #include "filters/entry.h"
 #include "net/http_server.h"
 
+#include <jansson.h>
+
 /** The interface of one entry. */
 struct ash_api
 {
@@ -26,6 +28,16 @@
 
 void ash_api_finish (struct ash_api *api);
 
+/** Answers a request with a JSON body, which it consumes, and headers so far. */
+void ash_api_reply_json (struct ash_api *api,
+                         uint64_t number,
+                         uint32_t status,
+                         struct ash_http_headers *headers,
+                         json_t *body);
+
+/** Hashes the request's bearer key. @return false if it has none. */
+bool ash_api_hash_bearer (const struct ash_http_request *request, uint8_t hash[ASH_KEY_HASH_BYTES]);
+
 /** Takes what the core gives out for a caller. @return false if it is none of that. */
 bool ash_api_take (struct ash_api *api, const struct Ash__Event *event);
 
--- a/daemon/intent.c
+++ b/daemon/intent.c
@@ -9,7 +9,6 @@
 #include <time.h>
 #include <xxhash.h>
 
-#define BEARER "Bearer "
 #define SAMPLES 1000
 #define DIGEST_BYTES 17
 
@@ -19,13 +18,8 @@
 reply (struct ash_api *api, const struct ash_http_request *request, uint32_t status, json_t *body)
 {
   struct ash_http_headers headers = { 0 };
-  char *text = json_dumps (body, JSON_COMPACT);
 
-  ash_http_headers_add (&headers, "Content-Type", "application/json");
-  ash_http_reply (&api->server, request->number, status, &headers,
-                  (const uint8_t *) (text ? text : "{}"), text ? strlen (text) : 2);
-  free (text);
-  json_decref (body);
+  ash_api_reply_json (api, request->number, status, &headers, body);
 }
 
 static void
@@ -46,15 +40,12 @@
 static bool
 is_operator (const struct ash_api *api, const struct ash_http_request *request)
 {
-  const char *value = ash_http_header (request, "Authorization");
   uint8_t wanted[ASH_KEY_HASH_BYTES];
   uint8_t hash[ASH_KEY_HASH_BYTES];
 
-  if (!value || strncmp (value, BEARER, strlen (BEARER)) != 0 ||
+  if (!ash_api_hash_bearer (request, hash) ||
       !ash_hex_decode (api->daemon->settings->operator_key_hash, wanted, sizeof wanted))
     return false;
-  value += strlen (BEARER);
-  ash_key_hash (value, strlen (value), hash);
   return sodium_memcmp (hash, wanted, sizeof hash) == 0;
 }
 
--- a/filters/entry.c
+++ b/filters/entry.c
@@ -659,7 +659,6 @@
 {
   const char *peer = event->peer;
 
-  entry->context.metrics = entry->metrics;
   switch (event->kind_case)
     {
     case ASH__EVENT__KIND_CALL:
--- a/filters/entry.h
+++ b/filters/entry.h
@@ -7,6 +7,7 @@
 #ifndef ASH_ENTRY_H
 #define ASH_ENTRY_H
 
+#include "common/metrics.h"
 #include "filters/filter.h"
 
 /** An endpoint gets this much less time than the caller gave, so that its own
--- a/filters/filter.h
+++ b/filters/filter.h
@@ -7,7 +7,6 @@
 #define ASH_FILTER_H
 
 #include "common/log.h"
-#include "common/metrics.h"
 #include "common/random.h"
 #include "controllers/config.h"
 #include "controllers/limits.h"
@@ -23,7 +22,6 @@
   struct ash_config *config;
   struct ash_membership *membership;
   struct ash_random *random;
-  struct ash_metrics *metrics; /**< may be NULL */
   const uint8_t *fleet_key;
 };
 
