entry: keeps the link to an endpoint that is no longer declared

Cause: a configuration that takes an endpoint out made entries close their links to it at once. Streams in its hands broke off, what may not be repeated waited for a link that never came back, and the earlier home of moved keys could not be asked. Found while reading; the new case 'an endpoint is removed while it works' was seen failing (streams not whole) and passes.

Now links to boxes of earlier sets are kept for a key's life, which no request outlasts, and looked through every five seconds.

--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -13,6 +13,9 @@
 /* Past the time that callers keep an address, until it takes no more. */
 #define LINGER_MARGIN_MS 200
 
+/* Links to boxes that are not declared any more are looked for at this period. */
+#define LINK_CHECK_MS 5000
+
 struct entry
 {
   struct ash_daemon daemon;
@@ -20,6 +23,7 @@
   struct ash_api api;
   struct ash_platform platform;
   struct ash_time configured_since; /* the first configuration came */
+  struct ash_time next_link_check;
   struct ash_time stop_since;
   bool serving;
   bool failed; /* it could not begin to serve */
@@ -35,10 +39,11 @@
 }
 
 static bool
-wants_dial (void *data, const char *box, const char *address)
+is_declared (const struct entry *entry,
+             const struct ash_document *document,
+             const char *box,
+             const char *address)
 {
-  const struct entry *entry = data;
-  const struct ash_document *document = &entry->core.config.document;
   const struct ash_endpoint *endpoint = ash_document_endpoint (document, box);
   const struct ash_entry_box *other = ash_document_entry (document, box);
 
@@ -47,6 +52,37 @@
   return other && dials_entry (entry, box) && strcmp (other->peer, address) == 0;
 }
 
+/* The link to a box that is not declared any more is kept for a key's life: what
+ * the box has in hand ends there, and it is asked to disown keys whose home it
+ * was. No request lasts longer. */
+static bool
+wants_dial (void *data, const char *box, const char *address)
+{
+  const struct entry *entry = data;
+  const struct ash_config *config = &entry->core.config;
+  struct ash_time oldest =
+      ash_time_add (ash_clock_now (), -(int64_t) entry->daemon.settings->key_life_ms);
+
+  if (is_declared (entry, &config->document, box, address))
+    return true;
+  for (uint32_t i = 0; i < config->past_count; i++)
+    if (ash_time_before (oldest, config->past[i].until) &&
+        is_declared (entry, &config->past[i].document, box, address))
+      return true;
+  return false;
+}
+
+static void
+drop_old_links (struct entry *entry)
+{
+  struct ash_time now = ash_clock_now ();
+
+  if (!entry->core.config.ready || ash_time_before (now, entry->next_link_check))
+    return;
+  entry->next_link_check = ash_time_add (now, LINK_CHECK_MS);
+  ash_peers_drop_dials (&entry->daemon.peers, wants_dial, entry);
+}
+
 static void
 on_configured (void *data)
 {
@@ -54,7 +90,6 @@
   const struct ash_document *document = &entry->core.config.document;
   struct ash_peers *peers = &entry->daemon.peers;
 
-  ash_peers_drop_dials (peers, wants_dial, entry);
   for (uint32_t i = 0; i < document->endpoint_count; i++)
     ash_peers_dial (peers, document->endpoints[i].name, document->endpoints[i].peer);
   for (uint32_t i = 0; i < document->entry_count; i++)
@@ -173,6 +208,8 @@
   uint32_t leaving = leaving_count (&entry->core.membership);
 
   ash_entry_handle (&entry->core, ash_clock_now (), event);
+  if (event->kind_case == ASH__EVENT__KIND_TICK)
+    drop_old_links (entry);
   serve_when_ready (entry);
   if (leaving_count (&entry->core.membership) > leaving)
     ash_peers_beat (&entry->daemon.peers);
--- a/test/faults.c
+++ b/test/faults.c
@@ -864,6 +864,46 @@
   fleet_stop (&fleet);
 }
 
+/* An endpoint is taken out of the configuration while it works: what it has in
+ * hand ends whole, and it gets nothing new. */
+static void
+test_endpoint_removed (void)
+{
+  static struct fleet_call calls[LOAD];
+  struct fleet fleet;
+  json_t *plan;
+  long status = 0;
+  int runs;
+
+  fleet_start (&fleet, NO_GUARD "operator_key_hash = \"" OPERATOR_HASH "\"\n");
+  for (int i = 0; i < LOAD; i++)
+    fleet_chat (&fleet, &calls[i], i % FLEET_ENTRIES, true, 300);
+  CU_ASSERT (wait_runs (&fleet, 0, "runs", 1));
+  plan =
+      operate (&fleet, 0, "/v1/plan", OPERATOR_KEY, "remove = [\"endpoint model-1\"]\n", &status);
+  CU_ASSERT_EQUAL (publish_plan (&fleet, plan), 200);
+  json_decref (plan);
+  for (int e = 0; e < FLEET_ENTRIES; e++)
+    CU_ASSERT (wait_revision (&fleet, e, 2));
+  for (int i = 0; i < LOAD; i++)
+    {
+      fleet_wait (&calls[i]);
+      CU_ASSERT (fleet_stream_ok (&calls[i].answer, 300));
+      ash_cli_answer_finish (&calls[i].answer);
+    }
+  runs = fleet_runs (&fleet, 0, NULL, "runs");
+  for (int i = 0; i < LOAD; i++)
+    fleet_chat (&fleet, &calls[i], i % FLEET_ENTRIES, true, 3);
+  for (int i = 0; i < LOAD; i++)
+    {
+      fleet_wait (&calls[i]);
+      CU_ASSERT (fleet_stream_ok (&calls[i].answer, 3));
+      ash_cli_answer_finish (&calls[i].answer);
+    }
+  CU_ASSERT_EQUAL (fleet_runs (&fleet, 0, NULL, "runs"), runs);
+  fleet_stop (&fleet);
+}
+
 static void
 test_plan_refused (void)
 {
@@ -929,6 +969,7 @@
   { "escapes in a path", test_escaped_path },
   { "configuration: bad, down, older", test_configuration },
   { "plans: two operators on one base", test_operators_race },
+  { "an endpoint is removed while it works", test_endpoint_removed },
   { "plans: what can't be met, tampered, cut off", test_plan_refused },
 };
 
