--- a/bench/faults.c
+++ b/bench/faults.c
@@ -18,6 +18,7 @@
 #define ORDERS 600
 #define ORDER_PERIOD_MS 5
 #define STREAMS 20
+#define CANCEL_WATCH_MS 40000
 #define SETTINGS "log_level = \"warn\"\nguard_ms = 0\n"
 
 /* ---- leaving ---- */
@@ -152,27 +153,30 @@
 
 /* ---- an entry dies ---- */
 
+/* @param orphans whether work that no entry asks for is cancelled before its deadline. */
 static void
-measure_cancel (void)
+measure_cancel (const char *what, int signal, bool orphans)
 {
   struct fleet fleet;
   struct fleet_call calls[STREAMS];
   int64_t killed_ms;
   int cancelled = 0;
 
-  fleet_start (&fleet, SETTINGS);
+  fleet_start (&fleet, orphans ? SETTINGS : SETTINGS "orphan_ms = 600000\n");
   for (int i = 0; i < STREAMS; i++)
     fleet_chat (&fleet, &calls[i], 0, true, 4000);
   fleet_sleep (500);
-  fleet_end (&fleet.entries[0].pid, SIGKILL);
+  kill (fleet.entries[0].pid, signal);
   killed_ms = fleet_now ();
-  while (cancelled < STREAMS && fleet_now () - killed_ms < 15000)
+  while (cancelled < STREAMS && fleet_now () - killed_ms < CANCEL_WATCH_MS)
     {
       cancelled =
           fleet_runs (&fleet, 0, NULL, "cancelled") + fleet_runs (&fleet, 1, NULL, "cancelled");
       fleet_sleep (5);
     }
-  printf ("| %d | %d | %lld |\n", STREAMS, cancelled, (long long) (fleet_now () - killed_ms));
+  printf ("| %s | %d | %d | %lld |\n", what, STREAMS, cancelled,
+          (long long) (fleet_now () - killed_ms));
+  fleet_end (&fleet.entries[0].pid, SIGKILL);
   for (int i = 0; i < STREAMS; i++)
     {
       fleet_wait (&calls[i]);
@@ -197,6 +201,8 @@
   printf (
       "\n| streams of an entry that is killed | cancelled at the engines | all of them after, ms "
       "|\n|---|---|---|\n");
-  measure_cancel ();
+  measure_cancel ("killed", SIGKILL, true);
+  measure_cancel ("paused", SIGSTOP, true);
+  measure_cancel ("killed, without cancelling orphans", SIGKILL, false);
   return EXIT_SUCCESS;
 }
