--- a/bench/faults.c
+++ b/bench/faults.c
@@ -199,8 +199,8 @@
       "killed | told not run, and ran |\n|---|---|---|---|---|---|\n");
   measure_unknown ();
   printf (
-      "\n| streams of an entry that is killed | cancelled at the engines | all of them after, ms "
-      "|\n|---|---|---|\n");
+      "\n| an entry with streams in hand is | streams | cancelled at the engines | after, ms |\n"
+      "|---|---|---|---|\n");
   measure_cancel ("killed", SIGKILL, true);
   measure_cancel ("paused", SIGSTOP, true);
   measure_cancel ("killed, without cancelling orphans", SIGKILL, false);
