agent: an old refusal's "not run" is told only to whom it is true

The ledger's refusal was written for one asker and repeated to all.

Ruled out: the entry's side (it passes on what it was told) and the guard time (attempt 1 was refused by it, as it should be).

Looked for the same fault elsewhere, found twice: who joins a queued request and is refused with it from the queue, and NOT_HOME, whose repeat was told as "not run" where the home may have run it. All three now ask one question, can_vouch() or ash_agent_knows_all(), for each asker.

--- a/controllers/agent.c
+++ b/controllers/agent.c
@@ -183,6 +183,19 @@
   return record;
 }
 
+/* Whether "not run" may be told to the asker with a refusal for that reason. */
+static bool
+can_vouch (const struct ash_agent *agent,
+           struct ash_time now,
+           const struct ash_asker *asker,
+           int reason)
+{
+  /* Who is not the home can't know what the home has done with other attempts. */
+  if (reason == ASH__REASON__NOT_HOME)
+    return asker->caller_attempt == 1;
+  return ash_agent_knows_all (agent, now, asker);
+}
+
 static void
 refuse_asker (struct ash_agent *agent,
               struct ash_time now,
@@ -190,11 +203,7 @@
               struct ash_record *record,
               int reason)
 {
-  bool known = ash_agent_knows_all (agent, now, asker);
-
-  /* Who is not the home can't know what the home has done with other attempts. */
-  if (reason == ASH__REASON__NOT_HOME)
-    known = asker->caller_attempt == 1;
+  bool known = can_vouch (agent, now, asker, reason);
 
   if (!record)
     record = write_record (agent, asker);
@@ -212,18 +221,26 @@
 }
 
 /* Tells a refusal that is in the ledger; what it covers grows with each attempt
- * that is told. */
+ * that is told. "Not run" was true for who was told first: this one may have
+ * had an attempt in the life before. */
 static void
-refuse_again (struct ash_agent *agent, const struct ash_asker *asker, struct ash_record *record)
+refuse_again (struct ash_agent *agent,
+              struct ash_time now,
+              const struct ash_asker *asker,
+              struct ash_record *record)
 {
+  int outcome =
+      can_vouch (agent, now, asker, record->reason) ? record->outcome : ASH__OUTCOME__UNKNOWN;
+
   if (record->refused_upto < ash_asker_covers (asker))
     record->refused_upto = ash_asker_covers (asker);
-  ash_agent_tell_refused (agent, asker, ASH__REASON__REFUSED_BEFORE, record->outcome);
+  ash_agent_tell_refused (agent, asker, ASH__REASON__REFUSED_BEFORE, outcome);
 }
 
 /* The ledger holds the request: hand over what there is, and what follows. */
 static void
 attach (struct ash_agent *agent,
+        struct ash_time now,
         struct ash_record *record,
         const struct ash_asker *asker,
         uint64_t offset)
@@ -234,6 +251,9 @@
                           ASH__REASON__ANSWER_GONE);
       return;
     }
+  /* Should it have to be refused from the queue, this one is told as well. */
+  if (!ash_agent_knows_all (agent, now, asker))
+    record->outcome = ASH__OUTCOME__UNKNOWN;
   if (record->state != ASH_RECORD_FINISHED)
     ash_record_watch (record, asker->peer, asker->attempt);
   if (record->answer.status)
@@ -329,7 +349,7 @@
         return;
       if (record->refused_upto < ash_asker_covers (&asker))
         record->refused_upto = ash_asker_covers (&asker);
-      attach (agent, record, &asker, 0);
+      attach (agent, now, record, &asker, 0);
     }
   else if (record->keyed && !record->disowned && asker.caller_attempt > record->refused_upto)
     {
@@ -337,7 +357,7 @@
       admit (agent, now, &asker, record, submit);
     }
   else
-    refuse_again (agent, &asker, record);
+    refuse_again (agent, now, &asker, record);
 }
 
 /* Whether the ledger would still hold the request, had it arrived: an entry
@@ -374,9 +394,9 @@
   else if (!record)
     refuse_asker (agent, now, &asker, NULL, ASH__REASON__NOT_RECEIVED);
   else if (record->state == ASH_RECORD_REFUSED)
-    refuse_again (agent, &asker, record);
+    refuse_again (agent, now, &asker, record);
   else
-    attach (agent, record, &asker, resume->offset);
+    attach (agent, now, record, &asker, resume->offset);
 }
 
 /* ---- other messages ---- */
