expert fence: one piece of code, in the rank and in its agent

The agent's fence for engines that check none (daemon/group.c) was the rank's fence (controllers/expert_rank.c) written again, without its model, schedules and mutants. Both now call ash_expert_fence_pass(); the agent keeps the one check of its own, that the engine's life is known. Behaviour is the same.

--- a/controllers/expert_rank.c
+++ b/controllers/expert_rank.c
@@ -120,16 +120,28 @@
 }
 
 static bool
-is_fenced (const struct ash_expert_rank *rank, const struct Ash__RankOrder *order)
+is_fenced (const struct ash_expert_fence *fence, uint64_t life, const struct Ash__RankOrder *order)
 {
-  if (order->ballot < rank->promised)
+  if (order->ballot < fence->promised)
     return true;
   /* A late copy out of an earlier phase: a disarm that comes after the arm would
    * let this rank begin a step that others have committed a map for. */
-  if (order->ballot == rank->promised && order->sequence < rank->sequence)
+  if (order->ballot == fence->promised && order->sequence < fence->sequence)
     return true;
   /* An order to an earlier life of this rank says nothing to this one. */
-  return order->kind != ASH__RANK_ORDER__KIND__PREPARE && order->life != rank->life;
+  return order->kind != ASH__RANK_ORDER__KIND__PREPARE && order->life != life;
+}
+
+bool
+ash_expert_fence_pass (struct ash_expert_fence *fence,
+                       uint64_t life,
+                       const struct Ash__RankOrder *order)
+{
+  if (is_fenced (fence, life, order))
+    return false;
+  fence->promised = order->ballot;
+  fence->sequence = order->sequence;
+  return true;
 }
 
 void
@@ -140,19 +152,15 @@
 {
   struct Ash__RankState state = ASH__RANK_STATE__INIT;
 
-  if (!is_fenced (rank, order))
-    {
-      rank->promised = order->ballot;
-      rank->sequence = order->sequence;
-      state.accepted = take_kind (rank, order);
-    }
+  if (ash_expert_fence_pass (&rank->fence, rank->life, order))
+    state.accepted = take_kind (rank, order);
   state.group = ash_text (rank->group);
   state.rank = rank->rank;
   state.life = rank->life;
   state.ballot = order->ballot;
   state.sequence = order->sequence;
   state.blank = rank->blank;
-  state.promised = rank->promised;
+  state.promised = rank->fence.promised;
   state.begun = rank->begun;
   state.version = rank->version;
   state.map = rank->map;
--- a/controllers/expert_rank.h
+++ b/controllers/expert_rank.h
@@ -12,21 +12,35 @@
 
 #include "proto/event.h"
 
+/** Which orders are late. Zeroed is new. */
+struct ash_expert_fence
+{
+  uint64_t promised; /**< lower ballots are refused */
+  uint64_t sequence; /**< of the promised ballot: earlier orders are refused */
+};
+
+/**
+ * Lets an order pass, or not; what passes makes those before it late.
+ * @param life of the rank that it comes to
+ */
+bool ash_expert_fence_pass (struct ash_expert_fence *fence,
+                            uint64_t life,
+                            const struct Ash__RankOrder *order);
+
 /** A rank of a group in lock-step. */
 struct ash_expert_rank
 {
   const char *group;
   uint32_t rank;
   uint64_t life;
-  bool blank;        /**< replaced: knows nothing, begins no step */
-  uint64_t promised; /**< lower ballots are refused */
-  uint64_t sequence; /**< of the promised ballot: earlier orders are refused */
-  uint64_t begun;    /**< the last step that it has begun */
-  uint64_t version;  /**< of the committed map, counts from 0 */
-  uint64_t map;      /**< committed */
-  uint64_t from;     /**< step from which it is used */
-  uint64_t before;   /**< map that is used until then */
-  uint64_t armed;    /**< ballot of the armed map; 0: none */
+  bool blank; /**< replaced: knows nothing, begins no step */
+  struct ash_expert_fence fence;
+  uint64_t begun;   /**< the last step that it has begun */
+  uint64_t version; /**< of the committed map, counts from 0 */
+  uint64_t map;     /**< committed */
+  uint64_t from;    /**< step from which it is used */
+  uint64_t before;  /**< map that is used until then */
+  uint64_t armed;   /**< ballot of the armed map; 0: none */
   uint64_t armed_map;
   uint64_t armed_step;  /**< this step is not begun before it is decided */
   uint64_t last_ballot; /**< whose commit was the last */
--- a/daemon/group.c
+++ b/daemon/group.c
@@ -84,15 +84,10 @@
 static bool
 passes_fence (struct ash_group_task *group, const struct Ash__RankOrder *order)
 {
-  if (order->ballot < group->promised ||
-      (order->ballot == group->promised && order->sequence < group->sequence))
+  /* Until the engine has told its life, no order can have been meant for it. */
+  if (!group->engine_life && order->kind != ASH__RANK_ORDER__KIND__PREPARE)
     return false;
-  if (order->kind != ASH__RANK_ORDER__KIND__PREPARE &&
-      (!group->engine_life || order->life != rank_life (group)))
-    return false;
-  group->promised = order->ballot;
-  group->sequence = order->sequence;
-  return true;
+  return ash_expert_fence_pass (&group->fence, rank_life (group), order);
 }
 
 static void
@@ -105,7 +100,7 @@
   state.life = rank_life (group);
   state.ballot = order->ballot;
   state.sequence = order->sequence;
-  state.promised = group->promised;
+  state.promised = group->fence.promised;
   give_state (group, peer, &state);
 }
 
@@ -141,8 +136,8 @@
   state->rank = call->group->rank;
   note_state (call->group, state);
   state->life = rank_life (call->group);
-  if (state->promised < call->group->promised)
-    state->promised = call->group->promised;
+  if (state->promised < call->group->fence.promised)
+    state->promised = call->group->fence.promised;
   if (*call->peer)
     give_state (call->group, call->peer, state);
   ash__rank_state__free_unpacked (state, NULL);
--- a/daemon/group.h
+++ b/daemon/group.h
@@ -9,6 +9,7 @@
 
 #include "controllers/expert_change.h"
 #include "controllers/expert_policy.h"
+#include "controllers/expert_rank.h"
 #include "daemon/daemon.h"
 
 struct engine_call;
@@ -34,9 +35,8 @@
   struct ash_time next_poll;
   struct ash_time next_decision;
   uint64_t own_map;
-  uint64_t engine_life; /**< as its last answer had it; 0: not known */
-  uint64_t promised;    /**< the fence, checked here for engines that check none */
-  uint64_t sequence;
+  uint64_t engine_life;          /**< as its last answer had it; 0: not known */
+  struct ash_expert_fence fence; /**< checked here for engines that check none */
   bool polling;
   struct engine_call *calls; /**< under way */
 };
--- a/test/standin_group.c
+++ b/test/standin_group.c
@@ -195,14 +195,14 @@
                                                                       body);
       json_decref (body);
     }
-  ask.ballot = ranks[r].promised;
-  ask.sequence = ranks[r].sequence;
+  ask.ballot = ranks[r].fence.promised;
+  ask.sequence = ranks[r].fence.sequence;
   ask.life = ranks[r].life;
   lost = order && lose && order->kind == lose;
   if (order && unchecked)
     {
-      ranks[r].promised = 0;
-      ranks[r].sequence = 0;
+      ranks[r].fence.promised = 0;
+      ranks[r].fence.sequence = 0;
       order->life = ranks[r].life;
     }
   answer = lost ? NULL : order_rank (r, order ? order : &ask);
