--- a/controllers/agent.c
+++ b/controllers/agent.c
@@ -183,6 +183,14 @@
   return record;
 }
 
+/* A refusal of the record will hold for this asker's attempt too. */
+static void
+cover_asker (struct ash_record *record, const struct ash_asker *asker)
+{
+  if (record->refused_upto < ash_asker_covers (asker))
+    record->refused_upto = ash_asker_covers (asker);
+}
+
 /* Whether "not run" may be told to the asker with a refusal for that reason. */
 static bool
 can_vouch (const struct ash_agent *agent,
@@ -214,8 +222,7 @@
       ash_agent_tell_refused (agent, asker, ASH__REASON__OVERLOAD, ASH__OUTCOME__UNKNOWN);
       return;
     }
-  if (record->refused_upto < ash_asker_covers (asker))
-    record->refused_upto = ash_asker_covers (asker);
+  cover_asker (record, asker);
   ash_record_watch (record, asker->peer, asker->attempt);
   refuse_record (agent, now, record, reason, known ? ASH__OUTCOME__NOT_RUN : ASH__OUTCOME__UNKNOWN);
 }
@@ -232,8 +239,7 @@
   int outcome =
       can_vouch (agent, now, asker, record->reason) ? record->outcome : ASH__OUTCOME__UNKNOWN;
 
-  if (record->refused_upto < ash_asker_covers (asker))
-    record->refused_upto = ash_asker_covers (asker);
+  cover_asker (record, asker);
   ash_agent_tell_refused (agent, asker, ASH__REASON__REFUSED_BEFORE, outcome);
 }
 
@@ -347,8 +353,7 @@
       /* The same frame again: its answer is on its way already. */
       if (ash_record_watcher (record, peer, asker.attempt))
         return;
-      if (record->refused_upto < ash_asker_covers (&asker))
-        record->refused_upto = ash_asker_covers (&asker);
+      cover_asker (record, &asker);
       attach (agent, now, record, &asker, 0);
     }
   else if (record->keyed && !record->disowned && asker.caller_attempt > record->refused_upto)
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -519,6 +519,18 @@
   return length == 0 || (length < 0 && errno != EAGAIN && errno != EINTR);
 }
 
+/* Ends an exchange that nobody waits for any more; none stays suspended. */
+static void
+break_off (struct ash_http_server *server, struct ash_exchange *exchange)
+{
+  exchange->broken = true;
+  exchange->ended = true;
+  if (exchange->state == EXCHANGE_WAIT)
+    ash_http_reply (server, exchange->number, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, NULL, 0);
+  else
+    resume (exchange);
+}
+
 static void
 on_sweep (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -539,12 +551,7 @@
           /* The error surfaces in on_more() or on writing the answer. */
           server->handler.gone (server->handler.data, exchange->number);
           shutdown (socket_of (exchange->connection), SHUT_RDWR);
-          exchange->broken = true;
-          exchange->ended = true;
-          if (exchange->state == EXCHANGE_WAIT)
-            ash_http_reply (server, exchange->number, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, NULL, 0);
-          else
-            resume (exchange);
+          break_off (server, exchange);
         }
       else if (exchange->state == EXCHANGE_UPLOAD && ash_time_before (exchange->since, latest))
         shutdown (socket_of (exchange->connection), SHUT_RDWR);
@@ -634,14 +641,7 @@
   ev_timer_stop (server->loop, &server->sweep);
   /* The library wants no connection suspended when it stops. */
   HASH_ITER (hh, server->exchanges, exchange, next)
-    {
-      exchange->broken = true;
-      exchange->ended = true;
-      if (exchange->state == EXCHANGE_WAIT)
-        ash_http_reply (server, exchange->number, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, NULL, 0);
-      else
-        resume (exchange);
-    }
+    break_off (server, exchange);
   run (server);
   MHD_stop_daemon (server->daemon);
 }
