--- a/test/faults.c
+++ b/test/faults.c
@@ -35,6 +35,18 @@
   return strcmp (call->answer.outcome, outcome) == 0;
 }
 
+/* All of a load's streams come whole, with that many tokens. */
+static void
+expect_streams (struct fleet_call *calls, int tokens)
+{
+  for (int i = 0; i < LOAD; i++)
+    {
+      fleet_wait (&calls[i]);
+      CU_ASSERT (fleet_stream_ok (&calls[i].answer, tokens));
+      ash_cli_answer_finish (&calls[i].answer);
+    }
+}
+
 /* Waits until the guard after the start of an agent's life is over. */
 static void
 wait_guard (void)
@@ -477,12 +489,7 @@
   fleet_wait (&late);
   CU_ASSERT (fleet_stream_ok (&late.answer, 5));
   ash_cli_answer_finish (&late.answer);
-  for (int i = 0; i < LOAD; i++)
-    {
-      fleet_wait (&calls[i]);
-      CU_ASSERT (fleet_stream_ok (&calls[i].answer, 200));
-      ash_cli_answer_finish (&calls[i].answer);
-    }
+  expect_streams (calls, 200);
   CU_ASSERT_EQUAL (fleet_end (&fleet.entries[0].pid, 0), 0);
   fleet_start_entry (&fleet, 0);
   CU_ASSERT (fleet_wait_live (&fleet, 0, FLEET_ENDPOINTS));
@@ -505,12 +512,7 @@
   before = fleet_runs (&fleet, 0, NULL, "runs");
   for (int i = 0; i < LOAD; i++)
     fleet_chat (&fleet, &calls[i], i % FLEET_ENTRIES, true, 3);
-  for (int i = 0; i < LOAD; i++)
-    {
-      fleet_wait (&calls[i]);
-      CU_ASSERT (fleet_stream_ok (&calls[i].answer, 3));
-      ash_cli_answer_finish (&calls[i].answer);
-    }
+  expect_streams (calls, 3);
   CU_ASSERT_EQUAL (fleet_runs (&fleet, 0, NULL, "runs"), before);
   fleet_stop (&fleet);
 }
@@ -885,21 +887,11 @@
   json_decref (plan);
   for (int e = 0; e < FLEET_ENTRIES; e++)
     CU_ASSERT (wait_revision (&fleet, e, 2));
-  for (int i = 0; i < LOAD; i++)
-    {
-      fleet_wait (&calls[i]);
-      CU_ASSERT (fleet_stream_ok (&calls[i].answer, 300));
-      ash_cli_answer_finish (&calls[i].answer);
-    }
+  expect_streams (calls, 300);
   runs = fleet_runs (&fleet, 0, NULL, "runs");
   for (int i = 0; i < LOAD; i++)
     fleet_chat (&fleet, &calls[i], i % FLEET_ENTRIES, true, 3);
-  for (int i = 0; i < LOAD; i++)
-    {
-      fleet_wait (&calls[i]);
-      CU_ASSERT (fleet_stream_ok (&calls[i].answer, 3));
-      ash_cli_answer_finish (&calls[i].answer);
-    }
+  expect_streams (calls, 3);
   CU_ASSERT_EQUAL (fleet_runs (&fleet, 0, NULL, "runs"), runs);
   fleet_stop (&fleet);
 }
