http_server: a planned stop loses nobody who has connected

Cause: an entry that ends closes its listener with connections in its queue, which are reset, and ends with connections that had been accepted and had not sent their request yet; both callers can't know whether they ran. Ruled out: the endpoints (no answer had begun), the retry budget (another reason would be named).

Change: the listener's queue is taken to the last connection before it closes, with handshakes dropped for that moment; connections without a request are waited for upload_ms; answers of a stopping entry close their connections. Test 'planned stop: connected, and asks late', seen failing with the build before.

ashctl: whether a call was connected is what libcurl measured; a time-out while connecting counted as a submission.

--- a/cli/fetch.c
+++ b/cli/fetch.c
@@ -115,6 +115,7 @@
   CURL *easy = curl_easy_init ();
   long patience_ms =
       (request->deadline_ms ? (long) request->deadline_ms : DEADLINE_DEFAULT_MS) + PATIENCE_MS;
+  curl_off_t connect_us = 0;
   CURLcode code;
 
   *answer = (struct ash_cli_answer){ 0 };
@@ -134,8 +135,8 @@
   curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, request->method);
   code = curl_easy_perform (easy);
   curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &answer->status);
-  answer->connected = code != CURLE_COULDNT_CONNECT && code != CURLE_URL_MALFORMAT &&
-                      code != CURLE_COULDNT_RESOLVE_HOST;
+  curl_easy_getinfo (easy, CURLINFO_CONNECT_TIME_T, &connect_us);
+  answer->connected = connect_us > 0;
   answer->whole = code == CURLE_OK;
   if (code != CURLE_OK)
     snprintf (answer->error, sizeof answer->error, "%s", curl_easy_strerror (code));
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -261,12 +261,14 @@
   struct ash_time now = ash_clock_now ();
 
   if (!entry->stop_since.ms)
-    entry->stop_since = now;
+    {
+      entry->stop_since = now;
+      ash_http_server_close_kept (&entry->api.server);
+    }
   if (ash_time_diff (entry->stop_since, now) <
       entry->daemon.settings->address_keep_ms + LINGER_MARGIN_MS)
     return false;
-  ash_http_server_quiesce (&entry->api.server);
-  return ash_entry_idle (&entry->core) && ash_http_server_open (&entry->api.server) == 0;
+  return ash_http_server_drain (&entry->api.server, now) && ash_entry_idle (&entry->core);
 }
 
 static void
--- a/net/http_server.c
+++ b/net/http_server.c
@@ -1,10 +1,10 @@
 #include "net/http_server.h"
 
-#include "common/clock.h"
 #include "net/bind.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdarg.h>
@@ -21,6 +21,9 @@
 #define HEADERS_MAX_BYTES 32768
 #define BLOCK_BYTES 32768
 
+/* Where a TCP header has its flags. */
+#define TCP_FLAGS_OFFSET 13
+
 /* What may wait for a caller that reads slowly. */
 #define PENDING_MAX_BYTES (4 * 1024 * 1024)
 
@@ -63,6 +66,7 @@
   struct MHD_Connection *connection;
   struct ash_time since; /* opened, or its last request ended */
   bool in_request;
+  bool used; /* it has sent a request */
   struct ash_conn *prev;
   struct ash_conn *next;
 };
@@ -130,7 +134,10 @@
   exchange->since = ash_clock_now ();
   HASH_ADD (hh, server->exchanges, number, sizeof exchange->number, exchange);
   if (conn)
-    conn->in_request = true;
+    {
+      conn->in_request = true;
+      conn->used = true;
+    }
   return exchange;
 }
 
@@ -343,6 +350,8 @@
 {
   for (uint32_t i = 0; headers && i < headers->count; i++)
     MHD_add_response_header (response, headers->items[i].name, headers->items[i].value);
+  if (exchange->server->close_kept)
+    MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
   exchange->response = response;
   exchange->status = status;
   resume (exchange);
@@ -613,20 +622,78 @@
 }
 
 void
-ash_http_server_quiesce (struct ash_http_server *server)
+ash_http_server_close_kept (struct ash_http_server *server)
+{
+  server->close_kept = true;
+}
+
+/* A listener that closes resets whoever has connected and was not accepted yet,
+ * and such a caller can't know whether its request ran. So for the moment that
+ * this takes no handshake begins: SYNs are dropped, and when the caller's system
+ * repeats its own it is refused. Dropping them any longer, for handshakes that
+ * are half done, keeps callers waiting who could be at another entry (tried).
+ * Without the filter few callers would be lost, so its failure stops nothing. */
+static void
+drop_handshakes (int listen_fd)
+{
+  struct sock_filter code[] = {
+    BPF_STMT (BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET),
+    BPF_JUMP (BPF_JMP | BPF_JSET | BPF_K, TH_SYN, 0, 1),
+    BPF_STMT (BPF_RET | BPF_K, 0),
+    BPF_STMT (BPF_RET | BPF_K, UINT32_MAX),
+  };
+  struct sock_fprog program = { sizeof code / sizeof code[0], code };
+
+  setsockopt (listen_fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+}
+
+/* The library accepts a few connections a run, and serves others in between. */
+static void
+accept_rest (struct ash_http_server *server)
+{
+  struct sockaddr_in address;
+  socklen_t address_bytes = sizeof address;
+  int fd;
+
+  while ((fd = accept4 (server->listen_fd, (struct sockaddr *) &address, &address_bytes,
+                        SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+    {
+      MHD_add_connection (server->daemon, fd, (struct sockaddr *) &address, address_bytes);
+      address_bytes = sizeof address;
+    }
+}
+
+static void
+close_listener (struct ash_http_server *server)
 {
-  if (server->listen_fd < 0)
-    return;
   if (server->daemon)
-    MHD_quiesce_daemon (server->daemon);
+    {
+      MHD_quiesce_daemon (server->daemon);
+      drop_handshakes (server->listen_fd);
+      accept_rest (server);
+    }
   close (server->listen_fd);
   server->listen_fd = -1;
+  server->resumed = true;
+}
+
+static bool
+awaits_first_request (const struct ash_http_server *server, struct ash_time now)
+{
+  struct ash_conn *conn;
+
+  DL_FOREACH (server->conns, conn)
+    if (!conn->used && ash_time_diff (conn->since, now) < server->settings->upload_ms)
+      return true;
+  return false;
 }
 
-uint32_t
-ash_http_server_open (const struct ash_http_server *server)
+bool
+ash_http_server_drain (struct ash_http_server *server, struct ash_time now)
 {
-  return HASH_COUNT (server->exchanges);
+  if (server->listen_fd >= 0)
+    close_listener (server);
+  return HASH_COUNT (server->exchanges) == 0 && !awaits_first_request (server, now);
 }
 
 static void
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -7,6 +7,7 @@
 #ifndef ASH_HTTP_SERVER_H
 #define ASH_HTTP_SERVER_H
 
+#include "common/clock.h"
 #include "options/settings.h"
 
 #include <ev.h>
@@ -66,7 +67,8 @@
   struct ash_exchange *exchanges;
   struct ash_conn *conns;
   uint64_t last_number;
-  bool resumed; /**< a connection waits for the library to run */
+  bool resumed;    /**< a connection waits for the library to run */
+  bool close_kept; /**< answers close their connections */
   int listen_fd;
 };
 
@@ -83,11 +85,16 @@
 /** Closes everything. */
 void ash_http_server_finish (struct ash_http_server *server);
 
-/** Takes no new connections any more; open ones are still served. */
-void ash_http_server_quiesce (struct ash_http_server *server);
+/** From now on each answer closes its connection, so that callers don't keep them. */
+void ash_http_server_close_kept (struct ash_http_server *server);
 
-/** @return how many answers are not whole yet. */
-uint32_t ash_http_server_open (const struct ash_http_server *server);
+/**
+ * Takes no new connections any more, and answers all that had connected. To be
+ * called until it is done. A caller that has connected and sent
+ * nothing is waited for upload_ms long.
+ * @return whether nothing is in flight any more.
+ */
+bool ash_http_server_drain (struct ash_http_server *server, struct ash_time now);
 
 /** @return a header of the request, or NULL. */
 const char *ash_http_header (const struct ash_http_request *request, const char *name);
--- a/test/bounds.c
+++ b/test/bounds.c
@@ -7,19 +7,16 @@
 #include "net/frame.h"
 #include "net/handshake.h"
 #include "test/fleet.h"
+#include "test/raw.h"
 
 #include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
-#include <arpa/inet.h>
 #include <curl/curl.h>
-#include <errno.h>
-#include <netinet/in.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <sys/time.h>
 #include <unistd.h>
 
 #define TOO_MANY 12
@@ -30,53 +27,6 @@
 static struct fleet fleet;
 static uint8_t fleet_key[ASH_FRAME_KEY_BYTES];
 
-static int
-open_raw (uint16_t port)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (port) };
-  struct timeval patience = { .tv_sec = 8 };
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
-  if (connect (fd, (struct sockaddr *) &address, sizeof address) == 0)
-    return fd;
-  close (fd);
-  return -1;
-}
-
-static void
-send_raw (int fd, const void *bytes, size_t length)
-{
-  size_t sent = 0;
-
-  while (sent < length)
-    {
-      ssize_t n = send (fd, (const char *) bytes + sent, length - sent, MSG_NOSIGNAL);
-
-      if (n <= 0)
-        return;
-      sent += (size_t) n;
-    }
-}
-
-/* Reads all there is until the other side closes. @return whether it closed,
- * instead of keeping the connection open without a word. */
-static bool
-read_to_close (int fd, char *text, size_t room)
-{
-  size_t length = 0;
-  ssize_t n;
-  bool closed;
-
-  while ((n = recv (fd, text + length, room - 1 - length, 0)) > 0 && length < room - 1)
-    length += (size_t) n;
-  closed = n == 0 || (n < 0 && errno != EAGAIN);
-  text[length] = '\0';
-  close (fd);
-  return closed;
-}
-
 static void
 still_serves (void)
 {
--- a/test/faults.c
+++ b/test/faults.c
@@ -4,6 +4,7 @@
  * stops. What callers were told is compared with the stand-ins' own records.
  */
 #include "test/fleet.h"
+#include "test/raw.h"
 
 #include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
@@ -496,6 +497,36 @@
   fleet_stop (&fleet);
 }
 
+/* A caller that has connected in time is served, though its request comes only
+ * when the entry takes no new connections any more. */
+static void
+test_planned_stop_before_the_request (void)
+{
+  static const char request[] = "GET /healthz HTTP/1.1\r\nHost: entry\r\n\r\n";
+  struct fleet fleet;
+  char text[4096];
+  uint16_t port;
+  int late;
+  int fd;
+
+  fleet_start (&fleet, NO_GUARD);
+  port = fleet.entries[0].http_port;
+  fd = open_raw (port);
+  kill (fleet.entries[0].pid, SIGTERM);
+  for (int i = 0; i < 100 && (late = open_raw (port)) >= 0; i++)
+    {
+      close (late);
+      fleet_sleep (50);
+    }
+  CU_ASSERT (late < 0);
+  send_raw (fd, request, sizeof request - 1);
+  CU_ASSERT (read_to_close (fd, text, sizeof text));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, " 200 "));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "Connection: close"));
+  CU_ASSERT_EQUAL (fleet_end (&fleet.entries[0].pid, 0), 0);
+  fleet_stop (&fleet);
+}
+
 /* From one source alone, the platform's list, and heard by one entry alone:
  * the other learns it from that one. */
 static void
@@ -567,6 +598,7 @@
 static void
 call_either (struct fleet *fleet, int e, int *bad)
 {
+  int64_t started_ms = fleet_now ();
   struct fleet_call call;
 
   for (int i = 0; i < 2; i++)
@@ -579,7 +611,8 @@
     }
   if (!fleet_stream_ok (&call.answer, 5))
     {
-      fprintf (stderr, "one by one: status %ld: %s\n", call.answer.status,
+      fprintf (stderr, "one by one: after %lld ms, status %ld: %s\n",
+               (long long) (fleet_now () - started_ms), call.answer.status,
                call.answer.body ? call.answer.body : call.answer.error);
       (*bad)++;
     }
@@ -952,6 +985,7 @@
   { "cancel: the entry is killed", test_cancel_entry_killed },
   { "planned stop of agents under load", test_planned_stop_of_agents },
   { "planned stop of an entry", test_planned_stop_of_entry },
+  { "planned stop: connected, and asks late", test_planned_stop_before_the_request },
   { "leaving by the platform's list", test_leaving_by_the_list },
   { "leaving by its own word", test_leaving_by_its_own_word },
   { "leaving by hearsay", test_leaving_by_hearsay },
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -22,6 +22,11 @@
 #define DOCUMENT_BYTES 8192
 #define WAIT_LIVE_MS 10000
 
+/* Ports are given out in blocks, below those of outgoing connections. */
+#define PORTS_START 10000
+#define BLOCK_PORTS 32
+#define EPHEMERAL_START 32768
+
 static const char *const endpoint_names[FLEET_ENDPOINTS] = { "model-1", "model-2", "stock-1" };
 
 void
@@ -95,25 +100,71 @@
   return WIFEXITED (status) ? WEXITSTATUS (status) : -1;
 }
 
-void
-fleet_free_ports (uint16_t *ports, int count)
+/* The first port that the system does not give to outgoing connections, of which
+ * callers have many: a daemon that is restarted must find its own port free. */
+static uint16_t
+ephemeral_start (void)
 {
-  int fds[32];
+  FILE *file = fopen ("/proc/sys/net/ipv4/ip_local_port_range", "r");
+  unsigned start = EPHEMERAL_START;
+
+  if (!file)
+    return EPHEMERAL_START;
+  if (fscanf (file, "%u", &start) != 1 || start <= PORTS_START + BLOCK_PORTS)
+    start = EPHEMERAL_START;
+  fclose (file);
+  return (uint16_t) start;
+}
 
+static int
+bind_port (int type, uint16_t port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (port) };
+  int fd = socket (AF_INET, type | SOCK_CLOEXEC, 0);
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &(int){ type == SOCK_STREAM }, sizeof (int));
+  if (bind (fd, (struct sockaddr *) &address, sizeof address) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+/* A block is this process's while it holds the UDP port of the block's first
+ * number: tests that run side by side get different ports. */
+static bool
+take_block (uint16_t first, uint16_t *ports, int count)
+{
+  int lock = bind_port (SOCK_DGRAM, first);
+
+  if (lock < 0)
+    return false;
   for (int i = 0; i < count; i++)
     {
-      struct sockaddr_in address = { .sin_family = AF_INET };
-      socklen_t length = sizeof address;
-
-      address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-      fds[i] = socket (AF_INET, SOCK_STREAM, 0);
-      if (bind (fds[i], (struct sockaddr *) &address, sizeof address) < 0 ||
-          getsockname (fds[i], (struct sockaddr *) &address, &length) < 0)
-        perror ("no free port");
-      ports[i] = ntohs (address.sin_port);
+      int fd = bind_port (SOCK_STREAM, (uint16_t) (first + i));
+
+      if (fd < 0)
+        {
+          close (lock);
+          return false;
+        }
+      close (fd);
+      ports[i] = (uint16_t) (first + i);
     }
-  for (int i = 0; i < count; i++)
-    close (fds[i]);
+  return true;
+}
+
+void
+fleet_free_ports (uint16_t *ports, int count)
+{
+  int blocks = (ephemeral_start () - PORTS_START) / BLOCK_PORTS;
+
+  for (int i = 0; i < blocks; i++)
+    if (take_block ((uint16_t) (PORTS_START + (getpid () + i) % blocks * BLOCK_PORTS), ports,
+                    count))
+      return;
+  fprintf (stderr, "no free ports\n");
+  exit (EXIT_FAILURE);
 }
 
 static FILE *
