expert guard: an agent before an engine that checks nothing, in the pure core

It stood in daemon/group, which no schedule drives. It is controllers/expert_guard now, and half of the random schedules of expert maps run with engines that check nothing, agents that restart, and orders that reach an engine late.

Change: such an engine gets one order at a time; a new life, or one whose order ended without an answer, gives none until the engine has answered and 500 ms have passed. Endpoints state checks_orders; without it the agent assumes that the engine does not.

--- a/daemon/api.c
+++ b/daemon/api.c
@@ -28,8 +28,6 @@
   char *text = json_dumps (body, JSON_COMPACT);
 
   ash_http_headers_add (headers, "Content-Type", JSON_TYPE);
-  if (api->entry->leaving)
-    ash_http_headers_add (headers, "Connection", "close");
   ash_http_reply (&api->server, number, status, headers, (const uint8_t *) (text ? text : "{}"),
                   text ? strlen (text) : 2);
   free (text);
@@ -89,8 +87,6 @@
   ash_http_headers_add (headers, "Ash-Wait-Ms", "%u", reply->wait_ms);
   if (*reply->content_type)
     ash_http_headers_add (headers, "Content-Type", "%s", reply->content_type);
-  if (api->entry->leaving)
-    ash_http_headers_add (headers, "Connection", "close");
 }
 
 static void
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -208,6 +208,8 @@
   uint32_t leaving = leaving_count (&entry->core.membership);
 
   ash_entry_handle (&entry->core, ash_clock_now (), event);
+  if (event->kind_case == ASH__EVENT__KIND_STOP)
+    ash_http_server_close_kept (&entry->api.server);
   if (event->kind_case == ASH__EVENT__KIND_TICK)
     drop_old_links (entry);
   serve_when_ready (entry);
@@ -261,10 +263,7 @@
   struct ash_time now = ash_clock_now ();
 
   if (!entry->stop_since.ms)
-    {
-      entry->stop_since = now;
-      ash_http_server_close_kept (&entry->api.server);
-    }
+    entry->stop_since = now;
   if (ash_time_diff (entry->stop_since, now) <
       entry->daemon.settings->address_keep_ms + LINGER_MARGIN_MS)
     return false;
--- a/daemon/group.c
+++ b/daemon/group.c
@@ -13,6 +13,9 @@
 #define POLL_MS 200
 #define HTTP_TIMEOUT_MS 1000
 
+/* A state with the largest placement in hex is a tenth of this. */
+#define ANSWER_MAX_BYTES 65536
+
 /* A rank that waits for a decision, or is blank, for so long: whoever should
  * have gone on has not. Each rank waits longer than the one before, so that one
  * agent takes over and not all. */
@@ -22,12 +25,22 @@
 /* Intervals that a move's gain is counted for. */
 #define HORIZON 10
 
+enum call_kind
+{
+  CALL_STATE,
+  CALL_LOADS,
+  CALL_ORDER,
+};
+
+/* Paths below the engine's URL. */
+static const char *const call_paths[] = { "state", "loads", "order" };
+
 /* A request to the own engine, with whom to answer. */
 struct engine_call
 {
   struct ash_group_task *group;
-  char peer[ASH_NAME_BYTES]; /* coordinator that is to get the answer; empty: none */
-  bool is_loads;
+  enum call_kind kind;
+  char peer[ASH_NAME_BYTES]; /* the coordinator whose order it is */
   char *body;
   size_t length;
   bool failed;
@@ -70,40 +83,6 @@
     ash_daemon_send (group->daemon, &event);
 }
 
-/* ---- the fence ---- */
-
-/* Not all engines check who orders them, so their agent does, for all alike. It
- * forgets the fence with its life; the life that it tells coordinators is made
- * from the engine's and its own, so that its end voids all orders before. */
-static uint64_t
-rank_life (const struct ash_group_task *group)
-{
-  return group->engine_life ^ group->daemon->incarnation;
-}
-
-static bool
-passes_fence (struct ash_group_task *group, const struct Ash__RankOrder *order)
-{
-  /* Until the engine has told its life, no order can have been meant for it. */
-  if (!group->engine_life && order->kind != ASH__RANK_ORDER__KIND__PREPARE)
-    return false;
-  return ash_expert_fence_pass (&group->fence, rank_life (group), order);
-}
-
-static void
-refuse (struct ash_group_task *group, const char *peer, const struct Ash__RankOrder *order)
-{
-  struct Ash__RankState state = ASH__RANK_STATE__INIT;
-
-  state.group = group->name;
-  state.rank = group->rank;
-  state.life = rank_life (group);
-  state.ballot = order->ballot;
-  state.sequence = order->sequence;
-  state.promised = group->fence.promised;
-  give_state (group, peer, &state);
-}
-
 /* What the own rank says tells whether the group needs somebody to go on. */
 static void
 note_state (struct ash_group_task *group, const struct Ash__RankState *state)
@@ -114,13 +93,12 @@
     group->disorder_since = ASH_TIME_NEVER;
   else if (group->disorder_since.ms == ASH_TIME_NEVER.ms)
     group->disorder_since = ash_clock_now ();
-  group->engine_life = state->life;
   group->own_map = state->map;
   if (!state->blank && state->placement.len == expected)
     memcpy (group->placement.slots, state->placement.data, expected);
 }
 
-static void
+static bool
 take_state (struct engine_call *call)
 {
   json_t *root = json_loadb (call->body ? call->body : "", call->length, 0, NULL);
@@ -129,18 +107,17 @@
 
   json_decref (root);
   if (!state)
-    return;
+    return false;
   /* The agent names the rank, whatever the engine calls itself. */
   free (state->group);
   state->group = strdup (call->group->name);
   state->rank = call->group->rank;
   note_state (call->group, state);
-  state->life = rank_life (call->group);
-  if (state->promised < call->group->fence.promised)
-    state->promised = call->group->fence.promised;
-  if (*call->peer)
+  ash_expert_guard_answer (&call->group->guard, ash_clock_now (), call->kind == CALL_ORDER, state);
+  if (call->kind == CALL_ORDER)
     give_state (call->group, call->peer, state);
   ash__rank_state__free_unpacked (state, NULL);
+  return true;
 }
 
 static void
@@ -175,8 +152,14 @@
 on_bytes (void *data, const uint8_t *bytes, size_t length)
 {
   struct engine_call *call = data;
-  char *grown = realloc (call->body, call->length + length);
+  char *grown;
 
+  if (call->length + length > ANSWER_MAX_BYTES)
+    {
+      call->failed = true;
+      return;
+    }
+  grown = realloc (call->body, call->length + length);
   if (!grown)
     return;
   call->body = grown;
@@ -197,20 +180,21 @@
 {
   struct engine_call *call = data;
 
-  if (!call->is_loads && !*call->peer)
+  bool ok = result == ASH_FETCH_WHOLE && !call->failed;
+
+  if (call->kind == CALL_STATE)
     call->group->polling = false;
-  if (result == ASH_FETCH_WHOLE && !call->failed)
-    {
-      if (call->is_loads)
-        take_loads (call);
-      else
-        take_state (call);
-    }
+  if (ok && call->kind == CALL_LOADS)
+    take_loads (call);
+  else if (ok)
+    ok = take_state (call);
+  if (!ok && call->kind == CALL_ORDER)
+    ash_expert_guard_lost (&call->group->guard);
   free_call (call);
 }
 
 static void
-ask_engine (struct ash_group_task *group, const char *what, const char *peer, json_t *body)
+ask_engine (struct ash_group_task *group, enum call_kind kind, const char *peer, json_t *body)
 {
   struct engine_call *call = calloc (1, sizeof *call);
   char *text = body ? json_dumps (body, JSON_COMPACT) : NULL;
@@ -228,9 +212,9 @@
   if (call)
     {
       call->group = group;
-      call->is_loads = strcmp (what, "loads") == 0;
+      call->kind = kind;
       snprintf (call->peer, sizeof call->peer, "%s", peer);
-      snprintf (url, sizeof url, "%s/%s", group->daemon->settings->engine_url, what);
+      snprintf (url, sizeof url, "%s/%s", group->daemon->settings->engine_url, call_paths[kind]);
       DL_APPEND (group->calls, call);
       if (!ash_http_client_start (&group->daemon->http_client, &request, &handler))
         on_end (call, ASH_FETCH_BROKEN);
@@ -241,18 +225,33 @@
 
 /* ---- orders ---- */
 
+static void
+refuse (struct ash_group_task *group, const char *peer, const struct Ash__RankOrder *order)
+{
+  struct Ash__RankState state = ASH__RANK_STATE__INIT;
+
+  state.group = group->name;
+  state.rank = group->rank;
+  ash_expert_guard_refusal (&group->guard, order, &state);
+  give_state (group, peer, &state);
+}
+
 static void
 order_own_rank (struct ash_group_task *group, const char *peer, const struct Ash__RankOrder *order)
 {
-  struct Ash__RankOrder forwarded = *order;
+  struct Ash__RankOrder forwarded;
 
-  if (!passes_fence (group, order))
+  switch (ash_expert_guard_order (&group->guard, ash_clock_now (), order, &forwarded))
     {
+    case ASH_EXPERT_FORWARD:
+      ask_engine (group, CALL_ORDER, peer, ash_proto_to_json (&forwarded.base));
+      break;
+    case ASH_EXPERT_REFUSE:
       refuse (group, peer, order);
-      return;
+      break;
+    case ASH_EXPERT_WAIT:
+      break;
     }
-  forwarded.life = group->engine_life;
-  ask_engine (group, "order", peer, ash_proto_to_json (&forwarded.base));
 }
 
 static void
@@ -293,6 +292,24 @@
   *group = (struct ash_group_task){ .daemon = daemon };
   group->log = (struct ash_log){ &daemon->log_sink, "group" };
   group->disorder_since = ASH_TIME_NEVER;
+  ash_expert_guard_init (&group->guard, daemon->incarnation, false);
+}
+
+/* Whether what is in force says the same of this rank as before: then what was
+ * learned of the loads, and a change under way, go on. */
+static bool
+is_same_member (const struct ash_group_task *group,
+                const struct ash_group *settings,
+                const struct ash_endpoint *own)
+{
+  const struct ash_expert_weights *weights = &group->policy.weights;
+
+  return group->member && strcmp (group->name, settings->name) == 0 && group->rank == own->rank &&
+         group->rank_count == settings->rank_count &&
+         group->placement.rank_slots == settings->rank_slots &&
+         group->placement.expert_count == settings->experts &&
+         weights->skew == settings->skew_weight && weights->cost == settings->cost_weight &&
+         weights->moves == settings->moves;
 }
 
 static void
@@ -346,6 +363,14 @@
   const struct ash_group *settings =
       own && *own->group ? ash_document_group (document, own->group) : NULL;
 
+  if (own)
+    group->guard.checks = own->checks_orders;
+  if (settings && is_same_member (group, settings, own))
+    {
+      group->interval_ms = settings->interval_ms;
+      meet_members (group, document);
+      return;
+    }
   group->member = false;
   if (!settings || settings->rank_count > ASH_EXPERT_RANKS_MAX ||
       settings->rank_count * settings->rank_slots > ASH_EXPERT_SLOTS_MAX)
@@ -408,7 +433,7 @@
   struct ash_expert_placement changed = group->placement;
   struct ash_expert_map wanted = { 0 };
 
-  ask_engine (group, "loads", "", NULL);
+  ask_engine (group, CALL_LOADS, "", NULL);
   if (!group->own_map || !is_first (group) || ash_expert_change_running (&group->change))
     return;
   for (uint32_t r = 0; r < group->rank_count; r++)
@@ -435,7 +460,7 @@
     {
       group->next_poll = ash_time_add (now, POLL_MS);
       group->polling = true;
-      ask_engine (group, "state", "", NULL);
+      ask_engine (group, CALL_STATE, "", NULL);
     }
   if (!ash_time_before (now, group->next_decision))
     {
--- a/daemon/group.h
+++ b/daemon/group.h
@@ -8,8 +8,8 @@
 #define ASH_GROUP_H
 
 #include "controllers/expert_change.h"
+#include "controllers/expert_guard.h"
 #include "controllers/expert_policy.h"
-#include "controllers/expert_rank.h"
 #include "daemon/daemon.h"
 
 struct engine_call;
@@ -35,8 +35,7 @@
   struct ash_time next_poll;
   struct ash_time next_decision;
   uint64_t own_map;
-  uint64_t engine_life;          /**< as its last answer had it; 0: not known */
-  struct ash_expert_fence fence; /**< checked here for engines that check none */
+  struct ash_expert_guard guard; /**< before the own engine */
   bool polling;
   struct engine_call *calls; /**< under way */
 };
--- a/options/document.c
+++ b/options/document.c
@@ -58,6 +58,8 @@
   COUNT (ash_endpoint, slots, "32", 1, 100000, "requests", "requests it works on at once"),
   TEXT (ash_endpoint, "group", group, "", "the group that it runs in lock-step with"),
   COUNT (ash_endpoint, rank, "0", 0, 63, NULL, "its rank in that group"),
+  { "checks_orders", ASH_OPTION_BOOL, offsetof (struct ash_endpoint, checks_orders), "false", 0, 0,
+    NULL, NULL, "its engine checks the fence of an order itself" },
   { 0 },
 };
 
--- a/options/document.h
+++ b/options/document.h
@@ -65,6 +65,7 @@
   uint32_t slots;
   char group[ASH_NAME_BYTES]; /**< that it runs in lock-step with; may be empty */
   uint32_t rank;              /**< in that group */
+  bool checks_orders;         /**< its engine checks who gives it an order */
 };
 
 /** Engines that run in lock-step on an expert map. */
--- a/test/expert_schedule.c
+++ b/test/expert_schedule.c
@@ -6,10 +6,14 @@
  * have begun a step have begun it with one map. At the end one coordinator must
  * bring the group into order, and all ranks go on.
  *
+ * In half of the schedules the engines check no orders, and their agents, which
+ * restart and forget, do so in their place.
+ *
  * usage: test-expert-schedule [COUNT [FIRST_SEED]]
  */
 #include "common/random.h"
 #include "controllers/expert_change.h"
+#include "controllers/expert_guard.h"
 #include "controllers/expert_rank.h"
 #include "test/workers.h"
 
@@ -31,6 +35,8 @@
 {
   int to_rank; /* -1: to a coordinator */
   int coordinator;
+  uint64_t agent_life; /* at an engine: the agent's that gave the order */
+  struct ash_time given;
   struct Ash__RankOrder order;
   struct Ash__RankState state;
 };
@@ -41,6 +47,10 @@
   struct ash_time now;
   struct ash_expert_rank ranks[RANKS];
   uint64_t used[RANKS][STEPS_KEPT]; /* map of each step; 0: not begun by this life */
+  bool guarded;                     /* engines check nothing, their agents do */
+  struct ash_expert_guard guards[RANKS];
+  struct frame at_engines[FRAMES_MAX]; /* orders under way from an agent to its engine */
+  unsigned at_engines_count;
   struct ash_expert_change changes[COORDINATORS];
   int sender; /* whose messages are being emitted */
   struct frame frames[FRAMES_MAX];
@@ -58,6 +68,7 @@
   TOTAL_FAILED,
   TOTAL_STEPS,
   TOTAL_REPLACED,
+  TOTAL_RESTARTED,
   TOTAL_COUNT,
 };
 
@@ -119,6 +130,104 @@
   fputc ('\n', stderr);
 }
 
+/* ---- engines that check nothing, behind their agents ---- */
+
+/* The agent asks its engine for its state now and then: that settles it. */
+static void
+poll_engine (struct world *world, int r)
+{
+  struct Ash__RankState state = ASH__RANK_STATE__INIT;
+
+  state.life = world->ranks[r].life;
+  ash_expert_guard_answer (&world->guards[r], world->now, false, &state);
+}
+
+static void
+order_agent (struct world *world, const struct frame *frame)
+{
+  struct ash_sink sink = { on_state, world };
+  struct frame given = *frame;
+  struct Ash__RankState state = ASH__RANK_STATE__INIT;
+  struct ash_expert_guard *guard = &world->guards[frame->to_rank];
+
+  switch (ash_expert_guard_order (guard, world->now, &frame->order, &given.order))
+    {
+    case ASH_EXPERT_WAIT:
+      return;
+    case ASH_EXPERT_REFUSE:
+      state.group = ash_text ("g");
+      state.rank = (uint32_t) frame->to_rank;
+      ash_expert_guard_refusal (guard, &frame->order, &state);
+      ash_emit (&sink, names[frame->coordinator], ASH__EVENT__KIND_RANK_STATE, &state);
+      return;
+    case ASH_EXPERT_FORWARD:
+      given.agent_life = guard->incarnation;
+      given.given = world->now;
+      if (world->at_engines_count < FRAMES_MAX)
+        world->at_engines[world->at_engines_count++] = given;
+      else
+        ash_expert_guard_lost (guard);
+      return;
+    }
+}
+
+static void
+on_engine_state (void *data, const struct Ash__Event *event)
+{
+  *(struct Ash__RankState *) data = *event->rank_state;
+}
+
+/* An order reaches its engine, whatever has become of the agent meanwhile. */
+static void
+reach_engine (struct world *world, unsigned index)
+{
+  struct ash_sink to_coordinator = { on_state, world };
+  struct frame frame = world->at_engines[index];
+  struct ash_expert_rank *rank = &world->ranks[frame.to_rank];
+  struct ash_expert_guard *guard = &world->guards[frame.to_rank];
+  struct Ash__RankState state;
+  struct ash_sink sink = { on_engine_state, &state };
+
+  world->at_engines_count--;
+  memmove (&world->at_engines[index], &world->at_engines[index + 1],
+           (world->at_engines_count - index) * sizeof frame);
+  trace (world, boxes[frame.to_rank], ASH__EVENT__KIND_RANK_ORDER, &frame.order);
+  rank->fence = (struct ash_expert_fence){ 0 };
+  frame.order.life = rank->life;
+  ash_expert_rank_take (rank, &frame.order, "", &sink);
+  if (frame.agent_life != guard->incarnation)
+    return;
+  ash_expert_guard_answer (guard, world->now, true, &state);
+  ash_emit (&to_coordinator, names[frame.coordinator], ASH__EVENT__KIND_RANK_STATE, &state);
+}
+
+static void
+reach_some_engine (struct world *world)
+{
+  if (world->at_engines_count)
+    reach_engine (world, world->calm ? 0 : pick (world, world->at_engines_count));
+}
+
+/* What was given to an engine reaches it soon, if the engine answers at all. */
+static void
+pass_time (struct world *world, uint32_t wait_ms)
+{
+  world->now.ms += wait_ms;
+  for (unsigned i = world->at_engines_count; i > 0; i--)
+    if (ash_time_diff (world->at_engines[i - 1].given, world->now) >= ASH_EXPERT_SETTLE_MS)
+      reach_engine (world, i - 1);
+}
+
+static void
+restart_agent (struct world *world, int r)
+{
+  ash_expert_guard_init (&world->guards[r], ++world->lives << 32, false);
+  poll_engine (world, r);
+  totals[TOTAL_RESTARTED]++;
+}
+
+/* ---- delivery ---- */
+
 static void
 deliver (struct world *world, const struct frame *frame)
 {
@@ -126,6 +235,11 @@
   struct ash_expert_change *change = &world->changes[frame->coordinator];
   enum ash_expert_phase before = change->phase;
 
+  if (frame->to_rank >= 0 && world->guarded)
+    {
+      order_agent (world, frame);
+      return;
+    }
   if (frame->to_rank >= 0)
     {
       trace (world, boxes[frame->to_rank], ASH__EVENT__KIND_RANK_ORDER, &frame->order);
@@ -195,11 +309,14 @@
 static void
 replace (struct world *world, int r)
 {
-  /* Two that are replaced at once may be all that knew: the group is started
-   * anew then, which is not this protocol's matter. */
+  int others = 0;
+
+  /* If all that knew are replaced at once, the group is started anew, which is
+   * not this protocol's matter. */
   for (int q = 0; q < RANKS; q++)
-    if (world->ranks[q].blank)
-      return;
+    others += q != r && !world->ranks[q].blank;
+  if (!others)
+    return;
   ash_expert_rank_init_blank (&world->ranks[r], "g", (uint32_t) r, ++world->lives);
   memset (world->used[r], 0, sizeof world->used[r]);
   totals[TOTAL_REPLACED]++;
@@ -249,13 +366,15 @@
   int r = (int) pick (world, RANKS);
   uint32_t choice = pick (world, 100);
 
-  if (choice < 60)
+  if (world->guarded && choice < 25)
+    reach_some_engine (world);
+  else if (choice < 60)
     deliver_one (world);
   else if (choice < 80)
     begin_step (world, r);
   else if (choice < 90)
     {
-      world->now.ms += pick (world, 60);
+      pass_time (world, pick (world, 60));
       tick (world, c);
     }
   else if (choice < 97)
@@ -269,6 +388,8 @@
     start_change (world, c); /* gives its own up and begins another */
   else if (pick (world, 4) == 0)
     replace (world, r);
+  else if (world->guarded)
+    restart_agent (world, r);
 }
 
 /* ---- the end: one coordinator, and nothing goes wrong any more ---- */
@@ -287,11 +408,16 @@
           world->sender = 0;
           start_wanting (world, 0, true);
         }
-      while (world->frame_count)
-        deliver_one (world);
+      while (world->frame_count || world->at_engines_count)
+        {
+          deliver_one (world);
+          reach_some_engine (world);
+        }
       for (int r = 0; r < RANKS; r++)
         begin_step (world, r);
-      world->now.ms += ASH_EXPERT_RESEND_MS;
+      pass_time (world, ASH_EXPERT_RESEND_MS);
+      for (int r = 0; r < RANKS && world->guarded; r++)
+        poll_engine (world, r);
       tick (world, 0);
     }
   if (world->changes[0].phase != ASH_EXPERT_DONE)
@@ -315,6 +441,10 @@
     ash_expert_rank_init (&world->ranks[r], "g", (uint32_t) r, ++world->lives, 1);
   for (int c = 0; c < COORDINATORS; c++)
     forget (world, c);
+  world->guarded = seed % 2 == 0;
+  for (int r = 0; r < RANKS && world->guarded; r++)
+    restart_agent (world, r);
+  world->now.ms = ASH_EXPERT_SETTLE_MS;
   for (int i = 0; i < EVENTS && !world->broken; i++)
     step (world);
   world->calm = true;
@@ -331,7 +461,9 @@
   const struct workers workers = { run_schedule, totals, TOTAL_COUNT };
   int failures = workers_run (&workers, argc, argv);
 
-  printf ("%lu changes done, %lu given up, %lu steps begun, %lu ranks replaced\n",
-          totals[TOTAL_DONE], totals[TOTAL_FAILED], totals[TOTAL_STEPS], totals[TOTAL_REPLACED]);
+  printf ("%lu changes done, %lu given up, %lu steps begun, %lu ranks replaced, %lu "
+          "agents restarted\n",
+          totals[TOTAL_DONE], totals[TOTAL_FAILED], totals[TOTAL_STEPS], totals[TOTAL_REPLACED],
+          totals[TOTAL_RESTARTED]);
   return failures ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/test/group_fleet.c
+++ b/test/group_fleet.c
@@ -34,8 +34,8 @@
   for (int r = 0; r < GROUP_RANKS; r++)
     fprintf (file,
              "[[endpoint]]\nbox = \"m%d\"\nservice = \"model\"\nhall = \"h\"\npeer = "
-             "\"127.0.0.1:%u\"\ngroup = \"g\"\nrank = %d\n",
-             r, group->ports[4 + r], r);
+             "\"127.0.0.1:%u\"\ngroup = \"g\"\nrank = %d\nchecks_orders = %s\n",
+             r, group->ports[4 + r], r, group->unchecked ? "false" : "true");
   fclose (file);
 }
 
@@ -120,15 +120,15 @@
   return true;
 }
 
-void
-group_fleet_start (struct group_fleet *group)
+static void
+start_group (struct group_fleet *group, bool unchecked)
 {
   char port[8];
   char path[128];
   char ranks[8];
   char rest[256];
 
-  *group = (struct group_fleet){ .folder = "/tmp/ash-group-XXXXXX" };
+  *group = (struct group_fleet){ .folder = "/tmp/ash-group-XXXXXX", .unchecked = unchecked };
   if (!mkdtemp (group->folder))
     return;
   fleet_free_ports (group->ports, 4 + GROUP_RANKS);
@@ -151,6 +151,14 @@
   /* Orders to a stand-in that does not listen yet would be lost. */
   if (!group_fleet_wait (group, "steps", 1))
     fprintf (stderr, "the stand-in of the group did not come up\n");
+  if (unchecked)
+    fleet_control (group->ports[1], "/control?unchecked=1");
+}
+
+void
+group_fleet_start (struct group_fleet *group)
+{
+  start_group (group, false);
 }
 
 void
@@ -190,6 +198,5 @@
 void
 group_fleet_start_unchecked (struct group_fleet *group)
 {
-  group_fleet_start (group);
-  fleet_control (group->ports[1], "/control?unchecked=1");
+  start_group (group, true);
 }
--- a/test/group_fleet.h
+++ b/test/group_fleet.h
@@ -16,6 +16,7 @@
 {
   char folder[64];
   uint16_t ports[4 + GROUP_RANKS]; /**< platform, engines, entry's two, agents' */
+  bool unchecked;                  /**< the engines check no fence */
   pid_t platform;
   pid_t engines;
   pid_t entry;
--- a/test/groups.c
+++ b/test/groups.c
@@ -144,6 +144,26 @@
   group_fleet_stop (&group);
 }
 
+/* Two at once: whoever is left gives both the state. */
+static void
+test_two_ranks_replaced (void)
+{
+  struct group_fleet group;
+
+  group_fleet_start (&group);
+  group_fleet_make_hot (&group, 7);
+  CU_ASSERT (group_fleet_wait (&group, "changes", 1));
+  for (int r = 0; r < GROUP_RANKS; r++)
+    {
+      char path[64];
+
+      snprintf (path, sizeof path, "/replace?rank=%d&other=%d", r, (r + 1) % GROUP_RANKS);
+      fleet_control (group.ports[1], path);
+      assert_in_order (&group);
+    }
+  group_fleet_stop (&group);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -163,6 +183,7 @@
   CU_add_test (suite, "killed, and engines check no fence", test_coordinator_killed_unchecked);
   CU_add_test (suite, "paused, and engines check no fence", test_coordinator_paused_unchecked);
   CU_add_test (suite, "ranks are replaced", test_rank_replaced);
+  CU_add_test (suite, "two ranks are replaced at once", test_two_ranks_replaced);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
--- a/test/standin_group.c
+++ b/test/standin_group.c
@@ -7,7 +7,7 @@
  * GET  /rank/N/state        the rank's state
  * POST /rank/N/order        an order; answers the state
  * GET  /rank/N/loads        tokens of each expert in the last interval
- * POST /replace?rank=N      the rank is replaced and forgets all
+ * POST /replace?rank=N      the rank is replaced and forgets all; with &other=M that one too
  * POST /control?lose=K       orders of that kind are lost (0: none)
  * POST /control?unchecked=1    the ranks check no fence from now on
  * POST /control?hot=E       expert E gets as many tokens as all others together
@@ -214,6 +214,13 @@
   return reply_json (request, answer);
 }
 
+static void
+replace_rank (unsigned r)
+{
+  ash_expert_rank_init_blank (&ranks[r], "g", r, ++lives);
+  memset (used[r], 0, sizeof used[r]);
+}
+
 static enum MHD_Result
 handle (struct standin_request *request)
 {
@@ -226,9 +233,9 @@
   pthread_mutex_lock (&lock);
   if (strcmp (request->path, "/replace") == 0)
     {
-      r = (unsigned) standin_number (request, "rank", 0) % rank_count;
-      ash_expert_rank_init_blank (&ranks[r], "g", r, ++lives);
-      memset (used[r], 0, sizeof used[r]);
+      replace_rank ((unsigned) standin_number (request, "rank", 0) % rank_count);
+      if (standin_number (request, "other", -1) >= 0)
+        replace_rank ((unsigned) standin_number (request, "other", 0) % rank_count);
     }
   hot = standin_number (request, "hot", hot);
   lose = standin_number (request, "lose", lose);
