declared events: reservations, slots kept for them, and expert loads expected

Operators declare an event, who takes part and how much is reserved; it is on by the wall clock from its lead time. An entry gives a reservation's requests their rate above the account's limit, in fixed parts as limits are; an agent keeps slots for the reserved rate; a group moves experts for the profile of an event before it begins.

options/document.c is three files now: rows, checks, finding.

--- a/bench/experts.c
+++ b/bench/experts.c
@@ -17,6 +17,12 @@
 #define TOKENS 20000
 #define SWING 4
 
+/* Before a declared start the profile counts for so many intervals. */
+#define LEAD 30
+
+/* Intervals that count as an event's start. */
+#define START 20
+
 enum trace
 {
   TRACE_STEADY,
@@ -41,12 +47,21 @@
 
 static const struct size sizes[] = { { 8, 64, 10 }, { 16, 64, 6 }, { 64, 128, 3 } };
 
+enum forecast
+{
+  FORECAST_NONE,
+  FORECAST_RIGHT,
+  FORECAST_OLD,   /* popularity of another day: half way to the real one */
+  FORECAST_WRONG, /* of experts in another order */
+};
+
 struct method
 {
   const char *name;
   bool repack;
   bool none;
   struct ash_expert_weights weights;
+  enum forecast forecast; /* of a declared event, at the flip */
 };
 
 static const struct method methods[] = {
@@ -56,6 +71,19 @@
   { .name = "Wadi", .weights = { .skew = 1, .cost = 0.15, .horizon = 10, .moves = 2 } },
 };
 
+/* What a declared event's profile is worth, at its start. */
+static const struct method forecasts[] = {
+  { .name = "no change", .none = true },
+  { .name = "radar, no forecast", .weights = { 1, 0.1, 10, 8 } },
+  { .name = "radar, forecast", .weights = { 1, 0.1, 10, 8 }, .forecast = FORECAST_RIGHT },
+  { .name = "radar, half right", .weights = { 1, 0.1, 10, 8 }, .forecast = FORECAST_OLD },
+  { .name = "radar, wrong", .weights = { 1, 0.1, 10, 8 }, .forecast = FORECAST_WRONG },
+  { .name = "Wadi, no forecast", .weights = { 1, 0.15, 10, 2 } },
+  { .name = "Wadi, forecast", .weights = { 1, 0.15, 10, 2 }, .forecast = FORECAST_RIGHT },
+  { .name = "Wadi, half right", .weights = { 1, 0.15, 10, 2 }, .forecast = FORECAST_OLD },
+  { .name = "Wadi, wrong", .weights = { 1, 0.15, 10, 2 }, .forecast = FORECAST_WRONG },
+};
+
 struct popularity
 {
   double first[ASH_EXPERTS_MAX];
@@ -186,6 +214,32 @@
   result->moves += count_moves (&before, placement);
 }
 
+static void
+look_ahead (const struct method *method,
+            const struct popularity *popularity,
+            uint32_t interval,
+            struct ash_expert_policy *policy)
+{
+  double expected[ASH_EXPERTS_MAX] = { 0 };
+
+  if (interval == INTERVALS / 2 - LEAD)
+    {
+      for (uint32_t e = 0; e < policy->expert_count; e++)
+        {
+          double other = popularity->second[policy->expert_count - 1 - e];
+
+          expected[e] = 1e6 * popularity->second[e];
+          if (method->forecast == FORECAST_OLD)
+            expected[e] = 5e5 * (popularity->first[e] + popularity->second[e]);
+          if (method->forecast == FORECAST_WRONG)
+            expected[e] = 1e6 * other;
+        }
+      ash_expert_policy_expect (policy, expected);
+    }
+  if (interval == INTERVALS / 2)
+    ash_expert_policy_expect_no_more (policy, true);
+}
+
 static void
 run (const struct size *size, enum trace trace, const struct method *method, struct result *result)
 {
@@ -214,6 +268,8 @@
       for (uint32_t r = 0; r < size->ranks; r++)
         speeds[r] = stalled && r == 0 ? 0.7 : 1;
       draw_tokens (&random, &popularity, progress (trace, i), size->experts, history[i]);
+      if (method->forecast)
+        look_ahead (method, &popularity, i, &policy);
       if (report && !lost)
         {
           ash_expert_policy_report (&policy, report);
@@ -241,6 +297,28 @@
           result.decision_us[result.decisions - 1]);
 }
 
+static double
+mean (const double *values, uint32_t count)
+{
+  double sum = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    sum += values[i];
+  return sum / count;
+}
+
+static void
+print_forecast (const struct size *size, const struct method *method)
+{
+  static struct result result;
+  const double *start = result.skews + INTERVALS / 2;
+
+  run (size, TRACE_FLIP, method, &result);
+  printf ("| %u x %u | %s | %.3f | %.3f | %.3f | %.3f | %u |\n", size->ranks, size->experts,
+          method->name, mean (start - LEAD, LEAD), *start, mean (start, START),
+          mean (start + START, INTERVALS / 2 - START), result.moves);
+}
+
 int
 main (void)
 {
@@ -251,5 +329,13 @@
     for (int t = 0; t < TRACE_COUNT; t++)
       for (size_t m = 0; m < sizeof methods / sizeof methods[0]; m++)
         print_row (&sizes[s], (enum trace) t, &methods[m]);
+  printf (
+      "\nA declared event at the flip, with a profile of its loads %d intervals before:\n\n"
+      "| ranks x experts | method | skew before it | its first interval | its first %d | after | "
+      "experts moved |\n|---|---|---|---|---|---|---|\n",
+      LEAD, START);
+  for (size_t s = 0; s < sizeof sizes / sizeof sizes[0]; s++)
+    for (size_t m = 0; m < sizeof forecasts / sizeof forecasts[0]; m++)
+      print_forecast (&sizes[s], &forecasts[m]);
   return EXIT_SUCCESS;
 }
--- a/common/events.h
+++ b/common/events.h
@@ -39,7 +39,8 @@
   X (504, WARN, LEDGER_FULL,        "the ledger has no room; new work is refused") \
   X (600, INFO, MAP_CHANGE,         "a change of a group's expert map begins, and why") \
   X (601, INFO, MAP_CHANGED,        "it is through, or the group is in order again") \
-  X (602, INFO, MAP_GIVEN_UP,       "it is given up: a higher ballot, or a rank does not answer")
+  X (602, INFO, MAP_GIVEN_UP,       "it is given up: a higher ballot, or a rank does not answer") \
+  X (603, INFO, FORECAST,           "a declared event is near: moves are made for its expert loads")
 /* clang-format on */
 
 #define ASH_EVENT_ENUM(number, level, name, text) ASH_EV_##name = (number),
--- a/controllers/agent.c
+++ b/controllers/agent.c
@@ -150,17 +150,21 @@
   ash_log_event (&agent->log, ASH_EV_RUN_STARTED, "id=%s wait_ms=%u", id, record->wait_ms);
 }
 
+/* In the queue's order, but for those that must leave slots to an event. */
 static void
 start_queued (struct ash_agent *agent, struct ash_time now)
 {
-  while (agent->ledger.queued && agent->ledger.running_count < ash_agent_slots (agent))
-    {
-      struct ash_record *record = agent->ledger.queued;
+  struct ash_record *record;
+  struct ash_record *next;
 
-      if (ash_time_before (now, record->deadline))
-        start_run (agent, now, record);
-      else
+  DL_FOREACH_SAFE (agent->ledger.queued, record, next)
+    {
+      if (!ash_agent_has_slot (agent, true))
+        return;
+      if (!ash_time_before (now, record->deadline))
         refuse_record (agent, now, record, ASH__REASON__DEADLINE, record->outcome);
+      else if (ash_agent_has_slot (agent, record->reserved))
+        start_run (agent, now, record);
     }
 }
 
@@ -308,6 +312,7 @@
       return;
     }
   record->priority = submit->priority;
+  record->reserved = submit->reserved;
   record->arrived = now;
   record->deadline = ash_time_add (now, submit->budget_ms);
   /* Should it have to be refused from the queue, this is what can be said. */
@@ -606,8 +611,9 @@
 }
 
 static void
-handle_tick (struct ash_agent *agent, struct ash_time now)
+handle_tick (struct ash_agent *agent, struct ash_time now, int64_t unix_s)
 {
+  agent->unix_s = unix_s;
   check_queued (agent, now);
   check_running (agent, now);
   ash_ledger_expire (&agent->ledger, now, agent->settings->answers_keep_bytes);
@@ -653,7 +659,7 @@
       handle_engine_end (agent, now, event->engine_end);
       break;
     case ASH__EVENT__KIND_TICK:
-      handle_tick (agent, now);
+      handle_tick (agent, now, event->tick->unix_s);
       break;
     case ASH__EVENT__KIND_STOP:
     case ASH__EVENT__KIND_DRAIN:
--- a/controllers/agent.h
+++ b/controllers/agent.h
@@ -31,6 +31,7 @@
   struct ash_ledger ledger;
   bool leaving;
   uint64_t last_run;
+  int64_t unix_s;      /**< as the last tick had it, for declared events; 0: not known */
   uint32_t service_us; /**< how long a run takes, smoothed; 0: not known yet */
 };
 
--- a/controllers/agent_admit.c
+++ b/controllers/agent_admit.c
@@ -1,9 +1,15 @@
 #include "controllers/agent_admit.h"
 
+#include "controllers/declared.h"
+
 #include <string.h>
 #include <utlist.h>
 
 #define US_PER_MS 1000
+#define US_PER_S 1000000
+
+/* Of the slots, events get at most so many kept: the rest is for everybody else. */
+#define HELD_MAX_PERCENT 75
 
 int64_t
 ash_agent_age_ms (const struct ash_agent *agent, struct ash_time now)
@@ -52,19 +58,57 @@
   return endpoint ? endpoint->slots : agent->settings->slots;
 }
 
-/* How long a new request of that priority would wait, as far as can be told. */
+/* What is reserved of the service is spread over its endpoints: as many requests
+ * are in work at once as arrive while one is worked on. */
+uint32_t
+ash_agent_held_slots (const struct ash_agent *agent)
+{
+  const struct ash_document *document = &agent->config.document;
+  const struct ash_endpoint *endpoint;
+  const struct ash_service *service;
+  uint64_t rate_per_s;
+  uint64_t held;
+  uint64_t most = (uint64_t) ash_agent_slots (agent) * HELD_MAX_PERCENT / 100;
+
+  if (!agent->unix_s || !agent->config.ready || !document->reservation_count)
+    return 0;
+  endpoint = ash_document_endpoint (document, agent->settings->box);
+  service = endpoint ? ash_document_service (document, endpoint->service) : NULL;
+  if (!service)
+    return 0;
+  rate_per_s = ash_declared_rate (document, agent->unix_s, service->name);
+  held = (rate_per_s * agent->service_us / service->endpoint_count + US_PER_S - 1) / US_PER_S;
+  return (uint32_t) (held < most ? held : most);
+}
+
+bool
+ash_agent_has_slot (const struct ash_agent *agent, bool reserved)
+{
+  const struct ash_ledger *ledger = &agent->ledger;
+
+  if (ledger->running_count >= ash_agent_slots (agent))
+    return false;
+  return reserved ||
+         ledger->running_count - ledger->running_reserved + ash_agent_held_slots (agent) <
+             ash_agent_slots (agent);
+}
+
+/* How long a new request would wait, as far as can be told. */
 static int64_t
-expected_wait_ms (const struct ash_agent *agent, uint32_t priority)
+expected_wait_ms (const struct ash_agent *agent, const struct Ash__Submit *submit)
 {
   const struct ash_record *record;
+  uint32_t slots = ash_agent_slots (agent);
   int64_t ahead = 1;
 
-  if (agent->ledger.running_count < ash_agent_slots (agent))
+  if (ash_agent_has_slot (agent, submit->reserved))
     return 0;
+  if (!submit->reserved)
+    slots -= ash_agent_held_slots (agent);
   DL_FOREACH (agent->ledger.queued, record)
-    if (record->priority <= priority)
+    if (record->priority <= submit->priority)
       ahead++;
-  return ahead * agent->service_us / US_PER_MS / ash_agent_slots (agent);
+  return ahead * agent->service_us / US_PER_MS / slots;
 }
 
 /* Why a request that the ledger does not hold can't be taken, or REASON_NONE. */
@@ -96,9 +140,9 @@
   if (agent->ledger.count >= agent->settings->ledger_max)
     return ASH__REASON__OVERLOAD;
   if (agent->ledger.queued_count >= agent->settings->queue_max &&
-      agent->ledger.running_count >= ash_agent_slots (agent))
+      !ash_agent_has_slot (agent, submit->reserved))
     return ASH__REASON__OVERLOAD;
-  if (expected_wait_ms (agent, submit->priority) > submit->budget_ms)
+  if (expected_wait_ms (agent, submit) > submit->budget_ms)
     return ASH__REASON__OVERLOAD;
   return ASH__REASON__REASON_NONE;
 }
--- a/controllers/agent_admit.h
+++ b/controllers/agent_admit.h
@@ -25,6 +25,12 @@
 /** @return how many requests the engine works on at once. */
 uint32_t ash_agent_slots (const struct ash_agent *agent);
 
+/** @return how many of them are kept for what declared events reserve, at this time. */
+uint32_t ash_agent_held_slots (const struct ash_agent *agent);
+
+/** @return whether a request may start now, besides those that run. */
+bool ash_agent_has_slot (const struct ash_agent *agent, bool reserved);
+
 /** @return why a request that the ledger does not hold can't be taken, or REASON_NONE. */
 int ash_agent_admission (const struct ash_agent *agent,
                          struct ash_time now,
--- a/controllers/expert_policy.c
+++ b/controllers/expert_policy.c
@@ -50,6 +50,29 @@
   policy->reports++;
 }
 
+void
+ash_expert_policy_expect (struct ash_expert_policy *policy, const double *tokens)
+{
+  double sum = 0;
+
+  for (uint32_t e = 0; e < policy->expert_count; e++)
+    sum += tokens[e];
+  policy->forecast = sum > 0;
+  for (uint32_t e = 0; policy->forecast && e < policy->expert_count; e++)
+    policy->expected[e] = tokens[e] / sum;
+}
+
+void
+ash_expert_policy_expect_no_more (struct ash_expert_policy *policy, bool begun)
+{
+  if (policy->forecast && begun)
+    {
+      memcpy (policy->fast, policy->expected, sizeof policy->fast);
+      memcpy (policy->slow, policy->expected, sizeof policy->slow);
+    }
+  policy->forecast = false;
+}
+
 /* ---- loads ---- */
 
 static uint32_t
@@ -305,23 +328,25 @@
                           struct ash_expert_decision *decision)
 {
   const struct ash_expert_weights *weights = &policy->weights;
+  const double *fast = policy->forecast ? policy->expected : policy->fast;
+  const double *slow = policy->forecast ? policy->expected : policy->slow;
   struct ash_expert_placement changed = *placement;
   struct weighing weighing = { .placement = &changed, .speeds = speeds };
   struct candidate best;
 
   *decision = (struct ash_expert_decision){ 0 };
-  decision->skew_before = ash_expert_skew (placement, policy->fast, speeds);
+  decision->skew_before = ash_expert_skew (placement, fast, speeds);
   decision->skew_after = decision->skew_before;
-  while (policy->reports >= REPORTS_MIN && decision->move_count < weights->moves &&
-         decision->move_count < ASH_EXPERT_MOVES_MAX)
+  while ((policy->forecast || policy->reports >= REPORTS_MIN) &&
+         decision->move_count < weights->moves && decision->move_count < ASH_EXPERT_MOVES_MAX)
     {
       uint32_t room = weights->moves - decision->move_count;
       double gain;
 
       if (room > ASH_EXPERT_MOVES_MAX - decision->move_count)
         room = ASH_EXPERT_MOVES_MAX - decision->move_count;
-      compute_loads (&weighing.fast, &changed, policy->fast, speeds);
-      compute_loads (&weighing.slow, &changed, policy->slow, speeds);
+      compute_loads (&weighing.fast, &changed, fast, speeds);
+      compute_loads (&weighing.slow, &changed, slow, speeds);
       weighing.fast_badness = badness (weighing.fast.ranks, changed.rank_count);
       weighing.slow_badness = badness (weighing.slow.ranks, changed.rank_count);
       gain = find_best (&weighing, room, &best);
@@ -335,7 +360,7 @@
               best.count * sizeof best.moves[0]);
       decision->move_count += best.count;
     }
-  decision->skew_after = ash_expert_skew (&changed, policy->fast, speeds);
+  decision->skew_after = ash_expert_skew (&changed, fast, speeds);
 }
 
 /* ---- the full repack ---- */
--- a/controllers/expert_policy.h
+++ b/controllers/expert_policy.h
@@ -64,6 +64,8 @@
   uint32_t reports;
   double fast[ASH_EXPERTS_MAX]; /**< smoothed over a few reports */
   double slow[ASH_EXPERTS_MAX]; /**< smoothed over many: what lasts */
+  bool forecast;                /**< decide on what is expected instead */
+  double expected[ASH_EXPERTS_MAX];
 };
 
 void ash_expert_policy_init (struct ash_expert_policy *policy,
@@ -73,6 +75,18 @@
 /** Takes in a report: tokens of each expert in an interval. Missing ones are just not given. */
 void ash_expert_policy_report (struct ash_expert_policy *policy, const double *tokens);
 
+/**
+ * A declared event is about to begin: from now on decisions are made for its loads.
+ * @param tokens of each expert, in any unit.
+ */
+void ash_expert_policy_expect (struct ash_expert_policy *policy, const double *tokens);
+
+/**
+ * It has begun, or was called off. What was expected is believed from then on, if
+ * it has begun, and corrected by reports as ever.
+ */
+void ash_expert_policy_expect_no_more (struct ash_expert_policy *policy, bool begun);
+
 /**
  * Decides what to move now.
  * @param speeds of the ranks, 1 as usual, less for one that is slow.
--- a/controllers/limits.c
+++ b/controllers/limits.c
@@ -11,57 +11,108 @@
 void
 ash_limits_init (struct ash_limits *limits)
 {
-  limits->limits = NULL;
+  *limits = (struct ash_limits){ 0 };
 }
 
-void
-ash_limits_finish (struct ash_limits *limits)
+static void
+free_all (struct ash_limit **table)
 {
   struct ash_limit *limit;
   struct ash_limit *next;
 
-  HASH_ITER (hh, limits->limits, limit, next)
+  HASH_ITER (hh, *table, limit, next)
     {
-      HASH_DEL (limits->limits, limit);
+      HASH_DEL (*table, limit);
       free (limit);
     }
 }
 
+void
+ash_limits_finish (struct ash_limits *limits)
+{
+  free_all (&limits->limits);
+  free_all (&limits->reserved);
+}
+
+/* A bucket that fills at a part of the rate up to a part of the burst. */
+struct bucket
+{
+  int64_t rate_micro_per_ms; /* a request a second is a thousandth of one a millisecond */
+  int64_t burst_micro;
+};
+
+static struct bucket
+part_of (uint32_t rate_per_s, uint32_t burst, uint32_t parts)
+{
+  struct bucket bucket = {
+    .rate_micro_per_ms = (int64_t) rate_per_s * MICRO_PER_MILLI / parts,
+    .burst_micro = (int64_t) burst * MICRO / parts,
+  };
+
+  /* A part below one request would refuse for ever. */
+  if (bucket.burst_micro < MICRO)
+    bucket.burst_micro = MICRO;
+  return bucket;
+}
+
+static struct ash_limit *
+find_or_add (struct ash_limit **table,
+             struct ash_time now,
+             const char *name,
+             const struct bucket *bucket)
+{
+  struct ash_limit *limit;
+
+  HASH_FIND_STR (*table, name, limit);
+  if (limit)
+    return limit;
+  limit = calloc (1, sizeof *limit);
+  if (!limit)
+    return NULL;
+  strcpy (limit->name, name);
+  limit->left_micro = bucket->burst_micro;
+  limit->filled = now;
+  HASH_ADD_STR (*table, name, limit);
+  return limit;
+}
+
+/* @return 0 if one was taken, else milliseconds until there is one. */
+static uint32_t
+take (struct ash_limit *limit, struct ash_time now, const struct bucket *bucket)
+{
+  int64_t missing;
+
+  limit->left_micro += ash_time_diff (limit->filled, now) * bucket->rate_micro_per_ms;
+  if (limit->left_micro > bucket->burst_micro)
+    limit->left_micro = bucket->burst_micro;
+  limit->filled = now;
+  missing = MICRO - limit->left_micro;
+  if (missing > 0)
+    return (uint32_t) (missing / bucket->rate_micro_per_ms + 1);
+  limit->left_micro -= MICRO;
+  return 0;
+}
+
 uint32_t
 ash_limits_take (struct ash_limits *limits,
                  struct ash_time now,
                  const struct ash_account *account,
                  uint32_t parts)
 {
-  /* A request per second is a thousandth of one per millisecond. */
-  int64_t rate_micro_per_ms = (int64_t) account->rate_per_s * MICRO_PER_MILLI / parts;
-  int64_t burst_micro = (int64_t) account->burst * MICRO / parts;
-  struct ash_limit *limit;
-  int64_t missing;
+  struct bucket bucket = part_of (account->rate_per_s, account->burst, parts);
+  struct ash_limit *limit = find_or_add (&limits->limits, now, account->name, &bucket);
 
-  /* A part below one request would refuse for ever. */
-  if (burst_micro < MICRO)
-    burst_micro = MICRO;
-  HASH_FIND_STR (limits->limits, account->name, limit);
-  if (!limit)
-    {
-      limit = calloc (1, sizeof *limit);
-      if (!limit)
-        return MICRO_PER_MILLI;
-      strcpy (limit->account, account->name);
-      limit->left_micro = burst_micro;
-      limit->filled = now;
-      HASH_ADD_STR (limits->limits, account, limit);
-    }
-  limit->left_micro += ash_time_diff (limit->filled, now) * rate_micro_per_ms;
-  if (limit->left_micro > burst_micro)
-    limit->left_micro = burst_micro;
-  limit->filled = now;
-  missing = MICRO - limit->left_micro;
-  if (missing <= 0)
-    {
-      limit->left_micro -= MICRO;
-      return 0;
-    }
-  return (uint32_t) (missing / rate_micro_per_ms + 1);
+  return limit ? take (limit, now, &bucket) : MICRO_PER_MILLI;
+}
+
+bool
+ash_limits_take_reserved (struct ash_limits *limits,
+                          struct ash_time now,
+                          const struct ash_reservation *reservation,
+                          uint32_t parts)
+{
+  struct bucket bucket = part_of (reservation->rate_per_s, reservation->rate_per_s, parts);
+  struct ash_limit *limit = find_or_add (&limits->reserved, now, reservation->name, &bucket);
+
+  return limit && take (limit, now, &bucket) == 0;
 }
--- a/controllers/limits.h
+++ b/controllers/limits.h
@@ -12,10 +12,11 @@
 
 #include <uthash.h>
 
-/** What is left of one account's part here, in millionths of a request. */
+/** What is left here of one account's part, or of one reservation's, in millionths
+ * of a request. */
 struct ash_limit
 {
-  char account[ASH_NAME_BYTES];
+  char name[ASH_NAME_BYTES];
   int64_t left_micro;
   struct ash_time filled;
   UT_hash_handle hh;
@@ -23,7 +24,8 @@
 
 struct ash_limits
 {
-  struct ash_limit *limits; /**< only of accounts that have called here */
+  struct ash_limit *limits;   /**< only of accounts that have called here */
+  struct ash_limit *reserved; /**< of reservations that were used here */
 };
 
 void ash_limits_init (struct ash_limits *limits);
@@ -39,4 +41,13 @@
                           const struct ash_account *account,
                           uint32_t parts);
 
+/**
+ * Takes one request off a reservation's part: a second's worth may come at once.
+ * @return whether there was one.
+ */
+bool ash_limits_take_reserved (struct ash_limits *limits,
+                               struct ash_time now,
+                               const struct ash_reservation *reservation,
+                               uint32_t parts);
+
 #endif
--- a/daemon/api.c
+++ b/daemon/api.c
@@ -1,6 +1,7 @@
 #include "daemon/api.h"
 
 #include "controllers/addresses.h"
+#include "controllers/declared.h"
 #include "daemon/explain.h"
 #include "daemon/intent.h"
 #include "filters/minted_key.h"
@@ -426,6 +427,25 @@
                     "reported", (int) box->reported);
 }
 
+static json_t *
+events_json (const struct ash_document *document)
+{
+  json_t *list = json_array ();
+  int64_t unix_s = (int64_t) time (NULL);
+
+  for (uint32_t i = 0; i < document->event_count; i++)
+    {
+      const struct ash_declared_event *event = &document->events[i];
+
+      json_array_append_new (
+          list, json_pack ("{s:s, s:s, s:I, s:i, s:i}", "event", event->name, "state",
+                           ash_declared_state_name (ash_declared_state (event, unix_s)), "start_s",
+                           (json_int_t) event->start_s, "length_s", (int) event->length_s, "lead_s",
+                           (int) event->lead_s));
+    }
+  return list;
+}
+
 static void
 handle_status (struct ash_api *api, const struct ash_http_request *request)
 {
@@ -437,10 +457,11 @@
     json_array_append_new (boxes, box_json (box));
   ash_api_reply_json (
       api, request->number, MHD_HTTP_OK, &headers,
-      json_pack ("{s:s, s:s, s:I, s:s, s:o}", "box", api->daemon->settings->box, "state",
+      json_pack ("{s:s, s:s, s:I, s:s, s:o, s:o}", "box", api->daemon->settings->box, "state",
                  entry->leaving ? "leaving" : "live", "revision",
                  (json_int_t) (entry->config.ready ? entry->config.document.revision : 0), "hall",
-                 api->daemon->settings->hall, "boxes", boxes));
+                 api->daemon->settings->hall, "events", events_json (&entry->config.document),
+                 "boxes", boxes));
 }
 
 static void
--- a/daemon/group.c
+++ b/daemon/group.c
@@ -1,12 +1,14 @@
 #include "daemon/group.h"
 
 #include "common/id.h"
+#include "controllers/declared.h"
 #include "proto/json.h"
 
 #include <inttypes.h>
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 #include <utlist.h>
 #include <xxhash.h>
 
@@ -408,6 +410,7 @@
     .ballot = has_change ? change->ballot : 0,
     .step = kind == ASH_EXPERT_NOTE_DONE ? change->step : 0,
     .moves = kind == ASH_EXPERT_NOTE_MOVES ? group->decision.move_count : 0,
+    .forecast = group->policy.forecast,
     .skew_before = group->decision.skew_before,
     .skew_after = group->decision.skew_after,
     .refused_gain = group->decision.refused_gain,
@@ -440,6 +443,14 @@
     }
 }
 
+static const char *
+why_text (const struct ash_group_task *group, const struct ash_expert_map *wanted)
+{
+  if (!wanted)
+    return "takeover";
+  return group->policy.forecast ? "forecast" : "skew";
+}
+
 static void
 start_change (struct ash_group_task *group, const struct ash_expert_map *wanted)
 {
@@ -449,11 +460,40 @@
   ash_log_event (&group->log, ASH_EV_MAP_CHANGE,
                  "group=%s why=%s ballot=%" PRIu64
                  " moves=%u skew=%.3f predicted=%.3f refused_gain=%.3f",
-                 group->name, wanted ? "skew" : "takeover", group->change.ballot,
+                 group->name, why_text (group, wanted), group->change.ballot,
                  wanted ? group->decision.move_count : 0, group->decision.skew_before,
                  group->decision.skew_after, group->decision.refused_gain);
 }
 
+/* Before a declared event begins, moves are made for the popularity that its
+ * profile expects; once it has begun, what is reported counts. */
+static void
+look_ahead (struct ash_group_task *group)
+{
+  const struct ash_document *document = &group->daemon->config->document;
+  int64_t unix_s = (int64_t) time (NULL);
+  const struct ash_profile *profile = ash_declared_profile (document, unix_s, group->name);
+  const struct ash_declared_event *event =
+      profile ? ash_document_event (document, profile->event) : NULL;
+  double loads[ASH_PROFILE_EXPERTS_MAX];
+
+  if (event && ash_declared_state (event, unix_s) == ASH_DECLARED_LEAD)
+    {
+      if (strcmp (group->profile, profile->name) == 0)
+        return;
+      ash_profile_loads (profile, loads);
+      ash_expert_policy_expect (&group->policy, loads);
+      strcpy (group->profile, profile->name);
+      ash_log_event (&group->log, ASH_EV_FORECAST, "group=%s event=\"%s\" profile=\"%s\"",
+                     group->name, event->name, profile->name);
+      return;
+    }
+  if (*group->profile)
+    ash_expert_policy_expect_no_more (&group->policy,
+                                      profile && strcmp (group->profile, profile->name) == 0);
+  *group->profile = '\0';
+}
+
 static void
 decide_moves (struct ash_group_task *group)
 {
@@ -466,6 +506,7 @@
     return;
   for (uint32_t r = 0; r < group->rank_count; r++)
     speeds[r] = 1;
+  look_ahead (group);
   ash_expert_policy_decide (&group->policy, &group->placement, speeds, &group->decision);
   if (!group->decision.move_count)
     {
--- a/daemon/group.h
+++ b/daemon/group.h
@@ -36,6 +36,7 @@
   struct ash_time disorder_since;        /**< the own rank waits or is blank since then */
   struct ash_time next_poll;
   struct ash_time next_decision;
+  char profile[ASH_NAME_BYTES]; /**< of the event that is prepared for; empty: none */
   uint64_t own_map;
   struct ash_expert_guard guard; /**< before the own engine */
   bool polling;
--- a/filters/limit.c
+++ b/filters/limit.c
@@ -2,8 +2,10 @@
  * @file
  * Filter: the account's limit. This entry enforces its part of it, dealt over
  * the published list and never over whom it believes alive; else both sides of
- * a cut would each take the whole.
+ * a cut would each take the whole. What a declared event reserves for the account
+ * comes first, with the event's priority; above it the account's own limit counts.
  */
+#include "controllers/declared.h"
 #include "filters/filter.h"
 
 struct priv
@@ -32,6 +34,8 @@
 {
   const struct ash_document *document = &context->config->document;
   const struct ash_account *account = ash_document_account_by_key (document, call->key_hash.data);
+  const struct ash_reservation *reservation =
+      ash_declared_reservation (document, call->unix_s, account->name, call->service);
   uint32_t parts = account->entries;
   uint32_t wait_ms;
 
@@ -39,6 +43,12 @@
     parts = document->entry_count;
   if (ash_document_entry_rank (document, account, context->settings->box) < 0)
     return ash_refuse (request, ASH__REASON__MISDIRECTED, 1);
+  if (reservation && ash_limits_take_reserved (&priv->limits, now, reservation, parts))
+    {
+      request->reserved = true;
+      request->priority = reservation->priority;
+      return ASH_VERDICT_NEXT;
+    }
   wait_ms = ash_limits_take (&priv->limits, now, account, parts);
   if (wait_ms == 0)
     return ASH_VERDICT_NEXT;
--- a/options/document.c
+++ b/options/document.c
@@ -1,6 +1,6 @@
 #include "options/document.h"
 
-#include "options/settings.h"
+#include "options/document_check.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -76,6 +76,35 @@
   { 0 },
 };
 
+static const struct ash_option event_options[] = {
+  TEXT (ash_declared_event, "name", name, NULL, "the event's name"),
+  COUNT (
+      ash_declared_event, start_s, NULL, 1, UINT32_MAX, "s", "Unix time at which demand arrives"),
+  COUNT (ash_declared_event, length_s, "3600", 1, 604800, "s", "how long it lasts"),
+  COUNT (
+      ash_declared_event, lead_s, "60", 0, 86400, "s", "how long before its start it counts as on"),
+  { 0 },
+};
+
+static const struct ash_option reservation_options[] = {
+  TEXT (ash_reservation, "name", name, NULL, "the reservation's name"),
+  TEXT (ash_reservation, "event", event, NULL, "the event that it is for"),
+  TEXT (ash_reservation, "account", account, NULL, "whose requests"),
+  TEXT (ash_reservation, "service", service, NULL, "to which service"),
+  COUNT (ash_reservation, rate_per_s, NULL, 1, RATE_MAX, "requests/s", "over all entries together"),
+  COUNT (ash_reservation, priority, "0", 0, 15, NULL, "of its requests, instead of their class's"),
+  { 0 },
+};
+
+static const struct ash_option profile_options[] = {
+  TEXT (ash_profile, "name", name, NULL, "the profile's name"),
+  TEXT (ash_profile, "event", event, NULL, "the event in which experts are so popular"),
+  TEXT (ash_profile, "group", group, NULL, "the group of ranks"),
+  { "loads", ASH_OPTION_TEXT, offsetof (struct ash_profile, loads), NULL, 0, ASH_PROFILE_BYTES,
+    NULL, NULL, "relative load of each expert, whole numbers with commas" },
+  { 0 },
+};
+
 static const struct ash_option class_options[] = {
   TEXT (ash_class, "name", name, NULL, "the class's name"),
   COUNT (ash_class, priority, "1", 0, 15, NULL, "0 is the highest"),
@@ -94,19 +123,6 @@
   { 0 },
 };
 
-/* What all rows begin with. */
-struct row
-{
-  char name[ASH_NAME_BYTES];
-  uint32_t line;
-};
-
-static const struct row *
-row_at (const void *rows, uint32_t index, size_t row_bytes)
-{
-  return (const struct row *) (const void *) ((const char *) rows + index * row_bytes);
-}
-
 /* Reads `[[key]]` into a new array of rows of row_bytes. */
 static void *
 read_rows (struct ash_node *root,
@@ -151,189 +167,13 @@
           continue;
         }
       ash_options_read (options, item, place, rows + *count * row_bytes, findings);
-      ((struct row *) (void *) (rows + *count * row_bytes))->line = item->line;
+      ((struct ash_row *) (void *) (rows + *count * row_bytes))->line = item->line;
       ash_node_report_unused (item, place, findings);
       (*count)++;
     }
   return rows;
 }
 
-static const void *
-find_row (const void *rows, uint32_t count, size_t row_bytes, const char *name)
-{
-  for (uint32_t i = 0; i < count; i++)
-    {
-      const struct row *row = row_at (rows, i, row_bytes);
-
-      if (strcmp (row->name, name) == 0)
-        return row;
-    }
-  return NULL;
-}
-
-/* Names of one kind must differ. A table of hashes keeps this linear: 44,000
- * accounts are checked at every change. */
-static void
-check_names (const void *rows,
-             uint32_t count,
-             size_t row_bytes,
-             const char *key,
-             struct ash_findings *findings)
-{
-  uint32_t slot_count = 16;
-  uint32_t *slots;
-  char place[64];
-
-  while (slot_count < 2 * count)
-    slot_count *= 2;
-  slots = calloc (slot_count, sizeof *slots);
-  if (!slots)
-    return;
-  for (uint32_t i = 0; i < count; i++)
-    {
-      const struct row *row = row_at (rows, i, row_bytes);
-      uint32_t at = (uint32_t) ash_hash_text (row->name) & (slot_count - 1);
-
-      snprintf (place, sizeof place, "%s[%u]", key, i);
-      if (*row->name == '\0')
-        ash_findings_add (findings, row->line, place, "its name is empty");
-      for (; slots[at]; at = (at + 1) & (slot_count - 1))
-        if (strcmp (row_at (rows, slots[at] - 1, row_bytes)->name, row->name) == 0)
-          ash_findings_add (findings, row->line, place, "'%s' is declared twice", row->name);
-      slots[at] = i + 1;
-    }
-  free (slots);
-}
-
-static void
-check_hall (const struct ash_document *document,
-            const char *hall,
-            uint32_t line,
-            const char *place,
-            struct ash_findings *findings)
-{
-  if (!find_row (document->halls, document->hall_count, sizeof (struct ash_hall), hall))
-    ash_findings_add (findings, line, place, "hall '%s' is not declared", hall);
-}
-
-static void
-check_peer (const char *address, uint32_t line, const char *place, struct ash_findings *findings)
-{
-  char ip[16];
-  uint16_t port;
-
-  if (!ash_address_parse (address, ip, &port) || port == 0)
-    ash_findings_add (findings, line, place, "'%s' is not IP:PORT", address);
-}
-
-static void
-check_boxes (const struct ash_document *document, struct ash_findings *findings)
-{
-  char place[64];
-
-  for (uint32_t i = 0; i < document->entry_count; i++)
-    {
-      const struct ash_entry_box *entry = &document->entries[i];
-
-      snprintf (place, sizeof place, "entry[%u]", i);
-      check_hall (document, entry->hall, entry->line, place, findings);
-      check_peer (entry->http, entry->line, place, findings);
-      check_peer (entry->peer, entry->line, place, findings);
-    }
-  for (uint32_t i = 0; i < document->endpoint_count; i++)
-    {
-      const struct ash_endpoint *endpoint = &document->endpoints[i];
-
-      snprintf (place, sizeof place, "endpoint[%u]", i);
-      check_hall (document, endpoint->hall, endpoint->line, place, findings);
-      check_peer (endpoint->peer, endpoint->line, place, findings);
-      if (!ash_document_service (document, endpoint->service))
-        ash_findings_add (findings, endpoint->line, place, "service '%s' is not declared",
-                          endpoint->service);
-      if (ash_document_entry (document, endpoint->name))
-        ash_findings_add (findings, endpoint->line, place, "box '%s' is declared as an entry too",
-                          endpoint->name);
-    }
-}
-
-/* The ranks of a group must be 0 to one less than its endpoints, each once, and
- * all experts must have a slot. */
-static void
-check_groups (struct ash_document *document, struct ash_findings *findings)
-{
-  for (uint32_t g = 0; g < document->group_count; g++)
-    {
-      struct ash_group *group = &document->groups[g];
-      uint64_t seen = 0;
-      char place[64];
-
-      snprintf (place, sizeof place, "group[%u]", g);
-      for (uint32_t i = 0; i < document->endpoint_count; i++)
-        if (strcmp (document->endpoints[i].group, group->name) == 0)
-          {
-            seen |= UINT64_C (1) << document->endpoints[i].rank;
-            group->rank_count++;
-          }
-      if (group->rank_count == 0 || group->rank_count > 64 ||
-          seen != UINT64_MAX >> (64 - group->rank_count))
-        ash_findings_add (findings, group->line, place,
-                          "its endpoints' ranks must be 0, 1, 2 and so on, each once");
-      if (group->rank_count * group->rank_slots < group->experts)
-        ash_findings_add (findings, group->line, place, "%u experts do not fit into %u x %u slots",
-                          group->experts, group->rank_count, group->rank_slots);
-    }
-  for (uint32_t i = 0; i < document->endpoint_count; i++)
-    {
-      const struct ash_endpoint *endpoint = &document->endpoints[i];
-      char place[64];
-
-      snprintf (place, sizeof place, "endpoint[%u]", i);
-      if (*endpoint->group && !ash_document_group (document, endpoint->group))
-        ash_findings_add (findings, endpoint->line, place, "group '%s' is not declared",
-                          endpoint->group);
-    }
-}
-
-static uint32_t
-key_slot (const uint8_t *key_hash, uint32_t slot_count)
-{
-  uint32_t start;
-
-  memcpy (&start, key_hash, sizeof start);
-  return start & (slot_count - 1);
-}
-
-static void
-check_accounts (struct ash_document *document, struct ash_findings *findings)
-{
-  char place[64];
-
-  document->account_slot_count = 16;
-  while (document->account_slot_count < 2 * document->account_count)
-    document->account_slot_count *= 2;
-  document->account_slots = calloc (document->account_slot_count, sizeof *document->account_slots);
-  for (uint32_t i = 0; document->account_slots && i < document->account_count; i++)
-    {
-      struct ash_account *account = &document->accounts[i];
-      const struct ash_class *class_found = find_row (
-          document->classes, document->class_count, sizeof (struct ash_class), account->class_name);
-      uint32_t at;
-
-      snprintf (place, sizeof place, "account[%u]", i);
-      if (class_found)
-        account->class_index = (uint32_t) (class_found - document->classes);
-      else
-        ash_findings_add (findings, account->line, place, "class '%s' is not declared",
-                          account->class_name);
-      if (ash_document_account_by_key (document, account->key_hash))
-        ash_findings_add (findings, account->line, place, "its key is another account's too");
-      at = key_slot (account->key_hash, document->account_slot_count);
-      while (document->account_slots[at])
-        at = (at + 1) & (document->account_slot_count - 1);
-      document->account_slots[at] = i + 1;
-    }
-}
-
 /* Groups the endpoints by service, by counting. Names were checked before. */
 static void
 index_endpoints (struct ash_document *document)
@@ -358,8 +198,6 @@
 #define READ_ROWS(rows, count, key)                                                                \
   (document->rows =                                                                                \
        read_rows (root, #key, key##_options, sizeof *document->rows, &document->count, findings))
-#define CHECK_NAMES(rows, count, key)                                                              \
-  check_names (document->rows, document->count, sizeof *document->rows, key, findings)
 
 void
 ash_document_init (struct ash_document *document,
@@ -387,17 +225,11 @@
   READ_ROWS (groups, group_count, group);
   READ_ROWS (classes, class_count, class);
   READ_ROWS (accounts, account_count, account);
+  READ_ROWS (events, event_count, event);
+  READ_ROWS (reservations, reservation_count, reservation);
+  READ_ROWS (profiles, profile_count, profile);
   ash_node_report_unused (root, "", findings);
-  CHECK_NAMES (halls, hall_count, "hall");
-  CHECK_NAMES (entries, entry_count, "entry");
-  CHECK_NAMES (services, service_count, "service");
-  CHECK_NAMES (endpoints, endpoint_count, "endpoint");
-  CHECK_NAMES (groups, group_count, "group");
-  CHECK_NAMES (classes, class_count, "class");
-  CHECK_NAMES (accounts, account_count, "account");
-  check_boxes (document, findings);
-  check_groups (document, findings);
-  check_accounts (document, findings);
+  ash_document_check (document, findings);
   if (findings->count == 0)
     index_endpoints (document);
   ash_node_free (root);
@@ -415,101 +247,8 @@
   free (document->classes);
   free (document->accounts);
   free (document->account_slots);
+  free (document->events);
+  free (document->reservations);
+  free (document->profiles);
   *document = (struct ash_document){ 0 };
 }
-
-const struct ash_service *
-ash_document_service (const struct ash_document *document, const char *name)
-{
-  return find_row (document->services, document->service_count, sizeof *document->services, name);
-}
-
-const struct ash_endpoint *
-ash_document_endpoint (const struct ash_document *document, const char *name)
-{
-  return find_row (document->endpoints, document->endpoint_count, sizeof *document->endpoints,
-                   name);
-}
-
-const struct ash_group *
-ash_document_group (const struct ash_document *document, const char *name)
-{
-  return find_row (document->groups, document->group_count, sizeof *document->groups, name);
-}
-
-const struct ash_entry_box *
-ash_document_entry (const struct ash_document *document, const char *name)
-{
-  return find_row (document->entries, document->entry_count, sizeof *document->entries, name);
-}
-
-const struct ash_account *
-ash_document_account (const struct ash_document *document, const char *name)
-{
-  return find_row (document->accounts, document->account_count, sizeof *document->accounts, name);
-}
-
-const struct ash_account *
-ash_document_account_by_key (const struct ash_document *document,
-                             const uint8_t key_hash[ASH_KEY_HASH_BYTES])
-{
-  uint32_t at;
-
-  if (!document->account_slots)
-    return NULL;
-  at = key_slot (key_hash, document->account_slot_count);
-  while (document->account_slots[at])
-    {
-      const struct ash_account *account = &document->accounts[document->account_slots[at] - 1];
-
-      if (memcmp (account->key_hash, key_hash, ASH_KEY_HASH_BYTES) == 0)
-        return account;
-      at = (at + 1) & (document->account_slot_count - 1);
-    }
-  return NULL;
-}
-
-const struct ash_endpoint *
-ash_document_service_endpoint (const struct ash_document *document,
-                               const struct ash_service *service,
-                               uint32_t i)
-{
-  return &document->endpoints[document->by_service[service->endpoint_first + i]];
-}
-
-const struct ash_endpoint *
-ash_document_home (const struct ash_document *document, const char *service_name, struct ash_id id)
-{
-  const struct ash_service *service = ash_document_service (document, service_name);
-  const struct ash_endpoint *home = NULL;
-  uint64_t best = 0;
-
-  for (uint32_t i = 0; service && i < service->endpoint_count; i++)
-    {
-      const struct ash_endpoint *endpoint = ash_document_service_endpoint (document, service, i);
-      uint64_t weight = ash_hash_pair (id, endpoint->name);
-
-      if (home && weight <= best)
-        continue;
-      home = endpoint;
-      best = weight;
-    }
-  return home;
-}
-
-int32_t
-ash_document_entry_rank (const struct ash_document *document,
-                         const struct ash_account *account,
-                         const char *entry)
-{
-  struct ash_id id = { ash_hash_text (account->name), 0 };
-  uint64_t own = ash_hash_pair (id, entry);
-  int32_t rank = 0;
-
-  if (!ash_document_entry (document, entry))
-    return -1;
-  for (uint32_t i = 0; i < document->entry_count; i++)
-    if (ash_hash_pair (id, document->entries[i].name) > own)
-      rank++;
-  return rank < (int32_t) account->entries ? rank : -1;
-}
--- a/options/document.h
+++ b/options/document.h
@@ -103,6 +103,46 @@
   uint32_t entries; /**< how many entries it is spread over */
 };
 
+/** Demand that an operator has declared. */
+struct ash_declared_event
+{
+  char name[ASH_NAME_BYTES];
+  uint32_t line;
+  uint32_t start_s; /**< Unix time */
+  uint32_t length_s;
+  uint32_t lead_s; /**< so long before its start it counts as on */
+};
+
+/** An account's part in an event: so much is served above its limit, and first. */
+struct ash_reservation
+{
+  char name[ASH_NAME_BYTES];
+  uint32_t line;
+  char event[ASH_NAME_BYTES];
+  char account[ASH_NAME_BYTES];
+  char service[ASH_NAME_BYTES];
+  uint32_t rate_per_s;
+  uint32_t priority;
+};
+
+/** Experts of a group at most, as controllers/expert_policy has it. */
+#define ASH_PROFILE_EXPERTS_MAX 256
+#define ASH_PROFILE_BYTES 2048
+
+/** How popular a group's experts are expected to be in an event. */
+struct ash_profile
+{
+  char name[ASH_NAME_BYTES];
+  uint32_t line;
+  char event[ASH_NAME_BYTES];
+  char group[ASH_NAME_BYTES];
+  char loads[ASH_PROFILE_BYTES]; /**< of each expert, whole numbers with commas */
+};
+
+/** Reads a profile's loads. @return how many there are; 0 if they can't be read. */
+uint32_t ash_profile_loads (const struct ash_profile *profile,
+                            double loads[ASH_PROFILE_EXPERTS_MAX]);
+
 /** The document. Arrays are owned by it. */
 struct ash_document
 {
@@ -125,6 +165,12 @@
   uint32_t account_count;
   uint32_t *account_slots; /**< open hash table over key_hash: index + 1 */
   uint32_t account_slot_count;
+  struct ash_declared_event *events;
+  uint32_t event_count;
+  struct ash_reservation *reservations;
+  uint32_t reservation_count;
+  struct ash_profile *profiles;
+  uint32_t profile_count;
 };
 
 /** Reads and checks a document; it counts only if no finding was added. */
@@ -153,6 +199,9 @@
 const struct ash_account *ash_document_account (const struct ash_document *document,
                                                 const char *name);
 
+const struct ash_declared_event *ash_document_event (const struct ash_document *document,
+                                                     const char *name);
+
 /** @return the account whose bearer key has this hash, or NULL. */
 const struct ash_account *ash_document_account_by_key (const struct ash_document *document,
                                                        const uint8_t key_hash[ASH_KEY_HASH_BYTES]);
--- a/test/unit.c
+++ b/test/unit.c
@@ -17,6 +17,7 @@
 #include "net/lateness.h"
 #include "options/document.h"
 #include "options/settings.h"
+#include "test/unit.h"
 
 #include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
@@ -699,6 +700,7 @@
   CU_add_test (suite, "texts: the catalogue of events", test_event_catalogue);
   CU_add_test (suite, "texts: log", test_log_forms);
   CU_add_test (suite, "texts: metrics", test_metrics);
+  add_declared_tests (suite);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
--- /dev/null
+++ b/test/unit.h
@@ -0,0 +1,13 @@
+/**
+ * @file
+ * Unit tests in files by topic: each adds its own to the one suite.
+ */
+#ifndef ASH_TEST_UNIT_H
+#define ASH_TEST_UNIT_H
+
+#include <CUnit/CUnit.h>
+
+/** Declared events: rows, times, reservations, expected loads of experts. */
+void add_declared_tests (CU_pSuite suite);
+
+#endif
