--- a/common/events.h
+++ b/common/events.h
@@ -23,11 +23,14 @@
   X (202, WARN, CONFIG_OLDER,       "an older revision than the one in force was offered and ignored") \
   X (203, WARN, PLATFORM_DOWN,      "the platform does not answer") \
   X (204, INFO, PLATFORM_UP,        "the platform answers again") \
+  X (205, DEBUG, CONFIG_SENT,       "a peer with an older configuration is sent this one, whole or by deltas") \
   X (300, INFO, LINK_UP,            "a peer link is up") \
   X (301, INFO, LINK_DOWN,          "a peer link is down") \
   X (302, WARN, PEER_REFUSED,       "a peer could not prove the fleet key, or broke the protocol") \
   X (303, INFO, BOX_LEAVING,        "a box is leaving; it gets no new work") \
   X (304, INFO, NEW_INCARNATION,    "an endpoint's agent has a new life") \
+  X (305, WARN, ALONE,              "this box sees less than half of the others: it is likely cut off itself") \
+  X (306, INFO, NOT_ALONE,          "it sees most of them again") \
   X (400, DEBUG, REQUEST_SENT,      "an attempt of a request was sent to an endpoint") \
   X (401, INFO, REQUEST_ENDED,      "a request got its final answer") \
   X (402, INFO, REQUEST_RETRIED,    "a request goes to another endpoint") \
--- a/controllers/addresses.c
+++ b/controllers/addresses.c
@@ -36,6 +36,25 @@
   return count;
 }
 
+/* This box is likely the one that is cut off, or nobody is known to serve: all of
+ * the published subset, the others first, which may serve where this one can't. */
+static void
+name_published (struct ash_addresses *addresses,
+                const struct ash_entry_box *const ranked[ASH_ADDRESSES_MAX],
+                uint32_t count,
+                const char *self)
+{
+  const struct ash_entry_box *own = NULL;
+
+  for (uint32_t i = 0; i < count; i++)
+    if (ranked[i] && strcmp (ranked[i]->name, self) == 0)
+      own = ranked[i];
+    else if (ranked[i])
+      addresses->boxes[addresses->count++] = ranked[i];
+  if (own)
+    addresses->boxes[addresses->count++] = own;
+}
+
 void
 ash_addresses_find (struct ash_addresses *addresses,
                     const struct ash_document *document,
@@ -49,20 +68,18 @@
   uint32_t count = collect (document, account, ranked);
   /* Each answer starts at another rank, so that an account's callers spread. */
   uint32_t start = ash_random_below (random, count);
+  bool alone = ash_membership_alone (membership, document, settings->box);
 
   addresses->count = 0;
-  for (uint32_t i = 0; i < count; i++)
+  for (uint32_t i = 0; !alone && i < count; i++)
     {
       const struct ash_entry_box *entry = ranked[(start + i) % count];
 
       if (entry && serves (membership, settings, leaving, entry->name))
         addresses->boxes[addresses->count++] = entry;
     }
-  /* Nobody is known to serve, perhaps because this box is the one cut off: the
-   * published subset is better than nothing, and soon asked for again. */
-  for (uint32_t i = 0; addresses->count == 0 && i < count; i++)
-    if (ranked[i])
-      addresses->boxes[addresses->count++] = ranked[i];
+  if (addresses->count == 0)
+    name_published (addresses, ranked, count, settings->box);
   addresses->keep_ms =
       settings->address_keep_ms / 2 +
       ash_random_below (random, settings->address_keep_ms - settings->address_keep_ms / 2 + 1);
--- a/controllers/agent.c
+++ b/controllers/agent.c
@@ -644,7 +644,7 @@
       break;
     case ASH__EVENT__KIND_LINK_UP:
       ash_membership_link_up (&agent->membership, now, peer, (int) event->link_up->role,
-                              event->link_up->incarnation);
+                              event->link_up->incarnation, event->link_up->revision);
       break;
     case ASH__EVENT__KIND_LINK_DOWN:
       handle_link_down (agent, now, peer);
--- a/controllers/config.c
+++ b/controllers/config.c
@@ -1,19 +1,33 @@
 #include "controllers/config.h"
 
+#include "controllers/config_delta.h"
+
 #include <stdlib.h>
 #include <string.h>
 
 #define MS_PER_S 1000
 
+/* Deltas above this part of the document are not worth their bookkeeping. */
+#define DELTAS_PART 2
+
 void
 ash_config_init (struct ash_config *config)
 {
   *config = (struct ash_config){ 0 };
 }
 
+static void
+drop_deltas (struct ash_config *config)
+{
+  for (uint32_t i = 0; i < config->delta_count; i++)
+    ash__config_delta__free_unpacked (config->deltas[i], NULL);
+  config->delta_count = 0;
+}
+
 void
 ash_config_finish (struct ash_config *config)
 {
+  drop_deltas (config);
   for (uint32_t i = 0; i < config->past_count; i++)
     ash_document_finish (&config->past[i].document);
   ash_document_finish (&config->document);
@@ -71,6 +85,47 @@
   forget_accounts (&past->document);
 }
 
+/* From the text in force to the one that takes its place. */
+static void
+keep_delta (struct ash_config *config, uint64_t revision, const char *text, size_t text_bytes)
+{
+  struct ash_config_text base = { config->document.revision, config->text, config->text_bytes };
+  struct ash_config_text after = { revision, text, text_bytes };
+  struct Ash__ConfigDelta *delta = ash_config_delta_make (&base, &after);
+
+  if (!delta)
+    {
+      drop_deltas (config);
+      return;
+    }
+  if (config->delta_count == ASH_CONFIG_DELTAS_MAX)
+    {
+      ash__config_delta__free_unpacked (config->deltas[0], NULL);
+      config->delta_count--;
+      memmove (&config->deltas[0], &config->deltas[1],
+               config->delta_count * sizeof (struct Ash__ConfigDelta *));
+    }
+  config->deltas[config->delta_count++] = delta;
+}
+
+uint32_t
+ash_config_deltas (const struct ash_config *config, uint64_t revision, uint32_t *first)
+{
+  size_t bytes = 0;
+
+  for (uint32_t i = config->delta_count; i > 0; i--)
+    {
+      bytes += ash__config_delta__get_packed_size (config->deltas[i - 1]);
+      if (bytes > config->text_bytes / DELTAS_PART)
+        return 0;
+      if (config->deltas[i - 1]->base_revision != revision)
+        continue;
+      *first = i - 1;
+      return config->delta_count - *first;
+    }
+  return 0;
+}
+
 enum ash_config_result
 ash_config_offer (struct ash_config *config,
                   struct ash_time now,
@@ -99,6 +154,8 @@
     }
   memcpy (copy, text, text_bytes);
   copy[text_bytes] = '\0';
+  if (config->ready)
+    keep_delta (config, revision, copy, text_bytes);
   free (config->text);
   config->text = copy;
   config->text_bytes = text_bytes;
--- a/controllers/config.h
+++ b/controllers/config.h
@@ -10,10 +10,14 @@
 
 #include "common/clock.h"
 #include "options/document.h"
+#include "proto/event.h"
 
 /** Earlier sets of endpoints that are remembered at most. */
 #define ASH_CONFIG_HISTORY_MAX 8
 
+/** Deltas between the last revisions that are kept for peers. */
+#define ASH_CONFIG_DELTAS_MAX 8
+
 /** What came of an offer. */
 enum ash_config_result
 {
@@ -41,6 +45,8 @@
   uint32_t past_count;
   struct ash_time known_since; /**< from then on no accepted set is unknown here */
   uint64_t refused_revision;   /**< newest that was refused, not to check it again */
+  struct Ash__ConfigDelta *deltas[ASH_CONFIG_DELTAS_MAX]; /**< oldest first, each on the last */
+  uint32_t delta_count;
 };
 
 void ash_config_init (struct ash_config *config);
@@ -58,6 +64,13 @@
                                          int64_t keep_ms,
                                          struct ash_findings *findings);
 
+/**
+ * Finds the deltas that bring a peer from its revision to the present one.
+ * @return how many, from @p first on; 0 if there are none, or the whole document is
+ * hardly longer.
+ */
+uint32_t ash_config_deltas (const struct ash_config *config, uint64_t revision, uint32_t *first);
+
 /**
  * Whether this process knows every home that a key of the service may have had
  * in the last @p life_ms.
--- a/controllers/membership.c
+++ b/controllers/membership.c
@@ -51,7 +51,8 @@
                         struct ash_time now,
                         const char *name,
                         int role,
-                        uint64_t incarnation)
+                        uint64_t incarnation,
+                        uint64_t revision)
 {
   struct ash_box *box = find_or_add (membership, name);
   bool is_new;
@@ -61,6 +62,7 @@
   is_new = box->incarnation != incarnation;
   box->linked = true;
   box->role = role;
+  box->revision = revision;
   if (is_new)
     {
       box->incarnation = incarnation;
@@ -95,6 +97,39 @@
   return box->linked && !ash_box_leaving (box);
 }
 
+/* Fewer boxes than this say nothing. */
+#define ALONE_BOXES_MIN 3
+
+static uint32_t
+is_linked (const struct ash_membership *membership, const char *name)
+{
+  const struct ash_box *box = ash_membership_find (membership, name);
+
+  return box && box->linked;
+}
+
+bool
+ash_membership_alone (const struct ash_membership *membership,
+                      const struct ash_document *document,
+                      const char *self)
+{
+  uint32_t declared = 0;
+  uint32_t linked = 0;
+
+  for (uint32_t i = 0; i < document->entry_count; i++)
+    if (strcmp (document->entries[i].name, self) != 0)
+      {
+        declared++;
+        linked += is_linked (membership, document->entries[i].name);
+      }
+  for (uint32_t i = 0; i < document->endpoint_count; i++)
+    {
+      declared++;
+      linked += is_linked (membership, document->endpoints[i].name);
+    }
+  return declared >= ALONE_BOXES_MIN && 2 * linked < declared;
+}
+
 static bool
 set_leaving (struct ash_box *box, uint64_t incarnation)
 {
@@ -120,6 +155,7 @@
   box->revision = heartbeat->revision;
   box->reported = heartbeat->in_flight + heartbeat->queued;
   box->step_us = heartbeat->step_us;
+  box->reads_platform = heartbeat->reads_platform;
   if (heartbeat->leaving)
     changes += set_leaving (box, box->incarnation);
   for (size_t i = 0; i < heartbeat->n_leaving_boxes && i < heartbeat->n_leaving_incarnations; i++)
--- a/controllers/membership.h
+++ b/controllers/membership.h
@@ -8,7 +8,7 @@
 #define ASH_MEMBERSHIP_H
 
 #include "common/clock.h"
-#include "options/option.h"
+#include "options/document.h"
 #include "proto/ash.pb-c.h"
 
 #include <uthash.h>
@@ -27,6 +27,7 @@
   uint64_t revision;            /**< configuration it has in force */
   uint64_t offered;             /**< the last revision that it was sent from here */
   uint32_t reported;            /**< in flight and queued, as it last said */
+  bool reads_platform;          /**< an entry whose last read of the platform went well */
   uint32_t step_us;
   uint32_t in_flight; /**< of this process at that box */
   UT_hash_handle hh;
@@ -44,12 +45,14 @@
 /** @return the box, or NULL if it was never heard of. */
 struct ash_box *ash_membership_find (const struct ash_membership *membership, const char *name);
 
-/** A link to the box is up. @return whether its incarnation is new here. */
+/** A link to the box is up; it says which configuration it has. @return whether its incarnation is
+ * new here. */
 bool ash_membership_link_up (struct ash_membership *membership,
                              struct ash_time now,
                              const char *name,
                              int role,
-                             uint64_t incarnation);
+                             uint64_t incarnation,
+                             uint64_t revision);
 
 /** The link is down. What was known otherwise stays. */
 void ash_membership_link_down (struct ash_membership *membership, const char *name);
@@ -65,6 +68,14 @@
 /** The platform's list names a box as leaving, or no longer does. @return whether that is new. */
 bool ash_membership_listed (struct ash_membership *membership, const char *name, bool leaving);
 
+/**
+ * Whether this box sees so few of the declared ones that it is more likely cut off
+ * itself than all of them gone.
+ */
+bool ash_membership_alone (const struct ash_membership *membership,
+                           const struct ash_document *document,
+                           const char *self);
+
 /** @return whether the present life of the box is leaving. */
 bool ash_box_leaving (const struct ash_box *box);
 
--- /dev/null
+++ b/controllers/readers.c
@@ -0,0 +1,47 @@
+#include "controllers/readers.h"
+
+#include <string.h>
+
+static uint64_t
+place_of (const struct ash_entry_box *entry)
+{
+  return ash_hash_pair ((struct ash_id){ ash_hash_text (entry->hall), 0 }, entry->name);
+}
+
+static bool
+says_it_reads (const struct ash_box *box)
+{
+  return box && box->reads_platform && ash_box_usable (box);
+}
+
+bool
+ash_readers_should_read (const struct ash_config *config,
+                         const struct ash_membership *membership,
+                         const char *box,
+                         uint32_t per_hall)
+{
+  const struct ash_document *document = &config->document;
+  const struct ash_entry_box *own = config->ready ? ash_document_entry (document, box) : NULL;
+  uint32_t before = 0;
+
+  /* Without a configuration, or in none: whoever can tell it anything. */
+  if (!own)
+    return true;
+  for (uint32_t i = 0; i < document->entry_count; i++)
+    {
+      const struct ash_entry_box *other = &document->entries[i];
+
+      if (strcmp (other->hall, own->hall) == 0 && place_of (other) > place_of (own))
+        before += says_it_reads (ash_membership_find (membership, other->name));
+    }
+  return before < per_hall;
+}
+
+bool
+ash_readers_any (const struct ash_membership *membership)
+{
+  for (const struct ash_box *box = membership->boxes; box; box = box->hh.next)
+    if (says_it_reads (box))
+      return true;
+  return false;
+}
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -1,6 +1,7 @@
 #include "daemon/daemon.h"
 
 #include "common/id.h"
+#include "daemon/spread.h"
 
 #include <errno.h>
 #include <signal.h>
@@ -41,6 +42,7 @@
                      (unsigned long long) revision,
                      (unsigned long long) daemon->config->document.digest, source);
       daemon->role.configured (daemon->role.data);
+      ash_spread_now (daemon);
       ash_peers_beat (&daemon->peers);
       break;
     case ASH_CONFIG_OLDER:
@@ -57,27 +59,6 @@
   ash_findings_finish (&findings);
 }
 
-/* A peer with an older configuration is sent this one, once. */
-static void
-offer_to (struct ash_daemon *daemon, const char *name)
-{
-  struct ash_box *box = ash_membership_find (daemon->membership, name);
-  struct Ash__ConfigOffer offer = ASH__CONFIG_OFFER__INIT;
-  struct Ash__Event event = ASH__EVENT__INIT;
-  uint64_t revision = daemon->config->ready ? daemon->config->document.revision : 0;
-
-  if (!box || box->revision >= revision || box->offered == revision)
-    return;
-  box->offered = revision;
-  offer.revision = revision;
-  offer.document.data = (uint8_t *) daemon->config->text;
-  offer.document.len = daemon->config->text_bytes;
-  event.peer = ash_text (name);
-  event.kind_case = ASH__EVENT__KIND_CONFIG_OFFER;
-  event.config_offer = &offer;
-  ash_daemon_send (daemon, &event);
-}
-
 /* ---- messages ---- */
 
 bool
@@ -117,13 +98,10 @@
   struct ash_daemon *daemon = data;
   struct ash_box *box;
 
+  if (ash_spread_take (daemon, event))
+    return;
   switch (event->kind_case)
     {
-    case ASH__EVENT__KIND_CONFIG_OFFER:
-      ash_daemon_offer (daemon, event->config_offer->revision,
-                        (const char *) event->config_offer->document.data,
-                        event->config_offer->document.len, event->peer);
-      return;
     case ASH__EVENT__KIND_QUERY:
       answer_query (daemon, event->peer, event->query);
       return;
@@ -139,7 +117,7 @@
       return;
     case ASH__EVENT__KIND_HEARTBEAT:
       daemon->role.event (daemon->role.data, event);
-      offer_to (daemon, event->peer);
+      ash_spread_to (daemon, event->peer);
       return;
     default:
       daemon->role.event (daemon->role.data, event);
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -2,6 +2,7 @@
  * @file
  * The entry role: an entry's core, its callers, its links and the platform.
  */
+#include "controllers/readers.h"
 #include "daemon/api.h"
 #include "daemon/explain.h"
 #include "daemon/platform.h"
@@ -28,6 +29,7 @@
   struct ash_time next_link_check;
   struct ash_time stop_since;
   bool serving;
+  bool alone;  /* sees so few boxes that it suspects itself */
   bool failed; /* it could not begin to serve */
 };
 
@@ -119,6 +121,17 @@
   return service->endpoint_count == 0;
 }
 
+/* A peer is known to have a newer configuration, and sends it: what this box has
+ * may be what a stale platform answered. */
+static bool
+is_behind (const struct entry *entry)
+{
+  for (const struct ash_box *box = entry->core.membership.boxes; box; box = box->hh.next)
+    if (box->linked && box->revision > entry->core.config.document.revision)
+      return true;
+  return false;
+}
+
 /* Callers keep this box's address over a restart. Until it has its links it
  * would refuse what another box could take; a service that nobody can reach
  * must not keep it waiting for ever, though. */
@@ -129,7 +142,7 @@
   struct ash_time latest =
       ash_time_add (entry->configured_since, entry->daemon.settings->ready_wait_ms);
 
-  if (!entry->core.config.ready)
+  if (!entry->core.config.ready || is_behind (entry))
     return false;
   for (uint32_t i = 0; i < document->service_count; i++)
     if (!is_reachable (entry, &document->services[i]))
@@ -157,6 +170,20 @@
     }
 }
 
+/* Logged when it changes: what this box believes of others is doubtful then. */
+static void
+note_alone (struct entry *entry)
+{
+  bool alone =
+      entry->serving && ash_membership_alone (&entry->core.membership, &entry->core.config.document,
+                                              entry->daemon.settings->box);
+
+  if (alone != entry->alone)
+    ash_log_event (&entry->daemon.log, alone ? ASH_EV_ALONE : ASH_EV_NOT_ALONE, "endpoints=%u",
+                   entry->core.config.document.endpoint_count);
+  entry->alone = alone;
+}
+
 static uint32_t
 leaving_count (const struct ash_membership *membership)
 {
@@ -177,6 +204,7 @@
 
   heartbeat->revision = entry->core.config.ready ? entry->core.config.document.revision : 0;
   heartbeat->leaving = entry->core.leaving;
+  heartbeat->reads_platform = entry->platform.reads;
   if (!count)
     return;
   heartbeat->leaving_boxes = calloc (count, sizeof *heartbeat->leaving_boxes);
@@ -221,18 +249,32 @@
     {
       drop_old_links (entry);
       ash_explain_tick (&entry->explain);
+      note_alone (entry);
     }
   serve_when_ready (entry);
   if (leaving_count (&entry->core.membership) > leaving)
     ash_peers_beat (&entry->daemon.peers);
 }
 
+static bool
+should_read (void *data)
+{
+  const struct entry *entry = data;
+  const struct ash_settings *settings = entry->daemon.settings;
+
+  return ash_readers_should_read (&entry->core.config, &entry->core.membership, settings->box,
+                                  settings->platform_readers);
+}
+
+/* A reader goes by its own reads; who leaves that to others, by their word. */
 static bool
 platform_answers (void *data)
 {
-  const struct ash_platform *platform = data;
+  const struct entry *entry = data;
 
-  return platform->config.failures == 0;
+  if (should_read (data))
+    return entry->platform.reads;
+  return ash_readers_any (&entry->core.membership);
 }
 
 static void
@@ -313,7 +355,7 @@
 {
   struct entry entry = { 0 };
   struct ash_daemon *daemon = &entry.daemon;
-  struct ash_platform_handler platform = { on_document, on_listed_box, &entry };
+  struct ash_platform_handler platform = { on_document, on_listed_box, should_read, &entry };
   bool ok = false;
 
   if (!ash_daemon_init (daemon, settings))
@@ -330,7 +372,7 @@
     }
   ash_platform_init (&entry.platform, daemon, &platform);
   entry.api.platform_answers = platform_answers;
-  entry.api.platform = &entry.platform;
+  entry.api.platform = &entry;
   entry.api.explain = &entry.explain;
   ash_explain_init (&entry.explain, &entry.api);
   ok = ash_daemon_run (daemon) && !entry.failed;
--- a/daemon/platform.c
+++ b/daemon/platform.c
@@ -14,6 +14,9 @@
  * list is one more source, which lags by more than this anyway. */
 #define LIST_PERIOD_MS 1000
 
+/* Whether to read is asked again at this period, while others do. */
+#define ASK_AGAIN_MS 500
+
 #define BACK_OFF_FIRST_MS 100
 #define BACK_OFF_MAX_MS 5000
 #define HTTP_OK 200
@@ -139,6 +142,8 @@
   if (!ok && !read->failures)
     ash_log_event (log, ASH_EV_PLATFORM_DOWN, "what=%s status=%u", what, read->status);
   read->failures = ok ? 0 : read->failures + 1;
+  if (!read->is_list)
+    read->platform->reads = ok;
   if (!ok)
     start_later (read, back_off_ms (read));
   else
@@ -175,9 +180,21 @@
 static void
 on_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
+  struct ash_platform_read *read = timer->data;
+  struct ash_platform *platform = read->platform;
+
   (void) loop;
   (void) events;
-  start_read (timer->data);
+  if (platform->handler.should_read (platform->handler.data))
+    {
+      start_read (read);
+      return;
+    }
+  if (!read->is_list)
+    platform->reads = false;
+  /* What it knew of the platform is out of date. */
+  read->failures = 0;
+  start_later (read, ASK_AGAIN_MS);
 }
 
 static void
--- a/daemon/platform.h
+++ b/daemon/platform.h
@@ -13,6 +13,7 @@
 {
   void (*document) (void *data, uint64_t revision, const char *text, size_t text_bytes);
   void (*box) (void *data, const char *name, bool leaving);
+  bool (*should_read) (void *data); /**< or others read, and tell */
   void *data;
 };
 
@@ -42,6 +43,7 @@
   struct ash_platform_read config;
   struct ash_platform_read list;
   uint64_t seen_revision; /**< of the last document read */
+  bool reads;             /**< the last read of the configuration went well, and goes on */
 };
 
 /** Starts reading. */
--- /dev/null
+++ b/daemon/spread.c
@@ -0,0 +1,123 @@
+#include "daemon/spread.h"
+
+#include "controllers/config_delta.h"
+
+#include <stdlib.h>
+
+static uint64_t
+own_revision (const struct ash_daemon *daemon)
+{
+  return daemon->config->ready ? daemon->config->document.revision : 0;
+}
+
+static void
+send_to (struct ash_daemon *daemon,
+         const char *name,
+         Ash__Event__KindCase kind,
+         const void *message)
+{
+  struct Ash__Event event = ash_event_of (name, kind, message);
+
+  ash_daemon_send (daemon, &event);
+}
+
+static void
+send_whole (struct ash_daemon *daemon, const char *name)
+{
+  struct Ash__ConfigOffer offer = ASH__CONFIG_OFFER__INIT;
+
+  offer.revision = own_revision (daemon);
+  offer.document.data = (uint8_t *) daemon->config->text;
+  offer.document.len = daemon->config->text_bytes;
+  send_to (daemon, name, ASH__EVENT__KIND_CONFIG_OFFER, &offer);
+  ash_log_event (&daemon->log, ASH_EV_CONFIG_SENT, "box=%s revision=%llu bytes=%zu deltas=0", name,
+                 (unsigned long long) offer.revision, offer.document.len);
+}
+
+/* @return whether there are deltas from the peer's revision to the present one. */
+static bool
+send_deltas (struct ash_daemon *daemon, const struct ash_box *box)
+{
+  uint32_t first = 0;
+  uint32_t count = ash_config_deltas (daemon->config, box->revision, &first);
+
+  for (uint32_t i = first; i < first + count; i++)
+    send_to (daemon, box->name, ASH__EVENT__KIND_CONFIG_DELTA, daemon->config->deltas[i]);
+  if (count)
+    ash_log_event (&daemon->log, ASH_EV_CONFIG_SENT, "box=%s revision=%llu deltas=%u", box->name,
+                   (unsigned long long) own_revision (daemon), count);
+  return count > 0;
+}
+
+static bool
+needs_offer (const struct ash_daemon *daemon, const struct ash_box *box)
+{
+  uint64_t revision = own_revision (daemon);
+
+  return box->linked && box->revision < revision && box->offered != revision;
+}
+
+void
+ash_spread_to (struct ash_daemon *daemon, const char *name)
+{
+  struct ash_box *box = ash_membership_find (daemon->membership, name);
+
+  if (!box || !needs_offer (daemon, box))
+    return;
+  box->offered = own_revision (daemon);
+  if (!send_deltas (daemon, box))
+    send_whole (daemon, name);
+}
+
+/* Whole documents wait for the peer's heartbeat: many boxes have a new one at
+ * about the same time, and a peer needs it once. */
+void
+ash_spread_now (struct ash_daemon *daemon)
+{
+  for (struct ash_box *box = daemon->membership->boxes; box; box = box->hh.next)
+    if (needs_offer (daemon, box) && send_deltas (daemon, box))
+      box->offered = own_revision (daemon);
+}
+
+static void
+take_delta (struct ash_daemon *daemon, const char *peer, const struct Ash__ConfigDelta *delta)
+{
+  struct ash_config_text base = { own_revision (daemon), daemon->config->text,
+                                  daemon->config->text_bytes };
+  struct Ash__ConfigWant want = ASH__CONFIG_WANT__INIT;
+  size_t length;
+  char *text;
+
+  if (delta->revision <= base.revision)
+    return;
+  text = base.revision ? ash_config_delta_apply (&base, delta, &length) : NULL;
+  if (!text)
+    {
+      send_to (daemon, peer, ASH__EVENT__KIND_CONFIG_WANT, &want);
+      return;
+    }
+  ash_daemon_offer (daemon, delta->revision, text, length, peer);
+  free (text);
+}
+
+bool
+ash_spread_take (struct ash_daemon *daemon, const struct Ash__Event *event)
+{
+  switch (event->kind_case)
+    {
+    case ASH__EVENT__KIND_CONFIG_OFFER:
+      ash_daemon_offer (daemon, event->config_offer->revision,
+                        (const char *) event->config_offer->document.data,
+                        event->config_offer->document.len, event->peer);
+      return true;
+    case ASH__EVENT__KIND_CONFIG_DELTA:
+      take_delta (daemon, event->peer, event->config_delta);
+      return true;
+    case ASH__EVENT__KIND_CONFIG_WANT:
+      if (daemon->config->ready)
+        send_whole (daemon, event->peer);
+      return true;
+    default:
+      return false;
+    }
+}
--- a/filters/entry.c
+++ b/filters/entry.c
@@ -601,7 +601,8 @@
   struct ash_request *request;
   struct ash_request *next;
 
-  if (ash_membership_link_up (&entry->membership, now, peer, (int) up->role, up->incarnation))
+  if (ash_membership_link_up (&entry->membership, now, peer, (int) up->role, up->incarnation,
+                              up->revision))
     ash_log_event (&entry->log, ASH_EV_NEW_INCARNATION, "box=%s incarnation=%016llx", peer,
                    (unsigned long long) up->incarnation);
   HASH_ITER (hh, entry->by_call, request, next)
--- a/net/peer.c
+++ b/net/peer.c
@@ -204,6 +204,7 @@
   link->state = LINK_UP;
   up.role = hello->role;
   up.incarnation = hello->incarnation;
+  up.revision = hello->revision;
   ash_log_event (&peers->log, ASH_EV_LINK_UP, "box=%s incarnation=%016llx", link->box,
                  (unsigned long long) hello->incarnation);
   give (link, ASH__EVENT__KIND_LINK_UP, &up);
--- a/options/settings.c
+++ b/options/settings.c
@@ -42,6 +42,7 @@
         "hash of a key that may ask and plan, and confirm nothing; empty: none (entry)"),
   CHOICE (log_format, "text", log_formats, "a line's form"),
   CHOICE (log_level, "info", log_levels, "lowest level written"),
+  COUNT (platform_readers, "2", 1, 1000, "entries", "of a hall read the platform, others learn"),
   MS (heartbeat_ms, "500", 10, 60000, "period of heartbeats on a link"),
   MS (link_silence_ms,
       "2000",
--- a/options/settings.h
+++ b/options/settings.h
@@ -33,6 +33,7 @@
   char reader_key_hash[ASH_OPTION_TEXT_BYTES];
   int log_format;
   int log_level;
+  uint32_t platform_readers;
   uint32_t heartbeat_ms;
   uint32_t link_silence_ms;
   uint32_t dial_retry_ms;
--- a/proto/ash.pb-c.c
+++ b/proto/ash.pb-c.c
@@ -187,6 +187,141 @@
   assert(message->base.descriptor == &ash__config_offer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ash__config_piece__init
+                     (Ash__ConfigPiece         *message)
+{
+  static const Ash__ConfigPiece init_value = ASH__CONFIG_PIECE__INIT;
+  *message = init_value;
+}
+size_t ash__config_piece__get_packed_size
+                     (const Ash__ConfigPiece *message)
+{
+  assert(message->base.descriptor == &ash__config_piece__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ash__config_piece__pack
+                     (const Ash__ConfigPiece *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ash__config_piece__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ash__config_piece__pack_to_buffer
+                     (const Ash__ConfigPiece *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ash__config_piece__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ash__ConfigPiece *
+       ash__config_piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ash__ConfigPiece *)
+     protobuf_c_message_unpack (&ash__config_piece__descriptor,
+                                allocator, len, data);
+}
+void   ash__config_piece__free_unpacked
+                     (Ash__ConfigPiece *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ash__config_piece__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ash__config_delta__init
+                     (Ash__ConfigDelta         *message)
+{
+  static const Ash__ConfigDelta init_value = ASH__CONFIG_DELTA__INIT;
+  *message = init_value;
+}
+size_t ash__config_delta__get_packed_size
+                     (const Ash__ConfigDelta *message)
+{
+  assert(message->base.descriptor == &ash__config_delta__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ash__config_delta__pack
+                     (const Ash__ConfigDelta *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ash__config_delta__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ash__config_delta__pack_to_buffer
+                     (const Ash__ConfigDelta *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ash__config_delta__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ash__ConfigDelta *
+       ash__config_delta__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ash__ConfigDelta *)
+     protobuf_c_message_unpack (&ash__config_delta__descriptor,
+                                allocator, len, data);
+}
+void   ash__config_delta__free_unpacked
+                     (Ash__ConfigDelta *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ash__config_delta__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ash__config_want__init
+                     (Ash__ConfigWant         *message)
+{
+  static const Ash__ConfigWant init_value = ASH__CONFIG_WANT__INIT;
+  *message = init_value;
+}
+size_t ash__config_want__get_packed_size
+                     (const Ash__ConfigWant *message)
+{
+  assert(message->base.descriptor == &ash__config_want__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ash__config_want__pack
+                     (const Ash__ConfigWant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ash__config_want__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ash__config_want__pack_to_buffer
+                     (const Ash__ConfigWant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ash__config_want__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ash__ConfigWant *
+       ash__config_want__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ash__ConfigWant *)
+     protobuf_c_message_unpack (&ash__config_want__descriptor,
+                                allocator, len, data);
+}
+void   ash__config_want__free_unpacked
+                     (Ash__ConfigWant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ash__config_want__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ash__submit__init
                      (Ash__Submit         *message)
 {
@@ -1633,7 +1768,7 @@
   (ProtobufCMessageInit) ash__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__heartbeat__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ash__heartbeat__field_descriptors[8] =
 {
   {
     "revision",
@@ -1719,6 +1854,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reads_platform",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ash__Heartbeat, reads_platform),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ash__heartbeat__field_indices_by_name[] = {
   2,   /* field[2] = in_flight */
@@ -1726,13 +1873,14 @@
   5,   /* field[5] = leaving_boxes */
   6,   /* field[6] = leaving_incarnations */
   3,   /* field[3] = queued */
+  7,   /* field[7] = reads_platform */
   0,   /* field[0] = revision */
   4,   /* field[4] = step_us */
 };
 static const ProtobufCIntRange ash__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ash__heartbeat__descriptor =
 {
@@ -1742,7 +1890,7 @@
   "Ash__Heartbeat",
   "ash",
   sizeof(Ash__Heartbeat),
-  7,
+  8,
   ash__heartbeat__field_descriptors,
   ash__heartbeat__field_indices_by_name,
   1,  ash__heartbeat__number_ranges,
@@ -1800,6 +1948,178 @@
   (ProtobufCMessageInit) ash__config_offer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ash__config_piece__field_descriptors[3] =
+{
+  {
+    "from",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ash__ConfigPiece, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "length",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ash__ConfigPiece, length),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "text",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Ash__ConfigPiece, text),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ash__config_piece__field_indices_by_name[] = {
+  0,   /* field[0] = from */
+  1,   /* field[1] = length */
+  2,   /* field[2] = text */
+};
+static const ProtobufCIntRange ash__config_piece__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ash__config_piece__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ash.ConfigPiece",
+  "ConfigPiece",
+  "Ash__ConfigPiece",
+  "ash",
+  sizeof(Ash__ConfigPiece),
+  3,
+  ash__config_piece__field_descriptors,
+  ash__config_piece__field_indices_by_name,
+  1,  ash__config_piece__number_ranges,
+  (ProtobufCMessageInit) ash__config_piece__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ash__config_delta__field_descriptors[5] =
+{
+  {
+    "base_revision",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__ConfigDelta, base_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_digest",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__ConfigDelta, base_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__ConfigDelta, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__ConfigDelta, digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pieces",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ash__ConfigDelta, n_pieces),
+    offsetof(Ash__ConfigDelta, pieces),
+    &ash__config_piece__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ash__config_delta__field_indices_by_name[] = {
+  1,   /* field[1] = base_digest */
+  0,   /* field[0] = base_revision */
+  3,   /* field[3] = digest */
+  4,   /* field[4] = pieces */
+  2,   /* field[2] = revision */
+};
+static const ProtobufCIntRange ash__config_delta__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor ash__config_delta__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ash.ConfigDelta",
+  "ConfigDelta",
+  "Ash__ConfigDelta",
+  "ash",
+  sizeof(Ash__ConfigDelta),
+  5,
+  ash__config_delta__field_descriptors,
+  ash__config_delta__field_indices_by_name,
+  1,  ash__config_delta__number_ranges,
+  (ProtobufCMessageInit) ash__config_delta__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+#define ash__config_want__field_descriptors NULL
+#define ash__config_want__field_indices_by_name NULL
+#define ash__config_want__number_ranges NULL
+const ProtobufCMessageDescriptor ash__config_want__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ash.ConfigWant",
+  "ConfigWant",
+  "Ash__ConfigWant",
+  "ash",
+  sizeof(Ash__ConfigWant),
+  0,
+  ash__config_want__field_descriptors,
+  ash__config_want__field_indices_by_name,
+  0,  ash__config_want__number_ranges,
+  (ProtobufCMessageInit) ash__config_want__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ash__submit__field_descriptors[19] =
 {
   {
@@ -4176,7 +4496,7 @@
   (ProtobufCMessageInit) ash__reply_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__link_up__field_descriptors[2] =
+static const ProtobufCFieldDescriptor ash__link_up__field_descriptors[3] =
 {
   {
     "role",
@@ -4202,15 +4522,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__LinkUp, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ash__link_up__field_indices_by_name[] = {
   1,   /* field[1] = incarnation */
+  2,   /* field[2] = revision */
   0,   /* field[0] = role */
 };
 static const ProtobufCIntRange ash__link_up__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor ash__link_up__descriptor =
 {
@@ -4220,7 +4553,7 @@
   "Ash__LinkUp",
   "ash",
   sizeof(Ash__LinkUp),
-  2,
+  3,
   ash__link_up__field_descriptors,
   ash__link_up__field_indices_by_name,
   1,  ash__link_up__number_ranges,
@@ -4693,7 +5026,7 @@
   (ProtobufCMessageInit) ash__engine_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__event__field_descriptors[34] =
+static const ProtobufCFieldDescriptor ash__event__field_descriptors[36] =
 {
   {
     "peer",
@@ -4923,6 +5256,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_delta",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ash__Event, kind_case),
+    offsetof(Ash__Event, config_delta),
+    &ash__config_delta__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_want",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ash__Event, kind_case),
+    offsetof(Ash__Event, config_want),
+    &ash__config_want__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "call",
     30,
@@ -5105,47 +5462,49 @@
   },
 };
 static const unsigned ash__event__field_indices_by_name[] = {
-  19,   /* field[19] = call */
-  20,   /* field[20] = caller_gone */
+  21,   /* field[21] = call */
+  22,   /* field[22] = caller_gone */
   5,   /* field[5] = cancel */
   12,   /* field[12] = challenge */
+  19,   /* field[19] = config_delta */
   2,   /* field[2] = config_offer */
+  20,   /* field[20] = config_want */
   8,   /* field[8] = data */
   10,   /* field[10] = disown */
   11,   /* field[11] = disowned */
   18,   /* field[18] = drain */
   9,   /* field[9] = end */
-  29,   /* field[29] = engine_cancel */
-  31,   /* field[31] = engine_data */
-  32,   /* field[32] = engine_end */
-  30,   /* field[30] = engine_head */
-  28,   /* field[28] = engine_start */
+  31,   /* field[31] = engine_cancel */
+  33,   /* field[33] = engine_data */
+  34,   /* field[34] = engine_end */
+  32,   /* field[32] = engine_head */
+  30,   /* field[30] = engine_start */
   7,   /* field[7] = head */
   1,   /* field[1] = heartbeat */
   13,   /* field[13] = hello */
-  25,   /* field[25] = link_down */
-  24,   /* field[24] = link_up */
+  27,   /* field[27] = link_down */
+  26,   /* field[26] = link_up */
   0,   /* field[0] = peer */
   16,   /* field[16] = query */
   17,   /* field[17] = query_answer */
   14,   /* field[14] = rank_order */
   15,   /* field[15] = rank_state */
   6,   /* field[6] = refused */
-  21,   /* field[21] = reply */
-  22,   /* field[22] = reply_data */
-  23,   /* field[23] = reply_end */
+  23,   /* field[23] = reply */
+  24,   /* field[24] = reply_data */
+  25,   /* field[25] = reply_end */
   4,   /* field[4] = resume */
-  33,   /* field[33] = sent_ms */
-  27,   /* field[27] = stop */
+  35,   /* field[35] = sent_ms */
+  29,   /* field[29] = stop */
   3,   /* field[3] = submit */
-  26,   /* field[26] = tick */
+  28,   /* field[28] = tick */
 };
 static const ProtobufCIntRange ash__event__number_ranges[3 + 1] =
 {
   { 1, 0 },
-  { 30, 19 },
-  { 60, 33 },
-  { 0, 34 }
+  { 30, 21 },
+  { 60, 35 },
+  { 0, 36 }
 };
 const ProtobufCMessageDescriptor ash__event__descriptor =
 {
@@ -5155,7 +5514,7 @@
   "Ash__Event",
   "ash",
   sizeof(Ash__Event),
-  34,
+  36,
   ash__event__field_descriptors,
   ash__event__field_indices_by_name,
   3,  ash__event__number_ranges,
--- a/proto/ash.pb-c.h
+++ b/proto/ash.pb-c.h
@@ -19,6 +19,9 @@
 typedef struct Ash__Hello Ash__Hello;
 typedef struct Ash__Heartbeat Ash__Heartbeat;
 typedef struct Ash__ConfigOffer Ash__ConfigOffer;
+typedef struct Ash__ConfigPiece Ash__ConfigPiece;
+typedef struct Ash__ConfigDelta Ash__ConfigDelta;
+typedef struct Ash__ConfigWant Ash__ConfigWant;
 typedef struct Ash__Submit Ash__Submit;
 typedef struct Ash__Resume Ash__Resume;
 typedef struct Ash__Cancel Ash__Cancel;
@@ -260,10 +263,14 @@
   char **leaving_boxes;
   size_t n_leaving_incarnations;
   uint64_t *leaving_incarnations;
+  /*
+   * its last read of the platform went well
+   */
+  protobuf_c_boolean reads_platform;
 };
 #define ASH__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ash__heartbeat__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -280,6 +287,51 @@
     , 0, {0,NULL} }
 
 
+/*
+ * What to copy of the old document, and the new text that follows it.
+ */
+struct  Ash__ConfigPiece
+{
+  ProtobufCMessage base;
+  uint32_t from;
+  uint32_t length;
+  ProtobufCBinaryData text;
+};
+#define ASH__CONFIG_PIECE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ash__config_piece__descriptor) \
+    , 0, 0, {0,NULL} }
+
+
+/*
+ * How one document follows from another, to a peer that has that one.
+ */
+struct  Ash__ConfigDelta
+{
+  ProtobufCMessage base;
+  uint64_t base_revision;
+  uint64_t base_digest;
+  uint64_t revision;
+  uint64_t digest;
+  size_t n_pieces;
+  Ash__ConfigPiece **pieces;
+};
+#define ASH__CONFIG_DELTA__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ash__config_delta__descriptor) \
+    , 0, 0, 0, 0, 0,NULL }
+
+
+/*
+ * "Send the whole document": a delta did not fit.
+ */
+struct  Ash__ConfigWant
+{
+  ProtobufCMessage base;
+};
+#define ASH__CONFIG_WANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ash__config_want__descriptor) \
+     }
+
+
 struct  Ash__Submit
 {
   ProtobufCMessage base;
@@ -737,10 +789,14 @@
   ProtobufCMessage base;
   Ash__Role role;
   uint64_t incarnation;
+  /*
+   * that the peer has in force
+   */
+  uint64_t revision;
 };
 #define ASH__LINK_UP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ash__link_up__descriptor) \
-    , ASH__ROLE__ROLE_NONE, 0 }
+    , ASH__ROLE__ROLE_NONE, 0, 0 }
 
 
 struct  Ash__LinkDown
@@ -865,6 +921,8 @@
   ASH__EVENT__KIND_QUERY = 17,
   ASH__EVENT__KIND_QUERY_ANSWER = 18,
   ASH__EVENT__KIND_DRAIN = 19,
+  ASH__EVENT__KIND_CONFIG_DELTA = 20,
+  ASH__EVENT__KIND_CONFIG_WANT = 21,
   ASH__EVENT__KIND_CALL = 30,
   ASH__EVENT__KIND_CALLER_GONE = 31,
   ASH__EVENT__KIND_REPLY = 32,
@@ -916,6 +974,8 @@
     Ash__Query *query;
     Ash__QueryAnswer *query_answer;
     Ash__Drain *drain;
+    Ash__ConfigDelta *config_delta;
+    Ash__ConfigWant *config_want;
     /*
      * 30 and above never cross a link
      */
@@ -1016,6 +1076,63 @@
 void   ash__config_offer__free_unpacked
                      (Ash__ConfigOffer *message,
                       ProtobufCAllocator *allocator);
+/* Ash__ConfigPiece methods */
+void   ash__config_piece__init
+                     (Ash__ConfigPiece         *message);
+size_t ash__config_piece__get_packed_size
+                     (const Ash__ConfigPiece   *message);
+size_t ash__config_piece__pack
+                     (const Ash__ConfigPiece   *message,
+                      uint8_t             *out);
+size_t ash__config_piece__pack_to_buffer
+                     (const Ash__ConfigPiece   *message,
+                      ProtobufCBuffer     *buffer);
+Ash__ConfigPiece *
+       ash__config_piece__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ash__config_piece__free_unpacked
+                     (Ash__ConfigPiece *message,
+                      ProtobufCAllocator *allocator);
+/* Ash__ConfigDelta methods */
+void   ash__config_delta__init
+                     (Ash__ConfigDelta         *message);
+size_t ash__config_delta__get_packed_size
+                     (const Ash__ConfigDelta   *message);
+size_t ash__config_delta__pack
+                     (const Ash__ConfigDelta   *message,
+                      uint8_t             *out);
+size_t ash__config_delta__pack_to_buffer
+                     (const Ash__ConfigDelta   *message,
+                      ProtobufCBuffer     *buffer);
+Ash__ConfigDelta *
+       ash__config_delta__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ash__config_delta__free_unpacked
+                     (Ash__ConfigDelta *message,
+                      ProtobufCAllocator *allocator);
+/* Ash__ConfigWant methods */
+void   ash__config_want__init
+                     (Ash__ConfigWant         *message);
+size_t ash__config_want__get_packed_size
+                     (const Ash__ConfigWant   *message);
+size_t ash__config_want__pack
+                     (const Ash__ConfigWant   *message,
+                      uint8_t             *out);
+size_t ash__config_want__pack_to_buffer
+                     (const Ash__ConfigWant   *message,
+                      ProtobufCBuffer     *buffer);
+Ash__ConfigWant *
+       ash__config_want__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ash__config_want__free_unpacked
+                     (Ash__ConfigWant *message,
+                      ProtobufCAllocator *allocator);
 /* Ash__Submit methods */
 void   ash__submit__init
                      (Ash__Submit         *message);
@@ -1581,6 +1698,15 @@
 typedef void (*Ash__ConfigOffer_Closure)
                  (const Ash__ConfigOffer *message,
                   void *closure_data);
+typedef void (*Ash__ConfigPiece_Closure)
+                 (const Ash__ConfigPiece *message,
+                  void *closure_data);
+typedef void (*Ash__ConfigDelta_Closure)
+                 (const Ash__ConfigDelta *message,
+                  void *closure_data);
+typedef void (*Ash__ConfigWant_Closure)
+                 (const Ash__ConfigWant *message,
+                  void *closure_data);
 typedef void (*Ash__Submit_Closure)
                  (const Ash__Submit *message,
                   void *closure_data);
@@ -1681,6 +1807,9 @@
 extern const ProtobufCMessageDescriptor ash__hello__descriptor;
 extern const ProtobufCMessageDescriptor ash__heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor ash__config_offer__descriptor;
+extern const ProtobufCMessageDescriptor ash__config_piece__descriptor;
+extern const ProtobufCMessageDescriptor ash__config_delta__descriptor;
+extern const ProtobufCMessageDescriptor ash__config_want__descriptor;
 extern const ProtobufCMessageDescriptor ash__submit__descriptor;
 extern const ProtobufCMessageDescriptor ash__resume__descriptor;
 extern const ProtobufCMessageDescriptor ash__cancel__descriptor;
--- a/test/fuzz_frame.c
+++ b/test/fuzz_frame.c
@@ -4,6 +4,7 @@
  * messages that a proved one may send: no crash, no leak, no frame of a kind that
  * is local to a process.
  */
+#include "controllers/config_delta.h"
 #include "net/frame.h"
 #include "net/handshake.h"
 
@@ -12,6 +13,19 @@
 
 int LLVMFuzzerTestOneInput (const uint8_t *bytes, size_t length);
 
+/* The digests are made to fit, so that only the pieces decide. */
+static void
+apply_delta (struct Ash__ConfigDelta *delta)
+{
+  static const char text[] = "[[hall]]\nname = \"h\"\n[[hall]]\nname = \"i\"\n";
+  const struct ash_config_text base = { 1, text, sizeof text - 1 };
+  size_t length;
+
+  delta->base_revision = base.revision;
+  delta->base_digest = ash_config_digest (&base);
+  free (ash_config_delta_apply (&base, delta, &length));
+}
+
 static void
 read_all (const uint8_t *bytes, size_t length)
 {
@@ -31,6 +45,8 @@
       if (event->kind_case == ASH__EVENT__KIND_HELLO &&
           ash_handshake_check (fleet_key, &nonces, ASH_SIDE_DIAL, event->hello))
         abort ();
+      if (event->kind_case == ASH__EVENT__KIND_CONFIG_DELTA)
+        apply_delta (event->config_delta);
       ash__event__free_unpacked (event, NULL);
     }
   ash_buffer_finish (&buffer);
--- a/test/operators.c
+++ b/test/operators.c
@@ -43,6 +43,59 @@
   fleet_stop (&fleet);
 }
 
+/* A box that is replaced while the platform answers an older revision never serves
+ * with that one: its peers know better. */
+static void
+test_replaced_on_older (void)
+{
+  struct fleet fleet;
+
+  fleet_start (&fleet, NO_GUARD);
+  fleet_publish (&fleet, "[[hall]]\nname = \"h2\"\n", 2);
+  for (int e = 0; e < FLEET_ENTRIES; e++)
+    CU_ASSERT (wait_revision (&fleet, e, 2));
+  fleet_control (fleet.platform_port, "/control/mode?config=3");
+  for (int i = 0; i < 5; i++)
+    {
+      fleet_end (&fleet.entries[0].pid, SIGKILL);
+      fleet_start_entry (&fleet, 0);
+      CU_ASSERT (fleet_wait_live (&fleet, 0, FLEET_ENDPOINTS));
+      CU_ASSERT_EQUAL (fleet_revision (&fleet, 0), 2);
+    }
+  CU_ASSERT_EQUAL (
+      fleet_log_count (&fleet, "entry-1", " 101 ready box=entry-1 module=daemon revision=1 "), 1);
+  CU_ASSERT_EQUAL (
+      fleet_log_count (&fleet, "entry-1", " 101 ready box=entry-1 module=daemon revision=2 "), 5);
+  fleet_stop (&fleet);
+}
+
+/* A change of a row goes to peers as a delta, to endpoints too; a box that has
+ * nothing gets the whole document. */
+static void
+test_deltas (void)
+{
+  struct fleet fleet;
+  char more[64];
+
+  fleet_start (&fleet, NO_GUARD);
+  CU_ASSERT (fleet_log_count (&fleet, "entry-1", " 205 config_sent ") > 0);
+  CU_ASSERT_EQUAL (fleet_log_count (&fleet, "entry-1", " deltas=1"), 0);
+  for (int i = 2; i < 6; i++)
+    {
+      sprintf (more, "[[hall]]\nname = \"h%d\"\n", i);
+      fleet_publish (&fleet, more, (uint64_t) i);
+      for (int e = 0; e < FLEET_ENTRIES; e++)
+        CU_ASSERT (wait_revision (&fleet, e, i));
+    }
+  CU_ASSERT (fleet_log_count (&fleet, "entry-1", " deltas=1") +
+                 fleet_log_count (&fleet, "entry-2", " deltas=1") >=
+             4 * FLEET_ENDPOINTS);
+  fleet_sleep (300);
+  for (int a = 0; a < FLEET_ENDPOINTS; a++)
+    CU_ASSERT_EQUAL (fleet_log_count (&fleet, fleet.endpoints[a].name, " 200 config_accepted "), 5);
+  fleet_stop (&fleet);
+}
+
 /* ---- plans ---- */
 
 #define OPERATOR_KEY "operator"
@@ -376,6 +429,8 @@
 
 static const struct fault_test tests[] = {
   { "configuration: bad, down, older", test_configuration },
+  { "configuration: replaced while the platform answers an older one", test_replaced_on_older },
+  { "configuration: by deltas", test_deltas },
   { "plans: two operators on one base", test_operators_race },
   { "an endpoint is removed while it works", test_endpoint_removed },
   { "plans: what can't be met, tampered, cut off", test_plan_refused },
--- a/test/unit.c
+++ b/test/unit.c
@@ -246,7 +246,7 @@
   const struct ash_box *box;
 
   ash_membership_init (&membership);
-  ash_membership_link_up (&membership, at (0), "m1", ASH__ROLE__ENDPOINT, 11);
+  ash_membership_link_up (&membership, at (0), "m1", ASH__ROLE__ENDPOINT, 11, 0);
   box = ash_membership_find (&membership, "m1");
   CU_ASSERT (ash_box_usable (box));
   /* A peer's word on that life. */
@@ -257,7 +257,7 @@
   CU_ASSERT_EQUAL (ash_membership_heartbeat (&membership, "e2", &heartbeat), 1);
   CU_ASSERT_FALSE (ash_box_usable (box));
   /* A new life is not leaving, and the late word on the old one changes nothing. */
-  ash_membership_link_up (&membership, at (1), "m1", ASH__ROLE__ENDPOINT, 12);
+  ash_membership_link_up (&membership, at (1), "m1", ASH__ROLE__ENDPOINT, 12, 0);
   CU_ASSERT (ash_box_usable (box));
   CU_ASSERT_EQUAL (ash_membership_heartbeat (&membership, "e2", &heartbeat), 0);
   CU_ASSERT (ash_box_usable (box));
@@ -268,10 +268,10 @@
   CU_ASSERT_EQUAL (ash_membership_heartbeat (&membership, "m1", &heartbeat), 1);
   CU_ASSERT_FALSE (ash_box_usable (box));
   /* The platform's list, and a new life that the list does not know yet. */
-  ash_membership_link_up (&membership, at (2), "m1", ASH__ROLE__ENDPOINT, 13);
+  ash_membership_link_up (&membership, at (2), "m1", ASH__ROLE__ENDPOINT, 13, 0);
   CU_ASSERT (ash_membership_listed (&membership, "m1", true));
   CU_ASSERT_FALSE (ash_box_usable (box));
-  ash_membership_link_up (&membership, at (3), "m1", ASH__ROLE__ENDPOINT, 14);
+  ash_membership_link_up (&membership, at (3), "m1", ASH__ROLE__ENDPOINT, 14, 0);
   CU_ASSERT (ash_box_usable (box));
   ash_membership_link_down (&membership, "m1");
   CU_ASSERT_FALSE (ash_box_usable (box));
@@ -701,6 +701,7 @@
   CU_add_test (suite, "texts: log", test_log_forms);
   CU_add_test (suite, "texts: metrics", test_metrics);
   add_declared_tests (suite);
+  add_config_tests (suite);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
--- a/test/unit.h
+++ b/test/unit.h
@@ -10,4 +10,7 @@
 /** Declared events: rows, times, reservations, expected loads of experts. */
 void add_declared_tests (CU_pSuite suite);
 
+/** How a configuration spreads, and a box that sees few others. */
+void add_config_tests (CU_pSuite suite);
+
 #endif
--- /dev/null
+++ b/test/unit_config.c
@@ -0,0 +1,254 @@
+/**
+ * @file
+ * Unit tests of how a configuration spreads: deltas, who reads the platform, and a
+ * box that sees few others.
+ */
+#include "common/random.h"
+#include "controllers/addresses.h"
+#include "controllers/config_delta.h"
+#include "controllers/readers.h"
+#include "test/unit.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TEXT_MAX 20000
+#define ROWS 200
+
+/* ---- deltas ---- */
+
+struct rows
+{
+  uint32_t count;
+  uint32_t numbers[ROWS];
+};
+
+static void
+write_rows (const struct rows *rows, uint64_t revision, struct ash_config_text *text, char *bytes)
+{
+  size_t length = 0;
+
+  for (uint32_t i = 0; i < rows->count; i++)
+    length += (size_t) sprintf (bytes + length, "[[account]]\nname = \"a%u\"\nrate = 100\n%s",
+                                rows->numbers[i], rows->numbers[i] % 7 ? "" : "burst = 9\n");
+  /* Not each text ends with a line's end. */
+  if (rows->count % 2)
+    length--;
+  *text = (struct ash_config_text){ revision, bytes, length };
+}
+
+static void
+change_rows (struct ash_random *random, struct rows *rows)
+{
+  for (uint32_t edits = ash_random_below (random, 4); edits > 0; edits--)
+    {
+      uint32_t at = rows->count ? ash_random_below (random, rows->count) : 0;
+      uint32_t rest = rows->count - at;
+
+      if (ash_random_below (random, 3) == 0 && rows->count < ROWS)
+        {
+          memmove (&rows->numbers[at + 1], &rows->numbers[at], rest * sizeof rows->numbers[0]);
+          rows->count++;
+        }
+      else if (ash_random_below (random, 2) == 0 && rows->count)
+        {
+          memmove (&rows->numbers[at], &rows->numbers[at + 1],
+                   (rest - 1) * sizeof rows->numbers[0]);
+          rows->count--;
+        }
+      if (at < rows->count)
+        rows->numbers[at] = ash_random_below (random, 1000);
+    }
+}
+
+/* Whatever was changed: the result is the text that was published, byte by byte, and
+ * on another base nothing comes of it. */
+static void
+test_any_delta (void)
+{
+  static char bytes[2][TEXT_MAX];
+  struct ash_random random;
+  struct rows rows = { 0 };
+  struct ash_config_text base;
+  struct ash_config_text after;
+
+  ash_random_init (&random, 5);
+  for (int round = 0; round < 2000; round++)
+    {
+      struct Ash__ConfigDelta *delta;
+      size_t length = 0;
+      char *result;
+
+      write_rows (&rows, 1, &base, bytes[0]);
+      change_rows (&random, &rows);
+      write_rows (&rows, 2, &after, bytes[1]);
+      delta = ash_config_delta_make (&base, &after);
+      result = ash_config_delta_apply (&base, delta, &length);
+      CU_ASSERT_EQUAL (length, after.length);
+      CU_ASSERT (result && memcmp (result, after.bytes, length) == 0);
+      free (result);
+      if (base.length)
+        {
+          bytes[0][base.length / 2] ^= 1;
+          CU_ASSERT_PTR_NULL (ash_config_delta_apply (&base, delta, &length));
+          bytes[0][base.length / 2] ^= 1;
+        }
+      base.revision = 3;
+      CU_ASSERT_PTR_NULL (ash_config_delta_apply (&base, delta, &length));
+      ash__config_delta__free_unpacked (delta, NULL);
+    }
+}
+
+/* One row of many: a delta is short. Pieces out of the base are refused. */
+static void
+test_short_delta (void)
+{
+  static char bytes[2][TEXT_MAX];
+  struct rows rows = { .count = ROWS };
+  struct ash_config_text base;
+  struct ash_config_text after;
+  struct Ash__ConfigDelta *delta;
+  size_t length;
+
+  for (uint32_t i = 0; i < ROWS; i++)
+    rows.numbers[i] = i;
+  write_rows (&rows, 1, &base, bytes[0]);
+  rows.numbers[20] = 5000;
+  rows.numbers[150] = 5001;
+  write_rows (&rows, 2, &after, bytes[1]);
+  delta = ash_config_delta_make (&base, &after);
+  CU_ASSERT (ash__config_delta__get_packed_size (delta) < 300);
+  delta->pieces[0]->length = UINT32_MAX;
+  CU_ASSERT_PTR_NULL (ash_config_delta_apply (&base, delta, &length));
+  delta->pieces[0]->from = UINT32_MAX;
+  delta->pieces[0]->length = 2;
+  CU_ASSERT_PTR_NULL (ash_config_delta_apply (&base, delta, &length));
+  ash__config_delta__free_unpacked (delta, NULL);
+}
+
+/* ---- a hall's entries ---- */
+
+#define HALLS "[[hall]]\nname='h'\n[[hall]]\nname='i'\n"
+#define ENTRY(name, hall)                                                                          \
+  "[[entry]]\nbox='" name "'\nhall='" hall "'\nhttp='127.0.0.1:1'\npeer='127.0.0.1:2'\n"
+#define FOUR ENTRY ("a", "h") ENTRY ("b", "h") ENTRY ("c", "h") ENTRY ("d", "i")
+#define ACCOUNT                                                                                    \
+  "[[class]]\nname='c'\n[[account]]\nname='x'\nclass='c'\nentries=4\nkey_hash='"                   \
+  "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff'\n"
+
+static const char *const names[] = { "a", "b", "c", "d" };
+
+static void
+start_four (struct ash_config *config, struct ash_membership *membership)
+{
+  static const char text[] = HALLS FOUR ACCOUNT;
+  struct ash_findings findings;
+
+  ash_config_init (config);
+  ash_membership_init (membership);
+  ash_findings_init (&findings, "test");
+  CU_ASSERT_EQUAL (
+      ash_config_offer (config, (struct ash_time){ 1 }, 1, text, strlen (text), 1000, &findings),
+      ASH_CONFIG_ACCEPTED);
+  ash_findings_finish (&findings);
+}
+
+/* What each of the four believes, if all say whether they read. */
+static void
+hear (struct ash_membership *membership, const bool reads[4])
+{
+  for (int i = 0; i < 4; i++)
+    {
+      struct Ash__Heartbeat heartbeat = ASH__HEARTBEAT__INIT;
+
+      heartbeat.reads_platform = reads[i];
+      ash_membership_link_up (membership, (struct ash_time){ 1 }, names[i], ASH__ROLE__ENTRY,
+                              (uint64_t) i + 1, 1);
+      ash_membership_heartbeat (membership, names[i], &heartbeat);
+    }
+}
+
+/* Of three in a hall two go on reading, the one in another hall does, too; where the
+ * platform fails one of the two, the third reads. */
+static void
+test_readers (void)
+{
+  struct ash_membership membership;
+  struct ash_config config;
+  bool reads[4] = { true, true, true, true };
+  int readers = 0;
+  int idle = -1;
+  int other = -1;
+
+  ash_config_init (&config);
+  ash_membership_init (&membership);
+  CU_ASSERT (ash_readers_should_read (&config, &membership, "a", 2));
+  start_four (&config, &membership);
+  CU_ASSERT (ash_readers_should_read (&config, &membership, "nobody", 2));
+  CU_ASSERT_FALSE (ash_readers_any (&membership));
+  hear (&membership, reads);
+  CU_ASSERT (ash_readers_any (&membership));
+  for (int i = 0; i < 3; i++)
+    {
+      bool should = ash_readers_should_read (&config, &membership, names[i], 2);
+
+      readers += should;
+      if (should)
+        other = i;
+      else
+        idle = i;
+    }
+  CU_ASSERT_EQUAL (readers, 2);
+  CU_ASSERT (ash_readers_should_read (&config, &membership, "d", 2));
+  reads[other] = false;
+  hear (&membership, reads);
+  CU_ASSERT (idle >= 0 && ash_readers_should_read (&config, &membership, names[idle], 2));
+  reads[other] = true;
+  hear (&membership, reads);
+  ash_membership_link_down (&membership, names[other]);
+  CU_ASSERT (idle >= 0 && ash_readers_should_read (&config, &membership, names[idle], 2));
+  ash_membership_finish (&membership);
+  ash_config_finish (&config);
+}
+
+/* One that sees hardly anybody does not tell callers that all others are gone. */
+static void
+test_alone (void)
+{
+  static const bool reads[4] = { false, false, false, false };
+  struct ash_settings settings;
+  struct ash_membership membership;
+  struct ash_config config;
+  struct ash_addresses addresses;
+  struct ash_random random;
+
+  ash_random_init (&random, 1);
+  ash_settings_init (&settings);
+  strcpy (settings.box, "a");
+  start_four (&config, &membership);
+  hear (&membership, reads);
+  CU_ASSERT_FALSE (ash_membership_alone (&membership, &config.document, "a"));
+  ash_membership_link_down (&membership, "b");
+  CU_ASSERT_FALSE (ash_membership_alone (&membership, &config.document, "a"));
+  ash_addresses_find (&addresses, &config.document, &membership, &settings, false,
+                      &config.document.accounts[0], &random);
+  CU_ASSERT_EQUAL (addresses.count, 3);
+  ash_membership_link_down (&membership, "c");
+  CU_ASSERT (ash_membership_alone (&membership, &config.document, "a"));
+  ash_addresses_find (&addresses, &config.document, &membership, &settings, false,
+                      &config.document.accounts[0], &random);
+  CU_ASSERT_EQUAL (addresses.count, 4);
+  CU_ASSERT_STRING_EQUAL (addresses.boxes[3]->name, "a");
+  ash_membership_finish (&membership);
+  ash_config_finish (&config);
+}
+
+void
+add_config_tests (CU_pSuite suite)
+{
+  CU_add_test (suite, "configuration: any delta", test_any_delta);
+  CU_add_test (suite, "configuration: a short delta", test_short_delta);
+  CU_add_test (suite, "configuration: who reads the platform", test_readers);
+  CU_add_test (suite, "membership: alone", test_alone);
+}
