bench policy: the cores under load and faults, the engines' queue as a model

Real entry and agent cores with delays between them; arrivals are seeded; routes random, round robin, least reported (settings: route) beside two choices.

--- /dev/null
+++ b/bench/policy.c
@@ -0,0 +1,476 @@
+/**
+ * @file
+ * The policy under load and faults, on today's sizes: the cores as they are, the
+ * engines' queue as a model. Markdown on standard output, or CSV.
+ *
+ * usage: bench-policy [--csv] [faults|events|routes]
+ */
+#include "bench/policy_world.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define US_PER_S 1000000LL
+#define CALLS_MAX 400000
+
+/* What the fleet can answer a second, about: see docs/POLICY.md. */
+#define CAPACITY_PER_S 560
+
+#define SECONDS 60
+#define FAULT_S 30
+#define BURST_S 20
+#define TEMPLATES 40
+
+static const int64_t deadline_us[WORLD_CLASSES] = { 4 * US_PER_S, 4 * US_PER_S, 10 * US_PER_S };
+static const char *const class_names[WORLD_CLASSES] = { "counter", "shop", "batch" };
+
+/* ---- arrivals ---- */
+
+enum trace
+{
+  TRACE_STEADY,  /* half of what can be answered */
+  TRACE_FULL,    /* exactly that */
+  TRACE_OPENING, /* a tenth; 20 times that within 2 s, for 15 s */
+  TRACE_FLOOD,   /* the same to 20 times what can be answered, for 5 s */
+  TRACE_STORM,   /* half; then two large accounts bring three times all of it */
+  TRACE_HEAVY,   /* half; and one account that asks three times what can be answered */
+  TRACE_COUNT,
+};
+
+static const char *const trace_names[TRACE_COUNT] = { "steady", "full",  "opening",
+                                                      "flood",  "storm", "heavy account" };
+
+struct share
+{
+  const char *name;
+  uint32_t class_index;
+  double part; /* of the usual demand */
+};
+
+static const struct share shares[WORLD_ACCOUNTS] = {
+  { "counter-1", 0, 0.10 }, { "counter-2", 0, 0.05 }, { "shop-1", 1, 0.20 }, { "shop-2", 1, 0.15 },
+  { "shop-3", 1, 0.10 },    { "shop-4", 1, 0.05 },    { "shop-5", 1, 0.05 }, { "batch-1", 2, 0.20 },
+  { "batch-2", 2, 0.05 },   { "batch-3", 2, 0.05 },
+};
+
+#define STORM_FIRST 2
+#define HEAVY 7
+#define HEAVY_LIMIT 100
+
+/* Calls a second of an account at a time. */
+static double
+demand (enum trace trace, uint32_t account, double at_s)
+{
+  double usual = shares[account].part * CAPACITY_PER_S;
+  double since_s = at_s - BURST_S;
+  double ramp = since_s < 0 ? 0 : since_s < 2 ? since_s / 2 : 1;
+
+  switch (trace)
+    {
+    case TRACE_STEADY:
+      return 0.5 * usual;
+    case TRACE_FULL:
+      return usual;
+    case TRACE_OPENING:
+      return since_s < 15 ? 0.1 * usual * (1 + 19 * ramp) : 0.1 * usual;
+    case TRACE_FLOOD:
+      return since_s < 5 ? usual * (0.5 + 19.5 * ramp) : 0.5 * usual;
+    case TRACE_STORM:
+      if (account == STORM_FIRST || account == STORM_FIRST + 1)
+        return 0.5 * usual + (since_s < 20 ? 1.5 * ramp * CAPACITY_PER_S : 0);
+      return 0.5 * usual;
+    case TRACE_HEAVY:
+      return account == HEAVY ? 0.5 * usual + (since_s < 20 ? 3 * ramp * CAPACITY_PER_S : 0)
+                              : 0.5 * usual;
+    default:
+      return 0;
+    }
+}
+
+static int
+by_time (const void *a, const void *b)
+{
+  const struct world_call *left = a;
+  const struct world_call *right = b;
+
+  return (left->at_us > right->at_us) - (left->at_us < right->at_us);
+}
+
+/* Poisson arrivals by thinning: each account's clock ticks at its highest demand. */
+static uint32_t
+make_calls (enum trace trace, struct world_call *calls)
+{
+  struct ash_random random;
+  uint32_t count = 0;
+
+  ash_random_init (&random, 11 + (uint64_t) trace);
+  for (uint32_t a = 0; a < WORLD_ACCOUNTS; a++)
+    {
+      double most = 1;
+      double at_s = 0;
+
+      for (double t = 0; t < SECONDS; t += 0.25)
+        most = fmax (most, demand (trace, a, t));
+      for (;;)
+        {
+          double u = (ash_random_below (&random, 1000000) + 1) / 1e6;
+
+          at_s -= log (u) / most;
+          if (at_s >= SECONDS || count == CALLS_MAX)
+            break;
+          if (ash_random_below (&random, 1000000) / 1e6 * most > demand (trace, a, at_s))
+            continue;
+          calls[count++] = (struct world_call){
+            .at_us = (int64_t) (at_s * 1e6),
+            .deadline_us = (int64_t) (at_s * 1e6) + deadline_us[shares[a].class_index],
+            .account = a,
+            .prefix = 1 + a * TEMPLATES / WORLD_ACCOUNTS +
+                      ash_random_below (&random, TEMPLATES / WORLD_ACCOUNTS),
+            .tokens = 40 + ash_random_below (&random, 121),
+            .entry = -1,
+          };
+        }
+    }
+  qsort (calls, count, sizeof *calls, by_time);
+  return count;
+}
+
+/* ---- figures ---- */
+
+struct figures
+{
+  double in_time[WORLD_CLASSES]; /* of the calls, in hundred */
+  double goodput;                /* answers in time a second while the burst lasts */
+  double first_ms[3];            /* until the first token: median, 95, 99 in 100 */
+  double refused;                /* of the calls, at least once, in hundred */
+  double refused_ms;             /* until the first refusal: 95 in 100 */
+  double wasted;                 /* engine work, in hundred */
+  double balance;                /* the busiest engine's tokens over the mean */
+  double fairness;               /* Jain's index of the shares in time, worst class */
+  double overshoot;              /* of the heavy account's limit, in hundred */
+  double recovery_s;             /* until a second with 99 in 100 in time, after the fault */
+  double hits;                   /* of cached prefixes, in hundred */
+};
+
+static int
+by_size (const void *a, const void *b)
+{
+  double left = *(const double *) a;
+  double right = *(const double *) b;
+
+  return (left > right) - (left < right);
+}
+
+static double
+percentile (double *values, uint32_t count, double share)
+{
+  if (!count)
+    return 0;
+  qsort (values, count, sizeof *values, by_size);
+  return values[(uint32_t) ((count - 1) * share)];
+}
+
+static bool
+is_in_time (const struct world_call *call)
+{
+  return call->done_us && call->done_us <= call->deadline_us;
+}
+
+/* Calls that can still be answered when the run ends. */
+static bool
+counts (const struct world_call *call)
+{
+  return call->at_us >= 5 * US_PER_S && call->at_us < (SECONDS - 11) * US_PER_S;
+}
+
+static void
+count_classes (const struct world_call *calls, uint32_t count, struct figures *figures)
+{
+  uint32_t asked[WORLD_ACCOUNTS] = { 0 };
+  uint32_t in_time[WORLD_ACCOUNTS] = { 0 };
+
+  for (uint32_t i = 0; i < count; i++)
+    if (counts (&calls[i]))
+      {
+        asked[calls[i].account]++;
+        in_time[calls[i].account] += is_in_time (&calls[i]);
+      }
+  figures->fairness = 1;
+  for (uint32_t c = 0; c < WORLD_CLASSES; c++)
+    {
+      double all = 0;
+      double good = 0;
+      double sum = 0;
+      double squares = 0;
+      uint32_t members = 0;
+
+      for (uint32_t a = 0; a < WORLD_ACCOUNTS; a++)
+        if (shares[a].class_index == c && asked[a])
+          {
+            double ratio = (double) in_time[a] / asked[a];
+
+            all += asked[a];
+            good += in_time[a];
+            sum += ratio;
+            squares += ratio * ratio;
+            members++;
+          }
+      figures->in_time[c] = 100 * good / all;
+      if (squares > 0)
+        figures->fairness = fmin (figures->fairness, sum * sum / (members * squares));
+    }
+}
+
+static void
+count_times (const struct world_call *calls, uint32_t count, struct figures *figures)
+{
+  static double first[CALLS_MAX];
+  static double refused[CALLS_MAX];
+  uint32_t first_count = 0;
+  uint32_t refused_count = 0;
+  uint32_t all = 0;
+  uint32_t good = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const struct world_call *call = &calls[i];
+
+      if (!counts (call))
+        continue;
+      all++;
+      if (is_in_time (call))
+        first[first_count++] = (double) (call->first_us - call->at_us) / 1000;
+      if (call->refused_us)
+        refused[refused_count++] = (double) (call->refused_us - call->at_us) / 1000;
+    }
+  for (uint32_t i = 0; i < count; i++)
+    good += is_in_time (&calls[i]) && calls[i].done_us >= (BURST_S + 1) * US_PER_S &&
+            calls[i].done_us < (BURST_S + 5) * US_PER_S;
+  figures->goodput = good / 4.0;
+  figures->first_ms[0] = percentile (first, first_count, 0.5);
+  figures->first_ms[1] = percentile (first, first_count, 0.95);
+  figures->first_ms[2] = percentile (first, first_count, 0.99);
+  figures->refused = 100.0 * refused_count / all;
+  figures->refused_ms = percentile (refused, refused_count, 0.95);
+}
+
+/* Seconds after the fault until one in which 99 in 100 of the calls made then are
+ * answered in time, and so in all that follow. */
+static double
+recovery_of (const struct world_call *calls, uint32_t count)
+{
+  uint32_t all[SECONDS] = { 0 };
+  uint32_t good[SECONDS] = { 0 };
+  int second;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      all[calls[i].at_us / US_PER_S]++;
+      good[calls[i].at_us / US_PER_S] += is_in_time (&calls[i]);
+    }
+  for (second = SECONDS - 12; second >= FAULT_S; second--)
+    if (good[second] < 0.99 * all[second])
+      break;
+  return second < FAULT_S ? 0 : second + 1 - FAULT_S;
+}
+
+/* What the heavy account got above its limit, in the worst ten seconds. */
+static double
+overshoot_of (const struct world_call *calls, uint32_t count)
+{
+  uint32_t got[SECONDS] = { 0 };
+  double worst = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    if (calls[i].account == HEAVY && calls[i].done_us)
+      got[calls[i].done_us / US_PER_S % SECONDS]++;
+  for (int second = BURST_S + 1; second + 10 < SECONDS; second++)
+    {
+      double sum = 0;
+
+      for (int i = 0; i < 10; i++)
+        sum += got[second + i];
+      worst = fmax (worst, sum / (10.0 * HEAVY_LIMIT));
+    }
+  return worst > 1 ? 100 * (worst - 1) : 0;
+}
+
+static void
+measure (enum trace trace, const struct world_setup *setup, struct figures *figures)
+{
+  static struct world_call calls[CALLS_MAX];
+  struct world_account accounts[WORLD_ACCOUNTS];
+  uint32_t count = make_calls (trace, calls);
+  struct world *world;
+  struct world_work work;
+  uint64_t most = 0;
+
+  for (uint32_t a = 0; a < WORLD_ACCOUNTS; a++)
+    accounts[a] = (struct world_account){
+      .name = shares[a].name,
+      .class_index = shares[a].class_index,
+      .rate_per_s = trace == TRACE_HEAVY && a == HEAVY ? HEAVY_LIMIT : 100000,
+      .reserved = setup->event && shares[a].class_index == 0,
+    };
+  world = world_new (setup, accounts, calls, count, 3);
+  world_run (world);
+  world_work (world, &work);
+  world_free (world);
+  *figures = (struct figures){ 0 };
+  count_classes (calls, count, figures);
+  count_times (calls, count, figures);
+  figures->wasted = 100.0 * (double) work.wasted / (double) (work.tokens ? work.tokens : 1);
+  for (uint32_t a = 0; a < WORLD_AGENTS; a++)
+    most = work.by_engine[a] > most ? work.by_engine[a] : most;
+  figures->balance = (double) most * WORLD_AGENTS / (double) (work.tokens ? work.tokens : 1);
+  figures->hits = 100.0 * (double) work.hits / (double) (work.hits + work.misses + 1);
+  figures->recovery_s = setup->fault ? recovery_of (calls, count) : 0;
+  figures->overshoot = trace == TRACE_HEAVY ? overshoot_of (calls, count) : 0;
+}
+
+/* ---- tables ---- */
+
+static bool csv;
+
+static void
+print_head (const char *title)
+{
+  if (csv)
+    printf ("table,case,route,%s,%s,%s,goodput,first_ms,first_95_ms,first_99_ms,refused,"
+            "refused_95_ms,wasted,balance,fairness,overshoot,recovery_s,hits\n",
+            class_names[0], class_names[1], class_names[2]);
+  else
+    printf ("\n%s\n\n| case | route | %s | %s | %s | goodput/s | first token ms: 50, 95, 99 | "
+            "refused %% | after ms (95) | wasted %% | balance | fairness | overshoot %% | recovery "
+            "s | cached %% |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n",
+            title, class_names[0], class_names[1], class_names[2]);
+}
+
+static void
+print_row (const char *table, const char *name, const char *route, const struct figures *f)
+{
+  if (csv)
+    printf ("%s,%s,%s,%.2f,%.2f,%.2f,%.0f,%.0f,%.0f,%.0f,%.1f,%.0f,%.2f,%.3f,%.3f,%.1f,%.0f,%.1f\n",
+            table, name, route, f->in_time[0], f->in_time[1], f->in_time[2], f->goodput,
+            f->first_ms[0], f->first_ms[1], f->first_ms[2], f->refused, f->refused_ms, f->wasted,
+            f->balance, f->fairness, f->overshoot, f->recovery_s, f->hits);
+  else
+    printf (
+        "| %s | %s | %.2f | %.2f | %.2f | %.0f | %.0f, %.0f, %.0f | %.1f | %.0f | %.2f | %.3f | "
+        "%.3f | %.1f | %.0f | %.1f |\n",
+        name, route, f->in_time[0], f->in_time[1], f->in_time[2], f->goodput, f->first_ms[0],
+        f->first_ms[1], f->first_ms[2], f->refused, f->refused_ms, f->wasted, f->balance,
+        f->fairness, f->overshoot, f->recovery_s, f->hits);
+  fflush (stdout);
+}
+
+static struct world_setup
+setup_of (const char *route)
+{
+  return (struct world_setup){
+    .route = route,
+    .fault_us = FAULT_S * US_PER_S,
+    .end_us = SECONDS * US_PER_S,
+    .latency_us = 1500,
+    .client_us = 1000,
+    .reserved_per_s = CAPACITY_PER_S / 5,
+  };
+}
+
+static const char *const routes[] = { "random", "round robin", "least reported", "two choices" };
+#define ROUTES (sizeof routes / sizeof routes[0])
+#define DEFAULT_ROUTE "two choices"
+
+static void
+compare_routes (void)
+{
+  static const enum trace traces[] = { TRACE_STEADY, TRACE_FULL, TRACE_OPENING };
+  struct figures figures;
+
+  print_head ("Routes");
+  for (size_t t = 0; t < sizeof traces / sizeof traces[0]; t++)
+    for (size_t r = 0; r < ROUTES; r++)
+      {
+        struct world_setup setup = setup_of (routes[r]);
+
+        measure (traces[t], &setup, &figures);
+        print_row ("routes", trace_names[traces[t]], routes[r], &figures);
+      }
+}
+
+static void
+measure_events (void)
+{
+  static const struct
+  {
+    const char *name;
+    enum trace trace;
+    enum world_callers callers;
+    bool event;
+  } cases[] = {
+    { "full", TRACE_FULL, CALLERS_WAIT, false },
+    { "opening", TRACE_OPENING, CALLERS_WAIT, false },
+    { "opening, declared", TRACE_OPENING, CALLERS_WAIT, true },
+    { "opening, all ask again at once", TRACE_OPENING, CALLERS_STORM, false },
+    { "flood", TRACE_FLOOD, CALLERS_WAIT, false },
+    { "flood, declared", TRACE_FLOOD, CALLERS_WAIT, true },
+    { "flood, all ask again at once", TRACE_FLOOD, CALLERS_STORM, false },
+    { "storm", TRACE_STORM, CALLERS_WAIT, false },
+    { "heavy account", TRACE_HEAVY, CALLERS_WAIT, false },
+  };
+  struct figures figures;
+
+  print_head ("Events");
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct world_setup setup = setup_of (DEFAULT_ROUTE);
+
+      setup.callers = cases[i].callers;
+      setup.event = cases[i].event;
+      measure (cases[i].trace, &setup, &figures);
+      print_row ("events", cases[i].name, DEFAULT_ROUTE, &figures);
+    }
+}
+
+static void
+measure_faults (void)
+{
+  static const char *const names[] = { "none",
+                                       "an endpoint killed",
+                                       "a rank stalled for 5 s",
+                                       "a hall cut for 10 s",
+                                       "an entry paused for 10 s",
+                                       "reports lost for 20 s" };
+  struct figures figures;
+
+  print_head ("Faults, steady");
+  for (int f = FAULT_NONE; f <= FAULT_REPORTS; f++)
+    for (size_t r = 0; r < ROUTES; r++)
+      {
+        struct world_setup setup = setup_of (routes[r]);
+
+        setup.fault = (enum world_fault) f;
+        measure (TRACE_STEADY, &setup, &figures);
+        print_row ("faults", names[f], routes[r], &figures);
+      }
+}
+
+int
+main (int argc, char **argv)
+{
+  const char *only = "";
+
+  for (int i = 1; i < argc; i++)
+    if (strcmp (argv[i], "--csv") == 0)
+      csv = true;
+    else
+      only = argv[i];
+  if (!*only || strcmp (only, "routes") == 0)
+    compare_routes ();
+  if (!*only || strcmp (only, "events") == 0)
+    measure_events ();
+  if (!*only || strcmp (only, "faults") == 0)
+    measure_faults ();
+  return EXIT_SUCCESS;
+}
--- a/filters/entry.c
+++ b/filters/entry.c
@@ -28,6 +28,7 @@
     .membership = &entry->membership,
     .random = &entry->random,
     .fleet_key = entry->fleet_key,
+    .turn = &entry->turn,
   };
   return ash_past_init (&entry->past) && ash_chain_init (&entry->chain);
 }
--- a/filters/entry.h
+++ b/filters/entry.h
@@ -33,6 +33,7 @@
   struct ash_request *by_call;
   struct ash_request *by_attempt;
   uint64_t last_attempt;
+  uint32_t turn; /**< of round robin */
   bool leaving;
 };
 
--- a/filters/filter.h
+++ b/filters/filter.h
@@ -23,6 +23,7 @@
   struct ash_membership *membership;
   struct ash_random *random;
   const uint8_t *fleet_key;
+  uint32_t *turn; /**< of round robin */
 };
 
 /** What a filter decides. */
--- a/filters/route.c
+++ b/filters/route.c
@@ -54,6 +54,20 @@
   return load * 1000 / candidate->endpoint->slots;
 }
 
+/* The first that may take it, from an index on. */
+static bool
+pick_from (const struct ash_filter_context *context,
+           const struct ash_request *request,
+           const struct ash_service *service,
+           uint32_t start,
+           struct candidate *candidate)
+{
+  for (uint32_t i = 0; i < service->endpoint_count; i++)
+    if (consider (context, request, service, (start + i) % service->endpoint_count, candidate))
+      return true;
+  return false;
+}
+
 static bool
 pick_any (const struct ash_filter_context *context,
           const struct ash_request *request,
@@ -66,10 +80,61 @@
     if (consider (context, request, service,
                   ash_random_below (context->random, service->endpoint_count), candidate))
       return true;
+  return pick_from (context, request, service, start, candidate);
+}
+
+static bool
+pick_least_reported (const struct ash_filter_context *context,
+                     const struct ash_request *request,
+                     const struct ash_service *service,
+                     struct candidate *best)
+{
+  struct candidate candidate;
+  bool found = false;
+
   for (uint32_t i = 0; i < service->endpoint_count; i++)
-    if (consider (context, request, service, (start + i) % service->endpoint_count, candidate))
-      return true;
-  return false;
+    {
+      if (!consider (context, request, service, i, &candidate))
+        continue;
+      if (!found || candidate.box->reported < best->box->reported)
+        *best = candidate;
+      found = true;
+    }
+  return found;
+}
+
+static bool
+pick_two_choices (const struct ash_filter_context *context,
+                  const struct ash_request *request,
+                  const struct ash_service *service,
+                  struct candidate *best)
+{
+  struct candidate second;
+
+  if (!pick_any (context, request, service, best))
+    return false;
+  if (pick_any (context, request, service, &second) && load_milli (&second) < load_milli (best))
+    *best = second;
+  return true;
+}
+
+static bool
+pick (const struct ash_filter_context *context,
+      const struct ash_request *request,
+      const struct ash_service *service,
+      struct candidate *candidate)
+{
+  switch (context->settings->route)
+    {
+    case ASH_ROUTE_RANDOM:
+      return pick_any (context, request, service, candidate);
+    case ASH_ROUTE_ROUND_ROBIN:
+      return pick_from (context, request, service, ++*context->turn, candidate);
+    case ASH_ROUTE_LEAST_REPORTED:
+      return pick_least_reported (context, request, service, candidate);
+    default:
+      return pick_two_choices (context, request, service, candidate);
+    }
 }
 
 bool
@@ -79,17 +144,12 @@
 {
   const struct ash_service *service =
       ash_document_service (&context->config->document, service_name);
-  struct candidate first;
-  struct candidate second;
+  struct candidate chosen;
 
-  if (!service || service->endpoint_count == 0)
-    return false;
-  if (!pick_any (context, request, service, &first))
+  if (!service || service->endpoint_count == 0 || !pick (context, request, service, &chosen))
     return false;
-  if (pick_any (context, request, service, &second) && load_milli (&second) < load_milli (&first))
-    first = second;
-  strcpy (request->box, first.box->name);
-  request->incarnation = first.box->incarnation;
+  strcpy (request->box, chosen.box->name);
+  request->incarnation = chosen.box->incarnation;
   return true;
 }
 
--- a/options/settings.c
+++ b/options/settings.c
@@ -10,6 +10,8 @@
 #define FLEET_KEY_CHARACTERS 64
 
 static const char *const roles[] = { "entry", "endpoint", NULL };
+static const char *const routes[] = { "two_choices", "random", "round_robin", "least_reported",
+                                      NULL };
 static const char *const log_formats[] = { "text", "json", NULL };
 static const char *const log_levels[] = { "debug", "info", "warn", "error", NULL };
 
@@ -40,6 +42,7 @@
   TEXT (reader_key_hash,
         "",
         "hash of a key that may ask and plan, and confirm nothing; empty: none (entry)"),
+  CHOICE (route, "two_choices", routes, "how an endpoint is chosen; others are for comparison"),
   CHOICE (log_format, "text", log_formats, "a line's form"),
   CHOICE (log_level, "info", log_levels, "lowest level written"),
   COUNT (platform_readers, "2", 1, 1000, "entries", "of a hall read the platform, others learn"),
--- a/options/settings.h
+++ b/options/settings.h
@@ -18,6 +18,15 @@
   ASH_SETTINGS_ENDPOINT,
 };
 
+/** How an entry chooses an endpoint. All but the first are for comparison. */
+enum ash_settings_route
+{
+  ASH_ROUTE_TWO_CHOICES,
+  ASH_ROUTE_RANDOM,
+  ASH_ROUTE_ROUND_ROBIN,
+  ASH_ROUTE_LEAST_REPORTED,
+};
+
 /** The settings of a daemon; times in milliseconds. */
 struct ash_settings
 {
@@ -31,6 +40,7 @@
   char engine_url[ASH_OPTION_TEXT_BYTES];
   char operator_key_hash[ASH_OPTION_TEXT_BYTES];
   char reader_key_hash[ASH_OPTION_TEXT_BYTES];
+  int route;
   int log_format;
   int log_level;
   uint32_t platform_readers;
