agent: refuses at once what can't end in time, by run times of each priority

Cause: admission compared only the wait in the queue with the deadline, by one smoothed run time, and a request that more urgent ones pushed back waited for its deadline.

Change: wait and run must end before the deadline; queued requests are looked at again each tick; in a full queue the least urgent makes way; run times and their spread (RFC 6298) are kept for each priority.

--- a/controllers/agent.c
+++ b/controllers/agent.c
@@ -9,7 +9,6 @@
 #include <utlist.h>
 
 /* New runs count an eighth in the smoothed time. */
-#define SMOOTHING_SHIFT 3
 #define US_PER_MS 1000
 
 void
@@ -49,7 +48,7 @@
   heartbeat->leaving = agent->leaving;
   heartbeat->in_flight = agent->ledger.running_count;
   heartbeat->queued = agent->ledger.queued_count;
-  heartbeat->step_us = agent->service_us;
+  heartbeat->step_us = agent->all_runs.mean_us;
 }
 
 /* ---- endings ---- */
@@ -150,6 +149,21 @@
   ash_log_event (&agent->log, ASH_EV_RUN_STARTED, "id=%s wait_ms=%u", id, record->wait_ms);
 }
 
+/* Why a queued request is not to wait any longer, if it would start after that
+ * time: its deadline has passed, or will have when it could end. */
+static int
+hopeless_reason (const struct ash_agent *agent,
+                 struct ash_time now,
+                 const struct ash_record *record,
+                 int64_t wait_ms)
+{
+  struct ash_time end = ash_time_add (now, wait_ms + ash_agent_run_ms (agent, record->priority));
+
+  if (!ash_time_before (now, record->deadline))
+    return ASH__REASON__DEADLINE;
+  return ash_time_before (record->deadline, end) ? ASH__REASON__OVERLOAD : ASH__REASON__REASON_NONE;
+}
+
 /* In the queue's order, but for those that must leave slots to an event. */
 static void
 start_queued (struct ash_agent *agent, struct ash_time now)
@@ -159,10 +173,12 @@
 
   DL_FOREACH_SAFE (agent->ledger.queued, record, next)
     {
+      int reason = hopeless_reason (agent, now, record, 0);
+
       if (!ash_agent_has_slot (agent, true))
         return;
-      if (!ash_time_before (now, record->deadline))
-        refuse_record (agent, now, record, ASH__REASON__DEADLINE, record->outcome);
+      if (reason != ASH__REASON__REASON_NONE)
+        refuse_record (agent, now, record, reason, record->outcome);
       else if (ash_agent_has_slot (agent, record->reserved))
         start_run (agent, now, record);
     }
@@ -288,6 +304,16 @@
   return copy;
 }
 
+/* In a full queue the least urgent makes way. */
+static void
+make_way (struct ash_agent *agent, struct ash_time now, const struct Ash__Submit *submit)
+{
+  struct ash_record *last = ash_agent_least_urgent (agent, submit);
+
+  if (last && !ash_agent_has_slot (agent, submit->reserved))
+    refuse_record (agent, now, last, ASH__REASON__OVERLOAD, last->outcome);
+}
+
 static void
 admit (struct ash_agent *agent,
        struct ash_time now,
@@ -302,6 +328,8 @@
       refuse_asker (agent, now, asker, record, reason);
       return;
     }
+  if (agent->ledger.queued_count >= agent->settings->queue_max)
+    make_way (agent, now, submit);
   if (!record)
     record = write_record (agent, asker);
   if (record)
@@ -547,7 +575,6 @@
 handle_engine_end (struct ash_agent *agent, struct ash_time now, const struct Ash__EngineEnd *end)
 {
   struct ash_record *record = ash_ledger_find_run (&agent->ledger, end->run);
-  uint32_t took_us;
 
   if (!record)
     return;
@@ -555,11 +582,8 @@
     refuse_record (agent, now, record, ASH__REASON__ENDPOINT_FAILED, record->outcome);
   else
     {
-      took_us = (uint32_t) ash_time_diff (record->started, now) * US_PER_MS;
-      if (!agent->service_us)
-        agent->service_us = took_us;
-      else
-        agent->service_us += (int32_t) (took_us - agent->service_us) / (1 << SMOOTHING_SHIFT);
+      ash_agent_note_run (agent, record->priority,
+                          (uint32_t) ash_time_diff (record->started, now) * US_PER_MS);
       finish_record (agent, now, record, end->whole,
                      end->whole ? ASH__REASON__REASON_NONE : ASH__REASON__ENDPOINT_FAILED);
     }
@@ -574,18 +598,26 @@
   return !ash_time_before (now, ash_time_add (record->orphan_since, grace_ms));
 }
 
+/* More urgent ones that came later may have pushed a request too far back: it is
+ * refused as soon as that shows, not at its deadline. */
 static void
 check_queued (struct ash_agent *agent, struct ash_time now)
 {
   struct ash_record *record;
   struct ash_record *next;
+  int64_t work_us = 0;
 
   DL_FOREACH_SAFE (agent->ledger.queued, record, next)
     {
+      int64_t wait_ms = ash_agent_wait_ms (agent, work_us, record->reserved);
+      int reason = hopeless_reason (agent, now, record, wait_ms);
+
       if (is_orphan (agent, now, record))
-        refuse_record (agent, now, record, ASH__REASON__CANCELLED, record->outcome);
-      else if (!ash_time_before (now, record->deadline))
-        refuse_record (agent, now, record, ASH__REASON__DEADLINE, record->outcome);
+        reason = ASH__REASON__CANCELLED;
+      if (reason != ASH__REASON__REASON_NONE)
+        refuse_record (agent, now, record, reason, record->outcome);
+      else
+        work_us += ash_agent_work_us (agent, record);
     }
 }
 
--- a/controllers/agent.h
+++ b/controllers/agent.h
@@ -16,6 +16,16 @@
 #include "options/settings.h"
 #include "proto/event.h"
 
+/** Priorities of requests; higher numbers count as the last. */
+#define ASH_PRIORITIES 16
+
+/** How long runs take, smoothed. */
+struct ash_run_time
+{
+  uint32_t mean_us;   /**< 0: not known yet */
+  uint32_t spread_us; /**< how far runs are from that */
+};
+
 /** An endpoint's agent. */
 struct ash_agent
 {
@@ -31,8 +41,9 @@
   struct ash_ledger ledger;
   bool leaving;
   uint64_t last_run;
-  int64_t unix_s;      /**< as the last tick had it, for declared events; 0: not known */
-  uint32_t service_us; /**< how long a run takes, smoothed; 0: not known yet */
+  int64_t unix_s; /**< as the last tick had it, for declared events; 0: not known */
+  struct ash_run_time runs[ASH_PRIORITIES]; /**< of each priority: they differ in length */
+  struct ash_run_time all_runs;
 };
 
 /**
--- a/controllers/agent_admit.c
+++ b/controllers/agent_admit.c
@@ -8,6 +8,12 @@
 #define US_PER_MS 1000
 #define US_PER_S 1000000
 
+/* A new run counts an eighth in what is expected, a quarter in its spread; nearly
+ * all runs end within twice the spread of what is expected. */
+#define MEAN_SHIFT 3
+#define SPREAD_SHIFT 2
+#define SPREADS 2
+
 /* Of the slots, events get at most so many kept: the rest is for everybody else. */
 #define HELD_MAX_PERCENT 75
 
@@ -58,6 +64,12 @@
   return endpoint ? endpoint->slots : agent->settings->slots;
 }
 
+static const struct ash_run_time *
+run_time (const struct ash_agent *agent, uint32_t priority)
+{
+  return &agent->runs[priority < ASH_PRIORITIES ? priority : ASH_PRIORITIES - 1];
+}
+
 /* What is reserved of the service is spread over its endpoints: as many requests
  * are in work at once as arrive while one is worked on. */
 uint32_t
@@ -66,9 +78,9 @@
   const struct ash_document *document = &agent->config.document;
   const struct ash_endpoint *endpoint;
   const struct ash_service *service;
-  uint64_t rate_per_s;
-  uint64_t held;
   uint64_t most = (uint64_t) ash_agent_slots (agent) * HELD_MAX_PERCENT / 100;
+  uint64_t work_us = 0; /* a second */
+  uint64_t held;
 
   if (!agent->unix_s || !agent->config.ready || !document->reservation_count)
     return 0;
@@ -76,8 +88,16 @@
   service = endpoint ? ash_document_service (document, endpoint->service) : NULL;
   if (!service)
     return 0;
-  rate_per_s = ash_declared_rate (document, agent->unix_s, service->name);
-  held = (rate_per_s * agent->service_us / service->endpoint_count + US_PER_S - 1) / US_PER_S;
+  for (uint32_t i = 0; i < document->reservation_count; i++)
+    {
+      const struct ash_reservation *reservation =
+          ash_declared_reserved (document, i, agent->unix_s, service->name);
+
+      if (reservation)
+        work_us +=
+            (uint64_t) reservation->rate_per_s * run_time (agent, reservation->priority)->mean_us;
+    }
+  held = (work_us / service->endpoint_count + US_PER_S - 1) / US_PER_S;
   return (uint32_t) (held < most ? held : most);
 }
 
@@ -93,22 +113,78 @@
              ash_agent_slots (agent);
 }
 
+/* As a round-trip time is smoothed, with its deviation (RFC 6298). */
+static void
+smooth (struct ash_run_time *time, uint32_t took_us)
+{
+  int64_t off_us = (int64_t) took_us - time->mean_us;
+
+  if (!time->mean_us)
+    {
+      *time = (struct ash_run_time){ took_us, took_us / 2 };
+      return;
+    }
+  time->mean_us += (int32_t) (off_us / (1 << MEAN_SHIFT));
+  off_us = off_us < 0 ? -off_us : off_us;
+  time->spread_us += (int32_t) ((off_us - (int64_t) time->spread_us) / (1 << SPREAD_SHIFT));
+}
+
+void
+ash_agent_note_run (struct ash_agent *agent, uint32_t priority, uint32_t took_us)
+{
+  smooth (&agent->runs[priority < ASH_PRIORITIES ? priority : ASH_PRIORITIES - 1], took_us);
+  smooth (&agent->all_runs, took_us);
+}
+
+int64_t
+ash_agent_run_ms (const struct ash_agent *agent, uint32_t priority)
+{
+  const struct ash_run_time *time = run_time (agent, priority);
+
+  return ((int64_t) time->mean_us + SPREADS * (int64_t) time->spread_us) / US_PER_MS;
+}
+
+int64_t
+ash_agent_work_us (const struct ash_agent *agent, const struct ash_record *record)
+{
+  uint32_t mean_us = run_time (agent, record->priority)->mean_us;
+
+  /* The first of its priority may be like any other. */
+  return mean_us ? mean_us : agent->all_runs.mean_us;
+}
+
+/* A slot gets free after a part of a run, then the work before it is shared. */
+int64_t
+ash_agent_wait_ms (const struct ash_agent *agent, int64_t work_us, bool reserved)
+{
+  uint32_t slots = ash_agent_slots (agent);
+
+  if (!reserved)
+    slots -= ash_agent_held_slots (agent);
+  return (work_us + agent->all_runs.mean_us) / US_PER_MS / slots;
+}
+
 /* How long a new request would wait, as far as can be told. */
 static int64_t
 expected_wait_ms (const struct ash_agent *agent, const struct Ash__Submit *submit)
 {
   const struct ash_record *record;
-  uint32_t slots = ash_agent_slots (agent);
-  int64_t ahead = 1;
+  int64_t work_us = 0;
 
   if (ash_agent_has_slot (agent, submit->reserved))
     return 0;
-  if (!submit->reserved)
-    slots -= ash_agent_held_slots (agent);
   DL_FOREACH (agent->ledger.queued, record)
     if (record->priority <= submit->priority)
-      ahead++;
-  return ahead * agent->service_us / US_PER_MS / slots;
+      work_us += ash_agent_work_us (agent, record);
+  return ash_agent_wait_ms (agent, work_us, submit->reserved);
+}
+
+struct ash_record *
+ash_agent_least_urgent (const struct ash_agent *agent, const struct Ash__Submit *submit)
+{
+  struct ash_record *last = agent->ledger.queued ? agent->ledger.queued->prev : NULL;
+
+  return last && last->priority > submit->priority ? last : NULL;
 }
 
 /* Why a request that the ledger does not hold can't be taken, or REASON_NONE. */
@@ -140,9 +216,10 @@
   if (agent->ledger.count >= agent->settings->ledger_max)
     return ASH__REASON__OVERLOAD;
   if (agent->ledger.queued_count >= agent->settings->queue_max &&
-      !ash_agent_has_slot (agent, submit->reserved))
+      !ash_agent_has_slot (agent, submit->reserved) && !ash_agent_least_urgent (agent, submit))
     return ASH__REASON__OVERLOAD;
-  if (expected_wait_ms (agent, submit) > submit->budget_ms)
+  if (expected_wait_ms (agent, submit) + ash_agent_run_ms (agent, submit->priority) >
+      submit->budget_ms)
     return ASH__REASON__OVERLOAD;
   return ASH__REASON__REASON_NONE;
 }
--- a/controllers/agent_admit.h
+++ b/controllers/agent_admit.h
@@ -31,6 +31,22 @@
 /** @return whether a request may start now, besides those that run. */
 bool ash_agent_has_slot (const struct ash_agent *agent, bool reserved);
 
+/** Takes in how long a run took: what is expected of the next ones of its priority. */
+void ash_agent_note_run (struct ash_agent *agent, uint32_t priority, uint32_t took_us);
+
+/** @return how long a run of that priority is expected to take, in milliseconds. */
+int64_t ash_agent_run_ms (const struct ash_agent *agent, uint32_t priority);
+
+/** @return work of a queued request, for ash_agent_wait_ms(), in microseconds. */
+int64_t ash_agent_work_us (const struct ash_agent *agent, const struct ash_record *record);
+
+/** @return how long a request waits that has so much work before it in the queue. */
+int64_t ash_agent_wait_ms (const struct ash_agent *agent, int64_t work_us, bool reserved);
+
+/** @return the queued request that must make way for this one in a full queue, or NULL. */
+struct ash_record *ash_agent_least_urgent (const struct ash_agent *agent,
+                                           const struct Ash__Submit *submit);
+
 /** @return why a request that the ledger does not hold can't be taken, or REASON_NONE. */
 int ash_agent_admission (const struct ash_agent *agent,
                          struct ash_time now,
