agent: no slots are kept for reservations (tried, reverted)

Cause looked for: whether a declared event's top class needs more than its priority. Conclusion: priority does it; the reservation's rate above the limit stays.

--- a/bench/policy_world.c
+++ b/bench/policy_world.c
@@ -482,7 +482,6 @@
 {
   struct Ash__Tick message = ASH__TICK__INIT;
 
-  message.unix_s = world->setup->event ? UNIX_S : 1;
   if (!world->boxes[index].down && !world->boxes[index].paused)
     session_give_message (&world->boxes[index].session, now_of (world), "", ASH__EVENT__KIND_TICK,
                           &message);
--- a/controllers/agent.c
+++ b/controllers/agent.c
@@ -164,23 +164,18 @@
   return ash_time_before (record->deadline, end) ? ASH__REASON__OVERLOAD : ASH__REASON__REASON_NONE;
 }
 
-/* In the queue's order, but for those that must leave slots to an event. */
 static void
 start_queued (struct ash_agent *agent, struct ash_time now)
 {
-  struct ash_record *record;
-  struct ash_record *next;
-
-  DL_FOREACH_SAFE (agent->ledger.queued, record, next)
+  while (agent->ledger.queued && ash_agent_has_slot (agent))
     {
+      struct ash_record *record = agent->ledger.queued;
       int reason = hopeless_reason (agent, now, record, 0);
 
-      if (!ash_agent_has_slot (agent, true))
-        return;
-      if (reason != ASH__REASON__REASON_NONE)
-        refuse_record (agent, now, record, reason, record->outcome);
-      else if (ash_agent_has_slot (agent, record->reserved))
+      if (reason == ASH__REASON__REASON_NONE)
         start_run (agent, now, record);
+      else
+        refuse_record (agent, now, record, reason, record->outcome);
     }
 }
 
@@ -310,7 +305,7 @@
 {
   struct ash_record *last = ash_agent_least_urgent (agent, submit);
 
-  if (last && !ash_agent_has_slot (agent, submit->reserved))
+  if (last && !ash_agent_has_slot (agent))
     refuse_record (agent, now, last, ASH__REASON__OVERLOAD, last->outcome);
 }
 
@@ -340,7 +335,6 @@
       return;
     }
   record->priority = submit->priority;
-  record->reserved = submit->reserved;
   record->arrived = now;
   record->deadline = ash_time_add (now, submit->budget_ms);
   /* Should it have to be refused from the queue, this is what can be said. */
@@ -609,7 +603,7 @@
 
   DL_FOREACH_SAFE (agent->ledger.queued, record, next)
     {
-      int64_t wait_ms = ash_agent_wait_ms (agent, work_us, record->reserved);
+      int64_t wait_ms = ash_agent_wait_ms (agent, work_us);
       int reason = hopeless_reason (agent, now, record, wait_ms);
 
       if (is_orphan (agent, now, record))
@@ -643,9 +637,8 @@
 }
 
 static void
-handle_tick (struct ash_agent *agent, struct ash_time now, int64_t unix_s)
+handle_tick (struct ash_agent *agent, struct ash_time now)
 {
-  agent->unix_s = unix_s;
   check_queued (agent, now);
   check_running (agent, now);
   ash_ledger_expire (&agent->ledger, now, agent->settings->answers_keep_bytes);
@@ -691,7 +684,7 @@
       handle_engine_end (agent, now, event->engine_end);
       break;
     case ASH__EVENT__KIND_TICK:
-      handle_tick (agent, now, event->tick->unix_s);
+      handle_tick (agent, now);
       break;
     case ASH__EVENT__KIND_STOP:
     case ASH__EVENT__KIND_DRAIN:
--- a/controllers/agent.h
+++ b/controllers/agent.h
@@ -41,7 +41,6 @@
   struct ash_ledger ledger;
   bool leaving;
   uint64_t last_run;
-  int64_t unix_s; /**< as the last tick had it, for declared events; 0: not known */
   struct ash_run_time runs[ASH_PRIORITIES]; /**< of each priority: they differ in length */
   struct ash_run_time all_runs;
 };
--- a/controllers/agent_admit.c
+++ b/controllers/agent_admit.c
@@ -1,12 +1,9 @@
 #include "controllers/agent_admit.h"
 
-#include "controllers/declared.h"
-
 #include <string.h>
 #include <utlist.h>
 
 #define US_PER_MS 1000
-#define US_PER_S 1000000
 
 /* A new run counts an eighth in what is expected, a quarter in its spread; nearly
  * all runs end within twice the spread of what is expected. */
@@ -14,9 +11,6 @@
 #define SPREAD_SHIFT 2
 #define SPREADS 2
 
-/* Of the slots, events get at most so many kept: the rest is for everybody else. */
-#define HELD_MAX_PERCENT 75
-
 int64_t
 ash_agent_age_ms (const struct ash_agent *agent, struct ash_time now)
 {
@@ -70,47 +64,10 @@
   return &agent->runs[priority < ASH_PRIORITIES ? priority : ASH_PRIORITIES - 1];
 }
 
-/* What is reserved of the service is spread over its endpoints: as many requests
- * are in work at once as arrive while one is worked on. */
-uint32_t
-ash_agent_held_slots (const struct ash_agent *agent)
-{
-  const struct ash_document *document = &agent->config.document;
-  const struct ash_endpoint *endpoint;
-  const struct ash_service *service;
-  uint64_t most = (uint64_t) ash_agent_slots (agent) * HELD_MAX_PERCENT / 100;
-  uint64_t work_us = 0; /* a second */
-  uint64_t held;
-
-  if (!agent->unix_s || !agent->config.ready || !document->reservation_count)
-    return 0;
-  endpoint = ash_document_endpoint (document, agent->settings->box);
-  service = endpoint ? ash_document_service (document, endpoint->service) : NULL;
-  if (!service)
-    return 0;
-  for (uint32_t i = 0; i < document->reservation_count; i++)
-    {
-      const struct ash_reservation *reservation =
-          ash_declared_reserved (document, i, agent->unix_s, service->name);
-
-      if (reservation)
-        work_us +=
-            (uint64_t) reservation->rate_per_s * run_time (agent, reservation->priority)->mean_us;
-    }
-  held = (work_us / service->endpoint_count + US_PER_S - 1) / US_PER_S;
-  return (uint32_t) (held < most ? held : most);
-}
-
 bool
-ash_agent_has_slot (const struct ash_agent *agent, bool reserved)
+ash_agent_has_slot (const struct ash_agent *agent)
 {
-  const struct ash_ledger *ledger = &agent->ledger;
-
-  if (ledger->running_count >= ash_agent_slots (agent))
-    return false;
-  return reserved ||
-         ledger->running_count - ledger->running_reserved + ash_agent_held_slots (agent) <
-             ash_agent_slots (agent);
+  return agent->ledger.running_count < ash_agent_slots (agent);
 }
 
 /* As a round-trip time is smoothed, with its deviation (RFC 6298). */
@@ -155,13 +112,9 @@
 
 /* A slot gets free after a part of a run, then the work before it is shared. */
 int64_t
-ash_agent_wait_ms (const struct ash_agent *agent, int64_t work_us, bool reserved)
+ash_agent_wait_ms (const struct ash_agent *agent, int64_t work_us)
 {
-  uint32_t slots = ash_agent_slots (agent);
-
-  if (!reserved)
-    slots -= ash_agent_held_slots (agent);
-  return (work_us + agent->all_runs.mean_us) / US_PER_MS / slots;
+  return (work_us + agent->all_runs.mean_us) / US_PER_MS / ash_agent_slots (agent);
 }
 
 /* How long a new request would wait, as far as can be told. */
@@ -171,12 +124,12 @@
   const struct ash_record *record;
   int64_t work_us = 0;
 
-  if (ash_agent_has_slot (agent, submit->reserved))
+  if (ash_agent_has_slot (agent))
     return 0;
   DL_FOREACH (agent->ledger.queued, record)
     if (record->priority <= submit->priority)
       work_us += ash_agent_work_us (agent, record);
-  return ash_agent_wait_ms (agent, work_us, submit->reserved);
+  return ash_agent_wait_ms (agent, work_us);
 }
 
 struct ash_record *
@@ -215,8 +168,8 @@
     }
   if (agent->ledger.count >= agent->settings->ledger_max)
     return ASH__REASON__OVERLOAD;
-  if (agent->ledger.queued_count >= agent->settings->queue_max &&
-      !ash_agent_has_slot (agent, submit->reserved) && !ash_agent_least_urgent (agent, submit))
+  if (agent->ledger.queued_count >= agent->settings->queue_max && !ash_agent_has_slot (agent) &&
+      !ash_agent_least_urgent (agent, submit))
     return ASH__REASON__OVERLOAD;
   if (expected_wait_ms (agent, submit) + ash_agent_run_ms (agent, submit->priority) >
       submit->budget_ms)
--- a/controllers/agent_admit.h
+++ b/controllers/agent_admit.h
@@ -25,11 +25,8 @@
 /** @return how many requests the engine works on at once. */
 uint32_t ash_agent_slots (const struct ash_agent *agent);
 
-/** @return how many of them are kept for what declared events reserve, at this time. */
-uint32_t ash_agent_held_slots (const struct ash_agent *agent);
-
-/** @return whether a request may start now, besides those that run. */
-bool ash_agent_has_slot (const struct ash_agent *agent, bool reserved);
+/** @return whether one more request may run. */
+bool ash_agent_has_slot (const struct ash_agent *agent);
 
 /** Takes in how long a run took: what is expected of the next ones of its priority. */
 void ash_agent_note_run (struct ash_agent *agent, uint32_t priority, uint32_t took_us);
@@ -41,7 +38,7 @@
 int64_t ash_agent_work_us (const struct ash_agent *agent, const struct ash_record *record);
 
 /** @return how long a request waits that has so much work before it in the queue. */
-int64_t ash_agent_wait_ms (const struct ash_agent *agent, int64_t work_us, bool reserved);
+int64_t ash_agent_wait_ms (const struct ash_agent *agent, int64_t work_us);
 
 /** @return the queued request that must make way for this one in a full queue, or NULL. */
 struct ash_record *ash_agent_least_urgent (const struct ash_agent *agent,
--- a/controllers/declared.c
+++ b/controllers/declared.c
@@ -29,19 +29,6 @@
   return state == ASH_DECLARED_LEAD || state == ASH_DECLARED_ON;
 }
 
-const struct ash_reservation *
-ash_declared_reserved (const struct ash_document *document,
-                       uint32_t i,
-                       int64_t unix_s,
-                       const char *service)
-{
-  const struct ash_reservation *reservation = &document->reservations[i];
-
-  if (strcmp (reservation->service, service) != 0 || !is_on (document, reservation->event, unix_s))
-    return NULL;
-  return reservation;
-}
-
 const struct ash_reservation *
 ash_declared_reservation (const struct ash_document *document,
                           int64_t unix_s,
@@ -49,9 +36,14 @@
                           const char *service)
 {
   for (uint32_t i = 0; i < document->reservation_count; i++)
-    if (strcmp (document->reservations[i].account, account) == 0 &&
-        ash_declared_reserved (document, i, unix_s, service))
-      return &document->reservations[i];
+    {
+      const struct ash_reservation *reservation = &document->reservations[i];
+
+      if (strcmp (reservation->account, account) == 0 &&
+          strcmp (reservation->service, service) == 0 &&
+          is_on (document, reservation->event, unix_s))
+        return reservation;
+    }
   return NULL;
 }
 
--- a/controllers/declared.h
+++ b/controllers/declared.h
@@ -29,12 +29,6 @@
                                                         const char *account,
                                                         const char *service);
 
-/** @return the reservation number @p i if it is on at that time and for that service, or NULL. */
-const struct ash_reservation *ash_declared_reserved (const struct ash_document *document,
-                                                     uint32_t i,
-                                                     int64_t unix_s,
-                                                     const char *service);
-
 /** @return the profile of the group in the event that is on, or NULL. */
 const struct ash_profile *
 ash_declared_profile (const struct ash_document *document, int64_t unix_s, const char *group);
--- a/controllers/ledger.c
+++ b/controllers/ledger.c
@@ -122,7 +122,6 @@
   drop_submit (record);
   DL_APPEND (ledger->running, record);
   ledger->running_count++;
-  ledger->running_reserved += record->reserved;
 }
 
 void
@@ -140,7 +139,6 @@
     case ASH_RECORD_RUNNING:
       DL_DELETE (ledger->running, record);
       ledger->running_count--;
-      ledger->running_reserved -= record->reserved;
       break;
     case ASH_RECORD_NEW:
     case ASH_RECORD_FINISHED:
--- a/controllers/ledger.h
+++ b/controllers/ledger.h
@@ -50,7 +50,6 @@
   enum ash_record_state state;
   bool keyed;
   bool no_repeat;
-  bool reserved;         /**< within what a declared event reserves */
   bool whole;            /**< finished: the engine ended it properly */
   int reason;            /**< enum Ash__Reason: why refused or broken */
   int outcome;           /**< enum Ash__Outcome told with a refusal */
@@ -83,8 +82,7 @@
   uint32_t count;
   uint32_t queued_count;
   uint32_t running_count;
-  uint32_t running_reserved; /**< of these */
-  uint64_t kept_bytes;       /**< of answers of ended records */
+  uint64_t kept_bytes; /**< of answers of ended records */
 };
 
 void ash_ledger_init (struct ash_ledger *ledger);
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -8,7 +8,6 @@
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #define TICK_S 0.05
 
@@ -157,7 +156,6 @@
   struct Ash__Tick tick = ASH__TICK__INIT;
 
   (void) events;
-  tick.unix_s = (int64_t) time (NULL);
   give_local (daemon, ASH__EVENT__KIND_TICK, &tick);
   if (daemon->stopping && daemon->role.may_end (daemon->role.data))
     ev_break (loop, EVBREAK_ALL);
--- a/filters/attempt.c
+++ b/filters/attempt.c
@@ -86,7 +86,6 @@
   submit->stream = request->stream;
   submit->moved = request->moved;
   submit->priority = request->priority;
-  submit->reserved = request->reserved;
   submit->revision = entry->config.document.revision;
   submit->budget_ms =
       (uint32_t) (left_ms > 2 * ASH_ENTRY_MARGIN_MS ? left_ms - ASH_ENTRY_MARGIN_MS : left_ms / 2);
--- a/filters/limit.c
+++ b/filters/limit.c
@@ -45,7 +45,6 @@
     return ash_refuse (request, ASH__REASON__MISDIRECTED, 1);
   if (reservation && ash_limits_take_reserved (&priv->limits, now, reservation, parts))
     {
-      request->reserved = true;
       request->priority = reservation->priority;
       return ASH_VERDICT_NEXT;
     }
--- a/filters/request.h
+++ b/filters/request.h
@@ -37,7 +37,6 @@
   bool keyed;  /**< the caller may submit it again through another entry */
   bool minted; /**< the key names its home and that home's life */
   bool no_repeat;
-  bool reserved; /**< within what a declared event reserves */
   bool stream;
   bool bound;              /**< keyed and not to be repeated: only its home may run it */
   bool moved;              /**< an earlier home has it and stays its home */
--- a/proto/ash.pb-c.c
+++ b/proto/ash.pb-c.c
@@ -2120,7 +2120,7 @@
   (ProtobufCMessageInit) ash__config_want__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__submit__field_descriptors[19] =
+static const ProtobufCFieldDescriptor ash__submit__field_descriptors[18] =
 {
   {
     "id_hi",
@@ -2338,18 +2338,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "reserved",
-    19,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Ash__Submit, reserved),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned ash__submit__field_indices_by_name[] = {
   3,   /* field[3] = attempt */
@@ -2367,7 +2355,6 @@
   7,   /* field[7] = no_repeat */
   14,   /* field[14] = path */
   10,   /* field[10] = priority */
-  18,   /* field[18] = reserved */
   11,   /* field[11] = revision */
   12,   /* field[12] = service */
   8,   /* field[8] = stream */
@@ -2375,7 +2362,7 @@
 static const ProtobufCIntRange ash__submit__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor ash__submit__descriptor =
 {
@@ -2385,7 +2372,7 @@
   "Ash__Submit",
   "ash",
   sizeof(Ash__Submit),
-  19,
+  18,
   ash__submit__field_descriptors,
   ash__submit__field_indices_by_name,
   1,  ash__submit__number_ranges,
@@ -4598,7 +4585,7 @@
   (ProtobufCMessageInit) ash__link_down__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__tick__field_descriptors[2] =
+static const ProtobufCFieldDescriptor ash__tick__field_descriptors[1] =
 {
   {
     "woke",
@@ -4612,27 +4599,14 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "unix_s",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Ash__Tick, unix_s),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned ash__tick__field_indices_by_name[] = {
-  1,   /* field[1] = unix_s */
   0,   /* field[0] = woke */
 };
 static const ProtobufCIntRange ash__tick__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 1 }
 };
 const ProtobufCMessageDescriptor ash__tick__descriptor =
 {
@@ -4642,7 +4616,7 @@
   "Ash__Tick",
   "ash",
   sizeof(Ash__Tick),
-  2,
+  1,
   ash__tick__field_descriptors,
   ash__tick__field_indices_by_name,
   1,  ash__tick__number_ranges,
--- a/proto/ash.pb-c.h
+++ b/proto/ash.pb-c.h
@@ -377,14 +377,10 @@
    * the receiver is an earlier home that has the id
    */
   protobuf_c_boolean moved;
-  /*
-   * within what a declared event reserves
-   */
-  protobuf_c_boolean reserved;
 };
 #define ASH__SUBMIT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ash__submit__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
 
 
 /*
@@ -816,14 +812,10 @@
    * the process had been paused before this tick
    */
   protobuf_c_boolean woke;
-  /*
-   * wall clock, for declared events
-   */
-  int64_t unix_s;
 };
 #define ASH__TICK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ash__tick__descriptor) \
-    , 0, 0 }
+    , 0 }
 
 
 struct  Ash__Stop
--- a/test/unit_declared.c
+++ b/test/unit_declared.c
@@ -61,9 +61,6 @@
   CU_ASSERT_PTR_NOT_NULL (ash_declared_reservation (&document, 1099, "a", "s"));
   CU_ASSERT_PTR_NULL (ash_declared_reservation (&document, 1100, "a", "s"));
   CU_ASSERT_PTR_NULL (ash_declared_reservation (&document, 1000, "b", "s"));
-  CU_ASSERT_PTR_NOT_NULL (ash_declared_reserved (&document, 0, 1000, "s"));
-  CU_ASSERT_PTR_NULL (ash_declared_reserved (&document, 0, 900, "s"));
-  CU_ASSERT_PTR_NULL (ash_declared_reserved (&document, 0, 1000, "t"));
   CU_ASSERT_PTR_NOT_NULL (ash_declared_profile (&document, 950, "g"));
   CU_ASSERT_EQUAL (ash_declared_state (&document.events[0], 950), ASH_DECLARED_LEAD);
   CU_ASSERT_EQUAL (ash_declared_state (&document.events[0], 1100), ASH_DECLARED_OVER);
