--- a/common/events.h
+++ b/common/events.h
@@ -40,6 +40,8 @@
   X (502, INFO, RUN_REFUSED,        "an endpoint refused a request") \
   X (503, INFO, RUN_CANCELLED,      "a request was cancelled at the engine") \
   X (504, WARN, LEDGER_FULL,        "the ledger has no room; new work is refused") \
+  X (505, WARN, STALLED,            "an endpoint's engine stands still; what waits for it goes elsewhere") \
+  X (506, INFO, GOES_ON,            "it goes on") \
   X (600, INFO, MAP_CHANGE,         "a change of a group's expert map begins, and why") \
   X (601, INFO, MAP_CHANGED,        "it is through, or the group is in order again") \
   X (602, INFO, MAP_GIVEN_UP,       "it is given up: a higher ballot, or a rank does not answer") \
--- a/controllers/agent.c
+++ b/controllers/agent.c
@@ -48,6 +48,7 @@
   heartbeat->leaving = agent->leaving;
   heartbeat->in_flight = agent->ledger.running_count;
   heartbeat->queued = agent->ledger.queued_count;
+  heartbeat->stalled = agent->stalled;
   heartbeat->step_us = agent->all_runs.mean_us;
 }
 
@@ -530,11 +531,14 @@
 }
 
 static void
-handle_engine_head (struct ash_agent *agent, const struct Ash__EngineHead *head)
+handle_engine_head (struct ash_agent *agent,
+                    struct ash_time now,
+                    const struct Ash__EngineHead *head)
 {
   struct ash_record *record = ash_ledger_find_run (&agent->ledger, head->run);
   struct ash_watcher *watcher;
 
+  agent->progress = now;
   if (!record || record->answer.status)
     return;
   record->answer.status = head->status;
@@ -552,6 +556,7 @@
   struct ash_watcher *watcher;
   uint64_t offset;
 
+  agent->progress = now;
   if (!record)
     return;
   offset = record->answer.base + record->answer.length;
@@ -570,6 +575,7 @@
 {
   struct ash_record *record = ash_ledger_find_run (&agent->ledger, end->run);
 
+  agent->progress = now;
   if (!record)
     return;
   if (end->not_started)
@@ -636,9 +642,53 @@
     }
 }
 
+/* An engine that batches gives something each step to each request that it has
+ * begun to answer. Nothing to any of them for many steps: it stands still, and with
+ * it its group. A plain service may well be silent. */
+static bool
+stands_still (const struct ash_agent *agent, struct ash_time now)
+{
+  const struct ash_record *record;
+
+  if (ash_time_diff (agent->progress, now) < agent->settings->stall_ms ||
+      !ash_agent_is_model (agent))
+    return false;
+  DL_FOREACH (agent->ledger.running, record)
+    if (record->answer.status)
+      return true;
+  return false;
+}
+
+/* Waiting requests may go to another endpoint at once: they certainly did not run.
+ * Those that only their home may run stay. */
+static void
+release_queued (struct ash_agent *agent, struct ash_time now)
+{
+  struct ash_record *record;
+  struct ash_record *next;
+
+  DL_FOREACH_SAFE (agent->ledger.queued, record, next)
+    if (!record->keyed || !record->no_repeat)
+      refuse_record (agent, now, record, ASH__REASON__STALLED, record->outcome);
+}
+
+static void
+check_progress (struct ash_agent *agent, struct ash_time now)
+{
+  bool stalled = stands_still (agent, now);
+
+  if (stalled != agent->stalled)
+    ash_log_event (&agent->log, stalled ? ASH_EV_STALLED : ASH_EV_GOES_ON, "running=%u queued=%u",
+                   agent->ledger.running_count, agent->ledger.queued_count);
+  agent->stalled = stalled;
+  if (stalled)
+    release_queued (agent, now);
+}
+
 static void
 handle_tick (struct ash_agent *agent, struct ash_time now)
 {
+  check_progress (agent, now);
   check_queued (agent, now);
   check_running (agent, now);
   ash_ledger_expire (&agent->ledger, now, agent->settings->answers_keep_bytes);
@@ -675,7 +725,7 @@
       handle_link_down (agent, now, peer);
       break;
     case ASH__EVENT__KIND_ENGINE_HEAD:
-      handle_engine_head (agent, event->engine_head);
+      handle_engine_head (agent, now, event->engine_head);
       break;
     case ASH__EVENT__KIND_ENGINE_DATA:
       handle_engine_data (agent, now, event->engine_data);
--- a/controllers/agent.h
+++ b/controllers/agent.h
@@ -40,6 +40,8 @@
   struct ash_membership membership;
   struct ash_ledger ledger;
   bool leaving;
+  bool stalled;             /**< the engine streams, and has given nothing for stall_ms */
+  struct ash_time progress; /**< when it last gave anything */
   uint64_t last_run;
   struct ash_run_time runs[ASH_PRIORITIES]; /**< of each priority: they differ in length */
   struct ash_run_time all_runs;
--- a/controllers/agent_admit.c
+++ b/controllers/agent_admit.c
@@ -64,6 +64,18 @@
   return &agent->runs[priority < ASH_PRIORITIES ? priority : ASH_PRIORITIES - 1];
 }
 
+bool
+ash_agent_is_model (const struct ash_agent *agent)
+{
+  const struct ash_document *document = &agent->config.document;
+  const struct ash_endpoint *endpoint =
+      agent->config.ready ? ash_document_endpoint (document, agent->settings->box) : NULL;
+  const struct ash_service *service =
+      endpoint ? ash_document_service (document, endpoint->service) : NULL;
+
+  return service && service->kind == ASH_SERVICE_MODEL;
+}
+
 bool
 ash_agent_has_slot (const struct ash_agent *agent)
 {
@@ -166,6 +178,8 @@
           strcmp (home->name, agent->settings->box) != 0)
         return ASH__REASON__NOT_HOME;
     }
+  else if (agent->stalled)
+    return ASH__REASON__STALLED;
   if (agent->ledger.count >= agent->settings->ledger_max)
     return ASH__REASON__OVERLOAD;
   if (agent->ledger.queued_count >= agent->settings->queue_max && !ash_agent_has_slot (agent) &&
--- a/controllers/agent_admit.h
+++ b/controllers/agent_admit.h
@@ -25,6 +25,9 @@
 /** @return how many requests the engine works on at once. */
 uint32_t ash_agent_slots (const struct ash_agent *agent);
 
+/** @return whether a model's engine stands behind this agent. */
+bool ash_agent_is_model (const struct ash_agent *agent);
+
 /** @return whether one more request may run. */
 bool ash_agent_has_slot (const struct ash_agent *agent);
 
--- a/controllers/membership.c
+++ b/controllers/membership.c
@@ -61,6 +61,8 @@
     return false;
   is_new = box->incarnation != incarnation;
   box->linked = true;
+  box->heard = now;
+  box->suspect = false;
   box->role = role;
   box->revision = revision;
   if (is_new)
@@ -97,6 +99,23 @@
   return box->linked && !ash_box_leaving (box);
 }
 
+bool
+ash_box_preferred (const struct ash_box *box)
+{
+  return ash_box_usable (box) && !box->suspect && !box->passed_until.ms;
+}
+
+void
+ash_membership_tick (struct ash_membership *membership, struct ash_time now, uint32_t suspect_ms)
+{
+  for (struct ash_box *box = membership->boxes; box; box = box->hh.next)
+    {
+      box->suspect = ash_time_diff (box->heard, now) >= suspect_ms;
+      if (box->passed_until.ms && !ash_time_before (now, box->passed_until))
+        box->passed_until = (struct ash_time){ 0 };
+    }
+}
+
 /* Fewer boxes than this say nothing. */
 #define ALONE_BOXES_MIN 3
 
--- a/controllers/membership.h
+++ b/controllers/membership.h
@@ -21,6 +21,9 @@
   bool linked;                  /**< a link to it is up */
   uint64_t incarnation;         /**< the last known; 0: none yet */
   struct ash_time learned;      /**< when this incarnation was learned */
+  struct ash_time heard;        /**< the last heartbeat */
+  struct ash_time passed_until; /**< stood still: others are taken until then */
+  bool suspect;                 /**< silent for too long; others are taken */
   uint64_t leaving_incarnation; /**< the life that is leaving; 0: none */
   bool listed_leaving;          /**< by the platform's list, which names no life */
   uint64_t listed_incarnation;  /**< the life known when the list said so */
@@ -82,4 +85,11 @@
 /** @return whether the box may be sent new work: linked and not leaving. */
 bool ash_box_usable (const struct ash_box *box);
 
+/** @return whether it is usable and there is no reason to take another. */
+bool ash_box_preferred (const struct ash_box *box);
+
+/** Time goes on: who is suspect, or stands still. */
+void
+ash_membership_tick (struct ash_membership *membership, struct ash_time now, uint32_t suspect_ms);
+
 #endif
--- a/controllers/retry_budget.c
+++ b/controllers/retry_budget.c
@@ -14,10 +14,16 @@
     budget->milli = ASH_RETRY_CAP_MILLI;
 }
 
+bool
+ash_retry_budget_affords (const struct ash_retry_budget *budget)
+{
+  return budget->milli >= ASH_RETRY_COST_MILLI;
+}
+
 bool
 ash_retry_budget_spend (struct ash_retry_budget *budget)
 {
-  if (budget->milli < ASH_RETRY_COST_MILLI)
+  if (!ash_retry_budget_affords (budget))
     return false;
   budget->milli -= ASH_RETRY_COST_MILLI;
   return true;
--- a/controllers/retry_budget.h
+++ b/controllers/retry_budget.h
@@ -29,6 +29,9 @@
 /** A request was answered. */
 void ash_retry_budget_earn (struct ash_retry_budget *budget);
 
+/** @return whether one more retry is affordable. */
+bool ash_retry_budget_affords (const struct ash_retry_budget *budget);
+
 /** @return whether one more retry is affordable; if so it is paid. */
 bool ash_retry_budget_spend (struct ash_retry_budget *budget);
 
--- a/filters/entry.c
+++ b/filters/entry.c
@@ -217,7 +217,8 @@
                int outcome,
                uint32_t retry_ms)
 {
-  bool is_free = reason == ASH__REASON__LEAVING || reason == ASH__REASON__NOT_RECEIVED;
+  bool is_free = reason == ASH__REASON__LEAVING || reason == ASH__REASON__NOT_RECEIVED ||
+                 (reason == ASH__REASON__STALLED && outcome == ASH__OUTCOME__NOT_RUN);
   char id[ASH_ID_TEXT_BYTES];
 
   if (outcome != ASH__OUTCOME__NOT_RUN)
@@ -593,6 +594,58 @@
     }
 }
 
+/* Whether a request that waits there may as well go elsewhere: nothing of its answer
+ * has come, it may be repeated, and there is a better place that takes it. It may
+ * run where it is in the end, so going elsewhere is paid from the budget. */
+static bool
+may_leave (const struct ash_entry *entry, const struct ash_request *request)
+{
+  struct ash_request other = *request;
+
+  return request->state == ASH_REQUEST_SENT && !request->told && !request->received &&
+         !request->no_repeat && request->tries < ASH_REQUEST_TRIES_MAX &&
+         ash_retry_budget_affords (&entry->budget) &&
+         ash_route_choose (&entry->context, request->submit->service, &other) &&
+         ash_box_preferred (ash_membership_find (&entry->membership, other.box));
+}
+
+/* Its engine stands still, or nothing is heard of it. */
+static void
+leave_box (struct ash_entry *entry, struct ash_time now, const char *peer, int reason)
+{
+  struct ash_request *request;
+  struct ash_request *next;
+
+  HASH_ITER (hh, entry->by_call, request, next)
+    if (strcmp (request->box, peer) == 0 &&
+        ash_time_diff (request->sent, now) >= entry->settings->stall_ms &&
+        may_leave (entry, request))
+      {
+        ash_attempt_cancel (entry, request);
+        try_elsewhere (entry, now, request, reason, ASH__OUTCOME__UNKNOWN, 0);
+      }
+}
+
+static void
+handle_heartbeat (struct ash_entry *entry,
+                  struct ash_time now,
+                  const char *peer,
+                  const struct Ash__Heartbeat *heartbeat)
+{
+  struct ash_box *box;
+
+  if (ash_membership_heartbeat (&entry->membership, peer, heartbeat))
+    ash_log_event (&entry->log, ASH_EV_BOX_LEAVING, "source=%s", peer);
+  box = ash_membership_find (&entry->membership, peer);
+  if (!box)
+    return;
+  box->heard = now;
+  if (!heartbeat->stalled)
+    return;
+  box->passed_until = ash_time_add (now, entry->settings->stall_hold_ms);
+  leave_box (entry, now, peer, ASH__REASON__STALLED);
+}
+
 static void
 handle_link_up (struct ash_entry *entry,
                 struct ash_time now,
@@ -655,6 +708,10 @@
   struct ash_request *request;
   struct ash_request *next;
 
+  ash_membership_tick (&entry->membership, now, entry->settings->suspect_ms);
+  for (const struct ash_box *box = entry->membership.boxes; box; box = box->hh.next)
+    if (box->suspect && box->linked)
+      leave_box (entry, now, box->name, ASH__REASON__ENDPOINT_LOST);
   HASH_ITER (hh, entry->by_call, request, next)
     check_request (entry, now, request);
 }
@@ -688,8 +745,7 @@
       handle_disowned (entry, now, peer, event->disowned);
       break;
     case ASH__EVENT__KIND_HEARTBEAT:
-      if (ash_membership_heartbeat (&entry->membership, peer, event->heartbeat))
-        ash_log_event (&entry->log, ASH_EV_BOX_LEAVING, "source=%s", peer);
+      handle_heartbeat (entry, now, peer, event->heartbeat);
       break;
     case ASH__EVENT__KIND_LINK_UP:
       handle_link_up (entry, now, peer, event->link_up);
--- a/filters/route.c
+++ b/filters/route.c
@@ -13,6 +13,7 @@
 {
   const struct ash_endpoint *endpoint;
   const struct ash_box *box;
+  bool any; /* also one that others are preferred to: set by who asks */
 };
 
 static bool
@@ -35,9 +36,11 @@
       ash_document_service_endpoint (&context->config->document, service, index);
   const struct ash_box *box = ash_membership_find (context->membership, endpoint->name);
 
-  if (!box || !ash_box_usable (box) || was_tried (request, box))
+  if (!box || !(candidate->any ? ash_box_usable (box) : ash_box_preferred (box)) ||
+      was_tried (request, box))
     return false;
-  *candidate = (struct candidate){ endpoint, box };
+  candidate->endpoint = endpoint;
+  candidate->box = box;
   return true;
 }
 
@@ -89,7 +92,7 @@
                      const struct ash_service *service,
                      struct candidate *best)
 {
-  struct candidate candidate;
+  struct candidate candidate = *best;
   bool found = false;
 
   for (uint32_t i = 0; i < service->endpoint_count; i++)
@@ -109,7 +112,7 @@
                   const struct ash_service *service,
                   struct candidate *best)
 {
-  struct candidate second;
+  struct candidate second = *best;
 
   if (!pick_any (context, request, service, best))
     return false;
@@ -144,10 +147,16 @@
 {
   const struct ash_service *service =
       ash_document_service (&context->config->document, service_name);
-  struct candidate chosen;
+  struct candidate chosen = { 0 };
 
-  if (!service || service->endpoint_count == 0 || !pick (context, request, service, &chosen))
+  if (!service || service->endpoint_count == 0)
     return false;
+  if (!pick (context, request, service, &chosen))
+    {
+      chosen.any = true;
+      if (!pick (context, request, service, &chosen))
+        return false;
+    }
   strcpy (request->box, chosen.box->name);
   request->incarnation = chosen.box->incarnation;
   return true;
--- a/options/settings.h
+++ b/options/settings.h
@@ -53,6 +53,9 @@
   uint32_t ready_wait_ms;
   uint32_t retry_after_ms;
   uint32_t resume_ms;
+  uint32_t stall_ms;
+  uint32_t stall_hold_ms;
+  uint32_t suspect_ms;
   uint32_t key_life_ms;
   uint32_t guard_ms;
   uint32_t id_life_ms;
--- a/proto/ash.pb-c.c
+++ b/proto/ash.pb-c.c
@@ -1768,7 +1768,7 @@
   (ProtobufCMessageInit) ash__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__heartbeat__field_descriptors[8] =
+static const ProtobufCFieldDescriptor ash__heartbeat__field_descriptors[9] =
 {
   {
     "revision",
@@ -1866,6 +1866,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stalled",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ash__Heartbeat, stalled),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ash__heartbeat__field_indices_by_name[] = {
   2,   /* field[2] = in_flight */
@@ -1875,12 +1887,13 @@
   3,   /* field[3] = queued */
   7,   /* field[7] = reads_platform */
   0,   /* field[0] = revision */
+  8,   /* field[8] = stalled */
   4,   /* field[4] = step_us */
 };
 static const ProtobufCIntRange ash__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor ash__heartbeat__descriptor =
 {
@@ -1890,7 +1903,7 @@
   "Ash__Heartbeat",
   "ash",
   sizeof(Ash__Heartbeat),
-  8,
+  9,
   ash__heartbeat__field_descriptors,
   ash__heartbeat__field_indices_by_name,
   1,  ash__heartbeat__number_ranges,
@@ -5527,7 +5540,7 @@
   ash__outcome__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue ash__reason__enum_values_by_number[24] =
+static const ProtobufCEnumValue ash__reason__enum_values_by_number[25] =
 {
   { "REASON_NONE", "ASH__REASON__REASON_NONE", 0 },
   { "BAD_REQUEST", "ASH__REASON__BAD_REQUEST", 1 },
@@ -5553,11 +5566,12 @@
   { "MISDIRECTED", "ASH__REASON__MISDIRECTED", 21 },
   { "KEY_EXPIRED", "ASH__REASON__KEY_EXPIRED", 22 },
   { "NOT_RECEIVED", "ASH__REASON__NOT_RECEIVED", 23 },
+  { "STALLED", "ASH__REASON__STALLED", 24 },
 };
 static const ProtobufCIntRange ash__reason__value_ranges[] = {
-{0, 0},{0, 24}
+{0, 0},{0, 25}
 };
-static const ProtobufCEnumValueIndex ash__reason__enum_values_by_name[24] =
+static const ProtobufCEnumValueIndex ash__reason__enum_values_by_name[25] =
 {
   { "ANSWER_GONE", 15 },
   { "ANSWER_TOO_LARGE", 19 },
@@ -5583,6 +5597,7 @@
   { "RETRY_BUDGET", 20 },
   { "STALE_CONFIG", 16 },
   { "STALE_INCARNATION", 8 },
+  { "STALLED", 24 },
 };
 const ProtobufCEnumDescriptor ash__reason__descriptor =
 {
@@ -5591,9 +5606,9 @@
   "Reason",
   "Ash__Reason",
   "ash",
-  24,
+  25,
   ash__reason__enum_values_by_number,
-  24,
+  25,
   ash__reason__enum_values_by_name,
   1,
   ash__reason__value_ranges,
--- a/proto/ash.pb-c.h
+++ b/proto/ash.pb-c.h
@@ -198,7 +198,11 @@
   /*
    * asked to resume what never arrived
    */
-  ASH__REASON__NOT_RECEIVED = 23
+  ASH__REASON__NOT_RECEIVED = 23,
+  /*
+   * the endpoint's engine stands still
+   */
+  ASH__REASON__STALLED = 24
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(ASH__REASON)
 } Ash__Reason;
 typedef enum _Ash__Role {
@@ -267,10 +271,14 @@
    * its last read of the platform went well
    */
   protobuf_c_boolean reads_platform;
+  /*
+   * its engine works on requests and gives nothing
+   */
+  protobuf_c_boolean stalled;
 };
 #define ASH__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ash__heartbeat__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
--- a/test/faults.c
+++ b/test/faults.c
@@ -638,6 +638,38 @@
   fleet_stop (&fleet);
 }
 
+/* An engine stops in the middle: what waits for it is answered by the other, and so
+ * is what comes; what it had begun goes on with it. */
+static void
+test_engine_stands_still (void)
+{
+  static struct fleet_call calls[LOAD];
+  struct fleet fleet;
+  struct fleet_call begun;
+
+  fleet_start (&fleet, NO_GUARD);
+  do
+    {
+      fleet_chat (&fleet, &begun, 0, true, 400);
+      fleet_sleep (200);
+      if (fleet_runs (&fleet, 0, NULL, "runs") > fleet_runs (&fleet, 0, NULL, "ended"))
+        break;
+      fleet_wait (&begun);
+      ash_cli_answer_finish (&begun.answer);
+    }
+  while (true);
+  kill (fleet.endpoints[0].engine, SIGSTOP);
+  for (int i = 0; i < LOAD; i++)
+    fleet_chat (&fleet, &calls[i], i % FLEET_ENTRIES, true, 5);
+  expect_streams (calls, 5);
+  CU_ASSERT (fleet_log_count (&fleet, "model-1", " 505 stalled ") > 0);
+  kill (fleet.endpoints[0].engine, SIGCONT);
+  fleet_wait (&begun);
+  CU_ASSERT (fleet_stream_ok (&begun.answer, 400));
+  ash_cli_answer_finish (&begun.answer);
+  fleet_stop (&fleet);
+}
+
 /* Every engine fails: retries come out of a budget, so there is no storm. */
 static void
 test_no_retry_storm (void)
@@ -740,6 +772,7 @@
   { "leaving by its own word", test_leaving_by_its_own_word },
   { "leaving by hearsay", test_leaving_by_hearsay },
   { "restart one by one under load", test_restart_one_by_one },
+  { "an engine stands still", test_engine_stands_still },
   { "a failing service gets no storm of retries", test_no_retry_storm },
   { "a cut and a kill", test_cut_and_kill },
   { "escapes in a path", test_escaped_path },
