--- a/bench/policy.c
+++ b/bench/policy.c
@@ -400,9 +400,10 @@
   };
 }
 
-static const char *const routes[] = { "random", "round robin", "least reported", "two choices" };
+static const char *const routes[] = { "random", "round robin", "least reported", "two choices",
+                                      "near prefix" };
 #define ROUTES (sizeof routes / sizeof routes[0])
-#define DEFAULT_ROUTE "two choices"
+#define DEFAULT_ROUTE "near prefix"
 
 static void
 compare_routes (void)
--- a/bench/policy_world.c
+++ b/bench/policy_world.c
@@ -13,12 +13,11 @@
 #define STORM_US 100000
 #define WAIT_TRIES 3
 #define STORM_TRIES 5
-#define KEEP_MIN_US 2500000
-#define KEEP_SPAN_US 2500000
 #define PREFIX_TOKENS 600
 #define PROMPT_TOKENS 100
 #define US_PER_MS 1000
 #define UNIX_S 1000000
+#define BODY_BYTES 256
 
 /* Bytes of an answer are counted by tokens; a message a few tokens. */
 #define TOKENS_A_MESSAGE 8
@@ -220,7 +219,7 @@
 start_run (struct world *world, uint32_t box, const struct Ash__EngineStart *start)
 {
   struct engine_model *engine = &world->boxes[box].engine;
-  uint32_t index = (uint32_t) atoi ((const char *) start->body.data);
+  uint32_t index = (uint32_t) atoi ((const char *) start->body.data + BODY_BYTES);
   const struct world_call *call = &world->calls[index];
 
   if (!engine_start (engine, start->run, call->prefix, PREFIX_TOKENS, PROMPT_TOKENS, call->tokens))
@@ -329,7 +328,8 @@
 {
   const struct ash_document *document = &world->boxes[0].session.entry.config.document;
   int64_t paused_us = world->now_us - world->paused_since_us;
-  int64_t keep_us = SILENCE_US + KEEP_MIN_US + ash_random_below (&world->random, KEEP_SPAN_US);
+  uint32_t half_us = world->boxes[0].session.settings.address_keep_ms * US_PER_MS / 2;
+  int64_t keep_us = SILENCE_US + half_us + ash_random_below (&world->random, half_us);
   int32_t found[WORLD_ENTRIES];
   uint32_t count = 0;
 
@@ -354,7 +354,7 @@
       ash_document_account (document, world->accounts[call->account].name);
   struct Ash__Call message = ASH__CALL__INIT;
   struct Ash__Event event = ash_event_of ("", ASH__EVENT__KIND_CALL, &message);
-  char body[16];
+  char body[BODY_BYTES + 16];
   int32_t e = choose_entry (world, account);
 
   if (e < 0 || world->now_us >= call->deadline_us)
@@ -370,7 +370,10 @@
   message.method = ash_text ("POST");
   message.path = ash_text ("/v1/completions");
   message.body.data = (uint8_t *) body;
-  message.body.len = (size_t) sprintf (body, "%u", index) + 1;
+  /* A prefix that is the same for many, and then what is one's own. */
+  memset (body, ' ', BODY_BYTES);
+  sprintf (body, "%u", call->prefix);
+  message.body.len = (size_t) sprintf (body + BODY_BYTES, "%u", index) + BODY_BYTES + 1;
   message.key_hash.data = (uint8_t *) (uintptr_t) account->key_hash;
   message.key_hash.len = ASH_KEY_HASH_BYTES;
   message.stream = true;
@@ -770,6 +773,8 @@
                                    .data = box };
   session_settings (&box->session.settings, name, is_entry);
   box->session.settings.route = route_of (world->setup->route);
+  if (strcmp (world->setup->route, "two choices") == 0)
+    box->session.settings.prefix_bytes = 0;
   session_init (&box->session, index + 1000 * box->incarnation, now_of (world));
   box->incarnation = is_entry ? box->incarnation : index + 1000 * box->incarnation;
   if (session_offer (&box->session, now_of (world), 1, world->document, strlen (world->document)) !=
--- a/common/id.c
+++ b/common/id.c
@@ -51,10 +51,16 @@
   return XXH3_64bits_withSeed (name, strlen (name), id.hi ^ id.lo);
 }
 
+uint64_t
+ash_hash_bytes (const void *bytes, size_t length)
+{
+  return XXH3_64bits (bytes, length);
+}
+
 uint64_t
 ash_hash_text (const char *text)
 {
-  return XXH3_64bits (text, strlen (text));
+  return ash_hash_bytes (text, strlen (text));
 }
 
 void
--- a/common/id.h
+++ b/common/id.h
@@ -40,7 +40,10 @@
 /** A weight for rendezvous hashing: the highest over all candidates wins. */
 uint64_t ash_hash_pair (struct ash_id id, const char *name);
 
-/** A 64-bit hash of a text. */
+/** @return a 64-bit hash of bytes, the same on every box. */
+uint64_t ash_hash_bytes (const void *bytes, size_t length);
+
+/** @return a 64-bit hash of a text. */
 uint64_t ash_hash_text (const char *text);
 
 /** Hashes a bearer key as the published configuration holds it (BLAKE2b-256). */
--- a/filters/route.c
+++ b/filters/route.c
@@ -121,6 +121,59 @@
   return true;
 }
 
+/* The endpoint of a model that requests with this prefix go to, so that its cache
+ * has the prefix: by rendezvous hashing, so that all entries agree without a word. */
+static bool
+pick_prefix (const struct ash_filter_context *context,
+             const struct ash_request *request,
+             const struct ash_service *service,
+             struct candidate *best)
+{
+  uint32_t length = context->settings->prefix_bytes;
+  struct candidate candidate = *best;
+  struct ash_id prefix = { 0 };
+  uint64_t highest = 0;
+
+  /* A key to be minted has no body yet. */
+  if (!length || service->kind != ASH_SERVICE_MODEL || !request->submit ||
+      request->submit->body.len < length)
+    return false;
+  prefix.hi = ash_hash_bytes (request->submit->body.data, length);
+  for (uint32_t i = 0; i < service->endpoint_count; i++)
+    {
+      uint64_t weight;
+
+      if (!consider (context, request, service, i, &candidate))
+        continue;
+      weight = ash_hash_pair (prefix, candidate.endpoint->name);
+      if (highest && weight <= highest)
+        continue;
+      highest = weight;
+      *best = candidate;
+    }
+  return highest > 0;
+}
+
+/* The prefix's endpoint, unless it has so much more to do than the better of two
+ * others that a cached prefix would not make up for it: a hot prefix must not pin
+ * the load of all that have it. Tried: only as long as it has a free slot; at full
+ * load, where a cache is worth most, that is never. */
+static bool
+pick_near_prefix (const struct ash_filter_context *context,
+                  const struct ash_request *request,
+                  const struct ash_service *service,
+                  struct candidate *best)
+{
+  struct candidate near = *best;
+
+  if (!pick_two_choices (context, request, service, best))
+    return false;
+  if (pick_prefix (context, request, service, &near) &&
+      load_milli (&near) <= load_milli (best) + context->settings->affinity_milli)
+    *best = near;
+  return true;
+}
+
 static bool
 pick (const struct ash_filter_context *context,
       const struct ash_request *request,
@@ -136,7 +189,7 @@
     case ASH_ROUTE_LEAST_REPORTED:
       return pick_least_reported (context, request, service, candidate);
     default:
-      return pick_two_choices (context, request, service, candidate);
+      return pick_near_prefix (context, request, service, candidate);
     }
 }
 
--- a/options/settings.h
+++ b/options/settings.h
@@ -56,6 +56,8 @@
   uint32_t stall_ms;
   uint32_t stall_hold_ms;
   uint32_t suspect_ms;
+  uint32_t prefix_bytes;
+  uint32_t affinity_milli;
   uint32_t key_life_ms;
   uint32_t guard_ms;
   uint32_t id_life_ms;
--- a/spec/config.pml
+++ b/spec/config.pml
@@ -14,7 +14,7 @@
  * Left out: what is in a document; a revision that had not reached all boxes when the
  * one that served with it was replaced, while the platform answers an older one.
  *
- * Broken variants, each must be seen to fail (-DNAME):
+ * Broken variants, each must be seen to fail:
  *   TAKE_OLDER        a box takes whatever it hears
  *   SERVE_AT_ONCE     a replaced box serves before it has heard its peers
  *   USED_REVISION     the platform takes a revision that it has already
