--- /dev/null
+++ b/filters/links.c
@@ -0,0 +1,165 @@
+#include "filters/links.h"
+
+#include "filters/attempt.h"
+#include "filters/ending.h"
+#include "filters/route.h"
+
+#include <string.h>
+
+static void
+check_request (struct ash_entry *entry, struct ash_time now, struct ash_request *request);
+
+static bool
+waits_for (const struct ash_request *request, const char *peer)
+{
+  for (uint32_t i = 0; i < request->asked_count; i++)
+    if (strcmp (request->asked[i], peer) == 0)
+      return true;
+  return false;
+}
+
+void
+ash_links_down (struct ash_entry *entry, struct ash_time now, const char *peer)
+{
+  struct ash_request *request;
+  struct ash_request *next;
+
+  ash_membership_link_down (&entry->membership, peer);
+  HASH_ITER (hh, entry->by_call, request, next)
+    {
+      if (request->state == ASH_REQUEST_DISOWNING)
+        {
+          if (waits_for (request, peer))
+            ash_ending_give_up (entry, now, request, ASH__REASON__NOT_HOME,
+                                ash_ending_unsent (request), 0);
+        }
+      else if (request->state == ASH_REQUEST_SENT && strcmp (request->box, peer) == 0)
+        {
+          request->state = ASH_REQUEST_CUT;
+          request->cut_since = now;
+        }
+    }
+}
+
+/* Whether a request that waits there may as well go elsewhere: nothing of its answer
+ * has come, it may be repeated, and there is a better place that takes it. It may
+ * run where it is in the end, so going elsewhere is paid from the budget. */
+static bool
+may_leave (const struct ash_entry *entry, const struct ash_request *request)
+{
+  struct ash_request other = *request;
+
+  return request->state == ASH_REQUEST_SENT && !request->told && !request->received &&
+         !request->no_repeat && request->tries < ASH_REQUEST_TRIES_MAX &&
+         ash_retry_budget_affords (&entry->budget) &&
+         ash_route_choose (&entry->context, request->submit->service, &other) &&
+         ash_box_preferred (ash_membership_find (&entry->membership, other.box));
+}
+
+/* Its engine stands still, or nothing is heard of it. */
+static void
+leave_box (struct ash_entry *entry, struct ash_time now, const char *peer, int reason)
+{
+  struct ash_request *request;
+  struct ash_request *next;
+
+  HASH_ITER (hh, entry->by_call, request, next)
+    if (strcmp (request->box, peer) == 0 &&
+        ash_time_diff (request->sent, now) >= entry->settings->stall_ms &&
+        may_leave (entry, request))
+      {
+        ash_attempt_cancel (entry, request);
+        ash_ending_or_elsewhere (entry, now, request, reason, ASH__OUTCOME__UNKNOWN, 0);
+      }
+}
+
+void
+ash_links_heartbeat (struct ash_entry *entry,
+                     struct ash_time now,
+                     const char *peer,
+                     const struct Ash__Heartbeat *heartbeat)
+{
+  struct ash_box *box;
+
+  if (ash_membership_heartbeat (&entry->membership, peer, heartbeat))
+    ash_log_event (&entry->log, ASH_EV_BOX_LEAVING, "source=%s", peer);
+  box = ash_membership_find (&entry->membership, peer);
+  if (!box)
+    return;
+  box->heard = now;
+  if (!heartbeat->stalled)
+    return;
+  box->passed_until = ash_time_add (now, entry->settings->stall_hold_ms);
+  leave_box (entry, now, peer, ASH__REASON__STALLED);
+}
+
+void
+ash_links_up (struct ash_entry *entry,
+              struct ash_time now,
+              const char *peer,
+              const struct Ash__LinkUp *up)
+{
+  struct ash_request *request;
+  struct ash_request *next;
+
+  if (ash_membership_link_up (&entry->membership, now, peer, (int) up->role, up->incarnation,
+                              up->revision))
+    ash_log_event (&entry->log, ASH_EV_NEW_INCARNATION, "box=%s incarnation=%016llx", peer,
+                   (unsigned long long) up->incarnation);
+  HASH_ITER (hh, entry->by_call, request, next)
+    {
+      if (request->state != ASH_REQUEST_CUT || strcmp (request->box, peer) != 0)
+        continue;
+      if (!ash_time_before (now, request->deadline))
+        check_request (entry, now, request);
+      else if (request->incarnation == up->incarnation)
+        {
+          request->state = ASH_REQUEST_SENT;
+          ash_attempt_resume (entry, now, request);
+        }
+      else
+        /* That life is gone, and what it did with it can't be known any more. */
+        ash_ending_or_elsewhere (entry, now, request, ASH__REASON__ENDPOINT_LOST,
+                                 request->received ? ASH__OUTCOME__RAN : ASH__OUTCOME__UNKNOWN, 0);
+    }
+}
+
+/* ---- time ---- */
+
+static void
+check_request (struct ash_entry *entry, struct ash_time now, struct ash_request *request)
+{
+  struct ash_time cut_until = ash_time_add (request->cut_since, entry->settings->resume_ms);
+
+  if (!ash_time_before (now, request->deadline))
+    {
+      int outcome = ASH__OUTCOME__UNKNOWN;
+
+      if (request->state == ASH_REQUEST_DISOWNING)
+        outcome = ash_ending_unsent (request);
+      else if (request->received || request->status)
+        outcome = ASH__OUTCOME__RAN;
+      ash_attempt_cancel (entry, request);
+      ash_ending_give_up (entry, now, request, ASH__REASON__DEADLINE, outcome, 0);
+    }
+  /* What may not be repeated stays with its endpoint until the deadline: the
+   * link may come back, and with it the answer. */
+  else if (request->state == ASH_REQUEST_CUT && !request->no_repeat && !request->told &&
+           !ash_time_before (now, cut_until))
+    ash_ending_or_elsewhere (entry, now, request, ASH__REASON__ENDPOINT_LOST, ASH__OUTCOME__UNKNOWN,
+                             0);
+}
+
+void
+ash_links_tick (struct ash_entry *entry, struct ash_time now)
+{
+  struct ash_request *request;
+  struct ash_request *next;
+
+  ash_membership_tick (&entry->membership, now, entry->settings->suspect_ms);
+  for (const struct ash_box *box = entry->membership.boxes; box; box = box->hh.next)
+    if (box->suspect && box->linked)
+      leave_box (entry, now, box->name, ASH__REASON__ENDPOINT_LOST);
+  HASH_ITER (hh, entry->by_call, request, next)
+    check_request (entry, now, request);
+}
