--- a/controllers/agent.c
+++ b/controllers/agent.c
@@ -1,16 +1,14 @@
 #include "controllers/agent.h"
 
 #include "controllers/agent_admit.h"
+#include "controllers/agent_engine.h"
+#include "controllers/agent_run.h"
 #include "controllers/agent_tell.h"
 
-#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
 
-/* New runs count an eighth in the smoothed time. */
-#define US_PER_MS 1000
-
 void
 ash_agent_init (struct ash_agent *agent,
                 const struct ash_settings *settings,
@@ -52,134 +50,6 @@
   heartbeat->step_us = agent->all_runs.mean_us;
 }
 
-/* ---- endings ---- */
-
-static struct ash_time
-expiry (const struct ash_agent *agent, struct ash_time now, const struct ash_record *record)
-{
-  return ash_time_add (now,
-                       record->keyed ? agent->settings->key_life_ms : agent->settings->id_life_ms);
-}
-
-/* Writes the refusal into the ledger, then tells every entry that waits. */
-static void
-refuse_record (struct ash_agent *agent,
-               struct ash_time now,
-               struct ash_record *record,
-               int reason,
-               int outcome)
-{
-  struct ash_watcher *watcher;
-  char id[ASH_ID_TEXT_BYTES];
-
-  record->reason = reason;
-  record->outcome = outcome;
-  ash_ledger_end (&agent->ledger, record, ASH_RECORD_REFUSED, expiry (agent, now, record));
-  ash_id_format (record->id, id);
-  ash_log_event (&agent->log, ASH_EV_RUN_REFUSED, "id=%s reason=%d outcome=%d", id, reason,
-                 outcome);
-  while ((watcher = record->watchers))
-    {
-      struct ash_asker asker = { .peer = watcher->peer,
-                                 .id = record->id,
-                                 .attempt = watcher->attempt };
-
-      ash_agent_tell_refused (agent, &asker, reason, outcome);
-      ash_record_unwatch (record, watcher);
-    }
-}
-
-static void
-finish_record (
-    struct ash_agent *agent, struct ash_time now, struct ash_record *record, bool whole, int reason)
-{
-  struct ash_watcher *watcher;
-
-  char id[ASH_ID_TEXT_BYTES];
-
-  record->whole = whole;
-  record->reason = reason;
-  ash_id_format (record->id, id);
-  ash_log_event (&agent->log, ASH_EV_RUN_ENDED, "id=%s whole=%d bytes=%" PRIu64 " reason=%d", id,
-                 whole, record->answer.base + record->answer.length, reason);
-  ash_ledger_end (&agent->ledger, record, ASH_RECORD_FINISHED, expiry (agent, now, record));
-  while ((watcher = record->watchers))
-    {
-      ash_agent_tell_end (agent, record, watcher->peer, watcher->attempt, whole, reason);
-      ash_record_unwatch (record, watcher);
-    }
-}
-
-static void
-cancel_run (struct ash_agent *agent, struct ash_time now, struct ash_record *record, int reason)
-{
-  struct Ash__EngineCancel cancel = ASH__ENGINE_CANCEL__INIT;
-  char id[ASH_ID_TEXT_BYTES];
-
-  cancel.run = record->run;
-  ash_emit (&agent->sink, "", ASH__EVENT__KIND_ENGINE_CANCEL, &cancel);
-  ash_id_format (record->id, id);
-  ash_log_event (&agent->log, ASH_EV_RUN_CANCELLED, "id=%s reason=%d", id, reason);
-  finish_record (agent, now, record, false, reason);
-}
-
-/* ---- starting ---- */
-
-static void
-start_run (struct ash_agent *agent, struct ash_time now, struct ash_record *record)
-{
-  const struct Ash__Submit *submit = record->submit;
-  struct Ash__EngineStart start = ASH__ENGINE_START__INIT;
-  char id[ASH_ID_TEXT_BYTES];
-
-  record->run = ++agent->last_run;
-  record->started = now;
-  record->wait_ms = (uint32_t) ash_time_diff (record->arrived, now);
-  start.run = record->run;
-  start.id_hi = record->id.hi;
-  start.id_lo = record->id.lo;
-  start.method = submit->method;
-  start.path = submit->path;
-  start.content_type = submit->content_type;
-  start.body = submit->body;
-  start.no_repeat = submit->no_repeat;
-  start.priority = submit->priority;
-  ash_emit (&agent->sink, "", ASH__EVENT__KIND_ENGINE_START, &start);
-  ash_ledger_run (&agent->ledger, record);
-  ash_id_format (record->id, id);
-  ash_log_event (&agent->log, ASH_EV_RUN_STARTED, "id=%s wait_ms=%u", id, record->wait_ms);
-}
-
-/* Why a queued request is not to wait any longer, if it would start after that
- * time: its deadline has passed, or will have when it could end. */
-static int
-hopeless_reason (const struct ash_agent *agent,
-                 struct ash_time now,
-                 const struct ash_record *record,
-                 int64_t wait_ms)
-{
-  struct ash_time end = ash_time_add (now, wait_ms + ash_agent_run_ms (agent, record->priority));
-
-  if (!ash_time_before (now, record->deadline))
-    return ASH__REASON__DEADLINE;
-  return ash_time_before (record->deadline, end) ? ASH__REASON__OVERLOAD : ASH__REASON__REASON_NONE;
-}
-
-static void
-start_queued (struct ash_agent *agent, struct ash_time now)
-{
-  while (agent->ledger.queued && ash_agent_has_slot (agent))
-    {
-      struct ash_record *record = agent->ledger.queued;
-      int reason = hopeless_reason (agent, now, record, 0);
-
-      if (reason == ASH__REASON__REASON_NONE)
-        start_run (agent, now, record);
-      else
-        refuse_record (agent, now, record, reason, record->outcome);
-    }
-}
-
 /* ---- Submit ---- */
 
 /* A record for the asker, or NULL if nothing can be written any more. */
@@ -240,7 +110,8 @@
     }
   cover_asker (record, asker);
   ash_record_watch (record, asker->peer, asker->attempt);
-  refuse_record (agent, now, record, reason, known ? ASH__OUTCOME__NOT_RUN : ASH__OUTCOME__UNKNOWN);
+  ash_agent_refuse (agent, now, record, reason,
+                    known ? ASH__OUTCOME__NOT_RUN : ASH__OUTCOME__UNKNOWN);
 }
 
 /* Tells a refusal that is in the ledger; what it covers grows with each attempt
@@ -307,7 +178,7 @@
   struct ash_record *last = ash_agent_least_urgent (agent, submit);
 
   if (last && !ash_agent_has_slot (agent))
-    refuse_record (agent, now, last, ASH__REASON__OVERLOAD, last->outcome);
+    ash_agent_refuse (agent, now, last, ASH__REASON__OVERLOAD, last->outcome);
 }
 
 static void
@@ -344,7 +215,7 @@
   record->refused_upto = ash_asker_covers (asker);
   ash_record_watch (record, asker->peer, asker->attempt);
   ash_ledger_queue (&agent->ledger, record);
-  start_queued (agent, now);
+  ash_agent_start_queued (agent, now);
 }
 
 static void
@@ -449,9 +320,9 @@
   if (cancel && may_cancel_at_once (record))
     {
       if (record->state == ASH_RECORD_QUEUED)
-        refuse_record (agent, now, record, ASH__REASON__CANCELLED, record->outcome);
+        ash_agent_refuse (agent, now, record, ASH__REASON__CANCELLED, record->outcome);
       else
-        cancel_run (agent, now, record, ASH__REASON__CANCELLED);
+        ash_agent_cancel_run (agent, now, record, ASH__REASON__CANCELLED);
     }
   else
     record->orphan_since = now;
@@ -475,7 +346,7 @@
     return;
   ash_record_unwatch (record, watcher);
   lose_watcher (agent, now, record, true);
-  start_queued (agent, now);
+  ash_agent_start_queued (agent, now);
 }
 
 static void
@@ -510,7 +381,7 @@
     {
       record = write_record (agent, &asker);
       if (record)
-        refuse_record (agent, now, record, ASH__REASON__NOT_HOME, ASH__OUTCOME__UNKNOWN);
+        ash_agent_refuse (agent, now, record, ASH__REASON__NOT_HOME, ASH__OUTCOME__UNKNOWN);
     }
   /* Without a record it could still run here: the other home must not. */
   disowned.has_it = !record || record->state != ASH_RECORD_REFUSED;
@@ -530,171 +401,6 @@
   ash_emit (&agent->sink, peer, ASH__EVENT__KIND_DISOWNED, &disowned);
 }
 
-static void
-handle_engine_head (struct ash_agent *agent,
-                    struct ash_time now,
-                    const struct Ash__EngineHead *head)
-{
-  struct ash_record *record = ash_ledger_find_run (&agent->ledger, head->run);
-  struct ash_watcher *watcher;
-
-  agent->progress = now;
-  if (!record || record->answer.status)
-    return;
-  record->answer.status = head->status;
-  record->answer.content_type = strdup (head->content_type);
-  LL_FOREACH (record->watchers, watcher)
-    ash_agent_tell_head (agent, record, watcher->peer, watcher->attempt);
-}
-
-static void
-handle_engine_data (struct ash_agent *agent,
-                    struct ash_time now,
-                    const struct Ash__EngineData *data)
-{
-  struct ash_record *record = ash_ledger_find_run (&agent->ledger, data->run);
-  struct ash_watcher *watcher;
-  uint64_t offset;
-
-  agent->progress = now;
-  if (!record)
-    return;
-  offset = record->answer.base + record->answer.length;
-  if (!ash_answer_append (&record->answer, data->bytes.data, data->bytes.len,
-                          agent->settings->answer_keep_bytes))
-    {
-      cancel_run (agent, now, record, ASH__REASON__ANSWER_TOO_LARGE);
-      return;
-    }
-  LL_FOREACH (record->watchers, watcher)
-    ash_agent_tell_data (agent, record, watcher->peer, watcher->attempt, offset);
-}
-
-static void
-handle_engine_end (struct ash_agent *agent, struct ash_time now, const struct Ash__EngineEnd *end)
-{
-  struct ash_record *record = ash_ledger_find_run (&agent->ledger, end->run);
-
-  agent->progress = now;
-  if (!record)
-    return;
-  if (end->not_started)
-    refuse_record (agent, now, record, ASH__REASON__ENDPOINT_FAILED, record->outcome);
-  else
-    {
-      ash_agent_note_run (agent, record->priority,
-                          (uint32_t) ash_time_diff (record->started, now) * US_PER_MS);
-      finish_record (agent, now, record, end->whole,
-                     end->whole ? ASH__REASON__REASON_NONE : ASH__REASON__ENDPOINT_FAILED);
-    }
-  start_queued (agent, now);
-}
-
-static bool
-is_orphan (const struct ash_agent *agent, struct ash_time now, const struct ash_record *record)
-{
-  uint32_t grace_ms = record->keyed ? agent->settings->keyed_orphan_ms : agent->settings->orphan_ms;
-
-  return !ash_time_before (now, ash_time_add (record->orphan_since, grace_ms));
-}
-
-/* More urgent ones that came later may have pushed a request too far back: it is
- * refused as soon as that shows, not at its deadline. */
-static void
-check_queued (struct ash_agent *agent, struct ash_time now)
-{
-  struct ash_record *record;
-  struct ash_record *next;
-  int64_t work_us = 0;
-
-  DL_FOREACH_SAFE (agent->ledger.queued, record, next)
-    {
-      int64_t wait_ms = ash_agent_wait_ms (agent, work_us);
-      int reason = hopeless_reason (agent, now, record, wait_ms);
-
-      if (is_orphan (agent, now, record))
-        reason = ASH__REASON__CANCELLED;
-      if (reason != ASH__REASON__REASON_NONE)
-        refuse_record (agent, now, record, reason, record->outcome);
-      else
-        work_us += ash_agent_work_us (agent, record);
-    }
-}
-
-static void
-check_running (struct ash_agent *agent, struct ash_time now)
-{
-  struct ash_record *record;
-  struct ash_record *next;
-
-  DL_FOREACH_SAFE (agent->ledger.running, record, next)
-    {
-      /* Work of a caller's key that nobody waits for gets the orphan's grace
-       * past its deadline: the caller may come for the answer. */
-      struct ash_time late = record->keyed
-                                 ? ash_time_add (record->deadline, agent->settings->keyed_orphan_ms)
-                                 : record->deadline;
-
-      if (is_orphan (agent, now, record))
-        cancel_run (agent, now, record, ASH__REASON__CANCELLED);
-      else if (!ash_time_before (now, late))
-        cancel_run (agent, now, record, ASH__REASON__DEADLINE);
-    }
-}
-
-/* An engine that batches gives something each step to each request that it has
- * begun to answer. Nothing to any of them for many steps: it stands still, and with
- * it its group. A plain service may well be silent. */
-static bool
-stands_still (const struct ash_agent *agent, struct ash_time now)
-{
-  const struct ash_record *record;
-
-  if (ash_time_diff (agent->progress, now) < agent->settings->stall_ms ||
-      !ash_agent_is_model (agent))
-    return false;
-  DL_FOREACH (agent->ledger.running, record)
-    if (record->answer.status)
-      return true;
-  return false;
-}
-
-/* Waiting requests may go to another endpoint at once: they certainly did not run.
- * Those that only their home may run stay. */
-static void
-release_queued (struct ash_agent *agent, struct ash_time now)
-{
-  struct ash_record *record;
-  struct ash_record *next;
-
-  DL_FOREACH_SAFE (agent->ledger.queued, record, next)
-    if (!record->keyed || !record->no_repeat)
-      refuse_record (agent, now, record, ASH__REASON__STALLED, record->outcome);
-}
-
-static void
-check_progress (struct ash_agent *agent, struct ash_time now)
-{
-  bool stalled = stands_still (agent, now);
-
-  if (stalled != agent->stalled)
-    ash_log_event (&agent->log, stalled ? ASH_EV_STALLED : ASH_EV_GOES_ON, "running=%u queued=%u",
-                   agent->ledger.running_count, agent->ledger.queued_count);
-  agent->stalled = stalled;
-  if (stalled)
-    release_queued (agent, now);
-}
-
-static void
-handle_tick (struct ash_agent *agent, struct ash_time now)
-{
-  check_progress (agent, now);
-  check_queued (agent, now);
-  check_running (agent, now);
-  ash_ledger_expire (&agent->ledger, now, agent->settings->answers_keep_bytes);
-  start_queued (agent, now);
-}
-
 void
 ash_agent_handle (struct ash_agent *agent, struct ash_time now, const struct Ash__Event *event)
 {
@@ -725,16 +431,16 @@
       handle_link_down (agent, now, peer);
       break;
     case ASH__EVENT__KIND_ENGINE_HEAD:
-      handle_engine_head (agent, now, event->engine_head);
+      ash_agent_engine_head (agent, now, event->engine_head);
       break;
     case ASH__EVENT__KIND_ENGINE_DATA:
-      handle_engine_data (agent, now, event->engine_data);
+      ash_agent_engine_data (agent, now, event->engine_data);
       break;
     case ASH__EVENT__KIND_ENGINE_END:
-      handle_engine_end (agent, now, event->engine_end);
+      ash_agent_engine_end (agent, now, event->engine_end);
       break;
     case ASH__EVENT__KIND_TICK:
-      handle_tick (agent, now);
+      ash_agent_tick (agent, now);
       break;
     case ASH__EVENT__KIND_STOP:
     case ASH__EVENT__KIND_DRAIN:
