--- a/bench/experts.c
+++ b/bench/experts.c
@@ -3,6 +3,7 @@
  * The expert policy on seeded traces, against no change and a full repack at
  * each interval. Markdown on standard output.
  */
+#include "bench/stats.h"
 #include "common/clock.h"
 #include "common/random.h"
 #include "controllers/expert_policy.h"
@@ -155,15 +156,6 @@
     }
 }
 
-static int
-by_size (const void *a, const void *b)
-{
-  double left = *(const double *) a;
-  double right = *(const double *) b;
-
-  return (left > right) - (left < right);
-}
-
 static uint32_t
 count_moves (const struct ash_expert_placement *a, const struct ash_expert_placement *b)
 {
@@ -283,28 +275,16 @@
 print_row (const struct size *size, enum trace trace, const struct method *method)
 {
   static struct result result;
-  double sum = 0;
+  double mean;
 
   run (size, trace, method, &result);
-  for (uint32_t i = 0; i < INTERVALS; i++)
-    sum += result.skews[i];
-  qsort (result.skews, INTERVALS, sizeof result.skews[0], by_size);
-  qsort (result.decision_us, result.decisions, sizeof result.decision_us[0], by_size);
+  mean = stats_mean (result.skews, INTERVALS);
   printf ("| %u x %u | %s | %s | %.3f | %.3f | %.3f | %u | %.0f | %.0f |\n", size->ranks,
-          size->experts, trace_names[trace], method->name, sum / INTERVALS,
-          result.skews[(int) (INTERVALS * 0.95)], result.skews[(int) (INTERVALS * 0.99)],
-          result.moves, result.decision_us[result.decisions * 99 / 100],
-          result.decision_us[result.decisions - 1]);
-}
-
-static double
-mean (const double *values, uint32_t count)
-{
-  double sum = 0;
-
-  for (uint32_t i = 0; i < count; i++)
-    sum += values[i];
-  return sum / count;
+          size->experts, trace_names[trace], method->name, mean,
+          stats_percentile (result.skews, INTERVALS, 0.95),
+          stats_percentile (result.skews, INTERVALS, 0.99), result.moves,
+          stats_percentile (result.decision_us, result.decisions, 0.99),
+          stats_percentile (result.decision_us, result.decisions, 1));
 }
 
 static void
@@ -315,8 +295,8 @@
 
   run (size, TRACE_FLIP, method, &result);
   printf ("| %u x %u | %s | %.3f | %.3f | %.3f | %.3f | %u |\n", size->ranks, size->experts,
-          method->name, mean (start - LEAD, LEAD), *start, mean (start, START),
-          mean (start + START, INTERVALS / 2 - START), result.moves);
+          method->name, stats_mean (start - LEAD, LEAD), *start, stats_mean (start, START),
+          stats_mean (start + START, INTERVALS / 2 - START), result.moves);
 }
 
 int
--- a/bench/policy.c
+++ b/bench/policy.c
@@ -6,6 +6,7 @@
  * usage: bench-policy [--csv] [faults|events|routes]
  */
 #include "bench/policy_world.h"
+#include "bench/stats.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -163,24 +164,6 @@
   double hits;                   /* of cached prefixes, in hundred */
 };
 
-static int
-by_size (const void *a, const void *b)
-{
-  double left = *(const double *) a;
-  double right = *(const double *) b;
-
-  return (left > right) - (left < right);
-}
-
-static double
-percentile (double *values, uint32_t count, double share)
-{
-  if (!count)
-    return 0;
-  qsort (values, count, sizeof *values, by_size);
-  return values[(uint32_t) ((count - 1) * share)];
-}
-
 static bool
 is_in_time (const struct world_call *call)
 {
@@ -262,12 +245,12 @@
     good += is_in_time (&calls[i]) && calls[i].done_us >= (BURST_S + 3) * US_PER_S &&
             calls[i].done_us < (BURST_S + 5) * US_PER_S;
   figures->goodput = good / 2.0;
-  figures->first_ms[0] = percentile (first, first_count, 0.5);
-  figures->first_ms[1] = percentile (first, first_count, 0.95);
-  figures->first_ms[2] = percentile (first, first_count, 0.99);
-  figures->top_first_ms = percentile (top, top_count, 0.95);
+  figures->first_ms[0] = stats_percentile (first, first_count, 0.5);
+  figures->first_ms[1] = stats_percentile (first, first_count, 0.95);
+  figures->first_ms[2] = stats_percentile (first, first_count, 0.99);
+  figures->top_first_ms = stats_percentile (top, top_count, 0.95);
   figures->refused = 100.0 * refused_count / all;
-  figures->refused_ms = percentile (refused, refused_count, 0.95);
+  figures->refused_ms = stats_percentile (refused, refused_count, 0.95);
 }
 
 /* Seconds after the fault until one in which 99 in 100 of the calls made then are
--- a/bench/policy_world.c
+++ b/bench/policy_world.c
@@ -1,5 +1,7 @@
 #include "bench/policy_world.h"
 
+#include "bench/event_queue.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -22,28 +24,6 @@
 /* Bytes of an answer are counted by tokens; a message a few tokens. */
 #define TOKENS_A_MESSAGE 8
 
-enum kind
-{
-  KIND_CALL,
-  KIND_FRAME,
-  KIND_STEP,
-  KIND_TICK,
-  KIND_BEAT,
-  KIND_FAULT,
-  KIND_HEAL,
-  KIND_SILENCE,
-};
-
-struct item
-{
-  int64_t at_us;
-  uint64_t order;
-  enum kind kind;
-  uint32_t box;
-  uint32_t index;
-  struct Ash__Event *event;
-};
-
 struct box
 {
   struct session session;
@@ -67,10 +47,7 @@
   char *document;
   struct ash_random random;
   int64_t now_us;
-  struct item *heap;
-  size_t heap_count;
-  size_t heap_room;
-  uint64_t order;
+  struct event_queue queue;
   struct box boxes[WORLD_BOXES];
   struct item *pending; /* local messages for cores, which must not be entered again */
   uint32_t pending_count;
@@ -81,57 +58,6 @@
   uint64_t wasted;
 };
 
-/* ---- the queue of events ---- */
-
-static bool
-is_before (const struct item *a, const struct item *b)
-{
-  return a->at_us != b->at_us ? a->at_us < b->at_us : a->order < b->order;
-}
-
-static void
-push (struct world *world, struct item item)
-{
-  size_t at;
-
-  item.order = world->order++;
-  if (world->heap_count == world->heap_room)
-    {
-      world->heap_room = world->heap_room ? 2 * world->heap_room : 4096;
-      world->heap = realloc (world->heap, world->heap_room * sizeof *world->heap);
-      if (!world->heap)
-        abort ();
-    }
-  for (at = world->heap_count++; at > 0 && is_before (&item, &world->heap[(at - 1) / 2]);
-       at = (at - 1) / 2)
-    world->heap[at] = world->heap[(at - 1) / 2];
-  world->heap[at] = item;
-}
-
-static struct item
-pop (struct world *world)
-{
-  struct item first = world->heap[0];
-  struct item last = world->heap[--world->heap_count];
-  size_t at = 0;
-
-  for (;;)
-    {
-      size_t child = 2 * at + 1;
-
-      if (child >= world->heap_count)
-        break;
-      if (child + 1 < world->heap_count && is_before (&world->heap[child + 1], &world->heap[child]))
-        child++;
-      if (!is_before (&world->heap[child], &last))
-        break;
-      world->heap[at] = world->heap[child];
-      at = child;
-    }
-  world->heap[at] = last;
-  return first;
-}
-
 static struct ash_time
 now_of (const struct world *world)
 {
@@ -211,8 +137,9 @@
 
   engine->stepping = engine->busy > 0;
   if (engine->stepping)
-    push (world, (struct item){ world->now_us + engine_begin_step (engine, world->now_us), 0,
-                                KIND_STEP, box, 0, NULL });
+    event_queue_push (&world->queue,
+                      (struct item){ world->now_us + engine_begin_step (engine, world->now_us), 0,
+                                     KIND_STEP, box, 0, NULL });
 }
 
 static void
@@ -295,7 +222,7 @@
   if (call->tries > (storm ? STORM_TRIES : WAIT_TRIES) || at_us >= call->deadline_us)
     call->gave_up = true;
   else
-    push (world, (struct item){ at_us, 0, KIND_CALL, 0, index, NULL });
+    event_queue_push (&world->queue, (struct item){ at_us, 0, KIND_CALL, 0, index, NULL });
 }
 
 static void
@@ -381,8 +308,9 @@
   if (message.deadline_ms == 0)
     message.deadline_ms = 1;
   message.unix_s = world->setup->event ? UNIX_S : 1;
-  push (world, (struct item){ world->now_us + world->setup->client_us, 0, KIND_FRAME, (uint32_t) e,
-                              (uint32_t) e, session_copy (&event) });
+  event_queue_push (&world->queue,
+                    (struct item){ world->now_us + world->setup->client_us, 0, KIND_FRAME,
+                                   (uint32_t) e, (uint32_t) e, session_copy (&event) });
 }
 
 /* ---- what cores give out ---- */
@@ -399,8 +327,8 @@
   if (copy->peer != protobuf_c_empty_string)
     free (copy->peer);
   copy->peer = strdup (world->boxes[from].session.settings.box);
-  push (world,
-        (struct item){ world->now_us + world->setup->latency_us, 0, KIND_FRAME, to, from, copy });
+  event_queue_push (&world->queue, (struct item){ world->now_us + world->setup->latency_us, 0,
+                                                  KIND_FRAME, to, from, copy });
 }
 
 static void
@@ -488,7 +416,8 @@
   if (!world->boxes[index].down && !world->boxes[index].paused)
     session_give_message (&world->boxes[index].session, now_of (world), "", ASH__EVENT__KIND_TICK,
                           &message);
-  push (world, (struct item){ world->now_us + TICK_US, 0, KIND_TICK, index, 0, NULL });
+  event_queue_push (&world->queue,
+                    (struct item){ world->now_us + TICK_US, 0, KIND_TICK, index, 0, NULL });
 }
 
 static void
@@ -498,7 +427,8 @@
   struct Ash__Heartbeat heartbeat = ASH__HEARTBEAT__INIT;
   struct Ash__Event event = ash_event_of ("", ASH__EVENT__KIND_HEARTBEAT, &heartbeat);
 
-  push (world, (struct item){ world->now_us + BEAT_US, 0, KIND_BEAT, index, 0, NULL });
+  event_queue_push (&world->queue,
+                    (struct item){ world->now_us + BEAT_US, 0, KIND_BEAT, index, 0, NULL });
   if (box->down)
     return;
   ash_agent_heartbeat (&box->session.agent, &heartbeat);
@@ -571,13 +501,15 @@
     case FAULT_CUT:
       world->cut = true;
       heal_us = CUT_US;
-      push (world, (struct item){ world->now_us + SILENCE_US, 0, KIND_SILENCE, 0, 0, NULL });
+      event_queue_push (&world->queue,
+                        (struct item){ world->now_us + SILENCE_US, 0, KIND_SILENCE, 0, 0, NULL });
       break;
     case FAULT_PAUSE:
       world->boxes[PAUSED].paused = true;
       world->paused_since_us = world->now_us;
       heal_us = CUT_US;
-      push (world, (struct item){ world->now_us + SILENCE_US, 0, KIND_SILENCE, 0, 0, NULL });
+      event_queue_push (&world->queue,
+                        (struct item){ world->now_us + SILENCE_US, 0, KIND_SILENCE, 0, 0, NULL });
       break;
     case FAULT_REPORTS:
       world->reports_lost = true;
@@ -587,7 +519,8 @@
       break;
     }
   if (heal_us)
-    push (world, (struct item){ world->now_us + heal_us, 0, KIND_HEAL, 0, 0, NULL });
+    event_queue_push (&world->queue,
+                      (struct item){ world->now_us + heal_us, 0, KIND_HEAL, 0, 0, NULL });
 }
 
 static void
@@ -685,9 +618,9 @@
 void
 world_run (struct world *world)
 {
-  while (world->heap_count)
+  while (world->queue.count)
     {
-      struct item item = pop (world);
+      struct item item = event_queue_pop (&world->queue);
 
       if (item.at_us > world->setup->end_us)
         {
@@ -804,14 +737,16 @@
   for_links (world, NULL, link_up);
   for (uint32_t i = 0; i < WORLD_BOXES; i++)
     {
-      push (world, (struct item){ TICK_US * i / WORLD_BOXES, 0, KIND_TICK, i, 0, NULL });
+      event_queue_push (&world->queue,
+                        (struct item){ TICK_US * i / WORLD_BOXES, 0, KIND_TICK, i, 0, NULL });
       if (i >= WORLD_ENTRIES)
-        push (world, (struct item){ BEAT_US * i / WORLD_BOXES, 0, KIND_BEAT, i, 0, NULL });
+        event_queue_push (&world->queue,
+                          (struct item){ BEAT_US * i / WORLD_BOXES, 0, KIND_BEAT, i, 0, NULL });
     }
   for (uint32_t i = 0; i < call_count; i++)
-    push (world, (struct item){ calls[i].at_us, 0, KIND_CALL, 0, i, NULL });
+    event_queue_push (&world->queue, (struct item){ calls[i].at_us, 0, KIND_CALL, 0, i, NULL });
   if (setup->fault)
-    push (world, (struct item){ setup->fault_us, 0, KIND_FAULT, 0, 0, NULL });
+    event_queue_push (&world->queue, (struct item){ setup->fault_us, 0, KIND_FAULT, 0, 0, NULL });
   return world;
 }
 
@@ -836,9 +771,9 @@
 void
 world_free (struct world *world)
 {
-  while (world->heap_count)
+  while (world->queue.count)
     {
-      struct item item = pop (world);
+      struct item item = event_queue_pop (&world->queue);
 
       if (item.event)
         ash__event__free_unpacked (item.event, NULL);
@@ -851,7 +786,7 @@
         ash__event__free_unpacked (world->boxes[i].held[h].event, NULL);
       free (world->boxes[i].held);
     }
-  free (world->heap);
+  event_queue_finish (&world->queue);
   free (world->pending);
   free (world->document);
   free (world);
--- a/bench/spread.c
+++ b/bench/spread.c
@@ -5,6 +5,7 @@
  * what the platform is asked, and what boxes send each other. Markdown on standard
  * output.
  */
+#include "bench/stats.h"
 #include "common/id.h"
 #include "test/fleet.h"
 
@@ -210,7 +211,7 @@
 /* Waits until all boxes have the revision. @return milliseconds from @p since_ms to
  * the last of them, -1 if some box never has it. */
 static int64_t
-everywhere_ms (const struct spread *spread, int64_t since_ms, int64_t *took_ms)
+everywhere_ms (const struct spread *spread, int64_t since_ms, double *took_ms)
 {
   int64_t until_ms = fleet_now () + PATIENCE_MS;
   int64_t last_ms = 0;
@@ -225,9 +226,9 @@
             return -1;
           fleet_sleep (20);
         }
-      took_ms[i] = at_ms > since_ms ? at_ms - since_ms : 0;
-      if (took_ms[i] > last_ms)
-        last_ms = took_ms[i];
+      if (at_ms > since_ms + last_ms)
+        last_ms = at_ms - since_ms;
+      took_ms[i] = at_ms > since_ms ? (double) (at_ms - since_ms) : 0;
     }
   return last_ms;
 }
@@ -278,20 +279,11 @@
   return bytes;
 }
 
-static int
-by_size (const void *a, const void *b)
-{
-  int64_t left = *(const int64_t *) a;
-  int64_t right = *(const int64_t *) b;
-
-  return (left > right) - (left < right);
-}
-
 static void
 measure_changes (struct spread *spread)
 {
-  static int64_t took_ms[CHANGES * BOXES];
-  static int64_t whole_ms[CHANGES];
+  static double took_ms[CHANGES * BOXES];
+  static double whole_ms[CHANGES];
   int64_t calls = platform_calls (spread);
   int64_t bytes = entry_bytes (spread, 0);
   int64_t start_ms = fleet_now ();
@@ -301,16 +293,15 @@
       int64_t since_ms = wall_now_ms ();
 
       publish (spread);
-      whole_ms[c] = everywhere_ms (spread, since_ms, &took_ms[c * BOXES]);
+      whole_ms[c] = (double) everywhere_ms (spread, since_ms, &took_ms[c * BOXES]);
       fleet_sleep (200 + 37 * (c % 10));
     }
-  qsort (took_ms, CHANGES * BOXES, sizeof took_ms[0], by_size);
-  qsort (whole_ms, CHANGES, sizeof whole_ms[0], by_size);
-  printf ("%d changes of a row, in force at a box after: median %lld ms, 95 in 100 %lld ms, worst "
-          "%lld ms; at all 27: median %lld ms, worst %lld ms\n",
-          CHANGES, (long long) took_ms[CHANGES * BOXES / 2],
-          (long long) took_ms[CHANGES * BOXES * 95 / 100], (long long) took_ms[CHANGES * BOXES - 1],
-          (long long) whole_ms[CHANGES / 2], (long long) whole_ms[CHANGES - 1]);
+  printf ("%d changes of a row, in force at a box after: median %.0f ms, 95 in 100 %.0f ms, worst "
+          "%.0f ms; at all 27: median %.0f ms, worst %.0f ms\n",
+          CHANGES, stats_percentile (took_ms, CHANGES * BOXES, 0.5),
+          stats_percentile (took_ms, CHANGES * BOXES, 0.95),
+          stats_percentile (took_ms, CHANGES * BOXES, 1), stats_percentile (whole_ms, CHANGES, 0.5),
+          stats_percentile (whole_ms, CHANGES, 1));
   printf ("meanwhile the platform was asked %.1f times a second; an entry sent %.0f bytes/s\n",
           (double) (platform_calls (spread) - calls) * 1000 / (double) (fleet_now () - start_ms),
           (double) (entry_bytes (spread, 0) - bytes) * 1000 / (double) (fleet_now () - start_ms));
@@ -337,7 +328,7 @@
 static void
 measure_paused_hall (struct spread *spread)
 {
-  int64_t took_ms[BOXES];
+  double took_ms[BOXES];
   int64_t since_ms;
 
   for (int i = 0; i < BOXES; i++)
@@ -358,7 +349,7 @@
 static void
 measure_platform_down (struct spread *spread)
 {
-  int64_t took_ms[BOXES];
+  double took_ms[BOXES];
   int64_t since_ms;
 
   fleet_control (spread->platform_port, "/control/mode?config=1&list=1");
@@ -374,7 +365,7 @@
 static void
 measure_replaced (struct spread *spread)
 {
-  int64_t took_ms[BOXES];
+  double took_ms[BOXES];
   int64_t since_ms;
 
   fleet_control (spread->platform_port, "/control/mode?config=1&list=1");
@@ -398,7 +389,7 @@
 main (void)
 {
   static struct spread spread;
-  int64_t took_ms[BOXES];
+  double took_ms[BOXES];
   int64_t since_ms = wall_now_ms ();
 
   curl_global_init (CURL_GLOBAL_DEFAULT);
