--- a/bench/policy.c
+++ b/bench/policy.c
@@ -3,7 +3,7 @@
  * The policy under load and faults, on today's sizes: the cores as they are, the
  * engines' queue as a model. Markdown on standard output, or CSV.
  *
- * usage: bench-policy [--csv] [faults|events|routes]
+ * usage: bench-policy [--csv] [--radar] [faults|events|routes]
  */
 #include "bench/policy_world.h"
 #include "bench/stats.h"
@@ -333,7 +333,18 @@
 
 /* ---- tables ---- */
 
+/* One way, between boxes and to callers. */
+struct site
+{
+  int64_t latency_us;
+  int64_t client_us;
+};
+
+static const struct site wadi = { 1500, 1000 };
+static const struct site radar = { 500, 3000 };
+
 static bool csv;
+static const struct site *site = &wadi;
 
 static void
 print_head (const char *title)
@@ -378,8 +389,8 @@
     .route = route,
     .fault_us = FAULT_S * US_PER_S,
     .end_us = SECONDS * US_PER_S,
-    .latency_us = 1500,
-    .client_us = 1000,
+    .latency_us = site->latency_us,
+    .client_us = site->client_us,
   };
 }
 
@@ -472,6 +483,8 @@
   for (int i = 1; i < argc; i++)
     if (strcmp (argv[i], "--csv") == 0)
       csv = true;
+    else if (strcmp (argv[i], "--radar") == 0)
+      site = &radar;
     else
       only = argv[i];
   if (!*only || strcmp (only, "routes") == 0)
--- a/cli/ashctl.c
+++ b/cli/ashctl.c
@@ -84,6 +84,7 @@
     "  explain group NAME      what was decided on a group's expert map, and why\n"
     "  explain request ID      what became of a request, by Ash-Request-Id\n"
     "  drain BOX               that box takes no new work until it restarts\n"
+    "  events                  the declared events and where each stands\n"
     "  status                  what an entry knows of the fleet\n"
     "  hash KEY                a bearer key's hash, for the published configuration\n"
     "\vExit status: 0 done; 1 not run; 2 wrong usage; 3 unknown whether it ran; 4 it ran, the "
@@ -317,6 +318,12 @@
   return run_get (arguments, "GET", "/v1/status");
 }
 
+static enum exit_code
+run_events (const struct arguments *arguments)
+{
+  return run_get (arguments, "GET", "/v1/events");
+}
+
 /* Reads a file whole. @return new text, or NULL after saying why. */
 static char *
 read_file (const char *path)
@@ -503,7 +510,7 @@
   { "chat", 3, run_chat },       { "call", 3, run_call },   { "addresses", 2, run_addresses },
   { "mint", 2, run_mint },       { "plan", 2, run_plan },   { "confirm", 2, run_confirm },
   { "status", 1, run_status },   { "hash", 2, run_hash },   { "diff", 2, run_diff },
-  { "explain", 3, run_explain }, { "drain", 2, run_drain },
+  { "explain", 3, run_explain }, { "drain", 2, run_drain }, { "events", 1, run_events },
 };
 
 static const char *
--- a/daemon/api.c
+++ b/daemon/api.c
@@ -457,11 +457,10 @@
     json_array_append_new (boxes, box_json (box));
   ash_api_reply_json (
       api, request->number, MHD_HTTP_OK, &headers,
-      json_pack ("{s:s, s:s, s:I, s:s, s:o, s:o}", "box", api->daemon->settings->box, "state",
+      json_pack ("{s:s, s:s, s:I, s:s, s:o}", "box", api->daemon->settings->box, "state",
                  entry->leaving ? "leaving" : "live", "revision",
                  (json_int_t) (entry->config.ready ? entry->config.document.revision : 0), "hall",
-                 api->daemon->settings->hall, "events", events_json (&entry->config.document),
-                 "boxes", boxes));
+                 api->daemon->settings->hall, "boxes", boxes));
 }
 
 static void
@@ -470,6 +469,18 @@
   ash_explain_drain (api->explain, request);
 }
 
+static void
+handle_events (struct ash_api *api, const struct ash_http_request *request)
+{
+  struct ash_http_headers headers = { 0 };
+  const struct ash_config *config = &api->entry->config;
+
+  ash_api_reply_json (api, request->number, MHD_HTTP_OK, &headers,
+                      json_pack ("{s:I, s:o}", "revision",
+                                 (json_int_t) (config->ready ? config->document.revision : 0),
+                                 "events", events_json (&config->document)));
+}
+
 struct route
 {
   const char *path;
@@ -483,6 +494,7 @@
   { "/v1/addresses", "GET", handle_addresses },
   { "/v1/keys", "POST", handle_mint },
   { "/v1/status", "GET", handle_status },
+  { "/v1/events", "GET", handle_events },
   { "/v1/plan", "POST", ash_intent_plan },
   { "/v1/confirm", "POST", ash_intent_confirm },
   { "/v1/diff", "POST", ash_intent_diff },
--- a/test/operators.c
+++ b/test/operators.c
@@ -9,6 +9,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 static void
 test_configuration (void)
@@ -436,6 +437,48 @@
   fleet_stop (&fleet);
 }
 
+/* An event is planned, published, and then stands where its time says. */
+static void
+test_event (void)
+{
+  static const char intent[] =
+      "[[event]]\nname = \"opening\"\nstart_s = %lld\nlength_s = 600\nlead_s = 60\n"
+      "[[reservation]]\nname = \"a\"\nevent = \"opening\"\naccount = \"a\"\n"
+      "service = \"model\"\nrate_per_s = 50\n";
+  struct fleet fleet;
+  char text[512];
+  json_t *plan;
+  json_t *answer;
+  const json_t *row;
+  long status = 0;
+
+  fleet_start (&fleet, OPERATORS);
+  snprintf (text, sizeof text, intent, (long long) time (NULL) + 30);
+  plan = operate (&fleet, 0, "/v1/plan", OPERATOR_KEY, text, &status);
+  CU_ASSERT_EQUAL (json_array_size (json_object_get (plan, "changes")), 2);
+  CU_ASSERT_EQUAL (json_array_size (json_object_get (plan, "not_met")), 0);
+  CU_ASSERT_EQUAL (confirm (&fleet, 0, plan, ""), 200);
+  CU_ASSERT_EQUAL (publish_plan (&fleet, plan), 200);
+  for (int e = 0; e < FLEET_ENTRIES; e++)
+    {
+      CU_ASSERT (wait_revision (&fleet, e, 2));
+      answer = ask (&fleet, e, "/v1/events", NULL, &status);
+      row = json_array_get (json_object_get (answer, "events"), 0);
+      CU_ASSERT_STRING_EQUAL (json_string_value (json_object_get (row, "event")), "opening");
+      CU_ASSERT_STRING_EQUAL (json_string_value (json_object_get (row, "state")), "lead");
+      json_decref (answer);
+    }
+  json_decref (plan);
+  /* One that reserves for nobody can't be met, and says so. */
+  plan = operate (&fleet, 0, "/v1/plan", OPERATOR_KEY,
+                  "[[reservation]]\nname = \"b\"\nevent = \"opening\"\naccount = \"nobody\"\n"
+                  "service = \"model\"\nrate_per_s = 50\n",
+                  &status);
+  CU_ASSERT_EQUAL (json_array_size (json_object_get (plan, "not_met")), 1);
+  json_decref (plan);
+  fleet_stop (&fleet);
+}
+
 static const struct fault_test tests[] = {
   { "configuration: bad, down, older", test_configuration },
   { "configuration: replaced while the platform answers an older one", test_replaced_on_older },
@@ -447,6 +490,7 @@
   { "explain: a refusal", test_explain_refusal },
   { "drain", test_drain },
   { "a key that may only read", test_reader },
+  { "a declared event", test_event },
   { NULL, NULL },
 };
 
