--- a/bench/policy.c
+++ b/bench/policy.c
@@ -115,8 +115,8 @@
       double most = 1;
       double at_s = 0;
 
-      for (double t = 0; t < SECONDS; t += 0.25)
-        most = fmax (most, demand (trace, a, t));
+      for (int quarter = 0; quarter < 4 * SECONDS; quarter++)
+        most = fmax (most, demand (trace, a, quarter / 4.0));
       for (;;)
         {
           double u = (ash_random_below (&random, 1000000) + 1) / 1e6;
