groups: a declared event's profile, with real agents; a new policy asks for it anew

test 'a declared event' of build/test-groups. On reading: a member that started anew in the lead time would not have told its new policy of the profile.

--- a/daemon/group.c
+++ b/daemon/group.c
@@ -328,6 +328,7 @@
   struct ash_sink sink = { on_emit, group };
 
   group->member = true;
+  *group->profile = '\0'; /* a new policy has not been told of it */
   strcpy (group->name, settings->name);
   group->rank = own->rank;
   group->rank_count = settings->rank_count;
--- a/test/group_fleet.c
+++ b/test/group_fleet.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #define EXPERTS "16"
 #define RANK_SLOTS "6"
@@ -21,10 +22,8 @@
 }
 
 static void
-write_document (const struct group_fleet *group)
+write_document (const struct group_fleet *group, FILE *file)
 {
-  FILE *file = open_file (group, "published");
-
   fprintf (file,
            "[[hall]]\nname = \"h\"\n[[service]]\nname = \"model\"\n"
            "[[entry]]\nbox = \"entry\"\nhall = \"h\"\nhttp = \"127.0.0.1:%u\"\npeer = "
@@ -37,7 +36,32 @@
              "[[endpoint]]\nbox = \"m%d\"\nservice = \"model\"\nhall = \"h\"\npeer = "
              "\"127.0.0.1:%u\"\ngroup = \"g\"\nrank = %d\nchecks_orders = %s\n",
              r, group->ports[4 + r], r, group->unchecked ? "false" : "true");
+}
+
+void
+group_fleet_declare (const struct group_fleet *group, int expert)
+{
+  char *text = NULL;
+  size_t length = 0;
+  char url[96];
+  struct ash_cli_request request = { .url = url, .method = "PUT" };
+  struct ash_cli_answer answer = { 0 };
+  FILE *file = open_memstream (&text, &length);
+
+  write_document (group, file);
+  fprintf (file,
+           "[[event]]\nname = \"e\"\nstart_s = %lld\nlead_s = 3600\n[[profile]]\nname = \"p\"\n"
+           "event = \"e\"\ngroup = \"g\"\nloads = \"",
+           (long long) time (NULL) + 600);
+  for (int e = 0; e < atoi (EXPERTS); e++)
+    fprintf (file, "%s%d", e ? "," : "", e == expert ? 1000 * atoi (EXPERTS) / 2 : 1000);
+  fprintf (file, "\"\n");
   fclose (file);
+  request.body = text;
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/control/config", group->ports[0]);
+  ash_cli_fetch (&request, &answer);
+  ash_cli_answer_finish (&answer);
+  free (text);
 }
 
 static pid_t
@@ -128,12 +152,15 @@
   char path[128];
   char ranks[8];
   char rest[512];
+  FILE *file;
 
   *group = (struct group_fleet){ .folder = "/tmp/ash-group-XXXXXX", .unchecked = unchecked };
   if (!mkdtemp (group->folder))
     return;
   fleet_free_ports (group->ports, 4 + GROUP_RANKS);
-  write_document (group);
+  file = open_file (group, "published");
+  write_document (group, file);
+  fclose (file);
   snprintf (path, sizeof path, "%s/published.toml", group->folder);
   snprintf (port, sizeof port, "%u", group->ports[0]);
   group->platform =
--- a/test/group_fleet.h
+++ b/test/group_fleet.h
@@ -40,6 +40,9 @@
 /** Makes one expert get as many tokens as all others together. */
 void group_fleet_make_hot (const struct group_fleet *group, int expert);
 
+/** Declares an event that begins soon, in which one expert will be as hot as that. */
+void group_fleet_declare (const struct group_fleet *group, int expert);
+
 /** Loses all orders of a kind (enum of RankOrder; 0: none) from now on. */
 void group_fleet_lose (const struct group_fleet *group, int kind);
 
--- a/test/groups.c
+++ b/test/groups.c
@@ -166,6 +166,22 @@
   group_fleet_stop (&group);
 }
 
+/* In an event's lead time experts are moved for what its profile expects, though the
+ * loads are even yet. */
+static void
+test_declared_event (void)
+{
+  struct group_fleet group;
+
+  group_fleet_start (&group);
+  fleet_sleep (1000);
+  CU_ASSERT_EQUAL (group_fleet_check (&group, "changes"), 0);
+  group_fleet_declare (&group, 5);
+  CU_ASSERT (group_fleet_wait (&group, "changes", 1));
+  assert_in_order (&group);
+  group_fleet_stop (&group);
+}
+
 /* Whoever asks an entry is told what was decided, by whom, and on which numbers. */
 static void
 test_explain (void)
@@ -227,6 +243,7 @@
   CU_add_test (suite, "killed, and engines check no fence", test_coordinator_killed_unchecked);
   CU_add_test (suite, "paused, and engines check no fence", test_coordinator_paused_unchecked);
   CU_add_test (suite, "ranks are replaced", test_rank_replaced);
+  CU_add_test (suite, "a declared event", test_declared_event);
   CU_add_test (suite, "explain", test_explain);
   CU_add_test (suite, "two ranks are replaced at once", test_two_ranks_replaced);
   CU_basic_set_mode (CU_BRM_VERBOSE);
