membership: whether a box is alone is looked at twice a second, not at each tick

At the size to come it looks up 8,310 boxes; at each tick and each /v1/addresses that would be some hundredths of a core. Who has a newer configuration is asked in one place (it stood in the entry's and the operators' part).

--- a/controllers/addresses.c
+++ b/controllers/addresses.c
@@ -68,10 +68,9 @@
   uint32_t count = collect (document, account, ranked);
   /* Each answer starts at another rank, so that an account's callers spread. */
   uint32_t start = ash_random_below (random, count);
-  bool alone = ash_membership_alone (membership, document, settings->box);
 
   addresses->count = 0;
-  for (uint32_t i = 0; !alone && i < count; i++)
+  for (uint32_t i = 0; !membership->alone && i < count; i++)
     {
       const struct ash_entry_box *entry = ranked[(start + i) % count];
 
--- a/controllers/membership.c
+++ b/controllers/membership.c
@@ -6,7 +6,7 @@
 void
 ash_membership_init (struct ash_membership *membership)
 {
-  membership->boxes = NULL;
+  *membership = (struct ash_membership){ 0 };
 }
 
 void
@@ -105,20 +105,12 @@
   return ash_box_usable (box) && !box->suspect && !box->passed_until.ms;
 }
 
-void
-ash_membership_tick (struct ash_membership *membership, struct ash_time now, uint32_t suspect_ms)
-{
-  for (struct ash_box *box = membership->boxes; box; box = box->hh.next)
-    {
-      box->suspect = ash_time_diff (box->heard, now) >= suspect_ms;
-      if (box->passed_until.ms && !ash_time_before (now, box->passed_until))
-        box->passed_until = (struct ash_time){ 0 };
-    }
-}
-
 /* Fewer boxes than this say nothing. */
 #define ALONE_BOXES_MIN 3
 
+/* All declared boxes are looked up for it, at the size to come some thousands. */
+#define ALONE_PERIOD_MS 500
+
 static uint32_t
 is_linked (const struct ash_membership *membership, const char *name)
 {
@@ -149,6 +141,33 @@
   return declared >= ALONE_BOXES_MIN && 2 * linked < declared;
 }
 
+void
+ash_membership_tick (struct ash_membership *membership,
+                     struct ash_time now,
+                     const struct ash_document *document,
+                     const struct ash_settings *settings)
+{
+  for (struct ash_box *box = membership->boxes; box; box = box->hh.next)
+    {
+      box->suspect = ash_time_diff (box->heard, now) >= settings->suspect_ms;
+      if (box->passed_until.ms && !ash_time_before (now, box->passed_until))
+        box->passed_until = (struct ash_time){ 0 };
+    }
+  if (ash_time_before (now, membership->alone_until))
+    return;
+  membership->alone_until = ash_time_add (now, ALONE_PERIOD_MS);
+  membership->alone = ash_membership_alone (membership, document, settings->box);
+}
+
+bool
+ash_membership_knows_newer (const struct ash_membership *membership, uint64_t revision)
+{
+  for (const struct ash_box *box = membership->boxes; box; box = box->hh.next)
+    if (box->linked && box->revision > revision)
+      return true;
+  return false;
+}
+
 static bool
 set_leaving (struct ash_box *box, uint64_t incarnation)
 {
--- a/controllers/membership.h
+++ b/controllers/membership.h
@@ -9,6 +9,7 @@
 
 #include "common/clock.h"
 #include "options/document.h"
+#include "options/settings.h"
 #include "proto/ash.pb-c.h"
 
 #include <uthash.h>
@@ -40,6 +41,8 @@
 struct ash_membership
 {
   struct ash_box *boxes;
+  bool alone;                  /**< as ash_membership_alone() had it last */
+  struct ash_time alone_until; /**< when that is to be looked at again */
 };
 
 void ash_membership_init (struct ash_membership *membership);
@@ -79,6 +82,9 @@
                            const struct ash_document *document,
                            const char *self);
 
+/** @return whether a linked box is known to have a newer configuration. */
+bool ash_membership_knows_newer (const struct ash_membership *membership, uint64_t revision);
+
 /** @return whether the present life of the box is leaving. */
 bool ash_box_leaving (const struct ash_box *box);
 
@@ -88,8 +94,10 @@
 /** @return whether it is usable and there is no reason to take another. */
 bool ash_box_preferred (const struct ash_box *box);
 
-/** Time goes on: who is suspect, or stands still. */
-void
-ash_membership_tick (struct ash_membership *membership, struct ash_time now, uint32_t suspect_ms);
+/** Time goes on: who is suspect, or stands still, and whether this box is alone. */
+void ash_membership_tick (struct ash_membership *membership,
+                          struct ash_time now,
+                          const struct ash_document *document,
+                          const struct ash_settings *settings);
 
 #endif
--- a/daemon/api.h
+++ b/daemon/api.h
@@ -20,9 +20,9 @@
   struct ash_daemon *daemon;
   struct ash_entry *entry;
   struct ash_http_server server;
-  struct ash_time woke_until;                /**< until then calls count as possibly old */
-  bool (*platform_answers) (void *platform); /**< whether the last read went well */
-  void *platform;
+  struct ash_time woke_until;            /**< until then calls count as possibly old */
+  bool (*platform_answers) (void *data); /**< whether the last read went well */
+  void *platform_data;                   /**< for platform_answers */
   struct ash_explain *explain;
 };
 
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -121,17 +121,6 @@
   return service->endpoint_count == 0;
 }
 
-/* A peer is known to have a newer configuration, and sends it: what this box has
- * may be what a stale platform answered. */
-static bool
-is_behind (const struct entry *entry)
-{
-  for (const struct ash_box *box = entry->core.membership.boxes; box; box = box->hh.next)
-    if (box->linked && box->revision > entry->core.config.document.revision)
-      return true;
-  return false;
-}
-
 /* Callers keep this box's address over a restart. Until it has its links it
  * would refuse what another box could take; a service that nobody can reach
  * must not keep it waiting for ever, though. */
@@ -142,7 +131,11 @@
   struct ash_time latest =
       ash_time_add (entry->configured_since, entry->daemon.settings->ready_wait_ms);
 
-  if (!entry->core.config.ready || is_behind (entry))
+  if (!entry->core.config.ready)
+    return false;
+  /* A peer has a newer configuration, and sends it: what this box has may be what a
+   * stale platform answered. */
+  if (ash_membership_knows_newer (&entry->core.membership, document->revision))
     return false;
   for (uint32_t i = 0; i < document->service_count; i++)
     if (!is_reachable (entry, &document->services[i]))
@@ -174,9 +167,7 @@
 static void
 note_alone (struct entry *entry)
 {
-  bool alone =
-      entry->serving && ash_membership_alone (&entry->core.membership, &entry->core.config.document,
-                                              entry->daemon.settings->box);
+  bool alone = entry->serving && entry->core.membership.alone;
 
   if (alone != entry->alone)
     ash_log_event (&entry->daemon.log, alone ? ASH_EV_ALONE : ASH_EV_NOT_ALONE, "endpoints=%u",
@@ -372,7 +363,7 @@
     }
   ash_platform_init (&entry.platform, daemon, &platform);
   entry.api.platform_answers = platform_answers;
-  entry.api.platform = &entry;
+  entry.api.platform_data = &entry;
   entry.api.explain = &entry.explain;
   ash_explain_init (&entry.explain, &entry.api);
   ok = ash_daemon_run (daemon) && !entry.failed;
--- a/daemon/intent.c
+++ b/daemon/intent.c
@@ -164,16 +164,6 @@
 
 /* ---- confirm ---- */
 
-/* Whether some box is known to have a newer configuration than this one. */
-static bool
-is_behind (const struct ash_entry *entry)
-{
-  for (const struct ash_box *box = entry->membership.boxes; box; box = box->hh.next)
-    if (box->linked && box->revision > entry->config.document.revision)
-      return true;
-  return false;
-}
-
 /* @return why the plan can't be confirmed, or NULL. */
 static const char *
 check_plan (const struct ash_api *api, const json_t *plan, const char **code)
@@ -193,10 +183,10 @@
   if (json_array_size (json_object_get (plan, "not_met")))
     return "the plan has parts that can't be met";
   *code = "cut_off";
-  if (!api->platform_answers (api->platform))
+  if (!api->platform_answers (api->platform_data))
     return "this box does not hear the platform; confirm at another";
   *code = "behind";
-  if (is_behind (api->entry))
+  if (ash_membership_knows_newer (&api->entry->membership, config->document.revision))
     return "this box is behind others; confirm again in a moment";
   *code = "base_moved";
   if (base != (json_int_t) config->document.revision)
--- a/filters/links.c
+++ b/filters/links.c
@@ -156,7 +156,7 @@
   struct ash_request *request;
   struct ash_request *next;
 
-  ash_membership_tick (&entry->membership, now, entry->settings->suspect_ms);
+  ash_membership_tick (&entry->membership, now, &entry->config.document, entry->settings);
   for (const struct ash_box *box = entry->membership.boxes; box; box = box->hh.next)
     if (box->suspect && box->linked)
       leave_box (entry, now, box->name, ASH__REASON__ENDPOINT_LOST);
