--- a/options/settings.c
+++ b/options/settings.c
@@ -228,6 +228,8 @@
     check_url (root, "engine_url", settings->engine_url, findings);
   if (settings->link_silence_ms < 2 * settings->heartbeat_ms)
     ash_findings_add (findings, 0, "link_silence_ms", "must be at least twice heartbeat_ms");
+  if (settings->suspect_ms < 2 * settings->heartbeat_ms)
+    ash_findings_add (findings, 0, "suspect_ms", "must be at least twice heartbeat_ms");
   if (settings->id_life_ms < 2 * settings->link_silence_ms)
     ash_findings_add (findings, 0, "id_life_ms", "must be at least twice link_silence_ms");
   if (settings->key_life_ms < settings->id_life_ms)
--- a/test/unit_config.c
+++ b/test/unit_config.c
@@ -247,9 +247,35 @@
   ash_config_finish (&config);
 }
 
+/* A box must not be suspect only because its heartbeats come as they are set to. */
+static void
+test_silence_settings (void)
+{
+  static const char start[] =
+      "box = 'm'\nrole = 'endpoint'\nhall = 'h'\npeer_listen = '127.0.0.1:1'\n"
+      "engine_url = 'http://127.0.0.1:2'\nfleet_key = "
+      "'0000000000000000000000000000000000000000000000000000000000000007'\n"
+      "heartbeat_ms = 1000\n";
+  char text[512];
+  struct ash_settings settings;
+  struct ash_findings findings;
+
+  ash_findings_init (&findings, "test");
+  ash_settings_read (&settings, start, strlen (start), &findings);
+  CU_ASSERT_EQUAL (findings.count, 1);
+  CU_ASSERT (findings.count && strcmp (findings.items[0].place, "suspect_ms") == 0);
+  ash_findings_finish (&findings);
+  ash_findings_init (&findings, "test");
+  snprintf (text, sizeof text, "%ssuspect_ms = 2000\n", start);
+  ash_settings_read (&settings, text, strlen (text), &findings);
+  CU_ASSERT_EQUAL (findings.count, 0);
+  ash_findings_finish (&findings);
+}
+
 void
 add_config_tests (CU_pSuite suite)
 {
+  CU_add_test (suite, "settings: silence and heartbeats", test_silence_settings);
   CU_add_test (suite, "configuration: any delta", test_any_delta);
   CU_add_test (suite, "configuration: a short delta", test_short_delta);
   CU_add_test (suite, "configuration: who reads the platform", test_readers);
