--- a/daemon/api.c
+++ b/daemon/api.c
@@ -419,8 +419,12 @@
 {
   const char *state = "gone";
 
-  if (box->linked)
-    state = ash_box_leaving (box) ? "leaving" : "live";
+  if (box->linked && ash_box_leaving (box))
+    state = "leaving";
+  else if (box->linked && box->suspect)
+    state = "suspect";
+  else if (box->linked)
+    state = box->passed_until.ms ? "stalled" : "live";
   return json_pack ("{s:s, s:s, s:s, s:I, s:i, s:i}", "box", box->name, "role",
                     box->role == ASH__ROLE__ENTRY ? "entry" : "endpoint", "state", state,
                     "revision", (json_int_t) box->revision, "in_flight", (int) box->in_flight,
--- a/test/faults.c
+++ b/test/faults.c
@@ -670,6 +670,52 @@
   fleet_stop (&fleet);
 }
 
+/* A box dies and comes back again and again: each life is taken for what it is. Orders
+ * run at most once, none that was told "not run" has run, and in the end it serves. */
+static void
+test_flapping_box (void)
+{
+  static struct fleet_call orders[LOAD];
+  static struct fleet_call calls[LOAD];
+  struct fleet fleet;
+  int told_ran = 0;
+  int told_unknown = 0;
+
+  fleet_start (&fleet, NO_GUARD);
+  for (int i = 0; i < LOAD; i++)
+    {
+      char key[16];
+
+      if (i % 4 == 0)
+        {
+          fleet_end (&fleet.endpoints[FLEET_STOCK].pid, SIGKILL);
+          fleet_start_endpoint (&fleet, FLEET_STOCK);
+        }
+      sprintf (key, "order-%d", i);
+      fleet_order (&fleet, &orders[i], i % FLEET_ENTRIES, key, 1, 20, 3000);
+      fleet_sleep (40);
+    }
+  for (int i = 0; i < LOAD; i++)
+    {
+      fleet_wait (&orders[i]);
+      told_ran += told (&orders[i], "ran");
+      told_unknown += told (&orders[i], "unknown");
+      CU_ASSERT (told (&orders[i], "ran") || told (&orders[i], "unknown") ||
+                 told (&orders[i], "not-run"));
+      if (told (&orders[i], "not-run"))
+        CU_ASSERT_EQUAL (fleet_runs (&fleet, FLEET_STOCK, orders[i].answer.request_id, "runs"), 0);
+      CU_ASSERT (fleet_runs (&fleet, FLEET_STOCK, orders[i].answer.request_id, "runs") <= 1);
+      ash_cli_answer_finish (&orders[i].answer);
+    }
+  CU_ASSERT (fleet_runs (&fleet, FLEET_STOCK, NULL, "runs") <= told_ran + told_unknown);
+  for (int e = 0; e < FLEET_ENTRIES; e++)
+    CU_ASSERT (fleet_wait_live (&fleet, e, FLEET_ENDPOINTS));
+  for (int i = 0; i < LOAD; i++)
+    fleet_chat (&fleet, &calls[i], i % FLEET_ENTRIES, true, 3);
+  expect_streams (calls, 3);
+  fleet_stop (&fleet);
+}
+
 /* Every engine fails: retries come out of a budget, so there is no storm. */
 static void
 test_no_retry_storm (void)
@@ -773,6 +819,7 @@
   { "leaving by hearsay", test_leaving_by_hearsay },
   { "restart one by one under load", test_restart_one_by_one },
   { "an engine stands still", test_engine_stands_still },
+  { "a box that flaps", test_flapping_box },
   { "a failing service gets no storm of retries", test_no_retry_storm },
   { "a cut and a kill", test_cut_and_kill },
   { "escapes in a path", test_escaped_path },
