--- a/bench/policy.c
+++ b/bench/policy.c
@@ -428,14 +428,14 @@
   } cases[] = {
     { "full", TRACE_FULL, CALLERS_WAIT, false },
     { "opening", TRACE_OPENING, CALLERS_WAIT, false },
-    { "opening, declared", TRACE_OPENING, CALLERS_WAIT, true },
-    { "opening, all ask again at once", TRACE_OPENING, CALLERS_STORM, false },
+    { "opening declared", TRACE_OPENING, CALLERS_WAIT, true },
+    { "opening (all ask again at once)", TRACE_OPENING, CALLERS_STORM, false },
     { "flood", TRACE_FLOOD, CALLERS_WAIT, false },
-    { "flood, declared", TRACE_FLOOD, CALLERS_WAIT, true },
-    { "flood, all ask again at once", TRACE_FLOOD, CALLERS_STORM, false },
+    { "flood declared", TRACE_FLOOD, CALLERS_WAIT, true },
+    { "flood (all ask again at once)", TRACE_FLOOD, CALLERS_STORM, false },
     { "storm", TRACE_STORM, CALLERS_WAIT, false },
     { "long answers", TRACE_LONG, CALLERS_WAIT, false },
-    { "long answers, declared", TRACE_LONG, CALLERS_WAIT, true },
+    { "long answers declared", TRACE_LONG, CALLERS_WAIT, true },
     { "heavy account", TRACE_HEAVY, CALLERS_WAIT, false },
   };
   struct figures figures;
