--- a/common/events.h
+++ b/common/events.h
@@ -18,12 +18,18 @@
   X (106, ERROR, BAD_SETTINGS,      "the settings have findings") \
   X (107, ERROR, CANNOT_LISTEN,     "an address can't be listened on") \
   X (108, WARN, DRAINED,            "an operator drained this box: it takes no new work in this life") \
+  X (109, INFO, RELOADED,           "the settings file was read anew") \
+  X (110, INFO, LOG_LEFT_OUT,       "lines were left out: over the log's budget, or nobody read them") \
   X (200, INFO, CONFIG_ACCEPTED,    "a configuration is in force") \
   X (201, WARN, CONFIG_REFUSED,     "a published document has findings; the last accepted one stays") \
   X (202, WARN, CONFIG_OLDER,       "an older revision than the one in force was offered and ignored") \
   X (203, WARN, PLATFORM_DOWN,      "the platform does not answer") \
   X (204, INFO, PLATFORM_UP,        "the platform answers again") \
   X (205, DEBUG, CONFIG_SENT,       "a peer with an older configuration is sent this one, whole or by deltas") \
+  X (206, INFO, ENDPOINT_LISTED,    "an endpoint is new in the list, or back in it") \
+  X (207, INFO, ENDPOINT_LEAVING,   "an endpoint gets no new work: it says that it is leaving") \
+  X (208, INFO, ENDPOINT_MISSING,   "an endpoint is no longer listed") \
+  X (209, WARN, ENDPOINT_PASSED,    "an endpoint is passed over for a while, by what it did with requests") \
   X (300, INFO, LINK_UP,            "a peer link is up") \
   X (301, INFO, LINK_DOWN,          "a peer link is down") \
   X (302, WARN, PEER_REFUSED,       "a peer could not prove the fleet key, or broke the protocol") \
@@ -35,6 +41,13 @@
   X (401, INFO, REQUEST_ENDED,      "a request got its final answer") \
   X (402, INFO, REQUEST_RETRIED,    "a request goes to another endpoint") \
   X (403, DEBUG, REQUEST_RESUMED,   "an answer is asked for again after a cut") \
+  X (404, DEBUG, FORWARD_SENT,      "a request was sent straight to an endpoint") \
+  X (405, DEBUG, FORWARD_SERVED,    "a request got an endpoint's whole answer") \
+  X (406, INFO, FORWARD_REFUSED,    "a request was refused: it did not run and will not") \
+  X (407, WARN, FORWARD_FAILED,     "a request ended without a whole answer") \
+  X (408, INFO, FORWARD_RESENT,     "a request goes to a further endpoint, and why") \
+  X (409, INFO, FORWARD_GONE,       "the caller left while its request was under way") \
+  X (410, INFO, FORWARD_DENIED,     "a request was denied: no such route, or no such key") \
   X (500, DEBUG, RUN_STARTED,       "an endpoint started a request") \
   X (501, DEBUG, RUN_ENDED,         "an endpoint's engine ended a request") \
   X (502, INFO, RUN_REFUSED,        "an endpoint refused a request") \
--- /dev/null
+++ b/controllers/direct.c
@@ -0,0 +1,251 @@
+#include "controllers/direct.h"
+
+#include "common/id.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* An endpoint that failed is passed over for this long, doubled with each failure
+ * in a row up to the longest: short, since most troubles last seconds, and each try
+ * costs a request at most. */
+#define PASS_FIRST_MS 250
+#define PASS_LONGEST_MS 4000
+
+/* Failures in a row before it is passed over, by what was seen: an answer that says
+ * it failed may be the request's own fault, silence hardly. */
+#define FAILED_ALLOWED 2
+
+/* Nothing listens there: most likely it has ended, and the list will say so. */
+#define MISSING_MS 1500
+
+/* It is full: others may have room, and it will have room soon. */
+#define FULL_MS 60
+
+void
+ash_direct_init (struct ash_direct_set *set, uint64_t seed)
+{
+  *set = (struct ash_direct_set){ 0 };
+  ash_random_init (&set->random, seed);
+}
+
+static void
+drop (struct ash_direct_set *set, struct ash_direct_endpoint *endpoint)
+{
+  if (set->leaving)
+    set->leaving (set->data, endpoint);
+  HASH_DEL (set->endpoints, endpoint);
+  free (endpoint);
+}
+
+void
+ash_direct_finish (struct ash_direct_set *set)
+{
+  struct ash_direct_endpoint *endpoint;
+  struct ash_direct_endpoint *next;
+
+  HASH_ITER (hh, set->endpoints, endpoint, next)
+    drop (set, endpoint);
+}
+
+struct ash_direct_endpoint *
+ash_direct_find (const struct ash_direct_set *set, const char *id)
+{
+  struct ash_direct_endpoint *endpoint;
+
+  HASH_FIND_STR (set->endpoints, id, endpoint);
+  return endpoint;
+}
+
+struct ash_direct_endpoint *
+ash_direct_find_hash (const struct ash_direct_set *set, uint64_t hash)
+{
+  for (struct ash_direct_endpoint *endpoint = set->endpoints; endpoint;
+       endpoint = endpoint->hh.next)
+    if (endpoint->hash == hash)
+      return endpoint;
+  return NULL;
+}
+
+bool
+ash_direct_listed (struct ash_direct_set *set, const struct ash_direct_facts *facts)
+{
+  struct ash_direct_endpoint *endpoint = ash_direct_find (set, facts->id);
+  bool is_new = !endpoint;
+  bool changed;
+
+  if (is_new)
+    {
+      endpoint = calloc (1, sizeof *endpoint);
+      if (!endpoint)
+        return false;
+      memcpy (endpoint->facts.id, facts->id, sizeof facts->id);
+      endpoint->hash = ash_hash_text (facts->id);
+      HASH_ADD_STR (set->endpoints, facts.id, endpoint);
+    }
+  changed = is_new || endpoint->presence != ASH_DIRECT_LISTED ||
+            endpoint->facts.draining != facts->draining;
+  endpoint->facts = *facts;
+  endpoint->presence = ASH_DIRECT_LISTED;
+  return changed;
+}
+
+bool
+ash_direct_removed (struct ash_direct_set *set, const char *id, bool trusted, struct ash_time until)
+{
+  struct ash_direct_endpoint *endpoint = ash_direct_find (set, id);
+
+  if (!endpoint || endpoint->presence == ASH_DIRECT_GONE)
+    return false;
+  if (endpoint->presence == ASH_DIRECT_LAPSED && !trusted)
+    return false;
+  /* One that said it was leaving has left. */
+  if (trusted || endpoint->facts.draining)
+    endpoint->presence = ASH_DIRECT_GONE;
+  else
+    {
+      endpoint->presence = ASH_DIRECT_LAPSED;
+      endpoint->lapsed_until = until;
+    }
+  return true;
+}
+
+void
+ash_direct_tick (struct ash_direct_set *set, struct ash_time now)
+{
+  struct ash_direct_endpoint *endpoint;
+  struct ash_direct_endpoint *next;
+
+  HASH_ITER (hh, set->endpoints, endpoint, next)
+    {
+      if (endpoint->presence == ASH_DIRECT_LAPSED && ash_time_before (endpoint->lapsed_until, now))
+        endpoint->presence = ASH_DIRECT_GONE;
+      if (endpoint->presence == ASH_DIRECT_GONE && !endpoint->in_flight)
+        drop (set, endpoint);
+    }
+}
+
+void
+ash_direct_clear_elsewhere (struct ash_direct_set *set)
+{
+  for (struct ash_direct_endpoint *endpoint = set->endpoints; endpoint;
+       endpoint = endpoint->hh.next)
+    endpoint->elsewhere = 0;
+}
+
+static void
+pass_over (struct ash_direct_endpoint *endpoint, struct ash_time now, int64_t ms)
+{
+  struct ash_time until = ash_time_add (now, ms);
+
+  if (ash_time_before (endpoint->passed_until, until))
+    endpoint->passed_until = until;
+}
+
+static void
+count_failure (struct ash_direct_endpoint *endpoint, struct ash_time now, uint32_t allowed)
+{
+  int64_t ms = PASS_FIRST_MS;
+
+  endpoint->failures++;
+  if (endpoint->failures <= allowed)
+    return;
+  for (uint32_t i = allowed + 1; i < endpoint->failures && ms < PASS_LONGEST_MS; i++)
+    ms *= 2;
+  pass_over (endpoint, now, ms);
+}
+
+void
+ash_direct_saw (struct ash_direct_endpoint *endpoint,
+                struct ash_time now,
+                enum ash_direct_evidence evidence)
+{
+  switch (evidence)
+    {
+    case ASH_DIRECT_ANSWERED:
+      endpoint->failures = 0;
+      break;
+    case ASH_DIRECT_FULL:
+      pass_over (endpoint, now, FULL_MS);
+      break;
+    case ASH_DIRECT_FAILED:
+      count_failure (endpoint, now, FAILED_ALLOWED);
+      break;
+    case ASH_DIRECT_CUT:
+    case ASH_DIRECT_SILENT:
+      count_failure (endpoint, now, 0);
+      break;
+    case ASH_DIRECT_MISSING:
+      pass_over (endpoint, now, MISSING_MS);
+      break;
+    }
+}
+
+bool
+ash_direct_usable (const struct ash_direct_endpoint *endpoint)
+{
+  return endpoint->presence != ASH_DIRECT_GONE && !endpoint->facts.draining;
+}
+
+static bool
+was_tried (const struct ash_direct_wish *wish, uint64_t hash)
+{
+  for (uint32_t i = 0; i < wish->tried_count; i++)
+    if (wish->tried[i] == hash)
+      return true;
+  return false;
+}
+
+/* What a choice goes by; the first difference decides. */
+struct rank
+{
+  bool passed;
+  uint32_t load;
+};
+
+static int
+compare (struct rank a, struct rank b)
+{
+  if (a.passed != b.passed)
+    return a.passed ? 1 : -1;
+  if (a.load != b.load)
+    return a.load > b.load ? 1 : -1;
+  return 0;
+}
+
+enum ash_direct_choice
+ash_direct_choose (struct ash_direct_set *set,
+                   struct ash_time now,
+                   const struct ash_direct_wish *wish,
+                   struct ash_direct_endpoint **chosen)
+{
+  struct rank best = { true, UINT32_MAX };
+  uint32_t equals = 0;
+  bool any = false;
+
+  *chosen = NULL;
+  for (struct ash_direct_endpoint *endpoint = set->endpoints; endpoint;
+       endpoint = endpoint->hh.next)
+    {
+      uint32_t load = endpoint->in_flight + endpoint->elsewhere;
+      struct rank rank = { ash_time_before (now, endpoint->passed_until) || endpoint->group_broken,
+                           load };
+      int order;
+
+      if (!ash_direct_usable (endpoint) || strcmp (endpoint->facts.service, wish->service) != 0 ||
+          was_tried (wish, endpoint->hash))
+        continue;
+      any = true;
+      if (load >= wish->cap)
+        continue;
+      order = *chosen ? compare (rank, best) : -1;
+      equals = order < 0 ? 1 : equals + (order == 0);
+      if (order < 0 || (order == 0 && ash_random_below (&set->random, equals) == 0))
+        {
+          best = rank;
+          *chosen = endpoint;
+        }
+    }
+  if (*chosen)
+    return ASH_DIRECT_CHOSEN;
+  return any ? ASH_DIRECT_ALL_FULL : ASH_DIRECT_NONE;
+}
--- /dev/null
+++ b/controllers/direct.h
@@ -0,0 +1,134 @@
+/**
+ * @file
+ * Endpoints that are reached directly, without an agent before them: what is
+ * known of each, and which one a request goes to. What they did with requests
+ * counts more than what they say of themselves.
+ */
+#ifndef ASH_DIRECT_H
+#define ASH_DIRECT_H
+
+#include "common/clock.h"
+#include "common/random.h"
+
+#include <uthash.h>
+
+/** Bytes of an endpoint's id and of other names of it, the closing zero included. */
+#define ASH_DIRECT_NAME_BYTES 64
+
+/** Endpoints that a request has been sent to and that are not tried again. */
+#define ASH_DIRECT_TRIED_MAX 8
+
+/** What the published list says of an endpoint. */
+struct ash_direct_facts
+{
+  char id[ASH_DIRECT_NAME_BYTES]; /**< of this life of it */
+  char service[ASH_DIRECT_NAME_BYTES];
+  char address[ASH_DIRECT_NAME_BYTES]; /**< IP:PORT */
+  char hall[ASH_DIRECT_NAME_BYTES];
+  uint32_t slots; /**< requests that it works on at once */
+  bool draining;
+};
+
+/** Where an endpoint stands in the list. */
+enum ash_direct_presence
+{
+  ASH_DIRECT_LISTED,
+  ASH_DIRECT_LAPSED, /**< missing while the list could not be trusted; still used for a while */
+  ASH_DIRECT_GONE,   /**< gets nothing new; kept until its work has ended */
+};
+
+/** An endpoint. */
+struct ash_direct_endpoint
+{
+  struct ash_direct_facts facts;
+  uint64_t hash; /**< of the id, as peers name it */
+  enum ash_direct_presence presence;
+  struct ash_time lapsed_until;
+  uint32_t in_flight;           /**< of this process */
+  uint32_t elsewhere;           /**< of its peers, as they last said */
+  uint32_t failures;            /**< in a row */
+  struct ash_time passed_until; /**< others are taken until then */
+  bool group_broken;            /**< its group of ranks stands still */
+  void *owner;                  /**< of the task that has connections to it */
+  UT_hash_handle hh;
+};
+
+/** All endpoints known here. */
+struct ash_direct_set
+{
+  struct ash_direct_endpoint *endpoints;
+  struct ash_random random;
+  uint64_t revision; /**< of the list */
+  /** Tells the owner that one is about to be freed; its connections go first. */
+  void (*leaving) (void *data, struct ash_direct_endpoint *endpoint);
+  void *data;
+};
+
+/** How a request at an endpoint ended, as evidence about the endpoint. */
+enum ash_direct_evidence
+{
+  ASH_DIRECT_ANSWERED,
+  ASH_DIRECT_FULL,    /**< it turned the request away for want of room */
+  ASH_DIRECT_FAILED,  /**< an answer that says that it failed */
+  ASH_DIRECT_CUT,     /**< the connection broke, or the answer was spoiled */
+  ASH_DIRECT_SILENT,  /**< nothing came for too long */
+  ASH_DIRECT_MISSING, /**< nothing accepts connections there, or another endpoint does */
+};
+
+void ash_direct_init (struct ash_direct_set *set, uint64_t seed);
+void ash_direct_finish (struct ash_direct_set *set);
+
+struct ash_direct_endpoint *ash_direct_find (const struct ash_direct_set *set, const char *id);
+struct ash_direct_endpoint *ash_direct_find_hash (const struct ash_direct_set *set, uint64_t hash);
+
+/** The list has this entry. @return whether something changed. */
+bool ash_direct_listed (struct ash_direct_set *set, const struct ash_direct_facts *facts);
+
+/**
+ * The list no longer has it.
+ * @param trusted whether the list was sound all the time: if so it is gone at once,
+ * else it is used on until @p until unless it comes back.
+ */
+bool ash_direct_removed (struct ash_direct_set *set,
+                         const char *id,
+                         bool trusted,
+                         struct ash_time until);
+
+/** Time goes on: lapsed ones go, and those that are gone and idle are freed. */
+void ash_direct_tick (struct ash_direct_set *set, struct ash_time now);
+
+/** Peers have told their loads anew: forgets the former ones. */
+void ash_direct_clear_elsewhere (struct ash_direct_set *set);
+
+/** Takes in how a request ended there. */
+void ash_direct_saw (struct ash_direct_endpoint *endpoint,
+                     struct ash_time now,
+                     enum ash_direct_evidence evidence);
+
+/** @return whether it may be sent new work. */
+bool ash_direct_usable (const struct ash_direct_endpoint *endpoint);
+
+/** What a search for an endpoint found. */
+enum ash_direct_choice
+{
+  ASH_DIRECT_CHOSEN,
+  ASH_DIRECT_ALL_FULL, /**< there are some, each with as much as it may have */
+  ASH_DIRECT_NONE,     /**< there is none */
+};
+
+/** What a request asks of an endpoint. */
+struct ash_direct_wish
+{
+  const char *service;
+  uint32_t cap;          /**< requests that one endpoint may have at once */
+  const uint64_t *tried; /**< hashes of those not to be taken */
+  uint32_t tried_count;
+};
+
+/** Takes the one with the least work; among equals, one at random. */
+enum ash_direct_choice ash_direct_choose (struct ash_direct_set *set,
+                                          struct ash_time now,
+                                          const struct ash_direct_wish *wish,
+                                          struct ash_direct_endpoint **chosen);
+
+#endif
--- /dev/null
+++ b/controllers/route_table.c
@@ -0,0 +1,179 @@
+#include "controllers/route_table.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+void
+ash_route_table_init (struct ash_route_table *table)
+{
+  *table = (struct ash_route_table){ 0 };
+}
+
+void
+ash_route_table_finish (struct ash_route_table *table)
+{
+  for (uint32_t i = 0; i < table->route_count; i++)
+    {
+      free (table->routes[i].name);
+      free (table->routes[i].host);
+      free (table->routes[i].prefix);
+    }
+  for (uint32_t i = 0; i < table->service_count; i++)
+    {
+      free (table->services[i].name);
+      free (table->services[i].health_path);
+    }
+  for (uint32_t i = 0; i < table->account_count; i++)
+    free (table->accounts[i].name);
+  for (uint32_t i = 0; i < table->key_count; i++)
+    free (table->keys[i].key);
+  free (table->routes);
+  free (table->parts);
+  free (table->services);
+  free (table->accounts);
+  free (table->keys);
+  *table = (struct ash_route_table){ 0 };
+}
+
+struct ash_route_table *
+ash_route_table_new (void)
+{
+  struct ash_route_table *table = calloc (1, sizeof *table);
+
+  if (table)
+    table->references = 1;
+  return table;
+}
+
+struct ash_route_table *
+ash_route_table_ref (struct ash_route_table *table)
+{
+  table->references++;
+  return table;
+}
+
+void
+ash_route_table_unref (struct ash_route_table *table)
+{
+  if (!table || --table->references)
+    return;
+  ash_route_table_finish (table);
+  free (table);
+}
+
+static int
+by_host (const void *a, const void *b)
+{
+  return strcasecmp (((const struct ash_route *) a)->host, ((const struct ash_route *) b)->host);
+}
+
+static int
+by_key (const void *a, const void *b)
+{
+  return strcmp (((const struct ash_route_key *) a)->key, ((const struct ash_route_key *) b)->key);
+}
+
+void
+ash_route_table_sort (struct ash_route_table *table)
+{
+  if (table->route_count)
+    qsort (table->routes, table->route_count, sizeof *table->routes, by_host);
+  if (table->key_count)
+    qsort (table->keys, table->key_count, sizeof *table->keys, by_key);
+}
+
+/* The first route of a host that is not before @p host, whose length is given. */
+static uint32_t
+lower_bound (const struct ash_route_table *table, const char *host, size_t host_length)
+{
+  uint32_t low = 0;
+  uint32_t high = table->route_count;
+
+  while (low < high)
+    {
+      uint32_t middle = low + (high - low) / 2;
+      const char *other = table->routes[middle].host;
+      int order = strncasecmp (other, host, host_length);
+
+      if (order < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
+static bool
+host_matches (const struct ash_route *route, const char *host, size_t host_length)
+{
+  return strlen (route->host) == host_length && strncasecmp (route->host, host, host_length) == 0;
+}
+
+const struct ash_route *
+ash_route_table_find (const struct ash_route_table *table, const char *host, const char *target)
+{
+  size_t host_length = strcspn (host, ":");
+  size_t path_length = strcspn (target, "?");
+  const struct ash_route *best = NULL;
+  size_t best_length = 0;
+
+  for (uint32_t i = lower_bound (table, host, host_length); i < table->route_count; i++)
+    {
+      const struct ash_route *route = &table->routes[i];
+      size_t length = strlen (route->prefix);
+
+      if (strncasecmp (route->host, host, host_length) != 0)
+        break;
+      if (host_matches (route, host, host_length) && length <= path_length &&
+          (!best || length > best_length) && strncmp (route->prefix, target, length) == 0)
+        {
+          best = route;
+          best_length = length;
+        }
+    }
+  return best;
+}
+
+const struct ash_route_account *
+ash_route_table_account (const struct ash_route_table *table, const char *key)
+{
+  struct ash_route_key wanted = { .key = (char *) (uintptr_t) key };
+  const struct ash_route_key *found =
+      table->key_count
+          ? bsearch (&wanted, table->keys, table->key_count, sizeof *table->keys, by_key)
+          : NULL;
+
+  return found ? &table->accounts[found->account] : NULL;
+}
+
+uint32_t
+ash_route_table_service (const struct ash_route_table *table, const char *name)
+{
+  for (uint32_t i = 0; i < table->service_count; i++)
+    if (strcmp (table->services[i].name, name) == 0)
+      return i;
+  return UINT32_MAX;
+}
+
+uint32_t
+ash_route_table_draw (const struct ash_route_table *table,
+                      const struct ash_route *route,
+                      uint64_t draw)
+{
+  const struct ash_route_part *parts = &table->parts[route->part_first];
+  uint64_t total = 0;
+
+  for (uint32_t i = 0; i < route->part_count; i++)
+    total += parts[i].weight;
+  if (!total)
+    return UINT32_MAX;
+  draw %= total;
+  for (uint32_t i = 0; i < route->part_count; i++)
+    {
+      if (draw < parts[i].weight)
+        return parts[i].service;
+      draw -= parts[i].weight;
+    }
+  return UINT32_MAX;
+}
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -227,7 +227,12 @@
 {
   struct ash_peers *peers = &daemon->peers;
 
-  peers->settings = daemon->settings;
+  peers->settings = (struct ash_peer_settings){
+    .listen = daemon->settings->peer_listen,
+    .heartbeat_ms = daemon->settings->heartbeat_ms,
+    .link_silence_ms = daemon->settings->link_silence_ms,
+    .dial_retry_ms = daemon->settings->dial_retry_ms,
+  };
   peers->identity.box = daemon->settings->box;
   peers->identity.role =
       daemon->settings->role == ASH_SETTINGS_ENTRY ? ASH__ROLE__ENTRY : ASH__ROLE__ENDPOINT;
--- /dev/null
+++ b/daemon/fleet.c
@@ -0,0 +1,365 @@
+#include "daemon/fleet.h"
+
+#include "common/id.h"
+#include "daemon/router.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define MS_PER_S 1000.0
+
+static struct ash_fleet_peer *
+find_peer (const struct ash_fleet *fleet, const char *box)
+{
+  struct ash_fleet_peer *peer;
+
+  HASH_FIND_STR (fleet->peers, box, peer);
+  return peer;
+}
+
+static struct ash_fleet_peer *
+add_peer (struct ash_fleet *fleet, const char *box)
+{
+  struct ash_fleet_peer *peer = find_peer (fleet, box);
+
+  if (peer)
+    return peer;
+  peer = calloc (1, sizeof *peer);
+  if (!peer)
+    return NULL;
+  snprintf (peer->box, sizeof peer->box, "%s", box);
+  HASH_ADD_STR (fleet->peers, box, peer);
+  return peer;
+}
+
+/* ---- loads ---- */
+
+/* Takes back what the peer said last. */
+static void
+forget_loads (struct ash_fleet *fleet, struct ash_fleet_peer *peer)
+{
+  struct ash_direct_set *set = &fleet->router->endpoints;
+
+  for (uint32_t i = 0; i < peer->load_count; i++)
+    {
+      struct ash_direct_endpoint *endpoint = ash_direct_find_hash (set, peer->load_endpoints[i]);
+      uint32_t load = (uint32_t) peer->load_in_flight[i];
+
+      /* An endpoint that was listed after the peer's word has nothing to take back. */
+      if (endpoint)
+        endpoint->elsewhere -= load < endpoint->elsewhere ? load : endpoint->elsewhere;
+    }
+  free (peer->load_endpoints);
+  free (peer->load_in_flight);
+  peer->load_endpoints = NULL;
+  peer->load_in_flight = NULL;
+  peer->load_count = 0;
+}
+
+static void
+take_loads (struct ash_fleet *fleet,
+            struct ash_fleet_peer *peer,
+            const struct Ash__EndpointLoads *loads)
+{
+  size_t count = loads->n_endpoints;
+
+  forget_loads (fleet, peer);
+  fleet->router->room = true;
+  if (!count || count != loads->n_in_flight || count > ASH_FLEET_LOADS_MAX)
+    return;
+  peer->load_endpoints = calloc (count, sizeof *peer->load_endpoints);
+  peer->load_in_flight = calloc (count, sizeof *peer->load_in_flight);
+  if (!peer->load_endpoints || !peer->load_in_flight)
+    {
+      forget_loads (fleet, peer);
+      return;
+    }
+  for (size_t i = 0; i < count; i++)
+    {
+      struct ash_direct_endpoint *endpoint =
+          ash_direct_find_hash (&fleet->router->endpoints, loads->endpoints[i]);
+
+      if (!endpoint)
+        continue;
+      endpoint->elsewhere += (uint32_t) loads->in_flight[i];
+      peer->load_endpoints[peer->load_count] = loads->endpoints[i];
+      peer->load_in_flight[peer->load_count] = loads->in_flight[i];
+      peer->load_count++;
+    }
+}
+
+static void
+tell_loads (struct ash_fleet *fleet)
+{
+  uint64_t endpoints[ASH_FLEET_LOADS_MAX];
+  uint64_t in_flight[ASH_FLEET_LOADS_MAX];
+  struct Ash__EndpointLoads loads = ASH__ENDPOINT_LOADS__INIT;
+  struct Ash__Event event = ash_event_of ("", ASH__EVENT__KIND_ENDPOINT_LOADS, &loads);
+  const struct ash_direct_endpoint *endpoint = fleet->router->endpoints.endpoints;
+
+  loads.endpoints = endpoints;
+  loads.in_flight = in_flight;
+  for (; endpoint && loads.n_endpoints < ASH_FLEET_LOADS_MAX; endpoint = endpoint->hh.next)
+    {
+      if (!endpoint->in_flight)
+        continue;
+      endpoints[loads.n_endpoints] = endpoint->hash;
+      in_flight[loads.n_endpoints] = endpoint->in_flight;
+      loads.n_endpoints++;
+    }
+  loads.n_in_flight = loads.n_endpoints;
+  for (struct ash_fleet_peer *peer = fleet->peers; peer; peer = peer->hh.next)
+    if (peer->linked)
+      ash_peers_send (&fleet->links, peer->box, &event);
+}
+
+static void
+on_tell (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct ash_fleet *fleet = timer->data;
+
+  (void) loop;
+  (void) events;
+  if (!fleet->loads_changed)
+    return;
+  fleet->loads_changed = false;
+  tell_loads (fleet);
+}
+
+/* ---- what the store holds, for those who can't read it ---- */
+
+static void
+send_config (struct ash_fleet *fleet, const char *box)
+{
+  struct ash_router *router = fleet->router;
+  struct Ash__ConfigOffer offer = ASH__CONFIG_OFFER__INIT;
+  struct Ash__Event event = ash_event_of ("", ASH__EVENT__KIND_CONFIG_OFFER, &offer);
+
+  if (!router->config_text)
+    return;
+  offer.revision = ash_router_version (router);
+  offer.document.data = (uint8_t *) router->config_text;
+  offer.document.len = router->config_bytes;
+  ash_peers_send (&fleet->links, box, &event);
+}
+
+static void
+send_endpoints (struct ash_fleet *fleet, const char *box)
+{
+  struct Ash__EndpointList list = ASH__ENDPOINT_LIST__INIT;
+  struct Ash__Event event = ash_event_of ("", ASH__EVENT__KIND_ENDPOINT_LIST, &list);
+
+  if (!ash_store_list (&fleet->router->store, &list))
+    return;
+  ash_peers_send (&fleet->links, box, &event);
+  ash_store_list_free (&list);
+}
+
+/* Asks a peer for what it has newer. The store is the shorter way; so this is for when
+ * it does not answer here. */
+static void
+ask_for_newer (struct ash_fleet *fleet, const struct ash_fleet_peer *peer)
+{
+  struct ash_router *router = fleet->router;
+  struct Ash__ConfigWant config_want = ASH__CONFIG_WANT__INIT;
+  struct Ash__EndpointListWant list_want = ASH__ENDPOINT_LIST_WANT__INIT;
+  struct Ash__Event event;
+
+  if (peer->version > ash_router_version (router) &&
+      !ash_store_answers (&router->store, ASH_STORE_CONFIG))
+    {
+      event = ash_event_of ("", ASH__EVENT__KIND_CONFIG_WANT, &config_want);
+      ash_peers_send (&fleet->links, peer->box, &event);
+    }
+  if (peer->endpoints_revision > router->endpoints.revision &&
+      !ash_store_answers (&router->store, ASH_STORE_SERVERS))
+    {
+      event = ash_event_of ("", ASH__EVENT__KIND_ENDPOINT_LIST_WANT, &list_want);
+      ash_peers_send (&fleet->links, peer->box, &event);
+    }
+}
+
+/* ---- membership ---- */
+
+static void
+take_heartbeat (struct ash_fleet *fleet,
+                struct ash_fleet_peer *peer,
+                const struct Ash__Heartbeat *heartbeat)
+{
+  const char *own = fleet->router->settings.peer_listen;
+
+  snprintf (peer->frontend, sizeof peer->frontend, "%s", heartbeat->frontend);
+  snprintf (peer->address, sizeof peer->address, "%s", heartbeat->peer_address);
+  peer->leaving = heartbeat->leaving;
+  peer->reads_store = heartbeat->reads_platform;
+  peer->version = heartbeat->revision;
+  peer->endpoints_revision = heartbeat->endpoints_revision;
+  for (size_t i = 0; i < heartbeat->n_known_addresses && i < heartbeat->n_known_boxes; i++)
+    {
+      const struct ash_fleet_peer *known = find_peer (fleet, heartbeat->known_boxes[i]);
+
+      if (strcmp (heartbeat->known_addresses[i], own) != 0 && !(known && known->linked))
+        ash_peers_dial (&fleet->links, heartbeat->known_boxes[i], heartbeat->known_addresses[i]);
+    }
+  ask_for_newer (fleet, peer);
+}
+
+static void
+take_link_down (struct ash_fleet *fleet, struct ash_fleet_peer *peer)
+{
+  peer->linked = false;
+  forget_loads (fleet, peer);
+  fleet->router->room = true;
+}
+
+static void
+on_event (void *data, const struct Ash__Event *event)
+{
+  struct ash_fleet *fleet = data;
+  struct ash_router *router = fleet->router;
+  struct ash_fleet_peer *peer = add_peer (fleet, event->peer);
+
+  if (!peer)
+    return;
+  switch (event->kind_case)
+    {
+    case ASH__EVENT__KIND_LINK_UP:
+      peer->linked = true;
+      peer->leaving = false;
+      fleet->loads_changed = true;
+      break;
+    case ASH__EVENT__KIND_LINK_DOWN:
+      take_link_down (fleet, peer);
+      break;
+    case ASH__EVENT__KIND_HEARTBEAT:
+      take_heartbeat (fleet, peer, event->heartbeat);
+      break;
+    case ASH__EVENT__KIND_ENDPOINT_LOADS:
+      take_loads (fleet, peer, event->endpoint_loads);
+      break;
+    case ASH__EVENT__KIND_CONFIG_WANT:
+      send_config (fleet, peer->box);
+      break;
+    case ASH__EVENT__KIND_CONFIG_OFFER:
+      ash_router_offer_config (router, (const char *) event->config_offer->document.data,
+                               event->config_offer->document.len, peer->box);
+      break;
+    case ASH__EVENT__KIND_ENDPOINT_LIST_WANT:
+      send_endpoints (fleet, peer->box);
+      break;
+    case ASH__EVENT__KIND_ENDPOINT_LIST:
+      ash_store_take_list (&router->store, event->endpoint_list, peer->box);
+      break;
+    default:
+      break; /* messages of the roles with agents */
+    }
+}
+
+static uint64_t
+own_version (void *data)
+{
+  const struct ash_fleet *fleet = data;
+
+  return ash_router_version (fleet->router);
+}
+
+/* The arrays are freed by the sender of the heartbeat, their texts are ours. */
+static void
+own_heartbeat (void *data, struct Ash__Heartbeat *heartbeat)
+{
+  struct ash_fleet *fleet = data;
+  struct ash_router *router = fleet->router;
+  uint32_t count = HASH_COUNT (fleet->peers);
+
+  heartbeat->revision = ash_router_version (router);
+  heartbeat->leaving = router->stopping || !ash_router_ready (router);
+  heartbeat->frontend = router->settings.frontend_listen;
+  heartbeat->peer_address = router->settings.peer_listen;
+  heartbeat->hall = router->settings.hall;
+  heartbeat->reads_platform = ash_store_answers (&router->store, ASH_STORE_SERVERS);
+  heartbeat->endpoints_revision = router->endpoints.revision;
+  heartbeat->known_boxes = calloc (count + 1, sizeof (char *));
+  heartbeat->known_addresses = calloc (count + 1, sizeof (char *));
+  if (!heartbeat->known_boxes || !heartbeat->known_addresses)
+    return;
+  for (struct ash_fleet_peer *peer = fleet->peers; peer; peer = peer->hh.next)
+    if (peer->linked && *peer->address)
+      {
+        heartbeat->known_boxes[heartbeat->n_known_boxes++] = peer->box;
+        heartbeat->known_addresses[heartbeat->n_known_addresses++] = peer->address;
+      }
+}
+
+/* ---- life ---- */
+
+bool
+ash_fleet_open (struct ash_fleet *fleet, struct ash_router *router)
+{
+  const struct ash_router_settings *settings = &router->settings;
+  struct ash_peers *links = &fleet->links;
+  double period_s = settings->load_period_ms / MS_PER_S;
+
+  fleet->router = router;
+  links->settings = (struct ash_peer_settings){
+    .listen = settings->peer_listen,
+    .heartbeat_ms = settings->heartbeat_ms,
+    .link_silence_ms = settings->link_silence_ms,
+    .dial_retry_ms = settings->dial_retry_ms,
+  };
+  links->identity.box = settings->box;
+  links->identity.role = ASH__ROLE__ENTRY;
+  links->identity.incarnation = router->incarnation;
+  ash_hex_decode (settings->fleet_key, links->identity.fleet_key, sizeof links->identity.fleet_key);
+  links->log = (struct ash_log){ &router->log_sink, "peer" };
+  links->handler = (struct ash_sink){ on_event, fleet };
+  links->revision = own_version;
+  links->heartbeat = own_heartbeat;
+  links->data = fleet;
+  if (!ash_peers_init (links, router->loop))
+    return false;
+  fleet->opened = true;
+  for (uint32_t i = 0; i < settings->seed_count; i++)
+    if (strcmp (settings->seeds[i], settings->peer_listen) != 0)
+      ash_peers_dial (links, "", settings->seeds[i]);
+  ev_timer_init (&fleet->tell_timer, on_tell, period_s, period_s);
+  fleet->tell_timer.data = fleet;
+  ev_timer_start (router->loop, &fleet->tell_timer);
+  return true;
+}
+
+void
+ash_fleet_close (struct ash_fleet *fleet)
+{
+  struct ash_fleet_peer *peer;
+  struct ash_fleet_peer *next;
+
+  if (!fleet->opened)
+    return;
+  ev_timer_stop (fleet->router->loop, &fleet->tell_timer);
+  ash_peers_finish (&fleet->links);
+  HASH_ITER (hh, fleet->peers, peer, next)
+    {
+      forget_loads (fleet, peer);
+      HASH_DEL (fleet->peers, peer);
+      free (peer);
+    }
+}
+
+void
+ash_fleet_woke (struct ash_fleet *fleet)
+{
+  ash_peers_reset (&fleet->links);
+}
+
+void
+ash_fleet_leave (struct ash_fleet *fleet)
+{
+  ash_peers_beat (&fleet->links);
+}
+
+uint32_t
+ash_fleet_size (const struct ash_fleet *fleet)
+{
+  /* All that were ever heard of: one that is cut off spends its part too. */
+  return HASH_COUNT (fleet->peers) + 1;
+}
--- /dev/null
+++ b/daemon/fleet.h
@@ -0,0 +1,61 @@
+/**
+ * @file
+ * The other routers: found through the seeds, then through each other, and linked
+ * to all. They tell each other where callers reach them, how much work they have at
+ * each endpoint, and what they have from the store if one of them can't read it.
+ */
+#ifndef ASH_FLEET_H
+#define ASH_FLEET_H
+
+#include "net/peer.h"
+
+#include <uthash.h>
+
+struct ash_router;
+
+/** Loads of endpoints that a peer tells at most. */
+#define ASH_FLEET_LOADS_MAX 1024
+
+/** Another router. */
+struct ash_fleet_peer
+{
+  char box[ASH_NAME_BYTES];
+  char frontend[ASH_NAME_BYTES];
+  char address[ASH_NAME_BYTES]; /**< where its links are accepted */
+  bool linked;
+  bool leaving;
+  bool reads_store; /**< the store answers it */
+  uint64_t version; /**< of the configuration it has in force */
+  uint64_t endpoints_revision;
+  uint32_t load_count;
+  uint64_t *load_endpoints; /**< hashes, as last told */
+  uint64_t *load_in_flight;
+  UT_hash_handle hh;
+};
+
+/** All that is known of the others. */
+struct ash_fleet
+{
+  struct ash_router *router;
+  struct ash_peers links;
+  struct ash_fleet_peer *peers;
+  ev_timer tell_timer;
+  bool loads_changed;
+  bool opened;
+};
+
+/** Opens the links. @return false with errno set. */
+bool ash_fleet_open (struct ash_fleet *fleet, struct ash_router *router);
+
+void ash_fleet_close (struct ash_fleet *fleet);
+
+/** This process was paused: what the links hold is out of date. */
+void ash_fleet_woke (struct ash_fleet *fleet);
+
+/** The router is about to stop: the others are told at once. */
+void ash_fleet_leave (struct ash_fleet *fleet);
+
+/** @return how many routers share the fleet's bounds, this one included. */
+uint32_t ash_fleet_size (const struct ash_fleet *fleet);
+
+#endif
--- /dev/null
+++ b/daemon/router.c
@@ -0,0 +1,364 @@
+#include "daemon/router.h"
+
+#include "platform/config.h"
+
+#include <errno.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_S 0.1
+
+/* A gap in the loop's turns so long means that the process was stopped. */
+#define PAUSE_MS 1000
+
+/* In a planned stop: how long callers may still come by an address that they keep,
+ * against the time that an answer may be kept. */
+#define KEEP_TIMES 3
+
+/* Left of the time to stop when what is still under way is given up. */
+#define STOP_MARGIN_MS 400
+
+uint64_t
+ash_router_version (const struct ash_router *router)
+{
+  return router->table ? router->table->version : 0;
+}
+
+bool
+ash_router_ready (const struct ash_router *router)
+{
+  return router->table && router->endpoints.endpoints && !router->stopping;
+}
+
+struct ash_resend_bound
+ash_router_resend_bound (const struct ash_router *router)
+{
+  return (struct ash_resend_bound){ router->settings.resend_window_ms,
+                                    router->settings.resend_ratio, router->settings.resend_slack };
+}
+
+struct ash_resend_window *
+ash_router_window (struct ash_router *router, const char *service)
+{
+  static struct ash_resend_window none; /* without memory nothing is sent again for long */
+  struct ash_router_service *found;
+
+  HASH_FIND_STR (router->services, service, found);
+  if (found)
+    return &found->window;
+  found = calloc (1, sizeof *found);
+  if (!found)
+    return &none;
+  snprintf (found->name, sizeof found->name, "%s", service);
+  HASH_ADD_STR (router->services, name, found);
+  return &found->window;
+}
+
+/* ---- connections to endpoints ---- */
+
+struct ash_http_pool *
+ash_router_pool (struct ash_router *router, struct ash_direct_endpoint *endpoint)
+{
+  struct ash_http_pool *pool = endpoint->owner;
+
+  if (pool)
+    return pool;
+  pool = calloc (1, sizeof *pool);
+  if (pool && !ash_http_pool_init (pool, router->loop, endpoint->facts.address))
+    ash_log_event (&router->log, ASH_EV_CONFIG_REFUSED, "endpoint=%s address=%s why=\"no address\"",
+                   endpoint->facts.id, endpoint->facts.address);
+  endpoint->owner = pool;
+  return pool;
+}
+
+static void
+on_leaving (void *data, struct ash_direct_endpoint *endpoint)
+{
+  (void) data;
+  if (endpoint->owner)
+    ash_http_pool_finish (endpoint->owner);
+  free (endpoint->owner);
+  endpoint->owner = NULL;
+}
+
+/* ---- configuration ---- */
+
+static void
+apply_limits (struct ash_router *router)
+{
+  const struct ash_route_limits *limits = &router->table->limits;
+
+  router->frontend.bounds = (struct ash_http_bounds){
+    .head_max_bytes = limits->head_max_bytes,
+    .body_max_bytes = limits->body_max_bytes,
+    .head_timeout_ms = limits->head_timeout_ms,
+    .idle_timeout_ms = limits->idle_timeout_ms,
+  };
+}
+
+static void
+log_findings (struct ash_router *router, const struct ash_findings *findings, const char *source)
+{
+  for (uint32_t i = 0; i < findings->count && i < ASH_FINDINGS_MAX; i++)
+    ash_log_event (&router->log, ASH_EV_CONFIG_REFUSED,
+                   "source=%s place=%s why=\"%s\" in_force=%llu", source, findings->items[i].place,
+                   findings->items[i].text, (unsigned long long) ash_router_version (router));
+}
+
+void
+ash_router_offer_config (struct ash_router *router,
+                         const char *text,
+                         size_t text_bytes,
+                         const char *source)
+{
+  struct ash_route_table *table = ash_route_table_new ();
+  char *copy = malloc (text_bytes + 1);
+  struct ash_findings findings;
+
+  ash_findings_init (&findings, "configuration");
+  if (table && copy)
+    ash_platform_config_read (table, text, text_bytes, &findings);
+  if (!table || !copy || findings.count || table->version <= ash_router_version (router))
+    {
+      if (findings.count)
+        log_findings (router, &findings, source);
+      ash_route_table_unref (table);
+      free (copy);
+      ash_findings_finish (&findings);
+      return;
+    }
+  ash_findings_finish (&findings);
+  memcpy (copy, text, text_bytes);
+  ash_log_event (&router->log, ASH_EV_CONFIG_ACCEPTED,
+                 "version=%llu before=%llu source=%s routes=%u services=%u accounts=%u",
+                 (unsigned long long) table->version,
+                 (unsigned long long) ash_router_version (router), source, table->route_count,
+                 table->service_count, table->account_count);
+  ash_route_table_unref (router->table);
+  free (router->config_text);
+  router->table = table;
+  router->config_text = copy;
+  router->config_bytes = text_bytes;
+  apply_limits (router);
+}
+
+/* ---- time and signals ---- */
+
+static bool
+may_end (const struct ash_router *router, struct ash_time now)
+{
+  const struct ash_router_settings *settings = &router->settings;
+  int64_t since_ms = ash_time_diff (router->stop_began, now);
+
+  if (since_ms > (int64_t) settings->grace_ms - STOP_MARGIN_MS)
+    return true;
+  return since_ms > (int64_t) settings->address_keep_ms * KEEP_TIMES &&
+         !ash_http_listener_busy (&router->frontend);
+}
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct ash_router *router = timer->data;
+  struct ash_time now = ash_clock_now ();
+
+  (void) events;
+  ash_direct_tick (&router->endpoints, now);
+  router->room = true;
+  if (router->stopping && may_end (router, now))
+    ev_break (loop, EVBREAK_ALL);
+}
+
+/* Last before the loop sleeps: whatever made room in this turn is used. */
+static void
+on_before_sleep (struct ev_loop *loop, ev_prepare *prepare, int events)
+{
+  struct ash_router *router = prepare->data;
+
+  (void) loop;
+  (void) events;
+  if (router->room)
+    ash_exchange_room (router);
+}
+
+static void
+on_stop (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  struct ash_router *router = watcher->data;
+
+  (void) events;
+  if (router->stopping)
+    {
+      ash_log_event (&router->log, ASH_EV_CUT_SHORT, "signal=%d", watcher->signum);
+      ev_break (loop, EVBREAK_ALL);
+      return;
+    }
+  router->stopping = true;
+  router->stop_began = ash_clock_now ();
+  ash_log_event (&router->log, ASH_EV_STOPPING, "signal=%d busy=%u", watcher->signum,
+                 ash_http_listener_busy (&router->frontend));
+  ash_http_listener_drain (&router->frontend);
+  ash_fleet_leave (&router->fleet);
+}
+
+static void
+on_reload (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  struct ash_router *router = watcher->data;
+  struct ash_router_settings settings;
+  struct ash_findings findings;
+
+  (void) loop;
+  (void) events;
+  ash_findings_init (&findings, router->settings_path);
+  ash_router_settings_read_file (&settings, router->settings_path, &findings);
+  ash_log_event (&router->log, ASH_EV_RELOADED, "findings=%u", findings.count);
+  /* Addresses and the box's name hold for the process's life. */
+  if (!findings.count)
+    {
+      router->settings.wait_ms = settings.wait_ms;
+      router->settings.rank_streams = settings.rank_streams;
+      router->settings.plain_queue = settings.plain_queue;
+      router->settings.address_keep_ms = settings.address_keep_ms;
+      router->settings.resend_ratio = settings.resend_ratio;
+      router->settings.resend_slack = settings.resend_slack;
+    }
+  else
+    ash_findings_print (&findings, stderr);
+  ash_findings_finish (&findings);
+}
+
+/* ---- life ---- */
+
+static bool
+listen_at (struct ash_router *router,
+           struct ash_http_listener *listener,
+           const char *address,
+           const struct ash_conn_handler *handler)
+{
+  if (ash_http_listen (listener, router->loop, address, handler, router))
+    return true;
+  ash_log_event (&router->log, ASH_EV_CANNOT_LISTEN, "address=%s error=\"%s\"", address,
+                 strerror (errno));
+  return false;
+}
+
+static bool
+open_all (struct ash_router *router)
+{
+  const struct ash_router_settings *settings = &router->settings;
+
+  if (!listen_at (router, &router->frontend, settings->frontend_listen, &ash_exchange_handler) ||
+      !listen_at (router, &router->readiness, settings->readiness_listen, &ash_readiness_handler) ||
+      !listen_at (router, &router->directory, settings->directory_listen, &ash_directory_handler) ||
+      !listen_at (router, &router->figures, settings->metrics_listen, &ash_figures_handler))
+    return false;
+  if (!ash_fleet_open (&router->fleet, router))
+    {
+      ash_log_event (&router->log, ASH_EV_CANNOT_LISTEN, "address=%s error=\"%s\"",
+                     settings->peer_listen, strerror (errno));
+      return false;
+    }
+  return ash_store_open (&router->store, router);
+}
+
+static void
+watch_signal (struct ash_router *router,
+              ev_signal *watcher,
+              int number,
+              void (*handler) (struct ev_loop *, ev_signal *, int))
+{
+  ev_signal_init (watcher, handler, number);
+  watcher->data = router;
+  ev_signal_start (router->loop, watcher);
+}
+
+static void
+start_watchers (struct ash_router *router)
+{
+  ev_timer_init (&router->tick, on_tick, TICK_S, TICK_S);
+  router->tick.data = router;
+  ev_timer_start (router->loop, &router->tick);
+  ev_prepare_init (&router->before_sleep, on_before_sleep);
+  router->before_sleep.data = router;
+  ev_prepare_start (router->loop, &router->before_sleep);
+  watch_signal (router, &router->on_term, SIGTERM, on_stop);
+  watch_signal (router, &router->on_int, SIGINT, on_stop);
+  watch_signal (router, &router->on_hup, SIGHUP, on_reload);
+}
+
+static bool
+init (struct ash_router *router)
+{
+  const struct ash_router_settings *settings = &router->settings;
+
+  signal (SIGPIPE, SIG_IGN);
+  if (sodium_init () < 0)
+    return false;
+  router->log_sink = (struct ash_log_sink){
+    .out = stdout,
+    .level = (enum ash_log_level) settings->log_level,
+    .json = settings->log_format == 1,
+    .box = settings->box,
+  };
+  router->log = (struct ash_log){ &router->log_sink, "router" };
+  router->loop = ev_default_loop (EVFLAG_AUTO);
+  router->started = ash_clock_now ();
+  while (!router->incarnation)
+    randombytes_buf (&router->incarnation, sizeof router->incarnation);
+  ash_random_init (&router->random, router->incarnation);
+  ash_direct_init (&router->endpoints, ash_random_next (&router->random));
+  router->endpoints.leaving = on_leaving;
+  router->endpoints.data = router;
+  ash_metrics_init (&router->metrics);
+  router->frontend.fd = router->readiness.fd = router->directory.fd = router->figures.fd = -1;
+  return router->loop != NULL;
+}
+
+static void
+finish (struct ash_router *router)
+{
+  struct ash_router_service *service;
+  struct ash_router_service *next;
+
+  ash_http_listener_finish (&router->frontend);
+  ash_http_listener_finish (&router->readiness);
+  ash_http_listener_finish (&router->directory);
+  ash_http_listener_finish (&router->figures);
+  ash_store_close (&router->store);
+  ash_direct_finish (&router->endpoints);
+  ash_fleet_close (&router->fleet);
+  HASH_ITER (hh, router->services, service, next)
+    {
+      HASH_DEL (router->services, service);
+      free (service);
+    }
+  ash_route_table_unref (router->table);
+  free (router->config_text);
+  ash_metrics_finish (&router->metrics);
+}
+
+bool
+ash_router_run (struct ash_router *router, const char *settings_path)
+{
+  bool ok;
+
+  router->settings_path = settings_path;
+  if (!init (router))
+    return false;
+  ok = open_all (router);
+  if (ok)
+    {
+      start_watchers (router);
+      ash_log_event (&router->log, ASH_EV_STARTED, "incarnation=%016llx hall=%s frontend=%s",
+                     (unsigned long long) router->incarnation, router->settings.hall,
+                     router->settings.frontend_listen);
+      ev_run (router->loop, 0);
+      ash_log_event (&router->log, ASH_EV_STOPPED, "busy=%u",
+                     ash_http_listener_busy (&router->frontend));
+    }
+  finish (router);
+  return ok;
+}
--- /dev/null
+++ b/daemon/router_pages.c
@@ -0,0 +1,123 @@
+/**
+ * @file
+ * The router's small pages: whether it is ready, which addresses callers may use,
+ * and its figures.
+ */
+#include "daemon/router.h"
+#include "platform/directory.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#define TEXT_FIELDS "Content-Type: text/plain\r\n"
+
+static void
+answer_text (struct ash_http_conn *conn, uint16_t status, const char *text)
+{
+  ash_http_conn_answer (conn, status, TEXT_FIELDS, strlen (TEXT_FIELDS), text, strlen (text));
+}
+
+static void
+ignore_gone (struct ash_http_conn *conn)
+{
+  (void) conn; /* pages are answered at once: there is nothing to give up */
+}
+
+/* ---- readiness ---- */
+
+static void
+on_readiness (struct ash_http_conn *conn)
+{
+  const struct ash_router *router = conn->listener->owner;
+
+  if (ash_router_ready (router))
+    answer_text (conn, 200, "ready\n");
+  else
+    answer_text (conn, 503, router->stopping ? "stopping\n" : "no configuration yet\n");
+}
+
+const struct ash_conn_handler ash_readiness_handler = { on_readiness, ignore_gone, NULL };
+
+/* ---- directory ---- */
+
+static void
+on_directory (struct ash_http_conn *conn)
+{
+  const struct ash_router *router = conn->listener->owner;
+  const char *addresses[ASH_PLATFORM_ADDRESSES_MAX];
+  struct ash_buffer body = { 0 };
+  uint32_t count = 0;
+
+  if (ash_router_ready (router))
+    addresses[count++] = router->settings.frontend_listen;
+  for (const struct ash_fleet_peer *peer = router->fleet.peers; peer; peer = peer->hh.next)
+    if (peer->linked && !peer->leaving && *peer->frontend && count < ASH_PLATFORM_ADDRESSES_MAX)
+      addresses[count++] = peer->frontend;
+  if (!count ||
+      !ash_platform_directory_write (&body, addresses, count, router->settings.address_keep_ms))
+    answer_text (conn, 503, "no entry is known that is ready\n");
+  else
+    ash_http_conn_answer (conn, 200, ASH_PLATFORM_JSON_FIELDS, strlen (ASH_PLATFORM_JSON_FIELDS),
+                          body.bytes + body.start, body.length);
+  ash_buffer_finish (&body);
+}
+
+const struct ash_conn_handler ash_directory_handler = { on_directory, ignore_gone, NULL };
+
+/* ---- figures ---- */
+
+static void
+set_gauges (struct ash_router *router)
+{
+  struct ash_metrics *metrics = &router->metrics;
+  struct ash_time now = ash_clock_now ();
+  char labels[128];
+
+  ash_metrics_set (metrics, "ash_config_version", "", ash_router_version (router));
+  ash_metrics_set (metrics, "ash_endpoints_revision", "", router->endpoints.revision);
+  ash_metrics_set (metrics, "ash_store_calls_total", "", router->store.calls);
+  ash_metrics_set (metrics, "ash_entries", "", ash_fleet_size (&router->fleet));
+  ash_metrics_set (metrics, "ash_callers_connected", "", router->frontend.conn_count);
+  ash_metrics_set (metrics, "ash_requests_waiting", "", router->waiting_count);
+  ash_metrics_set (metrics, "ash_body_bytes", "", router->frontend.body_bytes);
+  for (int part = 0; part < ASH_STORE_PARTS; part++)
+    {
+      const struct ash_store_reader *reader = &router->store.readers[part];
+
+      snprintf (labels, sizeof labels, "part=\"%s\"",
+                part == ASH_STORE_CONFIG ? "config" : "endpoints");
+      ash_metrics_set (metrics, "ash_store_answer_age_ms", labels,
+                       (uint64_t) ash_time_diff (reader->answered, now));
+    }
+  for (const struct ash_direct_endpoint *endpoint = router->endpoints.endpoints; endpoint;
+       endpoint = endpoint->hh.next)
+    {
+      snprintf (labels, sizeof labels, "endpoint=\"%s\"", endpoint->facts.id);
+      ash_metrics_set (metrics, "ash_endpoint_in_flight", labels, endpoint->in_flight);
+      ash_metrics_set (metrics, "ash_endpoint_elsewhere", labels, endpoint->elsewhere);
+      ash_metrics_set (metrics, "ash_endpoint_failures", labels, endpoint->failures);
+    }
+}
+
+static void
+on_figures (struct ash_http_conn *conn)
+{
+  struct ash_router *router = conn->listener->owner;
+  char *text = NULL;
+  size_t text_bytes = 0;
+  FILE *out = open_memstream (&text, &text_bytes);
+
+  if (!out)
+    {
+      answer_text (conn, 503, "out of memory\n");
+      return;
+    }
+  set_gauges (router);
+  ash_metrics_print (&router->metrics, out);
+  fclose (out);
+  ash_http_conn_answer (conn, 200, TEXT_FIELDS, strlen (TEXT_FIELDS), text, text_bytes);
+  free (text);
+}
+
+const struct ash_conn_handler ash_figures_handler = { on_figures, ignore_gone, NULL };
--- /dev/null
+++ b/daemon/store.c
@@ -0,0 +1,466 @@
+#include "daemon/store.h"
+
+#include "daemon/router.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MS_PER_S 1000.0
+
+/* An answer is due so long after the store should have given it: many times its usual
+ * few milliseconds, so that a slow store is not asked twice. */
+#define ANSWER_SLACK_MS 1500
+
+/* Waits between failed questions: the first soon, since most failures are one lost
+ * connection; the longest a small part of the time in which a change must be in force. */
+#define RETRY_FIRST_MS 50
+#define RETRY_LONGEST_MS 500
+
+/* After trouble an entry that is missing may just have lapsed: endpoints that live are
+ * back in the list within two seconds of the store's return. */
+#define LAPSE_MS 2300
+
+/* Without an answer for so long, the store is away: endpoints may have missed a heartbeat. */
+#define AWAY_MS 800
+
+/* Trouble so short ago still explains that an entry is missing. */
+#define TROUBLE_MS 4000
+
+/* ---- the list of endpoints ---- */
+
+static void
+log_endpoint (struct ash_router *router,
+              enum ash_event event,
+              const struct ash_direct_facts *facts,
+              const char *source)
+{
+  ash_log_event (&router->log, event,
+                 "endpoint=%s service=%s address=%s hall=%s revision=%" PRIu64 " source=%s",
+                 facts->id, facts->service, facts->address, facts->hall, router->endpoints.revision,
+                 source);
+}
+
+static void
+keep_entry (struct ash_store *store, const struct ash_store_item *item, uint32_t listing)
+{
+  struct ash_store_entry *entry;
+
+  HASH_FIND_STR (store->entries, item->name, entry);
+  if (!entry)
+    {
+      entry = calloc (1, sizeof *entry);
+      if (!entry)
+        return;
+      snprintf (entry->id, sizeof entry->id, "%s", item->name);
+      HASH_ADD_STR (store->entries, id, entry);
+    }
+  free (entry->value);
+  entry->value = malloc (item->value_bytes + 1);
+  entry->value_bytes = entry->value ? item->value_bytes : 0;
+  if (entry->value)
+    memcpy (entry->value, item->value, item->value_bytes);
+  entry->listing = listing;
+}
+
+static void
+drop_entry (struct ash_store *store, struct ash_store_entry *entry)
+{
+  HASH_DEL (store->entries, entry);
+  free (entry->value);
+  free (entry);
+}
+
+static void
+take_endpoint (struct ash_store *store,
+               const struct ash_store_item *item,
+               uint32_t listing,
+               const char *source)
+{
+  struct ash_router *router = store->router;
+  struct ash_direct_facts facts;
+
+  if (!ash_platform_server_read (item->name, item->value, item->value_bytes, &facts))
+    {
+      ash_log_event (&router->log, ASH_EV_CONFIG_REFUSED, "endpoint=%s why=\"unreadable entry\"",
+                     item->name);
+      return;
+    }
+  keep_entry (store, item, listing);
+  if (!ash_direct_listed (&router->endpoints, &facts))
+    return;
+  router->room = true;
+  log_endpoint (router, facts.draining ? ASH_EV_ENDPOINT_LEAVING : ASH_EV_ENDPOINT_LISTED, &facts,
+                source);
+}
+
+/* An entry is missing. Whether the endpoint is gone depends on whether the store was
+ * sound: while it is away entries lapse although their endpoints live. */
+static void
+lose_endpoint (struct ash_store *store, const char *id, bool trusted, const char *source)
+{
+  struct ash_router *router = store->router;
+  struct ash_time now = ash_clock_now ();
+  struct ash_store_entry *entry;
+  struct ash_direct_endpoint *endpoint = ash_direct_find (&router->endpoints, id);
+
+  HASH_FIND_STR (store->entries, id, entry);
+  if (entry)
+    drop_entry (store, entry);
+  if (endpoint &&
+      ash_direct_removed (&router->endpoints, id, trusted, ash_time_add (now, LAPSE_MS)))
+    log_endpoint (router, ASH_EV_ENDPOINT_MISSING, &endpoint->facts, source);
+}
+
+static bool
+was_sound (const struct ash_store_reader *reader)
+{
+  return ash_time_diff (reader->trouble, ash_clock_now ()) > TROUBLE_MS;
+}
+
+/* What a whole listing did not have. */
+static void
+lose_unlisted (struct ash_store_reader *reader)
+{
+  struct ash_store *store = &reader->router->store;
+  bool trusted = was_sound (reader);
+  struct ash_store_entry *entry;
+  struct ash_store_entry *next;
+
+  HASH_ITER (hh, store->entries, entry, next)
+    if (entry->listing != reader->listing)
+      lose_endpoint (store, entry->id, trusted, "store");
+}
+
+/* ---- answers ---- */
+
+static void
+take_item (void *data, const struct ash_store_item *item)
+{
+  struct ash_store_reader *reader = data;
+  struct ash_router *router = reader->router;
+
+  switch (reader->part)
+    {
+    case ASH_STORE_CONFIG:
+      if (!item->removed)
+        ash_router_offer_config (router, (const char *) item->value, item->value_bytes, "store");
+      break;
+    case ASH_STORE_SERVERS:
+      if (item->removed)
+        lose_endpoint (&router->store, item->name, was_sound (reader), "store");
+      else
+        take_endpoint (&router->store, item, reader->listing, "store");
+      break;
+    }
+}
+
+static void
+rest (struct ash_store_reader *reader, int64_t ms)
+{
+  reader->state = ASH_STORE_RESTING;
+  ev_timer_stop (reader->router->loop, &reader->timer);
+  ev_timer_set (&reader->timer, (double) ms / MS_PER_S, 0);
+  ev_timer_start (reader->router->loop, &reader->timer);
+}
+
+static void
+fail (struct ash_store_reader *reader, const char *why)
+{
+  struct ash_router *router = reader->router;
+  struct ash_time now = ash_clock_now ();
+  int64_t wait_ms = RETRY_FIRST_MS;
+
+  if (reader->answers || !reader->failures)
+    ash_log_event (&router->log, ASH_EV_PLATFORM_DOWN,
+                   "part=%d why=\"%s\" status=%u revision=%" PRIu64 " age_ms=%lld",
+                   (int) reader->part, why, reader->status, reader->revision,
+                   (long long) ash_time_diff (reader->answered, now));
+  if (!reader->failures)
+    reader->failing_since = now;
+  /* One connection that was cut says nothing of the list; a store that stays away does. */
+  if (ash_time_diff (reader->failing_since, now) > AWAY_MS)
+    reader->trouble = now;
+  /* A listing that broke off begins anew. */
+  if (reader->state == ASH_STORE_LISTING)
+    reader->revision = 0;
+  *reader->page = '\0';
+  reader->answers = false;
+  reader->failures++;
+  for (uint32_t i = 1; i < reader->failures && wait_ms < RETRY_LONGEST_MS; i++)
+    wait_ms *= 2;
+  /* Half to one and a half times, so that routers that failed together spread. */
+  wait_ms = wait_ms / 2 + ash_random_below (&router->random, (uint32_t) wait_ms + 1);
+  rest (reader, wait_ms);
+}
+
+static void
+note_success (struct ash_store_reader *reader)
+{
+  if (!reader->answers)
+    ash_log_event (&reader->router->log, ASH_EV_PLATFORM_UP, "part=%d revision=%" PRIu64,
+                   (int) reader->part, reader->revision);
+  reader->answers = true;
+  reader->failures = 0;
+  reader->answered = ash_clock_now ();
+}
+
+static void ask (struct ash_store_reader *reader);
+
+static void
+take_answer (struct ash_store_reader *reader)
+{
+  struct ash_router *router = reader->router;
+  struct ash_store_taker taker = { take_item, reader };
+  struct ash_store_answer answer;
+  bool listing = reader->state == ASH_STORE_LISTING;
+
+  if (reader->status == 410)
+    {
+      /* The changes since then are gone: all is read anew. What is missing then was
+       * removed in between. */
+      reader->revision = 0;
+      *reader->page = '\0';
+      ask (reader);
+      return;
+    }
+  if (reader->status != 200 ||
+      !ash_platform_store_read ((const char *) reader->answer.bytes + reader->answer.start,
+                                reader->answer.length, &taker, &answer))
+    {
+      fail (reader, reader->status == 200 ? "unreadable answer" : "refused");
+      return;
+    }
+  if (listing && answer.more)
+    {
+      memcpy (reader->page, answer.next_page, sizeof reader->page);
+      /* Pages are no snapshot: changes are watched from the first one on. */
+      if (!reader->revision)
+        reader->revision = answer.revision;
+      ask (reader);
+      return;
+    }
+  if (listing && reader->part == ASH_STORE_SERVERS)
+    lose_unlisted (reader);
+  *reader->page = '\0';
+  if (!listing || !reader->revision)
+    reader->revision = answer.revision > reader->revision ? answer.revision : reader->revision;
+  if (reader->part == ASH_STORE_SERVERS && reader->revision > router->endpoints.revision)
+    router->endpoints.revision = reader->revision;
+  note_success (reader);
+  reader->state = ASH_STORE_WATCHING;
+  ask (reader);
+}
+
+/* ---- calls ---- */
+
+static bool
+on_head (struct ash_http_call *call, const struct ash_http_head *head)
+{
+  struct ash_store_reader *reader = call->owner;
+
+  reader->status = head->status;
+  return true;
+}
+
+static void
+on_body (struct ash_http_call *call, const uint8_t *bytes, size_t length)
+{
+  struct ash_store_reader *reader = call->owner;
+
+  ash_buffer_append (&reader->answer, bytes, length);
+}
+
+static void
+on_end (struct ash_http_call *call, enum ash_call_end end)
+{
+  struct ash_store_reader *reader = call->owner;
+
+  ev_timer_stop (reader->router->loop, &reader->timer);
+  if (end == ASH_CALL_WHOLE)
+    take_answer (reader);
+  else
+    fail (reader, end == ASH_CALL_NOT_SENT ? "can't connect" : "cut off");
+}
+
+static const struct ash_call_handler call_handler = { on_head, on_body, on_end };
+
+static void
+ask (struct ash_store_reader *reader)
+{
+  struct ash_router *router = reader->router;
+  const struct ash_router_settings *settings = &router->settings;
+  struct ash_buffer request = { 0 };
+  /* A reader with trouble behind it asks for little at first: it learns sooner whether
+   * the store is back. */
+  uint32_t wait_ms = settings->store_wait_ms;
+  int64_t due_ms = ANSWER_SLACK_MS;
+
+  reader->status = 0;
+  ash_buffer_consume (&reader->answer, reader->answer.length);
+  if (reader->revision && !*reader->page && reader->state != ASH_STORE_LISTING)
+    {
+      reader->state = ASH_STORE_WATCHING;
+      if (!reader->answers)
+        wait_ms = 0;
+      due_ms += wait_ms;
+      ash_platform_store_watch (&request, settings->store_address, reader->part, reader->revision,
+                                wait_ms);
+    }
+  else
+    {
+      if (!*reader->page)
+        reader->listing++;
+      reader->state = ASH_STORE_LISTING;
+      ash_platform_store_range (&request, settings->store_address, reader->part,
+                                *reader->page ? reader->page : NULL);
+    }
+  reader->asked = ash_clock_now ();
+  router->store.calls++;
+  if (!ash_http_call_start (&reader->call, &router->store.pool, request.bytes + request.start,
+                            request.length, true))
+    fail (reader, "no socket");
+  else
+    {
+      ev_timer_stop (router->loop, &reader->timer);
+      ev_timer_set (&reader->timer, (double) due_ms / MS_PER_S, 0);
+      ev_timer_start (router->loop, &reader->timer);
+    }
+  ash_buffer_finish (&request);
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct ash_store_reader *reader = timer->data;
+
+  (void) loop;
+  (void) events;
+  if (reader->state == ASH_STORE_RESTING)
+    {
+      ask (reader);
+      return;
+    }
+  ash_http_call_cancel (&reader->call);
+  fail (reader, "no answer in time");
+}
+
+/* ---- life ---- */
+
+bool
+ash_store_open (struct ash_store *store, struct ash_router *router)
+{
+  struct ash_time now = ash_clock_now ();
+
+  store->router = router;
+  if (!ash_http_pool_init (&store->pool, router->loop, router->settings.store_address))
+    return false;
+  for (int part = 0; part < ASH_STORE_PARTS; part++)
+    {
+      struct ash_store_reader *reader = &store->readers[part];
+
+      *reader = (struct ash_store_reader){
+        .router = router,
+        .part = (enum ash_store_part) part,
+        .call = { .handler = &call_handler, .owner = reader },
+        .answered = now,
+        .trouble = { now.ms - TROUBLE_MS },
+      };
+      ev_timer_init (&reader->timer, on_timer, 0, 0);
+      reader->timer.data = reader;
+      ask (reader);
+    }
+  return true;
+}
+
+void
+ash_store_close (struct ash_store *store)
+{
+  struct ash_store_entry *entry;
+  struct ash_store_entry *next;
+
+  if (!store->router)
+    return;
+  for (int part = 0; part < ASH_STORE_PARTS; part++)
+    {
+      ev_timer_stop (store->router->loop, &store->readers[part].timer);
+      ash_http_call_cancel (&store->readers[part].call);
+      ash_buffer_finish (&store->readers[part].answer);
+    }
+  ash_http_pool_finish (&store->pool);
+  HASH_ITER (hh, store->entries, entry, next)
+    drop_entry (store, entry);
+}
+
+bool
+ash_store_answers (const struct ash_store *store, enum ash_store_part part)
+{
+  return store->readers[part].answers;
+}
+
+void
+ash_store_woke (struct ash_store *store)
+{
+  for (int part = 0; part < ASH_STORE_PARTS; part++)
+    {
+      struct ash_store_reader *reader = &store->readers[part];
+
+      ash_http_call_cancel (&reader->call);
+      fail (reader, "this process was paused");
+    }
+}
+
+/* ---- peers ---- */
+
+bool
+ash_store_list (const struct ash_store *store, struct Ash__EndpointList *list)
+{
+  size_t count = HASH_COUNT (store->entries);
+
+  list->revision = store->router->endpoints.revision;
+  list->ids = calloc (count + 1, sizeof *list->ids);
+  list->values = calloc (count + 1, sizeof *list->values);
+  if (!list->ids || !list->values)
+    {
+      ash_store_list_free (list);
+      return false;
+    }
+  for (struct ash_store_entry *entry = store->entries; entry; entry = entry->hh.next)
+    {
+      list->ids[list->n_ids++] = entry->id;
+      list->values[list->n_values++] =
+          (struct ProtobufCBinaryData){ entry->value_bytes, entry->value };
+    }
+  return true;
+}
+
+void
+ash_store_list_free (struct Ash__EndpointList *list)
+{
+  free (list->ids);
+  free (list->values);
+}
+
+void
+ash_store_take_list (struct ash_store *store,
+                     const struct Ash__EndpointList *list,
+                     const char *source)
+{
+  struct ash_store_reader *reader = &store->readers[ASH_STORE_SERVERS];
+
+  if (reader->answers || list->revision <= store->router->endpoints.revision)
+    return;
+  store->router->endpoints.revision = list->revision;
+  reader->listing++;
+  for (size_t i = 0; i < list->n_ids && i < list->n_values; i++)
+    {
+      struct ash_store_item item = {
+        .name = list->ids[i],
+        .value = list->values[i].data,
+        .value_bytes = list->values[i].len,
+      };
+
+      take_endpoint (store, &item, reader->listing, source);
+    }
+  lose_unlisted (reader);
+}
--- /dev/null
+++ b/daemon/store.h
@@ -0,0 +1,92 @@
+/**
+ * @file
+ * What the router reads from the platform's store: the configuration and the list
+ * of endpoints. Each is read whole once and then watched for changes; nothing is
+ * ever written. While the store does not answer, peers may give what they have.
+ */
+#ifndef ASH_STORE_H
+#define ASH_STORE_H
+
+#include "common/clock.h"
+#include "net/http_call.h"
+#include "platform/store.h"
+#include "proto/event.h"
+
+#include <ev.h>
+#include <uthash.h>
+
+struct ash_router;
+
+/** Parts that are read, each on its own. */
+#define ASH_STORE_PARTS 2
+
+/** What a reader is doing. */
+enum ash_store_state
+{
+  ASH_STORE_RESTING,  /**< until its timer */
+  ASH_STORE_LISTING,  /**< all items are being read */
+  ASH_STORE_WATCHING, /**< the next change is awaited */
+};
+
+/** Reads one part. */
+struct ash_store_reader
+{
+  struct ash_router *router;
+  enum ash_store_part part;
+  enum ash_store_state state;
+  struct ash_http_call call;
+  struct ash_buffer answer;
+  uint16_t status;
+  uint64_t revision;        /**< where the watch goes on; 0: all must be read first */
+  char page[256];           /**< of the listing; empty: the first */
+  uint32_t listing;         /**< number of the listing under way, to see what it misses */
+  struct ash_time asked;    /**< when the present question was sent */
+  struct ash_time answered; /**< the last sound answer */
+  struct ash_time failing_since;
+  struct ash_time trouble; /**< when the store was last known to be away */
+  bool answers;            /**< the last question was answered */
+  uint32_t failures;       /**< in a row */
+  ev_timer timer;
+};
+
+/** An entry of the list as it stands in the store, for peers. */
+struct ash_store_entry
+{
+  char id[ASH_DIRECT_NAME_BYTES];
+  uint8_t *value;
+  size_t value_bytes;
+  uint32_t listing; /**< the last listing that had it */
+  UT_hash_handle hh;
+};
+
+/** The store as this router sees it. */
+struct ash_store
+{
+  struct ash_router *router;
+  struct ash_http_pool pool;
+  struct ash_store_reader readers[ASH_STORE_PARTS];
+  struct ash_store_entry *entries;
+  uint64_t calls; /**< questions asked */
+};
+
+/** Starts reading. @return false if the address is none. */
+bool ash_store_open (struct ash_store *store, struct ash_router *router);
+
+void ash_store_close (struct ash_store *store);
+
+/** @return whether the store answers questions for that part. */
+bool ash_store_answers (const struct ash_store *store, enum ash_store_part part);
+
+/** The process was paused: what is under way is asked anew. */
+void ash_store_woke (struct ash_store *store);
+
+/** Fills a list for a peer; its arrays are freed by ash_store_list_free(). */
+bool ash_store_list (const struct ash_store *store, struct Ash__EndpointList *list);
+void ash_store_list_free (struct Ash__EndpointList *list);
+
+/** Takes a peer's list if the store does not answer here and the list is newer. */
+void ash_store_take_list (struct ash_store *store,
+                          const struct Ash__EndpointList *list,
+                          const char *source);
+
+#endif
--- /dev/null
+++ b/filters/forward.c
@@ -0,0 +1,126 @@
+#include "filters/forward.h"
+
+/* When a refused caller may come back: long enough for some streams to end, spread so
+ * that those refused together do not return together. */
+#define RETRY_AFTER_LEAST_MS 300
+#define RETRY_AFTER_SPREAD_MS 700
+
+const char *
+ash_forward_reason_name (enum ash_forward_reason reason)
+{
+  switch (reason)
+    {
+    case ASH_FORWARD_NO_ENDPOINT:
+      return "no_endpoint";
+    case ASH_FORWARD_NO_ROOM:
+      return "no_room";
+    case ASH_FORWARD_TURNED_AWAY:
+      return "turned_away";
+    case ASH_FORWARD_FAILED:
+      return "failed";
+    case ASH_FORWARD_TIMEOUT:
+      return "timeout";
+    case ASH_FORWARD_NO_BUDGET:
+      return "no_budget";
+    }
+  return "unknown";
+}
+
+uint16_t
+ash_forward_status (const struct ash_forward *forward, enum ash_forward_reason reason)
+{
+  if (!forward->unsure)
+    return 503;
+  return reason == ASH_FORWARD_TIMEOUT ? 504 : 502;
+}
+
+static struct ash_forward_verdict
+answer (const struct ash_forward *forward,
+        const struct ash_forward_world *world,
+        enum ash_forward_reason reason)
+{
+  struct ash_forward_verdict verdict = { .action = ASH_FORWARD_ANSWER };
+
+  verdict.answer.reason = reason;
+  verdict.answer.status = ash_forward_status (forward, reason);
+  if (verdict.answer.status == 503)
+    verdict.answer.retry_after_ms =
+        RETRY_AFTER_LEAST_MS + ash_random_below (&world->endpoints->random, RETRY_AFTER_SPREAD_MS);
+  return verdict;
+}
+
+/* A further endpoint costs a part of the fleet's budget. */
+static bool
+may_send (const struct ash_forward *forward,
+          const struct ash_forward_world *world,
+          struct ash_time now)
+{
+  return !forward->sent ||
+         ash_resend_window_spend (world->window, &world->bound, world->entries, now);
+}
+
+static struct ash_forward_verdict
+wait_or_refuse (const struct ash_forward *forward,
+                const struct ash_forward_world *world,
+                struct ash_time now,
+                enum ash_forward_reason reason)
+{
+  struct ash_time until = ash_time_add (forward->came, world->wait_ms);
+
+  /* A stream that has begun is worth more waiting than a refusal: it can't be refused. */
+  if (forward->began)
+    until = forward->wait_until;
+  if (!ash_time_before (now, until))
+    return answer (forward, world, reason);
+  return (struct ash_forward_verdict){ .action = ASH_FORWARD_WAIT, .until = until };
+}
+
+struct ash_forward_verdict
+ash_forward_next (struct ash_forward *forward,
+                  const struct ash_forward_world *world,
+                  struct ash_time now)
+{
+  struct ash_direct_wish wish = {
+    .service = forward->service,
+    .cap = forward->cap,
+    .tried = forward->tried,
+    .tried_count = forward->tried_count,
+  };
+  struct ash_direct_endpoint *endpoint;
+
+  if (!ash_time_before (now, forward->deadline))
+    return answer (forward, world, ASH_FORWARD_TIMEOUT);
+  if (forward->unsure && forward->repeat == ASH_REPEAT_ONCE)
+    return answer (forward, world, ASH_FORWARD_FAILED);
+  if (forward->sent >= forward->servers_max)
+    return answer (forward, world, forward->unsure ? ASH_FORWARD_FAILED : ASH_FORWARD_TURNED_AWAY);
+  switch (ash_direct_choose (world->endpoints, now, &wish, &endpoint))
+    {
+    case ASH_DIRECT_NONE:
+      return wait_or_refuse (forward, world, now, ASH_FORWARD_NO_ENDPOINT);
+    case ASH_DIRECT_ALL_FULL:
+      return wait_or_refuse (forward, world, now, ASH_FORWARD_NO_ROOM);
+    case ASH_DIRECT_CHOSEN:
+      break;
+    }
+  if (!may_send (forward, world, now))
+    return answer (forward, world, ASH_FORWARD_NO_BUDGET);
+  return (struct ash_forward_verdict){ .action = ASH_FORWARD_SEND, .endpoint = endpoint };
+}
+
+void
+ash_forward_sent (struct ash_forward *forward, const struct ash_direct_endpoint *endpoint)
+{
+  forward->sent++;
+  forward->unsure++;
+  if (forward->tried_count < ASH_DIRECT_TRIED_MAX)
+    forward->tried[forward->tried_count++] = endpoint->hash;
+}
+
+void
+ash_forward_not_run (struct ash_forward *forward, bool was_sent)
+{
+  forward->unsure--;
+  if (!was_sent)
+    forward->sent--;
+}
--- /dev/null
+++ b/net/event_stream.c
@@ -0,0 +1,100 @@
+#include "net/event_stream.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+void
+ash_event_stream_init (struct ash_event_stream *stream)
+{
+  *stream = (struct ash_event_stream){ 0 };
+}
+
+void
+ash_event_stream_finish (struct ash_event_stream *stream)
+{
+  ash_buffer_finish (&stream->part);
+}
+
+bool
+ash_event_stream_feed (struct ash_event_stream *stream, const uint8_t *bytes, size_t length)
+{
+  return stream->part.length + length <= ASH_EVENT_MAX_BYTES &&
+         ash_buffer_append (&stream->part, bytes, length);
+}
+
+/* The length of the first event with its blank line, or 0. Lines end by LF or CR LF. */
+static size_t
+event_length (struct ash_event_stream *stream)
+{
+  const uint8_t *bytes = stream->part.bytes + stream->part.start;
+
+  for (size_t i = stream->scanned; i < stream->part.length; i++)
+    {
+      size_t before = i;
+
+      if (bytes[i] != '\n')
+        continue;
+      if (before && bytes[before - 1] == '\r')
+        before--;
+      if (before && bytes[before - 1] == '\n')
+        return i + 1;
+    }
+  stream->scanned = stream->part.length;
+  return 0;
+}
+
+static void
+read_id (struct ash_stream_event *event)
+{
+  const uint8_t *line = event->bytes;
+  const uint8_t *end = event->bytes + event->length;
+
+  while (line < end)
+    {
+      const uint8_t *line_end = memchr (line, '\n', (size_t) (end - line));
+      char number[24];
+      size_t length;
+
+      if (end - line > 3 && memcmp (line, "id:", 3) == 0 && line_end)
+        {
+          length = (size_t) (line_end - line) - 3;
+          if (length >= sizeof number)
+            return;
+          memcpy (number, line + 3, length);
+          number[length] = '\0';
+          event->has_id = true;
+          event->id = strtoll (number, NULL, 10);
+          return;
+        }
+      line = line_end ? line_end + 1 : end;
+    }
+}
+
+bool
+ash_event_stream_next (struct ash_event_stream *stream, struct ash_stream_event *event)
+{
+  size_t length = event_length (stream);
+
+  if (!length)
+    return false;
+  *event = (struct ash_stream_event){
+    .bytes = stream->part.bytes + stream->part.start,
+    .length = length,
+  };
+  read_id (event);
+  return true;
+}
+
+void
+ash_event_stream_drop (struct ash_event_stream *stream, const struct ash_stream_event *event)
+{
+  ash_buffer_consume (&stream->part, event->length);
+  stream->scanned = 0;
+}
+
+bool
+ash_event_stream_whole (const struct ash_event_stream *stream)
+{
+  return stream->part.length == 0;
+}
--- a/net/frame.c
+++ b/net/frame.c
@@ -5,52 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define BUFFER_FIRST_BYTES 4096
-
-void
-ash_buffer_finish (struct ash_buffer *buffer)
-{
-  free (buffer->bytes);
-  *buffer = (struct ash_buffer){ 0 };
-}
-
-uint8_t *
-ash_buffer_reserve (struct ash_buffer *buffer, size_t room)
-{
-  size_t capacity = buffer->capacity ? buffer->capacity : BUFFER_FIRST_BYTES;
-  uint8_t *grown;
-
-  if (buffer->start && buffer->start + buffer->length + room > buffer->capacity)
-    {
-      memmove (buffer->bytes, buffer->bytes + buffer->start, buffer->length);
-      buffer->start = 0;
-    }
-  while (capacity < buffer->start + buffer->length + room)
-    capacity *= 2;
-  if (capacity != buffer->capacity)
-    {
-      grown = realloc (buffer->bytes, capacity);
-      if (!grown)
-        return NULL;
-      buffer->bytes = grown;
-      buffer->capacity = capacity;
-    }
-  return buffer->bytes + buffer->start + buffer->length;
-}
-
-void
-ash_buffer_consume (struct ash_buffer *buffer, size_t length)
-{
-  buffer->start += length;
-  buffer->length -= length;
-  if (buffer->length)
-    return;
-  buffer->start = 0;
-  /* A link that once carried something large should not hold on to it. */
-  if (buffer->capacity > BUFFER_FIRST_BYTES)
-    ash_buffer_finish (buffer);
-}
-
 static void
 compute_mac (const struct ash_frame_key *key,
              const uint8_t *payload,
--- a/net/frame.h
+++ b/net/frame.h
@@ -5,6 +5,7 @@
 #ifndef ASH_FRAME_H
 #define ASH_FRAME_H
 
+#include "net/buffer.h"
 #include "proto/event.h"
 
 #define ASH_FRAME_HEADER_BYTES 4
@@ -23,23 +24,6 @@
   uint64_t number; /**< of the next frame */
 };
 
-/** A growing buffer whose start is consumed. */
-struct ash_buffer
-{
-  uint8_t *bytes;
-  size_t start;
-  size_t length; /**< from start */
-  size_t capacity;
-};
-
-void ash_buffer_finish (struct ash_buffer *buffer);
-
-/** Makes room. @return where to write @p room bytes, or NULL. */
-uint8_t *ash_buffer_reserve (struct ash_buffer *buffer, size_t room);
-
-/** Drops bytes from the start. */
-void ash_buffer_consume (struct ash_buffer *buffer, size_t length);
-
 /** Appends an event as a frame. @return false without memory or if too large. */
 bool
 ash_frame_write (struct ash_buffer *out, struct ash_frame_key *key, const struct Ash__Event *event);
--- /dev/null
+++ b/net/http_conn.c
@@ -0,0 +1,478 @@
+#include "net/http_conn.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utlist.h>
+
+/* Until a configuration says otherwise. */
+#define HEAD_MAX_BYTES 16384
+#define BODY_MAX_BYTES (4 * 1024 * 1024)
+#define HEAD_TIMEOUT_MS 3000
+#define IDLE_TIMEOUT_MS 15000
+
+#define SWEEP_S 0.1
+
+/* What a caller may send ahead while a request is served, before it is held back. */
+#define EARLY_MAX_BYTES 16384
+
+/* All bodies that a process holds at once: a quarter of a small box's memory. */
+#define BODIES_MAX_BYTES (48 * 1024 * 1024)
+
+/* How long a caller may take to read the end of an answer on a connection that closes. */
+#define CLOSING_MS 3000
+
+static void
+set_state (struct ash_http_conn *conn, enum ash_conn_state state)
+{
+  conn->state = state;
+  conn->since = ash_clock_now ();
+}
+
+static void
+drop_body (struct ash_http_conn *conn)
+{
+  conn->listener->body_bytes -= conn->body.length;
+  ash_buffer_finish (&conn->body);
+}
+
+/* Freed by the sweep: a handler further up may still hold it. */
+static void
+kill_conn (struct ash_http_conn *conn)
+{
+  ash_stream_finish (&conn->stream);
+  drop_body (conn);
+  ash_buffer_finish (&conn->early);
+  conn->dead = true;
+}
+
+static void
+free_conn (struct ash_http_conn *conn)
+{
+  ash_stream_finish (&conn->stream);
+  ash_http_reader_finish (&conn->reader);
+  ash_buffer_finish (&conn->body);
+  ash_buffer_finish (&conn->early);
+  DL_DELETE (conn->listener->conns, conn);
+  conn->listener->conn_count--;
+  free (conn);
+}
+
+/* ---- answers ---- */
+
+static bool
+keeps (const struct ash_http_conn *conn)
+{
+  return conn->reader.head.keep_alive && !conn->listener->closing && conn->reader.done;
+}
+
+static void
+write_head (struct ash_http_conn *conn,
+            uint16_t status,
+            const char *fields,
+            size_t fields_bytes,
+            const char *framing)
+{
+  char line[256];
+  int length;
+
+  conn->keep = keeps (conn);
+  length = snprintf (line, sizeof line, "HTTP/1.1 %u %s\r\n%s%s", status, ash_http_reason (status),
+                     framing, conn->keep ? "" : "Connection: close\r\n");
+  conn->head_sent = true;
+  /* One write for the whole head: fewer system calls. */
+  ash_buffer_append (&conn->stream.out, line, (size_t) length);
+  ash_buffer_append (&conn->stream.out, fields, fields_bytes);
+  ash_buffer_append (&conn->stream.out, "\r\n", 2);
+}
+
+static void feed (struct ash_http_conn *conn, const uint8_t *bytes, size_t length);
+
+static void
+finish_answer (struct ash_http_conn *conn)
+{
+  struct ash_buffer early = conn->early;
+
+  conn->request = NULL;
+  conn->head_sent = false;
+  drop_body (conn);
+  if (!conn->keep)
+    {
+      set_state (conn, ASH_CONN_CLOSING);
+      if (!conn->stream.out.length)
+        {
+          shutdown (conn->stream.fd, SHUT_WR);
+          ash_stream_pause (&conn->stream, false);
+        }
+      return;
+    }
+  set_state (conn, ASH_CONN_IDLE);
+  ash_http_reader_next (&conn->reader);
+  conn->continue_sent = false;
+  ash_stream_pause (&conn->stream, false);
+  if (!early.length)
+    return;
+  conn->early = (struct ash_buffer){ 0 };
+  feed (conn, early.bytes + early.start, early.length);
+  ash_buffer_finish (&early);
+}
+
+void
+ash_http_conn_answer (struct ash_http_conn *conn,
+                      uint16_t status,
+                      const char *fields,
+                      size_t fields_bytes,
+                      const void *body,
+                      size_t body_bytes)
+{
+  bool head_only = conn->reader.head.method && strcmp (conn->reader.head.method, "HEAD") == 0;
+  char framing[64];
+
+  if (conn->dead)
+    return;
+  snprintf (framing, sizeof framing, "Content-Length: %zu\r\n", body_bytes);
+  write_head (conn, status, fields, fields_bytes, framing);
+  ash_stream_write (&conn->stream, body, head_only ? 0 : body_bytes);
+  if (!body_bytes || head_only)
+    ash_stream_write (&conn->stream, "", 0);
+  finish_answer (conn);
+}
+
+void
+ash_http_conn_begin (struct ash_http_conn *conn,
+                     uint16_t status,
+                     const char *fields,
+                     size_t fields_bytes)
+{
+  if (conn->dead)
+    return;
+  conn->chunked = !conn->reader.head.http_1_0;
+  if (!conn->chunked)
+    conn->reader.head.keep_alive = false;
+  write_head (conn, status, fields, fields_bytes,
+              conn->chunked ? "Transfer-Encoding: chunked\r\n" : "");
+}
+
+void
+ash_http_conn_write (struct ash_http_conn *conn, const void *bytes, size_t length)
+{
+  char size[32];
+
+  if (conn->dead || !length)
+    return;
+  if (conn->chunked)
+    {
+      snprintf (size, sizeof size, "%zx\r\n", length);
+      ash_buffer_append (&conn->stream.out, size, strlen (size));
+      ash_buffer_append (&conn->stream.out, bytes, length);
+      ash_stream_write (&conn->stream, "\r\n", 2);
+    }
+  else
+    ash_stream_write (&conn->stream, bytes, length);
+}
+
+void
+ash_http_conn_end (struct ash_http_conn *conn, bool whole)
+{
+  if (conn->dead)
+    return;
+  if (whole && conn->chunked)
+    ash_stream_write (&conn->stream, "0\r\n\r\n", 5);
+  if (!whole)
+    {
+      conn->keep = false;
+      /* Without chunks a plain close would look like the answer's end. */
+      if (!conn->chunked)
+        {
+          ash_stream_reset (&conn->stream);
+          kill_conn (conn);
+          conn->request = NULL;
+          return;
+        }
+    }
+  finish_answer (conn);
+}
+
+size_t
+ash_http_conn_queued (const struct ash_http_conn *conn)
+{
+  return conn->stream.out.length;
+}
+
+/* ---- requests ---- */
+
+static void
+answer_error (struct ash_http_conn *conn, uint16_t status, const char *text)
+{
+  conn->reader.head.keep_alive = false;
+  set_state (conn, ASH_CONN_SERVING);
+  ash_http_conn_answer (conn, status, "", 0, text, strlen (text));
+}
+
+static void
+answer_unread (struct ash_http_conn *conn)
+{
+  switch (conn->reader.error)
+    {
+    case ASH_HTTP_HEAD_TOO_LARGE:
+      answer_error (conn, 431, "the head of the request is too large\n");
+      break;
+    case ASH_HTTP_BODY_TOO_LARGE:
+      answer_error (conn, 413, "the body of the request is too large\n");
+      break;
+    case ASH_HTTP_UNKNOWN_CODING:
+      answer_error (conn, 501, "only the transfer coding chunked is known\n");
+      break;
+    case ASH_HTTP_MALFORMED:
+    case ASH_HTTP_OK:
+      answer_error (conn, 400, "the request is malformed\n");
+      break;
+    }
+}
+
+static void
+on_head (void *data, const struct ash_http_head *head)
+{
+  struct ash_http_conn *conn = data;
+  const char *expect = ash_http_field (head, "Expect");
+
+  if (expect && strcasecmp (expect, "100-continue") == 0 && !conn->continue_sent)
+    {
+      static const char text[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+      conn->continue_sent = true;
+      ash_stream_write (&conn->stream, text, sizeof text - 1);
+    }
+}
+
+static void
+on_body (void *data, const uint8_t *bytes, size_t length)
+{
+  struct ash_http_conn *conn = data;
+
+  if (conn->listener->body_bytes + length > BODIES_MAX_BYTES ||
+      !ash_buffer_append (&conn->body, bytes, length))
+    {
+      conn->reader.error = ASH_HTTP_BODY_TOO_LARGE;
+      return;
+    }
+  conn->listener->body_bytes += length;
+}
+
+static const struct ash_http_handler reader_handler = { on_head, on_body };
+
+static void
+feed (struct ash_http_conn *conn, const uint8_t *bytes, size_t length)
+{
+  size_t taken;
+
+  if (conn->state == ASH_CONN_IDLE)
+    set_state (conn, ASH_CONN_READING);
+  taken = ash_http_reader_feed (&conn->reader, bytes, length);
+  if (!conn->reader.begun)
+    set_state (conn, ASH_CONN_IDLE);
+  if (taken < length && !conn->reader.error)
+    ash_buffer_append (&conn->early, bytes + taken, length - taken);
+  if (conn->reader.error)
+    answer_unread (conn);
+  else if (conn->reader.done)
+    {
+      set_state (conn, ASH_CONN_SERVING);
+      conn->listener->handler->request (conn);
+    }
+}
+
+static void
+on_data (struct ash_stream *stream, const uint8_t *bytes, size_t length)
+{
+  struct ash_http_conn *conn = stream->owner;
+
+  switch (conn->state)
+    {
+    case ASH_CONN_IDLE:
+    case ASH_CONN_READING:
+      feed (conn, bytes, length);
+      break;
+    case ASH_CONN_SERVING:
+      ash_buffer_append (&conn->early, bytes, length);
+      if (conn->early.length > EARLY_MAX_BYTES)
+        ash_stream_pause (&conn->stream, true);
+      break;
+    case ASH_CONN_CLOSING:
+      break; /* read and dropped, so that the close is no reset */
+    }
+}
+
+static void
+on_end (struct ash_stream *stream, enum ash_stream_end end)
+{
+  struct ash_http_conn *conn = stream->owner;
+  bool serving = conn->state == ASH_CONN_SERVING;
+
+  (void) end;
+  kill_conn (conn);
+  if (serving)
+    conn->listener->handler->gone (conn);
+}
+
+static void
+on_drained (struct ash_stream *stream)
+{
+  struct ash_http_conn *conn = stream->owner;
+
+  if (conn->state == ASH_CONN_CLOSING)
+    shutdown (conn->stream.fd, SHUT_WR);
+  else if (conn->state == ASH_CONN_SERVING && conn->listener->handler->drained)
+    conn->listener->handler->drained (conn);
+}
+
+static const struct ash_stream_handler stream_handler = { on_data, on_end, on_drained };
+
+/* ---- the listener ---- */
+
+static void
+add_conn (struct ash_http_listener *listener, int fd)
+{
+  struct ash_http_conn *conn = calloc (1, sizeof *conn);
+
+  if (!conn)
+    {
+      close (fd);
+      return;
+    }
+  conn->listener = listener;
+  ash_stream_init (&conn->stream, listener->loop, fd, &stream_handler, conn);
+  ash_http_reader_init (&conn->reader, ASH_HTTP_REQUEST, &reader_handler, conn);
+  conn->reader.head_max_bytes = listener->bounds.head_max_bytes;
+  conn->reader.body_max_bytes = listener->bounds.body_max_bytes;
+  set_state (conn, ASH_CONN_IDLE);
+  DL_APPEND (listener->conns, conn);
+  listener->conn_count++;
+}
+
+static void
+on_acceptable (struct ev_loop *loop, ev_io *io, int events)
+{
+  struct ash_http_listener *listener = io->data;
+  int fd;
+
+  (void) loop;
+  (void) events;
+  while (listener->conn_count < listener->conn_max)
+    {
+      fd = accept4 (listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0 && errno == EINTR)
+        continue;
+      if (fd < 0)
+        return;
+      add_conn (listener, fd);
+    }
+}
+
+static void
+sweep_conn (struct ash_http_conn *conn, struct ash_time now)
+{
+  const struct ash_http_bounds *bounds = &conn->listener->bounds;
+  int64_t age_ms = ash_time_diff (conn->since, now);
+
+  if (conn->dead)
+    {
+      if (conn->state != ASH_CONN_SERVING || !conn->request)
+        free_conn (conn);
+      return;
+    }
+  switch (conn->state)
+    {
+    case ASH_CONN_IDLE:
+      if (age_ms > bounds->idle_timeout_ms || conn->listener->closing)
+        kill_conn (conn);
+      break;
+    case ASH_CONN_READING:
+      if (age_ms > bounds->head_timeout_ms)
+        answer_error (conn, 408, "the request did not arrive in time\n");
+      break;
+    case ASH_CONN_CLOSING:
+      if (age_ms > CLOSING_MS)
+        kill_conn (conn);
+      break;
+    case ASH_CONN_SERVING:
+      break;
+    }
+}
+
+static void
+on_sweep (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct ash_http_listener *listener = timer->data;
+  struct ash_time now = ash_clock_now ();
+  struct ash_http_conn *conn;
+  struct ash_http_conn *next;
+
+  (void) loop;
+  (void) events;
+  DL_FOREACH_SAFE (listener->conns, conn, next)
+    sweep_conn (conn, now);
+}
+
+bool
+ash_http_listen (struct ash_http_listener *listener,
+                 struct ev_loop *loop,
+                 const char *address,
+                 const struct ash_conn_handler *handler,
+                 void *owner)
+{
+  *listener = (struct ash_http_listener){
+    .loop = loop,
+    .handler = handler,
+    .owner = owner,
+    .bounds = { HEAD_MAX_BYTES, BODY_MAX_BYTES, HEAD_TIMEOUT_MS, IDLE_TIMEOUT_MS },
+    .conn_max = UINT32_MAX,
+  };
+  listener->fd = ash_stream_listen (address);
+  if (listener->fd < 0)
+    return false;
+  ev_io_init (&listener->io, on_acceptable, listener->fd, EV_READ);
+  listener->io.data = listener;
+  ev_io_start (loop, &listener->io);
+  ev_timer_init (&listener->sweep, on_sweep, SWEEP_S, SWEEP_S);
+  listener->sweep.data = listener;
+  ev_timer_start (loop, &listener->sweep);
+  return true;
+}
+
+void
+ash_http_listener_finish (struct ash_http_listener *listener)
+{
+  struct ash_http_conn *conn;
+  struct ash_http_conn *next;
+
+  if (listener->fd < 0)
+    return;
+  ev_io_stop (listener->loop, &listener->io);
+  ev_timer_stop (listener->loop, &listener->sweep);
+  DL_FOREACH_SAFE (listener->conns, conn, next)
+    free_conn (conn);
+  close (listener->fd);
+  listener->fd = -1;
+}
+
+void
+ash_http_listener_drain (struct ash_http_listener *listener)
+{
+  listener->closing = true;
+}
+
+uint32_t
+ash_http_listener_busy (const struct ash_http_listener *listener)
+{
+  const struct ash_http_conn *conn;
+  uint32_t busy = 0;
+
+  DL_FOREACH (listener->conns, conn)
+    busy += !conn->dead && conn->state != ASH_CONN_IDLE;
+  return busy;
+}
--- /dev/null
+++ b/net/http_message.c
@@ -0,0 +1,368 @@
+#include "net/http_message.h"
+
+#include <string.h>
+#include <strings.h>
+
+/* A message's head until a configuration says otherwise. */
+#define HEAD_DEFAULT_BYTES 16384
+#define NO_OFFSET UINT32_MAX
+
+/* ---- the parser's callbacks ---- */
+
+static int
+append (struct ash_http_reader *reader, const char *at, size_t length)
+{
+  if (memchr (at, '\0', length) || !ash_buffer_append (&reader->text, at, length))
+    {
+      reader->error = ASH_HTTP_MALFORMED;
+      return 1;
+    }
+  return 0;
+}
+
+static void
+end_text (struct ash_http_reader *reader)
+{
+  if (reader->text.length && !ash_buffer_append (&reader->text, "", 1))
+    reader->error = ASH_HTTP_MALFORMED;
+}
+
+static int
+on_url (http_parser *parser, const char *at, size_t length)
+{
+  struct ash_http_reader *reader = parser->data;
+
+  if (reader->target_offset == NO_OFFSET)
+    reader->target_offset = (uint32_t) reader->text.length;
+  return append (reader, at, length);
+}
+
+static int
+on_field (http_parser *parser, const char *at, size_t length)
+{
+  struct ash_http_reader *reader = parser->data;
+  struct ash_http_head *head = &reader->head;
+
+  if (!reader->in_head)
+    return 0; /* a trailer: nothing here needs one */
+  if (reader->in_value || !head->field_count)
+    {
+      if (head->field_count == ASH_HTTP_FIELDS_MAX)
+        {
+          reader->error = ASH_HTTP_HEAD_TOO_LARGE;
+          return 1;
+        }
+      end_text (reader);
+      reader->offsets[2 * head->field_count] = (uint32_t) reader->text.length;
+      reader->offsets[2 * head->field_count + 1] = NO_OFFSET;
+      head->field_count++;
+      reader->in_value = false;
+    }
+  return append (reader, at, length);
+}
+
+static int
+on_value (http_parser *parser, const char *at, size_t length)
+{
+  struct ash_http_reader *reader = parser->data;
+
+  if (!reader->in_head)
+    return 0;
+  if (!reader->in_value)
+    {
+      end_text (reader);
+      reader->offsets[2 * (reader->head.field_count - 1) + 1] = (uint32_t) reader->text.length;
+      reader->in_value = true;
+    }
+  return append (reader, at, length);
+}
+
+/* Chunked is the one coding that is known, and it must stand alone. */
+static bool
+coding_is_known (const struct ash_http_head *head)
+{
+  uint32_t codings = 0;
+
+  for (uint32_t i = 0; i < head->field_count; i++)
+    if (strcasecmp (head->fields[i].name, "Transfer-Encoding") == 0)
+      {
+        codings++;
+        if (strcasecmp (head->fields[i].value, "chunked") != 0)
+          return false;
+      }
+  return codings <= 1;
+}
+
+static void
+set_pointers (struct ash_http_reader *reader)
+{
+  struct ash_http_head *head = &reader->head;
+  const char *text = (const char *) reader->text.bytes + reader->text.start;
+
+  head->target = reader->target_offset == NO_OFFSET ? "" : text + reader->target_offset;
+  for (uint32_t i = 0; i < head->field_count; i++)
+    {
+      uint32_t value = reader->offsets[2 * i + 1];
+
+      head->fields[i].name = text + reader->offsets[2 * i];
+      head->fields[i].value = value == NO_OFFSET ? "" : text + value;
+    }
+}
+
+static int
+on_head (http_parser *parser)
+{
+  struct ash_http_reader *reader = parser->data;
+  struct ash_http_head *head = &reader->head;
+
+  end_text (reader);
+  if (reader->error)
+    return -1;
+  reader->in_head = false;
+  set_pointers (reader);
+  head->method = http_method_str ((enum http_method) parser->method);
+  head->status = (uint16_t) parser->status_code;
+  head->http_1_0 = parser->http_major == 1 && parser->http_minor == 0;
+  head->framed = (parser->flags & F_CHUNKED) || parser->content_length != UINT64_MAX;
+  /* http_should_keep_alive() looks at how the body ends, so it may be asked now. */
+  head->keep_alive = http_should_keep_alive (parser) != 0;
+  if (!coding_is_known (head) || (parser->flags & F_CHUNKED && head->http_1_0))
+    reader->error = ASH_HTTP_UNKNOWN_CODING;
+  else if (parser->http_major != 1)
+    reader->error = ASH_HTTP_MALFORMED;
+  else if (parser->content_length != UINT64_MAX && parser->content_length > reader->body_max_bytes)
+    reader->error = ASH_HTTP_BODY_TOO_LARGE;
+  if (reader->error)
+    return -1;
+  reader->handler->head (reader->data, head);
+  return reader->no_body ? 1 : 0;
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t length)
+{
+  struct ash_http_reader *reader = parser->data;
+
+  reader->body_bytes += length;
+  if (reader->body_bytes > reader->body_max_bytes)
+    {
+      reader->error = ASH_HTTP_BODY_TOO_LARGE;
+      return 1;
+    }
+  reader->handler->body (reader->data, (const uint8_t *) at, length);
+  return 0;
+}
+
+static int
+on_complete (http_parser *parser)
+{
+  struct ash_http_reader *reader = parser->data;
+
+  reader->done = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings parser_settings = {
+  .on_url = on_url,
+  .on_header_field = on_field,
+  .on_header_value = on_value,
+  .on_headers_complete = on_head,
+  .on_body = on_body,
+  .on_message_complete = on_complete,
+};
+
+/* ---- the reader ---- */
+
+void
+ash_http_reader_init (struct ash_http_reader *reader,
+                      enum ash_http_kind kind,
+                      const struct ash_http_handler *handler,
+                      void *data)
+{
+  *reader = (struct ash_http_reader){
+    .kind = kind,
+    .head_max_bytes = HEAD_DEFAULT_BYTES,
+    .body_max_bytes = UINT64_MAX - 1,
+    .handler = handler,
+    .data = data,
+  };
+  ash_http_reader_next (reader);
+}
+
+void
+ash_http_reader_finish (struct ash_http_reader *reader)
+{
+  ash_buffer_finish (&reader->text);
+}
+
+void
+ash_http_reader_next (struct ash_http_reader *reader)
+{
+  http_parser_init (&reader->parser,
+                    reader->kind == ASH_HTTP_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
+  reader->parser.data = reader;
+  ash_buffer_consume (&reader->text, reader->text.length);
+  reader->head.field_count = 0;
+  reader->target_offset = NO_OFFSET;
+  reader->in_value = false;
+  reader->in_head = true;
+  reader->begun = false;
+  reader->done = false;
+  reader->error = ASH_HTTP_OK;
+  reader->last = 0;
+  reader->blank = 0;
+  reader->head_bytes = 0;
+  reader->body_bytes = 0;
+  reader->no_body = false;
+}
+
+/* The head's part of the bytes; 0 with an error set if a line ends oddly. */
+static size_t
+scan_head (struct ash_http_reader *reader, const uint8_t *bytes, size_t length)
+{
+  for (size_t i = 0; i < length; i++)
+    {
+      uint8_t byte = bytes[i];
+
+      if ((byte == '\n') != (reader->last == '\r') ||
+          (reader->blank && (byte == ' ' || byte == '\t')))
+        {
+          reader->error = ASH_HTTP_MALFORMED;
+          return 0;
+        }
+      reader->last = byte;
+      if (byte == '\n')
+        reader->blank++;
+      else if (byte != '\r')
+        reader->blank = 0;
+      if (++reader->head_bytes > reader->head_max_bytes)
+        {
+          reader->error = ASH_HTTP_HEAD_TOO_LARGE;
+          return 0;
+        }
+      if (reader->blank == 2)
+        return i + 1;
+    }
+  return length;
+}
+
+static size_t
+execute (struct ash_http_reader *reader, const uint8_t *bytes, size_t length)
+{
+  size_t taken =
+      http_parser_execute (&reader->parser, &parser_settings, (const char *) bytes, length);
+
+  if (reader->error)
+    return taken;
+  if (!reader->done && HTTP_PARSER_ERRNO (&reader->parser) != HPE_OK)
+    reader->error = ASH_HTTP_MALFORMED;
+  return taken;
+}
+
+size_t
+ash_http_reader_feed (struct ash_http_reader *reader, const uint8_t *bytes, size_t length)
+{
+  size_t taken = 0;
+
+  /* Empty lines before a request are allowed and mean nothing (RFC 9112, 2.2). */
+  while (!reader->begun && reader->kind == ASH_HTTP_REQUEST && length - taken >= 2 &&
+         memcmp (bytes + taken, "\r\n", 2) == 0)
+    taken += 2;
+  while (taken < length && !reader->done && !reader->error)
+    {
+      size_t part = length - taken;
+      size_t head_part = 0;
+
+      reader->begun = true;
+      if (reader->in_head)
+        {
+          head_part = scan_head (reader, bytes + taken, part);
+          if (reader->error)
+            break;
+          part = head_part;
+        }
+      taken += execute (reader, bytes + taken, part);
+    }
+  return taken;
+}
+
+bool
+ash_http_reader_eof (struct ash_http_reader *reader)
+{
+  if (!reader->begun || reader->in_head || reader->error)
+    return false;
+  if (!reader->done)
+    execute (reader, NULL, 0);
+  return reader->done && !reader->error;
+}
+
+/* ---- fields ---- */
+
+const char *
+ash_http_field (const struct ash_http_head *head, const char *name)
+{
+  for (uint32_t i = 0; i < head->field_count; i++)
+    if (strcasecmp (head->fields[i].name, name) == 0)
+      return head->fields[i].value;
+  return NULL;
+}
+
+bool
+ash_http_list_has (const char *list, const char *word)
+{
+  size_t word_length = strlen (word);
+
+  while (*list)
+    {
+      size_t length;
+
+      list += strspn (list, " \t,");
+      length = strcspn (list, " \t,");
+      if (length == word_length && strncasecmp (list, word, length) == 0)
+        return true;
+      list += length;
+    }
+  return false;
+}
+
+bool
+ash_http_field_is_hop (const struct ash_http_head *head, const char *name)
+{
+  /* RFC 9110, 7.6.1, and what frames a message; Expect is answered here. */
+  static const char *const hop[] = { "Connection",
+                                     "Keep-Alive",
+                                     "Proxy-Connection",
+                                     "Proxy-Authorization",
+                                     "Proxy-Authenticate",
+                                     "TE",
+                                     "Trailer",
+                                     "Transfer-Encoding",
+                                     "Upgrade",
+                                     "Content-Length",
+                                     "Expect" };
+
+  for (size_t i = 0; i < sizeof hop / sizeof hop[0]; i++)
+    if (strcasecmp (name, hop[i]) == 0)
+      return true;
+  for (uint32_t i = 0; i < head->field_count; i++)
+    if (strcasecmp (head->fields[i].name, "Connection") == 0 &&
+        ash_http_list_has (head->fields[i].value, name))
+      return true;
+  return false;
+}
+
+const char *
+ash_http_reason (uint16_t status)
+{
+  switch (status)
+    {
+#define CASE(number, name, string)                                                                 \
+  case number:                                                                                     \
+    return #string;
+      HTTP_STATUS_MAP (CASE)
+#undef CASE
+    default:
+      return "Unknown";
+    }
+}
--- a/net/peer.c
+++ b/net/peer.c
@@ -80,7 +80,7 @@
   struct ash_peers *peers = link->peers;
   struct Ash__LinkDown down = ASH__LINK_DOWN__INIT;
   bool was_up = link->state == LINK_UP;
-  uint32_t wait_ms = peers->settings->dial_retry_ms;
+  uint32_t wait_ms = peers->settings.dial_retry_ms;
 
   ev_io_stop (peers->loop, &link->read_io);
   ev_io_stop (peers->loop, &link->write_io);
@@ -177,6 +177,8 @@
   send_message (link, ASH__EVENT__KIND_HEARTBEAT, &heartbeat);
   free (heartbeat.leaving_boxes);
   free (heartbeat.leaving_incarnations);
+  free (heartbeat.known_boxes);
+  free (heartbeat.known_addresses);
 }
 
 static struct ash_link *
@@ -274,7 +276,7 @@
       break;
     }
   if (ash_lateness_of (&link->lateness, ash_clock_now (), event->sent_ms) >
-      link->peers->settings->link_silence_ms)
+      link->peers->settings.link_silence_ms)
     return "a frame that is too late";
   /* Who sent it is what the link has proved, whatever the frame says. */
   free (event->peer == protobuf_c_empty_string ? NULL : event->peer);
@@ -316,7 +318,7 @@
 static bool
 is_silent (const struct ash_link *link, struct ash_time now)
 {
-  return ash_time_diff (link->heard, now) > link->peers->settings->link_silence_ms;
+  return ash_time_diff (link->heard, now) > link->peers->settings.link_silence_ms;
 }
 
 /* @return whether the link is connected; if not, it is closed. */
@@ -525,12 +527,12 @@
 bool
 ash_peers_init (struct ash_peers *peers, struct ev_loop *loop)
 {
-  double period_s = peers->settings->heartbeat_ms / MS_PER_S;
+  double period_s = peers->settings.heartbeat_ms / MS_PER_S;
 
   peers->loop = loop;
   peers->links = NULL;
   peers->dials = NULL;
-  peers->listen_fd = ash_bind (peers->settings->peer_listen);
+  peers->listen_fd = ash_bind (peers->settings.listen);
   if (peers->listen_fd < 0 || listen (peers->listen_fd, LISTEN_BACKLOG) < 0)
     return false;
   ash_random_init (&peers->random, peers->identity.incarnation);
--- a/net/peer.h
+++ b/net/peer.h
@@ -15,7 +15,7 @@
 
 #include "common/log.h"
 #include "common/random.h"
-#include "options/settings.h"
+#include "options/option.h"
 #include "proto/event.h"
 
 #include <ev.h>
@@ -34,11 +34,20 @@
   uint8_t fleet_key[ASH_PEER_KEY_BYTES];
 };
 
+/** Where links are accepted, and their times. */
+struct ash_peer_settings
+{
+  const char *listen; /**< IP:PORT */
+  uint32_t heartbeat_ms;
+  uint32_t link_silence_ms; /**< a link without a frame for so long is closed */
+  uint32_t dial_retry_ms;   /**< mean wait before a link is dialled again */
+};
+
 /** All links of a process. */
 struct ash_peers
 {
   struct ev_loop *loop;
-  const struct ash_settings *settings;
+  struct ash_peer_settings settings;
   struct ash_peer_identity identity;
   struct ash_log log;
   struct ash_random random;
--- /dev/null
+++ b/net/stream.c
@@ -0,0 +1,190 @@
+#include "net/stream.h"
+
+#include "net/bind.h"
+
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LISTEN_BACKLOG 512
+#define READ_BYTES 16384
+
+/* A peer that acknowledges nothing for so long is gone: longer than a resent
+ * packet takes, shorter than most deadlines. */
+#define USER_TIMEOUT_MS 3000
+
+static void
+flush (struct ash_stream *stream)
+{
+  while (stream->out.length && !stream->connecting)
+    {
+      ssize_t sent = send (stream->fd, stream->out.bytes + stream->out.start, stream->out.length,
+                           MSG_NOSIGNAL);
+
+      if (sent < 0 && errno == EINTR)
+        continue;
+      if (sent < 0)
+        {
+          stream->broken = errno != EAGAIN;
+          break;
+        }
+      ash_buffer_consume (&stream->out, (size_t) sent);
+    }
+  if (stream->out.length || stream->broken || stream->connecting)
+    ev_io_start (stream->loop, &stream->write_io);
+  else
+    ev_io_stop (stream->loop, &stream->write_io);
+}
+
+static bool
+finish_connect (struct ash_stream *stream)
+{
+  int error = 0;
+  socklen_t error_bytes = sizeof error;
+
+  getsockopt (stream->fd, SOL_SOCKET, SO_ERROR, &error, &error_bytes);
+  if (error)
+    {
+      stream->handler->end (stream, ASH_STREAM_NO_CONNECT);
+      return false;
+    }
+  stream->connecting = false;
+  return true;
+}
+
+static void
+on_readable (struct ev_loop *loop, ev_io *io, int events)
+{
+  struct ash_stream *stream = io->data;
+  uint8_t bytes[READ_BYTES];
+  ssize_t length;
+
+  (void) loop;
+  (void) events;
+  if (stream->connecting && !finish_connect (stream))
+    return;
+  length = recv (stream->fd, bytes, sizeof bytes, 0);
+  if (length < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (length > 0)
+    stream->handler->data (stream, bytes, (size_t) length);
+  else
+    stream->handler->end (stream, length == 0 ? ASH_STREAM_EOF : ASH_STREAM_RESET);
+}
+
+static void
+on_writable (struct ev_loop *loop, ev_io *io, int events)
+{
+  struct ash_stream *stream = io->data;
+
+  (void) loop;
+  (void) events;
+  if (stream->connecting && !finish_connect (stream))
+    return;
+  flush (stream);
+  if (stream->broken)
+    stream->handler->end (stream, ASH_STREAM_RESET);
+  else if (!stream->out.length && stream->handler->drained)
+    stream->handler->drained (stream);
+}
+
+void
+ash_stream_init (struct ash_stream *stream,
+                 struct ev_loop *loop,
+                 int fd,
+                 const struct ash_stream_handler *handler,
+                 void *owner)
+{
+  int on = 1;
+  int user_timeout_ms = USER_TIMEOUT_MS;
+
+  *stream = (struct ash_stream){ .loop = loop, .handler = handler, .owner = owner, .fd = fd };
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof user_timeout_ms);
+  ev_io_init (&stream->read_io, on_readable, fd, EV_READ);
+  ev_io_init (&stream->write_io, on_writable, fd, EV_WRITE);
+  stream->read_io.data = stream;
+  stream->write_io.data = stream;
+  ev_io_start (loop, &stream->read_io);
+}
+
+bool
+ash_stream_connect (struct ash_stream *stream,
+                    struct ev_loop *loop,
+                    const struct sockaddr_in *address,
+                    const struct ash_stream_handler *handler,
+                    void *owner)
+{
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+  if (fd < 0)
+    return false;
+  if (connect (fd, (const struct sockaddr *) address, sizeof *address) < 0 && errno != EINPROGRESS)
+    {
+      close (fd);
+      return false;
+    }
+  ash_stream_init (stream, loop, fd, handler, owner);
+  stream->connecting = true;
+  ev_io_start (loop, &stream->write_io);
+  return true;
+}
+
+void
+ash_stream_finish (struct ash_stream *stream)
+{
+  if (stream->fd < 0)
+    return;
+  ev_io_stop (stream->loop, &stream->read_io);
+  ev_io_stop (stream->loop, &stream->write_io);
+  close (stream->fd);
+  stream->fd = -1;
+  ash_buffer_finish (&stream->out);
+}
+
+void
+ash_stream_reset (struct ash_stream *stream)
+{
+  struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+  if (stream->fd >= 0)
+    setsockopt (stream->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  ash_stream_finish (stream);
+}
+
+void
+ash_stream_write (struct ash_stream *stream, const void *bytes, size_t length)
+{
+  if (stream->fd < 0 || stream->broken)
+    return;
+  if (!ash_buffer_append (&stream->out, bytes, length))
+    stream->broken = true;
+  flush (stream);
+}
+
+void
+ash_stream_pause (struct ash_stream *stream, bool paused)
+{
+  if (stream->fd < 0 || stream->paused == paused)
+    return;
+  stream->paused = paused;
+  if (paused)
+    ev_io_stop (stream->loop, &stream->read_io);
+  else
+    ev_io_start (stream->loop, &stream->read_io);
+}
+
+int
+ash_stream_listen (const char *address)
+{
+  int fd = ash_bind (address);
+  int error;
+
+  if (fd < 0 || listen (fd, LISTEN_BACKLOG) == 0)
+    return fd;
+  error = errno;
+  close (fd);
+  errno = error;
+  return -1;
+}
--- /dev/null
+++ b/options/router_settings.c
@@ -0,0 +1,118 @@
+#include "options/router_settings.h"
+
+#include "options/settings_file.h"
+
+#define HOUR_MS 3600000
+
+static const char *const log_formats[] = { "text", "json", NULL };
+static const char *const log_levels[] = { "debug", "info", "warn", "error", NULL };
+
+#define AT(field) offsetof (struct ash_router_settings, field)
+/* clang-format off */
+#define TEXT(name, fallback, help) \
+  { #name, ASH_OPTION_TEXT, AT (name), fallback, 0, ASH_OPTION_TEXT_BYTES, NULL, NULL, help }
+#define CHOICE(name, fallback, list, help) \
+  { #name, ASH_OPTION_CHOICE, AT (name), fallback, 0, 0, list, NULL, help }
+#define MS(name, fallback, min, max, help) \
+  { #name, ASH_OPTION_UINT, AT (name), fallback, min, max, NULL, "ms", help }
+#define COUNT(name, fallback, min, max, unit, help) \
+  { #name, ASH_OPTION_UINT, AT (name), fallback, min, max, NULL, unit, help }
+#define NUMBER(name, fallback, min, max, unit, help) \
+  { #name, ASH_OPTION_NUMBER, AT (name), fallback, min, max, NULL, unit, help }
+/* clang-format on */
+
+const struct ash_option ash_router_options[] = {
+  TEXT (box, NULL, "name of this box"),
+  TEXT (hall, NULL, "failure domain of this box"),
+  TEXT (frontend_listen, NULL, "IP:PORT for callers"),
+  TEXT (readiness_listen, NULL, "IP:PORT where it tells whether it is ready"),
+  TEXT (directory_listen, NULL, "IP:PORT where callers ask which addresses to use"),
+  TEXT (peer_listen, NULL, "IP:PORT for peer links"),
+  TEXT (metrics_listen, NULL, "IP:PORT where its figures are read"),
+  TEXT (store_address, NULL, "IP:PORT of the platform's store"),
+  TEXT (fleet_key, NULL, "64 hex digits; proves peers to each other"),
+  CHOICE (log_format, "text", log_formats, "a line's form"),
+  CHOICE (log_level, "info", log_levels, "lowest level written"),
+  MS (heartbeat_ms, "500", 10, 60000, "period of heartbeats on a peer link"),
+  MS (link_silence_ms, "1600", 50, 600000, "a link without a frame for so long is closed"),
+  MS (dial_retry_ms, "300", 10, 60000, "mean wait before a link is dialled again"),
+  MS (load_period_ms, "100", 10, 10000, "peers are told of changed loads at most this often"),
+  MS (store_wait_ms, "20000", 100, 30000, "how long the store may hold a question for changes"),
+  MS (address_keep_ms, "2000", 100, HOUR_MS, "how long callers may keep an answer"),
+  MS (grace_ms, "8000", 100, HOUR_MS, "from the signal to stop to the process's end at most"),
+  MS (wait_ms, "80", 0, 10000, "how long a request may wait for room"),
+  COUNT (
+      rank_streams, "9", 1, 10000, "streams", "at once at one rank of an engine, over all entries"),
+  COUNT (plain_queue,
+         "6",
+         0,
+         10000,
+         "requests",
+         "that may queue at a plain endpoint beyond its slots, over all entries"),
+  MS (stall_ms, "1500", 10, HOUR_MS, "how long an engine waits for one that is cut off"),
+  NUMBER (resend_ratio, "0.1", 0, 1, "of requests", "that the fleet may send again in a window"),
+  MS (resend_window_ms, "10000", 100, HOUR_MS, "length of that window"),
+  COUNT (
+      resend_slack, "20", 0, 100000, "requests", "more that the fleet may send again in a window"),
+  { 0 },
+};
+
+static void
+check_together (const struct ash_router_settings *settings,
+                struct ash_node *root,
+                struct ash_findings *findings)
+{
+  const struct
+  {
+    const char *key;
+    const char *value;
+  } addresses[] = {
+    { "frontend_listen", settings->frontend_listen },
+    { "readiness_listen", settings->readiness_listen },
+    { "directory_listen", settings->directory_listen },
+    { "peer_listen", settings->peer_listen },
+    { "metrics_listen", settings->metrics_listen },
+    { "store_address", settings->store_address },
+  };
+
+  /* One that is missing has its finding already. */
+  for (size_t i = 0; i < sizeof addresses / sizeof addresses[0]; i++)
+    if (*addresses[i].value)
+      ash_settings_check_address (root, addresses[i].key, addresses[i].value, findings);
+  ash_settings_check_fleet_key (settings->fleet_key, findings);
+  if (settings->link_silence_ms < 2 * settings->heartbeat_ms)
+    ash_findings_add (findings, 0, "link_silence_ms", "must be at least twice heartbeat_ms");
+}
+
+void
+ash_router_settings_read (struct ash_router_settings *settings,
+                          const char *text,
+                          size_t text_bytes,
+                          struct ash_findings *findings)
+{
+  struct ash_node *root = ash_node_read_toml (text, text_bytes, findings);
+
+  *settings = (struct ash_router_settings){ 0 };
+  if (!root)
+    return;
+  ash_options_read (ash_router_options, root, "", settings, findings);
+  settings->seed_count =
+      ash_settings_read_addresses (root, "seeds", settings->seeds, ASH_ROUTER_SEEDS_MAX, findings);
+  ash_node_report_unused (root, "", findings);
+  check_together (settings, root, findings);
+  ash_node_free (root);
+}
+
+static void
+read_text (void *target, const char *text, size_t text_bytes, struct ash_findings *findings)
+{
+  ash_router_settings_read (target, text, text_bytes, findings);
+}
+
+void
+ash_router_settings_read_file (struct ash_router_settings *settings,
+                               const char *path,
+                               struct ash_findings *findings)
+{
+  ash_settings_file_read (path, read_text, settings, findings);
+}
--- /dev/null
+++ b/options/router_settings.h
@@ -0,0 +1,60 @@
+/**
+ * @file
+ * The settings of a router: an entry that sends requests straight to endpoints.
+ * Read at the start, and again when the file is said to have changed.
+ */
+#ifndef ASH_ROUTER_SETTINGS_H
+#define ASH_ROUTER_SETTINGS_H
+
+#include "options/option.h"
+
+/** Addresses of other routers that a new process may ask first. */
+#define ASH_ROUTER_SEEDS_MAX 16
+
+/** Times in milliseconds unless said otherwise. */
+struct ash_router_settings
+{
+  char box[ASH_OPTION_TEXT_BYTES];
+  char hall[ASH_OPTION_TEXT_BYTES];
+  char frontend_listen[ASH_OPTION_TEXT_BYTES];
+  char readiness_listen[ASH_OPTION_TEXT_BYTES];
+  char directory_listen[ASH_OPTION_TEXT_BYTES];
+  char peer_listen[ASH_OPTION_TEXT_BYTES];
+  char metrics_listen[ASH_OPTION_TEXT_BYTES];
+  char store_address[ASH_OPTION_TEXT_BYTES];
+  char fleet_key[ASH_OPTION_TEXT_BYTES];
+  int log_format;
+  int log_level;
+  uint32_t heartbeat_ms;
+  uint32_t link_silence_ms;
+  uint32_t dial_retry_ms;
+  uint32_t load_period_ms;
+  uint32_t store_wait_ms;
+  uint32_t address_keep_ms;
+  uint32_t grace_ms;
+  uint32_t wait_ms;
+  uint32_t rank_streams;
+  uint32_t plain_queue;
+  uint32_t stall_ms;
+  double resend_ratio;
+  uint32_t resend_window_ms;
+  uint32_t resend_slack;
+  char seeds[ASH_ROUTER_SEEDS_MAX][ASH_OPTION_TEXT_BYTES];
+  uint32_t seed_count;
+};
+
+/** The table of all options, for help and docs. */
+extern const struct ash_option ash_router_options[];
+
+/** Reads a file; one that can't be read is a finding too. */
+void ash_router_settings_read_file (struct ash_router_settings *settings,
+                                    const char *path,
+                                    struct ash_findings *findings);
+
+/** Reads and checks a TOML text; the settings count only without findings. */
+void ash_router_settings_read (struct ash_router_settings *settings,
+                               const char *text,
+                               size_t text_bytes,
+                               struct ash_findings *findings);
+
+#endif
--- a/options/settings.c
+++ b/options/settings.c
@@ -1,13 +1,10 @@
 #include "options/settings.h"
 
-#include <arpa/inet.h>
-#include <errno.h>
-#include <stdlib.h>
+#include "options/settings_file.h"
+
 #include <string.h>
 
-#define FILE_MAX_BYTES (1024 * 1024)
 #define HOUR_MS 3600000
-#define FLEET_KEY_CHARACTERS 64
 
 static const char *const roles[] = { "entry", "endpoint", NULL };
 static const char *const routes[] = { "two_choices", "random", "round_robin", "least_reported",
@@ -136,39 +133,6 @@
   { 0 },
 };
 
-bool
-ash_address_parse (const char *text, char ip[16], uint16_t *port)
-{
-  const char *colon = strrchr (text, ':');
-  struct in_addr address;
-  char *end;
-  long number;
-
-  if (!colon || colon - text >= 16 || colon[1] < '0' || colon[1] > '9')
-    return false;
-  memcpy (ip, text, (size_t) (colon - text));
-  ip[colon - text] = '\0';
-  number = strtol (colon + 1, &end, 10);
-  if (*end || number > UINT16_MAX || inet_pton (AF_INET, ip, &address) != 1)
-    return false;
-  *port = (uint16_t) number;
-  return true;
-}
-
-static void
-check_address (const struct ash_node *root,
-               const char *key,
-               const char *value,
-               struct ash_findings *findings)
-{
-  const struct ash_node *node = ash_node_get ((struct ash_node *) root, key);
-  char ip[16];
-  uint16_t port;
-
-  if (!ash_address_parse (value, ip, &port))
-    ash_findings_add (findings, node ? node->line : 0, key, "'%s' is not IP:PORT", value);
-}
-
 static void
 check_url (const struct ash_node *root,
            const char *key,
@@ -181,47 +145,18 @@
     ash_findings_add (findings, node ? node->line : 0, key, "must be given and start with http://");
 }
 
-static void
-read_peers (struct ash_settings *settings, struct ash_node *root, struct ash_findings *findings)
-{
-  struct ash_node *node = ash_node_get (root, "peers");
-  char ip[16];
-  uint16_t port;
-
-  if (!node)
-    return;
-  if (node->kind != ASH_NODE_ARRAY)
-    {
-      ash_findings_add (findings, node->line, "peers", "expected an array of \"IP:PORT\"");
-      return;
-    }
-  for (struct ash_node *item = node->children; item; item = item->next)
-    {
-      if (item->kind != ASH_NODE_STRING || !ash_address_parse (item->string, ip, &port))
-        ash_findings_add (findings, item->line, "peers", "each must be a string IP:PORT");
-      else if (settings->peer_count == ASH_SETTINGS_PEERS_MAX)
-        ash_findings_add (findings, item->line, "peers", "more than %d", ASH_SETTINGS_PEERS_MAX);
-      else
-        strcpy (settings->peers[settings->peer_count++], item->string);
-    }
-}
-
 /* What no single option's range can say. */
 static void
 check_together (const struct ash_settings *settings,
-                const struct ash_node *root,
+                struct ash_node *root,
                 struct ash_findings *findings)
 {
-  /* A required key that is missing has its finding already. */
-  if (*settings->fleet_key &&
-      (strlen (settings->fleet_key) != FLEET_KEY_CHARACTERS ||
-       strspn (settings->fleet_key, "0123456789abcdefABCDEF") != FLEET_KEY_CHARACTERS))
-    ash_findings_add (findings, 0, "fleet_key", "must be %d hex digits", FLEET_KEY_CHARACTERS);
+  ash_settings_check_fleet_key (settings->fleet_key, findings);
   if (*settings->peer_listen)
-    check_address (root, "peer_listen", settings->peer_listen, findings);
+    ash_settings_check_address (root, "peer_listen", settings->peer_listen, findings);
   if (settings->role == ASH_SETTINGS_ENTRY)
     {
-      check_address (root, "http_listen", settings->http_listen, findings);
+      ash_settings_check_address (root, "http_listen", settings->http_listen, findings);
       check_url (root, "platform_url", settings->platform_url, findings);
     }
   else
@@ -263,32 +198,23 @@
   if (!root)
     return;
   ash_options_read (ash_settings_options, root, "", settings, findings);
-  read_peers (settings, root, findings);
+  settings->peer_count = ash_settings_read_addresses (root, "peers", settings->peers,
+                                                      ASH_SETTINGS_PEERS_MAX, findings);
   ash_node_report_unused (root, "", findings);
   check_together (settings, root, findings);
   ash_node_free (root);
 }
 
+static void
+read_text (void *target, const char *text, size_t text_bytes, struct ash_findings *findings)
+{
+  ash_settings_read (target, text, text_bytes, findings);
+}
+
 void
 ash_settings_read_file (struct ash_settings *settings,
                         const char *path,
                         struct ash_findings *findings)
 {
-  FILE *file = fopen (path, "rb");
-  char *text = NULL;
-  size_t length;
-
-  if (!file)
-    {
-      ash_findings_add (findings, 0, "file", "%s", strerror (errno));
-      return;
-    }
-  text = malloc (FILE_MAX_BYTES);
-  length = text ? fread (text, 1, FILE_MAX_BYTES, file) : 0;
-  if (!text || ferror (file) || length == FILE_MAX_BYTES)
-    ash_findings_add (findings, 0, "file", "can't be read, or is above %d bytes", FILE_MAX_BYTES);
-  else
-    ash_settings_read (settings, text, length, findings);
-  free (text);
-  fclose (file);
+  ash_settings_file_read (path, read_text, settings, findings);
 }
--- a/options/settings.h
+++ b/options/settings.h
@@ -7,6 +7,7 @@
 #define ASH_SETTINGS_H
 
 #include "options/option.h"
+#include "options/settings_file.h"
 
 /** Addresses of other boxes that a new process may ask first. */
 #define ASH_SETTINGS_PEERS_MAX 16
@@ -96,10 +97,4 @@
                              const char *path,
                              struct ash_findings *findings);
 
-/**
- * Splits `IP:PORT`.
- * @return false if it is not an IPv4 number and a port from 0 to 65535.
- */
-bool ash_address_parse (const char *text, char ip[16], uint16_t *port);
-
 #endif
--- a/proto/ash.pb-c.c
+++ b/proto/ash.pb-c.c
@@ -142,6 +142,141 @@
   assert(message->base.descriptor == &ash__heartbeat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ash__endpoint_loads__init
+                     (Ash__EndpointLoads         *message)
+{
+  static const Ash__EndpointLoads init_value = ASH__ENDPOINT_LOADS__INIT;
+  *message = init_value;
+}
+size_t ash__endpoint_loads__get_packed_size
+                     (const Ash__EndpointLoads *message)
+{
+  assert(message->base.descriptor == &ash__endpoint_loads__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ash__endpoint_loads__pack
+                     (const Ash__EndpointLoads *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ash__endpoint_loads__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ash__endpoint_loads__pack_to_buffer
+                     (const Ash__EndpointLoads *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ash__endpoint_loads__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ash__EndpointLoads *
+       ash__endpoint_loads__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ash__EndpointLoads *)
+     protobuf_c_message_unpack (&ash__endpoint_loads__descriptor,
+                                allocator, len, data);
+}
+void   ash__endpoint_loads__free_unpacked
+                     (Ash__EndpointLoads *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ash__endpoint_loads__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ash__endpoint_list__init
+                     (Ash__EndpointList         *message)
+{
+  static const Ash__EndpointList init_value = ASH__ENDPOINT_LIST__INIT;
+  *message = init_value;
+}
+size_t ash__endpoint_list__get_packed_size
+                     (const Ash__EndpointList *message)
+{
+  assert(message->base.descriptor == &ash__endpoint_list__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ash__endpoint_list__pack
+                     (const Ash__EndpointList *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ash__endpoint_list__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ash__endpoint_list__pack_to_buffer
+                     (const Ash__EndpointList *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ash__endpoint_list__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ash__EndpointList *
+       ash__endpoint_list__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ash__EndpointList *)
+     protobuf_c_message_unpack (&ash__endpoint_list__descriptor,
+                                allocator, len, data);
+}
+void   ash__endpoint_list__free_unpacked
+                     (Ash__EndpointList *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ash__endpoint_list__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ash__endpoint_list_want__init
+                     (Ash__EndpointListWant         *message)
+{
+  static const Ash__EndpointListWant init_value = ASH__ENDPOINT_LIST_WANT__INIT;
+  *message = init_value;
+}
+size_t ash__endpoint_list_want__get_packed_size
+                     (const Ash__EndpointListWant *message)
+{
+  assert(message->base.descriptor == &ash__endpoint_list_want__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ash__endpoint_list_want__pack
+                     (const Ash__EndpointListWant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ash__endpoint_list_want__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ash__endpoint_list_want__pack_to_buffer
+                     (const Ash__EndpointListWant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ash__endpoint_list_want__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ash__EndpointListWant *
+       ash__endpoint_list_want__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ash__EndpointListWant *)
+     protobuf_c_message_unpack (&ash__endpoint_list_want__descriptor,
+                                allocator, len, data);
+}
+void   ash__endpoint_list_want__free_unpacked
+                     (Ash__EndpointListWant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ash__endpoint_list_want__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ash__config_offer__init
                      (Ash__ConfigOffer         *message)
 {
@@ -1768,7 +1903,7 @@
   (ProtobufCMessageInit) ash__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__heartbeat__field_descriptors[9] =
+static const ProtobufCFieldDescriptor ash__heartbeat__field_descriptors[16] =
 {
   {
     "revision",
@@ -1878,12 +2013,103 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "frontend",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ash__Heartbeat, frontend),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peer_address",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ash__Heartbeat, peer_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hall",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ash__Heartbeat, hall),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoints_revision",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__Heartbeat, endpoints_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known_boxes",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Ash__Heartbeat, n_known_boxes),
+    offsetof(Ash__Heartbeat, known_boxes),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known_addresses",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Ash__Heartbeat, n_known_addresses),
+    offsetof(Ash__Heartbeat, known_addresses),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__Heartbeat, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ash__heartbeat__field_indices_by_name[] = {
+  15,   /* field[15] = age_ms */
+  12,   /* field[12] = endpoints_revision */
+  9,   /* field[9] = frontend */
+  11,   /* field[11] = hall */
   2,   /* field[2] = in_flight */
+  14,   /* field[14] = known_addresses */
+  13,   /* field[13] = known_boxes */
   1,   /* field[1] = leaving */
   5,   /* field[5] = leaving_boxes */
   6,   /* field[6] = leaving_incarnations */
+  10,   /* field[10] = peer_address */
   3,   /* field[3] = queued */
   7,   /* field[7] = reads_platform */
   0,   /* field[0] = revision */
@@ -1893,7 +2119,7 @@
 static const ProtobufCIntRange ash__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor ash__heartbeat__descriptor =
 {
@@ -1903,13 +2129,146 @@
   "Ash__Heartbeat",
   "ash",
   sizeof(Ash__Heartbeat),
-  9,
+  16,
   ash__heartbeat__field_descriptors,
   ash__heartbeat__field_indices_by_name,
   1,  ash__heartbeat__number_ranges,
   (ProtobufCMessageInit) ash__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ash__endpoint_loads__field_descriptors[2] =
+{
+  {
+    "endpoints",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ash__EndpointLoads, n_endpoints),
+    offsetof(Ash__EndpointLoads, endpoints),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_flight",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Ash__EndpointLoads, n_in_flight),
+    offsetof(Ash__EndpointLoads, in_flight),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ash__endpoint_loads__field_indices_by_name[] = {
+  0,   /* field[0] = endpoints */
+  1,   /* field[1] = in_flight */
+};
+static const ProtobufCIntRange ash__endpoint_loads__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor ash__endpoint_loads__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ash.EndpointLoads",
+  "EndpointLoads",
+  "Ash__EndpointLoads",
+  "ash",
+  sizeof(Ash__EndpointLoads),
+  2,
+  ash__endpoint_loads__field_descriptors,
+  ash__endpoint_loads__field_indices_by_name,
+  1,  ash__endpoint_loads__number_ranges,
+  (ProtobufCMessageInit) ash__endpoint_loads__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ash__endpoint_list__field_descriptors[3] =
+{
+  {
+    "revision",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__EndpointList, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ids",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Ash__EndpointList, n_ids),
+    offsetof(Ash__EndpointList, ids),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "values",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Ash__EndpointList, n_values),
+    offsetof(Ash__EndpointList, values),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ash__endpoint_list__field_indices_by_name[] = {
+  1,   /* field[1] = ids */
+  0,   /* field[0] = revision */
+  2,   /* field[2] = values */
+};
+static const ProtobufCIntRange ash__endpoint_list__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ash__endpoint_list__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ash.EndpointList",
+  "EndpointList",
+  "Ash__EndpointList",
+  "ash",
+  sizeof(Ash__EndpointList),
+  3,
+  ash__endpoint_list__field_descriptors,
+  ash__endpoint_list__field_indices_by_name,
+  1,  ash__endpoint_list__number_ranges,
+  (ProtobufCMessageInit) ash__endpoint_list__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+#define ash__endpoint_list_want__field_descriptors NULL
+#define ash__endpoint_list_want__field_indices_by_name NULL
+#define ash__endpoint_list_want__number_ranges NULL
+const ProtobufCMessageDescriptor ash__endpoint_list_want__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ash.EndpointListWant",
+  "EndpointListWant",
+  "Ash__EndpointListWant",
+  "ash",
+  sizeof(Ash__EndpointListWant),
+  0,
+  ash__endpoint_list_want__field_descriptors,
+  ash__endpoint_list_want__field_indices_by_name,
+  0,  ash__endpoint_list_want__number_ranges,
+  (ProtobufCMessageInit) ash__endpoint_list_want__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ash__config_offer__field_descriptors[2] =
 {
   {
@@ -5013,7 +5372,7 @@
   (ProtobufCMessageInit) ash__engine_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__event__field_descriptors[36] =
+static const ProtobufCFieldDescriptor ash__event__field_descriptors[39] =
 {
   {
     "peer",
@@ -5267,6 +5626,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "endpoint_loads",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ash__Event, kind_case),
+    offsetof(Ash__Event, endpoint_loads),
+    &ash__endpoint_loads__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint_list",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ash__Event, kind_case),
+    offsetof(Ash__Event, endpoint_list),
+    &ash__endpoint_list__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint_list_want",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ash__Event, kind_case),
+    offsetof(Ash__Event, endpoint_list_want),
+    &ash__endpoint_list_want__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "call",
     30,
@@ -5449,8 +5844,8 @@
   },
 };
 static const unsigned ash__event__field_indices_by_name[] = {
-  21,   /* field[21] = call */
-  22,   /* field[22] = caller_gone */
+  24,   /* field[24] = call */
+  25,   /* field[25] = caller_gone */
   5,   /* field[5] = cancel */
   12,   /* field[12] = challenge */
   19,   /* field[19] = config_delta */
@@ -5461,37 +5856,40 @@
   11,   /* field[11] = disowned */
   18,   /* field[18] = drain */
   9,   /* field[9] = end */
-  31,   /* field[31] = engine_cancel */
-  33,   /* field[33] = engine_data */
-  34,   /* field[34] = engine_end */
-  32,   /* field[32] = engine_head */
-  30,   /* field[30] = engine_start */
+  22,   /* field[22] = endpoint_list */
+  23,   /* field[23] = endpoint_list_want */
+  21,   /* field[21] = endpoint_loads */
+  34,   /* field[34] = engine_cancel */
+  36,   /* field[36] = engine_data */
+  37,   /* field[37] = engine_end */
+  35,   /* field[35] = engine_head */
+  33,   /* field[33] = engine_start */
   7,   /* field[7] = head */
   1,   /* field[1] = heartbeat */
   13,   /* field[13] = hello */
-  27,   /* field[27] = link_down */
-  26,   /* field[26] = link_up */
+  30,   /* field[30] = link_down */
+  29,   /* field[29] = link_up */
   0,   /* field[0] = peer */
   16,   /* field[16] = query */
   17,   /* field[17] = query_answer */
   14,   /* field[14] = rank_order */
   15,   /* field[15] = rank_state */
   6,   /* field[6] = refused */
-  23,   /* field[23] = reply */
-  24,   /* field[24] = reply_data */
-  25,   /* field[25] = reply_end */
+  26,   /* field[26] = reply */
+  27,   /* field[27] = reply_data */
+  28,   /* field[28] = reply_end */
   4,   /* field[4] = resume */
-  35,   /* field[35] = sent_ms */
-  29,   /* field[29] = stop */
+  38,   /* field[38] = sent_ms */
+  32,   /* field[32] = stop */
   3,   /* field[3] = submit */
-  28,   /* field[28] = tick */
+  31,   /* field[31] = tick */
 };
 static const ProtobufCIntRange ash__event__number_ranges[3 + 1] =
 {
   { 1, 0 },
-  { 30, 21 },
-  { 60, 35 },
-  { 0, 36 }
+  { 30, 24 },
+  { 60, 38 },
+  { 0, 39 }
 };
 const ProtobufCMessageDescriptor ash__event__descriptor =
 {
@@ -5501,7 +5899,7 @@
   "Ash__Event",
   "ash",
   sizeof(Ash__Event),
-  36,
+  39,
   ash__event__field_descriptors,
   ash__event__field_indices_by_name,
   3,  ash__event__number_ranges,
--- a/proto/ash.pb-c.h
+++ b/proto/ash.pb-c.h
@@ -18,6 +18,9 @@
 typedef struct Ash__Challenge Ash__Challenge;
 typedef struct Ash__Hello Ash__Hello;
 typedef struct Ash__Heartbeat Ash__Heartbeat;
+typedef struct Ash__EndpointLoads Ash__EndpointLoads;
+typedef struct Ash__EndpointList Ash__EndpointList;
+typedef struct Ash__EndpointListWant Ash__EndpointListWant;
 typedef struct Ash__ConfigOffer Ash__ConfigOffer;
 typedef struct Ash__ConfigPiece Ash__ConfigPiece;
 typedef struct Ash__ConfigDelta Ash__ConfigDelta;
@@ -275,10 +278,91 @@
    * its engine works on requests and gives nothing
    */
   protobuf_c_boolean stalled;
+  /*
+   * of an entry that reaches endpoints directly:
+   */
+  /*
+   * where callers connect
+   */
+  char *frontend;
+  /*
+   * where its links are accepted
+   */
+  char *peer_address;
+  char *hall;
+  /*
+   * of the list of endpoints that it goes by
+   */
+  uint64_t endpoints_revision;
+  /*
+   * other entries that it has a link to
+   */
+  size_t n_known_boxes;
+  char **known_boxes;
+  /*
+   * where theirs are accepted
+   */
+  size_t n_known_addresses;
+  char **known_addresses;
+  /*
+   * since its process started
+   */
+  uint64_t age_ms;
 };
 #define ASH__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ash__heartbeat__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0 }
+
+
+/*
+ * How much of its own work an entry has at each endpoint; told often.
+ */
+struct  Ash__EndpointLoads
+{
+  ProtobufCMessage base;
+  /*
+   * hashes of their ids
+   */
+  size_t n_endpoints;
+  uint64_t *endpoints;
+  size_t n_in_flight;
+  uint64_t *in_flight;
+};
+#define ASH__ENDPOINT_LOADS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ash__endpoint_loads__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
+/*
+ * The list of endpoints, to an entry whose own source does not answer.
+ */
+struct  Ash__EndpointList
+{
+  ProtobufCMessage base;
+  uint64_t revision;
+  size_t n_ids;
+  char **ids;
+  /*
+   * as the platform's list holds them
+   */
+  size_t n_values;
+  ProtobufCBinaryData *values;
+};
+#define ASH__ENDPOINT_LIST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ash__endpoint_list__descriptor) \
+    , 0, 0,NULL, 0,NULL }
+
+
+/*
+ * "Send the list of endpoints."
+ */
+struct  Ash__EndpointListWant
+{
+  ProtobufCMessage base;
+};
+#define ASH__ENDPOINT_LIST_WANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ash__endpoint_list_want__descriptor) \
+     }
 
 
 /*
@@ -923,6 +1007,9 @@
   ASH__EVENT__KIND_DRAIN = 19,
   ASH__EVENT__KIND_CONFIG_DELTA = 20,
   ASH__EVENT__KIND_CONFIG_WANT = 21,
+  ASH__EVENT__KIND_ENDPOINT_LOADS = 22,
+  ASH__EVENT__KIND_ENDPOINT_LIST = 23,
+  ASH__EVENT__KIND_ENDPOINT_LIST_WANT = 24,
   ASH__EVENT__KIND_CALL = 30,
   ASH__EVENT__KIND_CALLER_GONE = 31,
   ASH__EVENT__KIND_REPLY = 32,
@@ -976,6 +1063,9 @@
     Ash__Drain *drain;
     Ash__ConfigDelta *config_delta;
     Ash__ConfigWant *config_want;
+    Ash__EndpointLoads *endpoint_loads;
+    Ash__EndpointList *endpoint_list;
+    Ash__EndpointListWant *endpoint_list_want;
     /*
      * 30 and above never cross a link
      */
@@ -1057,6 +1147,63 @@
 void   ash__heartbeat__free_unpacked
                      (Ash__Heartbeat *message,
                       ProtobufCAllocator *allocator);
+/* Ash__EndpointLoads methods */
+void   ash__endpoint_loads__init
+                     (Ash__EndpointLoads         *message);
+size_t ash__endpoint_loads__get_packed_size
+                     (const Ash__EndpointLoads   *message);
+size_t ash__endpoint_loads__pack
+                     (const Ash__EndpointLoads   *message,
+                      uint8_t             *out);
+size_t ash__endpoint_loads__pack_to_buffer
+                     (const Ash__EndpointLoads   *message,
+                      ProtobufCBuffer     *buffer);
+Ash__EndpointLoads *
+       ash__endpoint_loads__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ash__endpoint_loads__free_unpacked
+                     (Ash__EndpointLoads *message,
+                      ProtobufCAllocator *allocator);
+/* Ash__EndpointList methods */
+void   ash__endpoint_list__init
+                     (Ash__EndpointList         *message);
+size_t ash__endpoint_list__get_packed_size
+                     (const Ash__EndpointList   *message);
+size_t ash__endpoint_list__pack
+                     (const Ash__EndpointList   *message,
+                      uint8_t             *out);
+size_t ash__endpoint_list__pack_to_buffer
+                     (const Ash__EndpointList   *message,
+                      ProtobufCBuffer     *buffer);
+Ash__EndpointList *
+       ash__endpoint_list__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ash__endpoint_list__free_unpacked
+                     (Ash__EndpointList *message,
+                      ProtobufCAllocator *allocator);
+/* Ash__EndpointListWant methods */
+void   ash__endpoint_list_want__init
+                     (Ash__EndpointListWant         *message);
+size_t ash__endpoint_list_want__get_packed_size
+                     (const Ash__EndpointListWant   *message);
+size_t ash__endpoint_list_want__pack
+                     (const Ash__EndpointListWant   *message,
+                      uint8_t             *out);
+size_t ash__endpoint_list_want__pack_to_buffer
+                     (const Ash__EndpointListWant   *message,
+                      ProtobufCBuffer     *buffer);
+Ash__EndpointListWant *
+       ash__endpoint_list_want__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ash__endpoint_list_want__free_unpacked
+                     (Ash__EndpointListWant *message,
+                      ProtobufCAllocator *allocator);
 /* Ash__ConfigOffer methods */
 void   ash__config_offer__init
                      (Ash__ConfigOffer         *message);
@@ -1695,6 +1842,15 @@
 typedef void (*Ash__Heartbeat_Closure)
                  (const Ash__Heartbeat *message,
                   void *closure_data);
+typedef void (*Ash__EndpointLoads_Closure)
+                 (const Ash__EndpointLoads *message,
+                  void *closure_data);
+typedef void (*Ash__EndpointList_Closure)
+                 (const Ash__EndpointList *message,
+                  void *closure_data);
+typedef void (*Ash__EndpointListWant_Closure)
+                 (const Ash__EndpointListWant *message,
+                  void *closure_data);
 typedef void (*Ash__ConfigOffer_Closure)
                  (const Ash__ConfigOffer *message,
                   void *closure_data);
@@ -1806,6 +1962,9 @@
 extern const ProtobufCMessageDescriptor ash__challenge__descriptor;
 extern const ProtobufCMessageDescriptor ash__hello__descriptor;
 extern const ProtobufCMessageDescriptor ash__heartbeat__descriptor;
+extern const ProtobufCMessageDescriptor ash__endpoint_loads__descriptor;
+extern const ProtobufCMessageDescriptor ash__endpoint_list__descriptor;
+extern const ProtobufCMessageDescriptor ash__endpoint_list_want__descriptor;
 extern const ProtobufCMessageDescriptor ash__config_offer__descriptor;
 extern const ProtobufCMessageDescriptor ash__config_piece__descriptor;
 extern const ProtobufCMessageDescriptor ash__config_delta__descriptor;
