groups, map_switch, layer_policy: maps of several layers, led by one router; peer: one link of two

Cause: streams pause above their aim because a pass lasts as long as the most loaded rank of each layer takes; map 0 leaves it at 3.4 to 3.6 times the mean.

--- a/common/events.h
+++ b/common/events.h
@@ -58,7 +58,10 @@
   X (600, INFO, MAP_CHANGE,         "a change of a group's expert map begins, and why") \
   X (601, INFO, MAP_CHANGED,        "it is through, or the group is in order again") \
   X (602, INFO, MAP_GIVEN_UP,       "it is given up: a higher ballot, or a rank does not answer") \
-  X (603, INFO, FORECAST,           "a declared event is near: moves are made for its expert loads")
+  X (603, INFO, FORECAST,           "a declared event is near: moves are made for its expert loads") \
+  X (604, INFO, MAP_LEADER,         "this router leads the changes of maps, or no longer does") \
+  X (605, INFO, MAP_EPOCH,          "a group has formed anew: it is back at its first map") \
+  X (606, INFO, MAP_ORDER_REFUSED,  "a rank refused an order")
 /* clang-format on */
 
 #define ASH_EVENT_ENUM(number, level, name, text) ASH_EV_##name = (number),
--- /dev/null
+++ b/controllers/map_switch.c
@@ -0,0 +1,444 @@
+#include "controllers/map_switch.h"
+
+/* An order without an answer is sent again after this: many times a calm round trip
+ * between halls. */
+#define RESEND_MS 120
+
+/* Ranks that have not copied all by then won't: ten times what a full change takes. */
+#define PREPARE_MS 12000
+
+/* Steps beyond the one that is believed to run now: the orders of a change take two
+ * round trips, a few milliseconds, and a pass lasts tens of them. */
+#define STEPS_AHEAD 3
+#define HOLDS_MAX 8
+
+/* How long a hold must have been seen before another router finishes it: longer than a
+ * change takes from hold to go, answers lost once included. */
+#define FOREIGN_MS 450
+
+/* How long reports may still tell of a hold that was let go. */
+#define RELEASED_MS 1200
+
+/* Refusals of an arm after which reports are asked whether the rank can take it at all. */
+#define REFUSALS_MAX 3
+
+/* Reports are asked for this often: of all ranks in the long run, of the first one to see
+ * a new epoch or a hold, and of those that something hangs on. */
+#define REPORT_ALL_MS 4000
+#define REPORT_FIRST_MS 500
+#define REPORT_SOON_MS 150
+
+/* Versions of different routers differ in their lower bits. */
+#define VERSION_DRAW_BITS 20
+
+/* A pass's time is smoothed by this part of the newest. */
+#define PASS_NEWEST 0.4
+
+static void
+enter (struct ash_map_switch *sw, struct ash_time now, enum ash_map_phase phase)
+{
+  sw->phase = phase;
+  sw->phase_began = now;
+  for (uint32_t i = 0; i < sw->rank_count; i++)
+    {
+      sw->ranks[i].answered = false;
+      sw->ranks[i].refusals = 0;
+      sw->ranks[i].sent = (struct ash_time){ 0 };
+    }
+}
+
+static void
+end (struct ash_map_switch *sw, struct ash_time now, enum ash_map_result result)
+{
+  enter (sw, now, ASH_MAP_IDLE);
+  sw->result = result;
+  sw->version = 0;
+  sw->step = 0;
+  sw->finishing = false;
+}
+
+void
+ash_map_switch_init (struct ash_map_switch *sw, uint32_t rank_count, uint32_t lag_ms)
+{
+  *sw = (struct ash_map_switch){ .rank_count = rank_count, .lag_ms = lag_ms };
+}
+
+/* ---- reports ---- */
+
+static void
+note_step (struct ash_map_switch *sw, struct ash_time now, uint64_t step)
+{
+  struct ash_time at = ash_time_add (now, -(int64_t) sw->lag_ms);
+  int64_t gone_ms = ash_time_diff (sw->last_step_at, at);
+  double pass_ms;
+
+  if (step <= sw->last_step)
+    return;
+  if (sw->last_step && gone_ms > 0)
+    {
+      pass_ms = (double) gone_ms / (double) (step - sw->last_step);
+      sw->pass_ms += sw->pass_ms > 0 ? PASS_NEWEST * (pass_ms - sw->pass_ms) : pass_ms;
+    }
+  sw->last_step = step;
+  sw->last_step_at = at;
+}
+
+static void
+form_anew (struct ash_map_switch *sw, struct ash_time now, uint64_t epoch)
+{
+  uint32_t rank_count = sw->rank_count;
+  uint32_t lag_ms = sw->lag_ms;
+  bool under_way = sw->phase != ASH_MAP_IDLE;
+
+  /* All orders of the former epoch are refused from now on. */
+  ash_map_switch_init (sw, rank_count, lag_ms);
+  sw->epoch = epoch;
+  sw->phase_began = now;
+  sw->result = under_way ? ASH_MAP_VOID : ASH_MAP_NONE;
+}
+
+static bool
+own_hold (const struct ash_map_switch *sw, struct ash_time now, uint64_t held)
+{
+  if (sw->phase >= ASH_MAP_HOLD && held == sw->step)
+    return true;
+  return held == sw->released && ash_time_diff (sw->released_at, now) < RELEASED_MS;
+}
+
+static void
+note_hold (struct ash_map_switch *sw, struct ash_time now, const struct ash_rank_report *report)
+{
+  if (report->held && !own_hold (sw, now, report->held))
+    {
+      if (sw->foreign_held != report->held)
+        sw->foreign_since = now;
+      sw->foreign_held = report->held;
+      sw->holder = report->rank;
+    }
+  else if (sw->foreign_held && report->rank == sw->holder)
+    sw->foreign_held = 0;
+}
+
+void
+ash_map_switch_report (struct ash_map_switch *sw,
+                       struct ash_time now,
+                       const struct ash_rank_report *report)
+{
+  struct ash_map_rank *rank = &sw->ranks[report->rank];
+
+  if (report->epoch < sw->epoch)
+    return; /* an old word */
+  if (report->epoch > sw->epoch)
+    form_anew (sw, now, report->epoch);
+  rank->report = *report;
+  rank->reported = now;
+  rank->known = true;
+  note_step (sw, now, report->step);
+  note_hold (sw, now, report);
+  /* What is reported as done needs no answer any more. */
+  if (sw->phase == ASH_MAP_ARM && report->armed == sw->version)
+    rank->answered = true;
+}
+
+static bool
+all_known (const struct ash_map_switch *sw)
+{
+  for (uint32_t i = 0; i < sw->rank_count; i++)
+    if (!sw->ranks[i].known || sw->ranks[i].report.epoch != sw->epoch || sw->ranks[i].report.broken)
+      return false;
+  return true;
+}
+
+bool
+ash_map_switch_ready (const struct ash_map_switch *sw)
+{
+  return sw->phase == ASH_MAP_IDLE && !sw->foreign_held && all_known (sw);
+}
+
+uint64_t
+ash_map_switch_version (const struct ash_map_switch *sw, uint64_t draw)
+{
+  uint64_t above = sw->version;
+  uint64_t mask = (UINT64_C (1) << VERSION_DRAW_BITS) - 1;
+
+  for (uint32_t i = 0; i < sw->rank_count; i++)
+    {
+      const struct ash_rank_report *report = &sw->ranks[i].report;
+
+      above = report->map > above ? report->map : above;
+      above = report->prepared > above ? report->prepared : above;
+      above = report->armed > above ? report->armed : above;
+    }
+  return ((above >> VERSION_DRAW_BITS) + 1) << VERSION_DRAW_BITS | (draw & mask);
+}
+
+/* ---- phases ---- */
+
+void
+ash_map_switch_begin (struct ash_map_switch *sw, struct ash_time now, uint64_t version)
+{
+  sw->version = version;
+  sw->began = now;
+  sw->holds = 0;
+  sw->result = ASH_MAP_NONE;
+  enter (sw, now, ASH_MAP_PREPARE);
+}
+
+static bool
+all_answered (const struct ash_map_switch *sw)
+{
+  for (uint32_t i = 0; i < sw->rank_count; i++)
+    if (!sw->ranks[i].answered)
+      return false;
+  return true;
+}
+
+static bool
+all_prepared (const struct ash_map_switch *sw)
+{
+  for (uint32_t i = 0; i < sw->rank_count; i++)
+    if (sw->ranks[i].report.prepared != sw->version)
+      return false;
+  return true;
+}
+
+/* The step that is believed to run now, and some more. */
+static uint64_t
+step_to_hold (const struct ash_map_switch *sw, struct ash_time now)
+{
+  int64_t gone_ms = ash_time_diff (sw->last_step_at, now);
+  double gone = sw->pass_ms > 1 && gone_ms > 0 ? (double) gone_ms / sw->pass_ms : 0;
+
+  return sw->last_step + (uint64_t) gone + STEPS_AHEAD + (uint64_t) sw->holds * STEPS_AHEAD;
+}
+
+static void
+begin_hold (struct ash_map_switch *sw, struct ash_time now)
+{
+  enter (sw, now, ASH_MAP_HOLD);
+  sw->holder = 0;
+  sw->step = step_to_hold (sw, now);
+  sw->holds++;
+}
+
+/* What all ranks are to take at a step that another router holds; 0: nothing. */
+static uint64_t
+version_to_finish (const struct ash_map_switch *sw)
+{
+  uint64_t prepared = sw->ranks[0].report.prepared;
+
+  for (uint32_t i = 0; i < sw->rank_count; i++)
+    if (sw->ranks[i].report.armed)
+      return sw->ranks[i].report.armed;
+  for (uint32_t i = 0; i < sw->rank_count; i++)
+    if (sw->ranks[i].report.prepared != prepared)
+      return 0;
+  return prepared > sw->ranks[0].report.map ? prepared : 0;
+}
+
+/* The reports that tell what another router had done must be newer than its hold. */
+static bool
+reported_since (const struct ash_map_switch *sw, struct ash_time since)
+{
+  for (uint32_t i = 0; i < sw->rank_count; i++)
+    if (ash_time_diff (since, sw->ranks[i].reported) < (int64_t) sw->lag_ms + RESEND_MS)
+      return false;
+  return true;
+}
+
+static void
+finish_foreign (struct ash_map_switch *sw, struct ash_time now)
+{
+  if (!sw->foreign_held || ash_time_diff (sw->foreign_since, now) < FOREIGN_MS || !all_known (sw) ||
+      !reported_since (sw, sw->foreign_since))
+    return;
+  sw->version = version_to_finish (sw);
+  sw->step = sw->foreign_held;
+  sw->foreign_held = 0;
+  sw->finishing = true;
+  sw->began = now;
+  enter (sw, now, sw->version ? ASH_MAP_ARM : ASH_MAP_GO);
+}
+
+/* Whether a rank will never take the version: it refuses, and what it has prepared is
+ * another one. The report must be newer than the phase. */
+static bool
+cannot_arm (const struct ash_map_switch *sw)
+{
+  for (uint32_t i = 0; i < sw->rank_count; i++)
+    {
+      const struct ash_map_rank *rank = &sw->ranks[i];
+
+      if (!rank->answered && rank->refusals >= REFUSALS_MAX &&
+          rank->report.prepared != sw->version && rank->report.armed != sw->version &&
+          ash_time_diff (sw->phase_began, rank->reported) > (int64_t) sw->lag_ms)
+        return true;
+    }
+  return false;
+}
+
+static void
+end_release (struct ash_map_switch *sw, struct ash_time now)
+{
+  enum ash_map_result result = sw->finishing ? ASH_MAP_FINISHED : ASH_MAP_CHANGED;
+
+  sw->released = sw->step;
+  sw->released_at = now;
+  end (sw, now, sw->version ? result : ASH_MAP_GIVEN_UP);
+}
+
+static void
+move_on (struct ash_map_switch *sw, struct ash_time now)
+{
+  switch (sw->phase)
+    {
+    case ASH_MAP_IDLE:
+      finish_foreign (sw, now);
+      break;
+    case ASH_MAP_PREPARE:
+      if (sw->foreign_held || ash_time_diff (sw->began, now) > PREPARE_MS)
+        end (sw, now, ASH_MAP_GIVEN_UP);
+      else if (all_answered (sw) && all_known (sw) && all_prepared (sw))
+        begin_hold (sw, now);
+      break;
+    case ASH_MAP_HOLD:
+      if (sw->ranks[sw->holder].answered)
+        enter (sw, now, ASH_MAP_ARM);
+      break;
+    case ASH_MAP_ARM:
+      if (all_answered (sw))
+        enter (sw, now, ASH_MAP_GO);
+      else if (cannot_arm (sw))
+        enter (sw, now, ASH_MAP_DISARM);
+      break;
+    case ASH_MAP_DISARM:
+      if (!all_answered (sw))
+        break;
+      sw->version = 0;
+      enter (sw, now, ASH_MAP_GO);
+      break;
+    case ASH_MAP_GO:
+      if (sw->ranks[sw->holder].answered)
+        end_release (sw, now);
+      break;
+    }
+}
+
+static void
+take_refusal (struct ash_map_switch *sw, struct ash_time now, uint32_t rank)
+{
+  switch (sw->phase)
+    {
+    case ASH_MAP_PREPARE:
+      /* Another router's version, or a map that does not fit: read anew, tried anew. */
+      end (sw, now, ASH_MAP_GIVEN_UP);
+      break;
+    case ASH_MAP_HOLD:
+      /* The step has begun, or another router holds one; reports will tell which. */
+      if (sw->holds >= HOLDS_MAX || sw->foreign_held)
+        end (sw, now, ASH_MAP_GIVEN_UP);
+      else
+        begin_hold (sw, now);
+      break;
+    case ASH_MAP_GO:
+      /* It holds nothing any more: another router has let it go. */
+    case ASH_MAP_DISARM:
+      /* It is not armed. */
+      sw->ranks[rank].answered = true;
+      break;
+    case ASH_MAP_ARM:
+      sw->ranks[rank].refusals++; /* sent again, until it is clear that it can't */
+      break;
+    case ASH_MAP_IDLE:
+      break;
+    }
+}
+
+void
+ash_map_switch_answered (struct ash_map_switch *sw,
+                         struct ash_time now,
+                         const struct ash_rank_order *order,
+                         uint16_t status)
+{
+  static const enum ash_map_phase phases[] = {
+    [ASH_RANK_PREPARE] = ASH_MAP_PREPARE, [ASH_RANK_HOLD] = ASH_MAP_HOLD,
+    [ASH_RANK_ARM] = ASH_MAP_ARM,         [ASH_RANK_DISARM] = ASH_MAP_DISARM,
+    [ASH_RANK_GO] = ASH_MAP_GO,
+  };
+
+  /* An answer to something that is over. */
+  if (order->epoch != sw->epoch || phases[order->kind] != sw->phase ||
+      order->version != sw->version || order->step != sw->step)
+    return;
+  if (status >= 200 && status < 300)
+    sw->ranks[order->rank].answered = true;
+  else if (status == 409)
+    take_refusal (sw, now, order->rank);
+  move_on (sw, now);
+}
+
+static enum ash_rank_order_kind
+order_kind (enum ash_map_phase phase)
+{
+  switch (phase)
+    {
+    case ASH_MAP_HOLD:
+      return ASH_RANK_HOLD;
+    case ASH_MAP_ARM:
+      return ASH_RANK_ARM;
+    case ASH_MAP_DISARM:
+      return ASH_RANK_DISARM;
+    case ASH_MAP_GO:
+      return ASH_RANK_GO;
+    case ASH_MAP_IDLE:
+    case ASH_MAP_PREPARE:
+      break;
+    }
+  return ASH_RANK_PREPARE;
+}
+
+uint32_t
+ash_map_switch_orders (struct ash_map_switch *sw,
+                       struct ash_time now,
+                       struct ash_rank_order orders[ASH_LAYER_RANKS_MAX])
+{
+  uint32_t count = 0;
+
+  move_on (sw, now);
+  if (sw->phase == ASH_MAP_IDLE)
+    return 0;
+  for (uint32_t i = 0; i < sw->rank_count; i++)
+    {
+      struct ash_map_rank *rank = &sw->ranks[i];
+      bool alone = sw->phase == ASH_MAP_HOLD || sw->phase == ASH_MAP_GO;
+
+      if (rank->answered || (alone && i != sw->holder) ||
+          (rank->sent.ms && ash_time_diff (rank->sent, now) < RESEND_MS))
+        continue;
+      rank->sent = now;
+      orders[count++] = (struct ash_rank_order){
+        .kind = order_kind (sw->phase),
+        .rank = i,
+        .epoch = sw->epoch,
+        .version = sw->version,
+        .step = sw->step,
+      };
+    }
+  return count;
+}
+
+bool
+ash_map_switch_wants_report (const struct ash_map_switch *sw, struct ash_time now, uint32_t rank)
+{
+  const struct ash_map_rank *known = &sw->ranks[rank];
+  int64_t age_ms = ash_time_diff (known->reported, now);
+
+  if (!known->known || known->report.epoch != sw->epoch || known->report.broken)
+    return age_ms >= REPORT_SOON_MS;
+  if (sw->phase == ASH_MAP_ARM && known->refusals)
+    return age_ms >= REPORT_SOON_MS;
+  if (sw->foreign_held ||
+      (sw->phase == ASH_MAP_PREPARE && all_answered (sw) && known->report.prepared != sw->version))
+    return age_ms >= REPORT_SOON_MS;
+  return age_ms >= (rank == 0 ? REPORT_FIRST_MS : REPORT_ALL_MS);
+}
--- /dev/null
+++ b/controllers/map_switch.h
@@ -0,0 +1,115 @@
+/**
+ * @file
+ * The change of a group's map, ordered from outside the group by whichever router
+ * leads: every rank prepares the map; one rank holds a step that has not begun,
+ * so that the group can't go past it; all ranks are armed for that step; then it is
+ * let go. No step begins while ranks differ in what they take at it.
+ *
+ * Orders may be lost, or carried out seconds late. So:
+ *  - a version is armed for one step only: once all ranks have it prepared, arming goes
+ *    forward until all have taken it. Where a rank can't (another router's preparation
+ *    came between), all are disarmed and the version is dead;
+ *  - a late hold or arm finds its step begun and is refused;
+ *  - versions are never used twice, also not by two routers (ash_map_switch_version()).
+ *
+ * A router that dies between hold and go leaves the group standing. Whoever sees a
+ * hold that is not its own finishes: it arms what is armed somewhere, or prepared
+ * everywhere, and lets go.
+ *
+ * No I/O: it says which orders are due and is told how they were answered.
+ */
+#ifndef ASH_MAP_SWITCH_H
+#define ASH_MAP_SWITCH_H
+
+#include "common/clock.h"
+#include "controllers/rank_state.h"
+
+/** Where a change stands. */
+enum ash_map_phase
+{
+  ASH_MAP_IDLE,
+  ASH_MAP_PREPARE, /**< ranks copy what is new to them */
+  ASH_MAP_HOLD,    /**< a step is being held */
+  ASH_MAP_ARM,     /**< all ranks are told to take the map at that step */
+  ASH_MAP_DISARM,  /**< a rank can't: all are told to forget it */
+  ASH_MAP_GO,      /**< the step is let go */
+};
+
+/** How the last change ended. */
+enum ash_map_result
+{
+  ASH_MAP_NONE,
+  ASH_MAP_CHANGED,
+  ASH_MAP_FINISHED, /**< what another router had begun */
+  ASH_MAP_GIVEN_UP, /**< before a rank had taken it */
+  ASH_MAP_VOID,     /**< the group formed anew */
+};
+
+/** What is known of a rank. */
+struct ash_map_rank
+{
+  struct ash_rank_report report;
+  struct ash_time reported;
+  bool known;
+  bool answered;        /**< the present phase's order is carried out there */
+  struct ash_time sent; /**< the present phase's order; 0: not yet */
+  uint32_t refusals;    /**< of the present phase's order */
+};
+
+/** One group. */
+struct ash_map_switch
+{
+  uint32_t rank_count;
+  uint64_t epoch;
+  uint32_t lag_ms; /**< how old a report is when it comes */
+  enum ash_map_phase phase;
+  enum ash_map_result result;
+  uint64_t version; /**< being changed to */
+  uint64_t step;    /**< being held */
+  uint32_t holder;  /**< rank that holds it */
+  bool finishing;   /**< what another router had begun */
+  uint32_t holds;   /**< tried in this change */
+  struct ash_time began;
+  struct ash_time phase_began;
+  double pass_ms; /**< time of a pass, smoothed; 0: not known */
+  uint64_t last_step;
+  struct ash_time last_step_at; /**< when it was reported, less the lag */
+  uint64_t released;            /**< the last step let go here */
+  struct ash_time released_at;
+  uint64_t foreign_held; /**< a hold that is not this router's */
+  struct ash_time foreign_since;
+  struct ash_map_rank ranks[ASH_LAYER_RANKS_MAX];
+};
+
+void ash_map_switch_init (struct ash_map_switch *sw, uint32_t rank_count, uint32_t lag_ms);
+
+/** A rank has told how it stands. */
+void ash_map_switch_report (struct ash_map_switch *sw,
+                            struct ash_time now,
+                            const struct ash_rank_report *report);
+
+/** @return whether all ranks are known, in one epoch, and nothing is under way. */
+bool ash_map_switch_ready (const struct ash_map_switch *sw);
+
+/** @return a version above all that any rank is known to have had. @param draw random bits. */
+uint64_t ash_map_switch_version (const struct ash_map_switch *sw, uint64_t draw);
+
+/** Begins a change to a map of that version. */
+void ash_map_switch_begin (struct ash_map_switch *sw, struct ash_time now, uint64_t version);
+
+/** An order was answered. @param status of HTTP; 0: not answered. */
+void ash_map_switch_answered (struct ash_map_switch *sw,
+                              struct ash_time now,
+                              const struct ash_rank_order *order,
+                              uint16_t status);
+
+/** Time goes on. Fills what is to be sent now. @return how many orders. */
+uint32_t ash_map_switch_orders (struct ash_map_switch *sw,
+                                struct ash_time now,
+                                struct ash_rank_order orders[ASH_LAYER_RANKS_MAX]);
+
+/** @return whether a report of that rank is awaited: soon, or in good time. */
+bool
+ash_map_switch_wants_report (const struct ash_map_switch *sw, struct ash_time now, uint32_t rank);
+
+#endif
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -8,6 +8,9 @@
 
 #define MS_PER_S 1000.0
 
+/* A router without a link for so long does not come back under its name. */
+#define FORGET_MS 30000
+
 static struct ash_fleet_peer *
 find_peer (const struct ash_fleet *fleet, const char *box)
 {
@@ -28,6 +31,7 @@
   if (!peer)
     return NULL;
   snprintf (peer->box, sizeof peer->box, "%s", box);
+  peer->seen = ash_clock_now ();
   HASH_ADD_STR (fleet->peers, box, peer);
   return peer;
 }
@@ -357,6 +361,55 @@
   ash_peers_beat (&fleet->links);
 }
 
+void
+ash_fleet_tick (struct ash_fleet *fleet, struct ash_time now)
+{
+  struct ash_fleet_peer *peer;
+  struct ash_fleet_peer *next;
+
+  HASH_ITER (hh, fleet->peers, peer, next)
+    {
+      if (peer->linked)
+        peer->seen = now;
+      else if (ash_time_diff (peer->seen, now) > FORGET_MS)
+        {
+          HASH_DEL (fleet->peers, peer);
+          free (peer);
+        }
+    }
+}
+
+uint32_t
+ash_fleet_linked (const struct ash_fleet *fleet)
+{
+  uint32_t linked = 0;
+
+  for (const struct ash_fleet_peer *peer = fleet->peers; peer; peer = peer->hh.next)
+    linked += peer->linked;
+  return linked;
+}
+
+bool
+ash_fleet_leads (const struct ash_fleet *fleet)
+{
+  const char *own = fleet->router->settings.box;
+  uint32_t known = HASH_COUNT (fleet->peers) + 1;
+  uint32_t seen = ash_fleet_linked (fleet) + 1;
+  bool first_of_all = true;
+
+  if (!ash_router_ready (fleet->router))
+    return false;
+  for (const struct ash_fleet_peer *peer = fleet->peers; peer; peer = peer->hh.next)
+    {
+      bool before = strcmp (peer->box, own) < 0;
+
+      if (before && peer->linked && !peer->leaving)
+        return false;
+      first_of_all = first_of_all && !before;
+    }
+  return 2 * seen > known || (2 * seen == known && first_of_all);
+}
+
 uint32_t
 ash_fleet_size (const struct ash_fleet *fleet)
 {
--- a/daemon/fleet.h
+++ b/daemon/fleet.h
@@ -7,6 +7,7 @@
 #ifndef ASH_FLEET_H
 #define ASH_FLEET_H
 
+#include "common/clock.h"
 #include "net/peer.h"
 
 #include <uthash.h>
@@ -23,6 +24,7 @@
   char frontend[ASH_NAME_BYTES];
   char address[ASH_NAME_BYTES]; /**< where its links are accepted */
   bool linked;
+  struct ash_time seen; /**< when it was last linked */
   bool leaving;
   bool reads_store; /**< the store answers it */
   uint64_t version; /**< of the configuration it has in force */
@@ -55,6 +57,18 @@
 /** The router is about to stop: the others are told at once. */
 void ash_fleet_leave (struct ash_fleet *fleet);
 
+/** Time goes on: those that were not seen for long are forgotten. */
+void ash_fleet_tick (struct ash_fleet *fleet, struct ash_time now);
+
+/** @return how many others there is a link to. */
+uint32_t ash_fleet_linked (const struct ash_fleet *fleet);
+
+/**
+ * Whether this router changes the maps of groups: the first by name of those that see
+ * each other. One that sees less than half of them is more likely cut off itself.
+ */
+bool ash_fleet_leads (const struct ash_fleet *fleet);
+
 /** @return how many routers share the fleet's bounds, this one included. */
 uint32_t ash_fleet_size (const struct ash_fleet *fleet);
 
--- /dev/null
+++ b/daemon/groups.h
@@ -0,0 +1,50 @@
+/**
+ * @file
+ * Groups of ranks in lock-step: the router that leads watches them, learns what
+ * experts are asked for, and changes their maps. All others keep nothing of it.
+ */
+#ifndef ASH_GROUPS_H
+#define ASH_GROUPS_H
+
+#include "controllers/layer_policy.h"
+#include "controllers/map_switch.h"
+
+#include <ev.h>
+
+struct ash_router;
+struct ash_rank_box;
+struct ash_rank_group;
+
+/** The task. */
+struct ash_groups
+{
+  struct ash_router *router;
+  ev_timer timer;
+  bool leads;
+  struct ash_time leads_since;
+  struct ash_rank_box *boxes;    /**< endpoints with an engine, by hash of their id */
+  struct ash_rank_group *groups; /**< by name */
+  struct ash_layer_policy *policy;
+  struct ash_time next_counts;
+  struct ash_time counts_asked; /**< 0: none are awaited */
+  uint32_t counts_awaited;
+  uint32_t counts_turn; /**< ranks are asked by turns */
+  double *counts;       /**< new since the last decision */
+  uint64_t orders;      /**< sent */
+  uint64_t reads;       /**< numbers read */
+};
+
+void ash_groups_open (struct ash_groups *groups, struct ash_router *router);
+
+void ash_groups_close (struct ash_groups *groups);
+
+/** The process was paused: all that it knows is old. */
+void ash_groups_woke (struct ash_groups *groups);
+
+/** @return whether a group stands still until this router lets it go. */
+bool ash_groups_holds (const struct ash_groups *groups);
+
+/** An endpoint is about to be freed. */
+void ash_groups_forget (struct ash_groups *groups, uint64_t endpoint_hash);
+
+#endif
--- a/daemon/router.c
+++ b/daemon/router.c
@@ -76,7 +76,9 @@
 static void
 on_leaving (void *data, struct ash_direct_endpoint *endpoint)
 {
-  (void) data;
+  struct ash_router *router = data;
+
+  ash_groups_forget (&router->groups, endpoint->hash);
   if (endpoint->owner)
     ash_http_pool_finish (endpoint->owner);
   free (endpoint->owner);
@@ -155,7 +157,7 @@
   if (since_ms > (int64_t) settings->grace_ms - STOP_MARGIN_MS)
     return true;
   return since_ms > (int64_t) settings->address_keep_ms * KEEP_TIMES &&
-         !ash_http_listener_busy (&router->frontend);
+         !ash_groups_holds (&router->groups) && !ash_http_listener_busy (&router->frontend);
 }
 
 static void
@@ -165,12 +167,33 @@
   struct ash_time now = ash_clock_now ();
 
   (void) events;
+  ash_fleet_tick (&router->fleet, now);
   ash_direct_tick (&router->endpoints, now);
   router->room = true;
   if (router->stopping && may_end (router, now))
     ev_break (loop, EVBREAK_ALL);
 }
 
+/* First after the loop has slept, which lasts a tick at most. A longer gap means that
+ * the process was stopped: what it holds of others is old. */
+static void
+on_after_sleep (struct ev_loop *loop, ev_check *check, int events)
+{
+  struct ash_router *router = check->data;
+  struct ash_time now = ash_clock_now ();
+  int64_t gap_ms = ash_time_diff (router->last_turn, now);
+
+  (void) loop;
+  (void) events;
+  router->last_turn = now;
+  if (gap_ms <= PAUSE_MS)
+    return;
+  ash_log_event (&router->log, ASH_EV_WOKE, "gap_ms=%lld", (long long) gap_ms);
+  ash_groups_woke (&router->groups);
+  ash_fleet_woke (&router->fleet);
+  ash_store_woke (&router->store);
+}
+
 /* Last before the loop sleeps: whatever made room in this turn is used. */
 static void
 on_before_sleep (struct ev_loop *loop, ev_prepare *prepare, int events)
@@ -261,6 +284,7 @@
                      settings->peer_listen, strerror (errno));
       return false;
     }
+  ash_groups_open (&router->groups, router);
   return ash_store_open (&router->store, router);
 }
 
@@ -281,6 +305,11 @@
   ev_timer_init (&router->tick, on_tick, TICK_S, TICK_S);
   router->tick.data = router;
   ev_timer_start (router->loop, &router->tick);
+  router->last_turn = ash_clock_now ();
+  ev_check_init (&router->after_sleep, on_after_sleep);
+  ev_set_priority (&router->after_sleep, EV_MAXPRI);
+  router->after_sleep.data = router;
+  ev_check_start (router->loop, &router->after_sleep);
   ev_prepare_init (&router->before_sleep, on_before_sleep);
   router->before_sleep.data = router;
   ev_prepare_start (router->loop, &router->before_sleep);
@@ -328,6 +357,7 @@
   ash_http_listener_finish (&router->directory);
   ash_http_listener_finish (&router->figures);
   ash_store_close (&router->store);
+  ash_groups_close (&router->groups);
   ash_direct_finish (&router->endpoints);
   ash_fleet_close (&router->fleet);
   HASH_ITER (hh, router->services, service, next)
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -12,6 +12,7 @@
 #include "controllers/resend_window.h"
 #include "controllers/route_table.h"
 #include "daemon/fleet.h"
+#include "daemon/groups.h"
 #include "daemon/store.h"
 #include "net/http_conn.h"
 #include "options/router_settings.h"
@@ -47,6 +48,7 @@
 
   struct ash_store store;
   struct ash_fleet fleet;
+  struct ash_groups groups;
   struct ash_http_listener frontend;
   struct ash_http_listener readiness;
   struct ash_http_listener directory;
@@ -59,6 +61,8 @@
   bool stopping;
   struct ash_time stop_began;
   ev_timer tick;
+  ev_check after_sleep;
+  struct ash_time last_turn; /**< of the loop */
   ev_prepare before_sleep;
   ev_signal on_term;
   ev_signal on_int;
--- a/net/peer.c
+++ b/net/peer.c
@@ -40,6 +40,7 @@
   struct ash_dial *dial; /* NULL if accepted */
   enum link_state state;
   char box[ASH_NAME_BYTES];
+  uint64_t incarnation; /* of the box */
   struct ash_nonces nonces;
   int fd;
   ev_io read_io;
@@ -59,6 +60,7 @@
 struct ash_dial
 {
   char box[ASH_NAME_BYTES];
+  bool learned; /* the name is whoever answered there last */
   char address[ASH_NAME_BYTES];
   struct ash_link *link; /* NULL: none at the moment */
   struct ash_time next_try;
@@ -192,6 +194,18 @@
   return NULL;
 }
 
+/* Two boxes that dial each other at once get two links, and both must close the same
+ * one: the link that was dialled by the box whose name comes first stays. */
+static bool
+is_duplicate (const struct ash_link *link,
+              const struct ash_link *older,
+              const struct Ash__Hello *hello)
+{
+  bool own_first = strcmp (link->peers->identity.box, hello->box) < 0;
+
+  return older && older->incarnation == hello->incarnation && own_first != (link->dial != NULL);
+}
+
 static void
 go_up (struct ash_link *link, const struct Ash__Hello *hello)
 {
@@ -203,6 +217,7 @@
   if (older)
     close_link (older, "replaced");
   snprintf (link->box, sizeof link->box, "%s", hello->box);
+  link->incarnation = hello->incarnation;
   link->state = LINK_UP;
   up.role = hello->role;
   up.incarnation = hello->incarnation;
@@ -245,10 +260,18 @@
     memcpy (link->nonces.dial, hello->nonce.data, ASH_NONCE_BYTES);
   if (!ash_handshake_check (fleet_key, &link->nonces, sender, hello))
     return "wrong proof of the fleet key";
-  if (link->dial && *link->dial->box && strcmp (link->dial->box, hello->box) != 0)
+  if (link->dial && !link->dial->learned && *link->dial->box &&
+      strcmp (link->dial->box, hello->box) != 0)
     return "another box answers at this address";
   if (strcmp (hello->box, peers->identity.box) == 0)
     return "it has this box's own name";
+  if (link->dial && (link->dial->learned || !*link->dial->box))
+    {
+      link->dial->learned = true;
+      snprintf (link->dial->box, sizeof link->dial->box, "%s", hello->box);
+    }
+  if (is_duplicate (link, find_up (peers, hello->box), hello))
+    return "there is a link to that box already";
   if (!link->dial)
     send_hello (link, ASH_SIDE_ACCEPT);
   ash_handshake_frame_key (fleet_key, &link->nonces, sender, &link->in_key);
@@ -579,7 +602,7 @@
   struct ash_dial *dial;
 
   DL_FOREACH (peers->dials, dial)
-    if (strcmp (dial->address, address) == 0 && strcmp (dial->box, box) == 0)
+    if (strcmp (dial->address, address) == 0 && (strcmp (dial->box, box) == 0 || dial->learned))
       return;
   dial = calloc (1, sizeof *dial);
   if (!dial)
