--- a/controllers/layer_policy.c
+++ b/controllers/layer_policy.c
@@ -12,9 +12,10 @@
   const struct ash_layer_policy *policy;
   struct ash_layer_map *map;
   uint32_t index;
-  const double *demand;
   uint32_t replicas[ASH_LAYER_EXPERTS_MAX];
-  double load[ASH_LAYER_RANKS_MAX];
+  uint64_t holders[ASH_LAYER_EXPERTS_MAX]; /* ranks that hold it, a bit each */
+  double weight[ASH_LAYER_REPORTS];
+  double load[ASH_LAYER_REPORTS][ASH_LAYER_RANKS_MAX]; /* over the mean rank's */
   uint32_t new_count[ASH_LAYER_RANKS_MAX];
   bool is_new[ASH_LAYER_RANKS_MAX][ASH_LAYER_SLOTS_MAX];
 };
@@ -44,8 +45,9 @@
 void
 ash_layer_policy_report (struct ash_layer_policy *policy, const double *counts)
 {
-  double newest = policy->reports ? policy->weights.newest : 1;
+  uint32_t kept = policy->kept < ASH_LAYER_REPORTS ? policy->kept + 1 : ASH_LAYER_REPORTS;
 
+  memmove (policy->demand[1], policy->demand[0], (kept - 1) * sizeof policy->demand[0]);
   for (uint32_t layer = 0; layer < policy->layer_count; layer++)
     {
       const double *row = counts + (size_t) layer * policy->expert_count;
@@ -53,12 +55,11 @@
 
       for (uint32_t expert = 0; expert < policy->expert_count; expert++)
         total += row[expert];
-      if (total <= 0)
-        continue;
       for (uint32_t expert = 0; expert < policy->expert_count; expert++)
-        policy->demand[layer][expert] +=
-            newest * (row[expert] / total - policy->demand[layer][expert]);
+        policy->demand[0][layer][expert] =
+            (float) (total > 0 ? row[expert] / total : 1.0 / policy->expert_count);
     }
+  policy->kept = kept;
   policy->reports++;
 }
 
@@ -73,126 +74,174 @@
   return fourth * fourth;
 }
 
+static double
+eighth_root (double power)
+{
+  return sqrt (sqrt (sqrt (power)));
+}
+
+/* What a replica of the expert carries, over the mean rank's load. */
+static double
+share_of (const struct layer *layer, uint32_t report, uint16_t expert, uint32_t replicas)
+{
+  return (double) layer->policy->demand[report][layer->index][expert] * layer->map->rank_count /
+         replicas;
+}
+
 static void
 count_layer (struct layer *layer)
 {
   const struct ash_layer_map *map = layer->map;
 
   memset (layer->replicas, 0, sizeof layer->replicas);
+  memset (layer->holders, 0, sizeof layer->holders);
   memset (layer->load, 0, sizeof layer->load);
-  for (uint32_t rank = 0; rank < map->rank_count; rank++)
-    for (uint32_t slot = 0; slot < map->slot_count; slot++)
-      if (map->slots[layer->index][rank][slot] != ASH_NO_EXPERT)
-        layer->replicas[map->slots[layer->index][rank][slot]]++;
   for (uint32_t rank = 0; rank < map->rank_count; rank++)
     for (uint32_t slot = 0; slot < map->slot_count; slot++)
       {
         uint16_t expert = map->slots[layer->index][rank][slot];
 
-        if (expert != ASH_NO_EXPERT)
-          layer->load[rank] += layer->demand[expert] / layer->replicas[expert];
+        if (expert == ASH_NO_EXPERT)
+          continue;
+        layer->replicas[expert]++;
+        layer->holders[expert] |= UINT64_C (1) << rank;
       }
+  for (uint32_t report = 0; report < layer->policy->kept; report++)
+    for (uint32_t rank = 0; rank < map->rank_count; rank++)
+      for (uint32_t slot = 0; slot < map->slot_count; slot++)
+        {
+          uint16_t expert = map->slots[layer->index][rank][slot];
+
+          if (expert != ASH_NO_EXPERT)
+            layer->load[report][rank] += share_of (layer, report, expert, layer->replicas[expert]);
+        }
 }
 
-static bool
-holds (const struct layer *layer, uint32_t rank, uint16_t expert)
+static double
+norm (const struct layer *layer, const double *load)
 {
-  const uint16_t *slots = layer->map->slots[layer->index][rank];
+  double power = 0;
 
-  for (uint32_t slot = 0; slot < layer->map->slot_count; slot++)
-    if (slots[slot] == expert)
-      return true;
-  return false;
+  for (uint32_t rank = 0; rank < layer->map->rank_count; rank++)
+    power += raise (load[rank]);
+  return eighth_root (power);
+}
+
+/* Adds @p change to the load of all ranks of a set. */
+static void
+shift (double *load, uint64_t ranks, double change)
+{
+  for (; ranks; ranks &= ranks - 1)
+    load[__builtin_ctzll (ranks)] += change;
+}
+
+/* The norm under one report if @p expert came into the rank's slot in place of @p old. */
+static double
+norm_after (
+    const struct layer *layer, uint32_t report, uint32_t rank, uint16_t old, uint16_t expert)
+{
+  double load[ASH_LAYER_RANKS_MAX];
+  uint32_t replicas = layer->replicas[expert];
+  double share = share_of (layer, report, expert, replicas + 1);
+
+  memcpy (load, layer->load[report], layer->map->rank_count * sizeof *load);
+  shift (load, layer->holders[expert], share - share_of (layer, report, expert, replicas));
+  load[rank] += share;
+  if (old != ASH_NO_EXPERT)
+    {
+      uint32_t left = layer->replicas[old] - 1;
+      double before = share_of (layer, report, old, left + 1);
+
+      shift (load, layer->holders[old] & ~(UINT64_C (1) << rank),
+             share_of (layer, report, old, left) - before);
+      load[rank] -= before;
+    }
+  return norm (layer, load);
 }
 
-/* Loads scaled by the mean, so that the power neither overflows nor vanishes. */
 static double
-cost_of (const struct layer *layer, const double *load)
+cost_after (const struct layer *layer, uint32_t rank, uint16_t old, uint16_t expert)
 {
   double cost = 0;
 
-  for (uint32_t rank = 0; rank < layer->map->rank_count; rank++)
-    cost += raise (load[rank] * layer->map->rank_count);
+  for (uint32_t report = 0; report < layer->policy->kept; report++)
+    cost += layer->weight[report] * norm_after (layer, report, rank, old, expert);
   return cost;
 }
 
-/* The cost of the layer if @p expert came into that slot in place of what is there. */
 static double
-cost_after (const struct layer *layer, uint32_t rank, uint32_t slot, uint16_t expert)
+cost_now (const struct layer *layer)
 {
-  const struct ash_layer_map *map = layer->map;
-  uint16_t old = map->slots[layer->index][rank][slot];
-  double share = layer->demand[expert] / layer->replicas[expert];
-  double new_share = layer->demand[expert] / (layer->replicas[expert] + 1);
-  double load[ASH_LAYER_RANKS_MAX];
+  double cost = 0;
 
-  memcpy (load, layer->load, map->rank_count * sizeof *load);
-  for (uint32_t other = 0; other < map->rank_count; other++)
-    {
-      if (holds (layer, other, expert))
-        load[other] += new_share - share;
-      if (old != ASH_NO_EXPERT && other != rank && holds (layer, other, old))
-        load[other] += layer->demand[old] / (layer->replicas[old] - 1) -
-                       layer->demand[old] / layer->replicas[old];
-    }
-  load[rank] += new_share;
-  if (old != ASH_NO_EXPERT)
-    load[rank] -= layer->demand[old] / layer->replicas[old];
-  return cost_of (layer, load);
+  for (uint32_t report = 0; report < layer->policy->kept; report++)
+    cost += layer->weight[report] * norm (layer, layer->load[report]);
+  return cost;
 }
 
 static uint32_t
-most_loaded (const struct layer *layer)
+most_loaded (const struct layer *layer, uint32_t report)
 {
   uint32_t most = 0;
 
   for (uint32_t rank = 1; rank < layer->map->rank_count; rank++)
-    if (layer->load[rank] > layer->load[most])
+    if (layer->load[report][rank] > layer->load[report][most])
       most = rank;
   return most;
 }
 
-/* ---- moves ---- */
-
-/* Whether what is in the slot may go: the last replica must stay. */
-static bool
-may_go (const struct layer *layer, uint32_t rank, uint32_t slot)
+/* The report that costs most as it stands. */
+static uint32_t
+worst_report (const struct layer *layer)
 {
-  uint16_t old = layer->map->slots[layer->index][rank][slot];
+  double most = 0;
+  uint32_t worst = 0;
 
-  return old == ASH_NO_EXPERT || layer->replicas[old] > 1;
+  for (uint32_t report = 0; report < layer->policy->kept; report++)
+    {
+      double cost = layer->weight[report] * norm (layer, layer->load[report]);
+
+      if (cost > most)
+        {
+          most = cost;
+          worst = report;
+        }
+    }
+  return worst;
 }
 
+/* ---- moves ---- */
+
 static void
 try_rank (const struct layer *layer, uint16_t expert, uint32_t rank, struct move *best)
 {
   const struct ash_layer_map *map = layer->map;
 
-  if (layer->new_count[rank] >= layer->policy->weights.rank_moves || holds (layer, rank, expert))
+  if (layer->new_count[rank] >= layer->policy->weights.rank_moves ||
+      layer->holders[expert] >> rank & 1)
     return;
   for (uint32_t slot = 0; slot < map->slot_count; slot++)
     {
-      bool empty = map->slots[layer->index][rank][slot] == ASH_NO_EXPERT;
+      uint16_t old = map->slots[layer->index][rank][slot];
       double cost;
 
-      if (layer->is_new[rank][slot] || !may_go (layer, rank, slot))
+      /* The last replica must stay, and what was just decided too. */
+      if (layer->is_new[rank][slot] || (old != ASH_NO_EXPERT && layer->replicas[old] < 2))
         continue;
-      cost = cost_after (layer, rank, slot, expert);
+      cost = cost_after (layer, rank, old, expert);
       if (cost < best->cost)
         *best = (struct move){ rank, slot, expert, cost };
       /* All empty slots are alike. */
-      if (empty)
+      if (old == ASH_NO_EXPERT)
         break;
     }
 }
 
-/* The best replica of any expert of the most loaded rank. */
-static struct move
-best_move (const struct layer *layer)
+/* Tries replicas of all experts of a rank. */
+static void
+relieve (const struct layer *layer, uint32_t most, struct move *best)
 {
   const struct ash_layer_map *map = layer->map;
-  uint32_t most = most_loaded (layer);
-  struct move best = { .expert = ASH_NO_EXPERT, .cost = cost_of (layer, layer->load) };
 
   for (uint32_t slot = 0; slot < map->slot_count; slot++)
     {
@@ -202,22 +251,8 @@
         continue;
       for (uint32_t rank = 0; rank < map->rank_count; rank++)
         if (rank != most)
-          try_rank (layer, expert, rank, &best);
+          try_rank (layer, expert, rank, best);
     }
-  return best;
-}
-
-static double
-top_load (const struct layer *layer)
-{
-  return layer->load[most_loaded (layer)] * layer->map->rank_count;
-}
-
-/* The most loaded rank over the mean, as the power sees it. */
-static double
-norm_of (const struct layer *layer)
-{
-  return sqrt (sqrt (sqrt (cost_of (layer, layer->load))));
 }
 
 static uint32_t
@@ -229,23 +264,20 @@
 
   while (moves < moves_max)
     {
-      double before = norm_of (layer);
-      struct move move = best_move (layer);
-      uint16_t old;
-
-      if (move.expert == ASH_NO_EXPERT)
+      double cost = cost_now (layer);
+      struct move best = { .expert = ASH_NO_EXPERT, .cost = cost };
+      uint32_t newest_top = most_loaded (layer, 0);
+      uint32_t worst_top = most_loaded (layer, worst_report (layer));
+
+      relieve (layer, newest_top, &best);
+      if (worst_top != newest_top)
+        relieve (layer, worst_top, &best);
+      if (best.expert == ASH_NO_EXPERT || cost - best.cost < layer->policy->weights.least_gain)
         break;
-      old = map->slots[layer->index][move.rank][move.slot];
-      map->slots[layer->index][move.rank][move.slot] = move.expert;
+      map->slots[layer->index][best.rank][best.slot] = best.expert;
+      layer->is_new[best.rank][best.slot] = true;
+      layer->new_count[best.rank]++;
       count_layer (layer);
-      if (before - norm_of (layer) < layer->policy->weights.least_gain)
-        {
-          map->slots[layer->index][move.rank][move.slot] = old;
-          count_layer (layer);
-          break;
-        }
-      layer->is_new[move.rank][move.slot] = true;
-      layer->new_count[move.rank]++;
       moves++;
     }
   return moves;
@@ -257,8 +289,18 @@
             struct ash_layer_map *map,
             uint32_t index)
 {
-  *layer =
-      (struct layer){ policy, map, index, policy->demand[index], { 0 }, { 0 }, { 0 }, { { 0 } } };
+  double weight = 1;
+  double total = 0;
+
+  memset (layer, 0, sizeof *layer);
+  layer->policy = policy;
+  layer->map = map;
+  layer->index = index;
+  for (uint32_t report = 0; report < policy->kept; report++, weight *= policy->weights.decay)
+    total += weight;
+  weight = 1;
+  for (uint32_t report = 0; report < policy->kept; report++, weight *= policy->weights.decay)
+    layer->weight[report] = weight / total;
   count_layer (layer);
 }
 
@@ -272,7 +314,7 @@
       struct layer layer;
 
       open_layer (&layer, policy, (struct ash_layer_map *) (uintptr_t) map, i);
-      sum += top_load (&layer);
+      sum += layer.load[0][most_loaded (&layer, 0)];
     }
   return map->layer_count ? sum / map->layer_count : 1;
 }
--- a/daemon/groups.c
+++ b/daemon/groups.c
@@ -504,7 +504,7 @@
   if (!service || !fits (&service->engine))
     return false;
   weights = (struct ash_layer_weights){
-    .newest = settings->map_newest,
+    .decay = settings->map_decay,
     .least_gain = settings->map_least_gain,
     .rank_moves = settings->map_rank_moves < service->engine.rank_changes
                       ? settings->map_rank_moves
--- a/options/router_settings.c
+++ b/options/router_settings.c
@@ -53,7 +53,7 @@
   MS (map_period_ms, "2500", 50, HOUR_MS, "between two decisions on expert maps"),
   COUNT (map_rank_moves, "1", 0, 32, "experts", "new to a rank and layer in one change at most"),
   COUNT (count_samples, "6", 1, 1024, "ranks", "that are asked for their counts each time"),
-  NUMBER (map_newest, "0.6", 0, 1, "", "part of the newest counts in what is believed"),
+  NUMBER (map_decay, "0.7", 0, 1, "", "weight of a report of counts against the next one's"),
   NUMBER (map_least_gain, "0.03", 0, 10, "of the mean", "what a move must take off the top rank"),
   NUMBER (resend_ratio, "0.1", 0, 1, "of requests", "that the fleet may send again in a window"),
   MS (resend_window_ms, "10000", 100, HOUR_MS, "length of that window"),
--- a/options/router_settings.h
+++ b/options/router_settings.h
@@ -39,7 +39,7 @@
   uint32_t map_period_ms;
   uint32_t map_rank_moves;
   uint32_t count_samples;
-  double map_newest;
+  double map_decay;
   double map_least_gain;
   double resend_ratio;
   uint32_t resend_window_ms;
