--- a/controllers/layer_policy.c
+++ b/controllers/layer_policy.c
@@ -1,6 +1,7 @@
 #include "controllers/layer_policy.h"
 
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* Loads are compared by the sum of a high power: close to comparing the most loaded
@@ -14,8 +15,7 @@
   uint32_t index;
   uint32_t replicas[ASH_LAYER_EXPERTS_MAX];
   uint64_t holders[ASH_LAYER_EXPERTS_MAX]; /* ranks that hold it, a bit each */
-  double weight[ASH_LAYER_REPORTS];
-  double load[ASH_LAYER_REPORTS][ASH_LAYER_RANKS_MAX]; /* over the mean rank's */
+  double load[ASH_LAYER_RANKS_MAX];        /* over the mean rank's */
   uint32_t new_count[ASH_LAYER_RANKS_MAX];
   bool is_new[ASH_LAYER_RANKS_MAX][ASH_LAYER_SLOTS_MAX];
 };
@@ -25,8 +25,16 @@
 {
   uint32_t rank;
   uint32_t slot;
-  uint16_t expert;
-  double cost; /* of the layer after it */
+  uint16_t expert; /* ASH_NO_EXPERT: none helps */
+  double gain;     /* what it takes off the layer's norm */
+};
+
+/* All layers of a map while it is being changed. */
+struct change
+{
+  struct layer layers[ASH_LAYERS_MAX];
+  struct move best[ASH_LAYERS_MAX];
+  uint32_t rank_moves[ASH_LAYER_RANKS_MAX]; /* in all layers */
 };
 
 void
@@ -42,24 +50,48 @@
   };
 }
 
-void
-ash_layer_policy_report (struct ash_layer_policy *policy, const double *counts)
+static double
+cosine (const double *a, const double *b, uint32_t count)
 {
-  uint32_t kept = policy->kept < ASH_LAYER_REPORTS ? policy->kept + 1 : ASH_LAYER_REPORTS;
+  double product = 0;
+  double a_square = 0;
+  double b_square = 0;
 
-  memmove (policy->demand[1], policy->demand[0], (kept - 1) * sizeof policy->demand[0]);
-  for (uint32_t layer = 0; layer < policy->layer_count; layer++)
+  for (uint32_t i = 0; i < count; i++)
+    {
+      product += a[i] * b[i];
+      a_square += a[i] * a[i];
+      b_square += b[i] * b[i];
+    }
+  return a_square > 0 && b_square > 0 ? product / sqrt (a_square * b_square) : 0;
+}
+
+static void
+report_layer (struct ash_layer_policy *policy, uint32_t layer, const double *counts)
+{
+  double *demand = policy->demand[layer];
+  double total = 0;
+  double kept = policy->weights.decay;
+
+  for (uint32_t expert = 0; expert < policy->expert_count; expert++)
+    total += counts[expert];
+  if (total <= 0)
+    return;
+  if (cosine (demand, counts, policy->expert_count) < policy->weights.alike)
     {
-      const double *row = counts + (size_t) layer * policy->expert_count;
-      double total = 0;
-
-      for (uint32_t expert = 0; expert < policy->expert_count; expert++)
-        total += row[expert];
-      for (uint32_t expert = 0; expert < policy->expert_count; expert++)
-        policy->demand[0][layer][expert] =
-            (float) (total > 0 ? row[expert] / total : 1.0 / policy->expert_count);
+      kept = 0;
+      policy->shifts++;
     }
-  policy->kept = kept;
+  for (uint32_t expert = 0; expert < policy->expert_count; expert++)
+    demand[expert] = kept * demand[expert] + (1 - kept) * counts[expert] / total;
+}
+
+void
+ash_layer_policy_report (struct ash_layer_policy *policy, const double *counts)
+{
+  policy->shifts = 0;
+  for (uint32_t layer = 0; layer < policy->layer_count; layer++)
+    report_layer (policy, layer, counts + (size_t) layer * policy->expert_count);
   policy->reports++;
 }
 
@@ -82,10 +114,9 @@
 
 /* What a replica of the expert carries, over the mean rank's load. */
 static double
-share_of (const struct layer *layer, uint32_t report, uint16_t expert, uint32_t replicas)
+share_of (const struct layer *layer, uint16_t expert, uint32_t replicas)
 {
-  return (double) layer->policy->demand[report][layer->index][expert] * layer->map->rank_count /
-         replicas;
+  return layer->policy->demand[layer->index][expert] * layer->map->rank_count / replicas;
 }
 
 static void
@@ -106,15 +137,14 @@
         layer->replicas[expert]++;
         layer->holders[expert] |= UINT64_C (1) << rank;
       }
-  for (uint32_t report = 0; report < layer->policy->kept; report++)
-    for (uint32_t rank = 0; rank < map->rank_count; rank++)
-      for (uint32_t slot = 0; slot < map->slot_count; slot++)
-        {
-          uint16_t expert = map->slots[layer->index][rank][slot];
-
-          if (expert != ASH_NO_EXPERT)
-            layer->load[report][rank] += share_of (layer, report, expert, layer->replicas[expert]);
-        }
+  for (uint32_t rank = 0; rank < map->rank_count; rank++)
+    for (uint32_t slot = 0; slot < map->slot_count; slot++)
+      {
+        uint16_t expert = map->slots[layer->index][rank][slot];
+
+        if (expert != ASH_NO_EXPERT)
+          layer->load[rank] += share_of (layer, expert, layer->replicas[expert]);
+      }
 }
 
 static double
@@ -135,113 +165,73 @@
     load[__builtin_ctzll (ranks)] += change;
 }
 
-/* The norm under one report if @p expert came into the rank's slot in place of @p old. */
+/* The norm if @p expert came into the rank's slot in place of @p old. */
 static double
-norm_after (
-    const struct layer *layer, uint32_t report, uint32_t rank, uint16_t old, uint16_t expert)
+norm_after (const struct layer *layer, uint32_t rank, uint16_t old, uint16_t expert)
 {
   double load[ASH_LAYER_RANKS_MAX];
   uint32_t replicas = layer->replicas[expert];
-  double share = share_of (layer, report, expert, replicas + 1);
+  double share = share_of (layer, expert, replicas + 1);
 
-  memcpy (load, layer->load[report], layer->map->rank_count * sizeof *load);
-  shift (load, layer->holders[expert], share - share_of (layer, report, expert, replicas));
+  memcpy (load, layer->load, layer->map->rank_count * sizeof *load);
+  shift (load, layer->holders[expert], share - share_of (layer, expert, replicas));
   load[rank] += share;
   if (old != ASH_NO_EXPERT)
     {
       uint32_t left = layer->replicas[old] - 1;
-      double before = share_of (layer, report, old, left + 1);
+      double before = share_of (layer, old, left + 1);
 
       shift (load, layer->holders[old] & ~(UINT64_C (1) << rank),
-             share_of (layer, report, old, left) - before);
+             share_of (layer, old, left) - before);
       load[rank] -= before;
     }
   return norm (layer, load);
 }
 
-static double
-cost_after (const struct layer *layer, uint32_t rank, uint16_t old, uint16_t expert)
-{
-  double cost = 0;
-
-  for (uint32_t report = 0; report < layer->policy->kept; report++)
-    cost += layer->weight[report] * norm_after (layer, report, rank, old, expert);
-  return cost;
-}
-
-static double
-cost_now (const struct layer *layer)
-{
-  double cost = 0;
-
-  for (uint32_t report = 0; report < layer->policy->kept; report++)
-    cost += layer->weight[report] * norm (layer, layer->load[report]);
-  return cost;
-}
-
 static uint32_t
-most_loaded (const struct layer *layer, uint32_t report)
+most_loaded (const struct layer *layer)
 {
   uint32_t most = 0;
 
   for (uint32_t rank = 1; rank < layer->map->rank_count; rank++)
-    if (layer->load[report][rank] > layer->load[report][most])
+    if (layer->load[rank] > layer->load[most])
       most = rank;
   return most;
 }
 
-/* The report that costs most as it stands. */
-static uint32_t
-worst_report (const struct layer *layer)
-{
-  double most = 0;
-  uint32_t worst = 0;
-
-  for (uint32_t report = 0; report < layer->policy->kept; report++)
-    {
-      double cost = layer->weight[report] * norm (layer, layer->load[report]);
-
-      if (cost > most)
-        {
-          most = cost;
-          worst = report;
-        }
-    }
-  return worst;
-}
-
 /* ---- moves ---- */
 
 static void
-try_rank (const struct layer *layer, uint16_t expert, uint32_t rank, struct move *best)
+try_rank (const struct layer *layer, uint16_t expert, uint32_t rank, double now, struct move *best)
 {
   const struct ash_layer_map *map = layer->map;
 
-  if (layer->new_count[rank] >= layer->policy->weights.rank_moves ||
-      layer->holders[expert] >> rank & 1)
-    return;
   for (uint32_t slot = 0; slot < map->slot_count; slot++)
     {
       uint16_t old = map->slots[layer->index][rank][slot];
-      double cost;
+      double gain;
 
       /* The last replica must stay, and what was just decided too. */
       if (layer->is_new[rank][slot] || (old != ASH_NO_EXPERT && layer->replicas[old] < 2))
         continue;
-      cost = cost_after (layer, rank, old, expert);
-      if (cost < best->cost)
-        *best = (struct move){ rank, slot, expert, cost };
+      gain = now - norm_after (layer, rank, old, expert);
+      if (gain > best->gain)
+        *best = (struct move){ rank, slot, expert, gain };
       /* All empty slots are alike. */
       if (old == ASH_NO_EXPERT)
         break;
     }
 }
 
-/* Tries replicas of all experts of a rank. */
-static void
-relieve (const struct layer *layer, uint32_t most, struct move *best)
+/* The best replica of any expert of the layer's most loaded rank. */
+static struct move
+find_move (const struct change *change, const struct layer *layer)
 {
+  const struct ash_layer_weights *weights = &layer->policy->weights;
   const struct ash_layer_map *map = layer->map;
+  double now = norm (layer, layer->load);
+  uint32_t most = most_loaded (layer);
+  struct move best = { .expert = ASH_NO_EXPERT };
 
   for (uint32_t slot = 0; slot < map->slot_count; slot++)
     {
@@ -250,37 +240,41 @@
       if (expert == ASH_NO_EXPERT)
         continue;
       for (uint32_t rank = 0; rank < map->rank_count; rank++)
-        if (rank != most)
-          try_rank (layer, expert, rank, best);
+        if (!(layer->holders[expert] >> rank & 1) &&
+            layer->new_count[rank] < weights->layer_moves &&
+            change->rank_moves[rank] < weights->rank_moves)
+          try_rank (layer, expert, rank, now, &best);
     }
+  return best;
 }
 
+/* The layer whose best move gains most; the layer count if none is worth it. */
 static uint32_t
-change_layer (struct layer *layer)
+best_layer (const struct change *change, const struct ash_layer_map *map, double least_gain)
 {
-  struct ash_layer_map *map = layer->map;
-  uint32_t moves_max = map->rank_count * layer->policy->weights.rank_moves;
-  uint32_t moves = 0;
+  uint32_t best = map->layer_count;
+  double gain = least_gain;
 
-  while (moves < moves_max)
-    {
-      double cost = cost_now (layer);
-      struct move best = { .expert = ASH_NO_EXPERT, .cost = cost };
-      uint32_t newest_top = most_loaded (layer, 0);
-      uint32_t worst_top = most_loaded (layer, worst_report (layer));
-
-      relieve (layer, newest_top, &best);
-      if (worst_top != newest_top)
-        relieve (layer, worst_top, &best);
-      if (best.expert == ASH_NO_EXPERT || cost - best.cost < layer->policy->weights.least_gain)
-        break;
-      map->slots[layer->index][best.rank][best.slot] = best.expert;
-      layer->is_new[best.rank][best.slot] = true;
-      layer->new_count[best.rank]++;
-      count_layer (layer);
-      moves++;
-    }
-  return moves;
+  for (uint32_t i = 0; i < map->layer_count; i++)
+    if (change->best[i].expert != ASH_NO_EXPERT && change->best[i].gain > gain)
+      {
+        best = i;
+        gain = change->best[i].gain;
+      }
+  return best;
+}
+
+/* Makes a layer's best move. */
+static void
+make_move (struct change *change, struct layer *layer)
+{
+  struct move move = change->best[layer->index];
+
+  layer->map->slots[layer->index][move.rank][move.slot] = move.expert;
+  layer->is_new[move.rank][move.slot] = true;
+  layer->new_count[move.rank]++;
+  change->rank_moves[move.rank]++;
+  count_layer (layer);
 }
 
 static void
@@ -289,18 +283,10 @@
             struct ash_layer_map *map,
             uint32_t index)
 {
-  double weight = 1;
-  double total = 0;
-
   memset (layer, 0, sizeof *layer);
   layer->policy = policy;
   layer->map = map;
   layer->index = index;
-  for (uint32_t report = 0; report < policy->kept; report++, weight *= policy->weights.decay)
-    total += weight;
-  weight = 1;
-  for (uint32_t report = 0; report < policy->kept; report++, weight *= policy->weights.decay)
-    layer->weight[report] = weight / total;
   count_layer (layer);
 }
 
@@ -314,23 +300,48 @@
       struct layer layer;
 
       open_layer (&layer, policy, (struct ash_layer_map *) (uintptr_t) map, i);
-      sum += layer.load[0][most_loaded (&layer, 0)];
+      sum += layer.load[most_loaded (&layer)];
     }
   return map->layer_count ? sum / map->layer_count : 1;
 }
 
+/* Whether ranks that have their part of copies keep a move from being made. */
+static bool
+is_limited (const struct change *change, const struct ash_layer_map *map, uint32_t rank_moves)
+{
+  for (uint32_t rank = 0; rank < map->rank_count; rank++)
+    if (change->rank_moves[rank] >= rank_moves)
+      return true;
+  return false;
+}
+
 void
 ash_layer_policy_decide (const struct ash_layer_policy *policy,
                          struct ash_layer_map *map,
                          struct ash_layer_decision *decision)
 {
+  struct change *change = calloc (1, sizeof *change);
+  uint32_t layer;
+
   *decision = (struct ash_layer_decision){ .skew_before = ash_layer_skew (policy, map) };
+  decision->skew_after = decision->skew_before;
+  if (!change)
+    return;
   for (uint32_t i = 0; i < map->layer_count; i++)
     {
-      struct layer layer;
-
-      open_layer (&layer, policy, map, i);
-      decision->moves += change_layer (&layer);
+      open_layer (&change->layers[i], policy, map, i);
+      change->best[i] = find_move (change, &change->layers[i]);
+    }
+  while ((layer = best_layer (change, map, policy->weights.least_gain)) < map->layer_count)
+    {
+      make_move (change, &change->layers[layer]);
+      decision->moves++;
+      /* A rank that has its part of copies now is no longer open to any layer. */
+      for (uint32_t i = 0; i < map->layer_count; i++)
+        if (i == layer || change->rank_moves[change->best[i].rank] >= policy->weights.rank_moves)
+          change->best[i] = find_move (change, &change->layers[i]);
     }
+  decision->more = is_limited (change, map, policy->weights.rank_moves);
   decision->skew_after = ash_layer_skew (policy, map);
+  free (change);
 }
--- a/controllers/layer_policy.h
+++ b/controllers/layer_policy.h
@@ -8,24 +8,25 @@
  * (EPLB). Few places change at a time, the ones that help most, and none whose
  * gain does not outlast its copying.
  *
- * What is asked for shifts faster than experts are copied, and part of it comes back.
- * So a map is made for the last few reports together, the newest counting most: each
- * is a demand that the map must carry, instead of one mean of them that none was.
+ * What is asked for shifts at once and does not come back: counts from before a shift
+ * say nothing of what comes after. So each layer's counts are added up as long as they
+ * look alike, and begun anew when they don't. How long a change takes is decided by the
+ * rank that copies most; so copies are dealt evenly over the ranks, and a large change is
+ * made in steps, what helps most first.
  */
 #ifndef ASH_LAYER_POLICY_H
 #define ASH_LAYER_POLICY_H
 
 #include "controllers/rank_state.h"
 
-/** Reports that a map is made for. */
-#define ASH_LAYER_REPORTS 6
-
 /** Weights of the policy. */
 struct ash_layer_weights
 {
-  double decay;        /**< weight of a report against that of the next one, 0 to 1 */
-  double least_gain;   /**< a change must shorten a layer's work by this part of its mean */
-  uint32_t rank_moves; /**< new experts of a rank and layer at most, in one change */
+  double decay;         /**< what former counts weigh against new ones that look alike */
+  double alike;         /**< cosine of two reports of a layer from which they are alike */
+  double least_gain;    /**< a move must take so much off the layer's norm, in mean loads */
+  uint32_t layer_moves; /**< experts that are new to a rank in one layer, in one change */
+  uint32_t rank_moves;  /**< and in all layers together */
 };
 
 /** What is believed of the demand. */
@@ -35,9 +36,8 @@
   uint32_t layer_count;
   uint32_t expert_count;
   uint64_t reports;
-  uint32_t kept; /**< of them, the newest first */
-  float demand[ASH_LAYER_REPORTS][ASH_LAYERS_MAX]
-              [ASH_LAYER_EXPERTS_MAX]; /**< of a layer's tokens */
+  uint32_t shifts; /**< layers that looked different in the last report */
+  double demand[ASH_LAYERS_MAX][ASH_LAYER_EXPERTS_MAX]; /**< share of a layer's tokens */
 };
 
 /** A decision with the numbers that it rests on. */
@@ -46,6 +46,7 @@
   uint32_t moves;     /**< experts that are new to a rank */
   double skew_before; /**< most loaded rank over the mean, mean of all layers */
   double skew_after;
+  bool more; /**< there are moves left that would be worth it */
 };
 
 void ash_layer_policy_init (struct ash_layer_policy *policy,
--- a/controllers/map_switch.c
+++ b/controllers/map_switch.c
@@ -7,10 +7,25 @@
 /* Ranks that have not copied all by then won't: ten times what a full change takes. */
 #define PREPARE_MS 12000
 
-/* Steps beyond the one that is believed to run now: the orders of a change take two
- * round trips, a few milliseconds, and a pass lasts tens of them. */
-#define STEPS_AHEAD 3
-#define HOLDS_MAX 8
+/* Steps beyond the one that is believed to run now. A hold that comes too late is refused
+ * and tried for the next step, which costs one round trip; one for a step far ahead costs
+ * all passes until then. */
+#define STEPS_AHEAD 1
+#define HOLDS_MAX 16
+
+/* Of the passes that should have gone by since the last report, so many are counted on:
+ * rather one hold too many than some passes too far. */
+#define GONE_PART 0.8
+
+/* A group whose steps were seen so short ago is at work: reports come every half second
+ * and lag. */
+#define MOVING_MS 1000
+
+/* A prepare that is refused so often won't be taken. */
+#define PREPARES_MAX 6
+
+/* A rank that should have copied all is asked again so often. */
+#define PREPARE_AGAIN_MS 80
 
 /* How long a hold must have been seen before another router finishes it: longer than a
  * change takes from hold to go, answers lost once included. */
@@ -42,6 +57,7 @@
   for (uint32_t i = 0; i < sw->rank_count; i++)
     {
       sw->ranks[i].answered = false;
+      sw->ranks[i].copying = false;
       sw->ranks[i].refusals = 0;
       sw->ranks[i].sent = (struct ash_time){ 0 };
     }
@@ -66,9 +82,8 @@
 /* ---- reports ---- */
 
 static void
-note_step (struct ash_map_switch *sw, struct ash_time now, uint64_t step)
+note_step (struct ash_map_switch *sw, struct ash_time at, uint64_t step)
 {
-  struct ash_time at = ash_time_add (now, -(int64_t) sw->lag_ms);
   int64_t gone_ms = ash_time_diff (sw->last_step_at, at);
   double pass_ms;
 
@@ -133,13 +148,19 @@
   rank->report = *report;
   rank->reported = now;
   rank->known = true;
-  note_step (sw, now, report->step);
+  note_step (sw, ash_time_add (now, -(int64_t) sw->lag_ms), report->step);
   note_hold (sw, now, report);
   /* What is reported as done needs no answer any more. */
   if (sw->phase == ASH_MAP_ARM && report->armed == sw->version)
     rank->answered = true;
 }
 
+void
+ash_map_switch_step (struct ash_map_switch *sw, struct ash_time now, uint64_t step)
+{
+  note_step (sw, now, step);
+}
+
 static bool
 all_known (const struct ash_map_switch *sw)
 {
@@ -149,10 +170,25 @@
   return true;
 }
 
+/* The step that surely runs by now. */
+static uint64_t
+step_now (const struct ash_map_switch *sw, struct ash_time now)
+{
+  int64_t gone_ms = ash_time_diff (sw->last_step_at, now);
+  double gone = sw->pass_ms > 1 && gone_ms > 0 ? GONE_PART * (double) gone_ms / sw->pass_ms : 0;
+
+  return sw->last_step + (uint64_t) gone;
+}
+
 bool
-ash_map_switch_ready (const struct ash_map_switch *sw)
+ash_map_switch_ready (const struct ash_map_switch *sw, struct ash_time now)
 {
-  return sw->phase == ASH_MAP_IDLE && !sw->foreign_held && all_known (sw);
+  /* Ranks are armed until the step begins that was let go, and prepare nothing till then. An
+   * idle group makes no steps; what is believed of them counts only while they are seen. */
+  bool moves = ash_time_diff (sw->last_step_at, now) < MOVING_MS;
+  bool settled = sw->last_step >= sw->released || (moves && step_now (sw, now) >= sw->released);
+
+  return sw->phase == ASH_MAP_IDLE && !sw->foreign_held && settled && all_known (sw);
 }
 
 uint64_t
@@ -175,8 +211,13 @@
 /* ---- phases ---- */
 
 void
-ash_map_switch_begin (struct ash_map_switch *sw, struct ash_time now, uint64_t version)
+ash_map_switch_begin (struct ash_map_switch *sw,
+                      struct ash_time now,
+                      uint64_t version,
+                      const uint32_t copy_ms[ASH_LAYER_RANKS_MAX])
 {
+  for (uint32_t i = 0; i < sw->rank_count; i++)
+    sw->ranks[i].copy_ms = copy_ms[i];
   sw->version = version;
   sw->began = now;
   sw->holds = 0;
@@ -193,31 +234,12 @@
   return true;
 }
 
-static bool
-all_prepared (const struct ash_map_switch *sw)
-{
-  for (uint32_t i = 0; i < sw->rank_count; i++)
-    if (sw->ranks[i].report.prepared != sw->version)
-      return false;
-  return true;
-}
-
-/* The step that is believed to run now, and some more. */
-static uint64_t
-step_to_hold (const struct ash_map_switch *sw, struct ash_time now)
-{
-  int64_t gone_ms = ash_time_diff (sw->last_step_at, now);
-  double gone = sw->pass_ms > 1 && gone_ms > 0 ? (double) gone_ms / sw->pass_ms : 0;
-
-  return sw->last_step + (uint64_t) gone + STEPS_AHEAD + (uint64_t) sw->holds * STEPS_AHEAD;
-}
-
 static void
 begin_hold (struct ash_map_switch *sw, struct ash_time now)
 {
   enter (sw, now, ASH_MAP_HOLD);
   sw->holder = 0;
-  sw->step = step_to_hold (sw, now);
+  sw->step = step_now (sw, now) + STEPS_AHEAD;
   sw->holds++;
 }
 
@@ -298,7 +320,7 @@
     case ASH_MAP_PREPARE:
       if (sw->foreign_held || ash_time_diff (sw->began, now) > PREPARE_MS)
         end (sw, now, ASH_MAP_GIVEN_UP);
-      else if (all_answered (sw) && all_known (sw) && all_prepared (sw))
+      else if (all_answered (sw) && all_known (sw))
         begin_hold (sw, now);
       break;
     case ASH_MAP_HOLD:
@@ -330,11 +352,14 @@
   switch (sw->phase)
     {
     case ASH_MAP_PREPARE:
-      /* Another router's version, or a map that does not fit: read anew, tried anew. */
-      end (sw, now, ASH_MAP_GIVEN_UP);
+      /* It is still armed with the map before: its step has not begun. If that lasts, it is
+       * another router's version, or a map that does not fit: read anew, tried anew. */
+      if (++sw->ranks[rank].refusals >= PREPARES_MAX)
+        end (sw, now, ASH_MAP_GIVEN_UP);
       break;
     case ASH_MAP_HOLD:
       /* The step has begun, or another router holds one; reports will tell which. */
+      note_step (sw, now, sw->step);
       if (sw->holds >= HOLDS_MAX || sw->foreign_held)
         end (sw, now, ASH_MAP_GIVEN_UP);
       else
@@ -370,8 +395,11 @@
   if (order->epoch != sw->epoch || phases[order->kind] != sw->phase ||
       order->version != sw->version || order->step != sw->step)
     return;
-  if (status >= 200 && status < 300)
+  /* To a prepare, 202 says that it has begun to copy, 200 that all is there. */
+  if (status == 200 || (status == 202 && sw->phase != ASH_MAP_PREPARE))
     sw->ranks[order->rank].answered = true;
+  else if (status == 202)
+    sw->ranks[order->rank].copying = true;
   else if (status == 409)
     take_refusal (sw, now, order->rank);
   move_on (sw, now);
@@ -397,6 +425,18 @@
   return ASH_RANK_PREPARE;
 }
 
+/* How long an order waits for its effect before it is sent again. A rank that copies is
+ * asked whether it has all when it should. */
+static int64_t
+resend_ms (const struct ash_map_switch *sw, const struct ash_map_rank *rank, struct ash_time now)
+{
+  int64_t left_ms = rank->copy_ms - ash_time_diff (sw->phase_began, now);
+
+  if (sw->phase != ASH_MAP_PREPARE || !rank->copying)
+    return RESEND_MS;
+  return left_ms > 0 ? INT64_MAX : PREPARE_AGAIN_MS;
+}
+
 uint32_t
 ash_map_switch_orders (struct ash_map_switch *sw,
                        struct ash_time now,
@@ -413,7 +453,7 @@
       bool alone = sw->phase == ASH_MAP_HOLD || sw->phase == ASH_MAP_GO;
 
       if (rank->answered || (alone && i != sw->holder) ||
-          (rank->sent.ms && ash_time_diff (rank->sent, now) < RESEND_MS))
+          (rank->sent.ms && ash_time_diff (rank->sent, now) < resend_ms (sw, rank, now)))
         continue;
       rank->sent = now;
       orders[count++] = (struct ash_rank_order){
--- a/controllers/map_switch.h
+++ b/controllers/map_switch.h
@@ -52,8 +52,10 @@
   struct ash_time reported;
   bool known;
   bool answered;        /**< the present phase's order is carried out there */
+  bool copying;         /**< it has begun to prepare */
   struct ash_time sent; /**< the present phase's order; 0: not yet */
   uint32_t refusals;    /**< of the present phase's order */
+  uint32_t copy_ms;     /**< how long it is expected to copy for the present change */
 };
 
 /** One group. */
@@ -89,13 +91,22 @@
                             const struct ash_rank_report *report);
 
 /** @return whether all ranks are known, in one epoch, and nothing is under way. */
-bool ash_map_switch_ready (const struct ash_map_switch *sw);
+bool ash_map_switch_ready (const struct ash_map_switch *sw, struct ash_time now);
 
 /** @return a version above all that any rank is known to have had. @param draw random bits. */
 uint64_t ash_map_switch_version (const struct ash_map_switch *sw, uint64_t draw);
 
-/** Begins a change to a map of that version. */
-void ash_map_switch_begin (struct ash_map_switch *sw, struct ash_time now, uint64_t version);
+/**
+ * Begins a change to a map of that version.
+ * @param copy_ms of each rank: how long it is expected to copy.
+ */
+void ash_map_switch_begin (struct ash_map_switch *sw,
+                           struct ash_time now,
+                           uint64_t version,
+                           const uint32_t copy_ms[ASH_LAYER_RANKS_MAX]);
+
+/** A rank has told its present step, without the lag of reports. */
+void ash_map_switch_step (struct ash_map_switch *sw, struct ash_time now, uint64_t step);
 
 /** An order was answered. @param status of HTTP; 0: not answered. */
 void ash_map_switch_answered (struct ash_map_switch *sw,
--- /dev/null
+++ b/controllers/pass_watch.h
@@ -0,0 +1,39 @@
+/**
+ * @file
+ * Sees from the pauses between events of streams that a group's passes take longer
+ * than its map explains: other experts are asked for than it is made for. Costs
+ * nothing, unlike asking the engines.
+ */
+#ifndef ASH_PASS_WATCH_H
+#define ASH_PASS_WATCH_H
+
+#include "controllers/route_table.h"
+
+/** One group's passes. */
+struct ash_pass_watch
+{
+  double ratio;  /**< mean of the last few pauses, over a pass whose ranks are all even */
+  uint32_t seen; /**< pauses since it was reset */
+};
+
+/** Forgets what was seen: the map has changed. */
+void ash_pass_watch_reset (struct ash_pass_watch *watch);
+
+/**
+ * A stream has paused so long between two events.
+ * @param streams that each rank of the group has, in the mean.
+ */
+void ash_pass_watch_pause (struct ash_pass_watch *watch,
+                           const struct ash_engine_facts *engine,
+                           double streams,
+                           int64_t pause_ms);
+
+/**
+ * @param skew that the map in use is believed to have.
+ * @return whether passes take much longer than that explains.
+ */
+bool ash_pass_watch_slower (const struct ash_pass_watch *watch,
+                            const struct ash_engine_facts *engine,
+                            double skew);
+
+#endif
--- a/controllers/route_table.h
+++ b/controllers/route_table.h
@@ -38,6 +38,8 @@
   uint32_t rank_slots;   /**< experts that a rank can hold, a layer */
   uint32_t rank_changes; /**< new experts that a rank can prepare, a layer */
   double expert_share;   /**< of a token's work that its experts do */
+  double expert_mb;      /**< megabytes of one expert of a layer */
+  double link_mbps;      /**< megabits a second at which a rank copies */
 };
 
 /** What requests are routed to. */
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -77,7 +77,8 @@
   struct answer answer;
   struct ash_event_stream events;
   bool has_event;
-  int64_t last_event; /* passed on */
+  int64_t last_event;     /* passed on */
+  struct ash_time passed; /* when */
   bool waiting;
   ev_timer timer;
   struct ash_exchange *prev;
@@ -439,6 +440,11 @@
             begin_answer (exchange);
           ash_http_conn_write (exchange->conn, event.bytes, event.length);
         }
+      if (exchange->has_event && !old)
+        ash_groups_pause (&exchange->router->groups, exchange->endpoint->hash,
+                          ash_time_diff (exchange->passed, exchange->heard));
+      if (!old)
+        exchange->passed = exchange->heard;
       if (event.has_id && !old)
         {
           exchange->has_event = true;
--- a/daemon/groups.c
+++ b/daemon/groups.c
@@ -1,5 +1,6 @@
 #include "daemon/groups.h"
 
+#include "controllers/pass_watch.h"
 #include "daemon/router.h"
 #include "platform/rank.h"
 
@@ -20,6 +21,15 @@
 /* A router that has just come to lead waits: the one before may still be finishing. */
 #define LEAD_WAIT_MS 1000
 
+/* From one look at the counts to the next after passes have become longer: a few passes,
+ * each with some tokens of every stream. */
+#define COUNTS_PAUSE_MS 150
+
+/* Passes that stay long are looked at again after this: a change of a map takes as long. */
+#define LOOK_AGAIN_MS 900
+
+#define BITS_PER_MB 8.0
+
 /* How often an endpoint that is in no group as yet is asked. */
 #define REPORT_ALONE_MS 1000
 
@@ -65,6 +75,9 @@
   bool listed[ASH_LAYER_RANKS_MAX];
   uint64_t lists_epoch;
   struct ash_layer_map next; /* that it is being changed to */
+  struct ash_pass_watch watch;
+  double skew;    /* that the map in use is believed to have */
+  bool undecided; /* there is something to decide on */
   UT_hash_handle hh;
 };
 
@@ -167,10 +180,8 @@
       group->map = group->next;
       /* What the ranks report will lag behind; this router knows better. */
       for (uint32_t i = 0; i < sw->rank_count; i++)
-        {
-          sw->ranks[i].report.map = group->map.version;
-          sw->ranks[i].reported = now;
-        }
+        sw->ranks[i].report.map = group->map.version;
+      ash_pass_watch_reset (&group->watch);
     }
   else
     {
@@ -208,37 +219,46 @@
   take_result (group, groups, now);
 }
 
+/* Adds what is new since the box was last asked. */
+static void
+add_counts (struct ash_rank_box *box, const struct ash_rank_counts *counts)
+{
+  struct ash_groups *groups = box->groups;
+  bool goes_on = box->has_counts && box->counts_epoch == counts->epoch;
+
+  for (uint32_t i = 0; i < counts->count; i++)
+    {
+      uint64_t before = goes_on && box->counts[i] <= counts->numbers[i] ? box->counts[i] : 0;
+
+      if (groups->counts_state == ASH_COUNTS_ASKED)
+        groups->counts[i] += (double) (counts->numbers[i] - before);
+      box->counts[i] = counts->numbers[i];
+    }
+  box->has_counts = true;
+  box->counts_epoch = counts->epoch;
+}
+
 static void
 take_counts (struct ash_rank_box *box, const struct rank_call *call)
 {
   struct ash_groups *groups = box->groups;
   struct ash_layer_policy *policy = groups->policy;
   uint32_t wanted = policy ? policy->layer_count * policy->expert_count : 0;
-  uint64_t *counts = calloc (wanted + 1, sizeof *counts);
-  uint64_t epoch;
-  uint32_t count;
+  struct ash_rank_counts counts = { .numbers = calloc (wanted + 1, sizeof *counts.numbers) };
 
   if (groups->counts_awaited)
     groups->counts_awaited--;
-  count = counts ? ash_platform_counts_read ((const char *) call->answer.bytes + call->answer.start,
-                                             call->answer.length, counts, wanted, &epoch)
-                 : 0;
-  groups->reads += count;
-  if (wanted && count == wanted)
+  if (counts.numbers)
+    ash_platform_counts_read ((const char *) call->answer.bytes + call->answer.start,
+                              call->answer.length, wanted, &counts);
+  groups->reads += counts.count;
+  if (wanted && counts.count == wanted)
     {
-      bool goes_on = box->has_counts && box->counts_epoch == epoch;
-
-      for (uint32_t i = 0; i < wanted; i++)
-        {
-          uint64_t before = goes_on && box->counts[i] <= counts[i] ? box->counts[i] : 0;
-
-          groups->counts[i] += (double) (counts[i] - before);
-        }
-      memcpy (box->counts, counts, wanted * sizeof *counts);
-      box->has_counts = true;
-      box->counts_epoch = epoch;
+      if (box->group && box->group->sw.epoch == counts.epoch)
+        ash_map_switch_step (&box->group->sw, ash_clock_now (), counts.step);
+      add_counts (box, &counts);
     }
-  free (counts);
+  free (counts.numbers);
 }
 
 static void
@@ -425,43 +445,80 @@
 
 /* ---- decisions ---- */
 
+/* How long each rank will copy what is new to it. */
+static void
+expect_copies (const struct ash_rank_group *group,
+               const struct ash_engine_facts *engine,
+               uint32_t copy_ms[ASH_LAYER_RANKS_MAX])
+{
+  double one_ms =
+      engine->link_mbps > 0 ? engine->expert_mb * BITS_PER_MB * 1000 / engine->link_mbps : 0;
+
+  for (uint32_t rank = 0; rank < group->map.rank_count; rank++)
+    {
+      uint32_t copies = 0;
+
+      for (uint32_t layer = 0; layer < group->map.layer_count; layer++)
+        for (uint32_t slot = 0; slot < group->map.slot_count; slot++)
+          copies += group->next.slots[layer][rank][slot] != group->map.slots[layer][rank][slot];
+      copy_ms[rank] = (uint32_t) (copies * one_ms);
+    }
+}
+
 static void
 decide_group (struct ash_rank_group *group, struct ash_groups *groups)
 {
   struct ash_router *router = groups->router;
+  const struct ash_route_service *service = expert_service (groups);
   struct ash_layer_decision decision;
+  uint32_t copy_ms[ASH_LAYER_RANKS_MAX] = { 0 };
   struct ash_time now = ash_clock_now ();
 
-  if (!ash_map_switch_ready (&group->sw) || !map_is_known (group))
+  if (!group->undecided || !service || !ash_map_switch_ready (&group->sw, now) ||
+      !map_is_known (group))
     return;
   group->next = group->map;
   ash_layer_policy_decide (groups->policy, &group->next, &decision);
+  group->undecided = decision.more;
+  group->skew = decision.skew_after;
   ash_log_event (&router->log, ASH_EV_MAP_CHANGE,
-                 "group=%s epoch=%" PRIu64 " moves=%u skew=%.3f expected=%.3f counts=%" PRIu64
-                 " pass_ms=%.1f step=%" PRIu64,
-                 group->name, group->sw.epoch, decision.moves, decision.skew_before,
-                 decision.skew_after, groups->policy->reports, group->sw.pass_ms,
-                 group->sw.last_step);
+                 "group=%s epoch=%" PRIu64 " moves=%u more=%d skew=%.3f expected=%.3f "
+                 "counts=%" PRIu64 " age_ms=%lld pass_ms=%.1f ratio=%.2f step=%" PRIu64,
+                 group->name, group->sw.epoch, decision.moves, decision.more, decision.skew_before,
+                 decision.skew_after, groups->policy->reports,
+                 (long long) ash_time_diff (groups->decided, now), group->sw.pass_ms,
+                 group->watch.ratio, group->sw.last_step);
   if (!decision.moves)
     return;
+  expect_copies (group, &service->engine, copy_ms);
   group->next.version = ash_map_switch_version (&group->sw, ash_random_next (&router->random));
-  ash_map_switch_begin (&group->sw, now, group->next.version);
+  ash_map_switch_begin (&group->sw, now, group->next.version, copy_ms);
   send_orders (group, groups);
 }
 
 static void
-decide (struct ash_groups *groups)
+set_counts_state (struct ash_groups *groups, enum ash_counts_state state, struct ash_time now)
+{
+  groups->counts_state = state;
+  groups->counts_since = now;
+}
+
+static void
+decide (struct ash_groups *groups, struct ash_time now)
 {
   uint32_t wanted = groups->policy->layer_count * groups->policy->expert_count;
-  struct ash_rank_group *group;
-  struct ash_rank_group *next;
 
-  groups->counts_asked = (struct ash_time){ 0 };
+  set_counts_state (groups, ASH_COUNTS_RESTING, now);
   groups->counts_awaited = 0;
+  groups->decided = now;
   ash_layer_policy_report (groups->policy, groups->counts);
   memset (groups->counts, 0, wanted * sizeof *groups->counts);
-  HASH_ITER (hh, groups->groups, group, next)
-    decide_group (group, groups);
+  for (struct ash_rank_group *group = groups->groups; group; group = group->hh.next)
+    {
+      group->undecided = true;
+      if (groups->policy->shifts)
+        ash_pass_watch_reset (&group->watch);
+    }
 }
 
 static bool
@@ -473,23 +530,33 @@
   return false;
 }
 
+static bool
+is_slower (const struct ash_groups *groups)
+{
+  const struct ash_route_service *service = expert_service (groups);
+
+  for (const struct ash_rank_group *group = groups->groups; group; group = group->hh.next)
+    if (service && ash_pass_watch_slower (&group->watch, &service->engine, group->skew))
+      return true;
+  return false;
+}
+
 /* Some ranks by turns: their requests are a sample of all, and each number has a price. */
 static void
-ask_counts (struct ash_groups *groups, struct ash_time now)
+ask_counts (struct ash_groups *groups)
 {
   uint32_t count = HASH_COUNT (groups->boxes);
   uint32_t samples = groups->router->settings.count_samples;
+  uint32_t stride = count / samples ? count / samples : 1;
   uint32_t index = 0;
 
+  groups->counts_awaited = 0;
   for (struct ash_rank_box *box = groups->boxes; box; box = box->hh.next, index++)
-    if ((index + count - groups->counts_turn % count) % count < samples)
+    if ((index + groups->counts_turn) % stride == 0)
       {
         send_question (box, ASH_RANK_COUNTS);
         groups->counts_awaited++;
       }
-  groups->counts_turn += samples;
-  groups->counts_asked = now;
-  groups->next_counts = ash_time_add (now, groups->router->settings.map_period_ms);
 }
 
 static bool
@@ -505,10 +572,12 @@
     return false;
   weights = (struct ash_layer_weights){
     .decay = settings->map_decay,
+    .alike = settings->map_alike,
     .least_gain = settings->map_least_gain,
-    .rank_moves = settings->map_rank_moves < service->engine.rank_changes
-                      ? settings->map_rank_moves
-                      : service->engine.rank_changes,
+    .layer_moves = settings->map_layer_moves < service->engine.rank_changes
+                       ? settings->map_layer_moves
+                       : service->engine.rank_changes,
+    .rank_moves = settings->map_rank_moves,
   };
   groups->policy = calloc (1, sizeof *groups->policy);
   groups->counts =
@@ -519,18 +588,91 @@
   return true;
 }
 
+/* Whether to look at the counts now, and from which moment on to count. */
+static void
+begin_look (struct ash_groups *groups, struct ash_time now)
+{
+  int64_t since_ms = ash_time_diff (groups->decided, now);
+
+  if (!groups->policy->reports)
+    {
+      ask_counts (groups);
+      set_counts_state (groups, ASH_COUNTS_ASKED, now);
+    }
+  else if (since_ms > LOOK_AGAIN_MS && is_slower (groups))
+    {
+      ask_counts (groups);
+      set_counts_state (groups, ASH_COUNTS_BEFORE, now);
+    }
+  else if (since_ms > groups->router->settings.map_period_ms)
+    {
+      ask_counts (groups);
+      set_counts_state (groups, ASH_COUNTS_ASKED, now);
+    }
+}
+
 static void
 run_policy (struct ash_groups *groups, struct ash_time now)
 {
+  int64_t since_ms = ash_time_diff (groups->counts_since, now);
+  bool here = !groups->counts_awaited || since_ms > COUNTS_WAIT_MS;
+
   if (!groups->boxes || !has_begun (groups) || !open_policy (groups))
     return;
-  if (groups->counts_asked.ms)
+  switch (groups->counts_state)
     {
-      if (!groups->counts_awaited || ash_time_diff (groups->counts_asked, now) > COUNTS_WAIT_MS)
-        decide (groups);
+    case ASH_COUNTS_RESTING:
+      begin_look (groups, now);
+      break;
+    case ASH_COUNTS_BEFORE:
+      if (here)
+        set_counts_state (groups, ASH_COUNTS_PAUSE, now);
+      break;
+    case ASH_COUNTS_PAUSE:
+      if (since_ms < COUNTS_PAUSE_MS)
+        break;
+      ask_counts (groups);
+      set_counts_state (groups, ASH_COUNTS_ASKED, now);
+      break;
+    case ASH_COUNTS_ASKED:
+      if (here)
+        decide (groups, now);
+      break;
     }
-  else if (!ash_time_before (now, groups->next_counts))
-    ask_counts (groups, now);
+  for (struct ash_rank_group *group = groups->groups; group; group = group->hh.next)
+    decide_group (group, groups);
+}
+
+/* Streams of a rank of the group, in the mean. */
+static double
+mean_streams (const struct ash_rank_group *group)
+{
+  const struct ash_direct_set *set;
+  uint32_t streams = 0;
+
+  for (uint32_t rank = 0; rank < group->sw.rank_count; rank++)
+    if (group->boxes[rank])
+      {
+        const struct ash_direct_endpoint *endpoint;
+
+        set = &group->boxes[rank]->groups->router->endpoints;
+        endpoint = ash_direct_find_hash (set, group->boxes[rank]->hash);
+        if (endpoint)
+          streams += endpoint->in_flight + endpoint->elsewhere;
+      }
+  return (double) streams / group->sw.rank_count;
+}
+
+void
+ash_groups_pause (struct ash_groups *groups, uint64_t endpoint_hash, int64_t pause_ms)
+{
+  const struct ash_route_service *service = expert_service (groups);
+  struct ash_rank_box *box;
+
+  HASH_FIND (hh, groups->boxes, &endpoint_hash, sizeof endpoint_hash, box);
+  if (box && box->group && service)
+    ash_pass_watch_pause (&box->group->watch, &service->engine, mean_streams (box->group),
+                          pause_ms);
 }
 
 /* ---- watching ---- */
@@ -565,8 +707,8 @@
     }
   if (asked_ms >= 100 && ash_map_switch_wants_report (&group->sw, now, box->rank))
     send_question (box, ASH_RANK_REPORT);
-  if (ash_map_switch_ready (&group->sw) && !map_is_known (group) && !group->listed[box->rank] &&
-      ash_time_diff (box->asked[ASH_RANK_LISTS], now) >= CALL_MS)
+  if (ash_map_switch_ready (&group->sw, now) && !map_is_known (group) &&
+      !group->listed[box->rank] && ash_time_diff (box->asked[ASH_RANK_LISTS], now) >= CALL_MS)
     send_question (box, ASH_RANK_LISTS);
   /* A part of a map that is not the one in use any more. */
   if (group->listed[box->rank] && group->sw.phase == ASH_MAP_IDLE &&
@@ -653,7 +795,7 @@
   free (groups->counts);
   groups->policy = NULL;
   groups->counts = NULL;
-  groups->counts_asked = (struct ash_time){ 0 };
+  groups->counts_state = ASH_COUNTS_RESTING;
   groups->counts_awaited = 0;
 }
 
--- a/daemon/groups.h
+++ b/daemon/groups.h
@@ -15,6 +15,15 @@
 struct ash_rank_box;
 struct ash_rank_group;
 
+/** How far a look at the counts has come. */
+enum ash_counts_state
+{
+  ASH_COUNTS_RESTING,
+  ASH_COUNTS_BEFORE, /**< asked, to count from here: what came before is of another time */
+  ASH_COUNTS_PAUSE,  /**< until there is enough to count */
+  ASH_COUNTS_ASKED,  /**< asked, to decide on what came since */
+};
+
 /** The task. */
 struct ash_groups
 {
@@ -25,13 +34,14 @@
   struct ash_rank_box *boxes;    /**< endpoints with an engine, by hash of their id */
   struct ash_rank_group *groups; /**< by name */
   struct ash_layer_policy *policy;
-  struct ash_time next_counts;
-  struct ash_time counts_asked; /**< 0: none are awaited */
+  enum ash_counts_state counts_state;
+  struct ash_time counts_since; /**< when this state began */
   uint32_t counts_awaited;
   uint32_t counts_turn; /**< ranks are asked by turns */
   double *counts;       /**< new since the last decision */
-  uint64_t orders;      /**< sent */
-  uint64_t reads;       /**< numbers read */
+  struct ash_time decided;
+  uint64_t orders; /**< sent */
+  uint64_t reads;  /**< numbers read */
 };
 
 void ash_groups_open (struct ash_groups *groups, struct ash_router *router);
@@ -44,6 +54,9 @@
 /** @return whether a group stands still until this router lets it go. */
 bool ash_groups_holds (const struct ash_groups *groups);
 
+/** A stream at that endpoint has paused so long between two events. */
+void ash_groups_pause (struct ash_groups *groups, uint64_t endpoint_hash, int64_t pause_ms);
+
 /** An endpoint is about to be freed. */
 void ash_groups_forget (struct ash_groups *groups, uint64_t endpoint_hash);
 
--- a/options/router_settings.h
+++ b/options/router_settings.h
@@ -37,9 +37,11 @@
   uint32_t plain_queue;
   uint32_t stall_ms;
   uint32_t map_period_ms;
+  uint32_t map_layer_moves;
   uint32_t map_rank_moves;
   uint32_t count_samples;
   double map_decay;
+  double map_alike;
   double map_least_gain;
   double resend_ratio;
   uint32_t resend_window_ms;
