--- a/controllers/map_switch.c
+++ b/controllers/map_switch.c
@@ -140,12 +140,16 @@
                        const struct ash_rank_report *report)
 {
   struct ash_map_rank *rank = &sw->ranks[report->rank];
+  uint64_t map;
 
   if (report->epoch < sw->epoch)
     return; /* an old word */
   if (report->epoch > sw->epoch)
     form_anew (sw, now, report->epoch);
+  /* Maps only grow within an epoch: a lower one is the word of before a change. */
+  map = rank->report.map > report->map ? rank->report.map : report->map;
   rank->report = *report;
+  rank->report.map = map;
   rank->reported = now;
   rank->known = true;
   note_step (sw, ash_time_add (now, -(int64_t) sw->lag_ms), report->step);
--- a/daemon/store.c
+++ b/daemon/store.c
@@ -12,10 +12,14 @@
  * few milliseconds, so that a slow store is not asked twice. */
 #define ANSWER_SLACK_MS 1500
 
+/* An answer that is due at once from a store that has not answered the last question: a
+ * connection whose first packet was lost would try again only after a second. */
+#define ANSWER_SOON_MS 300
+
 /* Waits between failed questions: the first soon, since most failures are one lost
  * connection; the longest a small part of the time in which a change must be in force. */
 #define RETRY_FIRST_MS 50
-#define RETRY_LONGEST_MS 500
+#define RETRY_LONGEST_MS 400
 
 /* After trouble an entry that is missing may just have lapsed: endpoints that live are
  * back in the list within two seconds of the store's return. */
@@ -294,7 +298,7 @@
   /* A reader with trouble behind it asks for little at first: it learns sooner whether
    * the store is back. */
   uint32_t wait_ms = settings->store_wait_ms;
-  int64_t due_ms = ANSWER_SLACK_MS;
+  int64_t due_ms = reader->answers ? ANSWER_SLACK_MS : ANSWER_SOON_MS;
 
   reader->status = 0;
   ash_buffer_consume (&reader->answer, reader->answer.length);
