--- a/controllers/map_switch.c
+++ b/controllers/map_switch.c
@@ -46,9 +46,6 @@
 /* Versions of different routers differ in their lower bits. */
 #define VERSION_DRAW_BITS 20
 
-/* A pass's time is smoothed by this part of the newest. */
-#define PASS_NEWEST 0.4
-
 static void
 enter (struct ash_map_switch *sw, struct ash_time now, enum ash_map_phase phase)
 {
@@ -84,16 +81,8 @@
 static void
 note_step (struct ash_map_switch *sw, struct ash_time at, uint64_t step)
 {
-  int64_t gone_ms = ash_time_diff (sw->last_step_at, at);
-  double pass_ms;
-
   if (step <= sw->last_step)
     return;
-  if (sw->last_step && gone_ms > 0)
-    {
-      pass_ms = (double) gone_ms / (double) (step - sw->last_step);
-      sw->pass_ms += sw->pass_ms > 0 ? PASS_NEWEST * (pass_ms - sw->pass_ms) : pass_ms;
-    }
   sw->last_step = step;
   sw->last_step_at = at;
 }
@@ -159,6 +148,12 @@
     rank->answered = true;
 }
 
+void
+ash_map_switch_pass (struct ash_map_switch *sw, double pass_ms)
+{
+  sw->pass_ms = pass_ms;
+}
+
 void
 ash_map_switch_step (struct ash_map_switch *sw, struct ash_time now, uint64_t step)
 {
@@ -238,6 +233,21 @@
   return true;
 }
 
+/* A rank that has fewer copies to make than the slowest one is done when that one is. */
+static void
+trust_copies (struct ash_map_switch *sw)
+{
+  uint32_t slowest = 0;
+
+  for (uint32_t i = 1; i < sw->rank_count; i++)
+    if (sw->ranks[i].copy_ms > sw->ranks[slowest].copy_ms)
+      slowest = i;
+  if (!sw->ranks[slowest].answered)
+    return;
+  for (uint32_t i = 0; i < sw->rank_count; i++)
+    sw->ranks[i].answered = sw->ranks[i].answered || sw->ranks[i].copying;
+}
+
 static void
 begin_hold (struct ash_map_switch *sw, struct ash_time now)
 {
@@ -324,8 +334,12 @@
     case ASH_MAP_PREPARE:
       if (sw->foreign_held || ash_time_diff (sw->began, now) > PREPARE_MS)
         end (sw, now, ASH_MAP_GIVEN_UP);
-      else if (all_answered (sw) && all_known (sw))
-        begin_hold (sw, now);
+      else
+        {
+          trust_copies (sw);
+          if (all_answered (sw) && all_known (sw))
+            begin_hold (sw, now);
+        }
       break;
     case ASH_MAP_HOLD:
       if (sw->ranks[sw->holder].answered)
@@ -429,6 +443,17 @@
   return ASH_RANK_PREPARE;
 }
 
+static uint32_t
+slowest_copy_ms (const struct ash_map_switch *sw)
+{
+  uint32_t slowest_ms = 0;
+
+  for (uint32_t i = 0; i < sw->rank_count; i++)
+    if (sw->ranks[i].copy_ms > slowest_ms)
+      slowest_ms = sw->ranks[i].copy_ms;
+  return slowest_ms;
+}
+
 /* How long an order waits for its effect before it is sent again. A rank that copies is
  * asked whether it has all when it should. */
 static int64_t
@@ -438,7 +463,10 @@
 
   if (sw->phase != ASH_MAP_PREPARE || !rank->copying)
     return RESEND_MS;
-  return left_ms > 0 ? INT64_MAX : PREPARE_AGAIN_MS;
+  /* The slowest is asked; its answer stands for those that had less to copy. */
+  if (left_ms > 0 || rank->copy_ms < slowest_copy_ms (sw))
+    return INT64_MAX;
+  return PREPARE_AGAIN_MS;
 }
 
 uint32_t
--- a/controllers/map_switch.h
+++ b/controllers/map_switch.h
@@ -73,7 +73,7 @@
   uint32_t holds;   /**< tried in this change */
   struct ash_time began;
   struct ash_time phase_began;
-  double pass_ms; /**< time of a pass, smoothed; 0: not known */
+  double pass_ms; /**< time of a pass, as last seen; 0: not known */
   uint64_t last_step;
   struct ash_time last_step_at; /**< when it was reported, less the lag */
   uint64_t released;            /**< the last step let go here */
@@ -105,6 +105,9 @@
                            uint64_t version,
                            const uint32_t copy_ms[ASH_LAYER_RANKS_MAX]);
 
+/** A pass takes so long now, as the pauses of streams show. */
+void ash_map_switch_pass (struct ash_map_switch *sw, double pass_ms);
+
 /** A rank has told its present step, without the lag of reports. */
 void ash_map_switch_step (struct ash_map_switch *sw, struct ash_time now, uint64_t step);
 
--- a/controllers/pass_watch.c
+++ b/controllers/pass_watch.c
@@ -31,6 +31,8 @@
 
   if (pause_ms < 1 || pause_ms > PAUSE_MOST_MS || even_ms <= 0)
     return;
+  watch->pass_ms +=
+      watch->seen ? NEWEST_PART * ((double) pause_ms - watch->pass_ms) : (double) pause_ms;
   watch->ratio += watch->seen ? NEWEST_PART * (ratio - watch->ratio) : ratio;
   watch->seen++;
 }
--- a/controllers/pass_watch.h
+++ b/controllers/pass_watch.h
@@ -12,8 +12,9 @@
 /** One group's passes. */
 struct ash_pass_watch
 {
-  double ratio;  /**< mean of the last few pauses, over a pass whose ranks are all even */
-  uint32_t seen; /**< pauses since it was reset */
+  double pass_ms; /**< mean of the last few pauses */
+  double ratio;   /**< the same over a pass whose ranks are all even */
+  uint32_t seen;  /**< pauses since it was reset */
 };
 
 /** Forgets what was seen: the map has changed. */
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -389,11 +389,24 @@
   return linked;
 }
 
+/* Routers there are at least: those heard of, or the seeds if they are more. */
+static uint32_t
+known_count (const struct ash_fleet *fleet)
+{
+  const struct ash_router_settings *settings = &fleet->router->settings;
+  uint32_t heard = HASH_COUNT (fleet->peers) + 1;
+  uint32_t seeds = 1;
+
+  for (uint32_t i = 0; i < settings->seed_count; i++)
+    seeds += strcmp (settings->seeds[i], settings->peer_listen) != 0;
+  return heard > seeds ? heard : seeds;
+}
+
 bool
 ash_fleet_leads (const struct ash_fleet *fleet)
 {
   const char *own = fleet->router->settings.box;
-  uint32_t known = HASH_COUNT (fleet->peers) + 1;
+  uint32_t known = known_count (fleet);
   uint32_t seen = ash_fleet_linked (fleet) + 1;
   bool first_of_all = true;
 
--- a/daemon/groups.c
+++ b/daemon/groups.c
@@ -19,7 +19,7 @@
 #define COUNTS_WAIT_MS 150
 
 /* A router that has just come to lead waits: the one before may still be finishing. */
-#define LEAD_WAIT_MS 1000
+#define LEAD_WAIT_MS 700
 
 /* From one look at the counts to the next after passes have become longer: a few passes,
  * each with some tokens of every stream. */
@@ -30,6 +30,9 @@
 
 #define BITS_PER_MB 8.0
 
+/* Within so many passes of an epoch all counts are of what is asked for now. */
+#define FIRST_PASSES 40
+
 /* How often an endpoint that is in no group as yet is asked. */
 #define REPORT_ALONE_MS 1000
 
@@ -488,7 +491,8 @@
                  decision.skew_after, groups->policy->reports,
                  (long long) ash_time_diff (groups->decided, now), group->sw.pass_ms,
                  group->watch.ratio, group->sw.last_step);
-  if (!decision.moves)
+  if (!decision.moves ||
+      decision.skew_before - decision.skew_after < router->settings.map_change_gain)
     return;
   expect_copies (group, &service->engine, copy_ms);
   group->next.version = ash_map_switch_version (&group->sw, ash_random_next (&router->random));
@@ -530,6 +534,16 @@
   return false;
 }
 
+/* All that was counted so far is of the last seconds. */
+static bool
+is_young (const struct ash_groups *groups)
+{
+  for (const struct ash_rank_group *group = groups->groups; group; group = group->hh.next)
+    if (group->sw.last_step > FIRST_PASSES)
+      return false;
+  return true;
+}
+
 static bool
 is_slower (const struct ash_groups *groups)
 {
@@ -597,7 +611,7 @@
   if (!groups->policy->reports)
     {
       ask_counts (groups);
-      set_counts_state (groups, ASH_COUNTS_ASKED, now);
+      set_counts_state (groups, is_young (groups) ? ASH_COUNTS_ASKED : ASH_COUNTS_BEFORE, now);
     }
   else if (since_ms > LOOK_AGAIN_MS && is_slower (groups))
     {
@@ -671,8 +685,11 @@
 
   HASH_FIND (hh, groups->boxes, &endpoint_hash, sizeof endpoint_hash, box);
   if (box && box->group && service)
-    ash_pass_watch_pause (&box->group->watch, &service->engine, mean_streams (box->group),
-                          pause_ms);
+    {
+      ash_pass_watch_pause (&box->group->watch, &service->engine, mean_streams (box->group),
+                            pause_ms);
+      ash_map_switch_pass (&box->group->sw, box->group->watch.pass_ms);
+    }
 }
 
 /* ---- watching ---- */
--- a/options/router_settings.c
+++ b/options/router_settings.c
@@ -57,6 +57,7 @@
   NUMBER (map_decay, "0.5", 0, 1, "", "what former counts weigh against new ones like them"),
   NUMBER (map_alike, "0.9", 0, 1, "", "cosine from which two reports of a layer are alike"),
   NUMBER (map_least_gain, "0.03", 0, 10, "mean loads", "that a move must take off its layer"),
+  NUMBER (map_change_gain, "0.05", 0, 10, "of skew", "that a whole change must take off the mean"),
   NUMBER (resend_ratio, "0.1", 0, 1, "of requests", "that the fleet may send again in a window"),
   MS (resend_window_ms, "10000", 100, HOUR_MS, "length of that window"),
   COUNT (
--- a/options/router_settings.h
+++ b/options/router_settings.h
@@ -43,6 +43,7 @@
   double map_decay;
   double map_alike;
   double map_least_gain;
+  double map_change_gain;
   double resend_ratio;
   uint32_t resend_window_ms;
   uint32_t resend_slack;
