--- a/controllers/route_table.c
+++ b/controllers/route_table.c
@@ -151,7 +151,7 @@
 ash_route_table_service (const struct ash_route_table *table, const char *name)
 {
   for (uint32_t i = 0; i < table->service_count; i++)
-    if (strcmp (table->services[i].name, name) == 0)
+    if (table->services[i].name && strcmp (table->services[i].name, name) == 0)
       return i;
   return UINT32_MAX;
 }
--- a/net/http_message.c
+++ b/net/http_message.c
@@ -93,6 +93,19 @@
   return codings <= 1;
 }
 
+/* The parser lets a blank pass in a field's name, where another one may see a colon's. */
+static bool
+names_are_tokens (const struct ash_http_head *head)
+{
+  static const char token[] = "!#$%&'*+-.^_`|~0123456789"
+                              "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ";
+
+  for (uint32_t i = 0; i < head->field_count; i++)
+    if (!*head->fields[i].name || head->fields[i].name[strspn (head->fields[i].name, token)])
+      return false;
+  return true;
+}
+
 static void
 set_pointers (struct ash_http_reader *reader)
 {
@@ -128,7 +141,7 @@
   head->keep_alive = http_should_keep_alive (parser) != 0;
   if (!coding_is_known (head) || (parser->flags & F_CHUNKED && head->http_1_0))
     reader->error = ASH_HTTP_UNKNOWN_CODING;
-  else if (parser->http_major != 1)
+  else if (parser->http_major != 1 || !names_are_tokens (head))
     reader->error = ASH_HTTP_MALFORMED;
   else if (parser->content_length != UINT64_MAX && parser->content_length > reader->body_max_bytes)
     reader->error = ASH_HTTP_BODY_TOO_LARGE;
--- /dev/null
+++ b/test/router.c
@@ -0,0 +1,626 @@
+/**
+ * @file
+ * The router as a real process, before stand-ins of the platform: what callers and
+ * servers see of it, calm and in trouble.
+ */
+#include "test/fault_tests.h"
+#include "test/router_world.h"
+
+#include <CUnit/CUnit.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#define HEAD                                                                                       \
+  "Host: shop.example\r\nAuthorization: Bearer key-1\r\nAshspindle-Deadline-Ms: 4000\r\n"          \
+  "Ashspindle-Attempt-Id: "
+
+static struct world world;
+static struct world_answer answer;
+
+static void
+start (void)
+{
+  world_start (&world);
+  world_publish (&world);
+  CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 0, true));
+}
+
+static bool
+has (const char *text)
+{
+  return strstr (answer.text, text) != NULL;
+}
+
+/* Both servers' logs, one after the other. */
+static const char *
+server_log (int s)
+{
+  return world_get (world.servers[s].port, "GET", "/log", "");
+}
+
+static bool
+in_logs (const char *text)
+{
+  bool first = strstr (server_log (0), text) != NULL;
+
+  return first || strstr (server_log (1), text) != NULL;
+}
+
+/* ---- calm ---- */
+
+static void
+test_path (void)
+{
+  start ();
+  world_call (&world, "a1", "/once/x?q=%20a;b", NULL,
+              "Ashspindle-Tenant: forged\r\nX-Hop: gone\r\nConnection: X-Hop\r\n", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  CU_ASSERT (answer.whole && has ("Ashspindle-Server-Seal: seal-i-"));
+  CU_ASSERT_STRING_EQUAL (answer.body, "whole answer");
+  /* Byte for byte, with the system's own fields and without the key or what is hop by hop. */
+  CU_ASSERT (in_logs ("a1 POST /once/x?q=%20a;b body=5 "));
+  CU_ASSERT (in_logs ("tenant=shop last=- urgency=- authorization=- connection=-"));
+  CU_ASSERT (in_logs ("expect=i-"));
+  CU_ASSERT_FALSE (in_logs ("deadline=4000"));
+  CU_ASSERT_FALSE (in_logs ("deadline=-"));
+  world_stop (&world);
+}
+
+static void
+test_stream (void)
+{
+  start ();
+  world_call (&world, "s1", "/stream/x", "*=stream", "", &answer);
+  CU_ASSERT (answer.status == 200 && answer.whole);
+  CU_ASSERT (strstr (answer.body, "id: 1\n") && strstr (answer.body, "id: 6\n"));
+  CU_ASSERT_EQUAL (world_runs (&world, "s1"), 1);
+  world_stop (&world);
+}
+
+static void
+test_directory (void)
+{
+  char other[32];
+
+  start ();
+  world_start_router (&world, 1);
+  CU_ASSERT (world_wait_ready (&world, 1, true));
+  snprintf (other, sizeof other, "127.0.0.1:%u", world.routers[1].frontend);
+  for (int i = 0; i < 200 && !strstr (world_get (world.routers[0].directory, "GET",
+                                                 "/resolution?Name=shop.example", ""),
+                                      other);
+       i++)
+    fleet_sleep (20);
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (world_get (world.routers[0].directory, "GET", "/resolution", ""), other));
+  /* One that stops is no longer named. */
+  kill (world.routers[1].pid, SIGTERM);
+  fleet_sleep (300);
+  CU_ASSERT_FALSE (
+      strstr (world_get (world.routers[0].directory, "GET", "/resolution", ""), other));
+  world_stop (&world);
+}
+
+/* ---- who may ask for what ---- */
+
+static void
+test_keys (void)
+{
+  start ();
+  world_call (&world, "k1", "/safe/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  /* Taken away: refused soon, and not run. */
+  world.has_key = false;
+  world_publish (&world);
+  fleet_sleep (200);
+  world_call (&world, "k2", "/safe/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 401);
+  CU_ASSERT_EQUAL (world_runs (&world, "k2"), 0);
+  world.has_key = true;
+  world_publish (&world);
+  fleet_sleep (200);
+  world_call (&world, "k3", "/safe/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  world_call (&world, "k4", "/nowhere/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 404);
+  world_stop (&world);
+}
+
+static void
+test_no_configuration (void)
+{
+  world_start (&world);
+  CU_ASSERT (world_wait_ready (&world, 0, false));
+  world_call (&world, "n1", "/safe/x", NULL, "", &answer);
+  /* Nothing is known: neither denied nor not found. */
+  CU_ASSERT_EQUAL (answer.status, 503);
+  CU_ASSERT (has ("Retry-After:"));
+  world_publish (&world);
+  CU_ASSERT (world_wait_ready (&world, 0, true));
+  world_call (&world, "n2", "/safe/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  world_stop (&world);
+}
+
+static void
+test_bad_configuration (void)
+{
+  start ();
+  world_publish_text (&world, "{\"Version\":900,\"Routes\":[{\"Host\":\"h\",\"RouteKind\":\"odd\","
+                              "\"Service\":\"none\"}],\"Services\":[{}]}");
+  fleet_sleep (200);
+  CU_ASSERT (world_logged (&world, 0, "place=Services[0] why=\"has no Name\""));
+  CU_ASSERT (world_logged (&world, 0, "place=Routes[0] why=\"has a RouteKind"));
+  CU_ASSERT (world_logged (&world, 0, "place=Routes[0] why=\"names a service"));
+  world_publish_text (&world, "no JSON");
+  fleet_sleep (100);
+  /* The last good one stays, and an older one never comes back. */
+  world_call (&world, "b1", "/safe/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  world_publish_text (&world, "{\"Version\":1,\"Routes\":[],\"Services\":[]}");
+  fleet_sleep (200);
+  world_call (&world, "b2", "/safe/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  world_stop (&world);
+}
+
+/* ---- odd framing ---- */
+
+/* A request that must be refused, and what follows it must not be read as another. */
+static void
+expect_refused (const char *text, int status)
+{
+  int fd = world_connect (&world, 0);
+
+  world_send (fd, text);
+  world_send (fd, "POST /safe/smuggled HTTP/1.1\r\n" HEAD "smuggled\r\n\r\n");
+  world_read (fd, &answer);
+  CU_ASSERT_EQUAL (answer.status, status);
+  if (answer.status != status)
+    printf ("\n%s\n%s\n", text, answer.text);
+  close (fd);
+}
+
+static void
+test_framing_in (void)
+{
+  start ();
+  expect_refused ("POST /safe/x HTTP/1.1\r\n" HEAD
+                  "f1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                  400);
+  expect_refused ("POST /safe/x HTTP/1.1\r\n" HEAD
+                  "f2\r\nContent-Length: 5\r\nContent-Length: 50\r\n\r\nhello",
+                  400);
+  expect_refused ("POST /safe/x HTTP/1.1\r\n" HEAD "f3\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+                  501);
+  expect_refused ("POST /safe/x HTTP/1.1\r\n" HEAD "f4\nContent-Length: 0\r\n\r\n", 400);
+  expect_refused ("POST /safe/x HTTP/1.1\r\n" HEAD "f5\r\nX: a\r\n b\r\n\r\n", 400);
+  expect_refused ("POST /safe/x HTTP/1.1\r\n" HEAD "f6\r\nContent-Length : 5\r\n\r\nhello", 400);
+  expect_refused ("POST /safe/x HTTP/1.1\r\n" HEAD "f7\r\nContent-Length: +5\r\n\r\nhello", 400);
+  expect_refused ("POST /safe/x HTTP/1.1\r\n" HEAD "f8\r\nContent-Length: 200000\r\n\r\n", 413);
+  expect_refused ("no request at all\r\n\r\n", 400);
+  CU_ASSERT_FALSE (in_logs ("smuggled"));
+  CU_ASSERT_EQUAL (world_runs (&world, "f1") + world_runs (&world, "f2"), 0);
+  /* A chunked body is one body, with a length of its own towards the server. */
+  {
+    int fd = world_connect (&world, 0);
+
+    world_send (fd,
+                "POST /safe/x HTTP/1.1\r\n" HEAD
+                "f9\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n4;x=y\r\ndefg\r\n0\r\n\r\n");
+    world_read (fd, &answer);
+    CU_ASSERT_EQUAL (answer.status, 200);
+    close (fd);
+  }
+  CU_ASSERT (in_logs ("f9 POST /safe/x body=7"));
+  world_stop (&world);
+}
+
+static void
+test_framing_out (void)
+{
+  start ();
+  /* Another request's answer comes first on the connection: ours is the one after it. */
+  world_call (&world, "o1", "/once/x", "*=foreign", "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  CU_ASSERT_STRING_EQUAL (answer.body, "whole answer");
+  /* No answer of ours: the caller must not take it for one. */
+  world_call (&world, "o2", "/once/x", "*=noid", "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 502);
+  world_call (&world, "o3", "/once/x", "*=unsigned", "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 502);
+  world_call (&world, "o4", "/once/x", "*=encoded", "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 502);
+  world_call (&world, "o5", "/once/x", "*=cut", "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 502);
+  world_call (&world, "o6", "/once/x", "*=unframed", "", &answer);
+  CU_ASSERT (answer.status == 200 && answer.whole);
+  CU_ASSERT_STRING_EQUAL (answer.body, "whole answer");
+  /* A second answer to the same request belongs to nobody. */
+  for (int i = 0; i < 4; i++)
+    {
+      world_call (&world, "o7", "/once/x", "*=extra", "", &answer);
+      CU_ASSERT_STRING_EQUAL (answer.body, "whole answer");
+    }
+  CU_ASSERT_EQUAL (world_runs (&world, "o2"), 1);
+  world_stop (&world);
+}
+
+/* ---- at most once, and a true "not run" ---- */
+
+static void
+test_once (void)
+{
+  start ();
+  /* It was sent and no answer came: nobody can say that it did not run. */
+  world_call (&world, "u1", "/once/x", "*=reset", "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 502);
+  CU_ASSERT_EQUAL (world_runs (&world, "u1"), 1);
+  /* The servers vouch that it did not run. */
+  world_call (&world, "u2", "/once/x", "*=shed", "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 503);
+  CU_ASSERT (has ("Retry-After:"));
+  /* A server's own failure is passed on as it made it. */
+  world_call (&world, "u3", "/once/x", "*=fail", "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 500);
+  CU_ASSERT (has ("Server-Seal"));
+  CU_ASSERT_EQUAL (world_runs (&world, "u3"), 1);
+  /* One server turns it away, the other runs it: once. */
+  world_call (&world, "u4", "/once/x", "A=shed B=ok", "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  world_call (&world, "u5", "/once/x", "A=ok B=shed", "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  world_stop (&world);
+}
+
+static void
+test_repeatable (void)
+{
+  start ();
+  /* Whichever server breaks, the other one is asked, and no third time. */
+  world_call (&world, "r1", "/safe/x", "A=reset B=ok", "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  world_call (&world, "r2", "/safe/x", "A=ok B=cut", "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  world_call (&world, "r3", "/safe/x", "A=fail B=ok", "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  world_call (&world, "r4", "/safe/x", "*=reset", "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 502);
+  CU_ASSERT (world_runs (&world, "r4") <= 2);
+  /* Silence counts after some time; the answer still comes within the caller's. */
+  world_call (&world, "r5", "/safe/x", "A=mute B=ok", "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  world_call (&world, "r6", "/safe/x", "A=ok B=mute", "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  world_stop (&world);
+}
+
+/* A server ends while its kept connections wait: what is sent next must not run twice. */
+static void
+test_kept_connection_dies (void)
+{
+  char port[16];
+
+  start ();
+  for (int i = 0; i < 6; i++)
+    world_call (&world, "d0", "/once/x", NULL, "", &answer);
+  for (int s = 0; s < WORLD_SERVERS; s++)
+    {
+      char name[8];
+      char id[16];
+
+      fleet_end (&world.servers[s].pid, SIGKILL);
+      snprintf (port, sizeof port, "%u", world.servers[s].port);
+      snprintf (name, sizeof name, "%s", world.servers[s].name);
+      snprintf (id, sizeof id, "%s", world.servers[s].id);
+      world.servers[s].pid =
+          fleet_spawn (world.folder, name, "standin-server", port, name, id, NULL);
+    }
+  fleet_sleep (300);
+  for (int i = 0; i < 8; i++)
+    {
+      char request[8];
+
+      snprintf (request, sizeof request, "d%d", i + 1);
+      world_call (&world, request, "/once/x", NULL, "", &answer);
+      CU_ASSERT (answer.status == 200 || answer.status == 502 || answer.status == 503);
+      CU_ASSERT (world_runs (&world, request) <= 1);
+      if (answer.status == 503)
+        CU_ASSERT_EQUAL (world_runs (&world, request), 0);
+    }
+  world_stop (&world);
+}
+
+static void
+test_address_reused (void)
+{
+  char port[16];
+
+  start ();
+  /* Another life at the address of A, before the list tells: it turns requests away. */
+  fleet_end (&world.servers[0].pid, SIGKILL);
+  snprintf (port, sizeof port, "%u", world.servers[0].port);
+  world.servers[0].pid = fleet_spawn (world.folder, "A", "standin-server", port, "A", "i-A2", NULL);
+  fleet_sleep (200);
+  for (int i = 0; i < 6; i++)
+    {
+      char request[8];
+
+      snprintf (request, sizeof request, "m%d", i);
+      world_call (&world, request, "/once/x", NULL, "", &answer);
+      CU_ASSERT_EQUAL (answer.status, 200);
+      CU_ASSERT_EQUAL (world_runs (&world, request), 1);
+    }
+  CU_ASSERT_PTR_NULL (strstr (server_log (0), "m"));
+  world_stop (&world);
+}
+
+/* ---- streams ---- */
+
+/* Whole events only, each once, and all of them. */
+static void
+expect_events (int first, int last)
+{
+  for (int id = first; id <= last; id++)
+    {
+      char text[16];
+      const char *found;
+
+      snprintf (text, sizeof text, "id: %d\n", id);
+      found = strstr (answer.body, text);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (found);
+      CU_ASSERT_PTR_NULL (strstr (found + 1, text));
+    }
+}
+
+static void
+test_stream_resumed (void)
+{
+  start ();
+  /* Cut in the middle of an event by whichever server is asked first, if it is A. */
+  for (int i = 0; i < 30 && !in_logs ("last=2"); i++)
+    {
+      world_call (&world, "t1", "/stream/x", "A=streamcut B=stream", "", &answer);
+      CU_ASSERT (answer.status == 200 && answer.whole);
+      expect_events (1, 6);
+    }
+  CU_ASSERT (in_logs ("last=2"));
+  /* Both cut it: the caller sees that it is not whole. */
+  world_call (&world, "t3", "/stream/x", "*=streamcut", "", &answer);
+  CU_ASSERT_FALSE (answer.whole);
+  world_stop (&world);
+}
+
+static void
+test_caller_leaves (void)
+{
+  int fd;
+
+  start ();
+  fd = world_connect (&world, 0);
+  world_send (fd,
+              "POST /stream/x HTTP/1.1\r\n" HEAD "l1\r\nX-Do: *=mute\r\nContent-Length: 0\r\n\r\n");
+  for (int i = 0; i < 100 && !world_runs (&world, "l1"); i++)
+    fleet_sleep (10);
+  close (fd);
+  /* The server sees it soon: its connection is closed. */
+  for (int i = 0; i < 40 && atoi (world_get (world.servers[0].port, "GET", "/gone", "")) +
+                                    atoi (world_get (world.servers[1].port, "GET", "/gone", "")) ==
+                                0;
+       i++)
+    fleet_sleep (10);
+  CU_ASSERT_EQUAL (atoi (world_get (world.servers[0].port, "GET", "/gone", "")) +
+                       atoi (world_get (world.servers[1].port, "GET", "/gone", "")),
+                   1);
+  CU_ASSERT (world_logged (&world, 0, "forward_gone"));
+  world_stop (&world);
+}
+
+static void
+test_timeout (void)
+{
+  int64_t began;
+
+  start ();
+  began = fleet_now ();
+  world_call (&world, "x1", "/once/x", "*=mute", "", &answer);
+  /* The route's time ends it, long before the caller's. */
+  CU_ASSERT_EQUAL (answer.status, 504);
+  CU_ASSERT (fleet_now () - began < 3500);
+  world_stop (&world);
+}
+
+/* ---- stops, starts, and the store ---- */
+
+static void
+test_planned_stop (void)
+{
+  int fd[4];
+
+  start ();
+  for (int i = 0; i < 4; i++)
+    {
+      fd[i] = world_connect (&world, 0);
+      world_send (fd[i], "POST /safe/x HTTP/1.1\r\n" HEAD
+                         "p1\r\nX-Do: *=slow\r\nContent-Length: 0\r\n\r\n");
+    }
+  for (int i = 0; i < 100 && world_runs (&world, "p1") < 4; i++)
+    fleet_sleep (10);
+  kill (world.routers[0].pid, SIGTERM);
+  CU_ASSERT (world_wait_ready (&world, 0, false));
+  /* A caller that still has the address is served too. */
+  world_call (&world, "p2", "/safe/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  CU_ASSERT (has ("Connection: close"));
+  for (int i = 0; i < 4; i++)
+    {
+      world_read (fd[i], &answer);
+      CU_ASSERT (answer.status == 200 && answer.whole);
+      close (fd[i]);
+    }
+  CU_ASSERT_EQUAL (fleet_end (&world.routers[0].pid, 0), 0);
+  world_start_router (&world, 0);
+  CU_ASSERT (world_wait_ready (&world, 0, true));
+  world_call (&world, "p3", "/safe/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  world_stop (&world);
+}
+
+static void
+test_draining (void)
+{
+  start ();
+  world_list (&world, 0, "draining");
+  fleet_sleep (200);
+  for (int i = 0; i < 6; i++)
+    {
+      world_call (&world, "g1", "/safe/x", NULL, "", &answer);
+      CU_ASSERT_EQUAL (answer.status, 200);
+    }
+  CU_ASSERT_PTR_NULL (strstr (server_log (0), "g1"));
+  /* Gone from the list without a word: gone too. */
+  world_get (world.store_port, "PUT", "/remove?servers/i-B1", "");
+  fleet_sleep (200);
+  world_call (&world, "g2", "/safe/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 503);
+  CU_ASSERT_EQUAL (world_runs (&world, "g2"), 0);
+  world_stop (&world);
+}
+
+static void
+test_store_away (void)
+{
+  start ();
+  world_get (world.store_port, "PUT", "/mode?busy", "");
+  fleet_sleep (1500);
+  CU_ASSERT (world_logged (&world, 0, "platform_down"));
+  world_call (&world, "w1", "/safe/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  /* While it is away the servers' entries lapse, though they live; they are used on. */
+  world_get (world.store_port, "PUT", "/remove?servers/i-A1", "");
+  world_get (world.store_port, "PUT", "/remove?servers/i-B1", "");
+  world_get (world.store_port, "PUT", "/mode?ok", "");
+  fleet_sleep (700);
+  world_call (&world, "w2", "/safe/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  world_list (&world, 0, "ready");
+  fleet_sleep (2500);
+  /* The one that did not come back is gone, the other is not. */
+  world_call (&world, "w3", "/safe/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  CU_ASSERT_PTR_NULL (strstr (server_log (1), "w3"));
+  world_stop (&world);
+}
+
+static void
+test_history_gone (void)
+{
+  start ();
+  world_get (world.store_port, "PUT", "/mode?busy", "");
+  fleet_sleep (300);
+  world_list (&world, 0, "draining");
+  world_get (world.store_port, "PUT", "/mode?forget", "");
+  world_get (world.store_port, "PUT", "/mode?ok", "");
+  fleet_sleep (800);
+  for (int i = 0; i < 4; i++)
+    world_call (&world, "h1", "/safe/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  CU_ASSERT_PTR_NULL (strstr (server_log (0), "h1"));
+  world_stop (&world);
+}
+
+static void
+test_peer_helps (void)
+{
+  start ();
+  world_start_router (&world, 1);
+  CU_ASSERT (world_wait_ready (&world, 1, true));
+  /* A router that starts while the store is away learns all from its peer. */
+  world_get (world.store_port, "PUT", "/mode?busy", "");
+  fleet_end (&world.routers[0].pid, SIGKILL);
+  world_start_router (&world, 0);
+  CU_ASSERT (world_wait_ready (&world, 0, true));
+  world_call (&world, "e1", "/safe/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  CU_ASSERT (world_logged (&world, 0, "source=router-1"));
+  world_stop (&world);
+}
+
+static void
+test_settings (void)
+{
+  char path[64] = "/tmp/ash-router-XXXXXX";
+  int fd = mkstemp (path);
+  const char *text = "box = \"r\"\nfrontend_listen = \"nowhere\"\nwait_ms = -4\nodd = 1\n";
+  char log[96];
+  char line[512];
+  int lines = 0;
+  pid_t pid;
+  FILE *file;
+
+  CU_ASSERT_FATAL (fd >= 0 && write (fd, text, strlen (text)) > 0);
+  close (fd);
+  pid = fleet_spawn ("/tmp", "ash-router-settings", "ashspindle-router", path, NULL);
+  CU_ASSERT_EQUAL (fleet_end (&pid, 0), 2);
+  snprintf (log, sizeof log, "/tmp/ash-router-settings.log");
+  file = fopen (log, "r");
+  while (file && fgets (line, sizeof line, file))
+    lines += strstr (line, path) != NULL;
+  if (file)
+    fclose (file);
+  /* All findings at once, each with its place: eight keys are missing or wrong, one is odd. */
+  CU_ASSERT (lines >= 9);
+  unlink (path);
+  unlink (log);
+}
+
+static void
+test_figures (void)
+{
+  const char *figures;
+
+  start ();
+  world_call (&world, "q1", "/safe/x", NULL, "", &answer);
+  figures = world_get (world.routers[0].figures, "GET", "/metrics", "");
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (figures, "ash_requests_total{route=\"r-safe\",outcome=\"served\"} 1"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (figures, "ash_answer_ms_count{account=\"shop\"} 1"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (figures, "ash_config_version{} 3"));
+  world_stop (&world);
+}
+
+static const struct fault_test tests[] = {
+  { "path of a request", test_path },
+  { "stream passed on", test_stream },
+  { "directory names who is ready", test_directory },
+  { "keys added and taken away, routes unknown", test_keys },
+  { "no configuration yet", test_no_configuration },
+  { "bad configuration: all findings, the last good one stays", test_bad_configuration },
+  { "odd framing from callers", test_framing_in },
+  { "odd answers from servers", test_framing_out },
+  { "at most once, and a true not run", test_once },
+  { "repeatable requests go elsewhere", test_repeatable },
+  { "kept connection dies", test_kept_connection_dies },
+  { "address reused by another life", test_address_reused },
+  { "stream cut inside an event goes on elsewhere", test_stream_resumed },
+  { "caller leaves", test_caller_leaves },
+  { "route's time-out", test_timeout },
+  { "planned stop and start", test_planned_stop },
+  { "draining, and gone without a word", test_draining },
+  { "store away, entries lapse", test_store_away },
+  { "store's history gone", test_history_gone },
+  { "peer helps where the store does not", test_peer_helps },
+  { "bad settings", test_settings },
+  { "figures", test_figures },
+  { NULL, NULL },
+};
+
+int
+main (int argc, char **argv)
+{
+  return run_fault_tests ("router", tests, argc > 1 ? argv[1] : "");
+}
--- /dev/null
+++ b/test/router_world.c
@@ -0,0 +1,381 @@
+#include "test/router_world.h"
+
+#include "test/fleet.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#define FLEET_KEY "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
+#define WAIT_MS 10000
+#define PORTS (1 + WORLD_SERVERS + 5 * WORLD_ROUTERS)
+
+/* ---- sockets ---- */
+
+static int
+connect_to (uint16_t port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (port) };
+  struct timeval patience = { .tv_sec = 8 };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+  if (connect (fd, (struct sockaddr *) &address, sizeof address) < 0)
+    {
+      close (fd);
+      return -1;
+    }
+  return fd;
+}
+
+int
+world_connect (struct world *world, int r)
+{
+  return connect_to (world->routers[r].frontend);
+}
+
+void
+world_send (int fd, const char *text)
+{
+  size_t length = strlen (text);
+
+  while (length)
+    {
+      ssize_t sent = send (fd, text, length, MSG_NOSIGNAL);
+
+      if (sent <= 0)
+        return;
+      text += sent;
+      length -= (size_t) sent;
+    }
+}
+
+/* Takes chunks apart. @return whether the last one was there. */
+static bool
+join_chunks (const char *text, size_t length, char *body)
+{
+  const char *end = text + length;
+
+  *body = '\0';
+  while (text < end)
+    {
+      char *rest;
+      size_t size = strtoul (text, &rest, 16);
+
+      if (strncmp (rest, "\r\n", 2) != 0 || rest + 2 + size + 2 > end)
+        return false;
+      if (!size)
+        return true;
+      strncat (body, rest + 2, size);
+      text = rest + 2 + size + 2;
+    }
+  return false;
+}
+
+/* Whether the answer is whole; fills its body. */
+static bool
+is_whole (struct world_answer *answer, size_t length)
+{
+  char *end = strstr (answer->text, "\r\n\r\n");
+  const char *framing;
+  size_t body_bytes;
+
+  if (!end)
+    return false;
+  end += 4;
+  body_bytes = length - (size_t) (end - answer->text);
+  framing = strcasestr (answer->text, "\r\nContent-Length:");
+  if (framing && framing < end)
+    {
+      size_t wanted = strtoul (framing + strlen ("\r\nContent-Length:"), NULL, 10);
+
+      snprintf (answer->body, sizeof answer->body, "%.*s",
+                (int) (body_bytes < wanted ? body_bytes : wanted), end);
+      return body_bytes >= wanted;
+    }
+  framing = strcasestr (answer->text, "\r\nTransfer-Encoding: chunked");
+  if (framing && framing < end)
+    return join_chunks (end, body_bytes, answer->body);
+  return false;
+}
+
+void
+world_read (int fd, struct world_answer *answer)
+{
+  size_t length = 0;
+
+  memset (answer, 0, sizeof *answer);
+  while (length + 1 < sizeof answer->text)
+    {
+      ssize_t got = recv (fd, answer->text + length, sizeof answer->text - 1 - length, 0);
+
+      if (got <= 0)
+        break;
+      length += (size_t) got;
+      answer->whole = is_whole (answer, length);
+      if (answer->whole)
+        break;
+    }
+  if (sscanf (answer->text, "HTTP/1.1 %d", &answer->status) != 1)
+    answer->status = 0;
+}
+
+const char *
+world_get (uint16_t port, const char *method, const char *target, const char *body)
+{
+  static struct world_answer answer;
+  int fd = connect_to (port);
+  char head[512];
+
+  answer.body[0] = '\0';
+  if (fd < 0)
+    return "";
+  snprintf (head, sizeof head, "%s %s HTTP/1.1\r\nHost: x\r\nContent-Length: %zu\r\n\r\n", method,
+            target, strlen (body));
+  world_send (fd, head);
+  world_send (fd, body);
+  world_read (fd, &answer);
+  close (fd);
+  return answer.body;
+}
+
+void
+world_call (struct world *world,
+            const char *id,
+            const char *path,
+            const char *action,
+            const char *more,
+            struct world_answer *answer)
+{
+  char text[2048];
+  int fd = world_connect (world, 0);
+
+  snprintf (text, sizeof text,
+            "POST %s HTTP/1.1\r\nHost: shop.example\r\nAshspindle-Attempt-Id: %s\r\n"
+            "Ashspindle-Deadline-Ms: 4000\r\nAuthorization: Bearer key-1\r\n"
+            "X-Do: %s\r\n%sContent-Length: 5\r\n\r\nhello",
+            path, id, action ? action : "", more);
+  world_send (fd, text);
+  world_read (fd, answer);
+  close (fd);
+}
+
+/* ---- processes ---- */
+
+void
+world_publish_text (struct world *world, const char *text)
+{
+  world_get (world->store_port, "PUT", "/put?op/config", text);
+}
+
+void
+world_publish (struct world *world)
+{
+  static const char *const kinds[] = { "safe", "unsafe", "streaming" };
+  static const char *const prefixes[] = { "safe", "once", "stream" };
+  char text[4096];
+  size_t length = 0;
+
+  world->version += 3;
+  length += (size_t) snprintf (text, sizeof text, "{\"Version\":%u,\"Routes\":[", world->version);
+  for (int i = 0; i < 3; i++)
+    length += (size_t) snprintf (
+        text + length, sizeof text - length,
+        "%s{\"Name\":\"r-%s\",\"Host\":\"shop.example\",\"PathPrefix\":\"/%s/\","
+        "\"RouteKind\":\"%s\",\"TimeoutMs\":1500,\"SloMs\":300,\"Service\":\"stock\","
+        "\"MaxAttempts\":2%s}",
+        i ? "," : "", prefixes[i], prefixes[i], kinds[i], i == 2 ? ",\"Resumable\":true" : "");
+  snprintf (text + length, sizeof text - length,
+            "],\"Services\":[{\"Name\":\"stock\",\"HealthPath\":\"/healthz\",\"MaxConns\":100}],"
+            "\"Limits\":{\"MaxBodyBytes\":100000,\"IdleTimeoutMs\":5000},"
+            "\"Tenants\":[{\"Name\":\"shop\",\"ApiKeys\":[%s]}]}",
+            world->has_key ? "\"key-1\",\"key-2\"" : "\"key-2\"");
+  world_publish_text (world, text);
+}
+
+void
+world_list (struct world *world, int s, const char *state)
+{
+  const struct world_server *server = &world->servers[s];
+  char target[64];
+  char text[256];
+
+  snprintf (target, sizeof target, "/put?servers/%s", server->id);
+  snprintf (text, sizeof text,
+            "{\"Service\":\"stock\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"hall-a\","
+            "\"Slots\":8,\"State\":\"%s\"}",
+            server->port, state);
+  world_get (world->store_port, "PUT", target, text);
+}
+
+static void
+wait_port (uint16_t port)
+{
+  int64_t until = fleet_now () + WAIT_MS;
+
+  while (fleet_now () < until)
+    {
+      int fd = connect_to (port);
+
+      if (fd >= 0)
+        {
+          close (fd);
+          return;
+        }
+      fleet_sleep (10);
+    }
+}
+
+void
+world_start_router (struct world *world, int r)
+{
+  struct world_router *router = &world->routers[r];
+  char path[128];
+  char name[16];
+  FILE *file;
+
+  snprintf (name, sizeof name, "router-%d", r);
+  snprintf (path, sizeof path, "%s/%s.toml", world->folder, name);
+  file = fopen (path, "w");
+  if (!file)
+    abort ();
+  fprintf (file,
+           "box = \"%s\"\nhall = \"hall-a\"\nfrontend_listen = \"127.0.0.1:%u\"\n"
+           "readiness_listen = \"127.0.0.1:%u\"\ndirectory_listen = \"127.0.0.1:%u\"\n"
+           "peer_listen = \"127.0.0.1:%u\"\nmetrics_listen = \"127.0.0.1:%u\"\n"
+           "store_address = \"127.0.0.1:%u\"\nfleet_key = \"" FLEET_KEY "\"\n"
+           "seeds = [\"127.0.0.1:%u\", \"127.0.0.1:%u\"]\nlog_level = \"debug\"\n"
+           "heartbeat_ms = 100\nlink_silence_ms = 800\ndial_retry_ms = 50\naddress_keep_ms = 200\n"
+           "grace_ms = 3000\nstore_wait_ms = 1000\n",
+           name, router->frontend, router->readiness, router->directory, router->peers,
+           router->figures, world->store_port, world->routers[0].peers, world->routers[1].peers);
+  fclose (file);
+  router->pid = fleet_spawn (world->folder, name, "ashspindle-router", path, NULL);
+  wait_port (router->readiness);
+}
+
+bool
+world_wait_ready (struct world *world, int r, bool ready)
+{
+  int64_t until = fleet_now () + WAIT_MS;
+
+  while (fleet_now () < until)
+    {
+      const char *body = world_get (world->routers[r].readiness, "GET", "/readyz", "");
+
+      if ((strcmp (body, "ready\n") == 0) == ready)
+        return true;
+      fleet_sleep (20);
+    }
+  return false;
+}
+
+void
+world_start (struct world *world)
+{
+  uint16_t ports[PORTS];
+  uint16_t *port = ports;
+  char text[16];
+
+  *world = (struct world){ .has_key = true };
+  snprintf (world->folder, sizeof world->folder, "/tmp/ash-world-XXXXXX");
+  if (!mkdtemp (world->folder))
+    abort ();
+  fleet_free_ports (ports, PORTS);
+  world->store_port = *port++;
+  snprintf (text, sizeof text, "%u", world->store_port);
+  world->store = fleet_spawn (world->folder, "store", "standin-store", text, NULL);
+  for (int s = 0; s < WORLD_SERVERS; s++)
+    {
+      struct world_server *server = &world->servers[s];
+
+      server->port = *port++;
+      snprintf (server->name, sizeof server->name, "%c", 'A' + s);
+      snprintf (server->id, sizeof server->id, "i-%s1", server->name);
+      snprintf (text, sizeof text, "%u", server->port);
+      server->pid = fleet_spawn (world->folder, server->name, "standin-server", text, server->name,
+                                 server->id, NULL);
+    }
+  for (int r = 0; r < WORLD_ROUTERS; r++)
+    {
+      world->routers[r] = (struct world_router){ .frontend = port[0],
+                                                 .readiness = port[1],
+                                                 .directory = port[2],
+                                                 .peers = port[3],
+                                                 .figures = port[4] };
+      port += 5;
+    }
+  wait_port (world->store_port);
+  for (int s = 0; s < WORLD_SERVERS; s++)
+    {
+      wait_port (world->servers[s].port);
+      world_list (world, s, "ready");
+    }
+  world_start_router (world, 0);
+}
+
+void
+world_stop (struct world *world)
+{
+  char command[128];
+
+  for (int r = 0; r < WORLD_ROUTERS; r++)
+    if (world->routers[r].pid)
+      fleet_end (&world->routers[r].pid, SIGKILL);
+  for (int s = 0; s < WORLD_SERVERS; s++)
+    if (world->servers[s].pid)
+      fleet_end (&world->servers[s].pid, SIGKILL);
+  fleet_end (&world->store, SIGKILL);
+  if (getenv ("FLEET_KEEP"))
+    {
+      printf ("logs: %s\n", world->folder);
+      return;
+    }
+  snprintf (command, sizeof command, "rm -rf %s", world->folder);
+  if (system (command) != 0) /* NOLINT: a folder of our own making */
+    fprintf (stderr, "%s is left\n", world->folder);
+}
+
+/* ---- what was seen ---- */
+
+int
+world_runs (struct world *world, const char *id)
+{
+  char wanted[64];
+  int runs = 0;
+
+  snprintf (wanted, sizeof wanted, "%s ", id);
+  for (int s = 0; s < WORLD_SERVERS; s++)
+    {
+      const char *log = world_get (world->servers[s].port, "GET", "/log", "");
+
+      for (const char *at = strstr (log, wanted); at; at = strstr (at + 1, wanted))
+        runs += at == log || at[-1] == '\n';
+    }
+  return runs;
+}
+
+bool
+world_logged (struct world *world, int r, const char *text)
+{
+  char path[128];
+  char line[2048];
+  bool found = false;
+  FILE *file;
+
+  snprintf (path, sizeof path, "%s/router-%d.log", world->folder, r);
+  file = fopen (path, "r");
+  while (file && fgets (line, sizeof line, file))
+    found = found || strstr (line, text);
+  if (file)
+    fclose (file);
+  return found;
+}
--- /dev/null
+++ b/test/router_world.h
@@ -0,0 +1,107 @@
+/**
+ * @file
+ * A router as a real process before stand-ins of the platform, for tests: a store,
+ * two servers of one service, and callers that write bytes as they like.
+ */
+#ifndef ASH_TEST_ROUTER_WORLD_H
+#define ASH_TEST_ROUTER_WORLD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/types.h>
+
+#define WORLD_SERVERS 2
+#define WORLD_ROUTERS 2
+#define WORLD_ANSWER_BYTES 65536
+
+/** A router's process and ports. */
+struct world_router
+{
+  pid_t pid;
+  uint16_t frontend;
+  uint16_t readiness;
+  uint16_t directory;
+  uint16_t peers;
+  uint16_t figures;
+};
+
+/** A server's process. */
+struct world_server
+{
+  pid_t pid;
+  uint16_t port;
+  char name[8];
+  char id[16];
+};
+
+/** All of it. */
+struct world
+{
+  char folder[64];
+  pid_t store;
+  uint16_t store_port;
+  struct world_server servers[WORLD_SERVERS];
+  struct world_router routers[WORLD_ROUTERS];
+  uint32_t version;
+  bool has_key; /**< the published account has its key */
+};
+
+/** What a caller got. */
+struct world_answer
+{
+  int status; /**< 0: none */
+  bool whole; /**< as far as its framing tells */
+  char text[WORLD_ANSWER_BYTES];
+  char body[WORLD_ANSWER_BYTES];
+};
+
+/** Starts store and servers, publishes, and starts the first router. */
+void world_start (struct world *world);
+
+void world_stop (struct world *world);
+
+/** Starts a router (again). */
+void world_start_router (struct world *world, int r);
+
+/** Waits until it says that it is ready, or not. @return false after 10 s. */
+bool world_wait_ready (struct world *world, int r, bool ready);
+
+/** Publishes the configuration of routes, with a new version. */
+void world_publish (struct world *world);
+
+/** Publishes any text as the configuration. */
+void world_publish_text (struct world *world, const char *text);
+
+/** Puts a server into the store's list. @param state "ready" or "draining". */
+void world_list (struct world *world, int s, const char *state);
+
+/** A call to a stand-in or a page of a router. @return the body. */
+const char *world_get (uint16_t port, const char *method, const char *target, const char *body);
+
+/** Connects to a router's frontend. @return a socket. */
+int world_connect (struct world *world, int r);
+
+/** Writes a text. */
+void world_send (int fd, const char *text);
+
+/** Reads one answer, until it is whole or the connection ends. */
+void world_read (int fd, struct world_answer *answer);
+
+/**
+ * A request on a connection of its own.
+ * @param path as "/safe/x"; @param action for X-Do, or NULL; @param more further header lines.
+ */
+void world_call (struct world *world,
+                 const char *id,
+                 const char *path,
+                 const char *action,
+                 const char *more,
+                 struct world_answer *answer);
+
+/** @return how often that request arrived at any server. */
+int world_runs (struct world *world, const char *id);
+
+/** @return whether the router's log holds the text. */
+bool world_logged (struct world *world, int r, const char *text);
+
+#endif
--- /dev/null
+++ b/test/standin_server.c
@@ -0,0 +1,315 @@
+/**
+ * @file
+ * A stand-in of one of the platform's servers, as a process. What it does with a
+ * request stands in the request's field X-Do, as NAME=ACTION pairs with blanks
+ * between them; NAME is this server's, or * for all. Actions:
+ *
+ *     ok fail shed moved reset mute foreign noid unsigned encoded cut unframed extra
+ *     stream streamcut slow
+ *
+ * GET /log tells each request that it got, a line each:
+ *     ID METHOD TARGET body=BYTES deadline=MS expect=ID tenant=NAME last=ID urgency=N
+ */
+#include "net/http_conn.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#define TICK_S 0.01
+#define BODY "whole answer"
+#define STREAM_EVENTS 6
+#define EVENT_MS 30
+#define SLOW_MS 300
+
+struct server
+{
+  struct ash_http_listener listener;
+  const char *name;
+  const char *id;
+  struct ash_buffer log;
+  uint32_t gone; /* callers that left while a request was at work */
+  ev_timer tick;
+};
+
+/* A request that is answered by and by. */
+struct work
+{
+  char action[16];
+  int next; /* event */
+  int last; /* event before which it breaks off; 0: none */
+  struct ash_time due;
+};
+
+static struct server server;
+
+static const char *
+field (const struct ash_http_conn *conn, const char *name)
+{
+  const char *value = ash_http_field (&conn->reader.head, name);
+
+  return value ? value : "-";
+}
+
+static void
+action_of (const struct ash_http_conn *conn, char action[16])
+{
+  char text[256];
+  char *rest = text;
+  char *pair;
+
+  snprintf (text, sizeof text, "%s", field (conn, "X-Do"));
+  snprintf (action, 16, "ok");
+  while ((pair = strsep (&rest, " ")))
+    {
+      char *equals = strchr (pair, '=');
+
+      if (!equals)
+        continue;
+      *equals = '\0';
+      if (strcmp (pair, server.name) == 0 || strcmp (pair, "*") == 0)
+        snprintf (action, 16, "%.15s", equals + 1);
+    }
+}
+
+static void
+note (const struct ash_http_conn *conn)
+{
+  ash_buffer_printf (&server.log,
+                     "%s %s %s body=%zu deadline=%s expect=%s tenant=%s last=%s urgency=%s "
+                     "authorization=%s connection=%s\n",
+                     field (conn, "Ashspindle-Attempt-Id"), conn->reader.head.method,
+                     conn->reader.head.target, conn->body.length,
+                     field (conn, "Ashspindle-Deadline-Ms"),
+                     field (conn, "Ashspindle-Expect-Instance"), field (conn, "Ashspindle-Tenant"),
+                     field (conn, "Last-Event-Id"), field (conn, "Ashspindle-Request-Urgency"),
+                     field (conn, "Authorization"), field (conn, "X-Hop"));
+}
+
+/* ---- answers ---- */
+
+static void
+fields_of (const struct ash_http_conn *conn, const char *more, char *out, size_t out_bytes)
+{
+  snprintf (out, out_bytes,
+            "Ashspindle-Attempt-Id: %s\r\nAshspindle-Server-Seal: seal-%s\r\n"
+            "Ashspindle-Server-Load: 1,0,8\r\n%s",
+            field (conn, "Ashspindle-Attempt-Id"), server.id, more);
+}
+
+static void
+answer (struct ash_http_conn *conn, uint16_t status, const char *more)
+{
+  char fields[512];
+
+  fields_of (conn, more, fields, sizeof fields);
+  ash_http_conn_answer (conn, status, fields, strlen (fields), BODY, strlen (BODY));
+}
+
+static void
+write_raw (struct ash_http_conn *conn, const char *id, const char *framing, const char *body)
+{
+  char text[1024];
+  int length = snprintf (text, sizeof text,
+                         "HTTP/1.1 200 OK\r\nAshspindle-Attempt-Id: %s\r\n"
+                         "Ashspindle-Server-Seal: seal-%s\r\n%s\r\n%s",
+                         id, server.id, framing, body);
+
+  ash_stream_write (&conn->stream, text, (size_t) length);
+}
+
+static void
+close_conn (struct ash_http_conn *conn)
+{
+  conn->request = NULL;
+  ash_stream_finish (&conn->stream);
+  conn->dead = true;
+}
+
+static void
+begin_work (struct ash_http_conn *conn, const char *action)
+{
+  struct work *work = calloc (1, sizeof *work);
+  const char *last = ash_http_field (&conn->reader.head, "Last-Event-Id");
+  char fields[512];
+
+  if (!work)
+    abort ();
+  snprintf (work->action, sizeof work->action, "%s", action);
+  work->next = last ? atoi (last) + 1 : 1;
+  work->last = strcmp (action, "streamcut") == 0 ? 3 : 0;
+  work->due = ash_time_add (ash_clock_now (), strcmp (action, "slow") == 0 ? SLOW_MS : 0);
+  conn->request = work;
+  if (strncmp (action, "stream", 6) != 0)
+    return;
+  fields_of (conn, "Content-Type: text/event-stream\r\n", fields, sizeof fields);
+  ash_http_conn_begin (conn, 200, fields, strlen (fields));
+}
+
+static void
+go_on (struct ash_http_conn *conn, struct ash_time now)
+{
+  struct work *work = conn->request;
+  char event[64];
+
+  if (ash_time_before (now, work->due) || strcmp (work->action, "mute") == 0)
+    return;
+  if (strcmp (work->action, "slow") == 0)
+    {
+      conn->request = NULL;
+      answer (conn, 200, "");
+    }
+  else if (work->next == work->last)
+    {
+      /* Half an event, and the end. */
+      ash_http_conn_write (conn, "id: 3\nda", 8);
+      close_conn (conn);
+    }
+  else if (work->next > STREAM_EVENTS)
+    {
+      conn->request = NULL;
+      ash_http_conn_end (conn, true);
+    }
+  else
+    {
+      int length =
+          snprintf (event, sizeof event, "id: %d\ndata: from %s\n\n", work->next, server.name);
+
+      work->next++;
+      work->due = ash_time_add (now, EVENT_MS);
+      ash_http_conn_write (conn, event, (size_t) length);
+      return;
+    }
+  free (work);
+}
+
+static void
+act (struct ash_http_conn *conn, const char *action)
+{
+  const char *id = field (conn, "Ashspindle-Attempt-Id");
+
+  if (strcmp (action, "ok") == 0)
+    answer (conn, 200, "");
+  else if (strcmp (action, "fail") == 0)
+    answer (conn, 500, "");
+  else if (strcmp (action, "shed") == 0)
+    answer (conn, 503, "Ashspindle-Not-Executed: 1\r\n");
+  else if (strcmp (action, "moved") == 0)
+    answer (conn, 421, "");
+  else if (strcmp (action, "encoded") == 0)
+    answer (conn, 200, "Content-Encoding: gzip\r\n");
+  else if (strcmp (action, "reset") == 0)
+    close_conn (conn);
+  else if (strcmp (action, "foreign") == 0)
+    {
+      write_raw (conn, "another-request", "Content-Length: 5\r\n", "wrong");
+      answer (conn, 200, "");
+    }
+  else if (strcmp (action, "extra") == 0)
+    {
+      answer (conn, 200, "");
+      write_raw (conn, id, "Content-Length: 5\r\n", "extra");
+    }
+  else if (strcmp (action, "noid") == 0)
+    ash_http_conn_answer (conn, 200, "Ashspindle-Server-Seal: x\r\n", 27, BODY, strlen (BODY));
+  else if (strcmp (action, "unsigned") == 0)
+    {
+      char fields[128];
+
+      snprintf (fields, sizeof fields, "Ashspindle-Attempt-Id: %s\r\n", id);
+      ash_http_conn_answer (conn, 200, fields, strlen (fields), BODY, strlen (BODY));
+    }
+  else if (strcmp (action, "cut") == 0)
+    {
+      write_raw (conn, id, "Content-Length: 100\r\n", BODY);
+      close_conn (conn);
+    }
+  else if (strcmp (action, "unframed") == 0)
+    {
+      write_raw (conn, id, "", BODY);
+      close_conn (conn);
+    }
+  else
+    begin_work (conn, action);
+}
+
+static void
+on_request (struct ash_http_conn *conn)
+{
+  const char *expected = ash_http_field (&conn->reader.head, "Ashspindle-Expect-Instance");
+  char action[16];
+  char gone[32];
+
+  if (strcmp (conn->reader.head.target, "/log") == 0)
+    {
+      ash_http_conn_answer (conn, 200, "", 0, server.log.bytes + server.log.start,
+                            server.log.length);
+      return;
+    }
+  if (strcmp (conn->reader.head.target, "/gone") == 0)
+    {
+      snprintf (gone, sizeof gone, "%u", server.gone);
+      ash_http_conn_answer (conn, 200, "", 0, gone, strlen (gone));
+      return;
+    }
+  /* Another life has this address: it does not run the request. */
+  if (expected && strcmp (expected, server.id) != 0)
+    {
+      answer (conn, 421, "");
+      return;
+    }
+  note (conn);
+  action_of (conn, action);
+  act (conn, action);
+}
+
+static void
+on_gone (struct ash_http_conn *conn)
+{
+  free (conn->request);
+  conn->request = NULL;
+  server.gone++;
+}
+
+static const struct ash_conn_handler handler = { on_request, on_gone, NULL };
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct ash_time now = ash_clock_now ();
+  struct ash_http_conn *conn;
+  struct ash_http_conn *next;
+
+  (void) loop;
+  (void) timer;
+  (void) events;
+  DL_FOREACH_SAFE (server.listener.conns, conn, next)
+    if (conn->request && !conn->dead)
+      go_on (conn, now);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct ev_loop *loop = ev_default_loop (EVFLAG_AUTO);
+  char address[32];
+
+  if (argc != 4)
+    {
+      fprintf (stderr, "usage: standin-server PORT NAME ID\n");
+      return EXIT_FAILURE;
+    }
+  server.name = argv[2];
+  server.id = argv[3];
+  snprintf (address, sizeof address, "127.0.0.1:%s", argv[1]);
+  if (!ash_http_listen (&server.listener, loop, address, &handler, NULL))
+    {
+      perror (address);
+      return EXIT_FAILURE;
+    }
+  ev_timer_init (&server.tick, on_tick, TICK_S, TICK_S);
+  ev_timer_start (loop, &server.tick);
+  ev_run (loop, 0);
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/test/standin_store.c
@@ -0,0 +1,289 @@
+/**
+ * @file
+ * A stand-in of the platform's store, as a process: items with revisions that are
+ * listed page by page and watched. Tests set items and its troubles over HTTP:
+ *
+ *     PUT /put?KEY (body: the value)      PUT /remove?KEY
+ *     PUT /mode?ok | busy | silent | forget (its history is gone)
+ */
+#include "net/http_conn.h"
+
+#include <jansson.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+/* Small pages, so that every listing has several. */
+#define PAGE_ITEMS 3
+#define WATCH_TICK_S 0.01
+#define JSON_FIELDS "Content-Type: application/json\r\n"
+
+struct item
+{
+  char key[128];
+  char *value; /* NULL: removed */
+  uint64_t revision;
+  struct item *prev;
+  struct item *next;
+};
+
+struct store
+{
+  struct ash_http_listener listener;
+  struct item *items; /* every write, the oldest first: the history too */
+  uint64_t revision;
+  uint64_t forgotten; /* no watch from before this */
+  char mode[16];
+  ev_timer tick;
+};
+
+static struct store store;
+
+/* ---- items ---- */
+
+static void
+add_item (const char *key, const char *value)
+{
+  struct item *item = calloc (1, sizeof *item);
+
+  if (!item)
+    abort ();
+  snprintf (item->key, sizeof item->key, "%s", key);
+  item->value = value ? strdup (value) : NULL;
+  item->revision = ++store.revision;
+  DL_APPEND (store.items, item);
+}
+
+/* Whether this write is the last of its key. */
+static bool
+is_newest (const struct item *item)
+{
+  for (const struct item *later = item->next; later; later = later->next)
+    if (strcmp (later->key, item->key) == 0)
+      return false;
+  return true;
+}
+
+static json_t *
+to_json (const struct item *item)
+{
+  size_t value_bytes = item->value ? strlen (item->value) : 0;
+  size_t text_bytes = sodium_base64_ENCODED_LEN (value_bytes, sodium_base64_VARIANT_ORIGINAL);
+  char *text = malloc (text_bytes);
+  json_t *object =
+      json_pack ("{s:s, s:I}", "PrivateKey", item->key, "Revision", (json_int_t) item->revision);
+
+  if (!text || !object)
+    abort ();
+  if (item->value)
+    {
+      sodium_bin2base64 (text, text_bytes, (const uint8_t *) item->value, value_bytes,
+                         sodium_base64_VARIANT_ORIGINAL);
+      json_object_set_new (object, "Value", json_string (text));
+    }
+  else
+    json_object_set_new (object, "Removed", json_true ());
+  free (text);
+  return object;
+}
+
+/* ---- calls ---- */
+
+static void
+answer_json (struct ash_http_conn *conn, json_t *object)
+{
+  char *text = json_dumps (object, JSON_COMPACT);
+
+  ash_http_conn_answer (conn, 200, JSON_FIELDS, strlen (JSON_FIELDS), text, strlen (text));
+  free (text);
+  json_decref (object);
+}
+
+/* A parameter of the query, or an empty text. */
+static const char *
+parameter (const struct ash_http_conn *conn, const char *name)
+{
+  static char value[256];
+  const char *query = strchr (conn->reader.head.target, '?');
+  size_t length = strlen (name);
+
+  *value = '\0';
+  for (const char *at = query; at; at = strchr (at + 1, '&'))
+    if (strncmp (at + 1, name, length) == 0 && at[1 + length] == '=')
+      {
+        snprintf (value, sizeof value, "%s", at + 2 + length);
+        value[strcspn (value, "&")] = '\0';
+        break;
+      }
+  return value;
+}
+
+static void
+answer_range (struct ash_http_conn *conn)
+{
+  char prefix[128];
+  char from[256];
+  json_t *items = json_array ();
+  const char *last = "";
+  bool more = false;
+
+  snprintf (prefix, sizeof prefix, "%s", parameter (conn, "PathPrefix"));
+  snprintf (from, sizeof from, "%s", parameter (conn, "SinceRevision"));
+  /* In the order of keys: the smallest that is above the last one, again and again. */
+  for (;;)
+    {
+      const struct item *item;
+      const struct item *next = NULL;
+
+      DL_FOREACH (store.items, item)
+        if (item->value && is_newest (item) && strncmp (item->key, prefix, strlen (prefix)) == 0 &&
+            strcmp (item->key, from) >= 0 && strcmp (item->key, last) > 0 &&
+            (!next || strcmp (item->key, next->key) < 0))
+          next = item;
+      if (!next)
+        break;
+      if (json_array_size (items) == PAGE_ITEMS)
+        {
+          more = true;
+          break;
+        }
+      json_array_append_new (items, to_json (next));
+      last = next->key;
+    }
+  answer_json (conn, json_pack ("{s:o, s:b, s:I}", "Items", items, "MorePages", more,
+                                "StoreRevision", (json_int_t) store.revision));
+}
+
+/* @return whether there was something to answer with. */
+static bool
+answer_watch (struct ash_http_conn *conn, bool due)
+{
+  char prefix[128];
+  uint64_t since = strtoull (parameter (conn, "SinceRevision"), NULL, 10);
+  json_t *events = json_array ();
+  const struct item *item;
+
+  snprintf (prefix, sizeof prefix, "%s", parameter (conn, "PathPrefix"));
+  DL_FOREACH (store.items, item)
+    if (item->revision > since && strncmp (item->key, prefix, strlen (prefix)) == 0)
+      json_array_append_new (events, to_json (item));
+  if (!json_array_size (events) && !due)
+    {
+      json_decref (events);
+      return false;
+    }
+  answer_json (conn, json_pack ("{s:o, s:I}", "events", events, "StoreRevision",
+                                (json_int_t) store.revision));
+  return true;
+}
+
+static void
+begin_watch (struct ash_http_conn *conn)
+{
+  uint64_t since = strtoull (parameter (conn, "SinceRevision"), NULL, 10);
+
+  if (since < store.forgotten)
+    ash_http_conn_answer (conn, 410, "", 0, "", 0);
+  else if (!answer_watch (conn, false))
+    conn->request = conn; /* answered by the tick */
+}
+
+static void
+control (struct ash_http_conn *conn, const char *target)
+{
+  const char *argument = strchr (target, '?');
+  char *body = strndup ((const char *) conn->body.bytes + conn->body.start, conn->body.length);
+
+  argument = argument ? argument + 1 : "";
+  if (strncmp (target, "/put", 4) == 0)
+    add_item (argument, body);
+  else if (strncmp (target, "/remove", 7) == 0)
+    add_item (argument, NULL);
+  else if (strcmp (argument, "forget") == 0)
+    store.forgotten = store.revision;
+  else
+    snprintf (store.mode, sizeof store.mode, "%s", argument);
+  free (body);
+  ash_http_conn_answer (conn, 200, "", 0, "", 0);
+}
+
+static void
+on_request (struct ash_http_conn *conn)
+{
+  const char *target = conn->reader.head.target;
+
+  if (strcmp (conn->reader.head.method, "PUT") == 0)
+    control (conn, target);
+  else if (strcmp (store.mode, "busy") == 0)
+    ash_http_conn_answer (conn, 503, "", 0, "", 0);
+  else if (strcmp (store.mode, "silent") == 0)
+    return;
+  else if (strncmp (target, "/kv-range", 9) == 0)
+    answer_range (conn);
+  else if (strncmp (target, "/kv-watch", 9) == 0)
+    begin_watch (conn);
+  else
+    ash_http_conn_answer (conn, 404, "", 0, "", 0);
+}
+
+static void
+on_gone (struct ash_http_conn *conn)
+{
+  conn->request = NULL;
+}
+
+static const struct ash_conn_handler handler = { on_request, on_gone, NULL };
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct ash_time now = ash_clock_now ();
+  struct ash_http_conn *conn;
+  struct ash_http_conn *next;
+
+  (void) loop;
+  (void) timer;
+  (void) events;
+  DL_FOREACH_SAFE (store.listener.conns, conn, next)
+    {
+      int64_t wait_ms;
+
+      if (!conn->request || conn->dead)
+        continue;
+      wait_ms = strtoll (parameter (conn, "WaitMs"), NULL, 10);
+      if (strcmp (store.mode, "ok") != 0)
+        {
+          conn->request = NULL;
+          ash_stream_reset (&conn->stream);
+          conn->dead = true;
+        }
+      else if (answer_watch (conn, ash_time_diff (conn->since, now) >= wait_ms))
+        conn->request = NULL;
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  struct ev_loop *loop = ev_default_loop (EVFLAG_AUTO);
+  char address[32];
+
+  if (argc != 2 || sodium_init () < 0)
+    {
+      fprintf (stderr, "usage: standin-store PORT\n");
+      return EXIT_FAILURE;
+    }
+  snprintf (store.mode, sizeof store.mode, "ok");
+  snprintf (address, sizeof address, "127.0.0.1:%s", argv[1]);
+  if (!ash_http_listen (&store.listener, loop, address, &handler, NULL))
+    {
+      perror (address);
+      return EXIT_FAILURE;
+    }
+  ev_timer_init (&store.tick, on_tick, WATCH_TICK_S, WATCH_TICK_S);
+  ev_timer_start (loop, &store.tick);
+  ev_run (loop, 0);
+  return EXIT_SUCCESS;
+}
