map_switch: each router holds at a rank of its own; a finisher arms only what all can take

Change: holds at a rank by the router's place among the known names; a finisher looks whether every rank has or can take the version, else disarms; a group that has requests and no steps is asked at all ranks.

--- a/controllers/map_switch.c
+++ b/controllers/map_switch.c
@@ -71,9 +71,16 @@
 }
 
 void
-ash_map_switch_init (struct ash_map_switch *sw, uint32_t rank_count, uint32_t lag_ms)
+ash_map_switch_init (struct ash_map_switch *sw,
+                     uint32_t rank_count,
+                     uint32_t lag_ms,
+                     uint32_t own_rank)
 {
-  *sw = (struct ash_map_switch){ .rank_count = rank_count, .lag_ms = lag_ms };
+  *sw = (struct ash_map_switch){
+    .rank_count = rank_count,
+    .lag_ms = lag_ms,
+    .own_rank = own_rank % rank_count,
+  };
 }
 
 /* ---- reports ---- */
@@ -92,19 +99,24 @@
 {
   uint32_t rank_count = sw->rank_count;
   uint32_t lag_ms = sw->lag_ms;
+  uint32_t own_rank = sw->own_rank;
   bool under_way = sw->phase != ASH_MAP_IDLE;
 
   /* All orders of the former epoch are refused from now on. */
-  ash_map_switch_init (sw, rank_count, lag_ms);
+  ash_map_switch_init (sw, rank_count, lag_ms, own_rank);
   sw->epoch = epoch;
   sw->phase_began = now;
   sw->result = under_way ? ASH_MAP_VOID : ASH_MAP_NONE;
 }
 
 static bool
-own_hold (const struct ash_map_switch *sw, struct ash_time now, uint64_t held)
+own_hold (const struct ash_map_switch *sw,
+          struct ash_time now,
+          const struct ash_rank_report *report)
 {
-  if (sw->phase >= ASH_MAP_HOLD && held == sw->step)
+  uint64_t held = report->held;
+
+  if (sw->phase >= ASH_MAP_HOLD && held == sw->step && report->rank == sw->holder)
     return true;
   return held == sw->released && ash_time_diff (sw->released_at, now) < RELEASED_MS;
 }
@@ -112,14 +124,14 @@
 static void
 note_hold (struct ash_map_switch *sw, struct ash_time now, const struct ash_rank_report *report)
 {
-  if (report->held && !own_hold (sw, now, report->held))
+  if (report->held && !own_hold (sw, now, report))
     {
       if (sw->foreign_held != report->held)
         sw->foreign_since = now;
       sw->foreign_held = report->held;
-      sw->holder = report->rank;
+      sw->foreign_rank = report->rank;
     }
-  else if (sw->foreign_held && report->rank == sw->holder)
+  else if (sw->foreign_held && report->rank == sw->foreign_rank)
     sw->foreign_held = 0;
 }
 
@@ -252,7 +264,7 @@
 begin_hold (struct ash_map_switch *sw, struct ash_time now)
 {
   enter (sw, now, ASH_MAP_HOLD);
-  sw->holder = 0;
+  sw->holder = sw->own_rank;
   sw->step = step_now (sw, now) + STEPS_AHEAD;
   sw->holds++;
 }
@@ -272,6 +284,16 @@
   return prepared > sw->ranks[0].report.map ? prepared : 0;
 }
 
+/* Whether every rank has that version, or can still take it. */
+static bool
+all_can_arm (const struct ash_map_switch *sw, uint64_t version)
+{
+  for (uint32_t i = 0; i < sw->rank_count; i++)
+    if (sw->ranks[i].report.armed != version && sw->ranks[i].report.prepared != version)
+      return false;
+  return true;
+}
+
 /* The reports that tell what another router had done must be newer than its hold. */
 static bool
 reported_since (const struct ash_map_switch *sw, struct ash_time since)
@@ -290,10 +312,14 @@
     return;
   sw->version = version_to_finish (sw);
   sw->step = sw->foreign_held;
+  sw->holder = sw->foreign_rank;
   sw->foreign_held = 0;
   sw->finishing = true;
   sw->began = now;
-  enter (sw, now, sw->version ? ASH_MAP_ARM : ASH_MAP_GO);
+  if (!sw->version)
+    enter (sw, now, ASH_MAP_GO);
+  else
+    enter (sw, now, all_can_arm (sw, sw->version) ? ASH_MAP_ARM : ASH_MAP_DISARM);
 }
 
 /* Whether a rank will never take the version: it refuses, and what it has prepared is
@@ -499,6 +525,15 @@
   return count;
 }
 
+/* Requests are at work, and yet no step begins: some rank may be held. */
+static bool
+stands_still (const struct ash_map_switch *sw, struct ash_time now)
+{
+  const struct ash_rank_report *first = &sw->ranks[0].report;
+
+  return first->active && ash_time_diff (sw->last_step_at, now) > MOVING_MS;
+}
+
 bool
 ash_map_switch_wants_report (const struct ash_map_switch *sw, struct ash_time now, uint32_t rank)
 {
@@ -509,8 +544,7 @@
     return age_ms >= REPORT_SOON_MS;
   if (sw->phase == ASH_MAP_ARM && known->refusals)
     return age_ms >= REPORT_SOON_MS;
-  if (sw->foreign_held ||
-      (sw->phase == ASH_MAP_PREPARE && all_answered (sw) && known->report.prepared != sw->version))
+  if (sw->foreign_held || stands_still (sw, now))
     return age_ms >= REPORT_SOON_MS;
   return age_ms >= (rank == 0 ? REPORT_FIRST_MS : REPORT_ALL_MS);
 }
--- a/controllers/map_switch.h
+++ b/controllers/map_switch.h
@@ -10,7 +10,8 @@
  *    forward until all have taken it. Where a rank can't (another router's preparation
  *    came between), all are disarmed and the version is dead;
  *  - a late hold or arm finds its step begun and is refused;
- *  - versions are never used twice, also not by two routers (ash_map_switch_version()).
+ *  - versions are never used twice, also not by two routers (ash_map_switch_version());
+ *  - each router holds at a rank of its own, so that one can't let go what another holds.
  *
  * A router that dies between hold and go leaves the group standing. Whoever sees a
  * hold that is not its own finishes: it arms what is armed somewhere, or prepared
@@ -66,11 +67,12 @@
   uint32_t lag_ms; /**< how old a report is when it comes */
   enum ash_map_phase phase;
   enum ash_map_result result;
-  uint64_t version; /**< being changed to */
-  uint64_t step;    /**< being held */
-  uint32_t holder;  /**< rank that holds it */
-  bool finishing;   /**< what another router had begun */
-  uint32_t holds;   /**< tried in this change */
+  uint64_t version;  /**< being changed to */
+  uint64_t step;     /**< being held */
+  uint32_t own_rank; /**< where this router holds steps */
+  uint32_t holder;   /**< rank that holds it */
+  bool finishing;    /**< what another router had begun */
+  uint32_t holds;    /**< tried in this change */
   struct ash_time began;
   struct ash_time phase_began;
   double pass_ms; /**< time of a pass, as last seen; 0: not known */
@@ -79,11 +81,19 @@
   uint64_t released;            /**< the last step let go here */
   struct ash_time released_at;
   uint64_t foreign_held; /**< a hold that is not this router's */
+  uint32_t foreign_rank; /**< where */
   struct ash_time foreign_since;
   struct ash_map_rank ranks[ASH_LAYER_RANKS_MAX];
 };
 
-void ash_map_switch_init (struct ash_map_switch *sw, uint32_t rank_count, uint32_t lag_ms);
+/**
+ * @param own_rank where this router holds steps. A rank does not tell whose hold it has;
+ * so no two routers that may lead should hold at the same one.
+ */
+void ash_map_switch_init (struct ash_map_switch *sw,
+                          uint32_t rank_count,
+                          uint32_t lag_ms,
+                          uint32_t own_rank);
 
 /** A rank has told how it stands. */
 void ash_map_switch_report (struct ash_map_switch *sw,
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -423,6 +423,16 @@
   return 2 * seen > known || (2 * seen == known && first_of_all);
 }
 
+uint32_t
+ash_fleet_index (const struct ash_fleet *fleet)
+{
+  uint32_t before = 0;
+
+  for (const struct ash_fleet_peer *peer = fleet->peers; peer; peer = peer->hh.next)
+    before += strcmp (peer->box, fleet->router->settings.box) < 0;
+  return before;
+}
+
 uint32_t
 ash_fleet_size (const struct ash_fleet *fleet)
 {
--- a/daemon/fleet.h
+++ b/daemon/fleet.h
@@ -69,6 +69,9 @@
  */
 bool ash_fleet_leads (const struct ash_fleet *fleet);
 
+/** @return this router's place by name among all that are known. */
+uint32_t ash_fleet_index (const struct ash_fleet *fleet);
+
 /** @return how many routers share the fleet's bounds, this one included. */
 uint32_t ash_fleet_size (const struct ash_fleet *fleet);
 
--- a/daemon/groups.c
+++ b/daemon/groups.c
@@ -152,7 +152,8 @@
   if (!group)
     return NULL;
   snprintf (group->name, sizeof group->name, "%s", report->group);
-  ash_map_switch_init (&group->sw, report->rank_count, service->engine.report_lag_ms);
+  ash_map_switch_init (&group->sw, report->rank_count, service->engine.report_lag_ms,
+                       ash_fleet_index (&groups->router->fleet));
   init_map (service, group);
   HASH_ADD_STR (groups->groups, name, group);
   return group;
