--- a/controllers/direct.c
+++ b/controllers/direct.c
@@ -21,6 +21,19 @@
 /* It is full: others may have room, and it will have room soon. */
 #define FULL_MS 60
 
+/* Part of the newest pause in the mean: a dozen of them, a pass or two of some streams. */
+#define PAUSE_NEWEST 0.1
+
+/* Pauses seen so long ago tell nothing any more. */
+#define PAUSE_OLD_MS 1500
+
+/* The cap is for passes that take this part of the longest good pause: passes vary, and one
+ * that is too long spoils a stream. */
+#define PAUSE_PART 0.75
+
+/* A cap falls to this part at most: then waiting longer costs more than it helps. */
+#define CAP_LEAST_PART 0.5
+
 void
 ash_direct_init (struct ash_direct_set *set, uint64_t seed)
 {
@@ -180,6 +193,24 @@
     }
 }
 
+static bool
+knows_pause (const struct ash_direct_endpoint *endpoint, struct ash_time now)
+{
+  return endpoint->pause_ms > 0 && ash_time_diff (endpoint->pause_seen, now) < PAUSE_OLD_MS;
+}
+
+void
+ash_direct_paused (struct ash_direct_endpoint *endpoint, struct ash_time now, int64_t pause_ms)
+{
+  double pause = (double) pause_ms;
+
+  if (knows_pause (endpoint, now))
+    endpoint->pause_ms += PAUSE_NEWEST * (pause - endpoint->pause_ms);
+  else
+    endpoint->pause_ms = pause;
+  endpoint->pause_seen = now;
+}
+
 bool
 ash_direct_usable (const struct ash_direct_endpoint *endpoint)
 {
@@ -195,11 +226,28 @@
   return false;
 }
 
+/* How many requests it may have now: fewer where streams flow too slowly, more where they
+ * flow faster than they need to. */
+static uint32_t
+cap_now (const struct ash_direct_endpoint *endpoint,
+         const struct ash_direct_wish *wish,
+         struct ash_time now)
+{
+  double cap = wish->cap;
+
+  if (!wish->pause_aim_ms || !knows_pause (endpoint, now))
+    return wish->cap;
+  cap *= PAUSE_PART * wish->pause_aim_ms / endpoint->pause_ms;
+  if (cap < CAP_LEAST_PART * wish->cap)
+    cap = CAP_LEAST_PART * wish->cap;
+  return cap > wish->cap_most ? wish->cap_most : (uint32_t) (cap + 0.5);
+}
+
 /* What a choice goes by; the first difference decides. */
 struct rank
 {
   bool passed;
-  uint32_t load;
+  double work; /* the next request's part of what the endpoint does */
 };
 
 static int
@@ -207,8 +255,8 @@
 {
   if (a.passed != b.passed)
     return a.passed ? 1 : -1;
-  if (a.load != b.load)
-    return a.load > b.load ? 1 : -1;
+  if (a.work != b.work)
+    return a.work > b.work ? 1 : -1;
   return 0;
 }
 
@@ -218,7 +266,7 @@
                    const struct ash_direct_wish *wish,
                    struct ash_direct_endpoint **chosen)
 {
-  struct rank best = { true, UINT32_MAX };
+  struct rank best = { true, 0 };
   uint32_t equals = 0;
   bool any = false;
 
@@ -227,16 +275,18 @@
        endpoint = endpoint->hh.next)
     {
       uint32_t load = endpoint->in_flight + endpoint->elsewhere;
-      struct rank rank = { ash_time_before (now, endpoint->passed_until) || endpoint->group_broken,
-                           load };
+      struct rank rank = { ash_time_before (now, endpoint->passed_until), load + 1.0 };
       int order;
 
       if (!ash_direct_usable (endpoint) || strcmp (endpoint->facts.service, wish->service) != 0 ||
           was_tried (wish, endpoint->hash))
         continue;
       any = true;
-      if (load >= wish->cap)
+      if (load >= cap_now (endpoint, wish, now))
         continue;
+      if (wish->pause_aim_ms)
+        rank.work *=
+            knows_pause (endpoint, now) ? endpoint->pause_ms : PAUSE_PART * wish->pause_aim_ms;
       order = *chosen ? compare (rank, best) : -1;
       equals = order < 0 ? 1 : equals + (order == 0);
       if (order < 0 || (order == 0 && ash_random_below (&set->random, equals) == 0))
--- a/controllers/direct.h
+++ b/controllers/direct.h
@@ -48,7 +48,8 @@
   uint32_t elsewhere;           /**< of its peers, as they last said */
   uint32_t failures;            /**< in a row */
   struct ash_time passed_until; /**< others are taken until then */
-  bool group_broken;            /**< its group of ranks stands still */
+  double pause_ms;              /**< between events of streams there, smoothed; 0: not known */
+  struct ash_time pause_seen;   /**< when a pause was last seen */
   void *owner;                  /**< of the task that has connections to it */
   UT_hash_handle hh;
 };
@@ -105,6 +106,10 @@
                      struct ash_time now,
                      enum ash_direct_evidence evidence);
 
+/** A stream there has paused so long between two events. */
+void
+ash_direct_paused (struct ash_direct_endpoint *endpoint, struct ash_time now, int64_t pause_ms);
+
 /** @return whether it may be sent new work. */
 bool ash_direct_usable (const struct ash_direct_endpoint *endpoint);
 
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -424,6 +424,19 @@
   return true;
 }
 
+/* The pause since the event before says how fast the endpoint's passes are. */
+static void
+note_pause (struct ash_exchange *exchange)
+{
+  int64_t pause_ms = ash_time_diff (exchange->passed, exchange->heard);
+
+  /* Two events that came at once are of one pass. */
+  if (pause_ms < 1)
+    return;
+  ash_direct_paused (exchange->endpoint, exchange->heard, pause_ms);
+  ash_groups_pause (&exchange->router->groups, exchange->endpoint->hash, pause_ms);
+}
+
 static void
 pass_events (struct ash_exchange *exchange)
 {
@@ -441,8 +454,7 @@
           ash_http_conn_write (exchange->conn, event.bytes, event.length);
         }
       if (exchange->has_event && !old)
-        ash_groups_pause (&exchange->router->groups, exchange->endpoint->hash,
-                          ash_time_diff (exchange->passed, exchange->heard));
+        note_pause (exchange);
       if (!old)
         exchange->passed = exchange->heard;
       if (event.has_id && !old)
@@ -678,6 +690,8 @@
     .aim_ms = route->aim_ms,
     .service = service->name,
     .cap = cap_of (router, service),
+    .cap_most = service->has_engine ? service->engine.slots : 0,
+    .pause_aim_ms = service->has_engine ? route->pause_aim_ms : 0,
     .came = ash_clock_now (),
   };
   forward->deadline = ash_time_add (forward->came, (int64_t) most_ms - DEADLINE_MARGIN_MS);
