--- a/controllers/direct.c
+++ b/controllers/direct.c
@@ -226,8 +226,9 @@
   return false;
 }
 
-/* How many requests it may have now: fewer where streams flow too slowly, more where they
- * flow faster than they need to. */
+/* How many requests it may have now: fewer where streams flow too slowly. Not more where
+ * they flow fast: what is asked for may shift at any moment, and then passes take twice as
+ * long until the map has followed. */
 static uint32_t
 cap_now (const struct ash_direct_endpoint *endpoint,
          const struct ash_direct_wish *wish,
@@ -240,7 +241,7 @@
   cap *= PAUSE_PART * wish->pause_aim_ms / endpoint->pause_ms;
   if (cap < CAP_LEAST_PART * wish->cap)
     cap = CAP_LEAST_PART * wish->cap;
-  return cap > wish->cap_most ? wish->cap_most : (uint32_t) (cap + 0.5);
+  return cap > wish->cap ? wish->cap : (uint32_t) (cap + 0.5);
 }
 
 /* What a choice goes by; the first difference decides. */
--- a/controllers/direct.h
+++ b/controllers/direct.h
@@ -126,7 +126,6 @@
 {
   const char *service;
   uint32_t cap;          /**< requests that one endpoint may have at once */
-  uint32_t cap_most;     /**< the same where streams flow faster than they need to */
   uint32_t pause_aim_ms; /**< longest pause that is good; 0: the cap holds as it is */
   const uint64_t *tried; /**< hashes of those not to be taken */
   uint32_t tried_count;
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -690,7 +690,6 @@
     .aim_ms = route->aim_ms,
     .service = service->name,
     .cap = cap_of (router, service),
-    .cap_most = service->has_engine ? service->engine.slots : 0,
     .pause_aim_ms = service->has_engine ? route->pause_aim_ms : 0,
     .came = ash_clock_now (),
   };
--- a/daemon/groups.c
+++ b/daemon/groups.c
@@ -30,9 +30,6 @@
 
 #define BITS_PER_MB 8.0
 
-/* From the first request to the first look at the counts: some requests must have chosen. */
-#define FIRST_LOOK_MS 250
-
 /* Within so many passes of an epoch all counts are of what is asked for now. */
 #define FIRST_PASSES 40
 
@@ -529,16 +526,11 @@
     }
 }
 
-/* Whether any requests are at work, by the routers' own word: reports come later. */
 static bool
 has_begun (const struct ash_groups *groups)
 {
-  const struct ash_direct_endpoint *endpoint = groups->router->endpoints.endpoints;
-  const struct ash_route_service *service = expert_service (groups);
-
-  for (; endpoint && service; endpoint = endpoint->hh.next)
-    if (endpoint->in_flight + endpoint->elsewhere &&
-        strcmp (endpoint->facts.service, service->name) == 0)
+  for (const struct ash_rank_group *group = groups->groups; group; group = group->hh.next)
+    if (group->sw.last_step)
       return true;
   return false;
 }
@@ -617,8 +609,6 @@
 {
   int64_t since_ms = ash_time_diff (groups->decided, now);
 
-  if (!groups->policy->reports && ash_time_diff (groups->begun, now) < FIRST_LOOK_MS)
-    return;
   if (!groups->policy->reports)
     {
       ask_counts (groups);
@@ -643,12 +633,7 @@
   bool here = !groups->counts_awaited || since_ms > COUNTS_WAIT_MS;
 
   if (!groups->boxes || !has_begun (groups) || !open_policy (groups))
-    {
-      groups->begun = ASH_TIME_NEVER;
-      return;
-    }
-  if (ash_time_before (now, groups->begun))
-    groups->begun = now;
+    return;
   switch (groups->counts_state)
     {
     case ASH_COUNTS_RESTING:
--- a/daemon/groups.h
+++ b/daemon/groups.h
@@ -40,7 +40,6 @@
   uint32_t counts_turn; /**< ranks are asked by turns */
   double *counts;       /**< new since the last decision */
   struct ash_time decided;
-  struct ash_time begun; /**< when requests came to work; never: none are */
   uint64_t orders; /**< sent */
   uint64_t reads;  /**< numbers read */
 };
--- a/filters/forward.c
+++ b/filters/forward.c
@@ -83,7 +83,6 @@
   struct ash_direct_wish wish = {
     .service = forward->service,
     .cap = forward->cap,
-    .cap_most = forward->cap_most,
     .pause_aim_ms = forward->pause_aim_ms,
     .tried = forward->tried,
     .tried_count = forward->tried_count,
--- a/filters/forward.h
+++ b/filters/forward.h
@@ -56,8 +56,7 @@
   uint32_t priority;
   uint32_t aim_ms;
   const char *service;
-  uint32_t cap;      /**< requests that an endpoint may have when this one is sent there */
-  uint32_t cap_most; /**< the same where streams flow faster than they need to */
+  uint32_t cap; /**< requests that an endpoint may have when this one is sent there */
   uint32_t pause_aim_ms;
   struct ash_time came;
   struct ash_time deadline; /**< the final answer is due */
