--- a/daemon/groups.c
+++ b/daemon/groups.c
@@ -281,6 +281,7 @@
       ash_log_event (&box->groups->router->log, ASH_EV_MAP_GIVEN_UP,
                      "group=%s rank=%u why=\"unreadable lists\" bytes=%zu", group->name, box->rank,
                      call->answer.length);
+      forget_map (group);
       return;
     }
   /* Parts of two maps do not make one. */
--- a/test/unit.c
+++ b/test/unit.c
@@ -702,6 +702,7 @@
   CU_add_test (suite, "texts: metrics", test_metrics);
   add_declared_tests (suite);
   add_config_tests (suite);
+  add_router_tests (suite);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
--- a/test/unit.h
+++ b/test/unit.h
@@ -13,4 +13,7 @@
 /** How a configuration spreads, and a box that sees few others. */
 void add_config_tests (CU_pSuite suite);
 
+/** The router's cores, and the platform's formats. */
+void add_router_tests (CU_pSuite suite);
+
 #endif
--- /dev/null
+++ b/test/unit_router.c
@@ -0,0 +1,726 @@
+/**
+ * @file
+ * Unit tests of the router's cores: routes, endpoints, forwarding, the bound on
+ * resends, event streams, expert maps of several layers, and the platform's formats.
+ */
+#include "controllers/layer_policy.h"
+#include "controllers/pass_watch.h"
+#include "filters/forward.h"
+#include "net/event_stream.h"
+#include "net/http_message.h"
+#include "platform/config.h"
+#include "platform/directory.h"
+#include "platform/message.h"
+#include "platform/rank.h"
+#include "platform/store.h"
+#include "test/unit.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static struct ash_time
+at (int64_t ms)
+{
+  return (struct ash_time){ ms };
+}
+
+/* ---- routes ---- */
+
+#define SERVICES "\"Services\":[{\"Name\":\"a\"},{\"Name\":\"b\"}]"
+#define ROUTE(name, prefix, service)                                                               \
+  "{\"Name\":\"" name "\",\"Host\":\"H.example\",\"PathPrefix\":\"" prefix                         \
+  "\",\"RouteKind\":\"safe\",\"Service\":\"" service "\"}"
+
+static void
+read_table (struct ash_route_table *table, const char *text, uint32_t findings_wanted)
+{
+  struct ash_findings findings;
+
+  ash_route_table_init (table);
+  ash_findings_init (&findings, "configuration");
+  ash_platform_config_read (table, text, strlen (text), &findings);
+  CU_ASSERT_EQUAL (findings.count, findings_wanted);
+  ash_findings_finish (&findings);
+}
+
+static void
+test_routes (void)
+{
+  struct ash_route_table table;
+
+  read_table (&table,
+              "{\"Version\":4," SERVICES ",\"Routes\":[" ROUTE ("r1", "/", "a") "," ROUTE (
+                  "r2", "/x/", "b") "," ROUTE ("r3", "/x/y/", "a") "],"
+                                                                   "\"Tenants\":[{\"Name\":\"t\","
+                                                                   "\"ApiKeys\":[\"k2\",\"k1\"]}]}",
+              0);
+  /* The longest prefix of the path, whatever the query and the host's case and port. */
+  CU_ASSERT_STRING_EQUAL (ash_route_table_find (&table, "h.example", "/x/y/z?/x/")->name, "r3");
+  CU_ASSERT_STRING_EQUAL (ash_route_table_find (&table, "h.EXAMPLE:80", "/x/z")->name, "r2");
+  CU_ASSERT_STRING_EQUAL (ash_route_table_find (&table, "h.example", "/x?/x/y/")->name, "r1");
+  CU_ASSERT_PTR_NULL (ash_route_table_find (&table, "h.exampl", "/x/"));
+  CU_ASSERT_PTR_NULL (ash_route_table_find (&table, "h.examples", "/x/"));
+  CU_ASSERT_STRING_EQUAL (ash_route_table_account (&table, "k1")->name, "t");
+  CU_ASSERT_PTR_NULL (ash_route_table_account (&table, "k"));
+  ash_route_table_finish (&table);
+}
+
+static void
+test_route_parts (void)
+{
+  struct ash_route_table table;
+  uint32_t drawn[2] = { 0 };
+
+  read_table (&table,
+              "{\"Version\":4," SERVICES ",\"Routes\":[{\"Host\":\"h\",\"PathPrefix\":\"/\","
+              "\"RouteKind\":\"streaming\",\"Resumable\":true,\"Split\":[{\"Service\":\"a\","
+              "\"Weight\":90},{\"Service\":\"b\",\"Weight\":10}]}]}",
+              0);
+  CU_ASSERT (table.routes[0].stream && table.routes[0].resumable);
+  CU_ASSERT_EQUAL (table.routes[0].repeat, ASH_REPEAT_SAFE);
+  for (uint64_t draw = 0; draw < 1000; draw++)
+    drawn[ash_route_table_draw (&table, &table.routes[0], draw)]++;
+  CU_ASSERT (drawn[0] == 900 && drawn[1] == 100);
+  ash_route_table_finish (&table);
+}
+
+static void
+test_bad_tables (void)
+{
+  struct ash_route_table table;
+
+  /* All findings at once. */
+  read_table (&table, "{\"Services\":[{}],\"Routes\":[{}],\"Tenants\":[{}]}", 6);
+  ash_route_table_finish (&table);
+  read_table (&table, "[1,", 1);
+  ash_route_table_finish (&table);
+  read_table (&table, "7", 1);
+  ash_route_table_finish (&table);
+}
+
+/* ---- endpoints ---- */
+
+static struct ash_direct_endpoint *
+list (struct ash_direct_set *set, const char *id, bool draining)
+{
+  struct ash_direct_facts facts = { .service = "s", .address = "127.0.0.1:1", .slots = 4 };
+
+  snprintf (facts.id, sizeof facts.id, "%s", id);
+  facts.draining = draining;
+  ash_direct_listed (set, &facts);
+  return ash_direct_find (set, id);
+}
+
+static const char *
+choose (struct ash_direct_set *set, struct ash_time now, uint32_t cap, uint32_t pause_aim_ms)
+{
+  struct ash_direct_wish wish = { .service = "s", .cap = cap, .pause_aim_ms = pause_aim_ms };
+  struct ash_direct_endpoint *chosen;
+
+  return ash_direct_choose (set, now, &wish, &chosen) == ASH_DIRECT_CHOSEN ? chosen->facts.id : "-";
+}
+
+static void
+test_choice (void)
+{
+  struct ash_direct_set set;
+  struct ash_direct_endpoint *a;
+  struct ash_direct_endpoint *b;
+
+  ash_direct_init (&set, 1);
+  CU_ASSERT_STRING_EQUAL (choose (&set, at (0), 9, 0), "-");
+  a = list (&set, "a", false);
+  b = list (&set, "b", false);
+  a->in_flight = 2;
+  b->elsewhere = 1;
+  CU_ASSERT_STRING_EQUAL (choose (&set, at (0), 9, 0), "b");
+  /* One that failed is passed over for a while, and is taken if there is no other. */
+  ash_direct_saw (b, at (1000), ASH_DIRECT_CUT);
+  CU_ASSERT_STRING_EQUAL (choose (&set, at (1001), 9, 0), "a");
+  CU_ASSERT_STRING_EQUAL (choose (&set, at (1001), 2, 0), "b");
+  CU_ASSERT_STRING_EQUAL (choose (&set, at (1300), 9, 0), "b");
+  /* Longer with each failure in a row, and not after an answer. */
+  ash_direct_saw (b, at (2000), ASH_DIRECT_SILENT);
+  CU_ASSERT_STRING_EQUAL (choose (&set, at (2400), 9, 0), "a");
+  ash_direct_saw (b, at (2500), ASH_DIRECT_ANSWERED);
+  CU_ASSERT_STRING_EQUAL (choose (&set, at (2600), 9, 0), "b");
+  /* An answer that says it failed may be the request's own fault. */
+  ash_direct_saw (b, at (3000), ASH_DIRECT_FAILED);
+  CU_ASSERT_STRING_EQUAL (choose (&set, at (3001), 9, 0), "b");
+  b->facts.draining = true;
+  CU_ASSERT_STRING_EQUAL (choose (&set, at (4000), 9, 0), "a");
+  CU_ASSERT_STRING_EQUAL (choose (&set, at (4000), 2, 0), "-");
+  ash_direct_finish (&set);
+}
+
+static void
+test_pauses (void)
+{
+  struct ash_direct_set set;
+  struct ash_direct_endpoint *a;
+  struct ash_direct_endpoint *b;
+
+  ash_direct_init (&set, 1);
+  a = list (&set, "a", false);
+  b = list (&set, "b", false);
+  a->in_flight = 3;
+  b->in_flight = 4;
+  CU_ASSERT_STRING_EQUAL (choose (&set, at (100), 8, 120), "a");
+  /* Where streams pause twice as long, a request costs twice as much. */
+  for (int i = 0; i < 40; i++)
+    {
+      ash_direct_paused (a, at (100), 120);
+      ash_direct_paused (b, at (100), 60);
+    }
+  CU_ASSERT_STRING_EQUAL (choose (&set, at (100), 8, 120), "b");
+  /* And it may have fewer: half of the cap at least. */
+  b->in_flight = 8;
+  a->in_flight = 5;
+  CU_ASSERT_STRING_EQUAL (choose (&set, at (100), 8, 120), "a");
+  a->in_flight = 6;
+  CU_ASSERT_STRING_EQUAL (choose (&set, at (100), 8, 120), "-");
+  /* What was seen long ago tells nothing. */
+  CU_ASSERT_STRING_EQUAL (choose (&set, at (5000), 8, 120), "a");
+  ash_direct_finish (&set);
+}
+
+static void
+test_lapsing (void)
+{
+  struct ash_direct_set set;
+
+  ash_direct_init (&set, 1);
+  list (&set, "a", false);
+  list (&set, "b", false);
+  /* The list could not be trusted: used on for a while, and again if it comes back. */
+  CU_ASSERT (ash_direct_removed (&set, "a", false, at (500)));
+  CU_ASSERT (ash_direct_usable (ash_direct_find (&set, "a")));
+  ash_direct_tick (&set, at (400));
+  list (&set, "a", false);
+  ash_direct_tick (&set, at (600));
+  CU_ASSERT (ash_direct_usable (ash_direct_find (&set, "a")));
+  CU_ASSERT (ash_direct_removed (&set, "a", false, at (900)));
+  ash_direct_tick (&set, at (901));
+  CU_ASSERT_PTR_NULL (ash_direct_find (&set, "a"));
+  /* Trusted: gone at once, and kept until its work has ended. */
+  ash_direct_find (&set, "b")->in_flight = 1;
+  CU_ASSERT (ash_direct_removed (&set, "b", true, at (0)));
+  ash_direct_tick (&set, at (1000));
+  CU_ASSERT_FALSE (ash_direct_usable (ash_direct_find (&set, "b")));
+  ash_direct_find (&set, "b")->in_flight = 0;
+  ash_direct_tick (&set, at (1001));
+  CU_ASSERT_PTR_NULL (ash_direct_find (&set, "b"));
+  /* One that said it was leaving has left, whatever is trusted. */
+  list (&set, "c", true);
+  CU_ASSERT (ash_direct_removed (&set, "c", false, at (9000)));
+  CU_ASSERT_EQUAL (ash_direct_find (&set, "c")->presence, ASH_DIRECT_GONE);
+  ash_direct_finish (&set);
+}
+
+/* ---- forwarding ---- */
+
+struct forward_test
+{
+  struct ash_direct_set set;
+  struct ash_resend_window window;
+  struct ash_forward_world world;
+  struct ash_forward forward;
+};
+
+static void
+begin_forward (struct forward_test *test, enum ash_repeat repeat)
+{
+  *test = (struct forward_test){ 0 };
+  ash_direct_init (&test->set, 1);
+  list (&test->set, "a", false);
+  list (&test->set, "b", false);
+  test->world = (struct ash_forward_world){
+    .endpoints = &test->set,
+    .window = &test->window,
+    .bound = { 10000, 0.2, 20 },
+    .entries = 1,
+    .wait_ms = 80,
+  };
+  test->forward = (struct ash_forward){
+    .repeat = repeat,
+    .servers_max = 2,
+    .service = "s",
+    .cap = 4,
+    .came = at (1000),
+    .deadline = at (5000),
+  };
+}
+
+static struct ash_forward_verdict
+next (struct forward_test *test, int64_t ms)
+{
+  return ash_forward_next (&test->forward, &test->world, at (ms));
+}
+
+static void
+expect_answer (struct ash_forward_verdict verdict, uint16_t status, enum ash_forward_reason reason)
+{
+  CU_ASSERT_EQUAL (verdict.action, ASH_FORWARD_ANSWER);
+  CU_ASSERT_EQUAL (verdict.answer.status, status);
+  CU_ASSERT_EQUAL (verdict.answer.reason, reason);
+  /* Whoever is told that it did not run is told when to come back. */
+  CU_ASSERT_EQUAL (verdict.answer.retry_after_ms != 0, status == 503);
+}
+
+static void
+test_forward_once (void)
+{
+  struct forward_test test;
+  struct ash_forward_verdict verdict;
+
+  begin_forward (&test, ASH_REPEAT_ONCE);
+  verdict = next (&test, 1000);
+  CU_ASSERT_EQUAL_FATAL (verdict.action, ASH_FORWARD_SEND);
+  ash_forward_sent (&test.forward, verdict.endpoint);
+  /* No word from there: it may have run, and must not again. */
+  expect_answer (next (&test, 1100), 502, ASH_FORWARD_FAILED);
+  expect_answer (next (&test, 5000), 504, ASH_FORWARD_TIMEOUT);
+  /* The endpoint vouches: another one, not the same. */
+  ash_forward_not_run (&test.forward, true);
+  verdict = next (&test, 1200);
+  CU_ASSERT_EQUAL_FATAL (verdict.action, ASH_FORWARD_SEND);
+  CU_ASSERT_NOT_EQUAL (verdict.endpoint->hash, test.forward.tried[0]);
+  ash_forward_sent (&test.forward, verdict.endpoint);
+  ash_forward_not_run (&test.forward, true);
+  /* Two endpoints were asked, both vouch: it did not run. */
+  expect_answer (next (&test, 1300), 503, ASH_FORWARD_TURNED_AWAY);
+  ash_direct_finish (&test.set);
+}
+
+static void
+test_forward_repeatable (void)
+{
+  struct forward_test test;
+
+  begin_forward (&test, ASH_REPEAT_SAFE);
+  ash_forward_sent (&test.forward, next (&test, 1000).endpoint);
+  CU_ASSERT_EQUAL (next (&test, 1100).action, ASH_FORWARD_SEND);
+  ash_forward_sent (&test.forward, ash_direct_find (&test.set, "a"));
+  /* One of the two may have run it, though the last one vouches. */
+  ash_forward_not_run (&test.forward, true);
+  expect_answer (next (&test, 1200), 502, ASH_FORWARD_FAILED);
+  ash_direct_finish (&test.set);
+}
+
+static void
+test_forward_room (void)
+{
+  struct forward_test test;
+  struct ash_forward_verdict verdict;
+
+  begin_forward (&test, ASH_REPEAT_ONCE);
+  ash_direct_find (&test.set, "a")->in_flight = 4;
+  ash_direct_find (&test.set, "b")->elsewhere = 4;
+  verdict = next (&test, 1000);
+  CU_ASSERT_EQUAL (verdict.action, ASH_FORWARD_WAIT);
+  CU_ASSERT_EQUAL (verdict.until.ms, 1080);
+  expect_answer (next (&test, 1080), 503, ASH_FORWARD_NO_ROOM);
+  ash_direct_find (&test.set, "a")->in_flight = 3;
+  CU_ASSERT_EQUAL (next (&test, 1079).action, ASH_FORWARD_SEND);
+  /* A connection that never came up was no try. */
+  ash_forward_sent (&test.forward, ash_direct_find (&test.set, "a"));
+  ash_forward_not_run (&test.forward, false);
+  CU_ASSERT_EQUAL (test.forward.sent, 0);
+  ash_direct_finish (&test.set);
+}
+
+static void
+test_resends (void)
+{
+  const struct ash_resend_bound bound = { 10000, 0.2, 20 };
+  struct ash_resend_window window = { 0 };
+  uint32_t sent = 0;
+
+  for (int64_t ms = 0; ms < 10000; ms += 10)
+    ash_resend_window_request (&window, &bound, at (ms));
+  for (int i = 0; i < 1000; i++)
+    sent += ash_resend_window_spend (&window, &bound, 4, at (9999));
+  /* Below this entry's part of ratio times requests and slack, and not nothing. */
+  CU_ASSERT (sent > 80 && sent <= 0.2 * 1000 + 20.0 / 4);
+  /* It comes back when the window has gone by, and only then. */
+  CU_ASSERT_FALSE (ash_resend_window_spend (&window, &bound, 4, at (15000)));
+  CU_ASSERT (ash_resend_window_spend (&window, &bound, 4, at (40000)));
+}
+
+/* ---- streams ---- */
+
+static void
+test_events (void)
+{
+  static const char text[] = ": hello\n\nid: 7\ndata: a\ndata: b\n\nid:8\r\ndata: c\r\n\r\ndata: d";
+  struct ash_event_stream stream;
+  struct ash_stream_event event;
+  int64_t ids[8];
+  int count = 0;
+
+  ash_event_stream_init (&stream);
+  /* In pieces of any size the same events come out. */
+  for (size_t i = 0; i < sizeof text - 1; i++)
+    {
+      CU_ASSERT (ash_event_stream_feed (&stream, (const uint8_t *) text + i, 1));
+      while (ash_event_stream_next (&stream, &event))
+        {
+          ids[count++] = event.has_id ? event.id : -1;
+          ash_event_stream_drop (&stream, &event);
+        }
+    }
+  CU_ASSERT_EQUAL (count, 3);
+  CU_ASSERT (ids[0] == -1 && ids[1] == 7 && ids[2] == 8);
+  CU_ASSERT_FALSE (ash_event_stream_whole (&stream));
+  ash_event_stream_finish (&stream);
+}
+
+/* ---- expert maps ---- */
+
+#define LAYERS 2
+#define RANKS 4
+#define EXPERTS 16
+#define SLOTS 6
+
+static void
+deal (struct ash_layer_map *map)
+{
+  *map = (struct ash_layer_map){
+    .layer_count = LAYERS, .rank_count = RANKS, .slot_count = SLOTS, .expert_count = EXPERTS
+  };
+  for (uint32_t layer = 0; layer < LAYERS; layer++)
+    for (uint32_t rank = 0; rank < RANKS; rank++)
+      for (uint32_t slot = 0; slot < SLOTS; slot++)
+        map->slots[layer][rank][slot] =
+            slot < EXPERTS / RANKS ? (uint16_t) (rank + slot * RANKS) : ASH_NO_EXPERT;
+}
+
+/* Every expert stands somewhere, and none twice at a rank. */
+static void
+expect_sound (const struct ash_layer_map *map)
+{
+  for (uint32_t layer = 0; layer < LAYERS; layer++)
+    for (uint16_t expert = 0; expert < EXPERTS; expert++)
+      {
+        uint32_t held = 0;
+
+        for (uint32_t rank = 0; rank < RANKS; rank++)
+          {
+            uint32_t here = 0;
+
+            for (uint32_t slot = 0; slot < SLOTS; slot++)
+              here += map->slots[layer][rank][slot] == expert;
+            CU_ASSERT (here <= 1);
+            held += here;
+          }
+        CU_ASSERT (held >= 1);
+      }
+}
+
+static uint32_t
+changed_slots (const struct ash_layer_map *a, const struct ash_layer_map *b, uint32_t rank)
+{
+  uint32_t changed = 0;
+
+  for (uint32_t layer = 0; layer < LAYERS; layer++)
+    for (uint32_t slot = 0; slot < SLOTS; slot++)
+      changed += a->slots[layer][rank][slot] != b->slots[layer][rank][slot];
+  return changed;
+}
+
+static void
+test_layers (void)
+{
+  const struct ash_layer_weights weights = {
+    .decay = 0.5, .alike = 0.9, .least_gain = 0.02, .layer_moves = 2, .rank_moves = 3
+  };
+  double counts[LAYERS * EXPERTS];
+  struct ash_layer_policy policy;
+  struct ash_layer_map map;
+  struct ash_layer_map before;
+  struct ash_layer_decision decision;
+  double skew;
+
+  deal (&map);
+  ash_layer_policy_init (&policy, LAYERS, EXPERTS, &weights);
+  for (int i = 0; i < LAYERS * EXPERTS; i++)
+    counts[i] = 1;
+  counts[5] = 20;
+  counts[EXPERTS + 9] = 20;
+  ash_layer_policy_report (&policy, counts);
+  skew = ash_layer_skew (&policy, &map);
+  CU_ASSERT (skew > 2);
+  for (int i = 0; i < 4; i++)
+    {
+      before = map;
+      ash_layer_policy_decide (&policy, &map, &decision);
+      expect_sound (&map);
+      for (uint32_t rank = 0; rank < RANKS; rank++)
+        CU_ASSERT (changed_slots (&before, &map, rank) <= weights.rank_moves);
+      CU_ASSERT (decision.skew_after <= decision.skew_before);
+    }
+  CU_ASSERT (decision.skew_after < 1.25);
+  CU_ASSERT_EQUAL (decision.moves, 0);
+  /* A shift: what was counted before says nothing. */
+  counts[5] = 1;
+  counts[2] = 20;
+  ash_layer_policy_report (&policy, counts);
+  CU_ASSERT_EQUAL (policy.shifts, 1);
+  CU_ASSERT (policy.demand[0][5] < 0.05);
+  CU_ASSERT (ash_layer_skew (&policy, &map) > 1.4);
+  for (int i = 0; i < 4; i++)
+    ash_layer_policy_decide (&policy, &map, &decision);
+  expect_sound (&map);
+  CU_ASSERT (decision.skew_after < 1.3);
+}
+
+static void
+test_pass_watch (void)
+{
+  const struct ash_engine_facts engine = {
+    .stride = 6, .step_ms = 4.84, .sequence_ms = 0.362, .expert_share = 0.85
+  };
+  struct ash_pass_watch watch;
+
+  ash_pass_watch_reset (&watch);
+  /* An even pass of four streams takes 38 ms; a skew of 1.2 explains 44. */
+  for (int i = 0; i < 50; i++)
+    ash_pass_watch_pause (&watch, &engine, 4, 46);
+  CU_ASSERT_FALSE (ash_pass_watch_slower (&watch, &engine, 1.2));
+  for (int i = 0; i < 15; i++)
+    ash_pass_watch_pause (&watch, &engine, 4, 80);
+  CU_ASSERT (ash_pass_watch_slower (&watch, &engine, 1.2));
+  CU_ASSERT_FALSE (ash_pass_watch_slower (&watch, &engine, 2.5));
+  /* More streams explain longer passes too. */
+  ash_pass_watch_reset (&watch);
+  for (int i = 0; i < 50; i++)
+    ash_pass_watch_pause (&watch, &engine, 12, 70);
+  CU_ASSERT_FALSE (ash_pass_watch_slower (&watch, &engine, 1.2));
+}
+
+/* ---- the platform's formats ---- */
+
+static void
+test_rank_formats (void)
+{
+  static const char report_text[] =
+      "{\"Stage\":\"unified\",\"Queued\":1,\"Active\":12,\"step\":812,\"Map\":3,\"Prepared\":4,"
+      "\"Armed\":0,\"held\":815,\"pace\":1.5,\"group\":{\"Name\":\"g0-1\",\"epoch\":2,\"rank\":5,"
+      "\"State\":\"open\",\"size\":8}}";
+  static const char lists_text[] = "{\"epoch\":2,\"step\":9,\"Map\":{\"Version\":3,\"Experts\":"
+                                   "[[0,4],[1]]}}";
+  struct ash_rank_report report;
+  struct ash_layer_map map = {
+    .layer_count = 2, .rank_count = 1, .slot_count = 2, .expert_count = 8
+  };
+  struct ash_rank_order order = { ASH_RANK_PREPARE, 0, 2, 7, 0 };
+  struct ash_buffer out = { 0 };
+  uint64_t epoch;
+
+  CU_ASSERT (ash_platform_report_read (report_text, sizeof report_text - 1, &report));
+  CU_ASSERT_STRING_EQUAL (report.group, "g0-1");
+  CU_ASSERT (report.epoch == 2 && report.rank == 5 && report.rank_count == 8 && !report.broken);
+  CU_ASSERT (report.step == 812 && report.map == 3 && report.prepared == 4 && report.held == 815);
+  CU_ASSERT_FALSE (ash_platform_report_read ("nothing", 7, &report));
+  CU_ASSERT (ash_platform_lists_read (lists_text, sizeof lists_text - 1, 0, &map, &epoch));
+  CU_ASSERT (map.version == 3 && map.slots[0][0][1] == 4 && map.slots[1][0][1] == ASH_NO_EXPERT);
+  ash_platform_rank_order (&out, "x:1", &order, &map);
+  ash_buffer_append (&out, "", 1);
+  CU_ASSERT_PTR_NOT_NULL (strstr ((char *) out.bytes, "\"Operation\":\"prepare\""));
+  CU_ASSERT_PTR_NOT_NULL (strstr ((char *) out.bytes, "\"Map\":[[[0,4]],[[1]]]"));
+  ash_buffer_finish (&out);
+  /* There is no such expert. */
+  map.expert_count = 4;
+  CU_ASSERT_FALSE (ash_platform_lists_read (lists_text, sizeof lists_text - 1, 0, &map, &epoch));
+}
+
+static void
+count_item (void *data, const struct ash_store_item *item)
+{
+  uint32_t *seen = data;
+
+  seen[0]++;
+  seen[1] += item->removed;
+  if (strcmp (item->name, "i-1") == 0 && item->value_bytes == 5)
+    seen[2] += memcmp (item->value, "hello", 5) == 0;
+}
+
+static void
+test_store_format (void)
+{
+  static const char text[] =
+      "{\"Items\":[{\"PrivateKey\":\"servers/i-1\",\"Value\":\"aGVsbG8=\",\"Revision\":3},"
+      "{\"PrivateKey\":\"servers/i-2\",\"Revision\":4,\"Removed\":true},"
+      "{\"PrivateKey\":\"other/key\",\"Value\":\"aGVsbG8=\"},"
+      "{\"PrivateKey\":\"servers/i-3\",\"Value\":\"not base 64!\"}],"
+      "\"MorePages\":true,\"StoreRevision\":9}";
+  uint32_t seen[3] = { 0 };
+  struct ash_store_taker taker = { count_item, seen };
+  struct ash_store_answer answer;
+  struct ash_direct_facts facts;
+
+  CU_ASSERT (ash_platform_store_read (text, sizeof text - 1, &taker, &answer));
+  CU_ASSERT (seen[0] == 2 && seen[1] == 1 && seen[2] == 1);
+  CU_ASSERT (answer.revision == 9 && answer.more);
+  CU_ASSERT (strcmp (answer.next_page, "servers/i-3") > 0);
+  CU_ASSERT_FALSE (ash_platform_store_read ("{}", 2, &taker, &answer));
+  CU_ASSERT_FALSE (ash_platform_server_read ("i", (const uint8_t *) "{}", 2, &facts));
+}
+
+static const struct ash_http_head *kept_head;
+
+static void
+keep_head (void *data, const struct ash_http_head *head)
+{
+  (void) data;
+  kept_head = head;
+}
+
+static void
+ignore_body (void *data, const uint8_t *bytes, size_t length)
+{
+  (void) data;
+  (void) bytes;
+  (void) length;
+}
+
+static const struct ash_http_handler keeper = { keep_head, ignore_body };
+
+static void
+test_message_format (void)
+{
+  static const char text[] =
+      "POST /a/b?c HTTP/1.1\r\nHost: h\r\nAshspindle-Attempt-Id: id-1\r\nTE: x\r\n"
+      "Connection: X-Hop, Ashspindle-Attempt-Id\r\nX-Hop: 1\r\nX-Own: 2\r\n"
+      "Ashspindle-Token-Count: 900,80\r\nAuthorization: bearer  key\r\n"
+      "ashspindle-TENANT: forged\r\nAshspindle-Request-Urgency: 0\r\n\r\n";
+  struct ash_http_reader reader;
+  struct ash_request_facts facts;
+  struct ash_request_order order = { .deadline_ms = 70, .endpoint_id = "i-1", .urgency = -1 };
+  struct ash_buffer none = { 0 };
+  struct ash_buffer out = { 0 };
+  const char *sent;
+
+  ash_http_reader_init (&reader, ASH_HTTP_REQUEST, &keeper, NULL);
+  CU_ASSERT_EQUAL (ash_http_reader_feed (&reader, (const uint8_t *) text, sizeof text - 1),
+                   sizeof text - 1);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (kept_head);
+  ash_platform_request_read (kept_head, &facts);
+  CU_ASSERT_STRING_EQUAL (facts.key, "key");
+  CU_ASSERT (facts.prompt_tokens == 900 && facts.answer_tokens_max == 80);
+  CU_ASSERT (ash_platform_request_write (&out, kept_head, &order, &none));
+  ash_buffer_append (&out, "", 1);
+  sent = (const char *) out.bytes;
+  CU_ASSERT_EQUAL (strncmp (sent, "POST /a/b?c HTTP/1.1\r\nHost: h\r\n", 31), 0);
+  /* What names the request stays, whatever Connection says; the caller's own word on the
+   * system's fields goes. */
+  CU_ASSERT_PTR_NOT_NULL (strstr (sent, "Ashspindle-Attempt-Id: id-1\r\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (sent, "X-Own: 2\r\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (sent, "Ashspindle-Deadline-Ms: 70\r\n"));
+  CU_ASSERT_PTR_NULL (strstr (sent, "X-Hop"));
+  CU_ASSERT_PTR_NULL (strstr (sent, "forged"));
+  CU_ASSERT_PTR_NULL (strstr (sent, "Urgency"));
+  CU_ASSERT_PTR_NULL (strstr (sent, "key"));
+  CU_ASSERT_PTR_NULL (strstr (sent, "Content-Length"));
+  ash_buffer_finish (&out);
+  ash_http_reader_finish (&reader);
+}
+
+/* Reads a whole text as one message. @return the error. */
+static enum ash_http_error
+read_message (enum ash_http_kind kind, const char *text, bool *done)
+{
+  struct ash_http_reader reader;
+  enum ash_http_error error;
+
+  ash_http_reader_init (&reader, kind, &keeper, NULL);
+  reader.body_max_bytes = 100;
+  for (size_t i = 0; i < strlen (text) && !reader.error && !reader.done; i++)
+    ash_http_reader_feed (&reader, (const uint8_t *) text + i, 1);
+  error = reader.error;
+  *done = reader.done || ash_http_reader_eof (&reader);
+  ash_http_reader_finish (&reader);
+  return error;
+}
+
+static void
+test_strict_messages (void)
+{
+  static const struct
+  {
+    enum ash_http_kind kind;
+    const char *text;
+    enum ash_http_error error;
+    bool done;
+  } cases[] = {
+    { ASH_HTTP_REQUEST, "GET / HTTP/1.1\r\nHost: x\r\n\r\n", ASH_HTTP_OK, true },
+    { ASH_HTTP_REQUEST, "GET / HTTP/1.1\r\nHost : x\r\n\r\n", ASH_HTTP_MALFORMED, false },
+    { ASH_HTTP_REQUEST, "GET / HTTP/1.1\r\nHo st: x\r\n\r\n", ASH_HTTP_MALFORMED, false },
+    { ASH_HTTP_REQUEST, "GET / HTTP/1.1\nHost: x\n\n", ASH_HTTP_MALFORMED, false },
+    { ASH_HTTP_REQUEST, "GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", ASH_HTTP_MALFORMED, false },
+    { ASH_HTTP_REQUEST, "GET / HTTP/1.1\r\nA: b\rc\r\n\r\n", ASH_HTTP_MALFORMED, false },
+    { ASH_HTTP_REQUEST, "GET / HTTP/2.0\r\n\r\n", ASH_HTTP_MALFORMED, false },
+    { ASH_HTTP_REQUEST, "POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n", ASH_HTTP_BODY_TOO_LARGE,
+      false },
+    { ASH_HTTP_REQUEST, "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n", ASH_HTTP_OK,
+      false },
+    { ASH_HTTP_REQUEST, "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n",
+      ASH_HTTP_UNKNOWN_CODING, false },
+    { ASH_HTTP_REQUEST,
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
+      ASH_HTTP_UNKNOWN_CODING, false },
+    { ASH_HTTP_RESPONSE, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", ASH_HTTP_OK, true },
+    { ASH_HTTP_RESPONSE, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", ASH_HTTP_OK, false },
+    { ASH_HTTP_RESPONSE, "HTTP/1.1 200 OK\r\n\r\nto its end", ASH_HTTP_OK, true },
+    { ASH_HTTP_RESPONSE, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+      ASH_HTTP_OK, false },
+    { ASH_HTTP_RESPONSE, "rubbish", ASH_HTTP_MALFORMED, false },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      bool done;
+      enum ash_http_error error = read_message (cases[i].kind, cases[i].text, &done);
+
+      CU_ASSERT_EQUAL (error, cases[i].error);
+      CU_ASSERT_EQUAL (done, cases[i].done);
+      if (error != cases[i].error || done != cases[i].done)
+        printf ("\n%s\n", cases[i].text);
+    }
+}
+
+static void
+test_directory_format (void)
+{
+  const char *const addresses[] = { "10.0.0.1:80", "10.0.0.2:80" };
+  struct ash_buffer out = { 0 };
+
+  CU_ASSERT (ash_platform_directory_write (&out, addresses, 2, 1500));
+  ash_buffer_append (&out, "", 1);
+  CU_ASSERT_STRING_EQUAL ((char *) out.bytes,
+                          "{\"Addresses\":[\"10.0.0.1:80\",\"10.0.0.2:80\"],\"TtlS\":2}");
+  ash_buffer_finish (&out);
+}
+
+void
+add_router_tests (CU_pSuite suite)
+{
+  CU_add_test (suite, "routes: host, longest prefix, keys", test_routes);
+  CU_add_test (suite, "routes: parts by weight", test_route_parts);
+  CU_add_test (suite, "routes: all findings of a bad table", test_bad_tables);
+  CU_add_test (suite, "endpoints: choice by load and evidence", test_choice);
+  CU_add_test (suite, "endpoints: pauses of streams", test_pauses);
+  CU_add_test (suite, "endpoints: lapsed and gone", test_lapsing);
+  CU_add_test (suite, "forward: at most once", test_forward_once);
+  CU_add_test (suite, "forward: repeatable", test_forward_repeatable);
+  CU_add_test (suite, "forward: waiting for room", test_forward_room);
+  CU_add_test (suite, "forward: bound on resends", test_resends);
+  CU_add_test (suite, "event stream: whole events", test_events);
+  CU_add_test (suite, "expert layers: moves, shifts", test_layers);
+  CU_add_test (suite, "expert layers: passes too long", test_pass_watch);
+  CU_add_test (suite, "platform: ranks", test_rank_formats);
+  CU_add_test (suite, "platform: store", test_store_format);
+  CU_add_test (suite, "platform: messages", test_message_format);
+  CU_add_test (suite, "platform: directory", test_directory_format);
+  CU_add_test (suite, "HTTP: strict messages", test_strict_messages);
+}
