--- a/controllers/map_switch.c
+++ b/controllers/map_switch.c
@@ -28,8 +28,8 @@
 #define PREPARE_AGAIN_MS 80
 
 /* How long a hold must have been seen before another router finishes it: longer than a
- * change takes from hold to go, answers lost once included. */
-#define FOREIGN_MS 450
+ * change takes from hold to go, an answer lost included. */
+#define FOREIGN_MS 250
 
 /* How long reports may still tell of a hold that was let go. */
 #define RELEASED_MS 1200
@@ -160,6 +160,13 @@
     rank->answered = true;
 }
 
+void
+ash_map_switch_uses (struct ash_map_switch *sw, uint32_t rank, uint64_t epoch, uint64_t version)
+{
+  if (epoch == sw->epoch && version > sw->ranks[rank].report.map)
+    sw->ranks[rank].report.map = version;
+}
+
 void
 ash_map_switch_pass (struct ash_map_switch *sw, double pass_ms)
 {
--- a/daemon/groups.c
+++ b/daemon/groups.c
@@ -184,7 +184,7 @@
       group->map = group->next;
       /* What the ranks report will lag behind; this router knows better. */
       for (uint32_t i = 0; i < sw->rank_count; i++)
-        sw->ranks[i].report.map = group->map.version;
+        ash_map_switch_uses (sw, i, sw->epoch, group->map.version);
       ash_pass_watch_reset (&group->watch);
     }
   else
@@ -289,6 +289,8 @@
     forget_map (group);
   group->lists_epoch = epoch;
   group->listed[box->rank] = true;
+  /* Lists do not lag as reports do. */
+  ash_map_switch_uses (&group->sw, box->rank, epoch, group->map.version);
 }
 
 static void
