--- a/daemon/groups.c
+++ b/daemon/groups.c
@@ -497,7 +497,11 @@
                  group->watch.ratio, group->sw.last_step);
   if (!decision.moves ||
       decision.skew_before - decision.skew_after < router->settings.map_change_gain)
-    return;
+    {
+      group->undecided = false;
+      group->skew = decision.skew_before;
+      return;
+    }
   expect_copies (group, &service->engine, copy_ms);
   group->next.version = ash_map_switch_version (&group->sw, ash_random_next (&router->random));
   ash_map_switch_begin (&group->sw, now, group->next.version, copy_ms);
