store: a silent store is noticed, and entries that lapse meanwhile are used on

Cause: a watch that waits for 20 s does not show that the store has gone silent; servers' entries lapse after three heartbeats, and the removals that the store tells on its return counted as sound: 503 for all requests until the servers were back in the list.

The configuration is still watched for 20 s at a time.

`store silent, entries lapse` fails with the store.c before (seen) and passes.

--- a/daemon/store.c
+++ b/daemon/store.c
@@ -12,6 +12,10 @@
  * few milliseconds, so that a slow store is not asked twice. */
 #define ANSWER_SLACK_MS 1500
 
+/* A watch without a change is answered when its wait is over; one that comes so much later
+ * shows that the store was silent, and that endpoints could not tell it that they live. */
+#define OVERDUE_MS 400
+
 /* An answer that is due at once from a store that has not answered the last question: a
  * connection whose first packet was lost would try again only after a second. */
 #define ANSWER_SOON_MS 300
@@ -281,6 +285,8 @@
   struct ash_store_reader *reader = call->owner;
 
   ev_timer_stop (reader->router->loop, &reader->timer);
+  if (end == ASH_CALL_WHOLE && ash_time_before (reader->due, ash_clock_now ()))
+    reader->trouble = ash_clock_now ();
   if (end == ASH_CALL_WHOLE)
     take_answer (reader);
   else
@@ -297,10 +303,12 @@
   struct ash_buffer request = { 0 };
   /* A reader with trouble behind it asks for little at first: it learns sooner whether
    * the store is back. */
-  uint32_t wait_ms = settings->store_wait_ms;
+  uint32_t wait_ms =
+      reader->part == ASH_STORE_SERVERS ? settings->list_wait_ms : settings->store_wait_ms;
   int64_t due_ms = reader->answers ? ANSWER_SLACK_MS : ANSWER_SOON_MS;
 
   reader->status = 0;
+  reader->due = ASH_TIME_NEVER;
   ash_buffer_consume (&reader->answer, reader->answer.length);
   if (reader->revision && !*reader->page && reader->state != ASH_STORE_LISTING)
     {
@@ -308,6 +316,7 @@
       if (!reader->answers)
         wait_ms = 0;
       due_ms += wait_ms;
+      reader->due = ash_time_add (ash_clock_now (), (int64_t) wait_ms + OVERDUE_MS);
       ash_platform_store_watch (&request, settings->store_address, reader->part, reader->revision,
                                 wait_ms);
     }
--- a/options/router_settings.h
+++ b/options/router_settings.h
@@ -30,6 +30,7 @@
   uint32_t dial_retry_ms;
   uint32_t load_period_ms;
   uint32_t store_wait_ms;
+  uint32_t list_wait_ms;
   uint32_t address_keep_ms;
   uint32_t grace_ms;
   uint32_t wait_ms;
--- a/test/router.c
+++ b/test/router.c
@@ -516,6 +516,25 @@
   world_stop (&world);
 }
 
+/* The store takes questions and says nothing; the entries lapse, and that is the first that
+ * it tells when it is back. */
+static void
+test_store_silent (void)
+{
+  start ();
+  world_call (&world, "v1", "/safe/x", NULL, "", &answer);
+  world_get (world.store_port, "PUT", "/mode?silent", "");
+  fleet_sleep (1300);
+  world_get (world.store_port, "PUT", "/remove?servers/i-A1", "");
+  world_get (world.store_port, "PUT", "/remove?servers/i-B1", "");
+  world_get (world.store_port, "PUT", "/mode?ok", "");
+  for (int i = 0; i < 100 && !world_logged (&world, 0, "endpoint_missing"); i++)
+    fleet_sleep (10);
+  world_call (&world, "v2", "/safe/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  world_stop (&world);
+}
+
 static void
 test_history_gone (void)
 {
@@ -612,6 +631,7 @@
   { "planned stop and start", test_planned_stop },
   { "draining, and gone without a word", test_draining },
   { "store away, entries lapse", test_store_away },
+  { "store silent, entries lapse", test_store_silent },
   { "store's history gone", test_history_gone },
   { "peer helps where the store does not", test_peer_helps },
   { "bad settings", test_settings },
--- a/test/standin_store.c
+++ b/test/standin_store.c
@@ -253,6 +253,8 @@
       if (!conn->request || conn->dead)
         continue;
       wait_ms = strtoll (parameter (conn, "WaitMs"), NULL, 10);
+      if (strcmp (store.mode, "silent") == 0)
+        continue; /* neither answered nor cut */
       if (strcmp (store.mode, "ok") != 0)
         {
           conn->request = NULL;
