log: a bound on lines a second, writes that never wait, one line a request sent and served

Sent and served requests were at debug; each line was waited for.

Change: struct ash_log_bound; a line is written whole or counted as left out, which is said once a second; warnings and errors do not count against the bound. Test: `log: bounded, and never waits` (a pipe that nobody reads).

--- a/common/events.h
+++ b/common/events.h
@@ -41,8 +41,8 @@
   X (401, INFO, REQUEST_ENDED,      "a request got its final answer") \
   X (402, INFO, REQUEST_RETRIED,    "a request goes to another endpoint") \
   X (403, DEBUG, REQUEST_RESUMED,   "an answer is asked for again after a cut") \
-  X (404, DEBUG, FORWARD_SENT,      "a request was sent straight to an endpoint") \
-  X (405, DEBUG, FORWARD_SERVED,    "a request got an endpoint's whole answer") \
+  X (404, INFO, FORWARD_SENT,       "a request was sent straight to an endpoint") \
+  X (405, INFO, FORWARD_SERVED,     "a request got an endpoint's whole answer") \
   X (406, INFO, FORWARD_REFUSED,    "a request was refused: it did not run and will not") \
   X (407, WARN, FORWARD_FAILED,     "a request ended without a whole answer") \
   X (408, INFO, FORWARD_RESENT,     "a request goes to a further endpoint, and why") \
--- a/common/log.c
+++ b/common/log.c
@@ -1,14 +1,19 @@
 #include "common/log.h"
 
 #include <ctype.h>
+#include <fcntl.h>
 #include <jansson.h>
 #include <stdarg.h>
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #define LINE_BYTES 1024
+
+/* A whole line; a pipe takes so much at once or nothing. */
+#define WHOLE_BYTES 2048
 #define NAME_BYTES 64
 
 struct event_info
@@ -89,47 +94,135 @@
   return true;
 }
 
-static void
-write_json (const struct ash_log *log,
-            const struct event_info *info,
-            const char *now,
-            const char *name,
-            char *fields)
+static char *
+to_json (const struct ash_log *log,
+         const struct event_info *info,
+         const char *now,
+         const char *name,
+         char *fields)
 {
   json_t *line = json_pack ("{s:s, s:s, s:i, s:s, s:s, s:s}", "time", now, "level",
                             level_names[info->level], "event", (int) info->event, "name", name,
                             "box", log->sink->box, "module", log->module);
+  char *text;
   char *key;
   char *value;
 
   while (line && next_field (&fields, &key, &value))
     json_object_set_new (line, key, json_string (value));
-  if (line)
-    json_dumpf (line, log->sink->out, JSON_COMPACT);
-  fputc ('\n', log->sink->out);
+  text = line ? json_dumps (line, JSON_COMPACT) : NULL;
   json_decref (line);
+  return text;
+}
+
+static void
+format_line (const struct ash_log *log, const struct event_info *info, char *fields, char *line)
+{
+  char name[NAME_BYTES];
+  char now[64];
+  char *json;
+
+  format_now (now, sizeof now);
+  lower_case (name, sizeof name, info->name);
+  if (!log->sink->json)
+    {
+      snprintf (line, WHOLE_BYTES, "%s %s %d %s box=%s module=%s %s\n", now,
+                level_names[info->level], (int) info->event, name, log->sink->box, log->module,
+                fields);
+      return;
+    }
+  json = to_json (log, info, now, name, fields);
+  snprintf (line, WHOLE_BYTES, "%s\n", json ? json : "");
+  free (json);
+}
+
+/* ---- the bound ---- */
+
+void
+ash_log_bound_init (struct ash_log_bound *bound, FILE *out, uint32_t lines_s)
+{
+  int fd = fileno (out);
+
+  *bound = (struct ash_log_bound){ .lines_s = lines_s };
+  fcntl (fd, F_SETFL, fcntl (fd, F_GETFL) | O_NONBLOCK);
+}
+
+/* @return whether the line was taken. */
+static bool
+write_whole (const struct ash_log_sink *sink, const char *line)
+{
+  size_t length = strlen (line);
+
+  return write (fileno (sink->out), line, length) == (ssize_t) length;
+}
+
+static void
+say_left_out (const struct ash_log *log)
+{
+  const struct event_info *info = find_event (ASH_EV_LOG_LEFT_OUT);
+  struct ash_log_bound *bound = log->sink->bound;
+  char fields[128];
+  char line[WHOLE_BYTES];
+
+  snprintf (fields, sizeof fields, "lines=%llu total=%llu", (unsigned long long) bound->left_out,
+            (unsigned long long) bound->left_out_total);
+  format_line (log, info, fields, line);
+  if (write_whole (log->sink, line))
+    bound->left_out = 0;
+}
+
+/* @return whether this line may be written now. */
+static bool
+is_within (const struct ash_log *log, enum ash_log_level level)
+{
+  struct ash_log_bound *bound = log->sink->bound;
+  struct timespec ts;
+
+  clock_gettime (CLOCK_MONOTONIC, &ts);
+  if (ts.tv_sec != bound->second)
+    {
+      bound->second = ts.tv_sec;
+      bound->lines = 0;
+      if (bound->left_out)
+        say_left_out (log);
+    }
+  if (level >= ASH_LOG_WARN || !bound->lines_s)
+    return true;
+  return bound->lines++ < bound->lines_s;
+}
+
+static void
+leave_out (struct ash_log_bound *bound)
+{
+  bound->left_out++;
+  bound->left_out_total++;
 }
 
 void
 ash_log_event (const struct ash_log *log, enum ash_event event, const char *format, ...)
 {
   const struct event_info *info = find_event (event);
+  const struct ash_log_sink *sink = log->sink;
   char fields[LINE_BYTES];
-  char name[NAME_BYTES];
-  char now[64];
+  char line[WHOLE_BYTES];
   va_list args;
 
-  if (!log->sink || !info || info->level < log->sink->level)
+  if (!sink || !info || info->level < sink->level)
     return;
+  if (sink->bound && !is_within (log, info->level))
+    {
+      leave_out (sink->bound);
+      return;
+    }
   va_start (args, format);
   vsnprintf (fields, sizeof fields, format, args);
   va_end (args);
-  format_now (now, sizeof now);
-  lower_case (name, sizeof name, info->name);
-  if (log->sink->json)
-    write_json (log, info, now, name, fields);
-  else
-    fprintf (log->sink->out, "%s %s %d %s box=%s module=%s %s\n", now, level_names[info->level],
-             (int) event, name, log->sink->box, log->module, fields);
-  fflush (log->sink->out);
+  format_line (log, info, fields, line);
+  if (!sink->bound)
+    {
+      fputs (line, sink->out);
+      fflush (sink->out);
+    }
+  else if (!write_whole (sink, line))
+    leave_out (sink->bound);
 }
--- a/common/log.h
+++ b/common/log.h
@@ -1,6 +1,7 @@
 /**
  * @file
- * The log: numbered events with key=value fields, a line each on stderr.
+ * The log: numbered events with key=value fields, a line each. A line is written
+ * whole or not at all, and a reader that stands still never holds the process up.
  */
 #ifndef ASH_LOG_H
 #define ASH_LOG_H
@@ -8,6 +9,7 @@
 #include "common/events.h"
 
 #include <stdbool.h>
+#include <stdint.h>
 #include <stdio.h>
 
 /** How much an event matters. */
@@ -19,11 +21,22 @@
   ASH_LOG_ERROR,
 };
 
+/** Keeps the log's volume bounded. Warnings and errors do not count against it. */
+struct ash_log_bound
+{
+  uint32_t lines_s;  /**< lines a second at most; 0: no bound */
+  int64_t second;    /**< that is being counted */
+  uint32_t lines;    /**< written in it */
+  uint64_t left_out; /**< since that was last said */
+  uint64_t left_out_total;
+};
+
 /** What all modules of a process share. */
 struct ash_log_sink
 {
   FILE *out;
-  enum ash_log_level level; /**< below it nothing is written */
+  struct ash_log_bound *bound; /**< NULL: every line is written, and waited for */
+  enum ash_log_level level;    /**< below it nothing is written */
   bool json;
   const char *box;
 };
@@ -35,6 +48,9 @@
   const char *module;
 };
 
+/** Makes a sink that never waits: its file is set not to block. */
+void ash_log_bound_init (struct ash_log_bound *bound, FILE *out, uint32_t lines_s);
+
 /**
  * Writes an event. @p format gives fields as `key=value`, separated by blanks;
  * a value with blanks stands in double quotes.
--- a/daemon/router.c
+++ b/daemon/router.c
@@ -326,8 +326,10 @@
   signal (SIGPIPE, SIG_IGN);
   if (sodium_init () < 0)
     return false;
+  ash_log_bound_init (&router->log_bound, stdout, settings->log_lines_s);
   router->log_sink = (struct ash_log_sink){
     .out = stdout,
+    .bound = &router->log_bound,
     .level = (enum ash_log_level) settings->log_level,
     .json = settings->log_format == 1,
     .box = settings->box,
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -34,6 +34,7 @@
   const char *settings_path;
   struct ev_loop *loop;
   struct ash_log_sink log_sink;
+  struct ash_log_bound log_bound;
   struct ash_log log;
   struct ash_metrics metrics;
   struct ash_random random;
--- a/options/router_settings.c
+++ b/options/router_settings.c
@@ -33,6 +33,7 @@
   TEXT (fleet_key, NULL, "64 hex digits; proves peers to each other"),
   CHOICE (log_format, "text", log_formats, "a line's form"),
   CHOICE (log_level, "info", log_levels, "lowest level written"),
+  COUNT (log_lines_s, "500", 0, 1000000, "lines", "a second at most, below warnings; 0: no bound"),
   MS (heartbeat_ms, "300", 10, 60000, "period of heartbeats on a peer link"),
   MS (link_silence_ms, "1000", 50, 600000, "a link without a frame for so long is closed"),
   MS (dial_retry_ms, "300", 10, 60000, "mean wait before a link is dialled again"),
--- a/options/router_settings.h
+++ b/options/router_settings.h
@@ -25,6 +25,7 @@
   char fleet_key[ASH_OPTION_TEXT_BYTES];
   int log_format;
   int log_level;
+  uint32_t log_lines_s;
   uint32_t heartbeat_ms;
   uint32_t link_silence_ms;
   uint32_t dial_retry_ms;
--- a/test/unit.c
+++ b/test/unit.c
@@ -622,7 +622,7 @@
   char *text = NULL;
   size_t text_bytes;
   FILE *out = open_memstream (&text, &text_bytes);
-  struct ash_log_sink sink = { out, ASH_LOG_INFO, false, "e1" };
+  struct ash_log_sink sink = { .out = out, .level = ASH_LOG_INFO, .json = false, .box = "e1" };
   struct ash_log log = { &sink, "test" };
 
   ash_log_event (&log, ASH_EV_REQUEST_SENT, "id=1");
--- a/test/unit_router.c
+++ b/test/unit_router.c
@@ -3,6 +3,7 @@
  * Unit tests of the router's cores: routes, endpoints, forwarding, the bound on
  * resends, event streams, expert maps of several layers, and the platform's formats.
  */
+#include "common/log.h"
 #include "controllers/layer_policy.h"
 #include "controllers/pass_watch.h"
 #include "filters/forward.h"
@@ -17,6 +18,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 static struct ash_time
 at (int64_t ms)
@@ -702,6 +704,64 @@
   ash_buffer_finish (&out);
 }
 
+/* ---- the log ---- */
+
+#define LOG_LINES 30
+
+/* How many lines the pipe holds, and whether each is whole. */
+static uint32_t
+drain_lines (int fd, bool *whole)
+{
+  static char text[1 << 20];
+  ssize_t length = read (fd, text, sizeof text - 1);
+  uint32_t lines = 0;
+
+  text[length > 0 ? length : 0] = '\0';
+  *whole = true;
+  for (char *line = text; *line; line = strchr (line, '\n') + 1)
+    {
+      if (!strchr (line, '\n'))
+        {
+          *whole = false;
+          break;
+        }
+      *whole = *whole && strstr (line, "box=b ") != NULL;
+      lines++;
+    }
+  return lines;
+}
+
+static void
+test_log_bound (void)
+{
+  struct ash_log_bound bound;
+  struct ash_log_sink sink = { .bound = &bound, .box = "b" };
+  const struct ash_log log = { &sink, "test" };
+  int ends[2];
+  bool whole;
+
+  CU_ASSERT_EQUAL_FATAL (pipe (ends), 0);
+  sink.out = fdopen (ends[1], "w");
+  ash_log_bound_init (&bound, sink.out, LOG_LINES);
+  /* What matters most is not left out for the volume of the rest. */
+  for (int i = 0; i < 10 * LOG_LINES; i++)
+    ash_log_event (&log, ASH_EV_FORWARD_SENT, "id=%d", i);
+  for (int i = 0; i < LOG_LINES; i++)
+    ash_log_event (&log, ASH_EV_FORWARD_FAILED, "id=%d", i);
+  /* The second may have turned while the lines were written, once. */
+  CU_ASSERT (bound.left_out_total >= 8 * LOG_LINES);
+  CU_ASSERT (drain_lines (ends[0], &whole) >= 2 * LOG_LINES && whole);
+  /* Nobody reads: no line waits, those that find no room are counted, none is torn. */
+  bound.left_out_total = 0;
+  for (int i = 0; i < 5000; i++)
+    ash_log_event (&log, ASH_EV_FORWARD_FAILED, "id=%d text=\"%s\"", i, "a line of some length");
+  CU_ASSERT (bound.left_out_total > 1000);
+  drain_lines (ends[0], &whole);
+  CU_ASSERT (whole);
+  fclose (sink.out);
+  close (ends[0]);
+}
+
 void
 add_router_tests (CU_pSuite suite)
 {
@@ -723,4 +783,5 @@
   CU_add_test (suite, "platform: messages", test_message_format);
   CU_add_test (suite, "platform: directory", test_directory_format);
   CU_add_test (suite, "HTTP: strict messages", test_strict_messages);
+  CU_add_test (suite, "log: bounded, and never waits", test_log_bound);
 }
