--- a/net/peer.c
+++ b/net/peer.c
@@ -194,6 +194,9 @@
   return NULL;
 }
 
+/* Why a second link is closed; nothing is wrong with the peer. */
+static const char duplicate_link[] = "there is a link to that box already";
+
 /* Two boxes that dial each other at once get two links, and both must close the same
  * one: the link that was dialled by the box whose name comes first stays. */
 static bool
@@ -270,10 +273,12 @@
       link->dial->learned = true;
       snprintf (link->dial->box, sizeof link->dial->box, "%s", hello->box);
     }
-  if (is_duplicate (link, find_up (peers, hello->box), hello))
-    return "there is a link to that box already";
+  /* Told before the link may be closed: the other side has to learn whom it has dialled, or
+   * it would dial on and on. */
   if (!link->dial)
     send_hello (link, ASH_SIDE_ACCEPT);
+  if (is_duplicate (link, find_up (peers, hello->box), hello))
+    return duplicate_link;
   ash_handshake_frame_key (fleet_key, &link->nonces, sender, &link->in_key);
   ash_handshake_frame_key (fleet_key, &link->nonces, link->dial ? ASH_SIDE_DIAL : ASH_SIDE_ACCEPT,
                            &link->out_key);
@@ -395,7 +400,7 @@
   why = read_frames (link);
   if (!why)
     return;
-  if (!was_up)
+  if (!was_up && why != duplicate_link)
     ash_log_event (&peers->log, ASH_EV_PEER_REFUSED, "address=%s why=\"%s\"",
                    link->dial ? link->dial->address : "accepted", why);
   close_link (link, why);
