direct, exchange: streams stay in a group that all but stands still (tried, reverted)

Tried: moving a stream after a pause of 0.7 s instead of 1.65 s, and sending nothing to endpoints whose pauses are above 2.5 times the aim.

Conclusion: reverted; half of the fleet is missing then, and what is refused instead of late is no gain.

--- a/controllers/direct.c
+++ b/controllers/direct.c
@@ -25,11 +25,7 @@
 #define PAUSE_NEWEST 0.1
 
 /* Pauses seen so long ago tell nothing any more. */
-#define PAUSE_OLD_MS 2500
-
-/* Streams that pause so many times longer than is good are all but standing still: others are
- * taken as long as there are any. */
-#define STANDING_TIMES 2.5
+#define PAUSE_OLD_MS 1500
 
 /* The cap is for passes that take this part of the longest good pause: passes vary, and one
  * that is too long spoils a stream. */
@@ -248,15 +244,6 @@
   return cap > wish->cap ? wish->cap : (uint32_t) (cap + 0.5);
 }
 
-static bool
-stands_still (const struct ash_direct_endpoint *endpoint,
-              const struct ash_direct_wish *wish,
-              struct ash_time now)
-{
-  return wish->pause_aim_ms && knows_pause (endpoint, now) &&
-         endpoint->pause_ms > STANDING_TIMES * wish->pause_aim_ms;
-}
-
 /* What a choice goes by; the first difference decides. */
 struct rank
 {
@@ -289,9 +276,7 @@
        endpoint = endpoint->hh.next)
     {
       uint32_t load = endpoint->in_flight + endpoint->elsewhere;
-      struct rank rank = { ash_time_before (now, endpoint->passed_until) ||
-                               stands_still (endpoint, wish, now),
-                           load + 1.0 };
+      struct rank rank = { ash_time_before (now, endpoint->passed_until), load + 1.0 };
       int order;
 
       if (!ash_direct_usable (endpoint) || strcmp (endpoint->facts.service, wish->service) != 0 ||
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -30,10 +30,9 @@
 #define SILENCE_AIMS 3
 #define SILENCE_LEAST_MS 900
 
-/* Between two events of a stream that may go on elsewhere. It is late by then, and would
- * take longer than its caller waits if it went on like this; callers give up after two
- * seconds. */
-#define PAUSE_MOST_MS 700
+/* Between two events of a stream that may go on elsewhere. Callers give up after two
+ * seconds; what depends on a lost endpoint stands still for one and a half. */
+#define PAUSE_MOST_MS 1650
 
 /* How long a stream that broke may wait for a place to go on. */
 #define RESUME_WAIT_MS 400
