--- a/controllers/layer_policy.c
+++ b/controllers/layer_policy.c
@@ -169,7 +169,7 @@
 static double
 norm_after (const struct layer *layer, uint32_t rank, uint16_t old, uint16_t expert)
 {
-  double load[ASH_LAYER_RANKS_MAX];
+  double load[ASH_LAYER_RANKS_MAX] = { 0 };
   uint32_t replicas = layer->replicas[expert];
   double share = share_of (layer, expert, replicas + 1);
 
--- a/controllers/map_switch.h
+++ b/controllers/map_switch.h
@@ -116,10 +116,8 @@
                            const uint32_t copy_ms[ASH_LAYER_RANKS_MAX]);
 
 /** A rank is known to use that map, whatever its reports still tell. */
-void ash_map_switch_uses (struct ash_map_switch *sw,
-                          uint32_t rank,
-                          uint64_t epoch,
-                          uint64_t version);
+void
+ash_map_switch_uses (struct ash_map_switch *sw, uint32_t rank, uint64_t epoch, uint64_t version);
 
 /** A pass takes so long now, as the pauses of streams show. */
 void ash_map_switch_pass (struct ash_map_switch *sw, double pass_ms);
--- a/test/router.c
+++ b/test/router.c
@@ -318,7 +318,7 @@
       snprintf (name, sizeof name, "%s", world.servers[s].name);
       snprintf (id, sizeof id, "%s", world.servers[s].id);
       world.servers[s].pid =
-          fleet_spawn (world.folder, name, "standin-server", port, name, id, NULL);
+          fleet_spawn (world.folder, name, "standin-server", port, name, id, (char *) NULL);
     }
   fleet_sleep (300);
   for (int i = 0; i < 8; i++)
@@ -344,7 +344,8 @@
   /* Another life at the address of A, before the list tells: it turns requests away. */
   fleet_end (&world.servers[0].pid, SIGKILL);
   snprintf (port, sizeof port, "%u", world.servers[0].port);
-  world.servers[0].pid = fleet_spawn (world.folder, "A", "standin-server", port, "A", "i-A2", NULL);
+  world.servers[0].pid =
+      fleet_spawn (world.folder, "A", "standin-server", port, "A", "i-A2", (char *) NULL);
   fleet_sleep (200);
   for (int i = 0; i < 6; i++)
     {
@@ -372,8 +373,9 @@
 
       snprintf (text, sizeof text, "id: %d\n", id);
       found = strstr (answer.body, text);
-      CU_ASSERT_PTR_NOT_NULL_FATAL (found);
-      CU_ASSERT_PTR_NULL (strstr (found + 1, text));
+      CU_ASSERT_PTR_NOT_NULL (found);
+      if (found)
+        CU_ASSERT_PTR_NULL (strstr (found + 1, text));
     }
 }
 
@@ -583,7 +585,7 @@
 
   CU_ASSERT_FATAL (fd >= 0 && write (fd, text, strlen (text)) > 0);
   close (fd);
-  pid = fleet_spawn ("/tmp", "ash-router-settings", "ashspindle-router", path, NULL);
+  pid = fleet_spawn ("/tmp", "ash-router-settings", "ashspindle-router", path, (char *) NULL);
   CU_ASSERT_EQUAL (fleet_end (&pid, 0), 2);
   snprintf (log, sizeof log, "/tmp/ash-router-settings.log");
   file = fopen (log, "r");
--- a/test/router_world.c
+++ b/test/router_world.c
@@ -258,7 +258,7 @@
            name, router->frontend, router->readiness, router->directory, router->peers,
            router->figures, world->store_port, world->routers[0].peers, world->routers[1].peers);
   fclose (file);
-  router->pid = fleet_spawn (world->folder, name, "ashspindle-router", path, NULL);
+  router->pid = fleet_spawn (world->folder, name, "ashspindle-router", path, (char *) NULL);
   wait_port (router->readiness);
 }
 
@@ -292,7 +292,7 @@
   fleet_free_ports (ports, PORTS);
   world->store_port = *port++;
   snprintf (text, sizeof text, "%u", world->store_port);
-  world->store = fleet_spawn (world->folder, "store", "standin-store", text, NULL);
+  world->store = fleet_spawn (world->folder, "store", "standin-store", text, (char *) NULL);
   for (int s = 0; s < WORLD_SERVERS; s++)
     {
       struct world_server *server = &world->servers[s];
@@ -302,7 +302,7 @@
       snprintf (server->id, sizeof server->id, "i-%s1", server->name);
       snprintf (text, sizeof text, "%u", server->port);
       server->pid = fleet_spawn (world->folder, server->name, "standin-server", text, server->name,
-                                 server->id, NULL);
+                                 server->id, (char *) NULL);
     }
   for (int r = 0; r < WORLD_ROUTERS; r++)
     {
--- a/test/standin_store.c
+++ b/test/standin_store.c
@@ -240,8 +240,8 @@
 on_tick (struct ev_loop *loop, ev_timer *timer, int events)
 {
   struct ash_time now = ash_clock_now ();
-  struct ash_http_conn *conn;
-  struct ash_http_conn *next;
+  struct ash_http_conn *conn = NULL;
+  struct ash_http_conn *next = NULL;
 
   (void) loop;
   (void) timer;
