store: an entry counts as lapsed until 2.3 s after the store's return

Ruled out: a late word (all routers had the removal within 14 ms).

Change: lapsed until the store's return plus 2.3 s; later removals are believed at once.

--- a/daemon/store.c
+++ b/daemon/store.c
@@ -25,8 +25,28 @@
 #define RETRY_FIRST_MS 50
 #define RETRY_LONGEST_MS 400
 
-/* After trouble an entry that is missing may just have lapsed: endpoints that live are
- * back in the list within two seconds of the store's return. */
+/* So long after the store's return an entry that is missing may just have lapsed: endpoints
+ * that live are back in the list within two seconds. */
+#define LAPSE_MS 2300
+
+/* Without an answer for so long, the store is away: endpoints may have missed a heartbeat. */
+#define AWAY_MS 800
+
+/* A watch without a change is answered when its wait is over; one that comes so much later
+ * shows that the store was silent, and that endpoints could not tell it that they live. */
+#define OVERDUE_MS 400
+
+/* An answer that is due at once from a store that has not answered the last question: a
+ * connection whose first packet was lost would try again only after a second. */
+#define ANSWER_SOON_MS 300
+
+/* Waits between failed questions: the first soon, since most failures are one lost
+ * connection; the longest a small part of the time in which a change must be in force. */
+#define RETRY_FIRST_MS 50
+#define RETRY_LONGEST_MS 400
+
+/* So long after the store's return an entry that is missing may just have lapsed: endpoints
+ * that live are back in the list within two seconds. */
 #define LAPSE_MS 2300
 
 /* Without an answer for so long, the store is away: endpoints may have missed a heartbeat. */
@@ -105,39 +125,32 @@
 /* An entry is missing. Whether the endpoint is gone depends on whether the store was
  * sound: while it is away entries lapse although their endpoints live. */
 static void
-lose_endpoint (struct ash_store *store, const char *id, bool trusted, const char *source)
+lose_endpoint (struct ash_store *store, const char *id, const char *source)
 {
   struct ash_router *router = store->router;
-  struct ash_time now = ash_clock_now ();
+  struct ash_time until = ash_time_add (store->readers[ASH_STORE_SERVERS].trouble, LAPSE_MS);
+  bool trusted = ash_time_before (until, ash_clock_now ());
   struct ash_store_entry *entry;
   struct ash_direct_endpoint *endpoint = ash_direct_find (&router->endpoints, id);
 
   HASH_FIND_STR (store->entries, id, entry);
   if (entry)
     drop_entry (store, entry);
-  if (endpoint &&
-      ash_direct_removed (&router->endpoints, id, trusted, ash_time_add (now, LAPSE_MS)))
+  if (endpoint && ash_direct_removed (&router->endpoints, id, trusted, until))
     log_endpoint (router, ASH_EV_ENDPOINT_MISSING, &endpoint->facts, source);
 }
 
-static bool
-was_sound (const struct ash_store_reader *reader)
-{
-  return ash_time_diff (reader->trouble, ash_clock_now ()) > TROUBLE_MS;
-}
-
 /* What a whole listing did not have. */
 static void
 lose_unlisted (struct ash_store_reader *reader)
 {
   struct ash_store *store = &reader->router->store;
-  bool trusted = was_sound (reader);
   struct ash_store_entry *entry;
   struct ash_store_entry *next;
 
   HASH_ITER (hh, store->entries, entry, next)
     if (entry->listing != reader->listing)
-      lose_endpoint (store, entry->id, trusted, "store");
+      lose_endpoint (store, entry->id, "store");
 }
 
 /* ---- answers ---- */
@@ -156,7 +169,7 @@
       break;
     case ASH_STORE_SERVERS:
       if (item->removed)
-        lose_endpoint (&router->store, item->name, was_sound (reader), "store");
+        lose_endpoint (&router->store, item->name, "store");
       else
         take_endpoint (&router->store, item, reader->listing, "store");
       break;
@@ -377,7 +390,7 @@
         .part = (enum ash_store_part) part,
         .call = { .handler = &call_handler, .owner = reader },
         .answered = now,
-        .trouble = { now.ms - TROUBLE_MS },
+        .trouble = { now.ms - LAPSE_MS },
       };
       ev_timer_init (&reader->timer, on_timer, 0, 0);
       reader->timer.data = reader;
--- a/test/router.c
+++ b/test/router.c
@@ -515,6 +515,12 @@
   world_call (&world, "w3", "/safe/x", NULL, "", &answer);
   CU_ASSERT_EQUAL (answer.status, 200);
   CU_ASSERT_PTR_NULL (strstr (server_log (1), "w3"));
+  /* What is missing from now on has not lapsed: it is gone at once. */
+  world_get (world.store_port, "PUT", "/remove?servers/i-A1", "");
+  fleet_sleep (200);
+  world_call (&world, "w4", "/safe/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 503);
+  CU_ASSERT_EQUAL (world_runs (&world, "w4"), 0);
   world_stop (&world);
 }
 
