--- a/cli/ashctl.c
+++ b/cli/ashctl.c
@@ -17,7 +17,7 @@
 
 const char *argp_program_version = "ashctl " ASH_VERSION;
 
-/* Documented in docs/OPERATING.md. */
+/* Documented in docs/OPERATIONS.md. */
 enum exit_code
 {
   EXIT_OK = 0,
