--- a/test/router_world.c
+++ b/test/router_world.c
@@ -15,7 +15,7 @@
 
 #define FLEET_KEY "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 #define WAIT_MS 10000
-#define PORTS (1 + WORLD_SERVERS + 5 * WORLD_ROUTERS)
+#define PORTS (1 + WORLD_SERVERS + 5 * WORLD_ROUTERS + WORLD_RANKS)
 
 /* ---- sockets ---- */
 
@@ -194,7 +194,14 @@
         "\"MaxAttempts\":2%s}",
         i ? "," : "", prefixes[i], prefixes[i], kinds[i], i == 2 ? ",\"Resumable\":true" : "");
   snprintf (text + length, sizeof text - length,
-            "],\"Services\":[{\"Name\":\"stock\",\"HealthPath\":\"/healthz\",\"MaxConns\":100}],"
+            ",{\"Name\":\"r-model\",\"Host\":\"shop.example\",\"PathPrefix\":\"/model/\","
+            "\"RouteKind\":\"streaming\",\"TimeoutMs\":8000,\"SloMs\":400,\"Service\":\"model\","
+            "\"MaxAttempts\":2,\"Resumable\":true,\"GapTargetMs\":120}"
+            "],\"Services\":[{\"Name\":\"stock\",\"HealthPath\":\"/healthz\",\"MaxConns\":100},"
+            "{\"Name\":\"model\",\"MaxConns\":100,\"Engine\":{\"Slots\":8,\"Stride\":6,"
+            "\"step_ms\":4,\"per_seq_ms\":0.3,\"report_lag_ms\":100,\"Sets\":2,\"Experts\":16,"
+            "\"Placements\":6,\"Spare\":2,\"ExpertShare\":0.85,\"ExpertMb\":10,"
+            "\"LinkMbps\":10000}}],"
             "\"Limits\":{\"MaxBodyBytes\":100000,\"IdleTimeoutMs\":5000},"
             "\"Tenants\":[{\"Name\":\"shop\",\"ApiKeys\":[%s]}]}",
             world->has_key ? "\"key-1\",\"key-2\"" : "\"key-2\"");
@@ -216,6 +223,41 @@
   world_get (world->store_port, "PUT", target, text);
 }
 
+static void wait_port (uint16_t port);
+
+void
+world_start_group (struct world *world)
+{
+  char text[WORLD_RANKS][16];
+
+  for (int i = 0; i < WORLD_RANKS; i++)
+    snprintf (text[i], sizeof text[i], "%u", world->ranks[i]);
+  world->group = fleet_spawn (world->folder, "group", "standin-ranks", text[0], text[1], text[2],
+                              text[3], (char *) NULL);
+  for (int i = 0; i < WORLD_RANKS; i++)
+    {
+      char target[64];
+      char value[256];
+
+      wait_port (world->ranks[i]);
+      snprintf (target, sizeof target, "/put?servers/i-rank%d", i);
+      snprintf (value, sizeof value,
+                "{\"Service\":\"model\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"hall-a\","
+                "\"Slots\":8,\"State\":\"ready\"}",
+                world->ranks[i]);
+      world_get (world->store_port, "PUT", target, value);
+    }
+}
+
+long
+world_group (struct world *world, const char *name)
+{
+  const char *state = world_get (world->ranks[0], "GET", "/state", "");
+  const char *found = strstr (state, name);
+
+  return found ? strtol (found + strlen (name) + 1, NULL, 10) : -1;
+}
+
 static void
 wait_port (uint16_t port)
 {
@@ -313,6 +355,7 @@
                                                  .figures = port[4] };
       port += 5;
     }
+  memcpy (world->ranks, port, sizeof world->ranks);
   wait_port (world->store_port);
   for (int s = 0; s < WORLD_SERVERS; s++)
     {
@@ -333,6 +376,8 @@
   for (int s = 0; s < WORLD_SERVERS; s++)
     if (world->servers[s].pid)
       fleet_end (&world->servers[s].pid, SIGKILL);
+  if (world->group)
+    fleet_end (&world->group, SIGKILL);
   fleet_end (&world->store, SIGKILL);
   if (getenv ("FLEET_KEEP"))
     {
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -12,6 +12,7 @@
 
 #define WORLD_SERVERS 2
 #define WORLD_ROUTERS 2
+#define WORLD_RANKS 4
 #define WORLD_ANSWER_BYTES 65536
 
 /** A router's process and ports. */
@@ -42,6 +43,8 @@
   uint16_t store_port;
   struct world_server servers[WORLD_SERVERS];
   struct world_router routers[WORLD_ROUTERS];
+  pid_t group; /**< of ranks; started by world_start_group() */
+  uint16_t ranks[WORLD_RANKS];
   uint32_t version;
   bool has_key; /**< the published account has its key */
 };
@@ -63,6 +66,12 @@
 /** Starts a router (again). */
 void world_start_router (struct world *world, int r);
 
+/** Starts a group of ranks and lists them as the service "model", whose route is /model/. */
+void world_start_group (struct world *world);
+
+/** @return a number of the group's state: see test/standin_ranks.c. */
+long world_group (struct world *world, const char *name);
+
 /** Waits until it says that it is ready, or not. @return false after 10 s. */
 bool world_wait_ready (struct world *world, int r, bool ready);
 
--- /dev/null
+++ b/test/standin_ranks.c
@@ -0,0 +1,475 @@
+/**
+ * @file
+ * A stand-in of a group of the platform's model servers, as one process with a port
+ * for each rank: streams that get an event a pass, passes that all ranks make
+ * together, an expert map a rank, reports that lag, counts, orders. It checks the
+ * group's own promise: GET /state at any rank tells
+ *
+ *     step=N map=V changes=N held=0|1 broken=0|1 standing_ms=N
+ *
+ * where broken says that a pass began while two ranks had different maps. GET
+ * /state?shift=N moves what is asked for; GET /state?late=PERCENT carries so many orders out
+ * late and leaves them unanswered.
+ */
+#include "common/random.h"
+#include "net/http_conn.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#define RANKS_MAX 8
+#define LAYERS 2
+#define EXPERTS 16
+#define SLOTS 6
+#define SPARE 2
+#define PASS_S 0.03
+#define LAG_MS 100
+#define HISTORY 64
+#define STREAM_EVENTS 12
+#define LATE_LEAST_MS 300
+#define LATE_MOST_MS 1500
+#define COPY_MS 20
+#define JSON_FIELDS "Content-Type: application/json\r\n"
+
+struct map
+{
+  uint64_t version;
+  uint64_t digest; /* of what it holds */
+  json_t *experts; /* of this rank, by layer */
+};
+
+struct rank
+{
+  struct ash_http_listener listener;
+  uint32_t index;
+  char id[16];
+  struct map map;
+  struct map prepared;
+  struct ash_time copied;
+  uint64_t had;
+  uint64_t armed;
+  uint64_t armed_step;
+  uint64_t held;
+  uint64_t counts[LAYERS * EXPERTS];
+  char reports[HISTORY][256]; /* a ring, one a pass time */
+};
+
+/* An order that is carried out later. */
+struct late
+{
+  struct rank *rank;
+  char *body;
+  struct ash_time due;
+  struct late *next;
+};
+
+static struct
+{
+  struct ev_loop *loop;
+  struct ash_random random;
+  struct rank ranks[RANKS_MAX];
+  uint32_t rank_count;
+  uint64_t step;
+  uint64_t changes;
+  uint32_t shift;
+  uint32_t late_percent;
+  uint32_t ticks;
+  bool broken;
+  struct ash_time last_pass;
+  struct late *late;
+  ev_timer timer;
+} group;
+
+/* ---- maps ---- */
+
+static void
+deal_first (struct rank *rank)
+{
+  rank->map.experts = json_array ();
+  for (uint32_t layer = 0; layer < LAYERS; layer++)
+    {
+      json_t *experts = json_array ();
+
+      for (uint32_t expert = rank->index; expert < EXPERTS; expert += group.rank_count)
+        json_array_append_new (experts, json_integer (expert));
+      json_array_append_new (rank->map.experts, experts);
+    }
+}
+
+static void
+begin_pass (void)
+{
+  for (uint32_t i = 0; i < group.rank_count; i++)
+    if (group.ranks[i].held == group.step + 1)
+      return;
+  group.step++;
+  group.last_pass = ash_clock_now ();
+  for (uint32_t i = 0; i < group.rank_count; i++)
+    {
+      struct rank *rank = &group.ranks[i];
+
+      if (!rank->armed || rank->armed_step != group.step)
+        continue;
+      json_decref (rank->map.experts);
+      rank->map = rank->prepared;
+      json_incref (rank->map.experts);
+      rank->armed = 0;
+      group.changes += i == 0;
+    }
+  for (uint32_t i = 1; i < group.rank_count; i++)
+    if (group.ranks[i].map.version != group.ranks[0].map.version ||
+        group.ranks[i].map.digest != group.ranks[0].map.digest)
+      group.broken = true;
+}
+
+/* ---- orders ---- */
+
+static uint64_t
+number (const json_t *object, const char *key)
+{
+  return (uint64_t) json_integer_value (json_object_get (object, key));
+}
+
+static uint64_t
+digest_of (const json_t *map)
+{
+  char *text = json_dumps (map, JSON_COMPACT);
+  uint64_t digest = 14695981039346656037U;
+
+  for (const char *at = text; at && *at; at++)
+    digest = (digest ^ (uint8_t) *at) * 1099511628211U;
+  free (text);
+  return digest;
+}
+
+static uint16_t
+prepare (struct rank *rank, const json_t *order)
+{
+  uint64_t version = number (order, "Version");
+  json_t *map = json_object_get (order, "Map");
+  json_t *own;
+  json_t *layer;
+  size_t index;
+
+  if (version == rank->prepared.version)
+    return ash_time_before (ash_clock_now (), rank->copied) ? 202 : 200;
+  if (version <= rank->had || rank->armed || json_array_size (map) != LAYERS)
+    return 409;
+  own = json_array ();
+  json_array_foreach (map, index, layer)
+    json_array_append (own, json_array_get (layer, rank->index));
+  json_decref (rank->prepared.experts);
+  rank->prepared = (struct map){ version, digest_of (map), own };
+  rank->had = version;
+  rank->copied = ash_time_add (ash_clock_now (), COPY_MS);
+  return 202;
+}
+
+static uint16_t
+arm (struct rank *rank, uint64_t version, uint64_t step)
+{
+  if (rank->armed == version && rank->armed_step == step)
+    return 200;
+  if (step <= group.step || rank->prepared.version != version ||
+      ash_time_before (ash_clock_now (), rank->copied))
+    return 409;
+  rank->armed = version;
+  rank->armed_step = step;
+  return 202;
+}
+
+static uint16_t
+carry_out (struct rank *rank, const char *body)
+{
+  json_t *order = json_loads (body, 0, NULL);
+  const char *operation = json_string_value (json_object_get (order, "Operation"));
+  uint64_t step = number (order, "step");
+  uint64_t version = number (order, "Version");
+  uint16_t status = 400;
+
+  if (!operation)
+    status = 400;
+  else if (strcmp (operation, "prepare") == 0)
+    status = prepare (rank, order);
+  else if (strcmp (operation, "arm") == 0)
+    status = arm (rank, version, step);
+  else if (strcmp (operation, "Hold") == 0)
+    {
+      bool free = !rank->held && step > group.step;
+
+      status = rank->held == step || free ? 200 : 409;
+      if (free)
+        rank->held = step;
+    }
+  else if (strcmp (operation, "go") == 0)
+    {
+      status = rank->held == step ? 200 : 409;
+      if (status == 200)
+        rank->held = 0;
+    }
+  else if (strcmp (operation, "disarm") == 0)
+    {
+      status = rank->map.version == version ? 409 : 200;
+      if (rank->armed == version)
+        rank->armed = 0;
+    }
+  json_decref (order);
+  return status;
+}
+
+static void
+take_order (struct ash_http_conn *conn, struct rank *rank)
+{
+  char *body = strndup ((const char *) conn->body.bytes + conn->body.start, conn->body.length);
+
+  if (ash_random_below (&group.random, 100) < group.late_percent)
+    {
+      struct late *late = calloc (1, sizeof *late);
+
+      if (!late)
+        abort ();
+      *late = (struct late){ .rank = rank, .body = body };
+      late->due = ash_time_add (ash_clock_now (),
+                                LATE_LEAST_MS + ash_random_below (&group.random, LATE_MOST_MS));
+      LL_PREPEND (group.late, late);
+      return; /* never answered */
+    }
+  ash_http_conn_answer (conn, carry_out (rank, body), "", 0, "", 0);
+  free (body);
+}
+
+/* ---- questions ---- */
+
+static void
+note_report (struct rank *rank)
+{
+  uint32_t active = 0;
+  const struct ash_http_conn *conn;
+
+  DL_FOREACH (rank->listener.conns, conn)
+    active += conn->request != NULL;
+  snprintf (rank->reports[group.ticks % HISTORY], sizeof rank->reports[0],
+            "{\"Active\":%u,\"step\":%llu,\"Map\":%llu,\"Prepared\":%llu,\"Armed\":%llu,"
+            "\"held\":%llu,\"group\":{\"Name\":\"g\",\"epoch\":1,\"rank\":%u,\"State\":\"open\","
+            "\"size\":%u}}",
+            active, (unsigned long long) group.step, (unsigned long long) rank->map.version,
+            (unsigned long long) rank->prepared.version, (unsigned long long) rank->armed,
+            (unsigned long long) rank->held, rank->index, group.rank_count);
+}
+
+static void
+answer_text (struct ash_http_conn *conn, const char *text)
+{
+  ash_http_conn_answer (conn, 200, JSON_FIELDS, strlen (JSON_FIELDS), text, strlen (text));
+}
+
+static void
+answer_picked (struct ash_http_conn *conn, const struct rank *rank, bool lists)
+{
+  json_t *object = json_pack ("{s:i, s:I}", "epoch", 1, "step", (json_int_t) group.step);
+  char *text;
+
+  if (lists)
+    json_object_set_new (object, "Map",
+                         json_pack ("{s:I, s:O}", "Version", (json_int_t) rank->map.version,
+                                    "Experts", rank->map.experts));
+  else
+    {
+      json_t *counts = json_array ();
+
+      for (uint32_t i = 0; i < LAYERS * EXPERTS; i++)
+        json_array_append_new (counts, json_integer ((json_int_t) rank->counts[i]));
+      json_object_set_new (object, "Counts", counts);
+    }
+  text = json_dumps (object, JSON_COMPACT);
+  answer_text (conn, text);
+  free (text);
+  json_decref (object);
+}
+
+static void
+answer_state (struct ash_http_conn *conn, const char *target)
+{
+  const char *shift = strstr (target, "shift=");
+  const char *late = strstr (target, "late=");
+  char text[256];
+  bool held = false;
+
+  if (shift)
+    group.shift = (uint32_t) strtoul (shift + strlen ("shift="), NULL, 10);
+  if (late)
+    group.late_percent = (uint32_t) strtoul (late + strlen ("late="), NULL, 10);
+  for (uint32_t i = 0; i < group.rank_count; i++)
+    held = held || group.ranks[i].held;
+  snprintf (text, sizeof text, "step=%llu map=%llu changes=%llu held=%d broken=%d standing_ms=%lld",
+            (unsigned long long) group.step, (unsigned long long) group.ranks[0].map.version,
+            (unsigned long long) group.changes, held, group.broken,
+            (long long) ash_time_diff (group.last_pass, ash_clock_now ()));
+  answer_text (conn, text);
+}
+
+/* ---- streams ---- */
+
+static void
+begin_stream (struct ash_http_conn *conn, const struct rank *rank)
+{
+  const char *id = ash_http_field (&conn->reader.head, "Ashspindle-Attempt-Id");
+  const char *last = ash_http_field (&conn->reader.head, "Last-Event-Id");
+  intptr_t next = last ? strtol (last, NULL, 10) + 1 : 1;
+  char fields[256];
+
+  snprintf (fields, sizeof fields,
+            "Ashspindle-Attempt-Id: %s\r\nAshspindle-Server-Seal: seal-%s\r\n"
+            "Content-Type: text/event-stream\r\n",
+            id ? id : "-", rank->id);
+  conn->request = (void *) next; /* the next event's number */
+  ash_http_conn_begin (conn, 200, fields, strlen (fields));
+}
+
+/* One event a pass, and the experts that its tokens chose: three in four the same one. */
+static void
+write_event (struct rank *rank, struct ash_http_conn *conn)
+{
+  intptr_t next = (intptr_t) conn->request;
+  char event[64];
+  int length;
+
+  if (next > STREAM_EVENTS)
+    {
+      conn->request = NULL;
+      ash_http_conn_end (conn, true);
+      return;
+    }
+  conn->request = (void *) (next + 1);
+  for (uint32_t layer = 0; layer < LAYERS; layer++)
+    {
+      rank->counts[layer * EXPERTS + (5 + layer + group.shift) % EXPERTS] += 75;
+      for (uint32_t expert = 0; expert < EXPERTS; expert++)
+        rank->counts[layer * EXPERTS + expert] += 2;
+    }
+  length = snprintf (event, sizeof event, "id: %lld\ndata: x\n\n", (long long) next);
+  ash_http_conn_write (conn, event, (size_t) length);
+}
+
+static void
+on_request (struct ash_http_conn *conn)
+{
+  struct rank *rank = conn->listener->owner;
+  const char *target = conn->reader.head.target;
+
+  if (strcmp (target, "/report") == 0)
+    answer_text (conn, rank->reports[(group.ticks + HISTORY - LAG_MS / 30) % HISTORY]);
+  else if (strncmp (target, "/picked", 7) == 0)
+    answer_picked (conn, rank, strstr (target, "Lists") != NULL);
+  else if (strcmp (target, "/order") == 0)
+    take_order (conn, rank);
+  else if (strncmp (target, "/state", 6) == 0)
+    answer_state (conn, target);
+  else
+    begin_stream (conn, rank);
+}
+
+static void
+on_gone (struct ash_http_conn *conn)
+{
+  conn->request = NULL;
+}
+
+static const struct ash_conn_handler handler = { on_request, on_gone, NULL };
+
+/* ---- time ---- */
+
+static bool
+any_stream (void)
+{
+  const struct ash_http_conn *conn;
+
+  for (uint32_t i = 0; i < group.rank_count; i++)
+    DL_FOREACH (group.ranks[i].listener.conns, conn)
+      if (conn->request)
+        return true;
+  return false;
+}
+
+static void
+carry_out_late (void)
+{
+  struct late *late;
+  struct late *next;
+
+  LL_FOREACH_SAFE (group.late, late, next)
+    if (ash_time_before (late->due, ash_clock_now ()))
+      {
+        LL_DELETE (group.late, late);
+        carry_out (late->rank, late->body);
+        free (late->body);
+        free (late);
+      }
+}
+
+static void
+on_pass (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  uint64_t before = group.step;
+
+  (void) loop;
+  (void) timer;
+  (void) events;
+  carry_out_late ();
+  group.ticks++;
+  /* An idle group makes no passes. */
+  if (any_stream ())
+    begin_pass ();
+  else
+    group.last_pass = ash_clock_now ();
+  for (uint32_t i = 0; i < group.rank_count; i++)
+    {
+      struct ash_http_conn *conn;
+      struct ash_http_conn *next;
+
+      if (group.step > before)
+        DL_FOREACH_SAFE (group.ranks[i].listener.conns, conn, next)
+          if (conn->request && !conn->dead)
+            write_event (&group.ranks[i], conn);
+      note_report (&group.ranks[i]);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  if (argc < 3 || argc > 1 + RANKS_MAX)
+    {
+      fprintf (stderr, "usage: standin-ranks PORT PORT...   one for each rank, 2 to %d\n",
+               RANKS_MAX);
+      return EXIT_FAILURE;
+    }
+  group.loop = ev_default_loop (EVFLAG_AUTO);
+  group.rank_count = (uint32_t) argc - 1;
+  group.last_pass = ash_clock_now ();
+  ash_random_init (&group.random, 1);
+  for (uint32_t i = 0; i < group.rank_count; i++)
+    {
+      struct rank *rank = &group.ranks[i];
+      char address[32];
+
+      rank->index = i;
+      snprintf (rank->id, sizeof rank->id, "i-rank%u", i);
+      snprintf (address, sizeof address, "127.0.0.1:%s", argv[1 + i]);
+      deal_first (rank);
+      for (int j = 0; j < HISTORY; j++)
+        snprintf (rank->reports[j], sizeof rank->reports[0], "{}");
+      if (!ash_http_listen (&rank->listener, group.loop, address, &handler, rank))
+        {
+          perror (address);
+          return EXIT_FAILURE;
+        }
+    }
+  ev_timer_init (&group.timer, on_pass, PASS_S, PASS_S);
+  ev_timer_start (group.loop, &group.timer);
+  ev_run (group.loop, 0);
+  return EXIT_SUCCESS;
+}
