--- a/test/standin_ranks.c
+++ b/test/standin_ranks.c
@@ -45,7 +45,7 @@
 {
   struct ash_http_listener listener;
   uint32_t index;
-  char id[16];
+  char id[24];
   struct map map;
   struct map prepared;
   struct ash_time copied;
@@ -220,10 +220,19 @@
   return status;
 }
 
+/* The request's body as a text. */
+static char *
+copy_body (const struct ash_http_conn *conn)
+{
+  const char *bytes = (const char *) conn->body.bytes;
+
+  return conn->body.length ? strndup (bytes + conn->body.start, conn->body.length) : strdup ("");
+}
+
 static void
 take_order (struct ash_http_conn *conn, struct rank *rank)
 {
-  char *body = strndup ((const char *) conn->body.bytes + conn->body.start, conn->body.length);
+  char *body = copy_body (conn);
 
   if (ash_random_below (&group.random, 100) < group.late_percent)
     {
--- a/test/standin_store.c
+++ b/test/standin_store.c
@@ -190,11 +190,20 @@
     conn->request = conn; /* answered by the tick */
 }
 
+/* The request's body as a text. */
+static char *
+copy_body (const struct ash_http_conn *conn)
+{
+  const char *bytes = (const char *) conn->body.bytes;
+
+  return conn->body.length ? strndup (bytes + conn->body.start, conn->body.length) : strdup ("");
+}
+
 static void
 control (struct ash_http_conn *conn, const char *target)
 {
   const char *argument = strchr (target, '?');
-  char *body = strndup ((const char *) conn->body.bytes + conn->body.start, conn->body.length);
+  char *body = copy_body (conn);
 
   argument = argument ? argument + 1 : "";
   if (strncmp (target, "/put", 4) == 0)
