--- a/controllers/direct.c
+++ b/controllers/direct.c
@@ -137,14 +137,6 @@
     }
 }
 
-void
-ash_direct_clear_elsewhere (struct ash_direct_set *set)
-{
-  for (struct ash_direct_endpoint *endpoint = set->endpoints; endpoint;
-       endpoint = endpoint->hh.next)
-    endpoint->elsewhere = 0;
-}
-
 static void
 pass_over (struct ash_direct_endpoint *endpoint, struct ash_time now, int64_t ms)
 {
--- a/controllers/direct.h
+++ b/controllers/direct.h
@@ -98,9 +98,6 @@
 /** Time goes on: lapsed ones go, and those that are gone and idle are freed. */
 void ash_direct_tick (struct ash_direct_set *set, struct ash_time now);
 
-/** Peers have told their loads anew: forgets the former ones. */
-void ash_direct_clear_elsewhere (struct ash_direct_set *set);
-
 /** Takes in how a request ended there. */
 void ash_direct_saw (struct ash_direct_endpoint *endpoint,
                      struct ash_time now,
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -683,10 +683,7 @@
 
   *forward = (struct ash_forward){
     .repeat = route->repeat,
-    .stream = route->stream,
     .servers_max = route->servers_max,
-    .priority = exchange->account && exchange->account->has_priority ? exchange->account->priority
-                                                                     : route->priority,
     .aim_ms = route->aim_ms,
     .service = service->name,
     .cap = cap_of (router, service),
--- a/filters/forward.h
+++ b/filters/forward.h
@@ -51,9 +51,7 @@
 struct ash_forward
 {
   enum ash_repeat repeat;
-  bool stream;
   uint32_t servers_max;
-  uint32_t priority;
   uint32_t aim_ms;
   const char *service;
   uint32_t cap; /**< requests that an endpoint may have when this one is sent there */
--- a/options/router_settings.c
+++ b/options/router_settings.c
@@ -59,7 +59,6 @@
          10000,
          "requests",
          "that may queue at a plain endpoint beyond its slots, over all entries"),
-  MS (stall_ms, "1500", 10, HOUR_MS, "how long an engine waits for one that is cut off"),
   MS (map_period_ms, "2500", 50, HOUR_MS, "between two decisions on expert maps"),
   COUNT (map_layer_moves, "2", 0, 32, "experts", "new to a rank in a layer in one change at most"),
   COUNT (map_rank_moves, "2", 0, 512, "experts", "new to a rank in one change at most"),
--- a/options/router_settings.h
+++ b/options/router_settings.h
@@ -37,7 +37,6 @@
   uint32_t wait_ms;
   uint32_t rank_streams;
   uint32_t plain_queue;
-  uint32_t stall_ms;
   uint32_t map_period_ms;
   uint32_t map_layer_moves;
   uint32_t map_rank_moves;
