--- /dev/null
+++ b/daemon/rank_group.c
@@ -0,0 +1,400 @@
+#include "daemon/rank_group.h"
+
+#include "daemon/router.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+/* The engine's facts of the one service that has experts; NULL if there is none. */
+const struct ash_route_service *
+ash_rank_service (const struct ash_groups *groups)
+{
+  const struct ash_route_table *table = groups->router->table;
+
+  for (uint32_t i = 0; table && i < table->service_count; i++)
+    if (table->services[i].has_engine && table->services[i].engine.layers)
+      return &table->services[i];
+  return NULL;
+}
+
+/* ---- maps as they are in use ---- */
+
+static void
+forget_map (struct ash_rank_group *group)
+{
+  memset (group->listed, 0, sizeof group->listed);
+}
+
+/* All ranks have told their part, and it is of the map that they use. */
+bool
+ash_rank_map_is_known (const struct ash_rank_group *group)
+{
+  for (uint32_t i = 0; i < group->sw.rank_count; i++)
+    if (!group->listed[i] || group->sw.ranks[i].report.map != group->map.version)
+      return false;
+  return group->lists_epoch == group->sw.epoch;
+}
+
+static void
+init_map (const struct ash_route_service *service, struct ash_rank_group *group)
+{
+  const struct ash_engine_facts *engine = &service->engine;
+
+  group->map = (struct ash_layer_map){
+    .layer_count = engine->layers,
+    .rank_count = group->sw.rank_count,
+    .slot_count = engine->rank_slots,
+    .expert_count = engine->experts,
+  };
+}
+
+bool
+ash_rank_engine_fits (const struct ash_engine_facts *engine)
+{
+  return engine->layers <= ASH_LAYERS_MAX && engine->experts <= ASH_LAYER_EXPERTS_MAX &&
+         engine->rank_slots <= ASH_LAYER_SLOTS_MAX;
+}
+
+/* ---- what comes back ---- */
+
+static struct ash_rank_group *
+find_group (struct ash_groups *groups, const struct ash_rank_report *report)
+{
+  const struct ash_route_service *service = ash_rank_service (groups);
+  struct ash_rank_group *group;
+
+  HASH_FIND_STR (groups->groups, report->group, group);
+  if (group || !service || !ash_rank_engine_fits (&service->engine) ||
+      report->rank_count > ASH_LAYER_RANKS_MAX || !report->rank_count)
+    return group;
+  group = calloc (1, sizeof *group);
+  if (!group)
+    return NULL;
+  snprintf (group->name, sizeof group->name, "%s", report->group);
+  ash_map_switch_init (&group->sw, report->rank_count, service->engine.report_lag_ms,
+                       ash_fleet_index (&groups->router->fleet));
+  init_map (service, group);
+  HASH_ADD_STR (groups->groups, name, group);
+  return group;
+}
+
+static void
+log_result (struct ash_rank_group *group, struct ash_groups *groups, struct ash_time now)
+{
+  struct ash_map_switch *sw = &group->sw;
+  bool good = sw->result == ASH_MAP_CHANGED || sw->result == ASH_MAP_FINISHED;
+
+  ash_log_event (&groups->router->log, good ? ASH_EV_MAP_CHANGED : ASH_EV_MAP_GIVEN_UP,
+                 "group=%s epoch=%" PRIu64 " result=%d step=%" PRIu64 " took_ms=%lld holds=%u",
+                 group->name, sw->epoch, (int) sw->result, sw->released,
+                 (long long) ash_time_diff (sw->began, now), sw->holds);
+}
+
+static void
+take_result (struct ash_rank_group *group, struct ash_groups *groups, struct ash_time now)
+{
+  struct ash_map_switch *sw = &group->sw;
+
+  if (sw->result == ASH_MAP_NONE)
+    return;
+  log_result (group, groups, now);
+  if (sw->result == ASH_MAP_CHANGED)
+    {
+      group->map = group->next;
+      /* What the ranks report will lag behind; this router knows better. */
+      for (uint32_t i = 0; i < sw->rank_count; i++)
+        ash_map_switch_uses (sw, i, sw->epoch, group->map.version);
+      ash_pass_watch_reset (&group->watch);
+    }
+  else
+    {
+      forget_map (group);
+      for (uint32_t i = 0; i < sw->rank_count; i++)
+        sw->ranks[i].known = false;
+    }
+  sw->result = ASH_MAP_NONE;
+}
+
+static void
+take_report (struct ash_rank_box *box, const struct ash_rank_report *report)
+{
+  struct ash_groups *groups = box->groups;
+  struct ash_time now = ash_clock_now ();
+  struct ash_rank_group *group = *report->group ? find_group (groups, report) : NULL;
+  uint64_t epoch;
+
+  if (!group || report->rank >= group->sw.rank_count)
+    return;
+  if (box->group && box->group != group)
+    box->group->boxes[box->rank] = NULL;
+  box->group = group;
+  box->rank = report->rank;
+  group->boxes[report->rank] = box;
+  epoch = group->sw.epoch;
+  ash_map_switch_report (&group->sw, now, report);
+  if (group->sw.epoch != epoch)
+    {
+      ash_log_event (&groups->router->log, ASH_EV_MAP_EPOCH,
+                     "group=%s epoch=%" PRIu64 " before=%" PRIu64 " broken=%d", group->name,
+                     group->sw.epoch, epoch, report->broken);
+      forget_map (group);
+    }
+  take_result (group, groups, now);
+}
+
+/* Adds what is new since the box was last asked. */
+static void
+add_counts (struct ash_rank_box *box, const struct ash_rank_counts *counts)
+{
+  struct ash_groups *groups = box->groups;
+  bool goes_on = box->has_counts && box->counts_epoch == counts->epoch;
+
+  for (uint32_t i = 0; i < counts->count; i++)
+    {
+      uint64_t before = goes_on && box->counts[i] <= counts->numbers[i] ? box->counts[i] : 0;
+
+      if (groups->counts_state == ASH_COUNTS_ASKED)
+        groups->counts[i] += (double) (counts->numbers[i] - before);
+      box->counts[i] = counts->numbers[i];
+    }
+  box->has_counts = true;
+  box->counts_epoch = counts->epoch;
+}
+
+static void
+take_counts (struct ash_rank_box *box, const struct ash_rank_call *call)
+{
+  struct ash_groups *groups = box->groups;
+  struct ash_layer_policy *policy = groups->policy;
+  uint32_t wanted = policy ? policy->layer_count * policy->expert_count : 0;
+  struct ash_rank_counts counts = { .numbers = calloc (wanted + 1, sizeof *counts.numbers) };
+
+  if (groups->counts_awaited)
+    groups->counts_awaited--;
+  if (counts.numbers)
+    ash_platform_counts_read ((const char *) call->answer.bytes + call->answer.start,
+                              call->answer.length, wanted, &counts);
+  groups->reads += counts.count;
+  if (wanted && counts.count == wanted)
+    {
+      if (box->group && box->group->sw.epoch == counts.epoch)
+        ash_map_switch_step (&box->group->sw, ash_clock_now (), counts.step);
+      add_counts (box, &counts);
+    }
+  free (counts.numbers);
+}
+
+static void
+take_lists (struct ash_rank_box *box, const struct ash_rank_call *call)
+{
+  struct ash_rank_group *group = box->group;
+  uint64_t version;
+  uint64_t epoch;
+
+  if (!group)
+    return;
+  version = group->map.version;
+  if (!ash_platform_lists_read ((const char *) call->answer.bytes + call->answer.start,
+                                call->answer.length, box->rank, &group->map, &epoch))
+    {
+      ash_log_event (&box->groups->router->log, ASH_EV_MAP_GIVEN_UP,
+                     "group=%s rank=%u why=\"unreadable lists\" bytes=%zu", group->name, box->rank,
+                     call->answer.length);
+      forget_map (group);
+      return;
+    }
+  /* Parts of two maps do not make one. */
+  if (version != group->map.version || epoch != group->lists_epoch)
+    forget_map (group);
+  group->lists_epoch = epoch;
+  group->listed[box->rank] = true;
+  /* Lists do not lag as reports do. */
+  ash_map_switch_uses (&group->sw, box->rank, epoch, group->map.version);
+}
+
+static void
+take_answer (struct ash_rank_call *call)
+{
+  struct ash_rank_box *box = call->box;
+  struct ash_rank_report report;
+
+  switch (call->question)
+    {
+    case ASH_RANK_REPORT:
+      if (ash_platform_report_read ((const char *) call->answer.bytes + call->answer.start,
+                                    call->answer.length, &report))
+        take_report (box, &report);
+      break;
+    case ASH_RANK_COUNTS:
+      take_counts (box, call);
+      break;
+    case ASH_RANK_LISTS:
+      take_lists (box, call);
+      break;
+    }
+}
+
+static void
+free_call (struct ash_rank_call *call)
+{
+  ash_http_call_cancel (&call->call);
+  DL_DELETE (call->box->calls, call);
+  ash_buffer_finish (&call->answer);
+  free (call);
+}
+
+static void
+answer_order (struct ash_rank_call *call, uint16_t status)
+{
+  struct ash_rank_box *box = call->box;
+  struct ash_time now = ash_clock_now ();
+
+  if (!box->group)
+    return;
+  if (status >= 300)
+    ash_log_event (&box->groups->router->log, ASH_EV_MAP_ORDER_REFUSED,
+                   "group=%s rank=%u order=%d version=%" PRIu64 " step=%" PRIu64 " status=%u",
+                   box->group->name, box->rank, (int) call->order.kind, call->order.version,
+                   call->order.step, status);
+  ash_map_switch_answered (&box->group->sw, now, &call->order, status);
+  take_result (box->group, box->groups, now);
+}
+
+static bool
+on_head (struct ash_http_call *http_call, const struct ash_http_head *head)
+{
+  struct ash_rank_call *call = http_call->owner;
+
+  call->status = head->status;
+  return true;
+}
+
+static void
+on_body (struct ash_http_call *http_call, const uint8_t *bytes, size_t length)
+{
+  struct ash_rank_call *call = http_call->owner;
+
+  ash_buffer_append (&call->answer, bytes, length);
+}
+
+static void
+on_end (struct ash_http_call *http_call, enum ash_call_end end)
+{
+  struct ash_rank_call *call = http_call->owner;
+  struct ash_rank_box *box = call->box;
+  uint16_t status = end == ASH_CALL_WHOLE ? call->status : 0;
+
+  if (call->is_order)
+    answer_order (call, status);
+  else if (status == 200)
+    take_answer (call);
+  free_call (call);
+  /* The next orders of a change leave at once: the group may be held. */
+  if (box->group)
+    ash_rank_send_orders (box->group, box->groups);
+}
+
+static const struct ash_call_handler call_handler = { on_head, on_body, on_end };
+
+/* ---- what goes out ---- */
+
+static struct ash_rank_call *
+start_call (struct ash_rank_box *box, const struct ash_buffer *request)
+{
+  struct ash_rank_call *call = calloc (1, sizeof *call);
+
+  if (!call)
+    return NULL;
+  call->call = (struct ash_http_call){ .handler = &call_handler, .owner = call };
+  call->box = box;
+  call->sent = ash_clock_now ();
+  if (!ash_http_call_start (&call->call, &box->pool, request->bytes + request->start,
+                            request->length, true))
+    {
+      free (call);
+      return NULL;
+    }
+  DL_APPEND (box->calls, call);
+  return call;
+}
+
+void
+ash_rank_ask (struct ash_rank_box *box, enum ash_rank_question question)
+{
+  struct ash_buffer request = { 0 };
+  struct ash_rank_call *call;
+
+  box->asked[question] = ash_clock_now ();
+  ash_platform_rank_ask (&request, box->address, question);
+  call = start_call (box, &request);
+  if (call)
+    call->question = question;
+  ash_buffer_finish (&request);
+}
+
+static void
+send_order (struct ash_rank_group *group,
+            struct ash_groups *groups,
+            const struct ash_rank_order *order)
+{
+  struct ash_rank_box *box = group->boxes[order->rank];
+  struct ash_buffer request = { 0 };
+  struct ash_rank_call *call;
+
+  if (!box)
+    return;
+  groups->orders++;
+  ash_platform_rank_order (&request, box->address, order,
+                           order->kind == ASH_RANK_PREPARE ? &group->next : NULL);
+  call = start_call (box, &request);
+  if (call)
+    {
+      call->is_order = true;
+      call->order = *order;
+    }
+  ash_buffer_finish (&request);
+}
+
+void
+ash_rank_send_orders (struct ash_rank_group *group, struct ash_groups *groups)
+{
+  struct ash_rank_order orders[ASH_LAYER_RANKS_MAX];
+  struct ash_time now = ash_clock_now ();
+  uint32_t count = ash_map_switch_orders (&group->sw, now, orders);
+
+  take_result (group, groups, now);
+  for (uint32_t i = 0; i < count; i++)
+    send_order (group, groups, &orders[i]);
+}
+
+void
+ash_rank_sweep (struct ash_rank_box *box, struct ash_time now)
+{
+  struct ash_rank_call *call;
+  struct ash_rank_call *next;
+
+  DL_FOREACH_SAFE (box->calls, call, next)
+    if (ash_time_diff (call->sent, now) > ASH_RANK_CALL_MS)
+      {
+        if (call->is_order)
+          answer_order (call, 0);
+        free_call (call);
+      }
+}
+
+void
+ash_rank_free (struct ash_groups *groups, struct ash_rank_box *box)
+{
+  while (box->calls)
+    free_call (box->calls);
+  ash_http_pool_finish (&box->pool);
+  if (box->group)
+    {
+      box->group->boxes[box->rank] = NULL;
+      box->group->sw.ranks[box->rank].known = false;
+    }
+  HASH_DEL (groups->boxes, box);
+  free (box);
+}
--- /dev/null
+++ b/daemon/rank_group.h
@@ -0,0 +1,93 @@
+/**
+ * @file
+ * Ranks and groups as the router that leads sees them: the questions and orders that
+ * it has under way at each rank, and what their answers tell.
+ */
+#ifndef ASH_RANK_GROUP_H
+#define ASH_RANK_GROUP_H
+
+#include "controllers/direct.h"
+#include "controllers/map_switch.h"
+#include "controllers/pass_watch.h"
+#include "daemon/groups.h"
+#include "net/http_call.h"
+#include "platform/rank.h"
+
+#include <uthash.h>
+
+struct ash_rank_call;
+
+/** A question or order under way. */
+struct ash_rank_call
+{
+  struct ash_http_call call;
+  struct ash_rank_box *box;
+  bool is_order;
+  enum ash_rank_question question;
+  struct ash_rank_order order;
+  uint16_t status;
+  struct ash_buffer answer;
+  struct ash_time sent;
+  struct ash_rank_call *prev;
+  struct ash_rank_call *next;
+};
+
+/** An endpoint with an engine. */
+struct ash_rank_box
+{
+  struct ash_groups *groups;
+  uint64_t hash;
+  char address[ASH_DIRECT_NAME_BYTES];
+  struct ash_http_pool pool;
+  struct ash_rank_group *group; /* NULL: not known, or in none */
+  uint32_t rank;
+  struct ash_time asked[3]; /* by question */
+  struct ash_rank_call *calls;
+  bool has_counts;
+  uint64_t counts_epoch;
+  uint64_t counts[ASH_LAYERS_MAX * ASH_LAYER_EXPERTS_MAX]; /* as last read */
+  UT_hash_handle hh;
+};
+
+/** A group. */
+struct ash_rank_group
+{
+  char name[ASH_GROUP_NAME_BYTES];
+  struct ash_map_switch sw;
+  struct ash_rank_box *boxes[ASH_LAYER_RANKS_MAX];
+  struct ash_layer_map map; /* in use */
+  bool listed[ASH_LAYER_RANKS_MAX];
+  uint64_t lists_epoch;
+  struct ash_layer_map next; /* that it is being changed to */
+  struct ash_pass_watch watch;
+  double skew;    /* that the map in use is believed to have */
+  bool undecided; /* there is something to decide on */
+  UT_hash_handle hh;
+};
+
+/** A question or order without an answer is given up after this; orders are then sent again.
+ * Engines answer within a round trip, a few milliseconds. */
+#define ASH_RANK_CALL_MS 400
+
+/** @return the one service whose engine has experts, or NULL. */
+const struct ash_route_service *ash_rank_service (const struct ash_groups *groups);
+
+/** @return whether the engine's layers, experts and slots are within what is kept here. */
+bool ash_rank_engine_fits (const struct ash_engine_facts *engine);
+
+/** @return whether all ranks have told their part of the map that they use. */
+bool ash_rank_map_is_known (const struct ash_rank_group *group);
+
+/** Asks a rank. */
+void ash_rank_ask (struct ash_rank_box *box, enum ash_rank_question question);
+
+/** Sends the orders that are due. */
+void ash_rank_send_orders (struct ash_rank_group *group, struct ash_groups *groups);
+
+/** Gives up what was not answered in time. */
+void ash_rank_sweep (struct ash_rank_box *box, struct ash_time now);
+
+/** Frees a box with all that is under way at it. */
+void ash_rank_free (struct ash_groups *groups, struct ash_rank_box *box);
+
+#endif
