map_switch: a finisher holds the step itself; exchange: HEAD, odd ids; http_conn: too many callers

Change: a finisher first holds the step at its own rank, then arms, then lets both holds go; where nothing can be armed it only lets go.

Read as a newcomer, with tests that failed first where there was a fault: an answer to HEAD waited for a body (`HEAD`), a caller's id could pass for fields of a log line (`odd attempt id`), a listener out of descriptors turned the loop without rest (`more callers than allowed`).

--- a/controllers/map_switch.c
+++ b/controllers/map_switch.c
@@ -319,14 +319,13 @@
     return;
   sw->version = version_to_finish (sw);
   sw->step = sw->foreign_held;
-  sw->holder = sw->foreign_rank;
   sw->foreign_held = 0;
   sw->finishing = true;
   sw->began = now;
-  if (!sw->version)
-    enter (sw, now, ASH_MAP_GO);
-  else
-    enter (sw, now, all_can_arm (sw, sw->version) ? ASH_MAP_ARM : ASH_MAP_DISARM);
+  /* With nothing to arm the group is just let go. Else the step is held here as well: the
+   * other router may live, and let go what it holds while ranks are being armed. */
+  sw->holder = sw->version ? sw->own_rank : sw->foreign_rank;
+  enter (sw, now, sw->version ? ASH_MAP_HOLD : ASH_MAP_GO);
 }
 
 /* Whether a rank will never take the version: it refuses, and what it has prepared is
@@ -376,7 +375,8 @@
       break;
     case ASH_MAP_HOLD:
       if (sw->ranks[sw->holder].answered)
-        enter (sw, now, ASH_MAP_ARM);
+        enter (sw, now,
+               sw->finishing && !all_can_arm (sw, sw->version) ? ASH_MAP_DISARM : ASH_MAP_ARM);
       break;
     case ASH_MAP_ARM:
       if (all_answered (sw))
@@ -391,7 +391,8 @@
       enter (sw, now, ASH_MAP_GO);
       break;
     case ASH_MAP_GO:
-      if (sw->ranks[sw->holder].answered)
+      if (sw->ranks[sw->holder].answered &&
+          (!sw->finishing || sw->ranks[sw->foreign_rank].answered))
         end_release (sw, now);
       break;
     }
@@ -411,7 +412,10 @@
     case ASH_MAP_HOLD:
       /* The step has begun, or another router holds one; reports will tell which. */
       note_step (sw, now, sw->step);
-      if (sw->holds >= HOLDS_MAX || sw->foreign_held)
+      /* What was to be finished is: its step has begun. */
+      if (sw->finishing)
+        end (sw, now, ASH_MAP_GIVEN_UP);
+      else if (sw->holds >= HOLDS_MAX || sw->foreign_held)
         end (sw, now, ASH_MAP_GIVEN_UP);
       else
         begin_hold (sw, now);
@@ -502,6 +506,25 @@
   return PREPARE_AGAIN_MS;
 }
 
+/* Whether the present phase's order is for that rank. */
+static bool
+is_meant (const struct ash_map_switch *sw, uint32_t rank)
+{
+  switch (sw->phase)
+    {
+    case ASH_MAP_HOLD:
+      return rank == sw->holder;
+    case ASH_MAP_GO:
+      return rank == sw->holder || (sw->finishing && rank == sw->foreign_rank);
+    case ASH_MAP_IDLE:
+    case ASH_MAP_PREPARE:
+    case ASH_MAP_ARM:
+    case ASH_MAP_DISARM:
+      break;
+    }
+  return true;
+}
+
 uint32_t
 ash_map_switch_orders (struct ash_map_switch *sw,
                        struct ash_time now,
@@ -515,9 +538,8 @@
   for (uint32_t i = 0; i < sw->rank_count; i++)
     {
       struct ash_map_rank *rank = &sw->ranks[i];
-      bool alone = sw->phase == ASH_MAP_HOLD || sw->phase == ASH_MAP_GO;
 
-      if (rank->answered || (alone && i != sw->holder) ||
+      if (rank->answered || !is_meant (sw, i) ||
           (rank->sent.ms && ash_time_diff (rank->sent, now) < resend_ms (sw, rank, now)))
         continue;
       rank->sent = now;
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -52,11 +52,12 @@
 struct answer
 {
   uint16_t status;
-  bool headed;  /* its head is there */
-  bool not_run; /* the endpoint vouches that it did not run the request */
-  bool bad;     /* it can't be the endpoint's answer to this request */
-  bool events;  /* it is a stream of events */
-  bool passing; /* too large to be held: passed on as it comes */
+  bool headed;     /* its head is there */
+  bool not_run;    /* the endpoint vouches that it did not run the request */
+  bool bad;        /* it can't be the endpoint's answer to this request */
+  bool events;     /* it is a stream of events */
+  uint64_t length; /* of the body of an answer to HEAD, which does not come */
+  bool passing;    /* too large to be held: passed on as it comes */
   struct ash_buffer fields;
   struct ash_buffer body;
 };
@@ -133,10 +134,22 @@
   free (exchange);
 }
 
+/* A caller's id as a log may hold it: nothing that could pass for further fields. */
+static const char *
+plain_id (const struct ash_request_facts *facts)
+{
+  static const char plain[] = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ._:-";
+  const char *id = facts->attempt_id;
+
+  if (!id || !*id)
+    return "-";
+  return id[strspn (id, plain)] ? "(odd)" : id;
+}
+
 static const char *
 attempt_id (const struct ash_exchange *exchange)
 {
-  return exchange->facts.attempt_id ? exchange->facts.attempt_id : "-";
+  return plain_id (&exchange->facts);
 }
 
 static int64_t
@@ -214,9 +227,10 @@
   if (answer->passing)
     ash_http_conn_end (conn, true);
   else
-    ash_http_conn_answer (
-        conn, answer->status, (const char *) answer->fields.bytes + answer->fields.start,
-        answer->fields.length, answer->body.bytes + answer->body.start, answer->body.length);
+    ash_http_conn_answer (conn, answer->status,
+                          (const char *) answer->fields.bytes + answer->fields.start,
+                          answer->fields.length, answer->body.bytes + answer->body.start,
+                          exchange->call.no_body ? answer->length : answer->body.length);
   free_exchange (exchange);
 }
 
@@ -415,6 +429,7 @@
   answer->headed = true;
   answer->status = head->status;
   answer->not_run = facts.not_run;
+  answer->length = head->length == UINT64_MAX ? 0 : head->length;
   answer->bad = facts.encoded || (!facts.attempt_id && exchange->facts.attempt_id) ||
                 (head->status >= STATUS_OK && head->status < STATUS_MULTIPLE && !facts.is_signed);
   answer->events = exchange->route->stream && head->status == STATUS_OK && !answer->bad;
@@ -626,8 +641,7 @@
 
   ash_platform_request_read (&conn->reader.head, &facts);
   ash_log_event (&router->log, ASH_EV_FORWARD_DENIED, "id=%s status=%u why=\"%s\" version=%llu",
-                 facts.attempt_id ? facts.attempt_id : "-", status, why,
-                 (unsigned long long) ash_router_version (router));
+                 plain_id (&facts), status, why, (unsigned long long) ash_router_version (router));
   ash_metrics_add (&router->metrics, "ash_denied_total", "", 1);
   if (status == 503)
     snprintf (fields, sizeof fields, "Retry-After: 0.5\r\n");
@@ -661,7 +675,11 @@
   exchange->conn = conn;
   exchange->table = ash_route_table_ref (router->table);
   exchange->route = route;
-  exchange->call = (struct ash_http_call){ .handler = &call_handler, .owner = exchange };
+  exchange->call = (struct ash_http_call){
+    .handler = &call_handler,
+    .owner = exchange,
+    .no_body = strcmp (conn->reader.head.method, "HEAD") == 0,
+  };
   ev_timer_init (&exchange->timer, on_timer, 0, 0);
   exchange->timer.data = exchange;
   conn->request = exchange;
--- a/daemon/router.c
+++ b/daemon/router.c
@@ -278,6 +278,7 @@
       !listen_at (router, &router->directory, settings->directory_listen, &ash_directory_handler) ||
       !listen_at (router, &router->figures, settings->metrics_listen, &ash_figures_handler))
     return false;
+  router->frontend.conn_max = settings->connections_max;
   if (!ash_fleet_open (&router->fleet, router))
     {
       ash_log_event (&router->log, ASH_EV_CANNOT_LISTEN, "address=%s error=\"%s\"",
--- a/net/http_call.c
+++ b/net/http_call.c
@@ -174,6 +174,7 @@
       link->closing = link->closing || link->foreign;
       link->foreign = false;
       ash_http_reader_next (&link->reader);
+      link->reader.no_body = link->call->no_body;
     }
 }
 
@@ -270,6 +271,7 @@
   link->call = call;
   link->received = false;
   link->foreign = false;
+  link->reader.no_body = call->no_body;
   call->link = link;
   ash_stream_write (&link->stream, request, request_bytes);
   return true;
--- a/net/http_call.h
+++ b/net/http_call.h
@@ -41,6 +41,7 @@
 {
   const struct ash_call_handler *handler;
   void *owner;
+  bool no_body;               /**< a HEAD request: its answer has a length and no body */
   struct ash_http_link *link; /**< NULL: not under way */
 };
 
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -360,13 +360,21 @@
   struct ash_http_listener *listener = io->data;
   int fd;
 
-  (void) loop;
   (void) events;
-  while (listener->conn_count < listener->conn_max)
+  for (;;)
     {
+      /* The rest wait in the kernel's queue until the sweep has freed some. */
+      if (listener->conn_count >= listener->conn_max)
+        {
+          ev_io_stop (loop, &listener->io);
+          return;
+        }
       fd = accept4 (listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (fd < 0 && errno == EINTR)
         continue;
+      /* Out of descriptors: tried again by the sweep, not in every turn of the loop. */
+      if (fd < 0 && (errno == EMFILE || errno == ENFILE))
+        ev_io_stop (loop, &listener->io);
       if (fd < 0)
         return;
       add_conn (listener, fd);
@@ -412,10 +420,11 @@
   struct ash_http_conn *conn;
   struct ash_http_conn *next;
 
-  (void) loop;
   (void) events;
   DL_FOREACH_SAFE (listener->conns, conn, next)
     sweep_conn (conn, now);
+  if (listener->conn_count < listener->conn_max)
+    ev_io_start (loop, &listener->io);
 }
 
 bool
--- a/net/http_message.c
+++ b/net/http_message.c
@@ -136,6 +136,7 @@
   head->method = http_method_str ((enum http_method) parser->method);
   head->status = (uint16_t) parser->status_code;
   head->http_1_0 = parser->http_major == 1 && parser->http_minor == 0;
+  head->length = parser->content_length;
   head->framed = (parser->flags & F_CHUNKED) || parser->content_length != UINT64_MAX;
   /* http_should_keep_alive() looks at how the body ends, so it may be asked now. */
   head->keep_alive = http_should_keep_alive (parser) != 0;
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -37,7 +37,8 @@
   uint16_t status;    /**< of a response */
   bool http_1_0;
   bool keep_alive;
-  bool framed; /**< its body's end shows without the connection's end */
+  uint64_t length; /**< of the body; UINT64_MAX: not said */
+  bool framed;     /**< its body's end shows without the connection's end */
   uint32_t field_count;
   struct ash_http_field fields[ASH_HTTP_FIELDS_MAX];
 };
--- a/options/router_settings.c
+++ b/options/router_settings.c
@@ -50,6 +50,12 @@
       "the same for the list of endpoints: shorter than an endpoint's entry takes to lapse"),
   MS (address_keep_ms, "2000", 100, HOUR_MS, "how long callers may keep an answer"),
   MS (grace_ms, "8000", 100, HOUR_MS, "from the signal to stop to the process's end at most"),
+  COUNT (connections_max,
+         "2500",
+         1,
+         1000000,
+         "connections",
+         "of callers at once; a small box has 4,100 descriptors, endpoints need some"),
   MS (wait_ms, "80", 0, 10000, "how long a request may wait for room"),
   COUNT (
       rank_streams, "9", 1, 10000, "streams", "at once at one rank of an engine, over all entries"),
--- a/options/router_settings.h
+++ b/options/router_settings.h
@@ -34,6 +34,7 @@
   uint32_t list_wait_ms;
   uint32_t address_keep_ms;
   uint32_t grace_ms;
+  uint32_t connections_max;
   uint32_t wait_ms;
   uint32_t rank_streams;
   uint32_t plain_queue;
--- a/test/operators.c
+++ b/test/operators.c
@@ -155,6 +155,8 @@
       json_string_value (json_object_get (json_object_get (root, "error"), "code"));
 
   CU_ASSERT_STRING_EQUAL (actual ? actual : "", code);
+  if (strcmp (actual ? actual : "", code) != 0)
+    printf ("\n%s\n", actual ? actual : "");
   json_decref (root);
   free (text);
   return status;
--- a/test/router.c
+++ b/test/router.c
@@ -72,6 +72,73 @@
   world_stop (&world);
 }
 
+/* How often a text stands in another. */
+static int
+count_of (const char *text, const char *part)
+{
+  int count = 0;
+
+  for (const char *at = strstr (text, part); at; at = strstr (at + 1, part))
+    count++;
+  return count;
+}
+
+/* An answer without a body is whole without it, here and towards the server. */
+static void
+test_head (void)
+{
+  char text[4096] = "";
+  size_t length = 0;
+  ssize_t got;
+  int fd;
+
+  start ();
+  fd = world_connect (&world, 0);
+  world_send (fd, "HEAD /safe/x HTTP/1.1\r\n" HEAD "head-1\r\n\r\n"
+                  "HEAD /safe/x HTTP/1.1\r\n" HEAD "head-2\r\n\r\n"
+                  "GET /safe/x HTTP/1.1\r\nConnection: close\r\n" HEAD "get-1\r\n\r\n");
+  while ((got = recv (fd, text + length, sizeof text - 1 - length, 0)) > 0)
+    length += (size_t) got;
+  close (fd);
+  CU_ASSERT_EQUAL (count_of (text, "HTTP/1.1 200 OK\r\n"), 3);
+  CU_ASSERT_EQUAL (count_of (text, "Content-Length: 12\r\n"), 3);
+  CU_ASSERT_EQUAL (count_of (text, "whole answer"), 1);
+  CU_ASSERT (in_logs ("head-1 HEAD /safe/x"));
+  world_stop (&world);
+}
+
+/* What a log holds can't be made up by a caller. */
+static void
+test_odd_id (void)
+{
+  start ();
+  world_call (&world, "x status=200 reason=forged", "/safe/x", NULL, "", &answer);
+  CU_ASSERT (world_logged (&world, 0, "id=(odd) "));
+  CU_ASSERT_FALSE (world_logged (&world, 0, "forged"));
+  world_stop (&world);
+}
+
+/* More callers than the settings allow wait for their turn. */
+static void
+test_many_callers (void)
+{
+  int fds[14];
+
+  start ();
+  for (int i = 0; i < 14; i++)
+    fds[i] = world_connect (&world, 0);
+  for (int i = 0; i < 8; i++)
+    close (fds[i]);
+  for (int i = 8; i < 14; i++)
+    {
+      world_send (fds[i], "GET /safe/x HTTP/1.1\r\n" HEAD "many-1\r\n\r\n");
+      world_read (fds[i], &answer);
+      CU_ASSERT_EQUAL (answer.status, 200);
+      close (fds[i]);
+    }
+  world_stop (&world);
+}
+
 static void
 test_stream (void)
 {
@@ -761,6 +828,9 @@
 
 static const struct fault_test tests[] = {
   { "path of a request", test_path },
+  { "HEAD", test_head },
+  { "odd attempt id", test_odd_id },
+  { "more callers than allowed", test_many_callers },
   { "stream passed on", test_stream },
   { "directory names who is ready", test_directory },
   { "keys added and taken away, routes unknown", test_keys },
--- a/test/router_world.c
+++ b/test/router_world.c
@@ -296,7 +296,7 @@
            "store_address = \"127.0.0.1:%u\"\nfleet_key = \"" FLEET_KEY "\"\n"
            "seeds = [\"127.0.0.1:%u\", \"127.0.0.1:%u\"]\nlog_level = \"debug\"\n"
            "heartbeat_ms = 100\nlink_silence_ms = 800\ndial_retry_ms = 50\naddress_keep_ms = 200\n"
-           "grace_ms = 3000\nstore_wait_ms = 1000\nlist_wait_ms = 600\n",
+           "grace_ms = 3000\nstore_wait_ms = 1000\nlist_wait_ms = 600\nconnections_max = 10\n",
            name, router->frontend, router->readiness, router->directory, router->peers,
            router->figures, world->store_port, world->routers[0].peers, world->routers[1].peers);
   fclose (file);
