--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -52,7 +52,6 @@
 struct answer
 {
   uint16_t status;
-  bool headed;     /* its head is there */
   bool not_run;    /* the endpoint vouches that it did not run the request */
   bool bad;        /* it can't be the endpoint's answer to this request */
   bool events;     /* it is a stream of events */
@@ -426,7 +425,6 @@
       strcmp (facts.attempt_id, exchange->facts.attempt_id) != 0)
     return false;
   exchange->heard = ash_clock_now ();
-  answer->headed = true;
   answer->status = head->status;
   answer->not_run = facts.not_run;
   answer->length = head->length == UINT64_MAX ? 0 : head->length;
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -195,7 +195,6 @@
   snprintf (peer->frontend, sizeof peer->frontend, "%s", heartbeat->frontend);
   snprintf (peer->address, sizeof peer->address, "%s", heartbeat->peer_address);
   peer->leaving = heartbeat->leaving;
-  peer->reads_store = heartbeat->reads_platform;
   peer->version = heartbeat->revision;
   peer->endpoints_revision = heartbeat->endpoints_revision;
   for (size_t i = 0; i < heartbeat->n_known_addresses && i < heartbeat->n_known_boxes; i++)
--- a/daemon/fleet.h
+++ b/daemon/fleet.h
@@ -26,7 +26,6 @@
   bool linked;
   struct ash_time seen; /**< when it was last linked */
   bool leaving;
-  bool reads_store; /**< the store answers it */
   uint64_t version; /**< of the configuration it has in force */
   uint64_t endpoints_revision;
   uint32_t load_count;
--- a/daemon/router.c
+++ b/daemon/router.c
@@ -337,7 +337,6 @@
   };
   router->log = (struct ash_log){ &router->log_sink, "router" };
   router->loop = ev_default_loop (EVFLAG_AUTO);
-  router->started = ash_clock_now ();
   while (!router->incarnation)
     randombytes_buf (&router->incarnation, sizeof router->incarnation);
   ash_random_init (&router->random, router->incarnation);
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -39,7 +39,6 @@
   struct ash_metrics metrics;
   struct ash_random random;
   uint64_t incarnation;
-  struct ash_time started;
 
   struct ash_route_table *table; /**< in force; NULL: none yet */
   char *config_text;             /**< what it was read from, for peers */
--- a/daemon/store.c
+++ b/daemon/store.c
@@ -341,7 +341,6 @@
       ash_platform_store_range (&request, settings->store_address, reader->part,
                                 *reader->page ? reader->page : NULL);
     }
-  reader->asked = ash_clock_now ();
   router->store.calls++;
   if (!ash_http_call_start (&reader->call, &router->store.pool, request.bytes + request.start,
                             request.length, true))
--- a/daemon/store.h
+++ b/daemon/store.h
@@ -40,7 +40,6 @@
   uint64_t revision;        /**< where the watch goes on; 0: all must be read first */
   char page[256];           /**< of the listing; empty: the first */
   uint32_t listing;         /**< number of the listing under way, to see what it misses */
-  struct ash_time asked;    /**< when the present question was sent */
   struct ash_time due;      /**< a later answer shows that the store was silent */
   struct ash_time answered; /**< the last sound answer */
   struct ash_time failing_since;
--- a/filters/request_facts.h
+++ b/filters/request_facts.h
@@ -28,9 +28,6 @@
   bool is_signed;         /**< the endpoint's signature is there */
   bool not_run;           /**< the endpoint vouches that it did not run the request */
   bool encoded;           /**< the body is not as the endpoint made it */
-  bool has_load;
-  uint32_t running;
-  uint32_t waiting;
 };
 
 /** What is told to an endpoint along with a request. */
--- a/net/http_call.c
+++ b/net/http_call.c
@@ -23,10 +23,9 @@
   struct ash_stream stream;
   struct ash_http_reader reader;
   struct ash_time idle_until;
-  bool foreign;  /* the present answer belongs to no request of ours */
-  bool received; /* a byte came since the request was sent */
-  bool closing;  /* not to be used again */
-  bool feeding;  /* its reader is at work further up: not to be freed by a sweep */
+  bool foreign; /* the present answer belongs to no request of ours */
+  bool closing; /* not to be used again */
+  bool feeding; /* its reader is at work further up: not to be freed by a sweep */
   struct ash_http_link *prev;
   struct ash_http_link *next;
 };
@@ -147,7 +146,6 @@
       free_link (link);
       return;
     }
-  link->received = true;
   while (taken < length)
     {
       link->feeding = true;
@@ -250,7 +248,6 @@
     }
   ash_http_reader_init (&link->reader, ASH_HTTP_RESPONSE, &reader_handler, link);
   pool->open_count++;
-  pool->connects++;
   DL_PREPEND (pool->links, link);
   return link;
 }
@@ -269,7 +266,6 @@
   if (!link)
     return false;
   link->call = call;
-  link->received = false;
   link->foreign = false;
   link->reader.no_body = call->no_body;
   call->link = link;
--- a/net/http_call.h
+++ b/net/http_call.h
@@ -53,7 +53,6 @@
   struct ash_http_link *links; /**< idle ones and those in use; the last used first */
   uint32_t open_count;
   uint32_t idle_max;
-  uint64_t connects; /**< connections ever begun */
 };
 
 /** @param address as IP:PORT. @return false if it is none. */
--- a/proto/ash.pb-c.c
+++ b/proto/ash.pb-c.c
@@ -1903,7 +1903,7 @@
   (ProtobufCMessageInit) ash__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__heartbeat__field_descriptors[16] =
+static const ProtobufCFieldDescriptor ash__heartbeat__field_descriptors[15] =
 {
   {
     "revision",
@@ -2085,21 +2085,8 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "age_ms",
-    16,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Ash__Heartbeat, age_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned ash__heartbeat__field_indices_by_name[] = {
-  15,   /* field[15] = age_ms */
   12,   /* field[12] = endpoints_revision */
   9,   /* field[9] = frontend */
   11,   /* field[11] = hall */
@@ -2119,7 +2106,7 @@
 static const ProtobufCIntRange ash__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor ash__heartbeat__descriptor =
 {
@@ -2129,7 +2116,7 @@
   "Ash__Heartbeat",
   "ash",
   sizeof(Ash__Heartbeat),
-  16,
+  15,
   ash__heartbeat__field_descriptors,
   ash__heartbeat__field_indices_by_name,
   1,  ash__heartbeat__number_ranges,
--- a/proto/ash.pb-c.h
+++ b/proto/ash.pb-c.h
@@ -304,14 +304,10 @@
    */
   size_t n_known_addresses;
   char **known_addresses;
-  /*
-   * since its process started
-   */
-  uint64_t age_ms;
 };
 #define ASH__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ash__heartbeat__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL }
 
 
 /*
