platform: a Split whose weights add up to nothing is a finding

Cause: ash_route_table_draw gives UINT32_MAX for such a route, and fill_forward indexed the services with it: one bad row of configuration would have ended the router on the next request of that route.

--- a/test/unit_router.c
+++ b/test/unit_router.c
@@ -94,6 +94,13 @@
   /* All findings at once. */
   read_table (&table, "{\"Services\":[{}],\"Routes\":[{}],\"Tenants\":[{}]}", 6);
   ash_route_table_finish (&table);
+  /* A split nobody can draw from: with no part of any weight a request would have no service. */
+  read_table (&table,
+              "{\"Version\":4," SERVICES ",\"Routes\":[{\"Host\":\"h\",\"PathPrefix\":\"/\","
+              "\"RouteKind\":\"safe\",\"Split\":[{\"Service\":\"a\",\"Weight\":0},"
+              "{\"Service\":\"b\"}]}]}",
+              1);
+  ash_route_table_finish (&table);
   read_table (&table, "[1,", 1);
   ash_route_table_finish (&table);
   read_table (&table, "7", 1);
