entry: whoever takes over reading knows at once that the platform answers

Cause: an entry that leaves reading to others and then takes over began with a watch, and counted the platform as silent until that watch ended, 10 s later; confirm was refused with cut_off meanwhile. Change: without a sound last read the question is asked without waiting; an entry that has only just begun to read goes by its peers' word until its own read has failed. Test: plans: the reader of the platform dies; failed before (confirm not taken within 4 s), passes.

--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -257,14 +257,17 @@
                                   settings->platform_readers);
 }
 
-/* A reader goes by its own reads; who leaves that to others, by their word. */
+/* A reader goes by its own reads; who leaves that to others, or has only just come to read
+ * itself, by their word. */
 static bool
 platform_answers (void *data)
 {
   const struct entry *entry = data;
 
-  if (should_read (data))
-    return entry->platform.reads;
+  if (entry->platform.reads)
+    return true;
+  if (should_read (data) && ash_platform_failed (&entry->platform))
+    return false;
   return ash_readers_any (&entry->core.membership);
 }
 
--- a/daemon/platform.c
+++ b/daemon/platform.c
@@ -159,6 +159,9 @@
   struct ash_fetch_handler handler = { on_head, on_bytes, on_end, read };
   struct ash_fetch_request request = { .url = url, .method = "GET", .timeout_ms = READ_TIMEOUT_MS };
   uint64_t after = platform->seen_revision;
+  /* Whoever does not know whether the platform answers asks for an answer at once: a watch
+   * would tell only at its end. */
+  int wait_ms = platform->reads ? WATCH_MS : 0;
 
   /* An older answer must not make this wait for what it has already. */
   if (daemon->config->ready && daemon->config->document.revision > after)
@@ -168,8 +171,8 @@
   else
     {
       snprintf (url, sizeof url, "%s/v1/config?after=%llu&wait_ms=%d",
-                daemon->settings->platform_url, (unsigned long long) after, WATCH_MS);
-      request.timeout_ms += WATCH_MS;
+                daemon->settings->platform_url, (unsigned long long) after, wait_ms);
+      request.timeout_ms += (uint32_t) wait_ms;
     }
   read->status = 0;
   read->running = true;
@@ -177,6 +180,12 @@
     start_later (read, BACK_OFF_MAX_MS);
 }
 
+bool
+ash_platform_failed (const struct ash_platform *platform)
+{
+  return platform->config.failures > 0;
+}
+
 static void
 on_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
--- a/daemon/platform.h
+++ b/daemon/platform.h
@@ -51,6 +51,9 @@
                         struct ash_daemon *daemon,
                         const struct ash_platform_handler *handler);
 
+/** @return whether its last read failed: not so if it has not read as yet. */
+bool ash_platform_failed (const struct ash_platform *platform);
+
 /** Stops the timers; running reads end with the HTTP client. */
 void ash_platform_finish (struct ash_platform *platform);
 
--- a/test/operators.c
+++ b/test/operators.c
@@ -224,6 +224,47 @@
   fleet_stop (&fleet);
 }
 
+/* Tries to confirm until it is taken. @return whether it was, within a few seconds. */
+static bool
+confirm_soon (struct fleet *fleet, int e, const json_t *plan)
+{
+  char *text = json_dumps (plan, 0);
+  long status = 0;
+
+  for (int i = 0; i < 40 && status != 200; i++)
+    {
+      json_decref (operate (fleet, e, "/v1/confirm", OPERATOR_KEY, text, &status));
+      if (status != 200)
+        fleet_sleep (100);
+    }
+  free (text);
+  return status == 200;
+}
+
+/* One entry reads the platform for both. Whichever is left takes over, and knows at once
+ * that the platform answers it, not only when its first watch ends. */
+static void
+test_reader_dies (void)
+{
+  for (int dies = 0; dies < 2; dies++)
+    {
+      struct fleet fleet;
+      json_t *plan;
+      long status = 0;
+
+      fleet_start (&fleet, OPERATORS "platform_readers = 1\n");
+      /* The one that does not read has left it to the other by now. */
+      fleet_sleep (11000);
+      plan = operate (&fleet, 1 - dies, "/v1/plan", OPERATOR_KEY, "[[hall]]\nname = \"h2\"\n",
+                      &status);
+      CU_ASSERT_EQUAL (status, 200);
+      CU_ASSERT_EQUAL (fleet_end (&fleet.entries[dies].pid, SIGKILL), -1);
+      CU_ASSERT (confirm_soon (&fleet, 1 - dies, plan));
+      json_decref (plan);
+      fleet_stop (&fleet);
+    }
+}
+
 /* An endpoint is taken out of the configuration while it works: what it has in
  * hand ends whole, and it gets nothing new. */
 static void
@@ -486,6 +527,7 @@
   { "configuration: replaced while the platform answers an older one", test_replaced_on_older },
   { "configuration: by deltas", test_deltas },
   { "plans: two operators on one base", test_operators_race },
+  { "plans: the reader of the platform dies", test_reader_dies },
   { "an endpoint is removed while it works", test_endpoint_removed },
   { "plans: what can't be met, tampered, cut off", test_plan_refused },
   { "explain: a request", test_explain_request },
