groups: shifts are seen sooner; pass_watch: only the work for tokens grows with skew

The watch took the whole pass to grow with skew, so it expected 1.29 times an even pass at a skew of 1.34 and 2.7 times at 3; what was seen is 1.15 to 1.25 and 1.5 to 1.7: a step's fixed time does not grow. Its threshold, 1.67 times, was met late or never, and a periodic look in between put the next one off by 0.9 s. Change: explained time as the engine's formula has it; a look that finds no shift raises what is accepted until passes are short again; the pause to the next look shrinks with the number of ranks.

--- a/controllers/pass_watch.c
+++ b/controllers/pass_watch.c
@@ -7,8 +7,8 @@
 /* Pauses that it takes to know anything. */
 #define SEEN_LEAST 12
 
-/* Passes are too long above this, against what the map explains: copying adds 15 in 100,
- * prompts that are read about 10. */
+/* Passes are too long above this, against what is explained. Prompts that are read add about
+ * 10 in 100; a shift adds 40 and more (docs/POLICY.md). */
 #define SLOWER_TIMES 1.3
 
 /* A pause beyond this is no pass: the stream stood still for another reason. */
@@ -31,10 +31,19 @@
 
   if (pause_ms < 1 || pause_ms > PAUSE_MOST_MS || even_ms <= 0)
     return;
+  watch->token_part = engine->stride * streams * engine->sequence_ms / even_ms;
   watch->pass_ms +=
       watch->seen ? NEWEST_PART * ((double) pause_ms - watch->pass_ms) : (double) pause_ms;
   watch->ratio += watch->seen ? NEWEST_PART * (ratio - watch->ratio) : ratio;
   watch->seen++;
+  if (watch->ratio < watch->accepted)
+    watch->accepted = watch->ratio;
+}
+
+void
+ash_pass_watch_accept (struct ash_pass_watch *watch)
+{
+  watch->accepted = watch->ratio;
 }
 
 bool
@@ -42,8 +51,12 @@
                        const struct ash_engine_facts *engine,
                        double skew)
 {
-  /* The experts' part of the work takes as long as the most loaded rank's. */
-  double explained = 1 - engine->expert_share + engine->expert_share * skew;
+  /* The most loaded rank sets how long the experts' part of the work for tokens takes. A
+   * step's fixed time does not grow with it. */
+  double tokens = 1 - engine->expert_share + engine->expert_share * skew;
+  double explained = 1 - watch->token_part + watch->token_part * tokens;
 
+  if (explained < watch->accepted)
+    explained = watch->accepted;
   return watch->seen > SEEN_LEAST && watch->ratio > SLOWER_TIMES * explained;
 }
--- a/daemon/groups.c
+++ b/daemon/groups.c
@@ -20,8 +20,9 @@
  * each with some tokens of every stream. */
 #define COUNTS_PAUSE_MS 150
 
-/* Passes that stay long are looked at again after this: a change of a map takes as long. */
-#define LOOK_AGAIN_MS 900
+/* From a decision to the next look because of long passes, times the ranks: 0.2 s for 64,
+ * 0.9 s for 16, so that the first passes of a changed map have shown themselves. */
+#define LOOK_AGAIN_RANK_MS 14400
 
 #define BITS_PER_MB 8.0
 
@@ -111,7 +112,10 @@
       group->undecided = true;
       if (groups->policy->shifts)
         ash_pass_watch_reset (&group->watch);
+      else if (groups->suspects)
+        ash_pass_watch_accept (&group->watch);
     }
+  groups->suspects = false;
 }
 
 static bool
@@ -144,7 +148,7 @@
   return false;
 }
 
-/* Some ranks by turns: their requests are a sample of all, and each number has a price. */
+/* Some ranks: their requests are a sample of all, and each number has a price. */
 static void
 ask_counts (struct ash_groups *groups)
 {
@@ -155,7 +159,7 @@
 
   groups->counts_awaited = 0;
   for (struct ash_rank_box *box = groups->boxes; box; box = box->hh.next, index++)
-    if ((index + groups->counts_turn) % stride == 0)
+    if (index % stride == 0)
       {
         ash_rank_ask (box, ASH_RANK_COUNTS);
         groups->counts_awaited++;
@@ -191,6 +195,15 @@
   return true;
 }
 
+/* A look has a price, and more streams share it where there are more ranks. */
+static int64_t
+look_again_ms (const struct ash_groups *groups)
+{
+  uint32_t ranks = HASH_COUNT (groups->boxes);
+
+  return ranks ? LOOK_AGAIN_RANK_MS / ranks : LOOK_AGAIN_RANK_MS;
+}
+
 /* Whether to look at the counts now, and from which moment on to count. */
 static void
 begin_look (struct ash_groups *groups, struct ash_time now)
@@ -202,8 +215,9 @@
       ask_counts (groups);
       set_counts_state (groups, is_young (groups) ? ASH_COUNTS_ASKED : ASH_COUNTS_BEFORE, now);
     }
-  else if (since_ms > LOOK_AGAIN_MS && is_slower (groups))
+  else if (since_ms > look_again_ms (groups) && is_slower (groups))
     {
+      groups->suspects = true;
       ask_counts (groups);
       set_counts_state (groups, ASH_COUNTS_BEFORE, now);
     }
--- a/daemon/groups.h
+++ b/daemon/groups.h
@@ -37,8 +37,8 @@
   enum ash_counts_state counts_state;
   struct ash_time counts_since; /**< when this state began */
   uint32_t counts_awaited;
-  uint32_t counts_turn; /**< ranks are asked by turns */
-  double *counts;       /**< new since the last decision */
+  bool suspects;  /**< the look under way is because of long passes */
+  double *counts; /**< new since the last decision */
   struct ash_time decided;
   uint64_t orders; /**< sent */
   uint64_t reads;  /**< numbers read */
--- a/daemon/store.h
+++ b/daemon/store.h
@@ -47,8 +47,8 @@
   bool answers;            /**< the last question was answered */
   bool changed;            /**< the last answer changed the list of endpoints */
   struct ash_time changed_at;
-  uint32_t burst; /**< answers that changed it, close together */
-  uint32_t failures;       /**< in a row */
+  uint32_t burst;    /**< answers that changed it, close together */
+  uint32_t failures; /**< in a row */
   ev_timer timer;
 };
 
