fleet: heartbeats name the others only where it helps

Ruled out: loads told to peers, which leave out endpoints without work already. Change: names go out for 1.5 s after a link has changed, and in one heartbeat of ten.

--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -6,6 +6,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Heartbeats name the others for so long after a link has changed, a few heartbeats, */
+#define NAMES_MS 1500
+
+/* and besides one in so many, so that a pair that missed each other meets in a few seconds. */
+#define NAMES_BEATS 10
+
 #define MS_PER_S 1000.0
 
 /* A router without a link for so long does not come back under its name. */
@@ -211,6 +217,7 @@
 take_link_down (struct ash_fleet *fleet, struct ash_fleet_peer *peer)
 {
   peer->linked = false;
+  fleet->links_changed = ash_clock_now ();
   forget_loads (fleet, peer);
   fleet->router->room = true;
 }
@@ -230,6 +237,7 @@
       peer->linked = true;
       peer->leaving = false;
       fleet->loads_changed = true;
+      fleet->links_changed = ash_clock_now ();
       break;
     case ASH__EVENT__KIND_LINK_DOWN:
       take_link_down (fleet, peer);
@@ -266,21 +274,21 @@
   return ash_router_version (fleet->router);
 }
 
+/* Whether a heartbeat names the others: the names grow with the fleet, and all that they
+ * are for is finding each other. */
+static bool
+names_others (struct ash_fleet *fleet)
+{
+  return fleet->beats++ % NAMES_BEATS == 0 ||
+         ash_time_diff (fleet->links_changed, ash_clock_now ()) < NAMES_MS;
+}
+
 /* The arrays are freed by the sender of the heartbeat, their texts are ours. */
 static void
-own_heartbeat (void *data, struct Ash__Heartbeat *heartbeat)
+name_others (struct ash_fleet *fleet, struct Ash__Heartbeat *heartbeat)
 {
-  struct ash_fleet *fleet = data;
-  struct ash_router *router = fleet->router;
   uint32_t count = HASH_COUNT (fleet->peers);
 
-  heartbeat->revision = ash_router_version (router);
-  heartbeat->leaving = router->stopping || !ash_router_ready (router);
-  heartbeat->frontend = router->settings.frontend_listen;
-  heartbeat->peer_address = router->settings.peer_listen;
-  heartbeat->hall = router->settings.hall;
-  heartbeat->reads_platform = ash_store_answers (&router->store, ASH_STORE_SERVERS);
-  heartbeat->endpoints_revision = router->endpoints.revision;
   heartbeat->known_boxes = calloc (count + 1, sizeof (char *));
   heartbeat->known_addresses = calloc (count + 1, sizeof (char *));
   if (!heartbeat->known_boxes || !heartbeat->known_addresses)
@@ -293,6 +301,23 @@
       }
 }
 
+static void
+own_heartbeat (void *data, struct Ash__Heartbeat *heartbeat)
+{
+  struct ash_fleet *fleet = data;
+  struct ash_router *router = fleet->router;
+
+  heartbeat->revision = ash_router_version (router);
+  heartbeat->leaving = router->stopping || !ash_router_ready (router);
+  heartbeat->frontend = router->settings.frontend_listen;
+  heartbeat->peer_address = router->settings.peer_listen;
+  heartbeat->hall = router->settings.hall;
+  heartbeat->reads_platform = ash_store_answers (&router->store, ASH_STORE_SERVERS);
+  heartbeat->endpoints_revision = router->endpoints.revision;
+  if (names_others (fleet))
+    name_others (fleet, heartbeat);
+}
+
 /* ---- life ---- */
 
 bool
--- a/daemon/fleet.h
+++ b/daemon/fleet.h
@@ -41,6 +41,8 @@
   struct ash_peers links;
   struct ash_fleet_peer *peers;
   ev_timer tell_timer;
+  struct ash_time links_changed; /**< when a link last came up or went down */
+  uint32_t beats;                /**< heartbeats made */
   bool loads_changed;
   bool opened;
 };
