--- a/controllers/layer_policy.c
+++ b/controllers/layer_policy.c
@@ -16,6 +16,7 @@
   uint32_t replicas[ASH_LAYER_EXPERTS_MAX];
   uint64_t holders[ASH_LAYER_EXPERTS_MAX]; /* ranks that hold it, a bit each */
   double load[ASH_LAYER_RANKS_MAX];        /* over the mean rank's */
+  double power;                            /* sum of the loads' eighth powers */
   uint32_t new_count[ASH_LAYER_RANKS_MAX];
   bool is_new[ASH_LAYER_RANKS_MAX][ASH_LAYER_SLOTS_MAX];
 };
@@ -119,6 +120,14 @@
   return layer->policy->demand[layer->index][expert] * layer->map->rank_count / replicas;
 }
 
+static void
+sum_power (struct layer *layer)
+{
+  layer->power = 0;
+  for (uint32_t rank = 0; rank < layer->map->rank_count; rank++)
+    layer->power += raise (layer->load[rank]);
+}
+
 static void
 count_layer (struct layer *layer)
 {
@@ -145,47 +154,40 @@
         if (expert != ASH_NO_EXPERT)
           layer->load[rank] += share_of (layer, expert, layer->replicas[expert]);
       }
+  sum_power (layer);
 }
 
-static double
-norm (const struct layer *layer, const double *load)
-{
-  double power = 0;
-
-  for (uint32_t rank = 0; rank < layer->map->rank_count; rank++)
-    power += raise (load[rank]);
-  return eighth_root (power);
-}
-
-/* Adds @p change to the load of all ranks of a set. */
-static void
-shift (double *load, uint64_t ranks, double change)
-{
-  for (; ranks; ranks &= ranks - 1)
-    load[__builtin_ctzll (ranks)] += change;
-}
-
-/* The norm if @p expert came into the rank's slot in place of @p old. */
+/* The norm if @p expert came into the rank's slot in place of @p old. Only ranks that hold
+ * one of them change. */
 static double
 norm_after (const struct layer *layer, uint32_t rank, uint16_t old, uint16_t expert)
 {
-  double load[ASH_LAYER_RANKS_MAX] = { 0 };
+  uint64_t own = UINT64_C (1) << rank;
+  uint64_t gains = layer->holders[expert];
+  uint64_t losses = old != ASH_NO_EXPERT ? layer->holders[old] & ~own : 0;
   uint32_t replicas = layer->replicas[expert];
   double share = share_of (layer, expert, replicas + 1);
+  double gain = share - share_of (layer, expert, replicas);
+  double dropped = old != ASH_NO_EXPERT ? share_of (layer, old, layer->replicas[old]) : 0;
+  double loss =
+      old != ASH_NO_EXPERT ? share_of (layer, old, layer->replicas[old] - 1) - dropped : 0;
+  double power = layer->power;
 
-  memcpy (load, layer->load, layer->map->rank_count * sizeof *load);
-  shift (load, layer->holders[expert], share - share_of (layer, expert, replicas));
-  load[rank] += share;
-  if (old != ASH_NO_EXPERT)
+  for (uint64_t ranks = gains | losses | own; ranks; ranks &= ranks - 1)
     {
-      uint32_t left = layer->replicas[old] - 1;
-      double before = share_of (layer, old, left + 1);
-
-      shift (load, layer->holders[old] & ~(UINT64_C (1) << rank),
-             share_of (layer, old, left) - before);
-      load[rank] -= before;
+      uint32_t other = (uint32_t) __builtin_ctzll (ranks);
+      double load = layer->load[other];
+      double after = load;
+
+      if (gains >> other & 1)
+        after += gain;
+      if (losses >> other & 1)
+        after += loss;
+      if (other == rank)
+        after += share - dropped;
+      power += raise (after) - raise (load);
     }
-  return norm (layer, load);
+  return eighth_root (power > 0 ? power : 0);
 }
 
 static uint32_t
@@ -229,7 +231,7 @@
 {
   const struct ash_layer_weights *weights = &layer->policy->weights;
   const struct ash_layer_map *map = layer->map;
-  double now = norm (layer, layer->load);
+  double now = eighth_root (layer->power);
   uint32_t most = most_loaded (layer);
   struct move best = { .expert = ASH_NO_EXPERT };
 
--- a/daemon/groups.c
+++ b/daemon/groups.c
@@ -378,10 +378,7 @@
   HASH_ITER (hh, groups->boxes, box, next_box)
     ash_rank_free (groups, box);
   HASH_ITER (hh, groups->groups, group, next_group)
-    {
-      HASH_DEL (groups->groups, group);
-      free (group);
-    }
+    ash_rank_group_free (groups, group);
   free (groups->policy);
   free (groups->counts);
   groups->policy = NULL;
--- a/daemon/rank_group.c
+++ b/daemon/rank_group.c
@@ -334,6 +334,23 @@
   ash_buffer_finish (&request);
 }
 
+/* An order's text: written once for all ranks, as that of a map is long. */
+static const struct ash_buffer *
+order_text (struct ash_rank_group *group, const struct ash_rank_order *order)
+{
+  const struct ash_rank_order *said = &group->said;
+
+  if (group->text.length && said->kind == order->kind && said->epoch == order->epoch &&
+      said->version == order->version && said->step == order->step)
+    return &group->text;
+  ash_buffer_consume (&group->text, group->text.length);
+  group->said = *order;
+  if (!ash_platform_order_body (&group->text, order,
+                                order->kind == ASH_RANK_PREPARE ? &group->next : NULL))
+    ash_buffer_consume (&group->text, group->text.length);
+  return &group->text;
+}
+
 static void
 send_order (struct ash_rank_group *group,
             struct ash_groups *groups,
@@ -346,8 +363,7 @@
   if (!box)
     return;
   groups->orders++;
-  ash_platform_rank_order (&request, box->address, order,
-                           order->kind == ASH_RANK_PREPARE ? &group->next : NULL);
+  ash_platform_rank_order (&request, box->address, order_text (group, order));
   call = start_call (box, &request);
   if (call)
     {
@@ -384,6 +400,14 @@
       }
 }
 
+void
+ash_rank_group_free (struct ash_groups *groups, struct ash_rank_group *group)
+{
+  HASH_DEL (groups->groups, group);
+  ash_buffer_finish (&group->text);
+  free (group);
+}
+
 void
 ash_rank_free (struct ash_groups *groups, struct ash_rank_box *box)
 {
--- a/daemon/rank_group.h
+++ b/daemon/rank_group.h
@@ -58,7 +58,9 @@
   struct ash_layer_map map; /* in use */
   bool listed[ASH_LAYER_RANKS_MAX];
   uint64_t lists_epoch;
-  struct ash_layer_map next; /* that it is being changed to */
+  struct ash_layer_map next;  /* that it is being changed to */
+  struct ash_rank_order said; /* the order that the text below is of, whatever its rank */
+  struct ash_buffer text;
   struct ash_pass_watch watch;
   double skew;    /* that the map in use is believed to have */
   bool undecided; /* there is something to decide on */
@@ -87,6 +89,9 @@
 /** Gives up what was not answered in time. */
 void ash_rank_sweep (struct ash_rank_box *box, struct ash_time now);
 
+/** Frees a group; its boxes stay. */
+void ash_rank_group_free (struct ash_groups *groups, struct ash_rank_group *group);
+
 /** Frees a box with all that is under way at it. */
 void ash_rank_free (struct ash_groups *groups, struct ash_rank_box *box);
 
--- a/test/unit_router.c
+++ b/test/unit_router.c
@@ -541,6 +541,7 @@
   };
   struct ash_rank_order order = { ASH_RANK_PREPARE, 0, 2, 7, 0 };
   struct ash_buffer out = { 0 };
+  struct ash_buffer body = { 0 };
   uint64_t epoch;
 
   CU_ASSERT (ash_platform_report_read (report_text, sizeof report_text - 1, &report));
@@ -550,11 +551,13 @@
   CU_ASSERT_FALSE (ash_platform_report_read ("nothing", 7, &report));
   CU_ASSERT (ash_platform_lists_read (lists_text, sizeof lists_text - 1, 0, &map, &epoch));
   CU_ASSERT (map.version == 3 && map.slots[0][0][1] == 4 && map.slots[1][0][1] == ASH_NO_EXPERT);
-  ash_platform_rank_order (&out, "x:1", &order, &map);
+  ash_platform_order_body (&body, &order, &map);
+  ash_platform_rank_order (&out, "x:1", &body);
   ash_buffer_append (&out, "", 1);
   CU_ASSERT_PTR_NOT_NULL (strstr ((char *) out.bytes, "\"Operation\":\"prepare\""));
   CU_ASSERT_PTR_NOT_NULL (strstr ((char *) out.bytes, "\"Map\":[[[0,4]],[[1]]]"));
   ash_buffer_finish (&out);
+  ash_buffer_finish (&body);
   /* There is no such expert. */
   map.expert_count = 4;
   CU_ASSERT_FALSE (ash_platform_lists_read (lists_text, sizeof lists_text - 1, 0, &map, &epoch));
