pass_watch: how sure a shift must be depends on how many ranks share a look's price

Cause: with the leader fast, what is left of a shift's cost is noticing it. Change: 1.2 + 1.6/ranks; counts over 100 ms instead of 150. Test: expert layers: passes too long, with a pass that is enough for 64 ranks and not for 16.

--- a/controllers/pass_watch.c
+++ b/controllers/pass_watch.c
@@ -8,8 +8,10 @@
 #define SEEN_LEAST 12
 
 /* Passes are too long above this, against what is explained. Prompts that are read add about
- * 10 in 100; a shift adds 40 and more (docs/POLICY.md). */
-#define SLOWER_TIMES 1.3
+ * 10 in 100; a shift adds 40 and more. A false alarm has the price of a look at the counts,
+ * which fewer streams share where there are fewer ranks: 1.3 for 16 of them, 1.22 for 64. */
+#define SLOWER_TIMES 1.2
+#define SLOWER_TIMES_RANKS 1.6
 
 /* A pause beyond this is no pass: the stream stood still for another reason. */
 #define PAUSE_MOST_MS 600
@@ -49,8 +51,10 @@
 bool
 ash_pass_watch_slower (const struct ash_pass_watch *watch,
                        const struct ash_engine_facts *engine,
+                       uint32_t ranks,
                        double skew)
 {
+  double times = SLOWER_TIMES + SLOWER_TIMES_RANKS / (ranks ? ranks : 1);
   /* The most loaded rank sets how long the experts' part of the work for tokens takes. A
    * step's fixed time does not grow with it. */
   double tokens = 1 - engine->expert_share + engine->expert_share * skew;
@@ -58,5 +62,5 @@
 
   if (explained < watch->accepted)
     explained = watch->accepted;
-  return watch->seen > SEEN_LEAST && watch->ratio > SLOWER_TIMES * explained;
+  return watch->seen > SEEN_LEAST && watch->ratio > times * explained;
 }
--- a/controllers/pass_watch.h
+++ b/controllers/pass_watch.h
@@ -35,11 +35,13 @@
 void ash_pass_watch_accept (struct ash_pass_watch *watch);
 
 /**
+ * @param ranks of all groups that a look at the counts serves.
  * @param skew that the map in use is believed to have.
  * @return whether passes take much longer than that explains.
  */
 bool ash_pass_watch_slower (const struct ash_pass_watch *watch,
                             const struct ash_engine_facts *engine,
+                            uint32_t ranks,
                             double skew);
 
 #endif
--- a/daemon/groups.c
+++ b/daemon/groups.c
@@ -16,9 +16,9 @@
 /* A router that has just come to lead waits: the one before may still be finishing. */
 #define LEAD_WAIT_MS 700
 
-/* From one look at the counts to the next after passes have become longer: a few passes,
+/* From one look at the counts to the next after passes have become longer: one or two passes,
  * each with some tokens of every stream. */
-#define COUNTS_PAUSE_MS 150
+#define COUNTS_PAUSE_MS 100
 
 /* From a decision to the next look because of long passes, times the ranks: 0.2 s for 64,
  * 0.9 s for 16, so that the first passes of a changed map have shown themselves. */
@@ -143,7 +143,8 @@
   const struct ash_route_service *service = ash_rank_service (groups);
 
   for (const struct ash_rank_group *group = groups->groups; group; group = group->hh.next)
-    if (service && ash_pass_watch_slower (&group->watch, &service->engine, group->skew))
+    if (service && ash_pass_watch_slower (&group->watch, &service->engine,
+                                          HASH_COUNT (groups->boxes), group->skew))
       return true;
   return false;
 }
--- a/test/unit_router.c
+++ b/test/unit_router.c
@@ -495,33 +495,40 @@
   /* An even pass of four streams takes 38 ms, 9 of them for tokens; a skew of 1.2 adds 1.5. */
   for (int i = 0; i < 50; i++)
     ash_pass_watch_pause (&watch, &engine, 4, 46);
-  CU_ASSERT_FALSE (ash_pass_watch_slower (&watch, &engine, 1.2));
+  CU_ASSERT_FALSE (ash_pass_watch_slower (&watch, &engine, 16, 1.2));
   for (int i = 0; i < 15; i++)
     ash_pass_watch_pause (&watch, &engine, 4, 80);
-  CU_ASSERT (ash_pass_watch_slower (&watch, &engine, 1.2));
+  CU_ASSERT (ash_pass_watch_slower (&watch, &engine, 16, 1.2));
   /* Nor does a skew of 2.5 explain twice an even pass: steps have a fixed time too. */
-  CU_ASSERT (ash_pass_watch_slower (&watch, &engine, 2.5));
+  CU_ASSERT (ash_pass_watch_slower (&watch, &engine, 16, 2.5));
   /* More streams explain longer passes: 55 ms, 26 of them for tokens. */
   ash_pass_watch_reset (&watch);
   for (int i = 0; i < 50; i++)
     ash_pass_watch_pause (&watch, &engine, 12, 70);
-  CU_ASSERT_FALSE (ash_pass_watch_slower (&watch, &engine, 1.2));
+  CU_ASSERT_FALSE (ash_pass_watch_slower (&watch, &engine, 16, 1.2));
+  for (int i = 0; i < 50; i++)
+    ash_pass_watch_pause (&watch, &engine, 12, 95);
+  CU_ASSERT (ash_pass_watch_slower (&watch, &engine, 16, 1.2));
+  CU_ASSERT_FALSE (ash_pass_watch_slower (&watch, &engine, 16, 2.5));
+  /* More ranks share the price of a look: less is enough for one. */
+  for (int i = 0; i < 50; i++)
+    ash_pass_watch_pause (&watch, &engine, 12, 76);
+  CU_ASSERT_FALSE (ash_pass_watch_slower (&watch, &engine, 16, 1.2));
+  CU_ASSERT (ash_pass_watch_slower (&watch, &engine, 64, 1.2));
   for (int i = 0; i < 50; i++)
     ash_pass_watch_pause (&watch, &engine, 12, 95);
-  CU_ASSERT (ash_pass_watch_slower (&watch, &engine, 1.2));
-  CU_ASSERT_FALSE (ash_pass_watch_slower (&watch, &engine, 2.5));
   /* A look found no shift: only what is longer again is looked into. */
   ash_pass_watch_accept (&watch);
-  CU_ASSERT_FALSE (ash_pass_watch_slower (&watch, &engine, 1.2));
+  CU_ASSERT_FALSE (ash_pass_watch_slower (&watch, &engine, 16, 1.2));
   for (int i = 0; i < 50; i++)
     ash_pass_watch_pause (&watch, &engine, 12, 130);
-  CU_ASSERT (ash_pass_watch_slower (&watch, &engine, 1.2));
+  CU_ASSERT (ash_pass_watch_slower (&watch, &engine, 16, 1.2));
   /* What was accepted holds no longer once passes were short in between. */
   for (int i = 0; i < 50; i++)
     ash_pass_watch_pause (&watch, &engine, 12, 60);
   for (int i = 0; i < 50; i++)
     ash_pass_watch_pause (&watch, &engine, 12, 95);
-  CU_ASSERT (ash_pass_watch_slower (&watch, &engine, 1.2));
+  CU_ASSERT (ash_pass_watch_slower (&watch, &engine, 16, 1.2));
 }
 
 /* ---- the platform's formats ---- */
