ashctl: trace puts one request's log lines in order and says why it ended so

It reads files or standard input, text or JSON lines, asks no process, and says what it can't know (no final line, lines left out). Weighed: asking routers for a request (explain): the box that had it may be gone, and keeps little.

--- a/cli/ashctl.c
+++ b/cli/ashctl.c
@@ -3,6 +3,7 @@
  * ashctl: the command-line tool of operators and testers.
  */
 #include "cli/send.h"
+#include "cli/trace.h"
 #include "common/id.h"
 
 #include <argp.h>
@@ -15,6 +16,9 @@
 
 #define FILE_MAX_BYTES (2 * 1024 * 1024)
 
+/* A command and its arguments: a trace takes the logs of a whole fleet. */
+#define WORDS_MAX 512
+
 const char *argp_program_version = "ashctl " ASH_VERSION;
 
 /* Documented in docs/OPERATIONS.md. */
@@ -53,7 +57,7 @@
   bool json;
   bool stream;
   bool no_repeat;
-  const char *words[4];
+  const char *words[WORDS_MAX];
   unsigned word_count;
 };
 
@@ -83,6 +87,7 @@
     "  diff DOCUMENT           how a document differs from what is in force\n"
     "  explain group NAME      what was decided on a group's expert map, and why\n"
     "  explain request ID      what became of a request, by Ash-Request-Id\n"
+    "  trace ID [LOG...]       a request's lines in logs (or standard input), and why it ended so\n"
     "  drain BOX               that box takes no new work until it restarts\n"
     "  events                  the declared events and where each stands\n"
     "  status                  what an entry knows of the fleet\n"
@@ -142,7 +147,7 @@
       arguments->deadline_ms = parse_number (argument, state);
       break;
     case ARGP_KEY_ARG:
-      if (arguments->word_count == 4)
+      if (arguments->word_count == WORDS_MAX)
         argp_error (state, "too many arguments");
       arguments->words[arguments->word_count++] = argument;
       break;
@@ -478,6 +483,42 @@
   return run_get (arguments, "GET", path);
 }
 
+/* @return whether the file could be read. */
+static bool
+trace_file (struct ash_trace *trace, const char *path)
+{
+  FILE *log = fopen (path, "r");
+  bool ok = log && ash_trace_read (trace, log);
+
+  if (!ok)
+    fprintf (stderr, "ashctl: %s: %s\n", path, strerror (errno));
+  if (log)
+    fclose (log);
+  return ok;
+}
+
+/* Reads what routers wrote, asks none: the box that had the request may be gone. */
+static enum exit_code
+run_trace (const struct arguments *arguments)
+{
+  struct ash_trace trace;
+  char end[1024];
+  bool ok = true;
+
+  ash_trace_init (&trace, arguments->words[1]);
+  if (arguments->word_count == 2)
+    ok = ash_trace_read (&trace, stdin);
+  for (unsigned i = 2; i < arguments->word_count; i++)
+    ok = trace_file (&trace, arguments->words[i]) && ok;
+  ash_trace_explain (&trace, end, sizeof end);
+  for (uint32_t i = 0; i < trace.count; i++)
+    fputs (trace.lines[i].text, stdout);
+  printf ("%s\n", end);
+  ok = ok && trace.count;
+  ash_trace_finish (&trace);
+  return ok ? EXIT_OK : EXIT_USAGE;
+}
+
 static enum exit_code
 run_drain (const struct arguments *arguments)
 {
@@ -503,14 +544,18 @@
 {
   const char *name;
   unsigned words; /* the command itself included */
+  bool more;      /* or more of them */
   enum exit_code (*run) (const struct arguments *arguments);
 };
 
 static const struct command commands[] = {
-  { "chat", 3, run_chat },       { "call", 3, run_call },   { "addresses", 2, run_addresses },
-  { "mint", 2, run_mint },       { "plan", 2, run_plan },   { "confirm", 2, run_confirm },
-  { "status", 1, run_status },   { "hash", 2, run_hash },   { "diff", 2, run_diff },
-  { "explain", 3, run_explain }, { "drain", 2, run_drain }, { "events", 1, run_events },
+  { "chat", 3, false, run_chat },           { "call", 3, false, run_call },
+  { "addresses", 2, false, run_addresses }, { "mint", 2, false, run_mint },
+  { "plan", 2, false, run_plan },           { "confirm", 2, false, run_confirm },
+  { "status", 1, false, run_status },       { "hash", 2, false, run_hash },
+  { "diff", 2, false, run_diff },           { "explain", 3, false, run_explain },
+  { "drain", 2, false, run_drain },         { "events", 1, false, run_events },
+  { "trace", 2, true, run_trace },
 };
 
 static const char *
@@ -540,7 +585,8 @@
     {
       if (strcmp (commands[i].name, arguments.words[0]) != 0)
         continue;
-      if (arguments.word_count != commands[i].words)
+      if (arguments.word_count < commands[i].words ||
+          (arguments.word_count > commands[i].words && !commands[i].more))
         fprintf (stderr, "ashctl: '%s' takes %u argument%s\n", commands[i].name,
                  commands[i].words - 1, commands[i].words == 2 ? "" : "s");
       else
--- a/test/router.c
+++ b/test/router.c
@@ -3,6 +3,7 @@
  * The router as a real process, before stand-ins of the platform: what callers and
  * servers see of it, calm and in trouble.
  */
+#include "cli/trace.h"
 #include "test/fault_tests.h"
 #include "test/router_world.h"
 
@@ -608,7 +609,10 @@
 static void
 test_endpoints_burst (void)
 {
-  enum { STARTS = 60 };
+  enum
+  {
+    STARTS = 60
+  };
   char target[64];
   long before;
 
@@ -863,7 +867,65 @@
   world_stop (&world);
 }
 
+/* What a trace of the routers' logs says of a request. */
+static void
+trace_request (const char *id, char *end, size_t end_bytes)
+{
+  struct ash_trace trace;
+  char path[160];
+
+  ash_trace_init (&trace, id);
+  for (int r = 0; r < WORLD_ROUTERS; r++)
+    {
+      FILE *log;
+
+      snprintf (path, sizeof path, "%s/router-%d.log", world.folder, r);
+      log = fopen (path, "r");
+      if (log)
+        {
+          CU_ASSERT (ash_trace_read (&trace, log));
+          fclose (log);
+        }
+    }
+  ash_trace_explain (&trace, end, end_bytes);
+  ash_trace_finish (&trace);
+}
+
+static void
+check_trace (const char *id, const char *first, const char *second)
+{
+  char end[1024];
+
+  trace_request (id, end, sizeof end);
+  CU_ASSERT_PTR_NOT_NULL (strstr (end, first));
+  CU_ASSERT_PTR_NOT_NULL (strstr (end, second));
+  if (!strstr (end, first) || !strstr (end, second))
+    printf ("\n%s: %s\n", id, end);
+}
+
+/* The failed requests of docs/OPERATIONS.md, from the id to the cause. */
+static void
+test_trace (void)
+{
+  start ();
+  world_call (&world, "n1", "/once/x", "*=shed", "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 503);
+  check_trace ("n1", "each endpoint that was asked said that it has no room", "It did not run");
+  world_call (&world, "n2", "/once/x", "*=reset", "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 502);
+  check_trace ("n2", "the endpoint broke off", "may have run");
+  world_call (&world, "n3", "/stream/x", "*=streamcut", "", &answer);
+  CU_ASSERT_FALSE (answer.whole);
+  check_trace ("n3", "the endpoint broke off", "It was last at i-");
+  world_call (&world, "n4", "/safe/x", NULL, "", &answer);
+  check_trace ("n4", "Answered with 200 by i-", " ms after it came");
+  /* An id that only begins alike is another request. */
+  check_trace ("n", "No line among", "tells of it");
+  world_stop (&world);
+}
+
 static const struct fault_test tests[] = {
+  { "trace: from a failed request's id to the cause", test_trace },
   { "path of a request", test_path },
   { "HEAD", test_head },
   { "odd attempt id", test_odd_id },
