--- a/daemon/store.c
+++ b/daemon/store.c
@@ -34,9 +34,9 @@
 
 /* When all endpoints start, each adds its entry by itself, and each question has a price.
  * So after a few answers in a row that changed the list, what comes next is gathered for a
- * while: an eighth of the time in which a leaving endpoint must have been noticed. */
+ * while: a fifth of the time in which a leaving endpoint must have been noticed. */
 #define BURST_ANSWERS 3
-#define BURST_MS 250
+#define BURST_MS 400
 
 /* ---- the list of endpoints ---- */
 
--- a/options/router_settings.c
+++ b/options/router_settings.c
@@ -44,7 +44,7 @@
       30000,
       "how long the store may hold a question for a new configuration"),
   MS (list_wait_ms,
-      "2500",
+      "3000",
       100,
       30000,
       "the same for the list of endpoints: shorter than an endpoint's entry takes to lapse"),
