map_switch: a step is never held far ahead

Its first change was decided before any step of it had been reported, while streams had already told how long a pass takes; the step to hold was worked out from the clock's zero and came out as 1,237,754. All ranks took the arm, were let go, and refused each later prepare (409: armed) for a step that never came. Ruled out: versions too low, a leader frozen between hold and go (it froze 12 s later). Change: steps that have gone by are counted only from a step that was seen within the last second; an idle group is taken to stand where it was.

--- a/controllers/map_switch.c
+++ b/controllers/map_switch.c
@@ -193,23 +193,29 @@
   return true;
 }
 
+/* Steps were seen lately: an idle group makes none, however long a pass took before. */
+static bool
+moves (const struct ash_map_switch *sw, struct ash_time now)
+{
+  return sw->last_step && ash_time_diff (sw->last_step_at, now) < MOVING_MS;
+}
+
 /* The step that surely runs by now. */
 static uint64_t
 step_now (const struct ash_map_switch *sw, struct ash_time now)
 {
   int64_t gone_ms = ash_time_diff (sw->last_step_at, now);
-  double gone = sw->pass_ms > 1 && gone_ms > 0 ? GONE_PART * (double) gone_ms / sw->pass_ms : 0;
 
-  return sw->last_step + (uint64_t) gone;
+  if (!moves (sw, now) || sw->pass_ms <= 1 || gone_ms <= 0)
+    return sw->last_step;
+  return sw->last_step + (uint64_t) (GONE_PART * (double) gone_ms / sw->pass_ms);
 }
 
 bool
 ash_map_switch_ready (const struct ash_map_switch *sw, struct ash_time now)
 {
-  /* Ranks are armed until the step begins that was let go, and prepare nothing till then. An
-   * idle group makes no steps; what is believed of them counts only while they are seen. */
-  bool moves = ash_time_diff (sw->last_step_at, now) < MOVING_MS;
-  bool settled = sw->last_step >= sw->released || (moves && step_now (sw, now) >= sw->released);
+  /* Ranks are armed until the step begins that was let go, and prepare nothing till then. */
+  bool settled = step_now (sw, now) >= sw->released;
 
   return sw->phase == ASH_MAP_IDLE && !sw->foreign_held && settled && all_known (sw);
 }
@@ -567,7 +573,7 @@
 {
   const struct ash_rank_report *first = &sw->ranks[0].report;
 
-  return first->active && ash_time_diff (sw->last_step_at, now) > MOVING_MS;
+  return first->active && !moves (sw, now);
 }
 
 bool
--- a/test/unit_router.c
+++ b/test/unit_router.c
@@ -5,6 +5,7 @@
  */
 #include "common/log.h"
 #include "controllers/layer_policy.h"
+#include "controllers/map_switch.h"
 #include "controllers/pass_watch.h"
 #include "filters/forward.h"
 #include "net/event_stream.h"
@@ -531,6 +532,67 @@
   CU_ASSERT (ash_pass_watch_slower (&watch, &engine, 16, 1.2));
 }
 
+/* All ranks tell the same. */
+static void
+report_all (struct ash_map_switch *sw, struct ash_time now, uint64_t step)
+{
+  for (uint32_t i = 0; i < sw->rank_count; i++)
+    {
+      struct ash_rank_report report = {
+        .group = "g", .epoch = 1, .rank = i, .rank_count = sw->rank_count, .step = step
+      };
+
+      ash_map_switch_report (sw, now, &report);
+    }
+}
+
+/* Answers whatever is ordered until a step is to be held. @return that step. */
+static uint64_t
+held_step (struct ash_map_switch *sw, struct ash_time now)
+{
+  struct ash_rank_order orders[ASH_LAYER_RANKS_MAX];
+  uint32_t count = ash_map_switch_orders (sw, now, orders);
+
+  for (uint32_t i = 0; i < count; i++)
+    ash_map_switch_answered (sw, now, &orders[i], 200);
+  count = ash_map_switch_orders (sw, now, orders);
+  CU_ASSERT (count == 1 && orders[0].kind == ASH_RANK_HOLD);
+  return orders[0].step;
+}
+
+/* A step that is held far ahead would leave all ranks armed, and the map as it is, for as
+ * long as it takes to get there. */
+static void
+test_hold_is_near (void)
+{
+  static const uint32_t copy_ms[ASH_LAYER_RANKS_MAX];
+  struct ash_time now = { 65000000 };
+  struct ash_map_switch sw;
+
+  /* No step was seen as yet, though streams have told how long a pass takes. */
+  ash_map_switch_init (&sw, 4, 200, 0);
+  report_all (&sw, now, 0);
+  ash_map_switch_pass (&sw, 50);
+  CU_ASSERT (ash_map_switch_ready (&sw, now));
+  ash_map_switch_begin (&sw, now, ash_map_switch_version (&sw, 1), copy_ms);
+  CU_ASSERT_EQUAL (held_step (&sw, now), 1);
+  /* The group has been idle since its last step. */
+  ash_map_switch_init (&sw, 4, 200, 0);
+  report_all (&sw, now, 100);
+  ash_map_switch_pass (&sw, 50);
+  now = ash_time_add (now, 60000);
+  report_all (&sw, now, 100);
+  ash_map_switch_begin (&sw, now, ash_map_switch_version (&sw, 1), copy_ms);
+  CU_ASSERT_EQUAL (held_step (&sw, now), 101);
+  /* It is at work: what it has gone on since it told is counted in. */
+  ash_map_switch_init (&sw, 4, 200, 0);
+  report_all (&sw, now, 100);
+  ash_map_switch_pass (&sw, 50);
+  now = ash_time_add (now, 300);
+  ash_map_switch_begin (&sw, now, ash_map_switch_version (&sw, 1), copy_ms);
+  CU_ASSERT (held_step (&sw, now) >= 106);
+}
+
 /* ---- the platform's formats ---- */
 
 static void
@@ -812,6 +874,7 @@
   CU_add_test (suite, "event stream: whole events", test_events);
   CU_add_test (suite, "expert layers: moves, shifts", test_layers);
   CU_add_test (suite, "expert layers: passes too long", test_pass_watch);
+  CU_add_test (suite, "expert layers: a hold is near", test_hold_is_near);
   CU_add_test (suite, "platform: ranks", test_rank_formats);
   CU_add_test (suite, "platform: store", test_store_format);
   CU_add_test (suite, "platform: messages", test_message_format);
