--- a/controllers/map_switch.c
+++ b/controllers/map_switch.c
@@ -6,7 +6,7 @@
 #define RESEND_MS 40
 #define PREPARE_RESEND_MS 120
 
-/* Reports may be so much older than their lag says. */
+/* Reports may be so much older than their lag says: the time an answer takes, many times. */
 #define REPORT_MARGIN_MS 120
 
 /* Ranks that have not copied all by then won't: ten times what a full change takes. */
--- a/daemon/groups.c
+++ b/daemon/groups.c
@@ -386,6 +386,7 @@
   groups->counts = NULL;
   groups->counts_state = ASH_COUNTS_RESTING;
   groups->counts_awaited = 0;
+  groups->suspects = false;
 }
 
 bool
--- a/daemon/groups.h
+++ b/daemon/groups.h
@@ -37,7 +37,7 @@
   enum ash_counts_state counts_state;
   struct ash_time counts_since; /**< when this state began */
   uint32_t counts_awaited;
-  bool suspects;  /**< the look under way is because of long passes */
+  bool suspects;  /**< the look under way was begun because of long passes */
   double *counts; /**< new since the last decision */
   struct ash_time decided;
   uint64_t orders; /**< sent */
