map_switch: an arm needs its answer, the lowest hold comes first

Cause: found by the random schedules once they tell routers how long a pass takes (as streams do) and start late on the clock, which they never did. Ruled out: late orders of former epochs (refused). Change: only an answer counts; of several foreign holds the one at the lowest step is finished first.

--- a/controllers/map_switch.c
+++ b/controllers/map_switch.c
@@ -126,17 +126,22 @@
   return held == sw->released && ash_time_diff (sw->released_at, now) < RELEASED_MS;
 }
 
+/* Of several holds that are not this router's, the one at the lowest step is where the group
+ * stands; the others come next. */
 static void
 note_hold (struct ash_map_switch *sw, struct ash_time now, const struct ash_rank_report *report)
 {
-  if (report->held && !own_hold (sw, now, report))
+  bool foreign = report->held && !own_hold (sw, now, report);
+  bool known = sw->foreign_held && report->rank == sw->foreign_rank;
+
+  if (foreign && (known || !sw->foreign_held || report->held < sw->foreign_held))
     {
       if (sw->foreign_held != report->held)
         sw->foreign_since = now;
       sw->foreign_held = report->held;
       sw->foreign_rank = report->rank;
     }
-  else if (sw->foreign_held && report->rank == sw->foreign_rank)
+  else if (!foreign && known)
     sw->foreign_held = 0;
 }
 
@@ -159,10 +164,9 @@
   rank->reported = now;
   rank->known = true;
   note_step (sw, ash_time_add (now, -(int64_t) sw->lag_ms), report->step);
+  /* That a rank tells to be armed with the version does not do for an answer: it does not tell
+   * for which step, and another router may have armed it for another one. */
   note_hold (sw, now, report);
-  /* What is reported as done needs no answer any more. */
-  if (sw->phase == ASH_MAP_ARM && report->armed == sw->version)
-    rank->answered = true;
 }
 
 void
--- a/test/map_schedule.c
+++ b/test/map_schedule.c
@@ -28,6 +28,13 @@
 /* Longest that a group may stand still once all is calm. */
 #define STAND_MOST_MS 3000
 
+/* Routers start long after their clock, and the group makes its first pass some time after. */
+#define CLOCK_START_MS 60000000
+#define FIRST_PASS_MOST_MS 1500
+
+/* Furthest ahead that a rank may be armed: till then it takes no other map. */
+#define ARMED_AHEAD_MOST 100
+
 struct rank
 {
   uint64_t map;
@@ -90,7 +97,7 @@
 static struct ash_time
 now (const struct run *run)
 {
-  return (struct ash_time){ run->now_ms };
+  return (struct ash_time){ CLOCK_START_MS + run->now_ms };
 }
 
 static void
@@ -139,6 +146,8 @@
     return 409;
   rank->armed = order->version;
   rank->armed_step = order->step;
+  if (order->step > run->step + ARMED_AHEAD_MOST)
+    run->broken = "a rank is armed for a step far ahead";
   return 202;
 }
 
@@ -305,6 +314,9 @@
   /* One that no longer leads finishes what holds the group. */
   if ((!router->leads && router->sw.phase < ASH_MAP_HOLD) || run->now_ms < router->paused_until)
     return;
+  /* Streams tell how long a pass takes, sooner than reports tell of its step. */
+  if (run->step && chance (run, 20))
+    ash_map_switch_pass (&router->sw, PASS_MS);
   for (uint32_t i = 0; i < RANKS; i++)
     if (run->now_ms - router->asked[i] > 100 &&
         ash_map_switch_wants_report (&router->sw, now (run), i))
@@ -401,7 +413,7 @@
 static void
 play (struct run *run)
 {
-  run->next_pass_ms = PASS_MS;
+  run->next_pass_ms = ash_random_below (&run->random, FIRST_PASS_MOST_MS);
   while (run->now_ms < TROUBLE_MS + CALM_MS && !run->broken)
     {
       run->now_ms += TICK_MS;
