--- a/daemon/groups.c
+++ b/daemon/groups.c
@@ -13,8 +13,9 @@
 /* Counts that have not come by then are done without. */
 #define COUNTS_WAIT_MS 150
 
-/* A router that has just come to lead waits: the one before may still be finishing. */
-#define LEAD_WAIT_MS 700
+/* A router that has just come to lead waits: the one before may still be finishing, which takes
+ * two passes or three. */
+#define LEAD_WAIT_MS 350
 
 /* From one look at the counts to the next after passes have become longer: one or two passes,
  * each with some tokens of every stream. */
