--- a/common/events.h
+++ b/common/events.h
@@ -30,6 +30,7 @@
   X (207, INFO, ENDPOINT_LEAVING,   "an endpoint gets no new work: it says that it is leaving") \
   X (208, INFO, ENDPOINT_MISSING,   "an endpoint is no longer listed") \
   X (209, WARN, ENDPOINT_PASSED,    "an endpoint is passed over for a while, by what it did with requests") \
+  X (210, WARN, BEHIND_PEERS,       "peers have something newer from the store, and it does not come here") \
   X (300, INFO, LINK_UP,            "a peer link is up") \
   X (301, INFO, LINK_DOWN,          "a peer link is down") \
   X (302, WARN, PEER_REFUSED,       "a peer could not prove the fleet key, or broke the protocol") \
--- /dev/null
+++ b/controllers/peer_news.c
@@ -0,0 +1,26 @@
+#include "controllers/peer_news.h"
+
+/* What came in the meantime shows that the own source speaks: the wait begins anew. */
+static void
+note_own (struct ash_peer_news *news, struct ash_time now, uint64_t own)
+{
+  if (news->own == own && news->newest > own)
+    return;
+  news->own = own;
+  news->since = now;
+}
+
+void
+ash_peer_news_told (struct ash_peer_news *news, struct ash_time now, uint64_t told, uint64_t own)
+{
+  note_own (news, now, own);
+  if (told > news->newest)
+    news->newest = told;
+}
+
+int64_t
+ash_peer_news_behind_ms (struct ash_peer_news *news, struct ash_time now, uint64_t own)
+{
+  note_own (news, now, own);
+  return news->newest > own ? ash_time_diff (news->since, now) : 0;
+}
--- /dev/null
+++ b/controllers/peer_news.h
@@ -0,0 +1,29 @@
+/**
+ * @file
+ * What peers say that they have and this process lacks: a newer configuration, or a newer
+ * list of endpoints. Usually its own source brings the same within milliseconds; when it
+ * does not, the source is silent here, whatever it looks like.
+ */
+#ifndef ASH_PEER_NEWS_H
+#define ASH_PEER_NEWS_H
+
+#include "common/clock.h"
+
+#include <stdint.h>
+
+/** One thing that has versions. Zeroed memory is a valid start. */
+struct ash_peer_news
+{
+  uint64_t newest;       /**< that a peer has told */
+  uint64_t own;          /**< what this process had when it was last looked at */
+  struct ash_time since; /**< since when it has had no more than that, with newer ones told */
+};
+
+/** A peer tells which version it has. */
+void
+ash_peer_news_told (struct ash_peer_news *news, struct ash_time now, uint64_t told, uint64_t own);
+
+/** @return for how many ms a newer version has been known without any coming; 0: none is known. */
+int64_t ash_peer_news_behind_ms (struct ash_peer_news *news, struct ash_time now, uint64_t own);
+
+#endif
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -202,6 +202,7 @@
   snprintf (peer->address, sizeof peer->address, "%s", heartbeat->peer_address);
   peer->leaving = heartbeat->leaving;
   peer->version = heartbeat->revision;
+  ash_catch_up_told (&fleet->router->catch_up, ash_clock_now (), peer->version);
   peer->endpoints_revision = heartbeat->endpoints_revision;
   for (size_t i = 0; i < heartbeat->n_known_addresses && i < heartbeat->n_known_boxes; i++)
     {
--- a/daemon/router.c
+++ b/daemon/router.c
@@ -168,6 +168,7 @@
 
   (void) events;
   ash_fleet_tick (&router->fleet, now);
+  ash_catch_up_tick (&router->catch_up, now);
   ash_direct_tick (&router->endpoints, now);
   router->room = true;
   if (router->stopping && may_end (router, now))
@@ -279,6 +280,7 @@
       !listen_at (router, &router->figures, settings->metrics_listen, &ash_figures_handler))
     return false;
   router->frontend.conn_max = settings->connections_max;
+  ash_catch_up_open (&router->catch_up, router);
   if (!ash_fleet_open (&router->fleet, router))
     {
       ash_log_event (&router->log, ASH_EV_CANNOT_LISTEN, "address=%s error=\"%s\"",
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -11,6 +11,7 @@
 #include "controllers/direct.h"
 #include "controllers/resend_window.h"
 #include "controllers/route_table.h"
+#include "daemon/catch_up.h"
 #include "daemon/fleet.h"
 #include "daemon/groups.h"
 #include "daemon/store.h"
@@ -48,6 +49,7 @@
 
   struct ash_store store;
   struct ash_fleet fleet;
+  struct ash_catch_up catch_up;
   struct ash_groups groups;
   struct ash_http_listener frontend;
   struct ash_http_listener readiness;
--- a/test/unit_router.c
+++ b/test/unit_router.c
@@ -7,6 +7,7 @@
 #include "controllers/layer_policy.h"
 #include "controllers/map_switch.h"
 #include "controllers/pass_watch.h"
+#include "controllers/peer_news.h"
 #include "filters/forward.h"
 #include "net/event_stream.h"
 #include "net/http_message.h"
@@ -800,6 +801,28 @@
   ash_buffer_finish (&out);
 }
 
+/* ---- what peers have ---- */
+
+static void
+test_peer_news (void)
+{
+  struct ash_peer_news news = { 0 };
+
+  ash_peer_news_told (&news, (struct ash_time){ 100 }, 4, 4);
+  CU_ASSERT_EQUAL (ash_peer_news_behind_ms (&news, (struct ash_time){ 900 }, 4), 0);
+  /* Behind from when a newer one is told, not from when the last one came. */
+  ash_peer_news_told (&news, (struct ash_time){ 1000 }, 6, 4);
+  CU_ASSERT_EQUAL (ash_peer_news_behind_ms (&news, (struct ash_time){ 1250 }, 4), 250);
+  /* Newer ones yet, and old ones, do not begin the wait anew. */
+  ash_peer_news_told (&news, (struct ash_time){ 1300 }, 9, 4);
+  ash_peer_news_told (&news, (struct ash_time){ 1350 }, 5, 4);
+  CU_ASSERT_EQUAL (ash_peer_news_behind_ms (&news, (struct ash_time){ 1400 }, 4), 400);
+  /* What comes in between does: the source speaks. */
+  CU_ASSERT_EQUAL (ash_peer_news_behind_ms (&news, (struct ash_time){ 1500 }, 6), 0);
+  CU_ASSERT_EQUAL (ash_peer_news_behind_ms (&news, (struct ash_time){ 1600 }, 6), 100);
+  CU_ASSERT_EQUAL (ash_peer_news_behind_ms (&news, (struct ash_time){ 1700 }, 9), 0);
+}
+
 /* ---- the log ---- */
 
 #define LOG_LINES 30
@@ -880,5 +903,6 @@
   CU_add_test (suite, "platform: messages", test_message_format);
   CU_add_test (suite, "platform: directory", test_directory_format);
   CU_add_test (suite, "HTTP: strict messages", test_strict_messages);
+  CU_add_test (suite, "peers: what they have and this process lacks", test_peer_news);
   CU_add_test (suite, "log: bounded, and never waits", test_log_bound);
 }
