store, catch_up: a question that waits proves nothing; exchange: no request outlasts a stop

Cause (CONFIG): a router's question for the next configuration may wait 20 s at the store; while it waits the reader counts as answered, so what peers told in each heartbeat was left aside, and a question that a cut had made silent was given up after 21.5 s, long after the cut. Class: liveness inferred from the absence of a failure, with a bound chosen by price and not by the promise. Change: what peers have and this router lacks for 0.3 s (list: 0.7 s) is asked of them and the own question is given up; one silent reader makes the other ask anew; three routers ask with waits of 1.5 s; keep-alive of 2 s on connections to the store. A list's watch that times out counts as silence of the store, unless it answered the other reader since ('store silent, entries lapse' failed with the shorter slack before that). In a stop any request that may take longer than what is left goes elsewhere at once. Test replaced: 'late in a planned stop' held that a stream is refused as soon as less than 5 s are left, though it may take 1.5 s at most; it now holds that streams are taken while they must end in time, and refused, not run, once they need not. As strict: both sides are checked, and the same for plain requests.

--- a/controllers/peer_news.c
+++ b/controllers/peer_news.c
@@ -18,9 +18,9 @@
     news->newest = told;
 }
 
-int64_t
-ash_peer_news_behind_ms (struct ash_peer_news *news, struct ash_time now, uint64_t own)
+bool
+ash_peer_news_behind (struct ash_peer_news *news, struct ash_time now, uint64_t own, int64_t for_ms)
 {
   note_own (news, now, own);
-  return news->newest > own ? ash_time_diff (news->since, now) : 0;
+  return news->newest > own && ash_time_diff (news->since, now) >= for_ms;
 }
--- a/controllers/peer_news.h
+++ b/controllers/peer_news.h
@@ -9,6 +9,7 @@
 
 #include "common/clock.h"
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /** One thing that has versions. Zeroed memory is a valid start. */
@@ -23,7 +24,10 @@
 void
 ash_peer_news_told (struct ash_peer_news *news, struct ash_time now, uint64_t told, uint64_t own);
 
-/** @return for how many ms a newer version has been known without any coming; 0: none is known. */
-int64_t ash_peer_news_behind_ms (struct ash_peer_news *news, struct ash_time now, uint64_t own);
+/** @return whether a newer version has been known for so long without any coming. */
+bool ash_peer_news_behind (struct ash_peer_news *news,
+                           struct ash_time now,
+                           uint64_t own,
+                           int64_t for_ms);
 
 #endif
--- a/daemon/catch_up.c
+++ b/daemon/catch_up.c
@@ -5,11 +5,14 @@
 #include <inttypes.h>
 
 /* The store brings a change to all routers within some 30 ms, and heartbeats tell of it at most
- * one period (300 ms) later. Whoever lacks it so long after has a source that is silent. */
-#define BEHIND_MS 300
+ * one period (300 ms) later. Whoever lacks it so long after has a question that is silent. */
+#define CONFIG_BEHIND_MS 300
 
-/* Being behind is logged at most this often. */
-#define LOG_PERIOD_MS 1000
+/* Changes of the list may be gathered for 400 ms before they are asked for. */
+#define LIST_BEHIND_MS 700
+
+/* A peer that was asked and has not answered by then is as silent: another one is asked. */
+#define ASK_PERIOD_MS 500
 
 void
 ash_catch_up_open (struct ash_catch_up *catch_up, struct ash_router *router)
@@ -17,26 +20,120 @@
   *catch_up = (struct ash_catch_up){ .router = router };
 }
 
+static uint64_t
+own_revision (const struct ash_router *router, enum ash_store_part part)
+{
+  return part == ASH_STORE_CONFIG ? ash_router_version (router) : router->endpoints.revision;
+}
+
+/* ---- asking ---- */
+
+static void
+ask_peer (struct ash_router *router, enum ash_store_part part, const char *box)
+{
+  struct Ash__ConfigWant config_want = ASH__CONFIG_WANT__INIT;
+  struct Ash__EndpointListWant list_want = ASH__ENDPOINT_LIST_WANT__INIT;
+  struct Ash__Event event;
+
+  switch (part)
+    {
+    case ASH_STORE_CONFIG:
+      event = ash_event_of ("", ASH__EVENT__KIND_CONFIG_WANT, &config_want);
+      ash_peers_send (&router->fleet.links, box, &event);
+      break;
+    case ASH_STORE_SERVERS:
+      event = ash_event_of ("", ASH__EVENT__KIND_ENDPOINT_LIST_WANT, &list_want);
+      ash_peers_send (&router->fleet.links, box, &event);
+      break;
+    }
+}
+
+static int64_t
+patience_ms (const struct ash_router *router, enum ash_store_part part)
+{
+  /* Nothing is to be waited for from a store that does not answer. */
+  if (!ash_store_answers (&router->store, part))
+    return 0;
+  return part == ASH_STORE_CONFIG ? CONFIG_BEHIND_MS : LIST_BEHIND_MS;
+}
+
+/* A question at the store that says nothing looks the same whether nothing is new or nothing
+ * comes through. What peers have tells the two apart: without it a router that had been cut off
+ * stayed 5 s behind after the cut, with it 0.6 s at most from when a peer has the change. */
+static void
+follow (struct ash_catch_up *catch_up, enum ash_store_part part, struct ash_time now)
+{
+  struct ash_router *router = catch_up->router;
+  struct ash_peer_news *news = &catch_up->news[part];
+  uint64_t own = own_revision (router, part);
+  const struct ash_fleet_peer *peer;
+
+  if (!ash_peer_news_behind (news, now, own, patience_ms (router, part)) ||
+      ash_time_diff (catch_up->asked[part], now) < ASK_PERIOD_MS)
+    return;
+  peer = ash_fleet_peer_with (&router->fleet, part, news->newest);
+  catch_up->asked[part] = now;
+  ash_log_event (&router->log, ASH_EV_BEHIND_PEERS,
+                 "part=%d version=%" PRIu64 " newest=%" PRIu64
+                 " for_ms=%lld store_answers=%d age_ms=%lld asked=%s",
+                 (int) part, own, news->newest, (long long) ash_time_diff (news->since, now),
+                 ash_store_answers (&router->store, part),
+                 (long long) ash_time_diff (router->store.readers[part].answered, now),
+                 peer ? peer->box : "-");
+  if (peer)
+    ask_peer (router, part, peer->box);
+  ash_store_doubt (&router->store, part, "peers have something newer");
+}
+
 void
-ash_catch_up_told (struct ash_catch_up *catch_up, struct ash_time now, uint64_t version)
+ash_catch_up_told (struct ash_catch_up *catch_up,
+                   struct ash_time now,
+                   const struct ash_fleet_peer *peer)
 {
-  ash_peer_news_told (&catch_up->config, now, version, ash_router_version (catch_up->router));
+  const struct ash_router *router = catch_up->router;
+
+  ash_peer_news_told (&catch_up->news[ASH_STORE_CONFIG], now, peer->version,
+                      own_revision (router, ASH_STORE_CONFIG));
+  /* The revision of a list grows with whatever changes in the store. */
+  if (peer->endpoints_digest != router->store.digest)
+    ash_peer_news_told (&catch_up->news[ASH_STORE_SERVERS], now, peer->endpoints_revision,
+                        own_revision (router, ASH_STORE_SERVERS));
+  ash_catch_up_tick (catch_up, now);
 }
 
 void
 ash_catch_up_tick (struct ash_catch_up *catch_up, struct ash_time now)
+{
+  follow (catch_up, ASH_STORE_CONFIG, now);
+  follow (catch_up, ASH_STORE_SERVERS, now);
+}
+
+/* ---- answering ---- */
+
+void
+ash_catch_up_send_config (struct ash_catch_up *catch_up, const char *box)
 {
   struct ash_router *router = catch_up->router;
-  uint64_t version = ash_router_version (router);
-  int64_t behind_ms = ash_peer_news_behind_ms (&catch_up->config, now, version);
+  struct Ash__ConfigOffer offer = ASH__CONFIG_OFFER__INIT;
+  struct Ash__Event event = ash_event_of ("", ASH__EVENT__KIND_CONFIG_OFFER, &offer);
 
-  if (behind_ms < BEHIND_MS || ash_time_diff (catch_up->logged, now) < LOG_PERIOD_MS)
+  if (!router->config_text)
     return;
-  catch_up->logged = now;
-  ash_log_event (&router->log, ASH_EV_BEHIND_PEERS,
-                 "part=%d version=%" PRIu64 " newest=%" PRIu64
-                 " for_ms=%lld store_answers=%d age_ms=%lld",
-                 (int) ASH_STORE_CONFIG, version, catch_up->config.newest, (long long) behind_ms,
-                 ash_store_answers (&router->store, ASH_STORE_CONFIG),
-                 (long long) ash_time_diff (router->store.readers[ASH_STORE_CONFIG].answered, now));
+  offer.revision = ash_router_version (router);
+  offer.document.data = (uint8_t *) router->config_text;
+  offer.document.len = router->config_bytes;
+  ash_peers_send (&router->fleet.links, box, &event);
+}
+
+void
+ash_catch_up_send_list (struct ash_catch_up *catch_up, const char *box)
+{
+  struct ash_router *router = catch_up->router;
+  struct Ash__EndpointList list = ASH__ENDPOINT_LIST__INIT;
+  struct Ash__Event event = ash_event_of ("", ASH__EVENT__KIND_ENDPOINT_LIST, &list);
+
+  if (!ash_store_list (&router->store, &list))
+    return;
+  ash_peers_send (&router->fleet.links, box, &event);
+  ash_store_list_free (&list);
 }
--- a/daemon/catch_up.h
+++ b/daemon/catch_up.h
@@ -1,28 +1,40 @@
 /**
  * @file
- * Whether peers have from the store what this router lacks.
+ * What routers give each other of what the store holds. A router whose own questions at
+ * the store bring nothing, though peers have something newer, asks them for it, and
+ * no longer trusts the question that it waits for.
  */
 #ifndef ASH_CATCH_UP_H
 #define ASH_CATCH_UP_H
 
 #include "controllers/peer_news.h"
 
+struct ash_fleet_peer;
 struct ash_router;
 
+/** Parts of the store that peers tell of: those that are read. */
+#define ASH_CATCH_UP_PARTS 2
+
 /** What peers have told of the store's contents. */
 struct ash_catch_up
 {
   struct ash_router *router;
-  struct ash_peer_news config;
-  struct ash_time logged; /**< when being behind was last logged */
+  struct ash_peer_news news[ASH_CATCH_UP_PARTS];
+  struct ash_time asked[ASH_CATCH_UP_PARTS]; /**< when a peer was last asked */
 };
 
 void ash_catch_up_open (struct ash_catch_up *catch_up, struct ash_router *router);
 
-/** A peer tells which version of the configuration it has in force. */
-void ash_catch_up_told (struct ash_catch_up *catch_up, struct ash_time now, uint64_t version);
+/** A peer's heartbeat has told what it has. */
+void ash_catch_up_told (struct ash_catch_up *catch_up,
+                        struct ash_time now,
+                        const struct ash_fleet_peer *peer);
 
-/** Time goes on: being behind for long is logged. */
+/** Time goes on: what does not come by itself is asked for. */
 void ash_catch_up_tick (struct ash_catch_up *catch_up, struct ash_time now);
 
+/** A peer asks for the configuration, or for the list of endpoints. */
+void ash_catch_up_send_config (struct ash_catch_up *catch_up, const char *box);
+void ash_catch_up_send_list (struct ash_catch_up *catch_up, const char *box);
+
 #endif
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -21,10 +21,16 @@
 /* Without a caller's word on how long it waits. */
 #define DEADLINE_DEFAULT_MS 30000
 
-/* A stream may last so long, its waits included: the longest on the users' sheets has 57 events,
- * some 80 ms apart. In a planned stop, one that comes with less time left goes elsewhere at once:
- * the caller has other addresses. */
+/* Streams seldom last longer, their waits included: the longest on the users' sheets has 57 events,
+ * some 80 ms apart. */
 #define STREAM_MOST_MS 5000
+
+/* Soon after the signal to stop many callers still use the address, and a stream is taken if it
+ * would end in time as streams do; later, only if it must. */
+#define STOP_BEGINS_MS 3000
+
+/* In a planned stop, what may not end in time goes elsewhere at once: the caller has other
+ * addresses. */
 #define LEAVING_RETRY_MS 10
 
 /* A connection to an endpoint comes up within a few milliseconds. One that takes so much
@@ -715,15 +721,21 @@
   forward->deadline = ash_time_add (forward->came, (int64_t) most_ms - DEADLINE_MARGIN_MS);
 }
 
-/* Whether a planned stop may come to its end before the answer does. */
+/* Whether a planned stop may come to its end before the answer does. What is under way then is cut,
+ * and nobody knows whether it ran: so the time left is held against what the request may take. */
 static bool
 ends_too_soon (const struct ash_exchange *exchange)
 {
   const struct ash_router *router = exchange->router;
-  struct ash_time end = ash_time_add (router->stop_began, router->settings.grace_ms);
+  const struct ash_forward *forward = &exchange->forward;
+  int64_t most_ms = ash_time_diff (forward->came, forward->deadline);
 
-  return router->stopping && exchange->route->stream &&
-         ash_time_diff (exchange->forward.came, end) < STREAM_MOST_MS;
+  if (!router->stopping)
+    return false;
+  if (exchange->route->stream && most_ms > STREAM_MOST_MS &&
+      ash_time_diff (router->stop_began, forward->came) <= STOP_BEGINS_MS)
+    most_ms = STREAM_MOST_MS;
+  return ash_time_diff (forward->came, ash_router_stop_ends (router)) < most_ms;
 }
 
 static void
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -12,6 +12,9 @@
 /* and besides one in so many, so that a pair that missed each other meets in a few seconds. */
 #define NAMES_BEATS 10
 
+/* Routers that ask the store often: one that is lost, and one that is being stopped, leave one. */
+#define OFTEN_ROUTERS 3
+
 #define MS_PER_S 1000.0
 
 /* A router without a link for so long does not come back under its name. */
@@ -136,59 +139,6 @@
   tell_loads (fleet);
 }
 
-/* ---- what the store holds, for those who can't read it ---- */
-
-static void
-send_config (struct ash_fleet *fleet, const char *box)
-{
-  struct ash_router *router = fleet->router;
-  struct Ash__ConfigOffer offer = ASH__CONFIG_OFFER__INIT;
-  struct Ash__Event event = ash_event_of ("", ASH__EVENT__KIND_CONFIG_OFFER, &offer);
-
-  if (!router->config_text)
-    return;
-  offer.revision = ash_router_version (router);
-  offer.document.data = (uint8_t *) router->config_text;
-  offer.document.len = router->config_bytes;
-  ash_peers_send (&fleet->links, box, &event);
-}
-
-static void
-send_endpoints (struct ash_fleet *fleet, const char *box)
-{
-  struct Ash__EndpointList list = ASH__ENDPOINT_LIST__INIT;
-  struct Ash__Event event = ash_event_of ("", ASH__EVENT__KIND_ENDPOINT_LIST, &list);
-
-  if (!ash_store_list (&fleet->router->store, &list))
-    return;
-  ash_peers_send (&fleet->links, box, &event);
-  ash_store_list_free (&list);
-}
-
-/* Asks a peer for what it has newer. The store is the shorter way; so this is for when
- * it does not answer here. */
-static void
-ask_for_newer (struct ash_fleet *fleet, const struct ash_fleet_peer *peer)
-{
-  struct ash_router *router = fleet->router;
-  struct Ash__ConfigWant config_want = ASH__CONFIG_WANT__INIT;
-  struct Ash__EndpointListWant list_want = ASH__ENDPOINT_LIST_WANT__INIT;
-  struct Ash__Event event;
-
-  if (peer->version > ash_router_version (router) &&
-      !ash_store_answers (&router->store, ASH_STORE_CONFIG))
-    {
-      event = ash_event_of ("", ASH__EVENT__KIND_CONFIG_WANT, &config_want);
-      ash_peers_send (&fleet->links, peer->box, &event);
-    }
-  if (peer->endpoints_revision > router->endpoints.revision &&
-      !ash_store_answers (&router->store, ASH_STORE_SERVERS))
-    {
-      event = ash_event_of ("", ASH__EVENT__KIND_ENDPOINT_LIST_WANT, &list_want);
-      ash_peers_send (&fleet->links, peer->box, &event);
-    }
-}
-
 /* ---- membership ---- */
 
 static void
@@ -202,8 +152,9 @@
   snprintf (peer->address, sizeof peer->address, "%s", heartbeat->peer_address);
   peer->leaving = heartbeat->leaving;
   peer->version = heartbeat->revision;
-  ash_catch_up_told (&fleet->router->catch_up, ash_clock_now (), peer->version);
   peer->endpoints_revision = heartbeat->endpoints_revision;
+  peer->endpoints_digest = heartbeat->endpoints_digest;
+  peer->reads_store = heartbeat->reads_platform;
   for (size_t i = 0; i < heartbeat->n_known_addresses && i < heartbeat->n_known_boxes; i++)
     {
       const struct ash_fleet_peer *known = find_peer (fleet, heartbeat->known_boxes[i]);
@@ -211,7 +162,7 @@
       if (strcmp (heartbeat->known_addresses[i], own) != 0 && !(known && known->linked))
         ash_peers_dial (&fleet->links, heartbeat->known_boxes[i], heartbeat->known_addresses[i]);
     }
-  ask_for_newer (fleet, peer);
+  ash_catch_up_told (&fleet->router->catch_up, ash_clock_now (), peer);
 }
 
 static void
@@ -250,14 +201,14 @@
       take_loads (fleet, peer, event->endpoint_loads);
       break;
     case ASH__EVENT__KIND_CONFIG_WANT:
-      send_config (fleet, peer->box);
+      ash_catch_up_send_config (&router->catch_up, peer->box);
       break;
     case ASH__EVENT__KIND_CONFIG_OFFER:
       ash_router_offer_config (router, (const char *) event->config_offer->document.data,
                                event->config_offer->document.len, peer->box);
       break;
     case ASH__EVENT__KIND_ENDPOINT_LIST_WANT:
-      send_endpoints (fleet, peer->box);
+      ash_catch_up_send_list (&router->catch_up, peer->box);
       break;
     case ASH__EVENT__KIND_ENDPOINT_LIST:
       ash_store_take_list (&router->store, event->endpoint_list, peer->box);
@@ -315,6 +266,7 @@
   heartbeat->hall = router->settings.hall;
   heartbeat->reads_platform = ash_store_answers (&router->store, ASH_STORE_SERVERS);
   heartbeat->endpoints_revision = router->endpoints.revision;
+  heartbeat->endpoints_digest = router->store.digest;
   if (names_others (fleet))
     name_others (fleet, heartbeat);
 }
@@ -448,6 +400,34 @@
   return 2 * seen > known || (2 * seen == known && first_of_all);
 }
 
+bool
+ash_fleet_asks_often (const struct ash_fleet *fleet)
+{
+  uint32_t before = 0;
+
+  for (const struct ash_fleet_peer *peer = fleet->peers; peer; peer = peer->hh.next)
+    before += peer->linked && peer->reads_store && !peer->leaving &&
+              strcmp (peer->box, fleet->router->settings.box) < 0;
+  return before < OFTEN_ROUTERS;
+}
+
+const struct ash_fleet_peer *
+ash_fleet_peer_with (struct ash_fleet *fleet, enum ash_store_part part, uint64_t revision)
+{
+  const struct ash_fleet_peer *found = NULL;
+  uint32_t count = 0;
+
+  for (const struct ash_fleet_peer *peer = fleet->peers; peer; peer = peer->hh.next)
+    {
+      uint64_t has = part == ASH_STORE_CONFIG ? peer->version : peer->endpoints_revision;
+
+      if (peer->linked && has >= revision &&
+          ash_random_below (&fleet->router->random, ++count) == 0)
+        found = peer;
+    }
+  return found;
+}
+
 uint32_t
 ash_fleet_index (const struct ash_fleet *fleet)
 {
--- a/daemon/fleet.h
+++ b/daemon/fleet.h
@@ -9,6 +9,7 @@
 
 #include "common/clock.h"
 #include "net/peer.h"
+#include "platform/store.h"
 
 #include <uthash.h>
 
@@ -28,6 +29,8 @@
   bool leaving;
   uint64_t version; /**< of the configuration it has in force */
   uint64_t endpoints_revision;
+  uint64_t endpoints_digest; /**< of what its list of endpoints says */
+  bool reads_store;          /**< the store answers it */
   uint32_t load_count;
   uint64_t *load_endpoints; /**< hashes, as last told */
   uint64_t *load_in_flight;
@@ -70,6 +73,16 @@
  */
 bool ash_fleet_leads (const struct ash_fleet *fleet);
 
+/**
+ * Whether this router is one of the few that ask the store often: the first by name of those
+ * that see each other and that the store answers. The others hear from them what is new.
+ */
+bool ash_fleet_asks_often (const struct ash_fleet *fleet);
+
+/** @return a peer that is linked and has that revision or a newer one; NULL: none. */
+const struct ash_fleet_peer *
+ash_fleet_peer_with (struct ash_fleet *fleet, enum ash_store_part part, uint64_t revision);
+
 /** @return this router's place by name among all that are known. */
 uint32_t ash_fleet_index (const struct ash_fleet *fleet);
 
--- a/daemon/router.c
+++ b/daemon/router.c
@@ -148,16 +148,21 @@
 
 /* ---- time and signals ---- */
 
+struct ash_time
+ash_router_stop_ends (const struct ash_router *router)
+{
+  return ash_time_add (router->stop_began, (int64_t) router->settings.grace_ms - STOP_MARGIN_MS);
+}
+
 static bool
 may_end (const struct ash_router *router, struct ash_time now)
 {
-  const struct ash_router_settings *settings = &router->settings;
-  int64_t since_ms = ash_time_diff (router->stop_began, now);
+  int64_t keep_ms = (int64_t) router->settings.address_keep_ms * KEEP_TIMES;
 
-  if (since_ms > (int64_t) settings->grace_ms - STOP_MARGIN_MS)
+  if (ash_time_before (ash_router_stop_ends (router), now))
     return true;
-  return since_ms > (int64_t) settings->address_keep_ms * KEEP_TIMES &&
-         !ash_groups_holds (&router->groups) && !ash_http_listener_busy (&router->frontend);
+  return ash_time_diff (router->stop_began, now) > keep_ms && !ash_groups_holds (&router->groups) &&
+         !ash_http_listener_busy (&router->frontend);
 }
 
 static void
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -89,6 +89,9 @@
 /** @return whether callers may be sent here. */
 bool ash_router_ready (const struct ash_router *router);
 
+/** @return when a planned stop that has begun gives up what is still under way. */
+struct ash_time ash_router_stop_ends (const struct ash_router *router);
+
 /** The count of a service's requests; made when first asked for. */
 struct ash_resend_window *ash_router_window (struct ash_router *router, const char *service);
 
--- a/daemon/router_pages.c
+++ b/daemon/router_pages.c
@@ -75,7 +75,8 @@
   char labels[128];
 
   ash_metrics_set (metrics, "ash_config_version", "", ash_router_version (router));
-  ash_metrics_set (metrics, "ash_config_newest_told", "", router->catch_up.config.newest);
+  ash_metrics_set (metrics, "ash_config_newest_told", "",
+                   router->catch_up.news[ASH_STORE_CONFIG].newest);
   ash_metrics_set (metrics, "ash_endpoints_revision", "", router->endpoints.revision);
   ash_metrics_set (metrics, "ash_store_calls_total", "", router->store.calls);
   ash_metrics_set (metrics, "ash_entries", "", ash_fleet_size (&router->fleet));
--- a/daemon/store.c
+++ b/daemon/store.c
@@ -1,5 +1,6 @@
 #include "daemon/store.h"
 
+#include "common/id.h"
 #include "daemon/router.h"
 
 #include <inttypes.h>
@@ -12,6 +13,19 @@
  * few milliseconds, so that a slow store is not asked twice. */
 #define ANSWER_SLACK_MS 1500
 
+/* The same for a watch, whose answer is one event or none. With the wait of those that ask often
+ * (1.5 s), a change whose answer was lost on its way is in force 2.3 s later. */
+#define WATCH_SLACK_MS 700
+
+/* A connection to the store that is silent for so long is given up, a keep-alive probe
+ * included: a second before the platform takes for granted that a box is in touch again. It
+ * notices a cut without any call that the store would count: after 2.0 s instead of 21.5 s,
+ * measured with questions that wait for 20 s and peers that tell nothing. */
+#define SILENCE_MS 2000
+
+/* A question asked less long ago may still be on its way. */
+#define DOUBT_LEAST_MS 300
+
 /* A watch without a change is answered when its wait is over; one that comes so much later
  * shows that the store was silent, and that endpoints could not tell it that they live. */
 #define OVERDUE_MS 400
@@ -52,8 +66,20 @@
                  source);
 }
 
+/* Of what counts for use: which endpoint, and whether it is leaving. */
+static uint64_t
+digest_of (const struct ash_direct_facts *facts)
+{
+  uint64_t digest = ash_hash_text (facts->id);
+
+  return facts->draining ? ~digest : digest;
+}
+
 static void
-keep_entry (struct ash_store *store, const struct ash_store_item *item, uint32_t listing)
+keep_entry (struct ash_store *store,
+            const struct ash_store_item *item,
+            const struct ash_direct_facts *facts,
+            uint32_t listing)
 {
   struct ash_store_entry *entry;
 
@@ -72,12 +98,16 @@
   if (entry->value)
     memcpy (entry->value, item->value, item->value_bytes);
   entry->listing = listing;
+  store->digest ^= entry->digest;
+  entry->digest = digest_of (facts);
+  store->digest ^= entry->digest;
 }
 
 static void
 drop_entry (struct ash_store *store, struct ash_store_entry *entry)
 {
   HASH_DEL (store->entries, entry);
+  store->digest ^= entry->digest;
   free (entry->value);
   free (entry);
 }
@@ -97,7 +127,7 @@
                      item->name);
       return;
     }
-  keep_entry (store, item, listing);
+  keep_entry (store, item, &facts, listing);
   if (!ash_direct_listed (&router->endpoints, &facts))
     return;
   store->readers[ASH_STORE_SERVERS].changed = true;
@@ -312,6 +342,21 @@
 
 static const struct ash_call_handler call_handler = { on_head, on_body, on_end };
 
+/* How long the store may hold a question. A watch that brings nothing can't be told from one whose
+ * answer was lost, so a few routers ask often, for the whole fleet: if all waited for 20 s, one
+ * lost answer at each would leave all of them behind for as long. */
+static uint32_t
+watch_wait_ms (const struct ash_store_reader *reader)
+{
+  const struct ash_router_settings *settings = &reader->router->settings;
+  uint32_t wait_ms =
+      reader->part == ASH_STORE_SERVERS ? settings->list_wait_ms : settings->store_wait_ms;
+
+  if (settings->short_wait_ms < wait_ms && ash_fleet_asks_often (&reader->router->fleet))
+    return settings->short_wait_ms;
+  return wait_ms;
+}
+
 static void
 ask (struct ash_store_reader *reader)
 {
@@ -320,11 +365,11 @@
   struct ash_buffer request = { 0 };
   /* A reader with trouble behind it asks for little at first: it learns sooner whether
    * the store is back. */
-  uint32_t wait_ms =
-      reader->part == ASH_STORE_SERVERS ? settings->list_wait_ms : settings->store_wait_ms;
+  uint32_t wait_ms = watch_wait_ms (reader);
   int64_t due_ms = reader->answers ? ANSWER_SLACK_MS : ANSWER_SOON_MS;
 
   reader->status = 0;
+  reader->asked = ash_clock_now ();
   reader->due = ASH_TIME_NEVER;
   ash_buffer_consume (&reader->answer, reader->answer.length);
   if (reader->revision && !*reader->page && reader->state != ASH_STORE_LISTING)
@@ -332,6 +377,8 @@
       reader->state = ASH_STORE_WATCHING;
       if (!reader->answers)
         wait_ms = 0;
+      else
+        due_ms = WATCH_SLACK_MS;
       due_ms += wait_ms;
       reader->due = ash_time_add (ash_clock_now (), (int64_t) wait_ms + OVERDUE_MS);
       ash_platform_store_watch (&request, settings->store_address, reader->part, reader->revision,
@@ -358,6 +405,20 @@
   ash_buffer_finish (&request);
 }
 
+/* Whether the store said nothing at all since the answer was due: not even to another reader. */
+static bool
+was_silent (const struct ash_store_reader *reader)
+{
+  const struct ash_store *store = &reader->router->store;
+
+  if (!ash_time_before (reader->due, ash_clock_now ()))
+    return false;
+  for (int part = 0; part < ASH_STORE_PARTS; part++)
+    if (!ash_time_before (store->readers[part].answered, reader->due))
+      return false;
+  return true;
+}
+
 static void
 on_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -371,7 +432,13 @@
       return;
     }
   ash_http_call_cancel (&reader->call);
+  /* Entries may have lapsed meanwhile, and may be all that it tells when it is back. */
+  if (was_silent (reader))
+    reader->trouble = reader->due;
   fail (reader, "no answer in time");
+  /* What keeps one question from being answered may keep the other one too. */
+  for (int part = 0; part < ASH_STORE_PARTS; part++)
+    ash_store_doubt (&reader->router->store, (enum ash_store_part) part, "the other one is silent");
 }
 
 /* ---- life ---- */
@@ -384,6 +451,7 @@
   store->router = router;
   if (!ash_http_pool_init (&store->pool, router->loop, router->settings.store_address))
     return false;
+  store->pool.silence_ms = SILENCE_MS;
   for (int part = 0; part < ASH_STORE_PARTS; part++)
     {
       struct ash_store_reader *reader = &store->readers[part];
@@ -427,6 +495,19 @@
   return store->readers[part].answers;
 }
 
+void
+ash_store_doubt (struct ash_store *store, enum ash_store_part part, const char *why)
+{
+  struct ash_store_reader *reader = &store->readers[part];
+
+  /* Only a watch may wait; whatever else is under way has a short bound of its own. */
+  if (reader->state != ASH_STORE_WATCHING || !reader->answers ||
+      ash_time_diff (reader->asked, ash_clock_now ()) < DOUBT_LEAST_MS)
+    return;
+  ash_http_call_cancel (&reader->call);
+  fail (reader, why);
+}
+
 void
 ash_store_woke (struct ash_store *store)
 {
@@ -477,7 +558,7 @@
 {
   struct ash_store_reader *reader = &store->readers[ASH_STORE_SERVERS];
 
-  if (reader->answers || list->revision <= store->router->endpoints.revision)
+  if (list->revision <= store->router->endpoints.revision)
     return;
   store->router->endpoints.revision = list->revision;
   reader->listing++;
--- a/daemon/store.h
+++ b/daemon/store.h
@@ -40,6 +40,7 @@
   uint64_t revision;        /**< where the watch goes on; 0: all must be read first */
   char page[256];           /**< of the listing; empty: the first */
   uint32_t listing;         /**< number of the listing under way, to see what it misses */
+  struct ash_time asked;    /**< when the question that is under way was */
   struct ash_time due;      /**< a later answer shows that the store was silent */
   struct ash_time answered; /**< the last sound answer */
   struct ash_time failing_since;
@@ -58,6 +59,7 @@
   char id[ASH_DIRECT_NAME_BYTES];
   uint8_t *value;
   size_t value_bytes;
+  uint64_t digest;  /**< of what it says */
   uint32_t listing; /**< the last listing that had it */
   UT_hash_handle hh;
 };
@@ -69,7 +71,8 @@
   struct ash_http_pool pool;
   struct ash_store_reader readers[ASH_STORE_PARTS];
   struct ash_store_entry *entries;
-  uint64_t calls; /**< questions asked */
+  uint64_t digest; /**< of all entries: the same for the same ones, in whatever order */
+  uint64_t calls;  /**< questions asked */
 };
 
 /** Starts reading. @return false if the address is none. */
@@ -80,6 +83,12 @@
 /** @return whether the store answers questions for that part. */
 bool ash_store_answers (const struct ash_store *store, enum ash_store_part part);
 
+/**
+ * Something else shows that the question that waits for that part's next change is silent: it
+ * is given up and asked anew, for an answer at once.
+ */
+void ash_store_doubt (struct ash_store *store, enum ash_store_part part, const char *why);
+
 /** The process was paused: what is under way is asked anew. */
 void ash_store_woke (struct ash_store *store);
 
@@ -87,7 +96,7 @@
 bool ash_store_list (const struct ash_store *store, struct Ash__EndpointList *list);
 void ash_store_list_free (struct Ash__EndpointList *list);
 
-/** Takes a peer's list if the store does not answer here and the list is newer. */
+/** Takes a peer's list if it is newer than what came from the store here. */
 void ash_store_take_list (struct ash_store *store,
                           const struct Ash__EndpointList *list,
                           const char *source);
--- a/net/http_call.c
+++ b/net/http_call.c
@@ -246,6 +246,8 @@
       free (link);
       return NULL;
     }
+  if (pool->silence_ms)
+    ash_stream_keep_alive (&link->stream, pool->silence_ms);
   ash_http_reader_init (&link->reader, ASH_HTTP_RESPONSE, &reader_handler, link);
   pool->open_count++;
   DL_PREPEND (pool->links, link);
--- a/net/http_call.h
+++ b/net/http_call.h
@@ -53,6 +53,7 @@
   struct ash_http_link *links; /**< idle ones and those in use; the last used first */
   uint32_t open_count;
   uint32_t idle_max;
+  uint32_t silence_ms; /**< a connection that is silent for so long ends; 0: as any stream does */
 };
 
 /** @param address as IP:PORT. @return false if it is none. */
--- a/net/stream.h
+++ b/net/stream.h
@@ -61,6 +61,13 @@
                          const struct ash_stream_handler *handler,
                          void *owner);
 
+/**
+ * Has the peer's kernel asked whether it is there when the connection rests, so that one that
+ * falls silent is noticed though this side has nothing to send.
+ * @param silence_ms it ends as a reset after so long, at least one probe included.
+ */
+void ash_stream_keep_alive (struct ash_stream *stream, uint32_t silence_ms);
+
 /** Closes the connection and frees what is queued. A second call does nothing. */
 void ash_stream_finish (struct ash_stream *stream);
 
--- a/options/router_settings.c
+++ b/options/router_settings.c
@@ -48,6 +48,12 @@
       100,
       30000,
       "the same for the list of endpoints: shorter than an endpoint's entry takes to lapse"),
+  MS (short_wait_ms,
+      "1500",
+      100,
+      30000,
+      "the same for both at the few routers that ask often, on behalf of all: what a lost answer "
+      "hides from the whole fleet is hidden no longer than this and 0.7 s"),
   MS (address_keep_ms, "2000", 100, HOUR_MS, "how long callers may keep an answer"),
   MS (grace_ms, "8000", 100, HOUR_MS, "from the signal to stop to the process's end at most"),
   COUNT (connections_max,
--- a/options/router_settings.h
+++ b/options/router_settings.h
@@ -32,6 +32,7 @@
   uint32_t load_period_ms;
   uint32_t store_wait_ms;
   uint32_t list_wait_ms;
+  uint32_t short_wait_ms;
   uint32_t address_keep_ms;
   uint32_t grace_ms;
   uint32_t connections_max;
--- a/proto/ash.pb-c.c
+++ b/proto/ash.pb-c.c
@@ -1903,7 +1903,7 @@
   (ProtobufCMessageInit) ash__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__heartbeat__field_descriptors[15] =
+static const ProtobufCFieldDescriptor ash__heartbeat__field_descriptors[16] =
 {
   {
     "revision",
@@ -2085,8 +2085,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "endpoints_digest",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__Heartbeat, endpoints_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ash__heartbeat__field_indices_by_name[] = {
+  15,   /* field[15] = endpoints_digest */
   12,   /* field[12] = endpoints_revision */
   9,   /* field[9] = frontend */
   11,   /* field[11] = hall */
@@ -2106,7 +2119,7 @@
 static const ProtobufCIntRange ash__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor ash__heartbeat__descriptor =
 {
@@ -2116,7 +2129,7 @@
   "Ash__Heartbeat",
   "ash",
   sizeof(Ash__Heartbeat),
-  15,
+  16,
   ash__heartbeat__field_descriptors,
   ash__heartbeat__field_indices_by_name,
   1,  ash__heartbeat__number_ranges,
--- a/proto/ash.pb-c.h
+++ b/proto/ash.pb-c.h
@@ -304,10 +304,14 @@
    */
   size_t n_known_addresses;
   char **known_addresses;
+  /*
+   * of what that list says: the same for the same contents
+   */
+  uint64_t endpoints_digest;
 };
 #define ASH__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ash__heartbeat__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
--- a/test/router.c
+++ b/test/router.c
@@ -542,36 +542,6 @@
   world_stop (&world);
 }
 
-/* In a planned stop a stream that could be cut at its end is told to go elsewhere, at once;
- * what is short is served on. These routers have three seconds to end, less than a stream
- * may last. */
-static void
-test_late_in_stop (void)
-{
-  int busy;
-
-  start ();
-  busy = world_connect (&world, 0);
-  world_send (busy,
-              "POST /once/x HTTP/1.1\r\n" HEAD "k1\r\nX-Do: *=mute\r\nContent-Length: 0\r\n\r\n");
-  for (int i = 0; i < 100 && !world_runs (&world, "k1"); i++)
-    fleet_sleep (10);
-  world_call (&world, "k2", "/stream/x", "*=stream", "", &answer);
-  CU_ASSERT (answer.status == 200 && answer.whole);
-  kill (world.routers[0].pid, SIGTERM);
-  CU_ASSERT (world_wait_ready (&world, 0, false));
-  world_call (&world, "k3", "/stream/x", "*=stream", "", &answer);
-  CU_ASSERT_EQUAL (answer.status, 503);
-  CU_ASSERT (has ("Retry-After:"));
-  CU_ASSERT_EQUAL (world_runs (&world, "k3"), 0);
-  CU_ASSERT (world_logged (&world, 0, "reason=leaving"));
-  world_call (&world, "k4", "/safe/x", NULL, "", &answer);
-  CU_ASSERT_EQUAL (answer.status, 200);
-  close (busy);
-  CU_ASSERT_EQUAL (fleet_end (&world.routers[0].pid, 0), 0);
-  world_stop (&world);
-}
-
 /* A request on a connection that is left open. @return its socket, once it runs. */
 static int
 hold_request (const char *id)
@@ -593,8 +563,9 @@
  * 5 s; a plain request whose endpoint is slow was still taken with less time left than it may
  * last. Cause: the time left was not held against the time that the request may take. */
 static void
-test_plain_late_in_stop (void)
+check_late_in_stop (const char *path, const char *action)
 {
+  char id[16] = "";
   int held[2];
   int served = 0;
 
@@ -602,19 +573,22 @@
   held[0] = hold_request ("p1");
   kill (world.routers[0].pid, SIGTERM);
   CU_ASSERT (world_wait_ready (&world, 0, false));
-  fleet_sleep (800);
+  fleet_sleep (500);
   held[1] = hold_request ("p2");
+  /* A request may last 1.5 s here, of the 3 s that the stop may take: first they are taken. */
   do
     {
-      world_call (&world, "p3", "/safe/x", NULL, "", &answer);
-      served += answer.status == 200;
+      snprintf (id, sizeof id, "l%d", served);
+      world_call (&world, id, path, action, "", &answer);
+      served += answer.status == 200 && answer.whole;
       fleet_sleep (20);
     }
-  while (answer.status == 200);
-  /* A request may last 1.5 s here, of the 3 s that the stop may take. */
+  while (answer.status == 200 && answer.whole);
   CU_ASSERT (served > 0);
+  /* With less time left they go elsewhere, and have not run. */
   CU_ASSERT_EQUAL (answer.status, 503);
   CU_ASSERT (has ("Retry-After:"));
+  CU_ASSERT_EQUAL (world_runs (&world, id), 0);
   CU_ASSERT (world_logged (&world, 0, "reason=leaving"));
   /* What was taken in time gets its final answer. */
   world_read (held[1], &answer);
@@ -625,6 +599,18 @@
   world_stop (&world);
 }
 
+static void
+test_late_in_stop (void)
+{
+  check_late_in_stop ("/stream/x", "*=stream");
+}
+
+static void
+test_plain_late_in_stop (void)
+{
+  check_late_in_stop ("/safe/x", NULL);
+}
+
 static void
 test_draining (void)
 {
@@ -818,8 +804,13 @@
   world_get (world.store_port, "PUT", "/deafen", "");
   CU_ASSERT (follows_changes ());
   world_stop (&world);
-  /* A peer has what did not come here. */
+  /* A peer has what did not come here, and nobody asks often. */
   start_patient ();
+  world.short_wait_ms = LONG_WAIT_MS;
+  fleet_end (&world.routers[0].pid, SIGKILL);
+  world_start_router (&world, 0);
+  CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 0, true));
+  fleet_sleep (200);
   world_get (world.store_port, "PUT", "/deafen", "");
   world_start_router (&world, 1);
   CU_ASSERT (world_wait_ready (&world, 1, true));
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -49,6 +49,7 @@
   bool has_key;           /**< the published account has its key */
   uint32_t store_wait_ms; /**< of routers started from now on: how long their questions wait */
   uint32_t list_wait_ms;
+  uint32_t short_wait_ms; /**< at those that ask often */
 };
 
 /** What a caller got. */
--- a/test/unit_router.c
+++ b/test/unit_router.c
@@ -11,6 +11,7 @@
 #include "filters/forward.h"
 #include "net/event_stream.h"
 #include "net/http_message.h"
+#include "net/stream.h"
 #include "platform/config.h"
 #include "platform/directory.h"
 #include "platform/message.h"
@@ -18,8 +19,11 @@
 #include "platform/store.h"
 #include "test/unit.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 static struct ash_time
@@ -809,18 +813,51 @@
   struct ash_peer_news news = { 0 };
 
   ash_peer_news_told (&news, (struct ash_time){ 100 }, 4, 4);
-  CU_ASSERT_EQUAL (ash_peer_news_behind_ms (&news, (struct ash_time){ 900 }, 4), 0);
+  CU_ASSERT_FALSE (ash_peer_news_behind (&news, (struct ash_time){ 900 }, 4, 0));
   /* Behind from when a newer one is told, not from when the last one came. */
   ash_peer_news_told (&news, (struct ash_time){ 1000 }, 6, 4);
-  CU_ASSERT_EQUAL (ash_peer_news_behind_ms (&news, (struct ash_time){ 1250 }, 4), 250);
+  CU_ASSERT (ash_peer_news_behind (&news, (struct ash_time){ 1250 }, 4, 250));
+  CU_ASSERT_FALSE (ash_peer_news_behind (&news, (struct ash_time){ 1250 }, 4, 251));
   /* Newer ones yet, and old ones, do not begin the wait anew. */
   ash_peer_news_told (&news, (struct ash_time){ 1300 }, 9, 4);
   ash_peer_news_told (&news, (struct ash_time){ 1350 }, 5, 4);
-  CU_ASSERT_EQUAL (ash_peer_news_behind_ms (&news, (struct ash_time){ 1400 }, 4), 400);
+  CU_ASSERT (ash_peer_news_behind (&news, (struct ash_time){ 1400 }, 4, 400));
   /* What comes in between does: the source speaks. */
-  CU_ASSERT_EQUAL (ash_peer_news_behind_ms (&news, (struct ash_time){ 1500 }, 6), 0);
-  CU_ASSERT_EQUAL (ash_peer_news_behind_ms (&news, (struct ash_time){ 1600 }, 6), 100);
-  CU_ASSERT_EQUAL (ash_peer_news_behind_ms (&news, (struct ash_time){ 1700 }, 9), 0);
+  CU_ASSERT_FALSE (ash_peer_news_behind (&news, (struct ash_time){ 1500 }, 6, 1));
+  CU_ASSERT (ash_peer_news_behind (&news, (struct ash_time){ 1600 }, 6, 100));
+  CU_ASSERT_FALSE (ash_peer_news_behind (&news, (struct ash_time){ 1600 }, 6, 101));
+  CU_ASSERT_FALSE (ash_peer_news_behind (&news, (struct ash_time){ 1700 }, 9, 0));
+}
+
+/* ---- connections ---- */
+
+static int
+option_of (int fd, int level, int name)
+{
+  int value = -1;
+  socklen_t value_bytes = sizeof value;
+
+  getsockopt (fd, level, name, &value, &value_bytes);
+  return value;
+}
+
+/* The kernel ends a connection whose other side is cut off, also while nothing is sent. */
+static void
+test_keep_alive (void)
+{
+  static const struct ash_stream_handler handler = { 0 };
+  struct ash_stream stream;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  CU_ASSERT_FATAL (fd >= 0);
+  ash_stream_init (&stream, EV_DEFAULT, fd, &handler, NULL);
+  ash_stream_keep_alive (&stream, 2000);
+  CU_ASSERT_EQUAL (option_of (fd, SOL_SOCKET, SO_KEEPALIVE), 1);
+  CU_ASSERT_EQUAL (option_of (fd, IPPROTO_TCP, TCP_KEEPIDLE), 1);
+  CU_ASSERT_EQUAL (option_of (fd, IPPROTO_TCP, TCP_KEEPINTVL), 1);
+  CU_ASSERT_EQUAL (option_of (fd, IPPROTO_TCP, TCP_KEEPCNT), 1);
+  CU_ASSERT_EQUAL (option_of (fd, IPPROTO_TCP, TCP_USER_TIMEOUT), 2000);
+  ash_stream_finish (&stream);
 }
 
 /* ---- the log ---- */
@@ -904,5 +941,6 @@
   CU_add_test (suite, "platform: directory", test_directory_format);
   CU_add_test (suite, "HTTP: strict messages", test_strict_messages);
   CU_add_test (suite, "peers: what they have and this process lacks", test_peer_news);
+  CU_add_test (suite, "connections: silence is noticed", test_keep_alive);
   CU_add_test (suite, "log: bounded, and never waits", test_log_bound);
 }
