exchange: a configuration that is known to be old denies nobody

Ruled out: denying later (a caller would wait for what may be a true denial). Change: while a peer has a newer version, what would be denied is refused with 503 and when to come back; a version that was refused for its findings does not count as missing, and is no longer asked for again.

--- a/daemon/catch_up.c
+++ b/daemon/catch_up.c
@@ -20,10 +20,15 @@
   *catch_up = (struct ash_catch_up){ .router = router };
 }
 
+/* A configuration that was looked at and refused for its findings is not missing. */
 static uint64_t
 own_revision (const struct ash_router *router, enum ash_store_part part)
 {
-  return part == ASH_STORE_CONFIG ? ash_router_version (router) : router->endpoints.revision;
+  uint64_t version = ash_router_version (router);
+
+  if (part == ASH_STORE_SERVERS)
+    return router->endpoints.revision;
+  return version > router->refused_version ? version : router->refused_version;
 }
 
 /* ---- asking ---- */
@@ -108,6 +113,13 @@
   follow (catch_up, ASH_STORE_SERVERS, now);
 }
 
+bool
+ash_catch_up_behind (struct ash_catch_up *catch_up, struct ash_time now)
+{
+  return ash_peer_news_behind (&catch_up->news[ASH_STORE_CONFIG], now,
+                               own_revision (catch_up->router, ASH_STORE_CONFIG), 0);
+}
+
 /* ---- answering ---- */
 
 void
--- a/daemon/catch_up.h
+++ b/daemon/catch_up.h
@@ -33,6 +33,9 @@
 /** Time goes on: what does not come by itself is asked for. */
 void ash_catch_up_tick (struct ash_catch_up *catch_up, struct ash_time now);
 
+/** @return whether peers have a newer configuration than this router. */
+bool ash_catch_up_behind (struct ash_catch_up *catch_up, struct ash_time now);
+
 /** A peer asks for the configuration, or for the list of endpoints. */
 void ash_catch_up_send_config (struct ash_catch_up *catch_up, const char *box);
 void ash_catch_up_send_list (struct ash_catch_up *catch_up, const char *box);
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -658,6 +658,19 @@
   ash_http_conn_answer (conn, status, fields, strlen (fields), body, (size_t) length);
 }
 
+/* Nobody tries again after 401 or 404; so what peers know to be out of date may not say it. */
+static void
+deny_by_config (struct ash_http_conn *conn,
+                struct ash_router *router,
+                uint16_t status,
+                const char *why)
+{
+  if (ash_catch_up_behind (&router->catch_up, ash_clock_now ()))
+    deny (conn, router, 503, "a newer configuration is on its way");
+  else
+    deny (conn, router, status, why);
+}
+
 /* More requests than slots of a plain endpoint queue there; an engine's streams slow
  * each other down, so fewer than its slots run. */
 static uint32_t
@@ -764,14 +777,14 @@
   route = ash_route_table_find (router->table, host, head->target);
   if (!route)
     {
-      deny (conn, router, 404, "no such route");
+      deny_by_config (conn, router, 404, "no such route");
       return;
     }
   if (facts.key)
     account = ash_route_table_account (router->table, facts.key);
   if (router->table->account_count && !route->anonymous && !account)
     {
-      deny (conn, router, 401, "no such key");
+      deny_by_config (conn, router, 401, "no such key");
       return;
     }
   exchange = new_exchange (router, conn, route);
--- a/daemon/router.c
+++ b/daemon/router.c
@@ -126,6 +126,8 @@
     {
       if (findings.count)
         log_findings (router, &findings, source);
+      if (findings.count && table)
+        router->refused_version = table->version;
       ash_route_table_unref (table);
       free (copy);
       ash_findings_finish (&findings);
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -44,6 +44,8 @@
   struct ash_route_table *table; /**< in force; NULL: none yet */
   char *config_text;             /**< what it was read from, for peers */
   size_t config_bytes;
+  uint64_t refused_version; /**< of the last configuration that had findings; 0: none, or it had no
+                               version */
   struct ash_direct_set endpoints;
   struct ash_router_service *services;
 
--- a/test/router.c
+++ b/test/router.c
@@ -772,6 +772,22 @@
   fleet_sleep (200);
 }
 
+/* The first router's questions wait for good, the second one asks anew after a second at most. */
+static void
+start_deaf (void)
+{
+  start_patient ();
+  world.short_wait_ms = LONG_WAIT_MS;
+  fleet_end (&world.routers[0].pid, SIGKILL);
+  world_start_router (&world, 0);
+  CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 0, true));
+  fleet_sleep (200);
+  world_get (world.store_port, "PUT", "/deafen", "");
+  world.short_wait_ms = 300;
+  world_start_router (&world, 1);
+  CU_ASSERT (world_wait_ready (&world, 1, true));
+}
+
 /* Publishes a configuration and that a server leaves. @return whether the first router takes both.
  */
 static bool
@@ -805,19 +821,45 @@
   CU_ASSERT (follows_changes ());
   world_stop (&world);
   /* A peer has what did not come here, and nobody asks often. */
-  start_patient ();
-  world.short_wait_ms = LONG_WAIT_MS;
-  fleet_end (&world.routers[0].pid, SIGKILL);
-  world_start_router (&world, 0);
-  CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 0, true));
-  fleet_sleep (200);
-  world_get (world.store_port, "PUT", "/deafen", "");
-  world_start_router (&world, 1);
-  CU_ASSERT (world_wait_ready (&world, 1, true));
+  start_deaf ();
   CU_ASSERT (follows_changes ());
   world_stop (&world);
 }
 
+/* What users saw: callers with new keys were told 401, which nobody tries again, by a router that
+ * its peers had told of a newer configuration. Evidence: "410 forward_denied ... status=401
+ * version=132" between two lines of "210 behind_peers". Cause: a denial was final though the router
+ * knew that what it went by was old. */
+static void
+test_denied_by_old_configuration (void)
+{
+  int told_later = 0;
+  int denied_after = 0;
+
+  start_deaf ();
+  world.has_key = false;
+  world_publish (&world);
+  do
+    world_call (&world, "old-1", "/safe/x", NULL, "", &answer);
+  while (answer.status == 200);
+  /* The key comes back: once this router knows that there is something newer, it may not say
+   * that there is none. Its question for that is at the store by now. */
+  fleet_sleep (300);
+  world_get (world.store_port, "PUT", "/deafen", "");
+  world.has_key = true;
+  world_publish (&world);
+  for (int i = 0; i < 4000 && answer.status != 200; i++)
+    {
+      world_call (&world, "old-2", "/safe/x", NULL, "", &answer);
+      told_later += answer.status == 503 && has ("Retry-After:");
+      denied_after += answer.status == 401 && told_later;
+    }
+  CU_ASSERT_EQUAL (answer.status, 200);
+  CU_ASSERT (told_later > 0);
+  CU_ASSERT_EQUAL (denied_after, 0);
+  world_stop (&world);
+}
+
 /* ---- a group of ranks ---- */
 
 #define CALLERS 6
@@ -1084,6 +1126,7 @@
   { "store silent, entries lapse", test_store_silent },
   { "store's history gone", test_history_gone },
   { "store's watches silent", test_store_watch_silent },
+  { "denied by an old configuration", test_denied_by_old_configuration },
   { "peer helps where the store does not", test_peer_helps },
   { "expert maps follow what is asked for", test_maps },
   { "expert maps in trouble", test_maps_in_trouble },
