platform: a watch that waits proves nothing

Cause: an entry's watch of the platform waits for 10 s, and 3 s more for its answer; until that is over the entry counts as a reader, whether anything comes through or not. The list, read each second, failed and told the watch nothing; peers with a newer revision didn't either. Others of the hall don't read, and plans are confirmed, on the word of such an entry. Ruled out: that peers have to be asked for what is missed: they push it with the next heartbeat (seen in 'a watch is silent, and peers know more': revision 2 in force before the change too); what was wrong is that the entry went on counting as a reader. Change: the first failure of the list, and a revision that peers have and the own questions have not covered for 0.3 s, give the watch up; it is asked anew for an answer at once, and counts as failed until that comes. A watch waits for 2 s. Connections to the platform are probed, 2 s (net/keep_alive, taken out of net/stream). 203 has `why`. Before, after: 'platform: watches are silent, and the list fails once', '... peers know more', 'it hangs' all failed (5 asserts), all pass; unit 'silence is noticed, of fetches' failed (3 asserts) with the call that sets the options taken out, passes. Price: one entry and a stand-in of the platform, nothing new for 20 s: 3 watches and 20 lists, now 11 and 20. For the 32 readers of the size to come that is 37 to 50 reads a second of 2,000.

--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -236,8 +236,11 @@
   ash_entry_handle (&entry->core, ash_clock_now (), event);
   if (event->kind_case == ASH__EVENT__KIND_STOP)
     ash_http_server_close_kept (&entry->api.server);
+  if (event->kind_case == ASH__EVENT__KIND_HEARTBEAT)
+    ash_platform_told (&entry->platform, ash_clock_now (), event->heartbeat->revision);
   if (event->kind_case == ASH__EVENT__KIND_TICK)
     {
+      ash_platform_tick (&entry->platform, ash_clock_now ());
       drop_old_links (entry);
       ash_explain_tick (&entry->explain);
       note_alone (entry);
--- a/daemon/platform.c
+++ b/daemon/platform.c
@@ -6,10 +6,24 @@
 
 #define MS_PER_S 1000.0
 
-/* A watch waits this long at the platform; a read may take that and a bit. */
-#define WATCH_MS 10000
+/* A watch waits this long at the platform; a read may take that and a bit. While nothing is new
+ * a watch looks the same whether it is heard or not, so the sum bounds how late a silent one is
+ * noticed that nothing else shows: 5 s, of the 7 s in which a change is to be in force. The 32
+ * readers of the size to come cost 48 reads a second with it, of the platform's 2,000. */
+#define WATCH_MS 2000
 #define READ_TIMEOUT_MS 3000
 
+/* A connection to the platform that is silent for so long is given up, keep-alive probes
+ * included: a cut shows before the watch's time is over. */
+#define SILENCE_MS 2000
+
+/* The platform answers all its readers within some milliseconds, and a new revision is told to
+ * peers at once. Whose own watch has not brought it so long after has a silent one. */
+#define BEHIND_MS 300
+
+/* A watch that was sent less long ago may still be on its way. */
+#define DOUBT_LEAST_MS 300
+
 /* The list is read at this period. A leaving box tells its peers itself; the
  * list is one more source, which lags by more than this anyway. */
 #define LIST_PERIOD_MS 1000
@@ -126,28 +140,76 @@
 }
 
 static void
-on_end (void *data, enum ash_fetch_result result)
+forget_answer (struct ash_platform_read *read)
 {
-  struct ash_platform_read *read = data;
-  const struct ash_log *log = &read->platform->log;
-  const char *what = read->is_list ? "boxes" : "configuration";
-  bool ok = take_answer (read, result);
-
-  read->running = false;
+  read->fetch = NULL;
   free (read->body);
   read->body = NULL;
   read->body_bytes = 0;
+}
+
+/* The read is over, answered or not. */
+static void
+note_result (struct ash_platform_read *read, bool ok, const char *why)
+{
+  const struct ash_log *log = &read->platform->log;
+  const char *what = read->is_list ? "boxes" : "configuration";
+
   if (ok && read->failures)
     ash_log_event (log, ASH_EV_PLATFORM_UP, "what=%s failures=%u", what, read->failures);
   if (!ok && !read->failures)
-    ash_log_event (log, ASH_EV_PLATFORM_DOWN, "what=%s status=%u", what, read->status);
+    ash_log_event (log, ASH_EV_PLATFORM_DOWN, "what=%s status=%u why=\"%s\"", what, read->status,
+                   why);
   read->failures = ok ? 0 : read->failures + 1;
   if (!read->is_list)
     read->platform->reads = ok;
+}
+
+/* Something shows that the watch may be silent: it is given up and asked anew, for an answer at
+ * once. Until that comes this does not count as reading. */
+static void
+doubt_watch (struct ash_platform *platform, struct ash_time now, const char *why)
+{
+  struct ash_platform_read *read = &platform->config;
+
+  if (!read->fetch || !read->waits || ash_time_diff (read->asked, now) < DOUBT_LEAST_MS)
+    return;
+  ash_http_client_cancel (read->fetch);
+  forget_answer (read);
+  note_result (read, false, why);
+  start_later (read, 1);
+}
+
+/* What was asked has been answered: nothing that is not newer can be missing. */
+static void
+note_known (struct ash_platform_read *read)
+{
+  struct ash_platform *platform = read->platform;
+
+  if (read->after > platform->known_revision)
+    platform->known_revision = read->after;
+  if (platform->seen_revision > platform->known_revision)
+    platform->known_revision = platform->seen_revision;
+}
+
+static void
+on_end (void *data, enum ash_fetch_result result)
+{
+  struct ash_platform_read *read = data;
+  bool first_failure = read->failures == 0;
+  bool ok = take_answer (read, result);
+
+  forget_answer (read);
+  note_result (read, ok, result == ASH_FETCH_WHOLE ? "no answer of use" : "no answer in time");
   if (!ok)
     start_later (read, back_off_ms (read));
   else
     start_later (read, read->is_list ? LIST_PERIOD_MS : 1);
+  if (ok && !read->is_list)
+    note_known (read);
+  /* What keeps one question from being answered may keep the other one too. */
+  if (!ok && read->is_list && first_failure)
+    doubt_watch (read->platform, ash_clock_now (), "the list failed");
 }
 
 static void
@@ -157,7 +219,9 @@
   struct ash_daemon *daemon = platform->daemon;
   char url[2 * ASH_OPTION_TEXT_BYTES];
   struct ash_fetch_handler handler = { on_head, on_bytes, on_end, read };
-  struct ash_fetch_request request = { .url = url, .method = "GET", .timeout_ms = READ_TIMEOUT_MS };
+  struct ash_fetch_request request = {
+    .url = url, .method = "GET", .timeout_ms = READ_TIMEOUT_MS, .silence_ms = SILENCE_MS
+  };
   uint64_t after = platform->seen_revision;
   /* Whoever does not know whether the platform answers asks for an answer at once: a watch
    * would tell only at its end. */
@@ -175,11 +239,31 @@
       request.timeout_ms += (uint32_t) wait_ms;
     }
   read->status = 0;
-  read->running = true;
-  if (!ash_http_client_start (&daemon->http_client, &request, &handler))
+  read->asked = ash_clock_now ();
+  read->after = after;
+  read->waits = !read->is_list && wait_ms > 0;
+  read->fetch = ash_http_client_start (&daemon->http_client, &request, &handler);
+  if (!read->fetch)
     start_later (read, BACK_OFF_MAX_MS);
 }
 
+/* ---- what peers tell ---- */
+
+void
+ash_platform_told (struct ash_platform *platform, struct ash_time now, uint64_t revision)
+{
+  ash_peer_news_told (&platform->news, now, revision, platform->known_revision);
+}
+
+void
+ash_platform_tick (struct ash_platform *platform, struct ash_time now)
+{
+  /* Whether the watch waits is asked first: who does not read has nothing to doubt. */
+  if (platform->config.waits &&
+      ash_peer_news_behind (&platform->news, now, platform->known_revision, BEHIND_MS))
+    doubt_watch (platform, now, "peers have a newer configuration");
+}
+
 bool
 ash_platform_failed (const struct ash_platform *platform)
 {
--- a/daemon/platform.h
+++ b/daemon/platform.h
@@ -6,6 +6,7 @@
 #ifndef ASH_PLATFORM_H
 #define ASH_PLATFORM_H
 
+#include "controllers/peer_news.h"
 #include "daemon/daemon.h"
 
 /** Who gets what the platform says. */
@@ -23,8 +24,11 @@
 struct ash_platform_read
 {
   struct ash_platform *platform;
-  bool running;
+  struct ash_fetch *fetch; /**< under way; NULL: none */
   bool is_list;
+  bool waits;            /**< it is a watch, which may be silent for as long as nothing is new */
+  struct ash_time asked; /**< when it was sent */
+  uint64_t after;        /**< the revision that it asks for newer ones than */
   uint32_t status;
   uint64_t revision;
   char *body;
@@ -42,8 +46,10 @@
   struct ash_random random;
   struct ash_platform_read config;
   struct ash_platform_read list;
-  uint64_t seen_revision; /**< of the last document read */
-  bool reads;             /**< the last read of the configuration went well, and goes on */
+  uint64_t seen_revision;    /**< of the last document read */
+  uint64_t known_revision;   /**< its own questions were answered as to revisions up to this */
+  struct ash_peer_news news; /**< revisions that peers have in force */
+  bool reads;                /**< the last read of the configuration went well, and goes on */
 };
 
 /** Starts reading. */
@@ -51,6 +57,12 @@
                         struct ash_daemon *daemon,
                         const struct ash_platform_handler *handler);
 
+/** A peer tells which revision it has in force. */
+void ash_platform_told (struct ash_platform *platform, struct ash_time now, uint64_t revision);
+
+/** Time goes on: a watch that does not bring what peers have is asked anew. */
+void ash_platform_tick (struct ash_platform *platform, struct ash_time now);
+
 /** @return whether its last read failed: not so if it has not read as yet. */
 bool ash_platform_failed (const struct ash_platform *platform);
 
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -1,5 +1,7 @@
 #include "net/http_client.h"
 
+#include "net/keep_alive.h"
+
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
@@ -16,6 +18,7 @@
   struct curl_slist *headers;
   bool head_told;
   bool cancelled;
+  uint32_t silence_ms;
   uint64_t revision;
   struct ash_fetch *prev;
   struct ash_fetch *next;
@@ -247,6 +250,16 @@
   return length;
 }
 
+static int
+on_new_socket (void *data, curl_socket_t fd, curlsocktype purpose)
+{
+  const struct ash_fetch *fetch = data;
+
+  if (purpose == CURLSOCKTYPE_IPCXN && fetch->silence_ms)
+    ash_keep_alive (fd, fetch->silence_ms);
+  return CURL_SOCKOPT_OK;
+}
+
 static void
 add_header (struct ash_fetch *fetch, const char *name, const char *value)
 {
@@ -269,6 +282,8 @@
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, fetch);
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
   curl_easy_setopt (easy, CURLOPT_HEADERDATA, fetch);
+  curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, on_new_socket);
+  curl_easy_setopt (easy, CURLOPT_SOCKOPTDATA, fetch);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long) CONNECT_TIMEOUT_MS);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long) request->timeout_ms);
   curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, request->fresh_connection ? 1L : 0L);
@@ -303,6 +318,7 @@
     return NULL;
   fetch->client = client;
   fetch->handler = *handler;
+  fetch->silence_ms = request->silence_ms;
   fetch->easy = curl_easy_init ();
   if (!fetch->easy)
     {
--- a/net/http_client.h
+++ b/net/http_client.h
@@ -44,6 +44,9 @@
   const uint8_t *body;
   size_t body_bytes;
   uint32_t timeout_ms;   /**< 0: none */
+  uint32_t silence_ms;   /**< a connection without a word for so long, keep-alive probes
+                              included, is given up; 0: not asked. Of a whole pool's fetches to
+                              one address, as connections are kept */
   bool fresh_connection; /**< for what may not be repeated: libcurl itself sends a
                               request again when a kept connection turns out dead */
 };
--- a/net/stream.c
+++ b/net/stream.c
@@ -1,6 +1,7 @@
 #include "net/stream.h"
 
 #include "net/bind.h"
+#include "net/keep_alive.h"
 
 #include <errno.h>
 #include <netinet/tcp.h>
@@ -14,10 +15,6 @@
  * packet takes, shorter than most deadlines. */
 #define USER_TIMEOUT_MS 3000
 
-/* Keep-alive probes: the first after so long without a byte, then as often. The kernel counts in
- * whole seconds. */
-#define PROBE_S 1
-
 static void
 flush (struct ash_stream *stream)
 {
@@ -138,16 +135,7 @@
 void
 ash_stream_keep_alive (struct ash_stream *stream, uint32_t silence_ms)
 {
-  int on = 1;
-  int probe_s = PROBE_S;
-  int probes = (int) (silence_ms / (PROBE_S * 1000)) - 1; /* after the rest before the first */
-  int user_timeout_ms = (int) silence_ms;
-
-  setsockopt (stream->fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
-  setsockopt (stream->fd, IPPROTO_TCP, TCP_KEEPIDLE, &probe_s, sizeof probe_s);
-  setsockopt (stream->fd, IPPROTO_TCP, TCP_KEEPINTVL, &probe_s, sizeof probe_s);
-  setsockopt (stream->fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
-  setsockopt (stream->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof user_timeout_ms);
+  ash_keep_alive (stream->fd, silence_ms);
 }
 
 void
--- a/test/operators.c
+++ b/test/operators.c
@@ -11,6 +11,9 @@
 #include <string.h>
 #include <time.h>
 
+/* Watches have begun anew after a document, and lists have been read. */
+#define SETTLE_MS 300
+
 static void
 test_configuration (void)
 {
@@ -70,9 +73,9 @@
   fleet_stop (&fleet);
 }
 
-/* Configurations that the entries sent; which of them sends to whom is a race. */
+/* Lines of the entries' logs together, where which of them writes one is a race. */
 static int
-count_sent (struct fleet *fleet, const char *how)
+count_lines (struct fleet *fleet, const char *how)
 {
   int count = 0;
 
@@ -90,8 +93,8 @@
   char more[64];
 
   fleet_start (&fleet, NO_GUARD);
-  CU_ASSERT (count_sent (&fleet, " 205 config_sent ") >= FLEET_ENDPOINTS);
-  CU_ASSERT_EQUAL (count_sent (&fleet, " deltas=1"), 0);
+  CU_ASSERT (count_lines (&fleet, " 205 config_sent ") >= FLEET_ENDPOINTS);
+  CU_ASSERT_EQUAL (count_lines (&fleet, " deltas=1"), 0);
   for (int i = 2; i < 6; i++)
     {
       sprintf (more, "[[hall]]\nname = \"h%d\"\n", i);
@@ -99,7 +102,7 @@
       for (int e = 0; e < FLEET_ENTRIES; e++)
         CU_ASSERT (wait_revision (&fleet, e, i));
     }
-  CU_ASSERT (count_sent (&fleet, " deltas=1") >= 4 * FLEET_ENDPOINTS);
+  CU_ASSERT (count_lines (&fleet, " deltas=1") >= 4 * FLEET_ENDPOINTS);
   fleet_sleep (300);
   for (int a = 0; a < FLEET_ENDPOINTS; a++)
     CU_ASSERT_EQUAL (fleet_log_count (&fleet, fleet.endpoints[a].name, " 200 config_accepted "), 5);
@@ -265,6 +268,106 @@
     }
 }
 
+/* A document that the watches miss is in force late, users saw: a router was cut off from the
+ * platform while a version was published. Its watch, which was under way, stayed silent after the
+ * cut; the read of the list failed once and was back at once, and told the watch nothing: the old
+ * document denied routes that had come since, until the watch timed out after 13 s. Here both
+ * entries' watches fall silent, and the list fails once. */
+static void
+test_silent_watch_and_list (void)
+{
+  struct fleet fleet;
+
+  fleet_start (&fleet, NO_GUARD);
+  fleet_publish (&fleet, "[[hall]]\nname = \"h2\"\n", 2);
+  for (int e = 0; e < FLEET_ENTRIES; e++)
+    CU_ASSERT (wait_revision (&fleet, e, 2));
+  fleet_sleep (SETTLE_MS);
+  fleet_control (fleet.platform_port, "/control/mode?config=4&list=1");
+  fleet_publish (&fleet, "[[hall]]\nname = \"h3\"\n", 3);
+  for (int e = 0; e < FLEET_ENTRIES; e++)
+    {
+      for (int i = 0; i < 200 && !fleet_log_count (&fleet, fleet.entries[e].name, "what=boxes");
+           i++)
+        fleet_sleep (20);
+      CU_ASSERT (fleet_log_count (&fleet, fleet.entries[e].name, "what=boxes") > 0);
+    }
+  fleet_control (fleet.platform_port, "/control/mode?config=0&list=0");
+  for (int e = 0; e < FLEET_ENTRIES; e++)
+    CU_ASSERT (wait_revision (&fleet, e, 3));
+  /* Not only because the watches' time was over; the second may have been told by the first. */
+  CU_ASSERT (count_lines (&fleet, "why=\"the list failed\"") >= 1);
+  fleet_stop (&fleet);
+}
+
+/* Whoever counts as a reader of the platform keeps the others of its hall from reading, and
+ * confirms plans. An entry whose watch is silent counted as one for 13 s. It may learn what it
+ * misses from its peers; that shows that its own watch is silent, and it asks anew. */
+static void
+test_silent_watch_and_peers (void)
+{
+  struct fleet fleet;
+  uint16_t alone_port;
+  char port[8];
+  char path[128];
+  pid_t alone;
+
+  fleet_start (&fleet, NO_GUARD);
+  fleet_free_ports (&alone_port, 1);
+  sprintf (port, "%u", alone_port);
+  snprintf (path, sizeof path, "%s/published.toml", fleet.folder);
+  alone = fleet_spawn (fleet.folder, "alone", "standin", "platform", port, path, (char *) NULL);
+  fleet_end (&fleet.entries[0].pid, SIGKILL);
+  fleet.entries[0].platform_port = alone_port;
+  fleet_start_entry (&fleet, 0);
+  CU_ASSERT (fleet_wait_live (&fleet, 0, FLEET_ENDPOINTS));
+  fleet_sleep (SETTLE_MS);
+  fleet_control (alone_port, "/control/mode?config=4");
+  fleet_publish (&fleet, "[[hall]]\nname = \"h2\"\n", 2);
+  CU_ASSERT (wait_revision (&fleet, 0, 2));
+  for (int i = 0; i < 100 && !fleet_log_count (&fleet, "entry-1", "why=\"peers have a newer"); i++)
+    fleet_sleep (20);
+  CU_ASSERT_EQUAL (fleet_log_count (&fleet, "entry-1", "why=\"peers have a newer"), 1);
+  /* Its own question is answered at once: it counts as a reader again. */
+  for (int i = 0; i < 100 && !fleet_log_count (&fleet, "entry-1", " 204 platform_up "); i++)
+    fleet_sleep (20);
+  CU_ASSERT_EQUAL (fleet_log_count (&fleet, "entry-1", " 204 platform_up "), 1);
+  fleet_end (&alone, SIGKILL);
+  fleet_stop (&fleet);
+}
+
+/* A platform that hangs, instead of failing, was noticed when a watch timed out, after up to 13 s;
+ * until then an entry behind it confirmed plans. Here it is stopped as a process: connections
+ * are taken, nothing is answered. */
+static void
+test_platform_hangs (void)
+{
+  struct fleet fleet;
+  json_t *plan;
+  char *text;
+  long status = 0;
+
+  fleet_start (&fleet, OPERATORS);
+  /* The watches begin anew: they would be waited for longest. */
+  fleet_publish (&fleet, "[[hall]]\nname = \"h2\"\n", 2);
+  for (int e = 0; e < FLEET_ENTRIES; e++)
+    CU_ASSERT (wait_revision (&fleet, e, 2));
+  fleet_sleep (SETTLE_MS);
+  plan = operate (&fleet, 0, "/v1/plan", OPERATOR_KEY, "[[hall]]\nname = \"h3\"\n", &status);
+  CU_ASSERT (confirm_soon (&fleet, 0, plan));
+  text = json_dumps (plan, 0);
+  kill (fleet.platform, SIGSTOP);
+  for (int i = 0; i < 80 && status != 409; i++)
+    {
+      fleet_sleep (100);
+      json_decref (operate (&fleet, 0, "/v1/confirm", OPERATOR_KEY, text, &status));
+    }
+  CU_ASSERT_EQUAL (confirm (&fleet, 0, plan, "cut_off"), 409);
+  free (text);
+  json_decref (plan);
+  fleet_stop (&fleet);
+}
+
 /* An endpoint is taken out of the configuration while it works: what it has in
  * hand ends whole, and it gets nothing new. */
 static void
@@ -528,6 +631,9 @@
   { "configuration: by deltas", test_deltas },
   { "plans: two operators on one base", test_operators_race },
   { "plans: the reader of the platform dies", test_reader_dies },
+  { "platform: watches are silent, and the list fails once", test_silent_watch_and_list },
+  { "platform: a watch is silent, and peers know more", test_silent_watch_and_peers },
+  { "platform: it hangs", test_platform_hangs },
   { "an endpoint is removed while it works", test_endpoint_removed },
   { "plans: what can't be met, tampered, cut off", test_plan_refused },
   { "explain: a request", test_explain_request },
--- a/test/standin_platform.c
+++ b/test/standin_platform.c
@@ -8,7 +8,9 @@
  * PUT  /control/config?revision=R     publishes (without R: the next one)
  * PUT  /control/box?box=B&state=S     as the list will say after its lag
  * POST /control/mode?config=M&list=M&lag_ms=L
- *      M: 0 answers, 1 fails, 2 stale (nothing new is seen), 3 an older one
+ *      M: 0 answers, 1 fails, 2 stale (nothing new is seen), 3 an older one, 4 silent: what
+ *      waits for a change is never answered, also when the mode has changed again; who asks
+ *      for an answer at once gets it
  * GET  /control/calls                 how many calls there were, by kind
  */
 #include "test/standin.h"
@@ -21,12 +23,16 @@
 #define BOXES_MAX 64
 #define NAME_BYTES 40
 
+/* A question that gets no answer is held for longer than anybody waits for one. */
+#define SILENCE_MS 60000
+
 enum mode
 {
   MODE_OK,
   MODE_FAIL,
   MODE_STALE,
   MODE_OLDER,
+  MODE_SILENT,
 };
 
 struct published
@@ -92,22 +98,37 @@
   return &present;
 }
 
+/* Whether a question is one that the platform never answers. */
+static bool
+is_lost (int64_t wait_ms)
+{
+  return config_mode == MODE_SILENT && wait_ms > 0;
+}
+
 static enum MHD_Result
 handle_config (struct standin_request *request)
 {
   uint64_t after = (uint64_t) standin_number (request, "after", 0);
-  int64_t until_ms = standin_now_ms () + standin_number (request, "wait_ms", 0);
+  int64_t wait_ms = standin_number (request, "wait_ms", 0);
+  int64_t until_ms = standin_now_ms () + wait_ms;
   enum MHD_Result result;
   bool is_older;
 
   pthread_mutex_lock (&lock);
   config_calls++;
-  while (config_mode != MODE_FAIL && !visible (after) && standin_now_ms () < until_ms)
+  while (config_mode != MODE_FAIL && !is_lost (wait_ms) && !visible (after) &&
+         standin_now_ms () < until_ms)
     {
       pthread_mutex_unlock (&lock);
       standin_sleep_ms (5);
       pthread_mutex_lock (&lock);
     }
+  if (is_lost (wait_ms))
+    {
+      pthread_mutex_unlock (&lock);
+      standin_sleep_ms (SILENCE_MS);
+      return MHD_NO;
+    }
   if (config_mode == MODE_FAIL)
     result = standin_reply (request, MHD_HTTP_SERVICE_UNAVAILABLE, "text/plain", "down\n", 5);
   else if (visible (after))
--- a/test/unit_router.c
+++ b/test/unit_router.c
@@ -10,6 +10,7 @@
 #include "controllers/peer_news.h"
 #include "filters/forward.h"
 #include "net/event_stream.h"
+#include "net/http_client.h"
 #include "net/http_message.h"
 #include "net/stream.h"
 #include "platform/config.h"
@@ -841,6 +842,10 @@
   return value;
 }
 
+/* Descriptors that are looked through, and turns of a loop that a connection may take. */
+#define OPEN_FILES 256
+#define LOOP_TURNS 100
+
 /* The kernel ends a connection whose other side is cut off, also while nothing is sent. */
 static void
 test_keep_alive (void)
@@ -860,6 +865,64 @@
   ash_stream_finish (&stream);
 }
 
+/* @return this process's socket that is connected to that port, or -1. */
+static int
+socket_to (uint16_t port)
+{
+  for (int fd = 0; fd < OPEN_FILES; fd++)
+    {
+      struct sockaddr_in address;
+      socklen_t address_bytes = sizeof address;
+
+      if (getpeername (fd, (struct sockaddr *) &address, &address_bytes) == 0 &&
+          address.sin_family == AF_INET && ntohs (address.sin_port) == port)
+        return fd;
+    }
+  return -1;
+}
+
+static void
+fetch_nothing (void *data, enum ash_fetch_result result)
+{
+  (void) data;
+  (void) result;
+}
+
+/* The same for connections of libcurl, which an entry reads the platform with: a watch that is
+ * cut off looked like one without news until its time was over. */
+static void
+test_keep_alive_of_fetches (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t address_bytes = sizeof address;
+  struct ash_fetch_handler handler = { .end = fetch_nothing };
+  struct ash_http_client client;
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
+  char url[64];
+  struct ash_fetch_request request = { .url = url, .method = "GET", .silence_ms = 2000 };
+  int fd = -1;
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  CU_ASSERT_FATAL (bind (listener, (struct sockaddr *) &address, sizeof address) == 0);
+  CU_ASSERT_FATAL (listen (listener, 1) == 0);
+  getsockname (listener, (struct sockaddr *) &address, &address_bytes);
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/", ntohs (address.sin_port));
+  CU_ASSERT_FATAL (ash_http_client_init (&client, loop));
+  CU_ASSERT_PTR_NOT_NULL (ash_http_client_start (&client, &request, &handler));
+  for (int i = 0; i < LOOP_TURNS && fd < 0; i++)
+    {
+      ev_run (loop, EVRUN_ONCE);
+      fd = socket_to (ntohs (address.sin_port));
+    }
+  CU_ASSERT_EQUAL (option_of (fd, SOL_SOCKET, SO_KEEPALIVE), 1);
+  CU_ASSERT_EQUAL (option_of (fd, IPPROTO_TCP, TCP_KEEPIDLE), 1);
+  CU_ASSERT_EQUAL (option_of (fd, IPPROTO_TCP, TCP_USER_TIMEOUT), 2000);
+  ash_http_client_finish (&client);
+  close (listener);
+  ev_loop_destroy (loop);
+}
+
 /* ---- the log ---- */
 
 #define LOG_LINES 30
@@ -942,5 +1005,6 @@
   CU_add_test (suite, "HTTP: strict messages", test_strict_messages);
   CU_add_test (suite, "peers: what they have and this process lacks", test_peer_news);
   CU_add_test (suite, "connections: silence is noticed", test_keep_alive);
+  CU_add_test (suite, "connections: silence is noticed, of fetches", test_keep_alive_of_fetches);
   CU_add_test (suite, "log: bounded, and never waits", test_log_bound);
 }
