entry: a refusal at the door says "not run" of a key only if it can know

Cause: "not run" speaks of all submissions of a caller's key. Whether a request has a key, and which submission it is, was noted by the key's filter; the filters before it (account, service, limit) refuse without it, so a second submission over the account's limit was told "not run" although the first had run. Change: both are noted before the first filter. Before, after: golden entry_refused_keyed: attempt 2 and an attempt without a number over the limit NOT_RUN, now UNKNOWN; attempt 1 and calls without a key stay NOT_RUN.

--- a/filters/entry.c
+++ b/filters/entry.c
@@ -126,6 +126,17 @@
   ash_emit (&entry->sink, "", ASH__EVENT__KIND_REPLY, &reply);
 }
 
+/* Before any filter may refuse it: what a refusal may say of earlier submissions hangs on this. */
+static void
+note_attempt (struct ash_request *request, const struct Ash__Call *call)
+{
+  request->keyed = *call->idempotency_key != '\0';
+  /* What was read just after a pause may have waited here for as long as the
+   * pause was: the caller's word that it is the first is out of date. */
+  if (request->keyed && !call->may_be_old)
+    request->caller_attempt = call->caller_attempt;
+}
+
 static void
 handle_call (struct ash_entry *entry, struct ash_time now, const struct Ash__Call *call)
 {
@@ -140,6 +151,7 @@
       return;
     }
   request->call = call->call;
+  note_attempt (request, call);
   HASH_ADD (hh, entry->by_call, call, sizeof request->call, request);
   if (ash_chain_request (&entry->chain, &entry->context, now, call, request) == ASH_VERDICT_REFUSE)
     ash_ending_give_up (entry, now, request, request->reason, ash_ending_unsent (request),
--- a/filters/key.c
+++ b/filters/key.c
@@ -68,18 +68,12 @@
              struct ash_request *request)
 {
   (void) priv;
-  if (*call->idempotency_key == '\0')
+  if (!request->keyed)
     {
       own_id (context, request);
       return ASH_VERDICT_NEXT;
     }
-  request->keyed = true;
   request->id = ash_id_from_key (request->account, call->service, call->idempotency_key);
-  request->caller_attempt = call->caller_attempt;
-  /* What was read just after a pause may have waited here for as long as the
-   * pause was: the caller's word that it is the first is out of date. */
-  if (call->may_be_old)
-    request->caller_attempt = 0;
   request->bound = request->no_repeat;
   if (ash_minted_key_claimed (call->idempotency_key))
     return take_minted (context, call, request);
