--- a/test/unit_router.c
+++ b/test/unit_router.c
@@ -871,7 +871,7 @@
 {
   for (int fd = 0; fd < OPEN_FILES; fd++)
     {
-      struct sockaddr_in address;
+      struct sockaddr_in address = { 0 };
       socklen_t address_bytes = sizeof address;
 
       if (getpeername (fd, (struct sockaddr *) &address, &address_bytes) == 0 &&
