entry, agent: a planned stop has an end

Cause: an entry in a planned stop ended when nothing was in flight, and went on taking whatever came on connections that were kept or had been made in time, up to deadlines of 600 s; an agent kept its queue, however long. Neither held what it took against the time that the operator leaves it: SIGKILL cut what was in hand without an answer. Ruled out: kept connections that bring calls as long as the process lives: answers of a stopping entry close their connections already (http_server close_kept), so each brings one more call. Change: grace_ms, 8,000 (0: none). An entry caps requests by what is left, so that agents refuse what they don't expect to end ("not run"); 700 ms after address_keep_ms it refuses at once what has a deadline beyond the end. An agent refuses everything new, as before, and at once from its queue what it does not expect to end by then; the refusal is written before it is told. 500 ms before the end what is in hand gets a final answer (502 `stopped`, true outcome); what may be repeated goes on from an agent to another endpoint, free of the retry budget. Not taken: to refuse at an entry whatever has a deadline beyond the end from the signal on (calls without a deadline have 30 s: all of them; 'planned stop of an entry' and 'restart one by one' hold that callers are served while they may keep the address), and to release an agent's whole queue (golden agent_leaving holds that what can end in time does). Both tests stand as they were.

--- a/controllers/agent.c
+++ b/controllers/agent.c
@@ -17,7 +17,11 @@
                 struct ash_sink sink)
 {
   *agent = (struct ash_agent){
-    .settings = settings, .sink = sink, .incarnation = incarnation, .born = now
+    .settings = settings,
+    .sink = sink,
+    .incarnation = incarnation,
+    .born = now,
+    .stop = ASH_PLANNED_STOP_NONE,
   };
   ash_random_init (&agent->random, incarnation);
   ash_config_init (&agent->config);
@@ -443,6 +447,9 @@
       ash_agent_tick (agent, now);
       break;
     case ASH__EVENT__KIND_STOP:
+      ash_planned_stop_begin (&agent->stop, agent->settings, now);
+      agent->leaving = true;
+      break;
     case ASH__EVENT__KIND_DRAIN:
       agent->leaving = true;
       break;
--- a/controllers/agent.h
+++ b/controllers/agent.h
@@ -13,6 +13,7 @@
 #include "controllers/config.h"
 #include "controllers/ledger.h"
 #include "controllers/membership.h"
+#include "controllers/planned_stop.h"
 #include "options/settings.h"
 #include "proto/event.h"
 
@@ -40,6 +41,7 @@
   struct ash_membership membership;
   struct ash_ledger ledger;
   bool leaving;
+  struct ash_planned_stop stop;
   bool stalled;             /**< the engine streams, and has given nothing for stall_ms */
   struct ash_time progress; /**< when it last gave anything */
   uint64_t last_run;
--- a/controllers/agent_engine.c
+++ b/controllers/agent_engine.c
@@ -123,6 +123,8 @@
         ash_agent_cancel_run (agent, now, record, ASH__REASON__CANCELLED);
       else if (!ash_time_before (now, late))
         ash_agent_cancel_run (agent, now, record, ASH__REASON__DEADLINE);
+      else if (!ash_time_before (now, agent->stop.answers_by))
+        ash_agent_cancel_run (agent, now, record, ASH__REASON__STOPPED);
     }
 }
 
--- a/controllers/agent_run.c
+++ b/controllers/agent_run.c
@@ -103,7 +103,8 @@
 }
 
 /* Why a queued request is not to wait any longer, if it would start after that
- * time: its deadline has passed, or will have when it could end. */
+ * time: its deadline has passed, or will have when it could end, or the planned stop's
+ * last answers will have gone out. */
 int
 ash_agent_hopeless (const struct ash_agent *agent,
                     struct ash_time now,
@@ -114,6 +115,8 @@
 
   if (!ash_time_before (now, record->deadline))
     return ASH__REASON__DEADLINE;
+  if (!ash_time_before (end, agent->stop.answers_by))
+    return ASH__REASON__LEAVING;
   return ash_time_before (record->deadline, end) ? ASH__REASON__OVERLOAD : ASH__REASON__REASON_NONE;
 }
 
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -12,9 +12,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Past the time that callers keep an address, until it takes no more. */
-#define LINGER_MARGIN_MS 200
-
 /* Links to boxes that are not declared any more are looked for at this period. */
 #define LINK_CHECK_MS 5000
 
@@ -311,6 +308,16 @@
   return ash_explain_request (&entry->core, query);
 }
 
+/* All requests have their final answers by then. What is left are callers that read or send
+ * slowly: they must not keep the process until it is killed. */
+static bool
+is_grace_over (const struct entry *entry, struct ash_time now)
+{
+  uint32_t grace_ms = entry->daemon.settings->grace_ms;
+
+  return grace_ms && ash_time_diff (entry->stop_since, now) >= grace_ms;
+}
+
 /* Callers that still keep this address are served while they may keep it; then
  * nothing new is taken, and what is in flight ends. */
 static bool
@@ -322,8 +329,10 @@
   if (!entry->stop_since.ms)
     entry->stop_since = now;
   if (ash_time_diff (entry->stop_since, now) <
-      entry->daemon.settings->address_keep_ms + LINGER_MARGIN_MS)
+      entry->daemon.settings->address_keep_ms + ASH_STOP_LINGER_MS)
     return false;
+  if (is_grace_over (entry, now))
+    return true;
   return ash_http_server_drain (&entry->api.server, now) && ash_entry_idle (&entry->core);
 }
 
--- a/filters/attempt.c
+++ b/filters/attempt.c
@@ -63,9 +63,12 @@
 ash_attempt_submit (struct ash_entry *entry, struct ash_time now, struct ash_request *request)
 {
   struct Ash__Submit *submit = request->submit;
-  int64_t left_ms = ash_time_diff (now, request->deadline);
+  int64_t left_ms = ash_time_diff (now, ash_planned_stop_cap (&entry->stop, request->deadline));
   char id[ASH_ID_TEXT_BYTES];
 
+  /* The end of the request is told with the next tick. */
+  if (left_ms < 0)
+    left_ms = 0;
   if (request->tries < ASH_REQUEST_TRIES_MAX)
     {
       strcpy (request->tried[request->tries], request->box);
--- a/filters/ending.c
+++ b/filters/ending.c
@@ -133,7 +133,8 @@
                          int outcome,
                          uint32_t retry_ms)
 {
-  bool is_free = reason == ASH__REASON__LEAVING || reason == ASH__REASON__NOT_RECEIVED ||
+  bool is_free = reason == ASH__REASON__LEAVING || reason == ASH__REASON__STOPPED ||
+                 reason == ASH__REASON__NOT_RECEIVED ||
                  (reason == ASH__REASON__STALLED && outcome == ASH__OUTCOME__NOT_RUN);
   char id[ASH_ID_TEXT_BYTES];
 
@@ -143,7 +144,8 @@
     request->ran = true;
   if (request->told || request->bound || (request->no_repeat && request->maybe_run) ||
       request->tries >= ASH_REQUEST_TRIES_MAX ||
-      ash_time_diff (now, request->deadline) <= ASH_ENTRY_MARGIN_MS)
+      ash_time_diff (now, ash_planned_stop_cap (&entry->stop, request->deadline)) <=
+          ASH_ENTRY_MARGIN_MS)
     {
       ash_ending_give_up (entry, now, request, reason, outcome, retry_ms);
       return;
--- a/filters/entry.c
+++ b/filters/entry.c
@@ -17,7 +17,7 @@
                 uint64_t seed,
                 struct ash_sink sink)
 {
-  *entry = (struct ash_entry){ .settings = settings, .sink = sink };
+  *entry = (struct ash_entry){ .settings = settings, .sink = sink, .stop = ASH_PLANNED_STOP_NONE };
   ash_random_init (&entry->random, seed);
   ash_config_init (&entry->config);
   ash_membership_init (&entry->membership);
@@ -27,6 +27,7 @@
     .settings = settings,
     .config = &entry->config,
     .membership = &entry->membership,
+    .stop = &entry->stop,
     .random = &entry->random,
     .fleet_key = entry->fleet_key,
     .turn = &entry->turn,
@@ -217,6 +218,9 @@
       ash_links_tick (entry, now);
       break;
     case ASH__EVENT__KIND_STOP:
+      ash_planned_stop_begin (&entry->stop, entry->settings, now);
+      entry->leaving = true;
+      break;
     case ASH__EVENT__KIND_DRAIN:
       entry->leaving = true;
       break;
--- a/filters/entry.h
+++ b/filters/entry.h
@@ -35,6 +35,7 @@
   uint64_t last_attempt;
   uint32_t turn; /**< of round robin */
   bool leaving;
+  struct ash_planned_stop stop;
 };
 
 /**
--- a/filters/filter.h
+++ b/filters/filter.h
@@ -11,6 +11,7 @@
 #include "controllers/config.h"
 #include "controllers/limits.h"
 #include "controllers/membership.h"
+#include "controllers/planned_stop.h"
 #include "controllers/retry_budget.h"
 #include "filters/request.h"
 #include "options/settings.h"
@@ -21,6 +22,7 @@
   const struct ash_settings *settings;
   struct ash_config *config;
   struct ash_membership *membership;
+  const struct ash_planned_stop *stop;
   struct ash_random *random;
   const uint8_t *fleet_key;
   uint32_t *turn; /**< of round robin */
--- a/filters/links.c
+++ b/filters/links.c
@@ -126,22 +126,29 @@
 
 /* ---- time ---- */
 
+/* Its time is over: the final answer goes out. */
+static void
+end_in_time (struct ash_entry *entry, struct ash_time now, struct ash_request *request, int reason)
+{
+  int outcome = ASH__OUTCOME__UNKNOWN;
+
+  if (request->state == ASH_REQUEST_DISOWNING)
+    outcome = ash_ending_unsent (request);
+  else if (request->received || request->status)
+    outcome = ASH__OUTCOME__RAN;
+  ash_attempt_cancel (entry, request);
+  ash_ending_give_up (entry, now, request, reason, outcome, 0);
+}
+
 static void
 check_request (struct ash_entry *entry, struct ash_time now, struct ash_request *request)
 {
   struct ash_time cut_until = ash_time_add (request->cut_since, entry->settings->resume_ms);
 
   if (!ash_time_before (now, request->deadline))
-    {
-      int outcome = ASH__OUTCOME__UNKNOWN;
-
-      if (request->state == ASH_REQUEST_DISOWNING)
-        outcome = ash_ending_unsent (request);
-      else if (request->received || request->status)
-        outcome = ASH__OUTCOME__RAN;
-      ash_attempt_cancel (entry, request);
-      ash_ending_give_up (entry, now, request, ASH__REASON__DEADLINE, outcome, 0);
-    }
+    end_in_time (entry, now, request, ASH__REASON__DEADLINE);
+  else if (!ash_time_before (now, entry->stop.answers_by))
+    end_in_time (entry, now, request, ASH__REASON__STOPPED);
   /* What may not be repeated stays with its endpoint until the deadline: the
    * link may come back, and with it the answer. */
   else if (request->state == ASH_REQUEST_CUT && !request->no_repeat && !request->told &&
--- a/filters/reason.c
+++ b/filters/reason.c
@@ -32,6 +32,7 @@
   [ASH__REASON__DEADLINE] = { "deadline", 504, "the deadline passed" },
   [ASH__REASON__CANCELLED] = { "cancelled", 499, "the request was cancelled" },
   [ASH__REASON__STALLED] = { "stalled", 503, "the endpoint stands still" },
+  [ASH__REASON__STOPPED] = { "stopped", 502, "a planned stop was over before the answer was" },
   [ASH__REASON__ENDPOINT_LOST] = { "endpoint_lost", 502, "the endpoint was lost" },
   [ASH__REASON__ENDPOINT_FAILED] = { "endpoint_failed", 502, "the endpoint broke off its answer" },
   [ASH__REASON__ANSWER_GONE] = { "answer_gone", 409, "it ran; its answer is no longer kept" },
--- a/options/settings.c
+++ b/options/settings.c
@@ -6,6 +6,9 @@
 
 #define HOUR_MS 3600000
 
+/* Half of it is left for the last answers of a planned stop. */
+#define GRACE_MIN_MS 1000
+
 static const char *const roles[] = { "entry", "endpoint", NULL };
 static const char *const routes[] = { "two_choices", "random", "round_robin", "least_reported",
                                       NULL };
@@ -53,6 +56,12 @@
   MS (deadline_default_ms, "30000", 10, HOUR_MS, "deadline of a call that states none"),
   MS (deadline_max_ms, "600000", 10, HOUR_MS, "longest deadline a call may state"),
   MS (address_keep_ms, "2000", 100, HOUR_MS, "how long callers may keep an address"),
+  MS (grace_ms,
+      "8000",
+      0,
+      HOUR_MS,
+      "a planned stop is over after this: what would outlast it is refused, what is under way gets "
+      "a final answer; below the operator's wait until SIGKILL; 0: no bound"),
   MS (ready_wait_ms,
       "2000",
       0,
@@ -169,6 +178,11 @@
     ash_findings_add (findings, 0, "id_life_ms", "must be at least twice link_silence_ms");
   if (settings->key_life_ms < settings->id_life_ms)
     ash_findings_add (findings, 0, "key_life_ms", "must be at least id_life_ms");
+  if (settings->grace_ms && settings->grace_ms < GRACE_MIN_MS)
+    ash_findings_add (findings, 0, "grace_ms", "must be 0 or at least 1000");
+  if (settings->grace_ms && settings->role == ASH_SETTINGS_ENTRY &&
+      settings->grace_ms <= settings->address_keep_ms)
+    ash_findings_add (findings, 0, "grace_ms", "must be 0 or above address_keep_ms");
   if (settings->deadline_default_ms > settings->deadline_max_ms)
     ash_findings_add (findings, 0, "deadline_default_ms", "must not be above deadline_max_ms");
 }
--- a/options/settings.h
+++ b/options/settings.h
@@ -51,6 +51,7 @@
   uint32_t deadline_default_ms;
   uint32_t deadline_max_ms;
   uint32_t address_keep_ms;
+  uint32_t grace_ms;
   uint32_t ready_wait_ms;
   uint32_t retry_after_ms;
   uint32_t resume_ms;
--- a/proto/ash.pb-c.c
+++ b/proto/ash.pb-c.c
@@ -5938,7 +5938,7 @@
   ash__outcome__value_ranges,
   NULL,NULL,NULL,NULL   /* reserved[1234] */
 };
-static const ProtobufCEnumValue ash__reason__enum_values_by_number[25] =
+static const ProtobufCEnumValue ash__reason__enum_values_by_number[26] =
 {
   { "REASON_NONE", "ASH__REASON__REASON_NONE", 0 },
   { "BAD_REQUEST", "ASH__REASON__BAD_REQUEST", 1 },
@@ -5965,11 +5965,12 @@
   { "KEY_EXPIRED", "ASH__REASON__KEY_EXPIRED", 22 },
   { "NOT_RECEIVED", "ASH__REASON__NOT_RECEIVED", 23 },
   { "STALLED", "ASH__REASON__STALLED", 24 },
+  { "STOPPED", "ASH__REASON__STOPPED", 25 },
 };
 static const ProtobufCIntRange ash__reason__value_ranges[] = {
-{0, 0},{0, 25}
+{0, 0},{0, 26}
 };
-static const ProtobufCEnumValueIndex ash__reason__enum_values_by_name[25] =
+static const ProtobufCEnumValueIndex ash__reason__enum_values_by_name[26] =
 {
   { "ANSWER_GONE", 15 },
   { "ANSWER_TOO_LARGE", 19 },
@@ -5996,6 +5997,7 @@
   { "STALE_CONFIG", 16 },
   { "STALE_INCARNATION", 8 },
   { "STALLED", 24 },
+  { "STOPPED", 25 },
 };
 const ProtobufCEnumDescriptor ash__reason__descriptor =
 {
@@ -6004,9 +6006,9 @@
   "Reason",
   "Ash__Reason",
   "ash",
-  25,
+  26,
   ash__reason__enum_values_by_number,
-  25,
+  26,
   ash__reason__enum_values_by_name,
   1,
   ash__reason__value_ranges,
--- a/proto/ash.pb-c.h
+++ b/proto/ash.pb-c.h
@@ -205,7 +205,11 @@
   /*
    * the endpoint's engine stands still
    */
-  ASH__REASON__STALLED = 24
+  ASH__REASON__STALLED = 24,
+  /*
+   * a planned stop was over before the answer was
+   */
+  ASH__REASON__STOPPED = 25
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(ASH__REASON)
 } Ash__Reason;
 typedef enum _Ash__Role {
--- a/test/faults.c
+++ b/test/faults.c
@@ -489,6 +489,73 @@
   fleet_stop (&fleet);
 }
 
+/* ---- planned stop with an end ---- */
+
+/* Short, so that the tests wait little; what is in hand would take 20 s. */
+#define SHORT_GRACE NO_GUARD "grace_ms = 1500\n"
+#define LONG_TOKENS 4000
+#define LONG_WORK_MS 20000
+#define ALL_DAY_MS 600000
+
+/* A planned stop had no bound: an entry ended when nothing was in flight any more, and calls may
+ * take 600 s. Operators wait for some seconds, then kill; callers saw answers cut without a word,
+ * and could not know of their orders. Now each gets a final answer, and the process ends itself. */
+static void
+test_stop_of_entry_ends (void)
+{
+  struct fleet fleet;
+  struct fleet_call stream;
+  struct fleet_call order;
+
+  fleet_start (&fleet, SHORT_GRACE);
+  fleet_chat (&fleet, &stream, 0, true, LONG_TOKENS);
+  fleet_order (&fleet, &order, 0, NULL, 0, LONG_WORK_MS, ALL_DAY_MS);
+  CU_ASSERT (wait_model_run (&fleet));
+  CU_ASSERT (wait_runs (&fleet, FLEET_STOCK, "runs", 1));
+  CU_ASSERT_EQUAL (fleet_end (&fleet.entries[0].pid, SIGTERM), 0);
+  fleet_wait (&stream);
+  fleet_wait (&order);
+  CU_ASSERT_FALSE (stream.answer.whole);
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (stream.answer.body ? stream.answer.body : "", "\"code\":\"stopped\""));
+  CU_ASSERT_EQUAL (order.answer.status, 502);
+  CU_ASSERT_STRING_EQUAL (order.answer.outcome, "unknown");
+  ash_cli_answer_finish (&stream.answer);
+  ash_cli_answer_finish (&order.answer);
+  fleet_stop (&fleet);
+}
+
+/* The same of agents. What may be repeated goes on at another endpoint, and comes whole. */
+static void
+test_stop_of_agents_ends (void)
+{
+  struct fleet fleet;
+  struct fleet_call calls[LOAD];
+  struct fleet_call order;
+
+  fleet_start (&fleet, SHORT_GRACE);
+  for (int i = 0; i < LOAD; i++)
+    fleet_chat (&fleet, &calls[i], i % FLEET_ENTRIES, false, LONG_TOKENS / 8);
+  fleet_order (&fleet, &order, 0, NULL, 0, LONG_WORK_MS, ALL_DAY_MS);
+  CU_ASSERT (wait_runs (&fleet, 0, "runs", 1));
+  CU_ASSERT (wait_runs (&fleet, FLEET_STOCK, "runs", 1));
+  CU_ASSERT_EQUAL (fleet_end (&fleet.endpoints[0].pid, SIGTERM), 0);
+  CU_ASSERT_EQUAL (fleet_end (&fleet.endpoints[FLEET_STOCK].pid, SIGTERM), 0);
+  for (int i = 0; i < LOAD; i++)
+    {
+      fleet_wait (&calls[i]);
+      CU_ASSERT_EQUAL (calls[i].answer.status, 200);
+      CU_ASSERT (calls[i].answer.whole);
+      CU_ASSERT_STRING_EQUAL (calls[i].answer.endpoint, "model-2");
+      ash_cli_answer_finish (&calls[i].answer);
+    }
+  fleet_wait (&order);
+  CU_ASSERT_EQUAL (order.answer.status, 502);
+  CU_ASSERT_STRING_EQUAL (order.answer.outcome, "unknown");
+  ash_cli_answer_finish (&order.answer);
+  fleet_stop (&fleet);
+}
+
 /* From one source alone, the platform's list, and heard by one entry alone:
  * the other learns it from that one. */
 static void
@@ -814,6 +881,8 @@
   { "planned stop of agents under load", test_planned_stop_of_agents },
   { "planned stop of an entry", test_planned_stop_of_entry },
   { "planned stop: connected, and asks late", test_planned_stop_before_the_request },
+  { "planned stop of an entry has an end", test_stop_of_entry_ends },
+  { "planned stop of agents has an end", test_stop_of_agents_ends },
   { "leaving by the platform's list", test_leaving_by_the_list },
   { "leaving by its own word", test_leaving_by_its_own_word },
   { "leaving by hearsay", test_leaving_by_hearsay },
--- a/test/schedule.c
+++ b/test/schedule.c
@@ -27,6 +27,7 @@
 #define KEY_LIFE_MS 20000
 #define GUARD_MS 400
 #define SILENCE_MS 200
+#define GRACE_MS 1000
 
 struct frame
 {
@@ -59,6 +60,7 @@
   bool alive;
   bool paused;
   int64_t woke_ms;
+  int64_t stop_ms; /* since when it stops as planned; 0: it does not */
   uint64_t life;
   char *transcript;
   size_t transcript_bytes;
@@ -336,6 +338,8 @@
       fail (world, "more runs than the schedule can make");
       return;
     }
+  if (!ash_time_before (world->now, world->agents[agent].session.agent.stop.answers_by))
+    fail (world, "a run begins after a planned stop's last answers");
   world->run_count++;
   *run = (struct run){
     .agent = agent,
@@ -523,9 +527,12 @@
   settings->keyed_orphan_ms = 600;
   settings->resume_ms = 100;
   settings->retry_after_ms = 10;
+  settings->address_keep_ms = 100;
+  settings->grace_ms = GRACE_MS;
   process->life = ++world->lives * 1000 + 7;
   process->alive = true;
   process->paused = false;
+  process->stop_ms = 0;
   session->core = is_entry ? SESSION_ENTRY : SESSION_AGENT;
   session->emitted = is_entry ? entry_emitted : agent_emitted;
   session->data = world;
@@ -585,6 +592,45 @@
   start_process (world, &world->agents[a], agent_names[a], false);
 }
 
+/* A planned stop: it goes on with what it has until it is over. */
+static void
+begin_stop (struct world *world, struct process *process)
+{
+  struct Ash__Stop stop = ASH__STOP__INIT;
+
+  if (!process->alive || process->paused || process->stop_ms)
+    return;
+  process->stop_ms = world->now.ms;
+  session_give_message (&process->session, world->now, "", ASH__EVENT__KIND_STOP, &stop);
+}
+
+/* Whether a process that stops ends now: when nothing is in its hands, at the latest when its
+ * grace is over. */
+static bool
+is_stopped (struct world *world, const struct process *process)
+{
+  const struct session *session = &process->session;
+  bool idle = session->core == SESSION_ENTRY ? ash_entry_idle (&session->entry)
+                                             : ash_agent_idle (&session->agent);
+
+  if (!process->stop_ms || process->paused)
+    return false;
+  if (!idle && world->now.ms - process->stop_ms >= GRACE_MS)
+    fail (world, "a planned stop that outlasts its grace");
+  return idle && pick (world, 2);
+}
+
+static void
+end_stopped (struct world *world)
+{
+  for (int e = 0; e < ENTRIES; e++)
+    if (is_stopped (world, &world->entries[e]))
+      kill_entry (world, e);
+  for (int a = 0; a < AGENTS; a++)
+    if (is_stopped (world, &world->agents[a]))
+      kill_agent (world, a);
+}
+
 /* A process that wakes finds all its links too old, and closes them. */
 static void
 wake (struct world *world, struct process *process, int index, bool is_entry)
@@ -850,6 +896,7 @@
     tick (world, &world->entries[i]);
   for (int i = 0; i < AGENTS; i++)
     tick (world, &world->agents[i]);
+  end_stopped (world);
 }
 
 static void
@@ -891,11 +938,15 @@
     {
       if (pick (world, 2))
         kill_agent (world, a);
+      else
+        begin_stop (world, &world->agents[a]);
     }
   else if (choice < 91)
     {
       if (pick (world, 2))
         kill_entry (world, e);
+      else
+        begin_stop (world, &world->entries[e]);
     }
   else if (choice < 92)
     world->entries[e].paused = true;
--- a/test/unit_config.c
+++ b/test/unit_config.c
@@ -272,10 +272,55 @@
   ash_findings_finish (&findings);
 }
 
+/* Tells where the first finding in an entry's settings is, with that much more in them. */
+static void
+find_in_entry (const char *more, char place[128])
+{
+  static const char start[] =
+      "box = 'e'\nrole = 'entry'\nhall = 'h'\npeer_listen = '127.0.0.1:1'\n"
+      "http_listen = '127.0.0.1:2'\nplatform_url = 'http://127.0.0.1:3'\nfleet_key = "
+      "'0000000000000000000000000000000000000000000000000000000000000007'\n";
+  char text[512];
+  struct ash_settings settings;
+  struct ash_findings findings;
+
+  ash_findings_init (&findings, "test");
+  snprintf (text, sizeof text, "%s%s", start, more);
+  ash_settings_read (&settings, text, strlen (text), &findings);
+  snprintf (place, 128, "%s", findings.count ? findings.items[0].place : "");
+  ash_findings_finish (&findings);
+}
+
+/* A planned stop that ends before callers give up the address serves nobody who keeps it. */
+static void
+test_grace_settings (void)
+{
+  static const struct
+  {
+    const char *more;
+    const char *place;
+  } cases[] = {
+    { "", "" },
+    { "grace_ms = 0\naddress_keep_ms = 20000\n", "" },
+    { "grace_ms = 2001\n", "" },
+    { "grace_ms = 2000\n", "grace_ms" },
+    { "grace_ms = 999\naddress_keep_ms = 100\n", "grace_ms" },
+    { "address_keep_ms = 8000\n", "grace_ms" },
+  };
+  char place[128];
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      find_in_entry (cases[i].more, place);
+      CU_ASSERT_STRING_EQUAL (place, cases[i].place);
+    }
+}
+
 void
 add_config_tests (CU_pSuite suite)
 {
   CU_add_test (suite, "settings: silence and heartbeats", test_silence_settings);
+  CU_add_test (suite, "settings: a planned stop's end", test_grace_settings);
   CU_add_test (suite, "configuration: any delta", test_any_delta);
   CU_add_test (suite, "configuration: a short delta", test_short_delta);
   CU_add_test (suite, "configuration: who reads the platform", test_readers);
