--- a/test/faults.c
+++ b/test/faults.c
@@ -14,6 +14,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #define STREAMS 200
@@ -556,6 +557,41 @@
   fleet_stop (&fleet);
 }
 
+/* @return whether the process ends by itself, properly, within 10 s. */
+static bool
+ends_itself (pid_t *pid)
+{
+  int status = 0;
+
+  for (int i = 0; i < 500; i++)
+    {
+      if (waitpid (*pid, &status, WNOHANG) == *pid)
+        {
+          *pid = 0;
+          return WIFEXITED (status) && WEXITSTATUS (status) == 0;
+        }
+      fleet_sleep (20);
+    }
+  return false;
+}
+
+/* A caller that has connected and sends nothing has upload_ms for it; in a planned stop it kept the
+ * entry for as long, until the operator killed it with whatever else was in hand. */
+static void
+test_stop_with_silent_caller (void)
+{
+  struct fleet fleet;
+  int fd;
+
+  fleet_start (&fleet, SHORT_GRACE "upload_ms = 60000\n");
+  fd = open_raw (fleet.entries[0].http_port);
+  CU_ASSERT (fd >= 0);
+  kill (fleet.entries[0].pid, SIGTERM);
+  CU_ASSERT (ends_itself (&fleet.entries[0].pid));
+  close (fd);
+  fleet_stop (&fleet);
+}
+
 /* From one source alone, the platform's list, and heard by one entry alone:
  * the other learns it from that one. */
 static void
@@ -883,6 +919,7 @@
   { "planned stop: connected, and asks late", test_planned_stop_before_the_request },
   { "planned stop of an entry has an end", test_stop_of_entry_ends },
   { "planned stop of agents has an end", test_stop_of_agents_ends },
+  { "planned stop: a silent caller does not hold it", test_stop_with_silent_caller },
   { "leaving by the platform's list", test_leaving_by_the_list },
   { "leaving by its own word", test_leaving_by_its_own_word },
   { "leaving by hearsay", test_leaving_by_hearsay },
