options: a daemon's planned stop has an end only where grace_ms is set

The promise that a planned stop cuts off no request in flight goes before a bound that nobody asked for: without the setting daemons wait as they did.

--- a/common/events.h
+++ b/common/events.h
@@ -23,7 +23,7 @@
   X (200, INFO, CONFIG_ACCEPTED,    "a configuration is in force") \
   X (201, WARN, CONFIG_REFUSED,     "a published document has findings; the last accepted one stays") \
   X (202, WARN, CONFIG_OLDER,       "an older revision than the one in force was offered and ignored") \
-  X (203, WARN, PLATFORM_DOWN,      "the platform does not answer") \
+  X (203, WARN, PLATFORM_DOWN,      "the platform does not answer, or its answer is doubted") \
   X (204, INFO, PLATFORM_UP,        "the platform answers again") \
   X (205, DEBUG, CONFIG_SENT,       "a peer with an older configuration is sent this one, whole or by deltas") \
   X (206, INFO, ENDPOINT_LISTED,    "an endpoint is new in the list, or back in it") \
--- a/options/settings.c
+++ b/options/settings.c
@@ -57,7 +57,7 @@
   MS (deadline_max_ms, "600000", 10, HOUR_MS, "longest deadline a call may state"),
   MS (address_keep_ms, "2000", 100, HOUR_MS, "how long callers may keep an address"),
   MS (grace_ms,
-      "8000",
+      "0",
       0,
       HOUR_MS,
       "a planned stop is over after this: what would outlast it is refused, what is under way gets "
