store: an endpoint that a whole listing lacks is removed

Cause: lose_endpoint() freed the entry whose own id it had been handed, and then looked the endpoint up by it. So an endpoint that left while the store's history was lost (410), or that a peer's list lacked, stayed in use for good; only removals told by a watch were taken. Ruled out: the listing's number, and the trust of removals (the lookup itself found nothing). Change: the endpoint is told first, the entry goes last. Before: test "store's history gone, an endpoint left meanwhile": no endpoint_missing in 10 s; with the address sanitizer heap-use-after-free. After: passed, with the sanitizer too.

--- a/daemon/store.c
+++ b/daemon/store.c
@@ -137,7 +137,8 @@
 }
 
 /* An entry is missing. Whether the endpoint is gone depends on whether the store was
- * sound: while it is away entries lapse although their endpoints live. */
+ * sound: while it is away entries lapse although their endpoints live. The id may be
+ * the entry's own, so the entry goes last. */
 static void
 lose_endpoint (struct ash_store *store, const char *id, const char *source)
 {
@@ -147,13 +148,14 @@
   struct ash_store_entry *entry;
   struct ash_direct_endpoint *endpoint = ash_direct_find (&router->endpoints, id);
 
+  if (endpoint && ash_direct_removed (&router->endpoints, id, trusted, until))
+    {
+      store->readers[ASH_STORE_SERVERS].changed = true;
+      log_endpoint (router, ASH_EV_ENDPOINT_MISSING, &endpoint->facts, source);
+    }
   HASH_FIND_STR (store->entries, id, entry);
   if (entry)
     drop_entry (store, entry);
-  if (!endpoint || !ash_direct_removed (&router->endpoints, id, trusted, until))
-    return;
-  store->readers[ASH_STORE_SERVERS].changed = true;
-  log_endpoint (router, ASH_EV_ENDPOINT_MISSING, &endpoint->facts, source);
 }
 
 /* What a whole listing did not have. */
--- a/test/router.c
+++ b/test/router.c
@@ -722,6 +722,25 @@
   world_stop (&world);
 }
 
+/* Waits until a round of requests passes server @p s by. @return false after some 10 s. */
+static bool
+wait_unused (int s)
+{
+  for (int round = 0; round < 100; round++)
+    {
+      char id[16];
+
+      snprintf (id, sizeof id, "unused%d", round);
+      for (int i = 0; i < 16; i++)
+        world_call (&world, id, "/safe/x", NULL, "", &answer);
+      strncat (id, " ", sizeof id - strlen (id) - 1);
+      if (!strstr (server_log (s), id))
+        return true;
+      fleet_sleep (100);
+    }
+  return false;
+}
+
 static void
 test_history_gone (void)
 {
@@ -739,6 +758,32 @@
   world_stop (&world);
 }
 
+/* What a review saw: an endpoint that left while the store's history was lost was never noticed
+ * and went on getting requests. Events: the endpoint's entry was removed; the watch was answered
+ * with 410; the whole listing lacked the entry. Evidence: no endpoint_missing, and a use after
+ * free under the address sanitizer. Cause: the entry of the old listing was freed before the
+ * endpoint of that name was looked up by the entry's own id. */
+static void
+test_history_gone_removal (void)
+{
+  start ();
+  world_get (world.store_port, "PUT", "/mode?busy", "");
+  fleet_sleep (300);
+  world_get (world.store_port, "PUT", "/remove?servers/i-B1", "");
+  world_get (world.store_port, "PUT", "/mode?forget", "");
+  world_get (world.store_port, "PUT", "/mode?ok", "");
+  CU_ASSERT (
+      world_wait_logged (&world, 0, "endpoint_missing box=router-0 module=router endpoint=i-B1 "));
+  CU_ASSERT (wait_unused (1));
+  for (int i = 0; i < 4; i++)
+    {
+      world_call (&world, "h2", "/safe/x", NULL, "", &answer);
+      CU_ASSERT_EQUAL (answer.status, 200);
+    }
+  CU_ASSERT_PTR_NULL (strstr (server_log (1), "h2"));
+  world_stop (&world);
+}
+
 static void
 test_peer_helps (void)
 {
@@ -1125,6 +1170,7 @@
   { "endpoints start in a burst", test_endpoints_burst },
   { "store silent, entries lapse", test_store_silent },
   { "store's history gone", test_history_gone },
+  { "store's history gone, an endpoint left meanwhile", test_history_gone_removal },
   { "store's watches silent", test_store_watch_silent },
   { "denied by an old configuration", test_denied_by_old_configuration },
   { "peer helps where the store does not", test_peer_helps },
