store: a peer's list and the store's are held apart, and the newer word counts

Cause: entries were tagged with the number of the listing under way, whoever told of them. A peer's list taken during the own listing made what the peer had count as listed by the store, so an endpoint that had left stayed in use for good (the watch goes on behind its removal). Ruled out: a number of its own for each kind of list: an entry that the own listing had and then a peer's list too would be lost at the own listing's end. Change: only the store's own items are marked as listed; each entry keeps the revision up to which it is known, and an older word, from either side, no longer undoes a newer one. The stand-in store can answer late.

--- a/daemon/store.c
+++ b/daemon/store.c
@@ -75,15 +75,30 @@
   return facts->draining ? ~digest : digest;
 }
 
+static struct ash_store_entry *
+find_entry (const struct ash_store *store, const char *id)
+{
+  struct ash_store_entry *entry;
+
+  HASH_FIND_STR (store->entries, id, entry);
+  return entry;
+}
+
+/* The store here and peers may tell of the same entry in any order: an older word does not
+ * undo a newer one. */
+static bool
+is_outdated (const struct ash_store_entry *entry, const struct ash_store_item *item)
+{
+  return entry && item->revision < entry->revision;
+}
+
 static void
 keep_entry (struct ash_store *store,
             const struct ash_store_item *item,
-            const struct ash_direct_facts *facts,
-            uint32_t listing)
+            const struct ash_direct_facts *facts)
 {
-  struct ash_store_entry *entry;
+  struct ash_store_entry *entry = find_entry (store, item->name);
 
-  HASH_FIND_STR (store->entries, item->name, entry);
   if (!entry)
     {
       entry = calloc (1, sizeof *entry);
@@ -97,7 +112,7 @@
   entry->value_bytes = entry->value ? item->value_bytes : 0;
   if (entry->value)
     memcpy (entry->value, item->value, item->value_bytes);
-  entry->listing = listing;
+  entry->revision = item->revision;
   store->digest ^= entry->digest;
   entry->digest = digest_of (facts);
   store->digest ^= entry->digest;
@@ -113,21 +128,20 @@
 }
 
 static void
-take_endpoint (struct ash_store *store,
-               const struct ash_store_item *item,
-               uint32_t listing,
-               const char *source)
+take_endpoint (struct ash_store *store, const struct ash_store_item *item, const char *source)
 {
   struct ash_router *router = store->router;
   struct ash_direct_facts facts;
 
+  if (is_outdated (find_entry (store, item->name), item))
+    return;
   if (!ash_platform_server_read (item->name, item->value, item->value_bytes, &facts))
     {
       ash_log_event (&router->log, ASH_EV_CONFIG_REFUSED, "endpoint=%s why=\"unreadable entry\"",
                      item->name);
       return;
     }
-  keep_entry (store, item, &facts, listing);
+  keep_entry (store, item, &facts);
   if (!ash_direct_listed (&router->endpoints, &facts))
     return;
   store->readers[ASH_STORE_SERVERS].changed = true;
@@ -145,7 +159,7 @@
   struct ash_router *router = store->router;
   struct ash_time until = ash_time_add (store->readers[ASH_STORE_SERVERS].trouble, LAPSE_MS);
   bool trusted = ash_time_before (until, ash_clock_now ());
-  struct ash_store_entry *entry;
+  struct ash_store_entry *entry = find_entry (store, id);
   struct ash_direct_endpoint *endpoint = ash_direct_find (&router->endpoints, id);
 
   if (endpoint && ash_direct_removed (&router->endpoints, id, trusted, until))
@@ -153,24 +167,34 @@
       store->readers[ASH_STORE_SERVERS].changed = true;
       log_endpoint (router, ASH_EV_ENDPOINT_MISSING, &endpoint->facts, source);
     }
-  HASH_FIND_STR (store->entries, id, entry);
   if (entry)
     drop_entry (store, entry);
 }
 
-/* What a whole listing did not have. */
+/* What a whole listing did not have, as far as no peer had it later. @param revision of the
+ * listing's first page. */
 static void
-lose_unlisted (struct ash_store_reader *reader)
+lose_unlisted (struct ash_store_reader *reader, uint64_t revision)
 {
   struct ash_store *store = &reader->router->store;
   struct ash_store_entry *entry;
   struct ash_store_entry *next;
 
   HASH_ITER (hh, store->entries, entry, next)
-    if (entry->listing != reader->listing)
+    if (entry->listing != reader->listing && entry->revision <= revision)
       lose_endpoint (store, entry->id, "store");
 }
 
+/* Notes that the listing under way has it. */
+static void
+mark_listed (struct ash_store_reader *reader, const char *id)
+{
+  struct ash_store_entry *entry = find_entry (&reader->router->store, id);
+
+  if (entry)
+    entry->listing = reader->listing;
+}
+
 /* ---- answers ---- */
 
 static void
@@ -186,10 +210,11 @@
         ash_router_offer_config (router, (const char *) item->value, item->value_bytes, "store");
       break;
     case ASH_STORE_SERVERS:
-      if (item->removed)
+      if (!item->removed)
+        take_endpoint (&router->store, item, "store");
+      else if (!is_outdated (find_entry (&router->store, item->name), item))
         lose_endpoint (&router->store, item->name, "store");
-      else
-        take_endpoint (&router->store, item, reader->listing, "store");
+      mark_listed (reader, item->name);
       break;
     }
 }
@@ -295,7 +320,7 @@
       return;
     }
   if (listing && reader->part == ASH_STORE_SERVERS)
-    lose_unlisted (reader);
+    lose_unlisted (reader, reader->revision ? reader->revision : answer.revision);
   *reader->page = '\0';
   if (!listing || !reader->revision)
     reader->revision = answer.revision > reader->revision ? answer.revision : reader->revision;
@@ -553,26 +578,36 @@
   free (list->values);
 }
 
+/* What a peer's list did not have and the store here has not told since. */
+static void
+lose_untold (struct ash_store *store, uint64_t revision, const char *source)
+{
+  struct ash_store_entry *entry;
+  struct ash_store_entry *next;
+
+  HASH_ITER (hh, store->entries, entry, next)
+    if (entry->revision < revision)
+      lose_endpoint (store, entry->id, source);
+}
+
 void
 ash_store_take_list (struct ash_store *store,
                      const struct Ash__EndpointList *list,
                      const char *source)
 {
-  struct ash_store_reader *reader = &store->readers[ASH_STORE_SERVERS];
-
   if (list->revision <= store->router->endpoints.revision)
     return;
   store->router->endpoints.revision = list->revision;
-  reader->listing++;
   for (size_t i = 0; i < list->n_ids && i < list->n_values; i++)
     {
       struct ash_store_item item = {
         .name = list->ids[i],
+        .revision = list->revision,
         .value = list->values[i].data,
         .value_bytes = list->values[i].len,
       };
 
-      take_endpoint (store, &item, reader->listing, source);
+      take_endpoint (store, &item, source);
     }
-  lose_unlisted (reader);
+  lose_untold (store, list->revision, source);
 }
--- a/daemon/store.h
+++ b/daemon/store.h
@@ -59,8 +59,9 @@
   char id[ASH_DIRECT_NAME_BYTES];
   uint8_t *value;
   size_t value_bytes;
-  uint64_t digest;  /**< of what it says */
-  uint32_t listing; /**< the last listing that had it */
+  uint64_t digest;   /**< of what it says */
+  uint64_t revision; /**< of the store, up to which this is known to hold */
+  uint32_t listing;  /**< the last one read from the store that had it */
   UT_hash_handle hh;
 };
 
--- a/test/router.c
+++ b/test/router.c
@@ -833,6 +833,20 @@
   CU_ASSERT (world_wait_ready (&world, 1, true));
 }
 
+/* The first router is stopped; the second one has not heard that a server has left. */
+static void
+start_behind_peer (void)
+{
+  start ();
+  world.store_wait_ms = world.list_wait_ms = world.short_wait_ms = LONG_WAIT_MS;
+  world_start_router (&world, 1);
+  CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 1, true));
+  fleet_sleep (300);
+  fleet_end (&world.routers[0].pid, SIGKILL);
+  world_get (world.store_port, "PUT", "/deafen", "");
+  world_get (world.store_port, "PUT", "/remove?servers/i-B1", "");
+}
+
 /* Publishes a configuration and that a server leaves. @return whether the first router takes both.
  */
 static bool
@@ -905,6 +919,26 @@
   world_stop (&world);
 }
 
+/* What a review saw: a server that had left got requests for as long as a router ran that started
+ * after it. Events: the new router asked the store for the whole list; before the answer a peer
+ * whose own watch was silent gave it an older list that still had the server; the store's answer
+ * lacked it. Evidence: no endpoint_missing for the server in 10 s after the store's answer.
+ * Cause: what the peer told counted as listed by the store, as both lists went by one number. */
+static void
+test_peer_list_during_listing (void)
+{
+  start_behind_peer ();
+  world_get (world.store_port, "PUT", "/mode?slow250", "");
+  world.list_wait_ms = 600;
+  world_start_router (&world, 0);
+  CU_ASSERT (world_wait_logged (&world, 0, "source=router-1"));
+  world_get (world.store_port, "PUT", "/mode?ok", "");
+  CU_ASSERT (
+      world_wait_logged (&world, 0, "endpoint_missing box=router-0 module=router endpoint=i-B1 "));
+  CU_ASSERT (wait_unused (1));
+  world_stop (&world);
+}
+
 /* ---- a group of ranks ---- */
 
 #define CALLERS 6
@@ -1173,6 +1207,7 @@
   { "store's history gone, an endpoint left meanwhile", test_history_gone_removal },
   { "store's watches silent", test_store_watch_silent },
   { "denied by an old configuration", test_denied_by_old_configuration },
+  { "peer's older list beside a listing", test_peer_list_during_listing },
   { "peer helps where the store does not", test_peer_helps },
   { "expert maps follow what is asked for", test_maps },
   { "expert maps in trouble", test_maps_in_trouble },
--- a/test/standin_store.c
+++ b/test/standin_store.c
@@ -5,6 +5,7 @@
  *
  *     PUT /put?KEY (body: the value)      PUT /remove?KEY
  *     PUT /mode?ok | busy | silent | forget (its history is gone)
+ *     PUT /mode?slowMS (each answer comes so many ms late)
  *     PUT /deafen (what waits now is never answered, nor cut; new questions are)
  */
 #include "net/http_conn.h"
@@ -45,6 +46,9 @@
 /* Stands as the request of a connection that is never answered. */
 static char deafened;
 
+/* Stands as the request of a connection whose question has not been looked at yet. */
+static char delayed;
+
 /* ---- items ---- */
 
 static void
@@ -234,23 +238,41 @@
   ash_http_conn_answer (conn, 200, "", 0, "", 0);
 }
 
+/* By how much answers come late. */
+static int64_t
+delay_ms (void)
+{
+  size_t length = strlen ("slow");
+
+  return strncmp (store.mode, "slow", length) == 0 ? strtoll (store.mode + length, NULL, 10) : 0;
+}
+
 static void
-on_request (struct ash_http_conn *conn)
+answer_question (struct ash_http_conn *conn)
 {
   const char *target = conn->reader.head.target;
 
+  if (strncmp (target, "/kv-range", 9) == 0)
+    answer_range (conn);
+  else if (strncmp (target, "/kv-watch", 9) == 0)
+    begin_watch (conn);
+  else
+    ash_http_conn_answer (conn, 404, "", 0, "", 0);
+}
+
+static void
+on_request (struct ash_http_conn *conn)
+{
   if (strcmp (conn->reader.head.method, "PUT") == 0)
-    control (conn, target);
+    control (conn, conn->reader.head.target);
   else if (strcmp (store.mode, "busy") == 0)
     ash_http_conn_answer (conn, 503, "", 0, "", 0);
   else if (strcmp (store.mode, "silent") == 0)
     return;
-  else if (strncmp (target, "/kv-range", 9) == 0)
-    answer_range (conn);
-  else if (strncmp (target, "/kv-watch", 9) == 0)
-    begin_watch (conn);
+  else if (delay_ms ())
+    conn->request = &delayed;
   else
-    ash_http_conn_answer (conn, 404, "", 0, "", 0);
+    answer_question (conn);
 }
 
 static void
@@ -280,7 +302,14 @@
       wait_ms = strtoll (parameter (conn, "WaitMs"), NULL, 10);
       if (strcmp (store.mode, "silent") == 0)
         continue; /* neither answered nor cut */
-      if (strcmp (store.mode, "ok") != 0)
+      if (conn->request == &delayed)
+        {
+          if (ash_time_diff (conn->since, now) < delay_ms ())
+            continue;
+          conn->request = NULL;
+          answer_question (conn);
+        }
+      else if (strcmp (store.mode, "ok") != 0 && !delay_ms ())
         {
           conn->request = NULL;
           ash_stream_reset (&conn->stream);
