store: what lapsed in a silence is used on, whoever noticed the silence

Cause: only the reader whose own question had been due distrusted the removals that came next. With the configuration's question due first, or with peers whose questions are shorter, the list's reader asked anew and trusted the first answer: endpoints that lived counted as gone and callers got 503 until they were listed again. Since a peer's list removes what it lacks, it did the same. Ruled out: lapsed ids in EndpointList. The store's own answer comes within milliseconds of the peer's list and holds the same removals, trusted, so the ids would not have helped; waiting for an own answer before a peer's list is trusted fails for the same reason. Taking peers' silence for one's own would keep endpoints that left in use for as long as a peer is cut off. Change: a silence of the store counts for both parts. A list that peers have had for longer than this router may be used on for 1.5 s from when they told of it, which is 1.8 s at most from the first change that it lacks (rule: 2 s).

--- a/daemon/catch_up.c
+++ b/daemon/catch_up.c
@@ -76,6 +76,8 @@
   if (!ash_peer_news_behind (news, now, own, patience_ms (router, part)) ||
       ash_time_diff (catch_up->asked[part], now) < ASK_PERIOD_MS)
     return;
+  if (part == ASH_STORE_SERVERS)
+    ash_store_behind (&router->store, news->since);
   peer = ash_fleet_peer_with (&router->fleet, part, news->newest);
   catch_up->asked[part] = now;
   ash_log_event (&router->log, ASH_EV_BEHIND_PEERS,
--- a/daemon/store.c
+++ b/daemon/store.c
@@ -43,6 +43,12 @@
  * that live are back in the list within two seconds. */
 #define LAPSE_MS 2300
 
+/* The same where peers know of the store's return first, from when they tell of a newer list: its
+ * first change is a heartbeat (300 ms) older at most. An endpoint that has left must get nothing
+ * more 2 s after the store has said so, so there is less time than above; it is enough for those
+ * that renew their entries every 1.2 s. */
+#define BEHIND_LAPSE_MS 1500
+
 /* Without an answer for so long, the store is away: endpoints may have missed a heartbeat. */
 #define AWAY_MS 800
 
@@ -150,6 +156,15 @@
                 source);
 }
 
+/* Until when an endpoint that is missing now may just have lapsed. */
+static struct ash_time
+doubtful_until (const struct ash_store *store)
+{
+  struct ash_time lapse_until = ash_time_add (store->readers[ASH_STORE_SERVERS].trouble, LAPSE_MS);
+
+  return ash_time_before (lapse_until, store->doubtful_until) ? store->doubtful_until : lapse_until;
+}
+
 /* An entry is missing. Whether the endpoint is gone depends on whether the store was
  * sound: while it is away entries lapse although their endpoints live. The id may be
  * the entry's own, so the entry goes last. */
@@ -157,7 +172,7 @@
 lose_endpoint (struct ash_store *store, const char *id, const char *source)
 {
   struct ash_router *router = store->router;
-  struct ash_time until = ash_time_add (store->readers[ASH_STORE_SERVERS].trouble, LAPSE_MS);
+  struct ash_time until = doubtful_until (store);
   bool trusted = ash_time_before (until, ash_clock_now ());
   struct ash_store_entry *entry = find_entry (store, id);
   struct ash_direct_endpoint *endpoint = ash_direct_find (&router->endpoints, id);
@@ -446,6 +461,16 @@
   return true;
 }
 
+/* Entries may have lapsed meanwhile, and may be all that it tells when it is back, whichever
+ * question shows the silence. */
+static void
+note_silence (struct ash_store *store, struct ash_time since)
+{
+  for (int part = 0; part < ASH_STORE_PARTS; part++)
+    if (ash_time_before (store->readers[part].trouble, since))
+      store->readers[part].trouble = since;
+}
+
 static void
 on_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -459,9 +484,8 @@
       return;
     }
   ash_http_call_cancel (&reader->call);
-  /* Entries may have lapsed meanwhile, and may be all that it tells when it is back. */
   if (was_silent (reader))
-    reader->trouble = reader->due;
+    note_silence (&reader->router->store, reader->due);
   fail (reader, "no answer in time");
   /* What keeps one question from being answered may keep the other one too. */
   for (int part = 0; part < ASH_STORE_PARTS; part++)
@@ -535,6 +559,12 @@
   fail (reader, why);
 }
 
+void
+ash_store_behind (struct ash_store *store, struct ash_time since)
+{
+  store->doubtful_until = ash_time_add (since, BEHIND_LAPSE_MS);
+}
+
 void
 ash_store_woke (struct ash_store *store)
 {
--- a/daemon/store.h
+++ b/daemon/store.h
@@ -74,6 +74,7 @@
   struct ash_store_entry *entries;
   uint64_t digest; /**< of all entries: the same for the same ones, in whatever order */
   uint64_t calls;  /**< questions asked */
+  struct ash_time doubtful_until; /**< what is missing may have lapsed, as far as peers tell */
 };
 
 /** Starts reading. @return false if the address is none. */
@@ -90,6 +91,12 @@
  */
 void ash_store_doubt (struct ash_store *store, enum ash_store_part part, const char *why);
 
+/**
+ * Peers have had a newer list since then, which did not come here. What it lacks may have lapsed in
+ * a silence of the store that this process has not noticed, and is used on for a short while.
+ */
+void ash_store_behind (struct ash_store *store, struct ash_time since);
+
 /** The process was paused: what is under way is asked anew. */
 void ash_store_woke (struct ash_store *store);
 
--- a/test/router.c
+++ b/test/router.c
@@ -741,6 +741,20 @@
   return false;
 }
 
+/* Waits until no server is used any more. @return false after some 10 s. */
+static bool
+wait_refused (void)
+{
+  for (int i = 0; i < 100; i++)
+    {
+      world_call (&world, "unused", "/safe/x", NULL, "", &answer);
+      if (answer.status == 503)
+        return true;
+      fleet_sleep (100);
+    }
+  return false;
+}
+
 static void
 test_history_gone (void)
 {
@@ -939,6 +953,70 @@
   world_stop (&world);
 }
 
+/* The entries lapse and the store is back. Once the first router knows it, callers are served. */
+static void
+lapse_and_call (void)
+{
+  world_get (world.store_port, "PUT", "/remove?servers/i-A1", "");
+  world_get (world.store_port, "PUT", "/remove?servers/i-B1", "");
+  world_get (world.store_port, "PUT", "/mode?ok", "");
+  CU_ASSERT (world_wait_logged (&world, 0, "endpoint_missing"));
+  world_call (&world, "v2", "/safe/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+}
+
+/* The store says nothing, and what waits there is lost. */
+static void
+silence_store (void)
+{
+  world_get (world.store_port, "PUT", "/mode?silent", "");
+  world_get (world.store_port, "PUT", "/deafen", "");
+}
+
+/* What callers of a trial got: 503 although all servers lived, until they were listed again.
+ * Events: the store was silent, and the entries lapsed; the question for the configuration was due
+ * first, and its reader made the list's reader ask anew; the first answer told of the lapsed
+ * entries. Evidence: the call after endpoint_missing got 503. Cause: only the reader whose own
+ * question had been due distrusted what was missing. */
+static void
+test_silence_seen_by_sibling (void)
+{
+  start ();
+  world.list_wait_ms = world.short_wait_ms = LONG_WAIT_MS;
+  fleet_end (&world.routers[0].pid, SIGKILL);
+  world_start_router (&world, 0);
+  CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 0, true));
+  fleet_sleep (300);
+  silence_store ();
+  CU_ASSERT (world_wait_logged (&world, 0, "the other one is silent"));
+  lapse_and_call ();
+  world_stop (&world);
+}
+
+/* The same as callers saw it, but a peer noticed the silence: its own questions wait for less
+ * long. Events: with the store back the peer took the entries for lapsed, and told in its heartbeat
+ * that it has a newer list; this router, whose questions were lost, got it and asked the store.
+ * Evidence: the call after endpoint_missing got 503. Cause: both answers were trusted, as no
+ * question was due here. */
+static void
+test_silence_seen_by_peer (void)
+{
+  start ();
+  world_start_router (&world, 1);
+  CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 1, true));
+  world.store_wait_ms = world.list_wait_ms = world.short_wait_ms = LONG_WAIT_MS;
+  fleet_end (&world.routers[0].pid, SIGKILL);
+  world_start_router (&world, 0);
+  CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 0, true));
+  fleet_sleep (300);
+  silence_store ();
+  CU_ASSERT (world_wait_logged (&world, 1, "no answer in time"));
+  lapse_and_call ();
+  /* Those that do not come back are not used for long. */
+  CU_ASSERT (wait_refused ());
+  world_stop (&world);
+}
+
 /* ---- a group of ranks ---- */
 
 #define CALLERS 6
@@ -1207,6 +1285,8 @@
   { "store's history gone, an endpoint left meanwhile", test_history_gone_removal },
   { "store's watches silent", test_store_watch_silent },
   { "denied by an old configuration", test_denied_by_old_configuration },
+  { "store silent, entries lapse: its other question is due first", test_silence_seen_by_sibling },
+  { "store silent, entries lapse: a peer notices it first", test_silence_seen_by_peer },
   { "peer's older list beside a listing", test_peer_list_during_listing },
   { "peer helps where the store does not", test_peer_helps },
   { "expert maps follow what is asked for", test_maps },
