store: a slow store is read after a failure too

Cause: after a failure, at a start and after a doubt an answer was given up after 300 ms, a bound meant for a lost packet, and asked for again, each time the same. A store that takes longer was never read; on the way each question was priced. Ruled out: a longer bound from the first one on (a lost packet costs a second then). A listing that is late shows a silence as a watch does, since the last failure is longer ago now. Before: "store slow after a failure" (500 ms an answer): not ready in 10 s, no change followed.

--- a/daemon/store.c
+++ b/daemon/store.c
@@ -26,12 +26,15 @@
 /* A question asked less long ago may still be on its way. */
 #define DOUBT_LEAST_MS 300
 
-/* A watch without a change is answered when its wait is over; one that comes so much later
- * shows that the store was silent, and that endpoints could not tell it that they live. */
+/* A watch without a change is answered when its wait is over, a listing at once; an answer that
+ * comes so much later shows that the store was silent, and that endpoints could not tell it that
+ * they live. */
 #define OVERDUE_MS 400
 
 /* An answer that is due at once from a store that has not answered the last question: a
- * connection whose first packet was lost would try again only after a second. */
+ * connection whose first packet was lost would try again only after a second. With each
+ * time-out the next question has twice the time, up to ANSWER_SLACK_MS: a store that takes 500 ms
+ * for an answer would not be read at all otherwise. */
 #define ANSWER_SOON_MS 300
 
 /* Waits between failed questions: the first soon, since most failures are one lost
@@ -281,6 +284,8 @@
                    (int) reader->part, reader->revision);
   reader->answers = true;
   reader->failures = 0;
+  reader->timeouts = 0;
+  reader->suspicious = false;
   reader->answered = ash_clock_now ();
 }
 
@@ -399,6 +404,19 @@
   return wait_ms;
 }
 
+/* How long an answer that is due at once may take. */
+static int64_t
+answer_due_ms (const struct ash_store_reader *reader)
+{
+  int64_t due_ms = ANSWER_SOON_MS;
+
+  if (reader->answers)
+    return ANSWER_SLACK_MS;
+  for (uint32_t i = 0; i < reader->timeouts && due_ms < ANSWER_SLACK_MS; i++)
+    due_ms *= 2;
+  return due_ms < ANSWER_SLACK_MS ? due_ms : ANSWER_SLACK_MS;
+}
+
 static void
 ask (struct ash_store_reader *reader)
 {
@@ -408,11 +426,11 @@
   /* A reader with trouble behind it asks for little at first: it learns sooner whether
    * the store is back. */
   uint32_t wait_ms = watch_wait_ms (reader);
-  int64_t due_ms = reader->answers ? ANSWER_SLACK_MS : ANSWER_SOON_MS;
+  int64_t due_ms = answer_due_ms (reader);
 
   reader->status = 0;
   reader->asked = ash_clock_now ();
-  reader->due = ASH_TIME_NEVER;
+  reader->due = ash_time_add (reader->asked, OVERDUE_MS);
   ash_buffer_consume (&reader->answer, reader->answer.length);
   if (reader->revision && !*reader->page && reader->state != ASH_STORE_LISTING)
     {
@@ -422,7 +440,7 @@
       else
         due_ms = WATCH_SLACK_MS;
       due_ms += wait_ms;
-      reader->due = ash_time_add (ash_clock_now (), (int64_t) wait_ms + OVERDUE_MS);
+      reader->due = ash_time_add (reader->due, wait_ms);
       ash_platform_store_watch (&request, settings->store_address, reader->part, reader->revision,
                                 wait_ms);
     }
@@ -436,7 +454,7 @@
     }
   router->store.calls++;
   if (!ash_http_call_start (&reader->call, &router->store.pool, request.bytes + request.start,
-                            request.length, true))
+                            request.length, !reader->suspicious))
     fail (reader, "no socket");
   else
     {
@@ -486,6 +504,10 @@
   ash_http_call_cancel (&reader->call);
   if (was_silent (reader))
     note_silence (&reader->router->store, reader->due);
+  /* What ends the watch of a reader that was well says nothing of how slow the store is. */
+  if (!reader->answers)
+    reader->timeouts++;
+  reader->suspicious = true;
   fail (reader, "no answer in time");
   /* What keeps one question from being answered may keep the other one too. */
   for (int part = 0; part < ASH_STORE_PARTS; part++)
@@ -556,6 +578,7 @@
       ash_time_diff (reader->asked, ash_clock_now ()) < DOUBT_LEAST_MS)
     return;
   ash_http_call_cancel (&reader->call);
+  reader->suspicious = true;
   fail (reader, why);
 }
 
--- a/daemon/store.h
+++ b/daemon/store.h
@@ -50,6 +50,8 @@
   struct ash_time changed_at;
   uint32_t burst;    /**< answers that changed it, close together */
   uint32_t failures; /**< in a row */
+  uint32_t timeouts; /**< among them: answers due at once that did not come in time */
+  bool suspicious;   /**< the last question was given up: kept connections may be as silent */
   ev_timer timer;
 };
 
--- a/test/router.c
+++ b/test/router.c
@@ -953,6 +953,32 @@
   world_stop (&world);
 }
 
+/* What a review saw: a router that was started while the store took more than 300 ms for an answer
+ * was never ready, and one that ran never heard of a change again after one failure. Events: after
+ * a failure, or at the start, an answer was waited for for 300 ms, given up, and asked for again,
+ * all the same each time. Evidence: not ready in 10 s at 500 ms an answer. Cause: the bound, meant
+ * for a lost packet, did not grow. */
+static void
+test_store_slow (void)
+{
+  start ();
+  world_get (world.store_port, "PUT", "/mode?slow500", "");
+  fleet_end (&world.routers[0].pid, SIGKILL);
+  world_start_router (&world, 0);
+  CU_ASSERT (world_wait_ready (&world, 0, true));
+  world_call (&world, "sl1", "/safe/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  CU_ASSERT (follows_changes ());
+  world_stop (&world);
+  /* One that ran has its questions cut off. */
+  start ();
+  world_get (world.store_port, "PUT", "/mode?busy", "");
+  CU_ASSERT (world_wait_logged (&world, 0, "platform_down"));
+  world_get (world.store_port, "PUT", "/mode?slow500", "");
+  CU_ASSERT (follows_changes ());
+  world_stop (&world);
+}
+
 /* The entries lapse and the store is back. Once the first router knows it, callers are served. */
 static void
 lapse_and_call (void)
@@ -1285,6 +1311,7 @@
   { "store's history gone, an endpoint left meanwhile", test_history_gone_removal },
   { "store's watches silent", test_store_watch_silent },
   { "denied by an old configuration", test_denied_by_old_configuration },
+  { "store slow after a failure", test_store_slow },
   { "store silent, entries lapse: its other question is due first", test_silence_seen_by_sibling },
   { "store silent, entries lapse: a peer notices it first", test_silence_seen_by_peer },
   { "peer's older list beside a listing", test_peer_list_during_listing },
