catch_up: a list that turns out to be the same is not asked for

Cause: at each change lists differ for some ms. The revision that a peer told meanwhile stayed the newest one, also when its next heartbeat showed the same list, and 0.7 s later a whole list from a peer and a new question to the store were spent for nothing. Ruled out: comparing when acting only: the heartbeat that shows it may be that of any peer. Change: each heartbeat with the same list takes the revisions up to its own one for known. Before: the unit test failed with lists that are the same passed over. After: passed.

--- a/controllers/peer_news.c
+++ b/controllers/peer_news.c
@@ -14,10 +14,20 @@
 ash_peer_news_told (struct ash_peer_news *news, struct ash_time now, uint64_t told, uint64_t own)
 {
   note_own (news, now, own);
-  if (told > news->newest)
+  if (told > news->newest && told > news->same)
     news->newest = told;
 }
 
+void
+ash_peer_news_same (struct ash_peer_news *news, struct ash_time now, uint64_t told, uint64_t own)
+{
+  if (told > news->same)
+    news->same = told;
+  if (news->newest <= news->same)
+    news->newest = own;
+  note_own (news, now, own);
+}
+
 bool
 ash_peer_news_behind (struct ash_peer_news *news, struct ash_time now, uint64_t own, int64_t for_ms)
 {
--- a/controllers/peer_news.h
+++ b/controllers/peer_news.h
@@ -15,7 +15,8 @@
 /** One thing that has versions. Zeroed memory is a valid start. */
 struct ash_peer_news
 {
-  uint64_t newest;       /**< that a peer has told */
+  uint64_t newest;       /**< that a peer has told, with something that may be lacking here */
+  uint64_t same;         /**< newest that says no more than the own one */
   uint64_t own;          /**< what this process had when it was last looked at */
   struct ash_time since; /**< since when it has had no more than that, with newer ones told */
 };
@@ -24,6 +25,10 @@
 void
 ash_peer_news_told (struct ash_peer_news *news, struct ash_time now, uint64_t told, uint64_t own);
 
+/** A peer tells that its version says the same as the own one: nothing up to it is lacking. */
+void
+ash_peer_news_same (struct ash_peer_news *news, struct ash_time now, uint64_t told, uint64_t own);
+
 /** @return whether a newer version has been known for so long without any coming. */
 bool ash_peer_news_behind (struct ash_peer_news *news,
                            struct ash_time now,
--- a/daemon/catch_up.c
+++ b/daemon/catch_up.c
@@ -98,13 +98,17 @@
                    const struct ash_fleet_peer *peer)
 {
   const struct ash_router *router = catch_up->router;
+  struct ash_peer_news *list = &catch_up->news[ASH_STORE_SERVERS];
+  uint64_t own_list = own_revision (router, ASH_STORE_SERVERS);
 
   ash_peer_news_told (&catch_up->news[ASH_STORE_CONFIG], now, peer->version,
                       own_revision (router, ASH_STORE_CONFIG));
-  /* The revision of a list grows with whatever changes in the store. */
+  /* The revision of a list grows with whatever changes in the store, so only lists that differ
+   * count. They do for some ms at each change that comes to a peer first. */
   if (peer->endpoints_digest != router->store.digest)
-    ash_peer_news_told (&catch_up->news[ASH_STORE_SERVERS], now, peer->endpoints_revision,
-                        own_revision (router, ASH_STORE_SERVERS));
+    ash_peer_news_told (list, now, peer->endpoints_revision, own_list);
+  else
+    ash_peer_news_same (list, now, peer->endpoints_revision, own_list);
   ash_catch_up_tick (catch_up, now);
 }
 
--- a/test/unit_router.c
+++ b/test/unit_router.c
@@ -830,6 +830,32 @@
   CU_ASSERT_FALSE (ash_peer_news_behind (&news, (struct ash_time){ 1700 }, 9, 0));
 }
 
+/* What a review saw: a router that lacked nothing asked a peer for a whole list, and the store
+ * anew. Events: a peer told of a newer list 10 ms before the change came here too, by an answer of
+ * an earlier revision; from then on both lists said the same. Cause: the revision told while they
+ * differed was kept. */
+static void
+test_peer_news_settled (void)
+{
+  struct ash_peer_news news = { 0 };
+
+  ash_peer_news_told (&news, at (1000), 9, 4);
+  ash_peer_news_same (&news, at (1100), 9, 4);
+  CU_ASSERT_FALSE (ash_peer_news_behind (&news, at (1900), 4, 0));
+  /* One that differs and is older than that lacks something itself. */
+  ash_peer_news_told (&news, at (1900), 8, 4);
+  CU_ASSERT_FALSE (ash_peer_news_behind (&news, at (1950), 4, 0));
+  /* Who has an older one says nothing of the newest. */
+  ash_peer_news_told (&news, at (2000), 12, 4);
+  ash_peer_news_same (&news, at (2100), 11, 4);
+  CU_ASSERT (ash_peer_news_behind (&news, at (2700), 4, 700));
+  /* A change after that begins a new wait. */
+  ash_peer_news_same (&news, at (2800), 13, 4);
+  ash_peer_news_told (&news, at (3000), 14, 4);
+  CU_ASSERT (ash_peer_news_behind (&news, at (3100), 4, 100));
+  CU_ASSERT_FALSE (ash_peer_news_behind (&news, at (3100), 4, 101));
+}
+
 /* ---- connections ---- */
 
 static int
@@ -1004,6 +1030,7 @@
   CU_add_test (suite, "platform: directory", test_directory_format);
   CU_add_test (suite, "HTTP: strict messages", test_strict_messages);
   CU_add_test (suite, "peers: what they have and this process lacks", test_peer_news);
+  CU_add_test (suite, "peers: what they have is the same after all", test_peer_news_settled);
   CU_add_test (suite, "connections: silence is noticed", test_keep_alive);
   CU_add_test (suite, "connections: silence is noticed, of fetches", test_keep_alive_of_fetches);
   CU_add_test (suite, "log: bounded, and never waits", test_log_bound);
