fleet: those that ask the store often are spread over halls

Cause: they were the first three by name. Where names tell the hall, all three stood in one, and what cut that hall off left the whole fleet with long questions. Ruled out: one more asker a hall (each question is priced; three are enough to lose one and stop one). Change: controllers/askers orders by place within the hall, then by name: one of each hall first. Heartbeats tell the hall already. Before: the unit test with the first three by name failed (30 and 400 routers in halls of ten, two halls). After: passed, with every router's peers in an order of their own.

--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -1,6 +1,7 @@
 #include "daemon/fleet.h"
 
 #include "common/id.h"
+#include "controllers/askers.h"
 #include "daemon/router.h"
 
 #include <stdlib.h>
@@ -150,6 +151,7 @@
 
   snprintf (peer->frontend, sizeof peer->frontend, "%s", heartbeat->frontend);
   snprintf (peer->address, sizeof peer->address, "%s", heartbeat->peer_address);
+  snprintf (peer->hall, sizeof peer->hall, "%s", heartbeat->hall);
   peer->leaving = heartbeat->leaving;
   peer->version = heartbeat->revision;
   peer->endpoints_revision = heartbeat->endpoints_revision;
@@ -403,12 +405,21 @@
 bool
 ash_fleet_asks_often (const struct ash_fleet *fleet)
 {
-  uint32_t before = 0;
-
+  const struct ash_router_settings *settings = &fleet->router->settings;
+  struct ash_asker own = { settings->box, settings->hall };
+  struct ash_asker *others = calloc (HASH_COUNT (fleet->peers) + 1, sizeof *others);
+  size_t count = 0;
+  bool often;
+
+  /* Once too often does no harm. */
+  if (!others)
+    return true;
   for (const struct ash_fleet_peer *peer = fleet->peers; peer; peer = peer->hh.next)
-    before += peer->linked && peer->reads_store && !peer->leaving &&
-              strcmp (peer->box, fleet->router->settings.box) < 0;
-  return before < OFTEN_ROUTERS;
+    if (peer->linked && peer->reads_store && !peer->leaving)
+      others[count++] = (struct ash_asker){ peer->box, peer->hall };
+  often = ash_askers_has (own, others, count, OFTEN_ROUTERS);
+  free (others);
+  return often;
 }
 
 const struct ash_fleet_peer *
--- a/daemon/fleet.h
+++ b/daemon/fleet.h
@@ -24,6 +24,7 @@
   char box[ASH_NAME_BYTES];
   char frontend[ASH_NAME_BYTES];
   char address[ASH_NAME_BYTES]; /**< where its links are accepted */
+  char hall[ASH_NAME_BYTES];
   bool linked;
   struct ash_time seen; /**< when it was last linked */
   bool leaving;
@@ -74,8 +75,8 @@
 bool ash_fleet_leads (const struct ash_fleet *fleet);
 
 /**
- * Whether this router is one of the few that ask the store often: the first by name of those
- * that see each other and that the store answers. The others hear from them what is new.
+ * Whether this router is one of the few that ask the store often, spread over the halls of
+ * those that see each other and that the store answers. The others hear from them what is new.
  */
 bool ash_fleet_asks_often (const struct ash_fleet *fleet);
 
--- a/test/unit_router.c
+++ b/test/unit_router.c
@@ -7,6 +7,7 @@
 #include "controllers/layer_policy.h"
 #include "controllers/map_switch.h"
 #include "controllers/pass_watch.h"
+#include "controllers/askers.h"
 #include "controllers/peer_news.h"
 #include "filters/forward.h"
 #include "net/event_stream.h"
@@ -856,6 +857,121 @@
   CU_ASSERT_FALSE (ash_peer_news_behind (&news, at (3100), 4, 101));
 }
 
+/* ---- who asks the store often ---- */
+
+#define ASKERS_MAX 400
+#define ASKERS_WANTED 3
+
+struct fleet_of
+{
+  char boxes[ASKERS_MAX][16];
+  char halls[ASKERS_MAX][16];
+  uint32_t count;
+};
+
+/* @param hall_of the hall of each router, by its place by name. */
+static void
+build_fleet (struct fleet_of *fleet, uint32_t count, uint32_t (*hall_of) (uint32_t i))
+{
+  fleet->count = count;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      snprintf (fleet->boxes[i], sizeof fleet->boxes[i], "edge-%03u", i);
+      snprintf (fleet->halls[i], sizeof fleet->halls[i], "hall-%u", hall_of (i));
+    }
+}
+
+static bool
+asks_often (const struct fleet_of *fleet, uint32_t own)
+{
+  struct ash_asker others[ASKERS_MAX];
+  uint32_t count = 0;
+
+  /* In another order for each: links come up as they like. */
+  for (uint32_t i = 1; i < fleet->count; i++)
+    {
+      uint32_t other = (own + i) % fleet->count;
+
+      others[count++] = (struct ash_asker){ fleet->boxes[other], fleet->halls[other] };
+    }
+  return ash_askers_has ((struct ash_asker){ fleet->boxes[own], fleet->halls[own] }, others, count,
+                         ASKERS_WANTED);
+}
+
+/* Those that say that they ask often, as one bit each of the first 64. */
+static uint64_t
+askers_of (const struct fleet_of *fleet, uint32_t *count)
+{
+  uint64_t askers = 0;
+
+  *count = 0;
+  for (uint32_t i = 0; i < fleet->count; i++)
+    if (asks_often (fleet, i))
+      {
+        ++*count;
+        askers |= i < 64 ? UINT64_C (1) << i : 0;
+      }
+  return askers;
+}
+
+static uint32_t
+one_hall (uint32_t i)
+{
+  (void) i;
+  return 0;
+}
+
+static uint32_t
+three_halls_in_turn (uint32_t i)
+{
+  return i % 3;
+}
+
+/* The names tell the hall: all of the first come before all of the second. */
+static uint32_t
+halls_of_ten (uint32_t i)
+{
+  return i / 10;
+}
+
+static uint32_t
+two_halls (uint32_t i)
+{
+  return i >= 5;
+}
+
+/* What a review saw: the routers that ask often, for the whole fleet, were the first three by name,
+ * which all stood in one hall. With that hall cut off, the others heard of a change when their own
+ * long question ended. */
+static void
+test_askers (void)
+{
+  static struct fleet_of fleet;
+  uint32_t count;
+
+  build_fleet (&fleet, 30, halls_of_ten);
+  CU_ASSERT_EQUAL (askers_of (&fleet, &count), UINT64_C (1) << 0 | UINT64_C (1) << 10 | 1 << 20);
+  CU_ASSERT_EQUAL (count, ASKERS_WANTED);
+  build_fleet (&fleet, 400, halls_of_ten);
+  CU_ASSERT_EQUAL (askers_of (&fleet, &count), UINT64_C (1) << 0 | UINT64_C (1) << 10 | 1 << 20);
+  CU_ASSERT_EQUAL (count, ASKERS_WANTED);
+  build_fleet (&fleet, 400, three_halls_in_turn);
+  CU_ASSERT_EQUAL (askers_of (&fleet, &count), 7);
+  CU_ASSERT_EQUAL (count, ASKERS_WANTED);
+  /* Fewer halls than that: the second ones of halls are next. */
+  build_fleet (&fleet, 30, two_halls);
+  CU_ASSERT_EQUAL (askers_of (&fleet, &count), 1 << 0 | 1 << 1 | 1 << 5);
+  CU_ASSERT_EQUAL (count, ASKERS_WANTED);
+  build_fleet (&fleet, 400, one_hall);
+  CU_ASSERT_EQUAL (askers_of (&fleet, &count), 7);
+  CU_ASSERT_EQUAL (count, ASKERS_WANTED);
+  /* Few routers: all of them. */
+  build_fleet (&fleet, 2, one_hall);
+  CU_ASSERT_EQUAL (askers_of (&fleet, &count), 3);
+  build_fleet (&fleet, 1, one_hall);
+  CU_ASSERT_EQUAL (askers_of (&fleet, &count), 1);
+}
+
 /* ---- connections ---- */
 
 static int
@@ -1031,6 +1147,7 @@
   CU_add_test (suite, "HTTP: strict messages", test_strict_messages);
   CU_add_test (suite, "peers: what they have and this process lacks", test_peer_news);
   CU_add_test (suite, "peers: what they have is the same after all", test_peer_news_settled);
+  CU_add_test (suite, "store: who asks often", test_askers);
   CU_add_test (suite, "connections: silence is noticed", test_keep_alive);
   CU_add_test (suite, "connections: silence is noticed, of fetches", test_keep_alive_of_fetches);
   CU_add_test (suite, "log: bounded, and never waits", test_log_bound);
