http_conn: answer what was sent ahead before a connection closes in a stop

Cause: a caller that writes a request while another is answered has it read and kept (`early`). In a planned stop the first answer said `Connection: close`, the rest was dropped, and the second request, read whole, got no answer.

Ruled out: a 503 after an answer that says `Connection: close`: the caller need not read on. One that comes after the head of a streamed answer has said so is still dropped, as HTTP has it.

Change: while requests wait behind it, an answer does not announce the close; the last one does. Until the stop's end they are served like others, after it they get 503.

Before, "stop with requests sent ahead" failed in 3 assertions (one answer instead of two, the second request never run, no 503); after, it passes.

--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -64,10 +64,13 @@
 
 /* ---- answers ---- */
 
+/* A listener that closes still answers what was sent ahead: its caller could not tell whether
+ * a request that was read, and then dropped, has run. */
 static bool
 keeps (const struct ash_http_conn *conn)
 {
-  return conn->reader.head.keep_alive && !conn->listener->closing && conn->reader.done;
+  return conn->reader.head.keep_alive && conn->reader.done &&
+         (!conn->listener->closing || conn->early.length);
 }
 
 static void
--- a/test/router.c
+++ b/test/router.c
@@ -650,6 +650,19 @@
   return fd;
 }
 
+/* Reads to the connection's end. */
+static void
+read_to_end (int fd)
+{
+  size_t length = 0;
+  ssize_t got;
+
+  memset (&answer, 0, sizeof answer);
+  while ((got = recv (fd, answer.text + length, sizeof answer.text - 1 - length, 0)) > 0)
+    length += (size_t) got;
+  close (fd);
+}
+
 static void
 expect_not_run (int fd, const char *id)
 {
@@ -823,6 +836,54 @@
   world_stop (&world);
 }
 
+/* Two requests in one write. @return their connection, once a server has the first. */
+static int
+send_two (const char *first, const char *action, const char *second)
+{
+  char text[1024];
+  int fd = world_connect (&world, 0);
+
+  snprintf (text, sizeof text,
+            "POST /once/x HTTP/1.1\r\n" HEAD "%s\r\nX-Do: *=%s\r\nContent-Length: 0\r\n\r\n"
+            "POST /once/x HTTP/1.1\r\n" HEAD "%s\r\nX-Do: *=%s\r\nContent-Length: 0\r\n\r\n",
+            first, action, second, action);
+  world_send (fd, text);
+  for (int i = 0; i < 100 && !world_runs (&world, first); i++)
+    fleet_sleep (10);
+  return fd;
+}
+
+/* Two requests were written at once. The first one's answer said that the connection closes, and
+ * the second, read whole by then, got none: a caller that sent it ahead can't tell whether it ran.
+ */
+static void
+test_stop_pipelined (void)
+{
+  int fd;
+
+  start ();
+  fd = send_two ("q-first", "slow", "q-second");
+  kill (world.routers[0].pid, SIGTERM);
+  read_to_end (fd);
+  CU_ASSERT_EQUAL (count_of (answer.text, "HTTP/1.1 200 OK\r\n"), 2);
+  CU_ASSERT_EQUAL (count_of (answer.text, "Connection: close\r\n"), 1);
+  CU_ASSERT_EQUAL (world_runs (&world, "q-second"), 1);
+  CU_ASSERT_EQUAL (fleet_end (&world.routers[0].pid, 0), 0);
+  world_stop (&world);
+  /* At the stop's end: the first may have run, the second has not. */
+  start ();
+  fd = send_two ("q-third", "mute", "q-fourth");
+  kill (world.routers[0].pid, SIGTERM);
+  CU_ASSERT (world_wait_logged (&world, 0, " stopping "));
+  kill (world.routers[0].pid, SIGTERM);
+  read_to_end (fd);
+  CU_ASSERT_EQUAL (count_of (answer.text, "HTTP/1.1 502 "), 1);
+  CU_ASSERT_EQUAL (count_of (answer.text, "HTTP/1.1 503 "), 1);
+  CU_ASSERT_EQUAL (world_runs (&world, "q-fourth"), 0);
+  CU_ASSERT_EQUAL (fleet_end (&world.routers[0].pid, 0), 0);
+  world_stop (&world);
+}
+
 /* Signals at odd moments: none leaves a caller without an answer or ends the process badly. */
 static void
 test_stop_signals (void)
@@ -1600,6 +1661,7 @@
   { "stop cut short by a second signal", test_stop_cut_short },
   { "stop whose time is over", test_stop_time_over },
   { "stop while a connection comes up", test_stop_while_connecting },
+  { "stop with requests sent ahead", test_stop_pipelined },
   { "stop: signals at odd moments", test_stop_signals },
   { "draining, and gone without a word", test_draining },
   { "store away, entries lapse", test_store_away },
