http_conn: close idle connections in a stop only if nothing has arrived on them

The idle time-out had the same race.

Ruled out: a half-close before the close (what comes after it can't be answered either, and would be read), and keeping resting connections to the stop's end (their callers would only learn it from a refusal).

A request on its way when the FIN leaves still meets a close, unread.

--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -23,6 +23,10 @@
 /* All bodies that a process holds at once: a quarter of a small box's memory. */
 #define BODIES_MAX_BYTES (48 * 1024 * 1024)
 
+/* A listener that closes leaves a new connection time for its first request, which is on its way:
+ * so long callers wait for one to come up. */
+#define FRESH_MS 1000
+
 /* How long a caller may take to read the end of an answer on a connection that closes. */
 #define CLOSING_MS 3000
 
@@ -102,6 +106,7 @@
 
   conn->request = NULL;
   conn->head_sent = false;
+  conn->answered = true;
   drop_body (conn);
   if (!conn->keep)
     {
@@ -390,6 +395,27 @@
   accept_all (io->data);
 }
 
+/* Closing a socket that has unread bytes resets it, and a request that arrived in time gets no
+ * answer. */
+static bool
+has_unread (const struct ash_http_conn *conn)
+{
+  uint8_t byte;
+
+  return recv (conn->stream.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+static void
+sweep_idle (struct ash_http_conn *conn, struct ash_time now)
+{
+  int64_t idle_ms = conn->listener->bounds.idle_timeout_ms;
+
+  if (conn->listener->closing)
+    idle_ms = conn->answered ? -1 : FRESH_MS;
+  if (ash_time_diff (conn->since, now) > idle_ms && !has_unread (conn))
+    kill_conn (conn);
+}
+
 static void
 sweep_conn (struct ash_http_conn *conn, struct ash_time now)
 {
@@ -405,8 +431,7 @@
   switch (conn->state)
     {
     case ASH_CONN_IDLE:
-      if (age_ms > bounds->idle_timeout_ms || conn->listener->closing)
-        kill_conn (conn);
+      sweep_idle (conn, now);
       break;
     case ASH_CONN_READING:
       if (age_ms > bounds->head_timeout_ms)
@@ -494,6 +519,7 @@
 void
 ash_http_listener_shut (struct ash_http_listener *listener)
 {
+  struct ash_time now = ash_clock_now ();
   struct ash_http_conn *conn;
 
   ash_http_listener_drain (listener);
@@ -502,7 +528,7 @@
   stop_listening (listener);
   DL_FOREACH (listener->conns, conn)
     if (!conn->dead && conn->state == ASH_CONN_IDLE)
-      kill_conn (conn);
+      sweep_idle (conn, now);
 }
 
 bool
--- a/net/http_conn.h
+++ b/net/http_conn.h
@@ -46,6 +46,7 @@
   struct ash_buffer early; /**< bytes that came while a request is served */
   bool continue_sent;      /**< 100 was sent for this request */
   bool dead;               /**< closed; freed by the sweep */
+  bool answered;           /**< it had a request before */
   bool head_sent;
   bool chunked;  /**< the answer under way is */
   bool keep;     /**< the connection stays after this answer */
@@ -95,7 +96,10 @@
  */
 void ash_http_listener_drain (struct ash_http_listener *listener);
 
-/** Takes no more connections, and closes idle ones. The others stay until they are answered. */
+/**
+ * Takes the connections that wait to be accepted, then no more; idle ones are closed. Requests
+ * that have arrived are still read: the owner answers them.
+ */
 void ash_http_listener_shut (struct ash_http_listener *listener);
 
 /** @return whether a caller is still connected. */
--- a/test/router.c
+++ b/test/router.c
@@ -884,6 +884,85 @@
   world_stop (&world);
 }
 
+/* Answered, and with 503 only if it did not run: whether it was read before the
+ * signal or after is the loop's choice. */
+static void
+expect_true_end (int fd, const char *id)
+{
+  world_read (fd, &answer);
+  close (fd);
+  CU_ASSERT (answer.whole);
+  CU_ASSERT (answer.status == 200 || answer.status == 502 || answer.status == 503);
+  if (answer.status == 503)
+    CU_ASSERT_EQUAL (world_runs (&world, id), 0);
+}
+
+/* A connection that rests after a request. */
+static int
+connect_kept (void)
+{
+  int fd = world_connect (&world, 0);
+
+  world_send (fd, "GET /safe/x HTTP/1.1\r\n" HEAD "c-before\r\n\r\n");
+  world_read (fd, &answer);
+  CU_ASSERT (answer.status == 200 && !has ("Connection: close"));
+  return fd;
+}
+
+/* Requests that have arrived, unread, when the router learns that it is to stop. What callers saw:
+ * a reset, on a connection that rested and was closed for being idle with their request unread, and
+ * on a new one that was closed just as it was accepted. The router is held while they are written,
+ * so that it sees all of it in one turn. */
+static void
+test_stop_crossed (void)
+{
+  int kept;
+  int idle;
+  int fresh;
+
+  start ();
+  kept = connect_kept ();
+  idle = connect_kept ();
+  kill (world.routers[0].pid, SIGSTOP);
+  world_send (kept, "GET /once/x HTTP/1.1\r\n" HEAD "c-kept\r\n\r\n");
+  fresh = begin_request ("/once/x", "HTTP/1.1", "c-fresh", "ok");
+  fleet_sleep (250);
+  kill (world.routers[0].pid, SIGTERM);
+  kill (world.routers[0].pid, SIGCONT);
+  world_read (kept, &answer);
+  CU_ASSERT (answer.status == 200 && answer.whole && has ("Connection: close"));
+  world_read (fresh, &answer);
+  CU_ASSERT (answer.status == 200 && answer.whole && has ("Connection: close"));
+  close (kept);
+  close (fresh);
+  /* One that rested and that nothing was written on is closed. */
+  world_read (idle, &answer);
+  CU_ASSERT_EQUAL (answer.status, 0);
+  close (idle);
+  /* One that is new waits for its request, over some turns of the loop. */
+  fresh = world_connect (&world, 0);
+  fleet_sleep (250);
+  world_send (fresh, "GET /once/x HTTP/1.1\r\n" HEAD "c-new\r\n\r\n");
+  world_read (fresh, &answer);
+  CU_ASSERT (answer.status == 200 && answer.whole && has ("Connection: close"));
+  close (fresh);
+  CU_ASSERT_EQUAL (fleet_end (&world.routers[0].pid, 0), 0);
+  world_stop (&world);
+  /* The same at the end. */
+  start ();
+  kept = connect_kept ();
+  kill (world.routers[0].pid, SIGSTOP);
+  world_send (kept, "GET /once/x HTTP/1.1\r\n" HEAD "c-late\r\n\r\n");
+  fresh = begin_request ("/once/x", "HTTP/1.1", "c-last", "ok");
+  kill (world.routers[0].pid, SIGTERM);
+  kill (world.routers[0].pid, SIGINT);
+  kill (world.routers[0].pid, SIGCONT);
+  expect_true_end (kept, "c-late");
+  expect_true_end (fresh, "c-last");
+  CU_ASSERT_EQUAL (fleet_end (&world.routers[0].pid, 0), 0);
+  world_stop (&world);
+}
+
 /* Signals at odd moments: none leaves a caller without an answer or ends the process badly. */
 static void
 test_stop_signals (void)
@@ -1662,6 +1741,7 @@
   { "stop whose time is over", test_stop_time_over },
   { "stop while a connection comes up", test_stop_while_connecting },
   { "stop with requests sent ahead", test_stop_pipelined },
+  { "stop crossed by requests", test_stop_crossed },
   { "stop: signals at odd moments", test_stop_signals },
   { "draining, and gone without a word", test_draining },
   { "store away, entries lapse", test_store_away },
