options: a router's times that deployments give in seconds are read in seconds

Cause: the template of a router's settings made milliseconds of the deployment's seconds by three zeros behind them. Of 7.5 it made 7.5000, a finding, and the router would not start.

Ruled out: the old keys beside the new ones (two names for a thing, and a rule for which goes first); a double in the settings, converted at each use.

Change: options of the kind SECONDS, kept in whole milliseconds.

--- a/options/option.c
+++ b/options/option.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define MS_PER_S 1000.0
+
 struct reader
 {
   const struct ash_option *option;
@@ -27,6 +29,8 @@
     }
   if (option->type == ASH_OPTION_UINT)
     *(uint32_t *) field = (uint32_t) value;
+  else if (option->type == ASH_OPTION_SECONDS)
+    *(uint32_t *) field = (uint32_t) (value * MS_PER_S + 0.5);
   else
     *(double *) field = value;
 }
@@ -83,6 +87,7 @@
       break;
     case ASH_OPTION_UINT:
     case ASH_OPTION_NUMBER:
+    case ASH_OPTION_SECONDS:
       store_number (reader, strtod (text, NULL), field);
       break;
     case ASH_OPTION_BOOL:
@@ -122,6 +127,7 @@
         store_number (reader, (double) node->integer, field);
       break;
     case ASH_OPTION_NUMBER:
+    case ASH_OPTION_SECONDS:
       if (node->kind == ASH_NODE_INTEGER)
         store_number (reader, (double) node->integer, field);
       else if (check_kind (reader, node, ASH_NODE_FLOAT))
@@ -163,13 +169,20 @@
     }
 }
 
+static bool
+has_range (const struct ash_option *option)
+{
+  return option->type == ASH_OPTION_UINT || option->type == ASH_OPTION_NUMBER ||
+         option->type == ASH_OPTION_SECONDS;
+}
+
 void
 ash_options_print_help (const struct ash_option *options, FILE *out)
 {
   for (const struct ash_option *option = options; option->key; option++)
     {
       fprintf (out, "%s", option->key);
-      if (option->type == ASH_OPTION_UINT || option->type == ASH_OPTION_NUMBER)
+      if (has_range (option))
         fprintf (out, " (%g to %g%s%s)", option->min, option->max, option->unit ? " " : "",
                  option->unit ? option->unit : "");
       for (int i = 0; option->choices && option->choices[i]; i++)
--- a/options/option.h
+++ b/options/option.h
@@ -22,12 +22,13 @@
 /** How an option is stored. */
 enum ash_option_type
 {
-  ASH_OPTION_TEXT,   /**< char[max] */
-  ASH_OPTION_HEX,    /**< uint8_t[max], given as hex digits */
-  ASH_OPTION_UINT,   /**< uint32_t in [min, max] */
-  ASH_OPTION_BOOL,   /**< bool */
-  ASH_OPTION_CHOICE, /**< int: index into choices */
-  ASH_OPTION_NUMBER, /**< double in [min, max] */
+  ASH_OPTION_TEXT,    /**< char[max] */
+  ASH_OPTION_HEX,     /**< uint8_t[max], given as hex digits */
+  ASH_OPTION_UINT,    /**< uint32_t in [min, max] */
+  ASH_OPTION_BOOL,    /**< bool */
+  ASH_OPTION_CHOICE,  /**< int: index into choices */
+  ASH_OPTION_NUMBER,  /**< double in [min, max] */
+  ASH_OPTION_SECONDS, /**< uint32_t of milliseconds; given, and bounded, in seconds and fractions */
 };
 
 /** One option. */
--- a/options/router_settings.c
+++ b/options/router_settings.c
@@ -3,6 +3,7 @@
 #include "options/settings_file.h"
 
 #define HOUR_MS 3600000
+#define HOUR_S 3600
 
 static const char *const log_formats[] = { "text", "json", NULL };
 static const char *const log_levels[] = { "debug", "info", "warn", "error", NULL };
@@ -15,6 +16,8 @@
   { #name, ASH_OPTION_CHOICE, AT (name), fallback, 0, 0, list, NULL, help }
 #define MS(name, fallback, min, max, help) \
   { #name, ASH_OPTION_UINT, AT (name), fallback, min, max, NULL, "ms", help }
+#define SECONDS(name, fallback, min, max, help) \
+  { #name "_s", ASH_OPTION_SECONDS, AT (name##_ms), fallback, min, max, NULL, "s", help }
 #define COUNT(name, fallback, min, max, unit, help) \
   { #name, ASH_OPTION_UINT, AT (name), fallback, min, max, NULL, unit, help }
 #define NUMBER(name, fallback, min, max, unit, help) \
@@ -55,7 +58,7 @@
       "the same for both at the few routers that ask often, on behalf of all: what a lost answer "
       "hides from the whole fleet is hidden no longer than this and 0.7 s"),
   MS (address_keep_ms, "2000", 100, HOUR_MS, "how long callers may keep an answer"),
-  MS (grace_ms, "8000", 100, HOUR_MS, "from the signal to stop to the process's end at most"),
+  SECONDS (grace, "8", 0.1, HOUR_S, "from the signal to stop to the process's end at most"),
   COUNT (connections_max,
          "2500",
          1,
@@ -80,7 +83,7 @@
   NUMBER (map_least_gain, "0.03", 0, 10, "mean loads", "that a move must take off its layer"),
   NUMBER (map_change_gain, "0.1", 0, 10, "of skew", "that a whole change must take off the mean"),
   NUMBER (resend_ratio, "0.1", 0, 1, "of requests", "that the fleet may send again in a window"),
-  MS (resend_window_ms, "10000", 100, HOUR_MS, "length of that window"),
+  SECONDS (resend_window, "10", 0.1, HOUR_S, "length of that window"),
   COUNT (
       resend_slack, "20", 0, 100000, "requests", "more that the fleet may send again in a window"),
   { 0 },
--- a/test/router.c
+++ b/test/router.c
@@ -716,7 +716,7 @@
   int idle;
 
   /* The model's service has no endpoints: what asks for it waits. */
-  start_with (by_signal ? "grace_ms = 3000" : "grace_ms = 1200", 10000);
+  start_with (by_signal ? "grace_s = 3" : "grace_s = 1.2", 10000);
   idle = world_connect (&world, 0);
   waiting = begin_request ("/model/x", "HTTP/1.1", "e-waits", "mute");
   partly = world_connect (&world, 0);
@@ -807,7 +807,7 @@
   char value[160];
   int fd;
 
-  start_with ("grace_ms = 3000", 10000);
+  start_with ("grace_s = 3", 10000);
   open_full (&full);
   snprintf (value, sizeof value,
             "{\"Service\":\"stock\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"hall-a\",\"Slots\":8,"
--- a/test/router_world.c
+++ b/test/router_world.c
@@ -336,7 +336,7 @@
     .list_wait_ms = 600,
     .short_wait_ms = 1500,
     .wait_ms = 80,
-    .grace = "grace_ms = 3000",
+    .grace = "grace_s = 3",
   };
   snprintf (world->folder, sizeof world->folder, "/tmp/ash-world-XXXXXX");
   if (!mkdtemp (world->folder))
--- a/test/unit_router.c
+++ b/test/unit_router.c
@@ -14,6 +14,7 @@
 #include "net/http_client.h"
 #include "net/http_message.h"
 #include "net/stream.h"
+#include "options/router_settings.h"
 #include "platform/config.h"
 #include "platform/directory.h"
 #include "platform/message.h"
@@ -794,6 +795,55 @@
     }
 }
 
+/* What a router can't do without, and further lines. */
+static void
+read_settings (struct ash_router_settings *settings,
+               const char *more,
+               struct ash_findings *findings)
+{
+  char text[1024];
+  int length = snprintf (
+      text, sizeof text,
+      "box = 'r'\nhall = 'h'\nfrontend_listen = '127.0.0.1:1'\nreadiness_listen = '127.0.0.1:2'\n"
+      "directory_listen = '127.0.0.1:3'\npeer_listen = '127.0.0.1:4'\n"
+      "metrics_listen = '127.0.0.1:5'\nstore_address = '127.0.0.1:6'\n"
+      "fleet_key = '00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff'\n%s",
+      more);
+
+  ash_findings_init (findings, "settings");
+  ash_router_settings_read (settings, text, (size_t) length, findings);
+}
+
+/* A deployment gives its time to stop as a number of seconds. The template wrote three zeros behind
+ * it, which makes milliseconds of whole numbers only: of 7.5 it made 7.5000, a finding, and no
+ * router would have started there. */
+static void
+test_seconds (void)
+{
+  struct ash_router_settings settings;
+  struct ash_findings findings;
+
+  read_settings (&settings, "grace_s = 7.5\nresend_window_s = 10\n", &findings);
+  CU_ASSERT_EQUAL (findings.count, 0);
+  CU_ASSERT_EQUAL (settings.grace_ms, 7500);
+  CU_ASSERT_EQUAL (settings.resend_window_ms, 10000);
+  ash_findings_finish (&findings);
+  read_settings (&settings, "grace_s = 8\nresend_window_s = 0.1004\n", &findings);
+  CU_ASSERT_EQUAL (findings.count, 0);
+  CU_ASSERT_EQUAL (settings.grace_ms, 8000);
+  CU_ASSERT_EQUAL (settings.resend_window_ms, 100);
+  ash_findings_finish (&findings);
+  /* Unless said. */
+  read_settings (&settings, "", &findings);
+  CU_ASSERT_EQUAL (findings.count, 0);
+  CU_ASSERT_EQUAL (settings.grace_ms, 8000);
+  CU_ASSERT_EQUAL (settings.resend_window_ms, 10000);
+  ash_findings_finish (&findings);
+  read_settings (&settings, "grace_s = -1.5\nresend_window_s = '10'\ngrace_ms = 8000\n", &findings);
+  CU_ASSERT_EQUAL (findings.count, 3);
+  ash_findings_finish (&findings);
+}
+
 static void
 test_directory_format (void)
 {
@@ -1144,6 +1194,7 @@
   CU_add_test (suite, "platform: store", test_store_format);
   CU_add_test (suite, "platform: messages", test_message_format);
   CU_add_test (suite, "platform: directory", test_directory_format);
+  CU_add_test (suite, "settings: seconds with fractions", test_seconds);
   CU_add_test (suite, "HTTP: strict messages", test_strict_messages);
   CU_add_test (suite, "peers: what they have and this process lacks", test_peer_news);
   CU_add_test (suite, "peers: what they have is the same after all", test_peer_news_settled);
