--- a/bench/router_world.c
+++ b/bench/router_world.c
@@ -34,7 +34,7 @@
 #define CALLER_MS 2
 #define TRIES 2
 #define ADDRESS_KEEP_MS 2000
-#define HELD_MS (AIM_MS / 8)
+#define HELD_MS 50 /* an eighth of the aim */
 #define LATE_WORTH 0.5
 #define EVENTS_MEAN 26.5
 #define EVENTS_MOST 66
@@ -521,7 +521,7 @@
 choose_router (struct world *world)
 {
   int64_t age_ms = ash_random_below (&world->random, ADDRESS_KEEP_MS);
-  int32_t found[ROUTERS];
+  int32_t found[ROUTERS] = { 0 };
   uint32_t count = 0;
 
   for (int32_t r = 0; r < ROUTERS; r++)
--- a/test/unit_router_world.c
+++ b/test/unit_router_world.c
@@ -6,8 +6,6 @@
 #include "bench/router_world.h"
 #include "test/unit.h"
 
-#include <string.h>
-
 static const struct router_world_setup usual = {
   .seed = 3,
   .length_ms = 10000,
@@ -27,6 +25,15 @@
   return router_world_all (&result);
 }
 
+static bool
+is_same (const struct router_world_class *a, const struct router_world_class *b)
+{
+  return a->asked == b->asked && a->in_aim == b->in_aim && a->late == b->late &&
+         a->refused_once == b->refused_once && a->refused_twice == b->refused_twice &&
+         a->held == b->held && a->cut == b->cut && a->overtaken == b->overtaken &&
+         a->big_served == b->big_served;
+}
+
 static void
 test_repeatable (void)
 {
@@ -38,10 +45,10 @@
   setup.calls_s = 150;
   first = play (&setup);
   again = play (&setup);
-  CU_ASSERT_EQUAL (memcmp (&first, &again, sizeof first), 0);
+  CU_ASSERT (is_same (&first, &again));
   setup.seed++;
   other = play (&setup);
-  CU_ASSERT_NOT_EQUAL (memcmp (&first, &other, sizeof first), 0);
+  CU_ASSERT_FALSE (is_same (&first, &other));
 }
 
 /* Every call has one end, in time or late or refused twice or held or cut. */
