test: connections of each kind that fall silent (red: endpoints)

The link stand-in silences the connections that are open, both ways or one way, while new ones pass; the router's test world can put one before each thing that is connected to. Blocks of test ports grow to 64 for it.

The link acknowledges each byte, as any userland proxy: keep-alive can't be seen by it.

--- a/test/fleet.c
+++ b/test/fleet.c
@@ -24,7 +24,7 @@
 
 /* Ports are given out in blocks, below those of outgoing connections. */
 #define PORTS_START 10000
-#define BLOCK_PORTS 32
+#define BLOCK_PORTS 64
 #define EPHEMERAL_START 32768
 
 static const char *const endpoint_names[FLEET_ENDPOINTS] = { "model-1", "model-2", "stock-1" };
--- a/test/router_world.c
+++ b/test/router_world.c
@@ -15,7 +15,7 @@
 
 #define FLEET_KEY "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
 #define WAIT_MS 10000
-#define PORTS (1 + WORLD_SERVERS + 5 * WORLD_ROUTERS + WORLD_RANKS)
+#define PORTS (1 + WORLD_SERVERS + 5 * WORLD_ROUTERS + WORLD_RANKS + 2 * WORLD_LINKS)
 
 /* ---- sockets ---- */
 
@@ -36,10 +36,19 @@
   return fd;
 }
 
+/* Where something that has this port is reached. */
+static uint16_t
+reached_at (const struct world *world, int link, uint16_t port)
+{
+  return world->linked ? world->links[link].port : port;
+}
+
 int
 world_connect (struct world *world, int r)
 {
-  return connect_to (world->routers[r].frontend);
+  uint16_t port = world->routers[r].frontend;
+
+  return connect_to (r == 0 ? reached_at (world, WORLD_LINK_CALLERS, port) : port);
 }
 
 void
@@ -179,20 +188,22 @@
 void
 world_publish (struct world *world)
 {
-  static const char *const kinds[] = { "safe", "unsafe", "streaming" };
-  static const char *const prefixes[] = { "safe", "once", "stream" };
+  static const char *const kinds[] = { "safe", "unsafe", "streaming", "streaming" };
+  static const char *const prefixes[] = { "safe", "once", "stream", "long" };
+  static const int timeouts_ms[] = { 1500, 1500, 1500, 6000 };
   char text[4096];
   size_t length = 0;
 
   world->version += 3;
   length += (size_t) snprintf (text, sizeof text, "{\"Version\":%u,\"Routes\":[", world->version);
-  for (int i = 0; i < 3; i++)
+  for (int i = 0; i < 4; i++)
     length += (size_t) snprintf (
         text + length, sizeof text - length,
         "%s{\"Name\":\"r-%s\",\"Host\":\"shop.example\",\"PathPrefix\":\"/%s/\","
-        "\"RouteKind\":\"%s\",\"TimeoutMs\":1500,\"SloMs\":300,\"Service\":\"stock\","
+        "\"RouteKind\":\"%s\",\"TimeoutMs\":%d,\"SloMs\":300,\"Service\":\"stock\","
         "\"MaxAttempts\":2%s}",
-        i ? "," : "", prefixes[i], prefixes[i], kinds[i], i == 2 ? ",\"Resumable\":true" : "");
+        i ? "," : "", prefixes[i], prefixes[i], kinds[i], timeouts_ms[i],
+        i >= 2 ? ",\"Resumable\":true" : "");
   snprintf (text + length, sizeof text - length,
             ",{\"Name\":\"r-model\",\"Host\":\"shop.example\",\"PathPrefix\":\"/model/\","
             "\"RouteKind\":\"streaming\",\"TimeoutMs\":8000,\"SloMs\":400,\"Service\":\"model\","
@@ -219,7 +230,7 @@
   snprintf (text, sizeof text,
             "{\"Service\":\"stock\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"hall-a\","
             "\"Slots\":8,\"State\":\"%s\"}",
-            server->port, state);
+            reached_at (world, WORLD_LINK_SERVERS + s, server->port), state);
   world_get (world->store_port, "PUT", target, text);
 }
 
@@ -244,7 +255,7 @@
       snprintf (value, sizeof value,
                 "{\"Service\":\"model\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"hall-a\","
                 "\"Slots\":8,\"State\":\"ready\"}",
-                world->ranks[i]);
+                reached_at (world, WORLD_LINK_RANKS + i, world->ranks[i]));
       world_get (world->store_port, "PUT", target, value);
     }
 }
@@ -299,9 +310,10 @@
            "%s\nwait_ms = %u\nstore_wait_ms = %u\nlist_wait_ms = %u\nshort_wait_ms = "
            "%u\nconnections_max = 10\n",
            name, router->frontend, router->readiness, router->directory, router->peers,
-           router->figures, world->store_port, world->routers[0].peers, world->routers[1].peers,
-           world->grace, world->wait_ms, world->store_wait_ms, world->list_wait_ms,
-           world->short_wait_ms);
+           router->figures, reached_at (world, WORLD_LINK_STORE, world->store_port),
+           reached_at (world, WORLD_LINK_PEERS, world->routers[0].peers),
+           reached_at (world, WORLD_LINK_PEERS + 1, world->routers[1].peers), world->grace,
+           world->wait_ms, world->store_wait_ms, world->list_wait_ms, world->short_wait_ms);
   fclose (file);
   router->pid = fleet_spawn (world->folder, name, "ashspindle-router", path, (char *) NULL);
   wait_port (router->readiness);
@@ -323,8 +335,54 @@
   return false;
 }
 
+/* Each link begins to take connections before what stands behind it does. */
+static void
+start_links (struct world *world)
+{
+  uint16_t targets[WORLD_LINKS];
+
+  for (int s = 0; s < WORLD_SERVERS; s++)
+    targets[WORLD_LINK_SERVERS + s] = world->servers[s].port;
+  for (int i = 0; i < WORLD_RANKS; i++)
+    targets[WORLD_LINK_RANKS + i] = world->ranks[i];
+  for (int r = 0; r < WORLD_ROUTERS; r++)
+    targets[WORLD_LINK_PEERS + r] = world->routers[r].peers;
+  targets[WORLD_LINK_CALLERS] = world->routers[0].frontend;
+  targets[WORLD_LINK_STORE] = world->store_port;
+  for (int i = 0; i < WORLD_LINKS; i++)
+    {
+      struct world_link *link = &world->links[i];
+      char name[16];
+      char text[3][8];
+
+      snprintf (name, sizeof name, "link-%d", i);
+      snprintf (text[0], sizeof text[0], "%u", link->port);
+      snprintf (text[1], sizeof text[1], "%u", targets[i]);
+      snprintf (text[2], sizeof text[2], "%u", link->control);
+      link->pid = fleet_spawn (world->folder, name, "standin", "link", text[0], text[1], text[2],
+                               (char *) NULL);
+    }
+  for (int i = 0; i < WORLD_LINKS; i++)
+    wait_port (world->links[i].control);
+}
+
 void
-world_start (struct world *world)
+world_silence (struct world *world, int link, enum world_silence silence)
+{
+  char target[32];
+
+  snprintf (target, sizeof target, "/control?silence=%d", (int) silence);
+  world_get (world->links[link].control, "POST", target, "");
+}
+
+int
+world_link_taken (struct world *world, int link)
+{
+  return atoi (world_get (world->links[link].control, "GET", "/control", ""));
+}
+
+static void
+start_all (struct world *world, bool linked)
 {
   uint16_t ports[PORTS];
   uint16_t *port = ports;
@@ -332,6 +390,7 @@
 
   *world = (struct world){
     .has_key = true,
+    .linked = linked,
     .store_wait_ms = 1000,
     .list_wait_ms = 600,
     .short_wait_ms = 1500,
@@ -366,7 +425,15 @@
       port += 5;
     }
   memcpy (world->ranks, port, sizeof world->ranks);
+  port += WORLD_RANKS;
+  for (int i = 0; i < WORLD_LINKS; i++)
+    {
+      world->links[i].port = *port++;
+      world->links[i].control = *port++;
+    }
   wait_port (world->store_port);
+  if (linked)
+    start_links (world);
   for (int s = 0; s < WORLD_SERVERS; s++)
     {
       wait_port (world->servers[s].port);
@@ -375,6 +442,18 @@
   world_start_router (world, 0);
 }
 
+void
+world_start (struct world *world)
+{
+  start_all (world, false);
+}
+
+void
+world_start_linked (struct world *world)
+{
+  start_all (world, true);
+}
+
 void
 world_stop (struct world *world)
 {
@@ -386,6 +465,9 @@
   for (int s = 0; s < WORLD_SERVERS; s++)
     if (world->servers[s].pid)
       fleet_end (&world->servers[s].pid, SIGKILL);
+  for (int i = 0; i < WORLD_LINKS; i++)
+    if (world->links[i].pid)
+      fleet_end (&world->links[i].pid, SIGKILL);
   if (world->group)
     fleet_end (&world->group, SIGKILL);
   fleet_end (&world->store, SIGKILL);
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -35,6 +35,33 @@
   char id[16];
 };
 
+/** What a link can stand before. */
+enum world_link_kind
+{
+  WORLD_LINK_SERVERS,                                    /**< one a server */
+  WORLD_LINK_RANKS = WORLD_LINK_SERVERS + WORLD_SERVERS, /**< one a rank */
+  WORLD_LINK_PEERS = WORLD_LINK_RANKS + WORLD_RANKS,     /**< one a router, from its peers */
+  WORLD_LINK_CALLERS = WORLD_LINK_PEERS + WORLD_ROUTERS, /**< before the first router */
+  WORLD_LINK_STORE,
+  WORLD_LINKS,
+};
+
+/** How connections that are open fall silent. */
+enum world_silence
+{
+  WORLD_SILENT_BOTH = 1,
+  WORLD_SILENT_BACK,  /**< no answer comes; what is asked still arrives */
+  WORLD_SILENT_THERE, /**< nothing that is asked arrives */
+};
+
+/** A link that connections can be silenced at: test/standin_link.c. */
+struct world_link
+{
+  pid_t pid;
+  uint16_t port;
+  uint16_t control;
+};
+
 /** All of it. */
 struct world
 {
@@ -45,6 +72,8 @@
   struct world_router routers[WORLD_ROUTERS];
   pid_t group; /**< of ranks; started by world_start_group() */
   uint16_t ranks[WORLD_RANKS];
+  bool linked; /**< connections pass links */
+  struct world_link links[WORLD_LINKS];
   uint32_t version;
   bool has_key;           /**< the published account has its key */
   uint32_t store_wait_ms; /**< of routers started from now on: how long their questions wait */
@@ -66,6 +95,15 @@
 /** Starts store and servers, publishes, and starts the first router. */
 void world_start (struct world *world);
 
+/** The same, with a link before all that is connected to. */
+void world_start_linked (struct world *world);
+
+/** Silences the connections that are open at a link, for good and without an end. */
+void world_silence (struct world *world, int link, enum world_silence silence);
+
+/** @return the connections that a link has taken so far. */
+int world_link_taken (struct world *world, int link);
+
 void world_stop (struct world *world);
 
 /** Starts a router (again). */
--- /dev/null
+++ b/test/silence.c
@@ -0,0 +1,472 @@
+/**
+ * @file
+ * Connections that are open fall silent for good, without an end, while new ones work: each
+ * kind that a router has, both ways and one way. The links before everything acknowledge each
+ * byte, as a userland proxy must: what is seen here are the router's own bounds, and what the
+ * kernel notices (keep-alive, unacknowledged bytes) comes in addition.
+ */
+#include "test/fault_tests.h"
+#include "test/router_world.h"
+
+#include <CUnit/CUnit.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define HEAD                                                                                       \
+  "Host: shop.example\r\nAuthorization: Bearer key-1\r\nAshspindle-Deadline-Ms: 4000\r\n"          \
+  "Ashspindle-Attempt-Id: "
+
+/* Kept connections to each endpoint, requests of a kind, and how many go at a time. */
+#define KEPT 4
+#define REQUESTS 8
+#define ABREAST 2
+
+static struct world world;
+static struct world_answer answer;
+
+static void
+start (void)
+{
+  world_start_linked (&world);
+  world_publish (&world);
+  CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 0, true));
+}
+
+/* ---- to endpoints ---- */
+
+struct call
+{
+  pthread_t thread;
+  char id[24];
+  const char *path;
+  const char *action;
+  struct world_answer answer;
+};
+
+static void *
+run_call (void *data)
+{
+  struct call *call = data;
+
+  world_call (&world, call->id, call->path, call->action, "", &call->answer);
+  return NULL;
+}
+
+/* Makes @p count requests at once and waits for their answers. */
+static void
+call_abreast (struct call *calls, int count, const char *path, const char *action)
+{
+  static int number;
+
+  for (int i = 0; i < count; i++)
+    {
+      snprintf (calls[i].id, sizeof calls[i].id, "call-%d", ++number);
+      calls[i].path = path;
+      calls[i].action = action;
+      pthread_create (&calls[i].thread, NULL, run_call, &calls[i]);
+    }
+  for (int i = 0; i < count; i++)
+    pthread_join (calls[i].thread, NULL);
+}
+
+/* Leaves connections to each endpoint open. */
+static void
+keep_connections (void)
+{
+  struct call *calls = calloc (KEPT * WORLD_SERVERS, sizeof *calls);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (calls);
+  call_abreast (calls, KEPT * WORLD_SERVERS, "/safe/x", "*=slow");
+  for (int i = 0; i < KEPT * WORLD_SERVERS; i++)
+    CU_ASSERT_EQUAL (calls[i].answer.status, 200);
+  free (calls);
+}
+
+static void
+silence_endpoints (enum world_silence silence)
+{
+  for (int s = 0; s < WORLD_SERVERS; s++)
+    world_silence (&world, WORLD_LINK_SERVERS + s, silence);
+}
+
+static int
+endpoint_connections (void)
+{
+  int taken = 0;
+
+  for (int s = 0; s < WORLD_SERVERS; s++)
+    taken += world_link_taken (&world, WORLD_LINK_SERVERS + s);
+  return taken;
+}
+
+/* @return how many of the requests were not served; none may have run twice unless it may be
+ * repeated, and one that is told to come back must not have run. */
+static int
+count_failed (const char *path, const char *action, bool repeatable)
+{
+  struct call *calls = calloc (ABREAST, sizeof *calls);
+  int failed = 0;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (calls);
+  for (int n = 0; n < REQUESTS; n += ABREAST)
+    {
+      call_abreast (calls, ABREAST, path, action);
+      for (int i = 0; i < ABREAST; i++)
+        {
+          const struct world_answer *got = &calls[i].answer;
+
+          failed += got->status != 200 || !got->whole;
+          CU_ASSERT (got->status == 200 || got->status == 502 || got->status == 504);
+          CU_ASSERT (world_runs (&world, calls[i].id) <= (repeatable ? 2 : 1));
+        }
+    }
+  free (calls);
+  return failed;
+}
+
+/* What users saw: a third of a box's requests that may be repeated failed for seconds though its
+ * endpoints were sound, and every request that may not. Events: the box's open connections fell
+ * silent; requests met them one after the other; one that may be repeated was sent again after
+ * 0.9 s on the next kept connection, as silent as the first; one that may not waited until its
+ * time was up and left no evidence, so that the next met the next silent one. Evidence: of 8
+ * requests of each kind, two at a time, before 4 kept connections to each of 2 endpoints, 4 that
+ * may be repeated and 8 that may not got 504, and 2 streams. Cause: each connection's silence was
+ * learnt by itself, at the price of a request. */
+static void
+endpoints_fall_silent (const char *path, const char *action, bool repeatable, int failed_max)
+{
+  for (int silence = WORLD_SILENT_BOTH; silence <= WORLD_SILENT_THERE; silence++)
+    {
+      int failed;
+
+      start ();
+      keep_connections ();
+      silence_endpoints ((enum world_silence) silence);
+      failed = count_failed (path, action, repeatable);
+      CU_ASSERT (failed <= failed_max);
+      if (failed > failed_max)
+        printf ("\n%s silence=%d: %d of %d failed\n", path, silence, failed, REQUESTS);
+      world_stop (&world);
+    }
+}
+
+static void
+test_repeatable (void)
+{
+  endpoints_fall_silent ("/safe/x", NULL, true, 0);
+}
+
+/* Those that meet the silence first can't be helped; the next ones don't meet it. */
+static void
+test_once (void)
+{
+  endpoints_fall_silent ("/once/x", NULL, false, ABREAST);
+}
+
+static void
+test_streams (void)
+{
+  endpoints_fall_silent ("/long/x", "*=stream", true, 0);
+}
+
+/* Silence in the middle of a stream: it goes on at the other endpoint, each event once. */
+static void
+test_stream_midway (void)
+{
+  for (int silence = WORLD_SILENT_BOTH; silence <= WORLD_SILENT_BACK; silence++)
+    {
+      int fd;
+
+      start ();
+      keep_connections ();
+      fd = world_connect (&world, 0);
+      world_send (fd, "POST /long/x HTTP/1.1\r\n" HEAD
+                      "mid-1\r\nX-Do: *=stream\r\nContent-Length: 0\r\n\r\n");
+      for (int i = 0; i < 200 && !world_runs (&world, "mid-1"); i++)
+        fleet_sleep (5);
+      silence_endpoints ((enum world_silence) silence);
+      world_read (fd, &answer);
+      close (fd);
+      CU_ASSERT (answer.status == 200 && answer.whole);
+      for (int id = 1; id <= 6; id++)
+        {
+          char text[16];
+          const char *found;
+
+          snprintf (text, sizeof text, "id: %d\n", id);
+          found = strstr (answer.body, text);
+          CU_ASSERT_PTR_NOT_NULL (found);
+          if (found)
+            CU_ASSERT_PTR_NULL (strstr (found + 1, text));
+        }
+      CU_ASSERT_EQUAL (world_runs (&world, "mid-1"), 2);
+      world_stop (&world);
+    }
+}
+
+/* An endpoint that takes its time has lost nothing: no request, and no connection. */
+static void
+test_slow_endpoints (void)
+{
+  int taken;
+
+  start ();
+  keep_connections ();
+  taken = endpoint_connections ();
+  CU_ASSERT_EQUAL (count_failed ("/once/x", "*=slower", false), 0);
+  CU_ASSERT_EQUAL (count_failed ("/safe/x", "*=slower", false), 0);
+  CU_ASSERT_EQUAL (endpoint_connections (), taken);
+  world_stop (&world);
+}
+
+/* ---- to the store ---- */
+
+/* Longer than the test's patience: only what notices the silence by itself ends these waits. */
+#define LONG_WAIT_MS 25000
+
+static void
+test_store (void)
+{
+  for (int silence = WORLD_SILENT_BOTH; silence <= WORLD_SILENT_THERE; silence++)
+    {
+      char accepted[64];
+
+      start ();
+      world.store_wait_ms = LONG_WAIT_MS;
+      world.list_wait_ms = LONG_WAIT_MS;
+      fleet_end (&world.routers[0].pid, SIGKILL);
+      world_start_router (&world, 0);
+      CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 0, true));
+      fleet_sleep (200);
+      world_silence (&world, WORLD_LINK_STORE, (enum world_silence) silence);
+      world_publish (&world);
+      world_list (&world, 0, "draining");
+      snprintf (accepted, sizeof accepted, "version=%u before=", world.version);
+      CU_ASSERT (world_wait_logged (&world, 0, accepted));
+      CU_ASSERT (world_wait_logged (&world, 0, "endpoint_leaving"));
+      world_stop (&world);
+    }
+}
+
+/* ---- between routers ---- */
+
+static int
+count_logged (int r, const char *text)
+{
+  char path[128];
+  char line[2048];
+  int count = 0;
+  FILE *file;
+
+  snprintf (path, sizeof path, "%s/router-%d.log", world.folder, r);
+  file = fopen (path, "r");
+  while (file && fgets (line, sizeof line, file))
+    count += strstr (line, text) != NULL;
+  if (file)
+    fclose (file);
+  return count;
+}
+
+static bool
+wait_counted (int r, const char *text, int count)
+{
+  for (int i = 0; i < 400; i++)
+    {
+      if (count_logged (r, text) >= count)
+        return true;
+      fleet_sleep (20);
+    }
+  return false;
+}
+
+/* The link is closed, comes up anew, and carries what the other router lacks. */
+static void
+test_peers (void)
+{
+  for (int silence = WORLD_SILENT_BOTH; silence <= WORLD_SILENT_THERE; silence++)
+    {
+      char accepted[64];
+      int ups;
+
+      start ();
+      world_start_router (&world, 1);
+      CU_ASSERT (world_wait_ready (&world, 1, true));
+      CU_ASSERT (wait_counted (1, "link_up", 1));
+      fleet_sleep (300);
+      ups = count_logged (1, "link_up");
+      for (int r = 0; r < WORLD_ROUTERS; r++)
+        world_silence (&world, WORLD_LINK_PEERS + r, (enum world_silence) silence);
+      CU_ASSERT (wait_counted (1, "link_up", ups + 1));
+      CU_ASSERT (count_logged (0, "why=\"silent\"") + count_logged (1, "why=\"silent\"") > 0);
+      /* The first router's way to the store is closed: it learns from the other one. */
+      world_get (world.links[WORLD_LINK_STORE].control, "POST", "/control?mode=1", "");
+      fleet_end (&world.routers[0].pid, SIGKILL);
+      world_start_router (&world, 0);
+      CU_ASSERT (world_wait_logged (&world, 0, "source=router-1"));
+      snprintf (accepted, sizeof accepted, "version=%u before=", world.version);
+      CU_ASSERT (world_wait_logged (&world, 0, accepted));
+      world_stop (&world);
+    }
+}
+
+/* ---- from callers ---- */
+
+#define CALLERS 10 /* all that the router takes */
+
+/* Callers that can't be heard any more hold their places no longer than those that rest or are
+ * slow may: others come in. */
+static void
+test_callers (void)
+{
+  for (int silence = WORLD_SILENT_BOTH; silence <= WORLD_SILENT_THERE; silence++)
+    {
+      int fds[CALLERS];
+      int fd;
+
+      start ();
+      for (int i = 0; i < CALLERS; i++)
+        {
+          fds[i] = world_connect (&world, 0);
+          if (i < 4)
+            {
+              world_send (fds[i], "GET /safe/x HTTP/1.1\r\n" HEAD "rest-1\r\n\r\n");
+              world_read (fds[i], &answer);
+              CU_ASSERT_EQUAL (answer.status, 200);
+            }
+          else if (i < 7)
+            world_send (fds[i], "POST /safe/x HTTP/1.1\r\n" HEAD "half-1\r\n");
+          else
+            world_send (fds[i], "POST /once/x HTTP/1.1\r\n" HEAD
+                                "mute-1\r\nX-Do: *=mute\r\nContent-Length: 0\r\n\r\n");
+        }
+      fleet_sleep (300);
+      world_silence (&world, WORLD_LINK_CALLERS, (enum world_silence) silence);
+      fd = world_connect (&world, 0);
+      world_send (fd, "GET /safe/x HTTP/1.1\r\n" HEAD "next-1\r\n\r\n");
+      world_read (fd, &answer);
+      CU_ASSERT_EQUAL (answer.status, 200);
+      close (fd);
+      /* What was at work for them has ended, and none ran again. */
+      for (int i = 0;
+           i < 400 && atoi (world_get (world.servers[0].port, "GET", "/gone", "")) +
+                              atoi (world_get (world.servers[1].port, "GET", "/gone", "")) <
+                          3;
+           i++)
+        fleet_sleep (10);
+      CU_ASSERT_EQUAL (world_runs (&world, "mute-1"), 3);
+      for (int i = 0; i < CALLERS; i++)
+        close (fds[i]);
+      world_stop (&world);
+    }
+}
+
+/* ---- to ranks ---- */
+
+struct stream
+{
+  pthread_t thread;
+  volatile bool stop;
+  int whole;
+};
+
+static void *
+keep_streaming (void *data)
+{
+  struct stream *stream = data;
+  struct world_answer *own = calloc (1, sizeof *own);
+
+  while (own && !stream->stop)
+    {
+      int fd = world_connect (&world, 1);
+
+      if (fd < 0)
+        {
+          fleet_sleep (50);
+          continue;
+        }
+      world_send (fd, "POST /model/x HTTP/1.1\r\n" HEAD "g1\r\nContent-Length: 0\r\n\r\n");
+      world_read (fd, own);
+      stream->whole += own->status == 200 && own->whole;
+      close (fd);
+    }
+  free (own);
+  return NULL;
+}
+
+static bool
+wait_changes (long changes)
+{
+  for (int i = 0; i < 400; i++)
+    {
+      if (world_group (&world, "changes") >= changes)
+        return true;
+      fleet_sleep (25);
+    }
+  return false;
+}
+
+/* Questions and orders meet silent connections at every moment of a change; the group goes on,
+ * never with two maps, and never stands for long. */
+static void
+test_ranks (void)
+{
+  struct stream streams[6] = { 0 };
+  long changes;
+
+  world_start_linked (&world);
+  world_start_group (&world);
+  world_publish (&world);
+  world_start_router (&world, 1);
+  CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 0, true) && world_wait_ready (&world, 1, true));
+  for (int i = 0; i < 6; i++)
+    pthread_create (&streams[i].thread, NULL, keep_streaming, &streams[i]);
+  CU_ASSERT (wait_changes (1));
+  for (int n = 0; n < 9; n++)
+    {
+      char target[32];
+
+      snprintf (target, sizeof target, "/state?shift=%d", 3 * n + 2);
+      world_get (world.ranks[0], "GET", target, "");
+      fleet_sleep (150 + 90 * n);
+      for (int i = 0; i < WORLD_RANKS; i++)
+        world_silence (&world, WORLD_LINK_RANKS + i, (enum world_silence) (1 + n % 3));
+      fleet_sleep (1200);
+    }
+  changes = world_group (&world, "changes");
+  world_get (world.ranks[0], "GET", "/state?shift=6", "");
+  CU_ASSERT (wait_changes (changes + 1));
+  for (int i = 0; i < 6; i++)
+    streams[i].stop = true;
+  for (int i = 0; i < 6; i++)
+    {
+      pthread_join (streams[i].thread, NULL);
+      CU_ASSERT (streams[i].whole > 0);
+    }
+  CU_ASSERT_EQUAL (world_group (&world, "broken"), 0);
+  CU_ASSERT (world_group (&world, "standing_ms") < 1500);
+  printf (" standing_ms=%ld ", world_group (&world, "standing_ms"));
+  world_stop (&world);
+}
+
+static const struct fault_test tests[] = {
+  { "endpoints: requests that may be repeated", test_repeatable },
+  { "endpoints: requests that may not", test_once },
+  { "endpoints: streams", test_streams },
+  { "endpoints: in the middle of a stream", test_stream_midway },
+  { "endpoints: slow ones keep connections and work", test_slow_endpoints },
+  { "store", test_store },
+  { "peers", test_peers },
+  { "callers", test_callers },
+  { "ranks", test_ranks },
+  { NULL, NULL },
+};
+
+int
+main (int argc, char **argv)
+{
+  return run_fault_tests ("silence", tests, argc > 1 ? argv[1] : "");
+}
--- a/test/standin_link.c
+++ b/test/standin_link.c
@@ -6,6 +6,11 @@
  * POST /control?mode=1  cut: keeps connections, passes nothing, loses nothing
  * POST /control?mode=2  one way: only towards the target
  * POST /control?mode=3  closes connections and takes no new ones
+ * POST /control?silence=1  the connections that are open now are silent for good, both ways and
+ *                          without an end; new ones pass
+ * POST /control?silence=2  the same, only towards the caller: what it sends still arrives
+ * POST /control?silence=3  the same, only towards the target
+ * GET /control          how many connections it has taken
  */
 #include "test/standin.h"
 
@@ -31,13 +36,22 @@
 
 #define POLL_MS 5
 
+/* Ways of a connection, as bits. */
+#define TO_CALLER 1
+#define TO_TARGET 2
+
 static atomic_int mode;
+static atomic_int taken;        /* connections so far */
+static atomic_int silent_taken; /* those up to this one are silent */
+static atomic_int silent_ways;
 static uint16_t target_port;
 
 struct pair
 {
   int caller;
   int target;
+  int number; /* from 1 */
+  int silent; /* ways */
 };
 
 static int
@@ -73,6 +87,15 @@
   return true;
 }
 
+/* @return the ways that are silent, once they are for good. */
+static int
+ways_silent (struct pair *pair)
+{
+  if (pair->number <= silent_taken)
+    pair->silent |= silent_ways;
+  return pair->silent;
+}
+
 static void *
 serve_pair (void *data)
 {
@@ -81,8 +104,11 @@
 
   while (open && mode != MODE_CLOSED)
     {
-      struct pollfd fds[] = { { pair->caller, POLLIN, 0 }, { pair->target, POLLIN, 0 } };
       enum mode now = (enum mode) mode;
+      int silent = ways_silent (pair);
+      /* poll() leaves out what is negative: bytes and ends on a silent way stay where they are. */
+      struct pollfd fds[] = { { silent & TO_TARGET ? -1 : pair->caller, POLLIN, 0 },
+                              { silent & TO_CALLER ? -1 : pair->target, POLLIN, 0 } };
 
       if (now == MODE_CUT)
         {
@@ -90,6 +116,8 @@
           continue;
         }
       poll (fds, 2, POLL_MS);
+      if (ways_silent (pair) != silent)
+        continue;
       if (fds[0].revents)
         open = pass (pair->caller, pair->target);
       if (open && now == MODE_PASS && fds[1].revents)
@@ -122,6 +150,7 @@
           free (pair);
           continue;
         }
+      pair->number = ++taken;
       setsockopt (pair->caller, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
       setsockopt (pair->target, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
       pthread_create (&thread, NULL, serve_pair, pair);
@@ -133,8 +162,17 @@
 static enum MHD_Result
 handle (struct standin_request *request)
 {
+  int silence = (int) standin_number (request, "silence", 0);
+  char text[16];
+
   mode = (int) standin_number (request, "mode", mode);
-  return standin_reply (request, MHD_HTTP_OK, "text/plain", "ok\n", 3);
+  if (silence)
+    {
+      silent_ways = silence == 1 ? TO_CALLER | TO_TARGET : silence == 2 ? TO_CALLER : TO_TARGET;
+      silent_taken = taken;
+    }
+  snprintf (text, sizeof text, "%d\n", taken);
+  return standin_reply (request, MHD_HTTP_OK, "text/plain", text, strlen (text));
 }
 
 int
--- a/test/standin_server.c
+++ b/test/standin_server.c
@@ -5,7 +5,7 @@
  * between them; NAME is this server's, or * for all. Actions:
  *
  *     ok fail shed moved reset mute foreign noid unsigned encoded cut unframed extra
- *     stream streamcut streamhang slow
+ *     stream streamcut streamhang slow slower
  *
  * GET /log tells each request that it got, a line each:
  *     ID METHOD TARGET body=BYTES deadline=MS expect=ID tenant=NAME last=ID urgency=N
@@ -22,6 +22,7 @@
 #define STREAM_EVENTS 6
 #define EVENT_MS 30
 #define SLOW_MS 300
+#define SLOWER_MS 800
 
 struct server
 {
@@ -141,7 +142,11 @@
   work->next = last ? atoi (last) + 1 : 1;
   work->last = strcmp (action, "streamcut") == 0 ? 3 : 0;
   work->silent = strcmp (action, "streamhang") == 0 ? 3 : 0;
-  work->due = ash_time_add (ash_clock_now (), strcmp (action, "slow") == 0 ? SLOW_MS : 0);
+  work->due = ash_clock_now ();
+  if (strcmp (action, "slow") == 0)
+    work->due = ash_time_add (work->due, SLOW_MS);
+  if (strcmp (action, "slower") == 0)
+    work->due = ash_time_add (work->due, SLOWER_MS);
   conn->request = work;
   if (strncmp (action, "stream", 6) != 0)
     return;
@@ -158,7 +163,7 @@
   if (ash_time_before (now, work->due) || strcmp (work->action, "mute") == 0 ||
       (work->silent && work->next == work->silent))
     return;
-  if (strcmp (work->action, "slow") == 0)
+  if (strncmp (work->action, "slow", 4) == 0)
     {
       conn->request = NULL;
       answer (conn, 200, "");
