router, http_conn: the kernel probes connections to endpoints and from callers

A connection that rests and falls silent was noticed by the next request only. Now the kernel probes it after a second, as to the store: to endpoints it ends after 2 s (idle ones are kept for up to 3.3 s), from callers after 3 s, so that what runs for a caller that is gone is stopped.

Ruled out: a shorter time for callers (two probes must be lost before one is cut).

test-silence, 'the kernel probes what rests', reads the kernel's timers: red without the change at both endpoints and at the frontend. How soon the kernel notices is not measured here: the links acknowledge each byte.

--- a/daemon/router.c
+++ b/daemon/router.c
@@ -21,6 +21,11 @@
  * and the rest for a busy small box to come round and end. */
 #define STOP_MARGIN_MS 400
 
+/* A connection to an endpoint whose kernel answers nothing for so long is given up, also while it
+ * rests: a probe after a second and its answer. Idle ones are kept for up to 3.3 s. A packet that
+ * was lost is sent again after 0.2, 0.6 and 1.4 s, and then only after 3. */
+#define ENDPOINT_SILENCE_MS 2000
+
 /* How long callers may take to read the last answers. Those that read take some milliseconds; a
  * connection closed sooner loses what its socket did not take at once. */
 #define STOP_FLUSH_MS 150
@@ -76,6 +81,8 @@
   if (pool && !ash_http_pool_init (pool, router->loop, endpoint->facts.address))
     ash_log_event (&router->log, ASH_EV_CONFIG_REFUSED, "endpoint=%s address=%s why=\"no address\"",
                    endpoint->facts.id, endpoint->facts.address);
+  if (pool)
+    pool->silence_ms = ENDPOINT_SILENCE_MS;
   endpoint->owner = pool;
   return pool;
 }
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -17,6 +17,10 @@
 
 #define SWEEP_S 0.1
 
+/* A caller whose kernel answers nothing for so long is gone, and what runs for it is stopped: as
+ * long as a resent packet takes, as for what is written (net/stream.c). */
+#define CALLER_SILENCE_MS 3000
+
 /* What a caller may send ahead while a request is served, before it is held back. */
 #define EARLY_MAX_BYTES 16384
 
@@ -354,6 +358,7 @@
     }
   conn->listener = listener;
   ash_stream_init (&conn->stream, listener->loop, fd, &stream_handler, conn);
+  ash_stream_keep_alive (&conn->stream, CALLER_SILENCE_MS);
   ash_http_reader_init (&conn->reader, ASH_HTTP_REQUEST, &reader_handler, conn);
   conn->reader.head_max_bytes = listener->bounds.head_max_bytes;
   conn->reader.body_max_bytes = listener->bounds.body_max_bytes;
--- a/test/silence.c
+++ b/test/silence.c
@@ -278,6 +278,60 @@
   world_stop (&world);
 }
 
+/* The kernel's timer of a resting connection that is to be probed, in /proc/net/tcp. */
+#define KEEP_ALIVE_TIMER 2
+#define ESTABLISHED 1
+
+/* @return how many connections to or from a port have a keep-alive timer running, or -1 if any that
+ * rests has none. */
+static int
+count_probed (uint16_t port, bool accepted)
+{
+  char line[256];
+  int probed = 0;
+  FILE *file = fopen ("/proc/net/tcp", "r");
+
+  while (file && fgets (line, sizeof line, file))
+    {
+      unsigned local;
+      unsigned remote;
+      unsigned state;
+      unsigned timer;
+
+      if (sscanf (line, " %*d: %*x:%x %*x:%x %x %*x:%*x %x:", &local, &remote, &state, &timer) !=
+              4 ||
+          state != ESTABLISHED || (accepted ? local : remote) != port)
+        continue;
+      if (timer != KEEP_ALIVE_TIMER)
+        {
+          probed = -1;
+          break;
+        }
+      probed++;
+    }
+  if (file)
+    fclose (file);
+  return probed;
+}
+
+/* Beside the bounds that the links can show: the kernel probes what rests. */
+static void
+test_probes (void)
+{
+  int fd;
+
+  start ();
+  keep_connections ();
+  fd = world_connect (&world, 0);
+  fleet_sleep (100);
+  for (int s = 0; s < WORLD_SERVERS; s++)
+    CU_ASSERT (count_probed (world.links[WORLD_LINK_SERVERS + s].port, false) > 0);
+  CU_ASSERT (count_probed (world.links[WORLD_LINK_STORE].port, false) > 0);
+  CU_ASSERT (count_probed (world.routers[0].frontend, true) > 0);
+  close (fd);
+  world_stop (&world);
+}
+
 /* An endpoint that takes its time has lost nothing: no request, and no connection. */
 static void
 test_slow_endpoints (void)
@@ -548,6 +602,7 @@
   { "endpoints: streams", test_streams },
   { "endpoints: in the middle of a stream", test_stream_midway },
   { "endpoints: unacknowledged bytes tell of all", test_unacknowledged },
+  { "the kernel probes what rests", test_probes },
   { "endpoints: slow ones keep connections and work", test_slow_endpoints },
   { "store", test_store },
   { "peers", test_peers },
