--- a/test/router.c
+++ b/test/router.c
@@ -436,8 +436,7 @@
   fd = world_connect (&world, 0);
   world_send (fd,
               "POST /stream/x HTTP/1.1\r\n" HEAD "l1\r\nX-Do: *=mute\r\nContent-Length: 0\r\n\r\n");
-  for (int i = 0; i < 100 && !world_runs (&world, "l1"); i++)
-    fleet_sleep (10);
+  wait_arrived ("l1");
   close (fd);
   /* The server sees it soon: its connection is closed. */
   for (int i = 0; i < 40 && atoi (world_get (world.servers[0].port, "GET", "/gone", "")) +
--- a/test/router_stop.c
+++ b/test/router_stop.c
@@ -48,18 +48,27 @@
   world_stop (&world);
 }
 
-/* A request on a connection that is left open. @return its socket, once it runs. */
+/* Writes a request. @return its connection. */
 static int
-hold_request (const char *id)
+begin_request (const char *path, const char *version, const char *id, const char *action)
 {
   char text[512];
   int fd = world_connect (&world, 0);
 
   snprintf (text, sizeof text,
-            "POST /once/x HTTP/1.1\r\n" HEAD "%s\r\nX-Do: *=mute\r\nContent-Length: 0\r\n\r\n", id);
+            "POST %s %s\r\n" HEAD "%s\r\nX-Do: *=%s\r\nContent-Length: 0\r\n\r\n", path, version,
+            id, action);
   world_send (fd, text);
-  for (int i = 0; i < 100 && !world_runs (&world, id); i++)
-    fleet_sleep (10);
+  return fd;
+}
+
+/* A request on a connection that is left open. @return its socket, once it runs. */
+static int
+hold_request (const char *id)
+{
+  int fd = begin_request ("/once/x", "HTTP/1.1", id, "mute");
+
+  wait_arrived (id);
   return fd;
 }
 
@@ -117,40 +126,23 @@
   check_late_in_stop ("/safe/x", NULL);
 }
 
-/* The first router anew, with other settings. */
+/* The first router has other settings. */
 static void
 start_with (const char *grace, uint32_t wait_ms)
 {
   start ();
   world.grace = grace;
   world.wait_ms = wait_ms;
-  fleet_end (&world.routers[0].pid, SIGKILL);
-  world_start_router (&world, 0);
-  CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 0, true));
+  restart ();
 }
 
-/* Writes a request. @return its connection. */
-static int
-begin_request (const char *path, const char *version, const char *id, const char *action)
-{
-  char text[512];
-  int fd = world_connect (&world, 0);
-
-  snprintf (text, sizeof text,
-            "POST %s %s\r\n" HEAD "%s\r\nX-Do: *=%s\r\nContent-Length: 0\r\n\r\n", path, version,
-            id, action);
-  world_send (fd, text);
-  return fd;
-}
-
-/* The same, once a server has it. */
+/* Writes a request. @return its connection, once a server has the request. */
 static int
 run_request (const char *path, const char *version, const char *id, const char *action)
 {
   int fd = begin_request (path, version, id, action);
 
-  for (int i = 0; i < 100 && !world_runs (&world, id); i++)
-    fleet_sleep (10);
+  wait_arrived (id);
   CU_ASSERT (world_runs (&world, id) > 0);
   return fd;
 }
@@ -354,8 +346,7 @@
             "POST /once/x HTTP/1.1\r\n" HEAD "%s\r\nX-Do: *=%s\r\nContent-Length: 0\r\n\r\n",
             first, action, second, action);
   world_send (fd, text);
-  for (int i = 0; i < 100 && !world_runs (&world, first); i++)
-    fleet_sleep (10);
+  wait_arrived (first);
   return fd;
 }
 
--- a/test/router_store.c
+++ b/test/router_store.c
@@ -225,9 +225,7 @@
   start ();
   world.store_wait_ms = LONG_WAIT_MS;
   world.list_wait_ms = LONG_WAIT_MS;
-  fleet_end (&world.routers[0].pid, SIGKILL);
-  world_start_router (&world, 0);
-  CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 0, true));
+  restart ();
   fleet_sleep (200);
 }
 
@@ -237,9 +235,7 @@
 {
   start_patient ();
   world.short_wait_ms = LONG_WAIT_MS;
-  fleet_end (&world.routers[0].pid, SIGKILL);
-  world_start_router (&world, 0);
-  CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 0, true));
+  restart ();
   fleet_sleep (200);
   world_get (world.store_port, "PUT", "/deafen", "");
   world.short_wait_ms = 300;
@@ -453,9 +449,7 @@
 {
   start ();
   world.list_wait_ms = world.short_wait_ms = LONG_WAIT_MS;
-  fleet_end (&world.routers[0].pid, SIGKILL);
-  world_start_router (&world, 0);
-  CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 0, true));
+  restart ();
   fleet_sleep (300);
   silence_store ();
   CU_ASSERT (world_wait_logged (&world, 0, "the other one is silent"));
@@ -475,9 +469,7 @@
   world_start_router (&world, 1);
   CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 1, true));
   world.store_wait_ms = world.list_wait_ms = world.short_wait_ms = LONG_WAIT_MS;
-  fleet_end (&world.routers[0].pid, SIGKILL);
-  world_start_router (&world, 0);
-  CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 0, true));
+  restart ();
   fleet_sleep (300);
   silence_store ();
   CU_ASSERT (world_wait_logged (&world, 1, "no answer in time"));
--- a/test/router_tests.c
+++ b/test/router_tests.c
@@ -1,6 +1,7 @@
 #include "test/router_tests.h"
 
 #include <CUnit/CUnit.h>
+#include <signal.h>
 #include <string.h>
 
 struct world world;
@@ -14,6 +15,21 @@
   CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 0, true));
 }
 
+void
+restart (void)
+{
+  fleet_end (&world.routers[0].pid, SIGKILL);
+  world_start_router (&world, 0);
+  CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 0, true));
+}
+
+void
+wait_arrived (const char *id)
+{
+  for (int i = 0; i < 100 && !world_runs (&world, id); i++)
+    fleet_sleep (10);
+}
+
 bool
 has (const char *text)
 {
--- a/test/router_tests.h
+++ b/test/router_tests.h
@@ -32,6 +32,12 @@
 /** Starts the world, with a configuration; the first router is ready. */
 void start (void);
 
+/** Ends the first router and starts it anew, with the world's settings; it is ready. */
+void restart (void);
+
+/** Waits until a request is at a server; gives up after some 100 looks, 10 ms apart. */
+void wait_arrived (const char *id);
+
 /** @return whether the last answer holds the text. */
 bool has (const char *text);
 
