test: streams have begun before a stop is cut short

'stop cut short by a second signal' failed 1 of 8 and 2 of 23 runs pinned to one processor beside a busy loop: the signals came before the stream's first event, and 502 was then the true answer. The test waits for the event now, and asserts that it came. Pinned beside a busy loop: 14 of 14.

--- a/test/router_stop.c
+++ b/test/router_stop.c
@@ -147,6 +147,25 @@
   return fd;
 }
 
+/* Waits until a stream's first event has come to the caller, and leaves it to be read. */
+static void
+wait_begun (int fd)
+{
+  char text[4096];
+  bool begun = false;
+
+  for (int i = 0; i < 400 && !begun; i++)
+    {
+      ssize_t length = recv (fd, text, sizeof text - 1, MSG_PEEK | MSG_DONTWAIT);
+
+      text[length > 0 ? length : 0] = '\0';
+      begun = strstr (text, "id: 1\n") != NULL;
+      if (!begun)
+        fleet_sleep (5);
+    }
+  CU_ASSERT (begun);
+}
+
 /* Reads to the connection's end. */
 static void
 read_to_end (int fd)
@@ -220,6 +239,8 @@
   world_send (partly, "POST /once/x HTTP/1.1\r\n" HEAD "e-partly\r\nContent-Length: 9\r\n\r\nhel");
   streams[0] = run_request ("/stream/x", "HTTP/1.1", "e-stream", "streamhang");
   streams[1] = run_request ("/stream/x", "HTTP/1.0", "e-old", "streamhang");
+  wait_begun (streams[0]);
+  wait_begun (streams[1]);
   held[0] = run_request ("/once/x", "HTTP/1.1", "e-once", "mute");
   held[1] = run_request ("/safe/x", "HTTP/1.1", "e-safe", "mute");
   kill (world.routers[0].pid, SIGTERM);
