exchange: split by what happens to a request

daemon/exchange.c had grown to 950 lines: denials, routing, steps, time-outs, the endpoint's answer, final answers and the end of a stop in one file. Now daemon/requests begins an exchange, daemon/exchange moves it on, daemon/exchange_watch judges the endpoint that has it, daemon/exchange_end ends it and daemon/exchange_answer takes the answer's bytes; calls go this way only. daemon/exchange.h has the struct and what the parts share. 124 to 275 lines a source. Comments and constants stand where they are used.

No change of behaviour: of 48 functions 46 are the same token by token but for the names of what is shared and `static`. The other two gave a part away: on_gone its log line and count to ash_exchange_end_gone, set_timer the choice of the moment to ash_exchange_watch_until.

Ruled out: the endpoint's answer with its own on_end, since that steps the exchange, and the calls would go both ways.

--- /dev/null
+++ b/daemon/exchange_end.c
@@ -0,0 +1,173 @@
+/**
+ * @file
+ * How an exchange ends: its final answer to the caller, its line in the log, its counts, and what
+ * it held given back.
+ */
+#include "daemon/exchange.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#define MS_PER_S 1000.0
+
+void
+ash_exchange_set_waiting (struct ash_exchange *exchange, bool waiting)
+{
+  if (exchange->waiting == waiting)
+    return;
+  exchange->waiting = waiting;
+  exchange->router->waiting_count += waiting ? 1 : -1U;
+}
+
+void
+ash_exchange_release (struct ash_exchange *exchange)
+{
+  if (!exchange->endpoint)
+    return;
+  exchange->endpoint->in_flight--;
+  exchange->endpoint = NULL;
+  exchange->router->room = true;
+  exchange->router->fleet.loads_changed = true;
+}
+
+static void
+free_exchange (struct ash_exchange *exchange)
+{
+  struct ash_router *router = exchange->router;
+
+  ash_exchange_set_waiting (exchange, false);
+  ash_http_call_cancel (&exchange->call);
+  ash_exchange_release (exchange);
+  ev_timer_stop (router->loop, &exchange->timer);
+  ash_exchange_answer_clear (&exchange->answer);
+  ash_event_stream_finish (&exchange->events);
+  ash_route_table_unref (exchange->table);
+  DL_DELETE (router->exchanges, exchange);
+  free (exchange);
+}
+
+const char *
+ash_request_plain_id (const struct ash_request_facts *facts)
+{
+  static const char plain[] = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ._:-";
+  const char *id = facts->attempt_id;
+
+  if (!id || !*id)
+    return "-";
+  return id[strspn (id, plain)] ? "(odd)" : id;
+}
+
+const char *
+ash_exchange_id (const struct ash_exchange *exchange)
+{
+  return ash_request_plain_id (&exchange->facts);
+}
+
+int64_t
+ash_exchange_age_ms (const struct ash_exchange *exchange)
+{
+  return ash_time_diff (exchange->forward.came, ash_clock_now ());
+}
+
+static void
+count_end (struct ash_exchange *exchange, const char *outcome, bool served)
+{
+  struct ash_metrics *metrics = &exchange->router->metrics;
+  char labels[160];
+
+  snprintf (labels, sizeof labels, "route=\"%s\",outcome=\"%s\"", exchange->route->name, outcome);
+  ash_metrics_add (metrics, "ash_requests_total", labels, 1);
+  if (!served)
+    return;
+  snprintf (labels, sizeof labels, "account=\"%s\"",
+            exchange->account ? exchange->account->name : "");
+  ash_metrics_observe (metrics, "ash_answer_ms", labels, (uint64_t) ash_exchange_age_ms (exchange));
+}
+
+void
+ash_exchange_end_self (struct ash_exchange *exchange,
+                       uint16_t status,
+                       enum ash_forward_reason reason,
+                       uint32_t retry_after_ms)
+{
+  struct ash_http_conn *conn = exchange->conn;
+  const struct ash_forward *forward = &exchange->forward;
+  const char *name = ash_forward_reason_name (reason);
+  char fields[64] = "";
+  char body[128];
+  int length;
+
+  ash_log_event (&exchange->router->log,
+                 status == 503 ? ASH_EV_FORWARD_REFUSED : ASH_EV_FORWARD_FAILED,
+                 "id=%s route=%s service=%s status=%u reason=%s sent=%u unsure=%u age_ms=%lld "
+                 "left_ms=%lld version=%llu endpoints_revision=%llu retry_after_ms=%u",
+                 ash_exchange_id (exchange), exchange->route->name, forward->service, status, name,
+                 forward->sent, forward->unsure, (long long) ash_exchange_age_ms (exchange),
+                 (long long) ash_time_diff (ash_clock_now (), forward->deadline),
+                 (unsigned long long) exchange->table->version,
+                 (unsigned long long) exchange->router->endpoints.revision, retry_after_ms);
+  count_end (exchange, name, false);
+  conn->request = NULL;
+  if (forward->began)
+    ash_http_conn_end (conn, false);
+  else
+    {
+      if (retry_after_ms)
+        snprintf (fields, sizeof fields, "Retry-After: %.3f\r\n", retry_after_ms / MS_PER_S);
+      length = snprintf (body, sizeof body, "%s: %s\n", name,
+                         status == 503 ? "the request did not run" : "the request may have run");
+      ash_http_conn_answer (conn, status, fields, strlen (fields), body, (size_t) length);
+    }
+  free_exchange (exchange);
+}
+
+void
+ash_exchange_end_held (struct ash_exchange *exchange)
+{
+  struct ash_http_conn *conn = exchange->conn;
+  struct ash_exchange_answer *answer = &exchange->answer;
+
+  ash_log_event (&exchange->router->log, ASH_EV_FORWARD_SERVED,
+                 "id=%s route=%s status=%u sent=%u age_ms=%lld", ash_exchange_id (exchange),
+                 exchange->route->name, answer->status, exchange->forward.sent,
+                 (long long) ash_exchange_age_ms (exchange));
+  count_end (exchange, answer->status < ASH_STATUS_MULTIPLE ? "served" : "failed_there", true);
+  conn->request = NULL;
+  if (answer->passing)
+    ash_http_conn_end (conn, true);
+  else
+    ash_http_conn_answer (conn, answer->status,
+                          (const char *) answer->fields.bytes + answer->fields.start,
+                          answer->fields.length, answer->body.bytes + answer->body.start,
+                          exchange->call.no_body ? answer->length : answer->body.length);
+  free_exchange (exchange);
+}
+
+void
+ash_exchange_end_stream (struct ash_exchange *exchange)
+{
+  struct ash_http_conn *conn = exchange->conn;
+
+  if (!exchange->forward.began)
+    ash_exchange_answer_begin (exchange);
+  ash_log_event (&exchange->router->log, ASH_EV_FORWARD_SERVED,
+                 "id=%s route=%s status=%u sent=%u age_ms=%lld last_event=%lld",
+                 ash_exchange_id (exchange), exchange->route->name, exchange->answer.status,
+                 exchange->forward.sent, (long long) ash_exchange_age_ms (exchange),
+                 (long long) exchange->last_event);
+  count_end (exchange, "served", true);
+  conn->request = NULL;
+  ash_http_conn_end (conn, true);
+  free_exchange (exchange);
+}
+
+void
+ash_exchange_end_gone (struct ash_exchange *exchange)
+{
+  ash_log_event (&exchange->router->log, ASH_EV_FORWARD_GONE, "id=%s route=%s sent=%u age_ms=%lld",
+                 ash_exchange_id (exchange), exchange->route->name, exchange->forward.sent,
+                 (long long) ash_exchange_age_ms (exchange));
+  count_end (exchange, "caller_gone", false);
+  free_exchange (exchange);
+}
--- /dev/null
+++ b/daemon/requests.c
@@ -0,0 +1,243 @@
+/**
+ * @file
+ * Callers' requests: denied, refused in a planned stop, or routed and begun as an exchange; and the
+ * end of a stop, which ends them all.
+ */
+#include "daemon/exchange.h"
+
+#include <string.h>
+#include <utlist.h>
+
+/* A final answer is sent this much before the time is up, so that it arrives in time. */
+#define DEADLINE_MARGIN_MS 25
+
+/* Without a caller's word on how long it waits. */
+#define DEADLINE_DEFAULT_MS 30000
+
+/* Streams seldom last longer, their waits included: the longest on the users' sheets has 57 events,
+ * some 80 ms apart. */
+#define STREAM_MOST_MS 5000
+
+/* Soon after the signal to stop many callers still use the address, and a stream is taken if it
+ * would end in time as streams do; later, only if it must. */
+#define STOP_BEGINS_MS 3000
+
+/* In a planned stop, what may not end in time goes elsewhere at once: the caller has other
+ * addresses. */
+#define LEAVING_RETRY_MS 10
+
+/* ---- requests ---- */
+
+/* Without an exchange. */
+static void
+refuse (struct ash_http_conn *conn,
+        struct ash_router *router,
+        const char *id,
+        uint16_t status,
+        const char *why)
+{
+  char body[128];
+  char fields[64] = "";
+  int length = snprintf (body, sizeof body, "%s\n", why);
+
+  ash_log_event (&router->log, ASH_EV_FORWARD_DENIED, "id=%s status=%u why=\"%s\" version=%llu", id,
+                 status, why, (unsigned long long) ash_router_version (router));
+  ash_metrics_add (&router->metrics, "ash_denied_total", "", 1);
+  if (status == 503)
+    snprintf (fields, sizeof fields, "Retry-After: 0.5\r\n");
+  ash_http_conn_answer (conn, status, fields, strlen (fields), body, (size_t) length);
+}
+
+static void
+deny (struct ash_http_conn *conn, struct ash_router *router, uint16_t status, const char *why)
+{
+  struct ash_request_facts facts;
+
+  ash_platform_request_read (&conn->reader.head, &facts);
+  refuse (conn, router, ash_request_plain_id (&facts), status, why);
+}
+
+/* Nobody tries again after 401 or 404; so what peers know to be out of date may not say it. */
+static void
+deny_by_config (struct ash_http_conn *conn,
+                struct ash_router *router,
+                uint16_t status,
+                const char *why)
+{
+  if (ash_catch_up_behind (&router->catch_up, ash_clock_now ()))
+    deny (conn, router, 503, "a newer configuration is on its way");
+  else
+    deny (conn, router, status, why);
+}
+
+/* More requests than slots of a plain endpoint queue there; an engine's streams slow
+ * each other down, so fewer than its slots run. */
+static uint32_t
+cap_of (const struct ash_router *router, const struct ash_route_service *service)
+{
+  const struct ash_direct_endpoint *endpoint;
+
+  if (service->has_engine)
+    return router->settings.rank_streams < service->engine.slots ? router->settings.rank_streams
+                                                                 : service->engine.slots;
+  for (endpoint = router->endpoints.endpoints; endpoint; endpoint = endpoint->hh.next)
+    if (strcmp (endpoint->facts.service, service->name) == 0)
+      return endpoint->facts.slots + router->settings.plain_queue;
+  return router->settings.plain_queue + 1;
+}
+
+static void
+fill_forward (struct ash_exchange *exchange)
+{
+  const struct ash_route *route = exchange->route;
+  struct ash_router *router = exchange->router;
+  struct ash_forward *forward = &exchange->forward;
+  uint32_t part = ash_route_table_draw (exchange->table, route, ash_random_next (&router->random));
+  const struct ash_route_service *service = &exchange->table->services[part];
+  uint32_t caller_ms =
+      exchange->facts.deadline_ms ? exchange->facts.deadline_ms : DEADLINE_DEFAULT_MS;
+  uint32_t most_ms = caller_ms < route->timeout_ms ? caller_ms : route->timeout_ms;
+
+  *forward = (struct ash_forward){
+    .repeat = route->repeat,
+    .servers_max = route->servers_max,
+    .aim_ms = route->aim_ms,
+    .service = service->name,
+    .cap = cap_of (router, service),
+    .pause_aim_ms = service->has_engine ? route->pause_aim_ms : 0,
+    .came = ash_clock_now (),
+  };
+  forward->deadline = ash_time_add (forward->came, (int64_t) most_ms - DEADLINE_MARGIN_MS);
+}
+
+/* Whether a planned stop may come to its end before the answer does. What is under way then is cut,
+ * and nobody knows whether it ran: so the time left is held against what the request may take. */
+static bool
+ends_too_soon (const struct ash_exchange *exchange)
+{
+  const struct ash_router *router = exchange->router;
+  const struct ash_forward *forward = &exchange->forward;
+  int64_t most_ms = ash_time_diff (forward->came, forward->deadline);
+
+  if (!router->stopping)
+    return false;
+  if (router->given_up)
+    return true;
+  if (exchange->route->stream && most_ms > STREAM_MOST_MS &&
+      ash_time_diff (router->stop_began, forward->came) <= STOP_BEGINS_MS)
+    most_ms = STREAM_MOST_MS;
+  return ash_time_diff (forward->came, ash_router_stop_ends (router)) < most_ms;
+}
+
+static void
+on_request (struct ash_http_conn *conn)
+{
+  struct ash_router *router = conn->listener->owner;
+  struct ash_resend_bound bound = ash_router_resend_bound (router);
+  const struct ash_http_head *head = &conn->reader.head;
+  const char *host = ash_http_field (head, "Host");
+  const struct ash_route_account *account = NULL;
+  const struct ash_route *route;
+  struct ash_request_facts facts;
+  struct ash_exchange *exchange;
+
+  ash_platform_request_read (head, &facts);
+  if (!router->table)
+    {
+      deny (conn, router, 503, "no configuration yet");
+      return;
+    }
+  if (!host || head->target[0] != '/')
+    {
+      deny (conn, router, 400, "no Host, or a target that is no path");
+      return;
+    }
+  route = ash_route_table_find (router->table, host, head->target);
+  if (!route)
+    {
+      deny_by_config (conn, router, 404, "no such route");
+      return;
+    }
+  if (facts.key)
+    account = ash_route_table_account (router->table, facts.key);
+  if (router->table->account_count && !route->anonymous && !account)
+    {
+      deny_by_config (conn, router, 401, "no such key");
+      return;
+    }
+  exchange = ash_exchange_new (router, conn, route);
+  if (!exchange)
+    {
+      deny (conn, router, 503, "out of memory");
+      return;
+    }
+  exchange->account = account;
+  exchange->facts = facts;
+  fill_forward (exchange);
+  ash_resend_window_request (ash_router_window (router, exchange->forward.service), &bound,
+                             exchange->forward.came);
+  if (ends_too_soon (exchange))
+    ash_exchange_end_self (exchange, 503, ASH_FORWARD_LEAVING, LEAVING_RETRY_MS);
+  else
+    ash_exchange_step (exchange);
+}
+
+static void
+on_gone (struct ash_http_conn *conn)
+{
+  struct ash_exchange *exchange = conn->request;
+
+  if (!exchange)
+    return;
+  conn->request = NULL;
+  ash_exchange_end_gone (exchange);
+}
+
+static void
+on_drained (struct ash_http_conn *conn)
+{
+  struct ash_exchange *exchange = conn->request;
+
+  if (exchange)
+    ash_http_call_pause (&exchange->call, false);
+}
+
+const struct ash_conn_handler ash_exchange_handler = { on_request, on_gone, on_drained };
+
+/* ---- the end of a stop ---- */
+
+/* No further endpoint is asked. What was sent somewhere may have run, unless the endpoint has
+ * vouched that it did not or the connection never came up; nothing else may be told to be not run.
+ */
+static void
+give_up (struct ash_exchange *exchange)
+{
+  struct ash_forward *forward = &exchange->forward;
+  uint16_t status;
+
+  if (exchange->endpoint && ash_http_call_connecting (&exchange->call))
+    ash_forward_not_run (forward, false);
+  status = ash_forward_status (forward, ASH_FORWARD_LEAVING);
+  ash_exchange_end_self (exchange, status, ASH_FORWARD_LEAVING,
+                         status == 503 ? LEAVING_RETRY_MS : 0);
+}
+
+/* One that was not read whole was sent nowhere. */
+static void
+refuse_partly_read (struct ash_router *router)
+{
+  struct ash_http_conn *conn;
+
+  DL_FOREACH (router->frontend.conns, conn)
+    if (!conn->dead && conn->state == ASH_CONN_READING)
+      refuse (conn, router, "-", 503, "stopping");
+}
+
+void
+ash_exchange_give_up_all (struct ash_router *router)
+{
+  /* What callers sent ahead comes up as the request before it ends, and ends at once. */
+  while (router->exchanges)
+    give_up (router->exchanges);
+  refuse_partly_read (router);
+}
