--- a/daemon/requests.c
+++ b/daemon/requests.c
@@ -202,7 +202,7 @@
     ash_http_call_pause (&exchange->call, false);
 }
 
-const struct ash_conn_handler ash_exchange_handler = { on_request, on_gone, on_drained };
+const struct ash_conn_handler ash_requests_handler = { on_request, on_gone, on_drained };
 
 /* ---- the end of a stop ---- */
 
@@ -234,7 +234,7 @@
 }
 
 void
-ash_exchange_give_up_all (struct ash_router *router)
+ash_requests_give_up_all (struct ash_router *router)
 {
   /* What callers sent ahead comes up as the request before it ends, and ends at once. */
   while (router->exchanges)
--- a/daemon/router.c
+++ b/daemon/router.c
@@ -203,7 +203,7 @@
 give_up (struct ash_router *router)
 {
   router->given_up = true;
-  ash_exchange_give_up_all (router);
+  ash_requests_give_up_all (router);
   ash_http_listener_shut (&router->frontend);
   set_stop_timer (router, STOP_FLUSH_MS);
 }
@@ -340,7 +340,7 @@
 {
   const struct ash_router_settings *settings = &router->settings;
 
-  if (!listen_at (router, &router->frontend, settings->frontend_listen, &ash_exchange_handler) ||
+  if (!listen_at (router, &router->frontend, settings->frontend_listen, &ash_requests_handler) ||
       !listen_at (router, &router->readiness, settings->readiness_listen, &ash_readiness_handler) ||
       !listen_at (router, &router->directory, settings->directory_listen, &ash_directory_handler) ||
       !listen_at (router, &router->figures, settings->metrics_listen, &ash_figures_handler))
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -103,7 +103,7 @@
 struct ash_resend_bound ash_router_resend_bound (const struct ash_router *router);
 
 /** Requests of callers: what the frontend's listener calls. */
-extern const struct ash_conn_handler ash_exchange_handler;
+extern const struct ash_conn_handler ash_requests_handler;
 
 /** Looks at all requests that wait for room. */
 void ash_exchange_room (struct ash_router *router);
@@ -112,7 +112,7 @@
  * Ends all requests: with a 503 what has surely not run, with a 502 what may have, broken off what
  * has begun. Afterwards none goes to an endpoint, and new ones are refused.
  */
-void ash_exchange_give_up_all (struct ash_router *router);
+void ash_requests_give_up_all (struct ash_router *router);
 
 /** Readiness, directory and figures: what their listeners call. */
 extern const struct ash_conn_handler ash_readiness_handler;
