test-map-schedule: ranks copy longer than expected, orders pass each other

The schedules' ranks copied for at most what was expected, and orders were at most 6 ms under way, so none saw it. In one schedule of three copies now take up to 600 ms for 150 expected, and up to a quarter of the orders up to 300 ms.

--- a/test/map_schedule.c
+++ b/test/map_schedule.c
@@ -1,9 +1,10 @@
 /**
  * @file
  * Random schedules of changes of a group's map, ordered by routers from outside:
- * orders that are lost, answered late or carried out seconds late, routers that die
- * or are paused at any point, two that lead at once, ranks that restart. In each
- * pass all ranks must use one and the same map, and a group that is left alone goes on.
+ * orders that are lost, answered late, overtaken by later ones or carried out seconds
+ * late, ranks that copy for longer than expected, routers that die or are paused at any
+ * point, two that lead at once, ranks that restart. In each pass all ranks must use one
+ * and the same map, and a group that is left alone goes on.
  */
 #include "common/random.h"
 #include "controllers/map_switch.h"
@@ -20,6 +21,11 @@
 #define LAG_MS 200
 #define COPY_MS 150
 
+/* In one schedule of three, copies take up to so long, and some orders so long on their way:
+ * those sent later on another connection pass them. */
+#define SLOW_COPY_MOST_MS 600
+#define SLOW_ORDER_MOST_MS 300
+
 /* Trouble lasts so long, then the group has so long to be in order again. */
 #define TROUBLE_MS 12000
 #define CALM_MS 26000
@@ -83,6 +89,7 @@
   struct message messages[MESSAGES_MAX];
   uint32_t loss; /* of a hundred orders, those whose answer is lost */
   uint32_t late; /* those that are carried out seconds late */
+  uint32_t slow; /* those that later ones may pass */
   bool two_lead;
   bool traced;
   const char *broken;
@@ -133,7 +140,8 @@
     return 409;
   rank->had = order->version;
   rank->prepared = order->version;
-  rank->copied_ms = run->now_ms + ash_random_below (&run->random, COPY_MS);
+  rank->copied_ms =
+      run->now_ms + ash_random_below (&run->random, run->slow ? SLOW_COPY_MOST_MS : COPY_MS);
   return 202;
 }
 
@@ -247,6 +255,8 @@
     .order = *order,
   };
 
+  if (run->slow && chance (run, run->slow))
+    message.due_ms += ash_random_below (&run->random, SLOW_ORDER_MOST_MS);
   if (chance (run, run->loss))
     message.unanswered = true;
   if (chance (run, run->late))
@@ -406,6 +416,7 @@
 {
   run->loss = 0;
   run->late = 0;
+  run->slow = 0;
   run->routers[0].leads = true;
   run->routers[1].leads = false;
 }
@@ -454,6 +465,7 @@
   run->loss = ash_random_below (&run->random, 25);
   run->late = ash_random_below (&run->random, 3) ? 0 : ash_random_below (&run->random, 20);
   run->two_lead = seed % 4 == 0;
+  run->slow = seed % 3 == 1 ? 1 + ash_random_below (&run->random, 25) : 0;
   for (int r = 0; r < ROUTERS; r++)
     ash_map_switch_init (&run->routers[r].sw, RANKS, LAG_MS, (uint32_t) r);
   run->routers[0].leads = true;
