map_switch: a change that goes back is fenced against late arms

Cause: a rank that still copied was taken for done once the slowest one was, refused its arm, and three refusals with a report without the version were taken for never. All were disarmed, the disarm was answered, and an arm sent before came after it on another connection: armed there alone, and the step was let go.

Change: a rank is trusted to have copied only once its own time to copy is over. Refusals tell nothing; a newer version prepared or in use there tells that it never will, or 1 s. After the disarm each rank prepares a newer version with the map in use; a refusal has it disarmed and fenced again. Same cause elsewhere, by schedules: a finisher armed a version on while an arm of it for another step was under way: it now holds, takes back, fences. A finisher's go ended a hold that was taken anew at the same step: no step is held twice. A refused hold counted as a step begun. A change whose step begins all the same ends.

Ruled out: waiting for each arm's answer (one may never come), only forward (a rank may have prepared something else).

--- a/controllers/map_switch.c
+++ b/controllers/map_switch.c
@@ -39,8 +39,13 @@
 /* How long reports may still tell of a hold that was let go. */
 #define RELEASED_MS 1200
 
-/* Refusals of an arm after which reports are asked whether the rank can take it at all. */
-#define REFUSALS_MAX 3
+/* A rank that has not taken an arm by then is not waited for any longer: nearly what a full
+ * change copies for, and the group stands still meanwhile. */
+#define ARM_MS 1000
+
+/* Without the map in use there is no fence. Its lists come within a round trip, or are asked
+ * for again after 400 ms. */
+#define FENCE_WAIT_MS 2000
 
 /* Reports are asked for this often: of all ranks in the long run, of the first one to see
  * a new epoch or a hold, and of those that something hangs on. */
@@ -60,6 +65,7 @@
     {
       sw->ranks[i].answered = false;
       sw->ranks[i].copying = false;
+      sw->ranks[i].rearmed = false;
       sw->ranks[i].refusals = 0;
       sw->ranks[i].sent = (struct ash_time){ 0 };
     }
@@ -71,6 +77,7 @@
   enter (sw, now, ASH_MAP_IDLE);
   sw->result = result;
   sw->version = 0;
+  sw->fence_drawn = false;
   sw->step = 0;
   sw->finishing = false;
 }
@@ -227,7 +234,7 @@
 uint64_t
 ash_map_switch_version (const struct ash_map_switch *sw, uint64_t draw)
 {
-  uint64_t above = sw->version;
+  uint64_t above = sw->version > sw->fence ? sw->version : sw->fence;
   uint64_t mask = (UINT64_C (1) << VERSION_DRAW_BITS) - 1;
 
   for (uint32_t i = 0; i < sw->rank_count; i++)
@@ -254,6 +261,7 @@
   sw->version = version;
   sw->began = now;
   sw->holds = 0;
+  sw->refused = 0;
   sw->result = ASH_MAP_NONE;
   enter (sw, now, ASH_MAP_PREPARE);
 }
@@ -267,9 +275,10 @@
   return true;
 }
 
-/* A rank that has fewer copies to make than the slowest one is done when that one is. */
+/* A rank that has fewer copies to make than the slowest one is not asked once that one is done,
+ * but it may have begun later: a lost order, or a slow link. */
 static void
-trust_copies (struct ash_map_switch *sw)
+trust_copies (struct ash_map_switch *sw, struct ash_time now)
 {
   uint32_t slowest = 0;
 
@@ -279,41 +288,48 @@
   if (!sw->ranks[slowest].answered)
     return;
   for (uint32_t i = 0; i < sw->rank_count; i++)
-    sw->ranks[i].answered = sw->ranks[i].answered || sw->ranks[i].copying;
+    {
+      struct ash_map_rank *rank = &sw->ranks[i];
+
+      if (rank->copying && ash_time_diff (rank->copying_since, now) >= rank->copy_ms)
+        rank->answered = true;
+    }
 }
 
+/* A step that was let go is not held again, though it may not have begun: whoever finished under
+ * the hold before may still send its own order to go. */
 static void
 begin_hold (struct ash_map_switch *sw, struct ash_time now)
 {
+  uint64_t begun = step_now (sw, now);
+
   enter (sw, now, ASH_MAP_HOLD);
   sw->holder = sw->own_rank;
-  sw->step = step_now (sw, now) + STEPS_AHEAD;
+  begun = begun > sw->released ? begun : sw->released;
+  begun = begun > sw->refused ? begun : sw->refused;
+  sw->step = begun + STEPS_AHEAD;
   sw->holds++;
 }
 
-/* What all ranks are to take at a step that another router holds; 0: nothing. */
+/* What all ranks are to take at a step that another router holds, or what none may; 0: there
+ * is nothing. What is prepared may have been armed by orders that are still under way. Of two
+ * versions the lower one has got that far. */
 static uint64_t
 version_to_finish (const struct ash_map_switch *sw)
 {
-  uint64_t prepared = sw->ranks[0].report.prepared;
+  uint64_t lowest = 0;
 
   for (uint32_t i = 0; i < sw->rank_count; i++)
     if (sw->ranks[i].report.armed)
       return sw->ranks[i].report.armed;
   for (uint32_t i = 0; i < sw->rank_count; i++)
-    if (sw->ranks[i].report.prepared != prepared)
-      return 0;
-  return prepared > sw->ranks[0].report.map ? prepared : 0;
-}
+    {
+      const struct ash_rank_report *report = &sw->ranks[i].report;
 
-/* Whether every rank has that version, or can still take it. */
-static bool
-all_can_arm (const struct ash_map_switch *sw, uint64_t version)
-{
-  for (uint32_t i = 0; i < sw->rank_count; i++)
-    if (sw->ranks[i].report.armed != version && sw->ranks[i].report.prepared != version)
-      return false;
-  return true;
+      if (report->prepared > report->map && (!lowest || report->prepared < lowest))
+        lowest = report->prepared;
+    }
+  return lowest;
 }
 
 /* The reports that tell what another router had done must be newer than its hold. */
@@ -326,6 +342,16 @@
   return true;
 }
 
+/* Where this router can hold a step beside what is held. At its own rank a hold of its former
+ * life may stand, which takes no other, and which an order to go of that life may still end. */
+static uint32_t
+free_rank (const struct ash_map_switch *sw)
+{
+  uint32_t spare = (sw->own_rank + sw->rank_count / 2) % sw->rank_count;
+
+  return sw->ranks[sw->own_rank].report.held ? spare : sw->own_rank;
+}
+
 static void
 finish_foreign (struct ash_map_switch *sw, struct ash_time now)
 {
@@ -339,25 +365,69 @@
   sw->began = now;
   /* With nothing to arm the group is just let go. Else the step is held here as well: the
    * other router may live, and let go what it holds while ranks are being armed. */
-  sw->holder = sw->version ? sw->own_rank : sw->foreign_rank;
+  sw->holder = sw->version ? free_rank (sw) : sw->foreign_rank;
   enter (sw, now, sw->version ? ASH_MAP_HOLD : ASH_MAP_GO);
 }
 
-/* Whether a rank will never take the version: it refuses, and what it has prepared is
- * another one. The report must be newer than the phase. */
+/* Whether the rank has had a newer version than the present one, which it then never takes.
+ * That it has not told of the present one says nothing: it may still copy. */
 static bool
-cannot_arm (const struct ash_map_switch *sw)
+is_past (const struct ash_map_switch *sw, const struct ash_map_rank *rank)
+{
+  return rank->report.prepared > sw->version || rank->report.map > sw->version;
+}
+
+static bool
+cannot_arm (const struct ash_map_switch *sw, struct ash_time now)
+{
+  for (uint32_t i = 0; i < sw->rank_count; i++)
+    if (is_past (sw, &sw->ranks[i]))
+      return true;
+  return ash_time_diff (sw->phase_began, now) > ARM_MS;
+}
+
+/* Whether no rank can be armed any more with the version that is given up: each has taken the
+ * fence, or refuses it since it had something newer. */
+static bool
+all_fenced (const struct ash_map_switch *sw)
 {
   for (uint32_t i = 0; i < sw->rank_count; i++)
     {
       const struct ash_map_rank *rank = &sw->ranks[i];
+      bool fresh = ash_time_diff (sw->phase_began, rank->reported) > (int64_t) sw->lag_ms;
+      bool armed_else = fresh && rank->report.armed && rank->report.armed != sw->version;
 
-      if (!rank->answered && rank->refusals >= REFUSALS_MAX &&
-          rank->report.prepared != sw->version && rank->report.armed != sw->version &&
-          ash_time_diff (sw->phase_began, rank->reported) > (int64_t) sw->lag_ms)
-        return true;
+      if (!rank->answered && !(rank->refusals && (is_past (sw, rank) || armed_else)))
+        return false;
     }
-  return false;
+  return true;
+}
+
+bool
+ash_map_switch_wants_fence (const struct ash_map_switch *sw)
+{
+  return (sw->phase == ASH_MAP_DISARM || sw->phase == ASH_MAP_FENCE) && !sw->fence_drawn;
+}
+
+void
+ash_map_switch_fence (struct ash_map_switch *sw, uint64_t version)
+{
+  sw->fence = version;
+  sw->fence_drawn = true;
+}
+
+static void
+let_go (struct ash_map_switch *sw, struct ash_time now)
+{
+  sw->version = 0;
+  enter (sw, now, ASH_MAP_GO);
+}
+
+/* Another router may have let go what is held here: nothing is to be armed any more. */
+static bool
+has_begun (const struct ash_map_switch *sw)
+{
+  return sw->phase >= ASH_MAP_ARM && sw->phase < ASH_MAP_GO && sw->last_step >= sw->step;
 }
 
 static void
@@ -373,6 +443,8 @@
 static void
 move_on (struct ash_map_switch *sw, struct ash_time now)
 {
+  if (has_begun (sw))
+    let_go (sw, now);
   switch (sw->phase)
     {
     case ASH_MAP_IDLE:
@@ -383,27 +455,29 @@
         end (sw, now, ASH_MAP_GIVEN_UP);
       else
         {
-          trust_copies (sw);
+          trust_copies (sw, now);
           if (all_answered (sw) && all_known (sw))
             begin_hold (sw, now);
         }
       break;
     case ASH_MAP_HOLD:
       if (sw->ranks[sw->holder].answered)
-        enter (sw, now,
-               sw->finishing && !all_can_arm (sw, sw->version) ? ASH_MAP_DISARM : ASH_MAP_ARM);
+        enter (sw, now, sw->finishing ? ASH_MAP_DISARM : ASH_MAP_ARM);
       break;
     case ASH_MAP_ARM:
       if (all_answered (sw))
         enter (sw, now, ASH_MAP_GO);
-      else if (cannot_arm (sw))
+      else if (cannot_arm (sw, now))
         enter (sw, now, ASH_MAP_DISARM);
       break;
     case ASH_MAP_DISARM:
-      if (!all_answered (sw))
-        break;
-      sw->version = 0;
-      enter (sw, now, ASH_MAP_GO);
+      if (all_answered (sw))
+        enter (sw, now, ASH_MAP_FENCE);
+      break;
+    case ASH_MAP_FENCE:
+      if (all_fenced (sw) ||
+          (!sw->fence_drawn && ash_time_diff (sw->phase_began, now) > FENCE_WAIT_MS))
+        let_go (sw, now);
       break;
     case ASH_MAP_GO:
       if (sw->ranks[sw->holder].answered &&
@@ -413,6 +487,15 @@
     }
 }
 
+/* At once for the first time; an answer that stays the same has another cause. */
+static void
+disarm_again (struct ash_map_switch *sw, uint32_t rank)
+{
+  sw->ranks[rank].rearmed = true;
+  if (sw->ranks[rank].refusals++ == 0)
+    sw->ranks[rank].sent = (struct ash_time){ 0 };
+}
+
 static void
 take_refusal (struct ash_map_switch *sw, struct ash_time now, uint32_t rank)
 {
@@ -426,7 +509,7 @@
       break;
     case ASH_MAP_HOLD:
       /* The step has begun, or another router holds one; reports will tell which. */
-      note_step (sw, now, sw->step);
+      sw->refused = sw->step;
       /* What was to be finished is: its step has begun. */
       if (sw->finishing)
         end (sw, now, ASH_MAP_GIVEN_UP);
@@ -444,41 +527,22 @@
     case ASH_MAP_ARM:
       sw->ranks[rank].refusals++; /* sent again, until it is clear that it can't */
       break;
+    case ASH_MAP_FENCE:
+      /* It had something newer; or it is armed, by an arm that came after the disarm. */
+      if (sw->ranks[rank].rearmed)
+        sw->ranks[rank].rearmed = false; /* that was refused: it is in use */
+      else
+        disarm_again (sw, rank);
+      break;
     case ASH_MAP_IDLE:
       break;
     }
 }
 
-void
-ash_map_switch_answered (struct ash_map_switch *sw,
-                         struct ash_time now,
-                         const struct ash_rank_order *order,
-                         uint16_t status)
-{
-  static const enum ash_map_phase phases[] = {
-    [ASH_RANK_PREPARE] = ASH_MAP_PREPARE, [ASH_RANK_HOLD] = ASH_MAP_HOLD,
-    [ASH_RANK_ARM] = ASH_MAP_ARM,         [ASH_RANK_DISARM] = ASH_MAP_DISARM,
-    [ASH_RANK_GO] = ASH_MAP_GO,
-  };
-
-  /* An answer to something that is over. */
-  if (order->epoch != sw->epoch || phases[order->kind] != sw->phase ||
-      order->version != sw->version || order->step != sw->step)
-    return;
-  /* To a prepare, 202 says that it has begun to copy, 200 that all is there. */
-  if (status == 200 || (status == 202 && sw->phase != ASH_MAP_PREPARE))
-    sw->ranks[order->rank].answered = true;
-  else if (status == 202)
-    sw->ranks[order->rank].copying = true;
-  else if (status == 409)
-    take_refusal (sw, now, order->rank);
-  move_on (sw, now);
-}
-
 static enum ash_rank_order_kind
-order_kind (enum ash_map_phase phase)
+order_kind (const struct ash_map_switch *sw, uint32_t rank)
 {
-  switch (phase)
+  switch (sw->phase)
     {
     case ASH_MAP_HOLD:
       return ASH_RANK_HOLD;
@@ -486,6 +550,8 @@
       return ASH_RANK_ARM;
     case ASH_MAP_DISARM:
       return ASH_RANK_DISARM;
+    case ASH_MAP_FENCE:
+      return sw->ranks[rank].rearmed ? ASH_RANK_DISARM : ASH_RANK_PREPARE;
     case ASH_MAP_GO:
       return ASH_RANK_GO;
     case ASH_MAP_IDLE:
@@ -495,6 +561,68 @@
   return ASH_RANK_PREPARE;
 }
 
+/* What that rank is to be told now. */
+static struct ash_rank_order
+order_due (const struct ash_map_switch *sw, uint32_t rank)
+{
+  bool fence = sw->phase == ASH_MAP_FENCE && !sw->ranks[rank].rearmed;
+
+  return (struct ash_rank_order){
+    .kind = order_kind (sw, rank),
+    .rank = rank,
+    .epoch = sw->epoch,
+    .version = fence ? sw->fence : sw->version,
+    .step = sw->step,
+  };
+}
+
+/* Whether the answer is to what is still to be done there. */
+static bool
+is_due (const struct ash_map_switch *sw, const struct ash_rank_order *order)
+{
+  struct ash_rank_order due = order_due (sw, order->rank);
+
+  return sw->phase != ASH_MAP_IDLE && order->kind == due.kind && order->epoch == due.epoch &&
+         order->version == due.version && order->step == due.step;
+}
+
+static void
+take_done (struct ash_map_switch *sw, struct ash_time now, uint32_t i, bool begun_only)
+{
+  struct ash_map_rank *rank = &sw->ranks[i];
+
+  if (sw->phase == ASH_MAP_PREPARE && begun_only)
+    {
+      if (!rank->copying)
+        rank->copying_since = now;
+      rank->copying = true;
+    }
+  else if (sw->phase == ASH_MAP_FENCE && rank->rearmed)
+    {
+      rank->rearmed = false;
+      rank->sent = (struct ash_time){ 0 };
+    }
+  else
+    rank->answered = true;
+}
+
+void
+ash_map_switch_answered (struct ash_map_switch *sw,
+                         struct ash_time now,
+                         const struct ash_rank_order *order,
+                         uint16_t status)
+{
+  /* An answer to something that is over. */
+  if (!is_due (sw, order))
+    return;
+  /* To a prepare, 202 says that it has begun to copy, 200 that all is there. */
+  if (status == 200 || status == 202)
+    take_done (sw, now, order->rank, status == 202);
+  else if (status == 409)
+    take_refusal (sw, now, order->rank);
+  move_on (sw, now);
+}
+
 static uint32_t
 slowest_copy_ms (const struct ash_map_switch *sw)
 {
@@ -533,6 +661,8 @@
       return rank == sw->holder;
     case ASH_MAP_GO:
       return rank == sw->holder || (sw->finishing && rank == sw->foreign_rank);
+    case ASH_MAP_FENCE:
+      return sw->fence_drawn;
     case ASH_MAP_IDLE:
     case ASH_MAP_PREPARE:
     case ASH_MAP_ARM:
@@ -560,13 +690,7 @@
           (rank->sent.ms && ash_time_diff (rank->sent, now) < resend_ms (sw, rank, now)))
         continue;
       rank->sent = now;
-      orders[count++] = (struct ash_rank_order){
-        .kind = order_kind (sw->phase),
-        .rank = i,
-        .epoch = sw->epoch,
-        .version = sw->version,
-        .step = sw->step,
-      };
+      orders[count++] = order_due (sw, i);
     }
   return count;
 }
@@ -588,7 +712,7 @@
 
   if (!known->known || known->report.epoch != sw->epoch || known->report.broken)
     return age_ms >= REPORT_SOON_MS;
-  if (sw->phase == ASH_MAP_ARM && known->refusals)
+  if ((sw->phase == ASH_MAP_ARM || sw->phase == ASH_MAP_FENCE) && known->refusals)
     return age_ms >= REPORT_SOON_MS;
   if (sw->foreign_held || stands_still (sw, now))
     return age_ms >= REPORT_SOON_MS;
--- a/controllers/map_switch.h
+++ b/controllers/map_switch.h
@@ -5,17 +5,23 @@
  * so that the group can't go past it; all ranks are armed for that step; then it is
  * let go. No step begins while ranks differ in what they take at it.
  *
- * Orders may be lost, or carried out seconds late. So:
+ * Orders may be lost, passed by later ones, or carried out seconds late. So:
  *  - a version is armed for one step only: once all ranks have it prepared, arming goes
- *    forward until all have taken it. Where a rank can't (another router's preparation
- *    came between), all are disarmed and the version is dead;
+ *    forward until all have taken it, also while a rank still copies. Where one never will
+ *    (another router's preparation came between), or takes too long, the change goes back;
+ *  - going back, all are disarmed, and then fenced: each prepares a newer version with the
+ *    map in use. The answer to a disarm does not say that no arm comes after it; a rank that
+ *    has another version prepared refuses every late arm of the dead one, for good. A fence
+ *    that is refused tells that an arm came between: disarmed and fenced again;
  *  - a late hold or arm finds its step begun and is refused;
  *  - versions are never used twice, also not by two routers (ash_map_switch_version());
- *  - each router holds at a rank of its own, so that one can't let go what another holds.
+ *  - each router holds at a rank of its own, so that one can't let go what another holds, and
+ *    no step twice.
  *
  * A router that dies between hold and go leaves the group standing. Whoever sees a
- * hold that is not its own finishes: it arms what is armed somewhere, or prepared
- * everywhere, and lets go.
+ * hold that is not its own finishes: it holds the step as well, takes back what is armed
+ * or prepared somewhere, fenced as above, and lets go. It doesn't arm on: ranks don't tell
+ * for which step they are armed, and an arm for another one may still be under way.
  *
  * No I/O: it says which orders are due and is told how they were answered.
  */
@@ -33,6 +39,7 @@
   ASH_MAP_HOLD,    /**< a step is being held */
   ASH_MAP_ARM,     /**< all ranks are told to take the map at that step */
   ASH_MAP_DISARM,  /**< a rank can't: all are told to forget it */
+  ASH_MAP_FENCE,   /**< all prepare a newer version, so that none takes a late arm */
   ASH_MAP_GO,      /**< the step is let go */
 };
 
@@ -52,8 +59,10 @@
   struct ash_rank_report report;
   struct ash_time reported;
   bool known;
-  bool answered;        /**< the present phase's order is carried out there */
-  bool copying;         /**< it has begun to prepare */
+  bool answered; /**< the present phase's order is carried out there */
+  bool copying;  /**< it has begun to prepare */
+  bool rearmed;  /**< it has refused the fence: to be disarmed first */
+  struct ash_time copying_since;
   struct ash_time sent; /**< the present phase's order; 0: not yet */
   uint32_t refusals;    /**< of the present phase's order */
   uint32_t copy_ms;     /**< how long it is expected to copy for the present change */
@@ -68,11 +77,14 @@
   enum ash_map_phase phase;
   enum ash_map_result result;
   uint64_t version;  /**< being changed to */
+  uint64_t fence;    /**< version with the map in use that ranks prepare, going back */
+  bool fence_drawn;  /**< for the present change */
   uint64_t step;     /**< being held */
   uint32_t own_rank; /**< where this router holds steps */
   uint32_t holder;   /**< rank that holds it */
   bool finishing;    /**< what another router had begun */
   uint32_t holds;    /**< tried in this change */
+  uint64_t refused;  /**< the last step that could not be held; it may not have begun */
   struct ash_time began;
   struct ash_time phase_began;
   double pass_ms; /**< time of a pass, as last seen; 0: not known */
@@ -115,6 +127,12 @@
                            uint64_t version,
                            const uint32_t copy_ms[ASH_LAYER_RANKS_MAX]);
 
+/** @return whether a change goes back and needs a version with the map in use. */
+bool ash_map_switch_wants_fence (const struct ash_map_switch *sw);
+
+/** The map in use can be prepared as that version, drawn by ash_map_switch_version(). */
+void ash_map_switch_fence (struct ash_map_switch *sw, uint64_t version);
+
 /** A rank is known to use that map, whatever its reports still tell. */
 void
 ash_map_switch_uses (struct ash_map_switch *sw, uint32_t rank, uint64_t epoch, uint64_t version);
--- a/daemon/groups.c
+++ b/daemon/groups.c
@@ -314,12 +314,13 @@
     }
   if (asked_ms >= 100 && ash_map_switch_wants_report (&group->sw, now, box->rank))
     ash_rank_ask (box, ASH_RANK_REPORT);
-  if (ash_map_switch_ready (&group->sw, now) && !ash_rank_map_is_known (group) &&
-      !group->listed[box->rank] &&
+  if ((ash_map_switch_ready (&group->sw, now) || ash_map_switch_wants_fence (&group->sw)) &&
+      !ash_rank_map_is_known (group) && !group->listed[box->rank] &&
       ash_time_diff (box->asked[ASH_RANK_LISTS], now) >= ASH_RANK_CALL_MS)
     ash_rank_ask (box, ASH_RANK_LISTS);
   /* A part of a map that is not the one in use any more. */
-  if (group->listed[box->rank] && group->sw.phase == ASH_MAP_IDLE &&
+  if (group->listed[box->rank] &&
+      (group->sw.phase == ASH_MAP_IDLE || ash_map_switch_wants_fence (&group->sw)) &&
       group->sw.ranks[box->rank].report.map != group->map.version &&
       ash_time_diff (box->asked[ASH_RANK_LISTS], now) >= ASH_RANK_CALL_MS)
     group->listed[box->rank] = false;
--- a/daemon/rank_group.c
+++ b/daemon/rank_group.c
@@ -373,13 +373,27 @@
   ash_buffer_finish (&request);
 }
 
+/* A change that goes back has its ranks prepare the map in use under a newer version. */
+static void
+draw_fence (struct ash_rank_group *group, struct ash_groups *groups)
+{
+  if (!ash_map_switch_wants_fence (&group->sw) || !ash_rank_map_is_known (group))
+    return;
+  group->next = group->map;
+  group->next.version =
+      ash_map_switch_version (&group->sw, ash_random_next (&groups->router->random));
+  ash_map_switch_fence (&group->sw, group->next.version);
+}
+
 void
 ash_rank_send_orders (struct ash_rank_group *group, struct ash_groups *groups)
 {
   struct ash_rank_order orders[ASH_LAYER_RANKS_MAX];
   struct ash_time now = ash_clock_now ();
-  uint32_t count = ash_map_switch_orders (&group->sw, now, orders);
+  uint32_t count;
 
+  draw_fence (group, groups);
+  count = ash_map_switch_orders (&group->sw, now, orders);
   take_result (group, groups, now);
   for (uint32_t i = 0; i < count; i++)
     send_order (group, groups, &orders[i]);
--- a/test/map_schedule.c
+++ b/test/map_schedule.c
@@ -335,6 +335,10 @@
     ash_map_switch_begin (&router->sw, now (run),
                           ash_map_switch_version (&router->sw, ash_random_next (&run->random)),
                           copy_ms);
+  /* What map is in use may have to be asked first. */
+  if (ash_map_switch_wants_fence (&router->sw) && chance (run, 50))
+    ash_map_switch_fence (&router->sw,
+                          ash_map_switch_version (&router->sw, ash_random_next (&run->random)));
   count = ash_map_switch_orders (&router->sw, now (run), orders);
   count_result (router);
   for (uint32_t i = 0; i < count; i++)
--- a/test/unit_router.c
+++ b/test/unit_router.c
@@ -625,6 +625,354 @@
   ash_router_settings_read (settings, text, (size_t) length, findings);
 }
 
+/* Answers all that is due, which must be of that kind; that rank with another status. */
+static void
+answer_all (struct ash_map_switch *sw,
+            struct ash_time now,
+            enum ash_rank_order_kind kind,
+            uint32_t odd_rank,
+            uint16_t odd_status)
+{
+  struct ash_rank_order orders[ASH_LAYER_RANKS_MAX];
+  uint32_t count = ash_map_switch_orders (sw, now, orders);
+
+  CU_ASSERT (count > 0);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      CU_ASSERT_EQUAL (orders[i].kind, kind);
+      ash_map_switch_answered (sw, now, &orders[i], orders[i].rank == odd_rank ? odd_status : 200);
+    }
+}
+
+/* Users of a group had passes with two maps: a rank that copied longer than expected refused its
+ * arm seven times in 0.3 s, which was taken for never; all were disarmed and the step let go. The
+ * arm sent last came after the disarm, as the rank had just copied all, and was taken there alone.
+ * Seen at 12.368 s of a day of rolling stops, step 108: one rank with version 6127193. */
+static void
+test_late_arm (void)
+{
+  static const uint32_t copy_ms[ASH_LAYER_RANKS_MAX];
+  struct ash_time now = { 65000000 };
+  struct ash_rank_order orders[ASH_LAYER_RANKS_MAX];
+  struct ash_map_switch sw;
+  uint64_t version;
+
+  ash_map_switch_init (&sw, 4, 200, 0);
+  report_all (&sw, now, 100);
+  version = ash_map_switch_version (&sw, 1);
+  ash_map_switch_begin (&sw, now, version, copy_ms);
+  answer_all (&sw, now, ASH_RANK_PREPARE, 4, 0);
+  answer_all (&sw, now, ASH_RANK_HOLD, 4, 0);
+  /* It still copies: its reports, newer than the arms, tell of nothing prepared. */
+  for (int i = 0; i < 10; i++)
+    {
+      answer_all (&sw, now, ASH_RANK_ARM, 3, 409);
+      now = ash_time_add (now, 50);
+      report_all (&sw, now, 100);
+      CU_ASSERT_EQUAL (sw.phase, ASH_MAP_ARM);
+    }
+  now = ash_time_add (now, 5000);
+  answer_all (&sw, now, ASH_RANK_DISARM, 4, 0);
+  /* Disarmed is not enough to let go. */
+  CU_ASSERT (ash_map_switch_wants_fence (&sw));
+  CU_ASSERT_EQUAL (ash_map_switch_orders (&sw, now, orders), 0);
+  ash_map_switch_fence (&sw, ash_map_switch_version (&sw, 2));
+  CU_ASSERT (sw.fence > version);
+  /* The late arm was taken after the disarm: the rank refuses the fence. */
+  answer_all (&sw, now, ASH_RANK_PREPARE, 3, 409);
+  CU_ASSERT_EQUAL (ash_map_switch_orders (&sw, now, orders), 1);
+  CU_ASSERT_EQUAL (orders[0].kind, ASH_RANK_DISARM);
+  CU_ASSERT_EQUAL (orders[0].version, version);
+  ash_map_switch_answered (&sw, now, &orders[0], 200);
+  answer_all (&sw, now, ASH_RANK_PREPARE, 4, 0);
+  answer_all (&sw, now, ASH_RANK_GO, 4, 0);
+  CU_ASSERT_EQUAL (sw.result, ASH_MAP_GIVEN_UP);
+  CU_ASSERT (ash_map_switch_version (&sw, 0) > sw.fence);
+}
+
+/* A rank of this router's still holds step 103, from before it was started anew; so its holds of
+ * 101 and on are refused. That does not tell that those steps have begun: taken for it, the change
+ * that another router left at 101 was let go before anything was taken back. */
+static void
+test_refused_hold (void)
+{
+  static const uint32_t copy_ms[ASH_LAYER_RANKS_MAX];
+  struct ash_time now = { 65000000 };
+  struct ash_map_switch sw;
+
+  ash_map_switch_init (&sw, 4, 200, 0);
+  report_all (&sw, now, 100);
+  ash_map_switch_begin (&sw, now, ash_map_switch_version (&sw, 1), copy_ms);
+  answer_all (&sw, now, ASH_RANK_PREPARE, 4, 0);
+  answer_all (&sw, now, ASH_RANK_HOLD, 0, 409);
+  CU_ASSERT_EQUAL (sw.last_step, 100);
+  CU_ASSERT_EQUAL (sw.step, 102);
+  /* Once another router's word is that the step has begun, nothing is armed any more. */
+  answer_all (&sw, now, ASH_RANK_HOLD, 4, 0);
+  answer_all (&sw, now, ASH_RANK_ARM, 3, 409);
+  report_all (&sw, now, 102);
+  answer_all (&sw, now, ASH_RANK_GO, 0, 409);
+  CU_ASSERT_EQUAL (sw.result, ASH_MAP_GIVEN_UP);
+  /* A step that was let go here is not held again. */
+  ash_map_switch_begin (&sw, now, ash_map_switch_version (&sw, 1), copy_ms);
+  answer_all (&sw, now, ASH_RANK_PREPARE, 4, 0);
+  CU_ASSERT (sw.phase == ASH_MAP_HOLD && sw.step == 103);
+  answer_all (&sw, now, ASH_RANK_HOLD, 4, 0);
+  answer_all (&sw, now, ASH_RANK_ARM, 4, 0);
+  answer_all (&sw, now, ASH_RANK_GO, 4, 0);
+  ash_map_switch_begin (&sw, now, ash_map_switch_version (&sw, 1), copy_ms);
+  answer_all (&sw, now, ASH_RANK_PREPARE, 4, 0);
+  CU_ASSERT_EQUAL (sw.step, 104);
+}
+
+/* A router died between hold and go, ranks with its version prepared unevenly; the one that
+ * finishes holds the step too, beside a hold of its own former life, and takes back before it lets
+ * go. */
+static void
+test_finish_uneven (void)
+{
+  struct ash_time now = { 65000000 };
+  struct ash_map_switch sw;
+
+  ash_map_switch_init (&sw, 4, 200, 0);
+  for (int i = 0; i < 20; i++)
+    {
+      for (uint32_t rank = 0; rank < 4; rank++)
+        {
+          struct ash_rank_report report = {
+            .group = "g",
+            .epoch = 1,
+            .rank = rank,
+            .rank_count = 4,
+            .step = 100,
+            .prepared = rank ? 7 : 0,
+            .held = rank ? 0 : 101,
+          };
+
+          ash_map_switch_report (&sw, now, &report);
+        }
+      now = ash_time_add (now, 50);
+    }
+  answer_all (&sw, now, ASH_RANK_HOLD, 4, 0);
+  CU_ASSERT_EQUAL (sw.holder, 2);
+  CU_ASSERT_EQUAL (sw.step, 101);
+  answer_all (&sw, now, ASH_RANK_DISARM, 4, 0);
+  CU_ASSERT (ash_map_switch_wants_fence (&sw));
+}
+
+/* ---- the platform's formats ---- */
+
+static void
+test_rank_formats (void)
+{
+  static const char report_text[] =
+      "{\"Stage\":\"unified\",\"Queued\":1,\"Active\":12,\"step\":812,\"Map\":3,\"Prepared\":4,"
+      "\"Armed\":0,\"held\":815,\"pace\":1.5,\"group\":{\"Name\":\"g0-1\",\"epoch\":2,\"rank\":5,"
+      "\"State\":\"open\",\"size\":8}}";
+  static const char lists_text[] = "{\"epoch\":2,\"step\":9,\"Map\":{\"Version\":3,\"Experts\":"
+                                   "[[0,4],[1]]}}";
+  struct ash_rank_report report;
+  struct ash_layer_map map = {
+    .layer_count = 2, .rank_count = 1, .slot_count = 2, .expert_count = 8
+  };
+  struct ash_rank_order order = { ASH_RANK_PREPARE, 0, 2, 7, 0 };
+  struct ash_buffer out = { 0 };
+  struct ash_buffer body = { 0 };
+  uint64_t epoch;
+
+  CU_ASSERT (ash_platform_report_read (report_text, sizeof report_text - 1, &report));
+  CU_ASSERT_STRING_EQUAL (report.group, "g0-1");
+  CU_ASSERT (report.epoch == 2 && report.rank == 5 && report.rank_count == 8 && !report.broken);
+  CU_ASSERT (report.step == 812 && report.map == 3 && report.prepared == 4 && report.held == 815);
+  CU_ASSERT_FALSE (ash_platform_report_read ("nothing", 7, &report));
+  CU_ASSERT (ash_platform_lists_read (lists_text, sizeof lists_text - 1, 0, &map, &epoch));
+  CU_ASSERT (map.version == 3 && map.slots[0][0][1] == 4 && map.slots[1][0][1] == ASH_NO_EXPERT);
+  ash_platform_order_body (&body, &order, &map);
+  ash_platform_rank_order (&out, "x:1", &body);
+  ash_buffer_append (&out, "", 1);
+  CU_ASSERT_PTR_NOT_NULL (strstr ((char *) out.bytes, "\"Operation\":\"prepare\""));
+  CU_ASSERT_PTR_NOT_NULL (strstr ((char *) out.bytes, "\"Map\":[[[0,4]],[[1]]]"));
+  ash_buffer_finish (&out);
+  ash_buffer_finish (&body);
+  /* There is no such expert. */
+  map.expert_count = 4;
+  CU_ASSERT_FALSE (ash_platform_lists_read (lists_text, sizeof lists_text - 1, 0, &map, &epoch));
+}
+
+static void
+count_item (void *data, const struct ash_store_item *item)
+{
+  uint32_t *seen = data;
+
+  seen[0]++;
+  seen[1] += item->removed;
+  if (strcmp (item->name, "i-1") == 0 && item->value_bytes == 5)
+    seen[2] += memcmp (item->value, "hello", 5) == 0;
+}
+
+static void
+test_store_format (void)
+{
+  static const char text[] =
+      "{\"Items\":[{\"PrivateKey\":\"servers/i-1\",\"Value\":\"aGVsbG8=\",\"Revision\":3},"
+      "{\"PrivateKey\":\"servers/i-2\",\"Revision\":4,\"Removed\":true},"
+      "{\"PrivateKey\":\"other/key\",\"Value\":\"aGVsbG8=\"},"
+      "{\"PrivateKey\":\"servers/i-3\",\"Value\":\"not base 64!\"}],"
+      "\"MorePages\":true,\"StoreRevision\":9}";
+  uint32_t seen[3] = { 0 };
+  struct ash_store_taker taker = { count_item, seen };
+  struct ash_store_answer answer;
+  struct ash_direct_facts facts;
+
+  CU_ASSERT (ash_platform_store_read (text, sizeof text - 1, &taker, &answer));
+  CU_ASSERT (seen[0] == 2 && seen[1] == 1 && seen[2] == 1);
+  CU_ASSERT (answer.revision == 9 && answer.more);
+  CU_ASSERT (strcmp (answer.next_page, "servers/i-3") > 0);
+  CU_ASSERT_FALSE (ash_platform_store_read ("{}", 2, &taker, &answer));
+  CU_ASSERT_FALSE (ash_platform_server_read ("i", (const uint8_t *) "{}", 2, &facts));
+}
+
+static const struct ash_http_head *kept_head;
+
+static void
+keep_head (void *data, const struct ash_http_head *head)
+{
+  (void) data;
+  kept_head = head;
+}
+
+static void
+ignore_body (void *data, const uint8_t *bytes, size_t length)
+{
+  (void) data;
+  (void) bytes;
+  (void) length;
+}
+
+static const struct ash_http_handler keeper = { keep_head, ignore_body };
+
+static void
+test_message_format (void)
+{
+  static const char text[] =
+      "POST /a/b?c HTTP/1.1\r\nHost: h\r\nAshspindle-Attempt-Id: id-1\r\nTE: x\r\n"
+      "Connection: X-Hop, Ashspindle-Attempt-Id\r\nX-Hop: 1\r\nX-Own: 2\r\n"
+      "Ashspindle-Token-Count: 900,80\r\nAuthorization: bearer  key\r\n"
+      "ashspindle-TENANT: forged\r\nAshspindle-Request-Urgency: 0\r\n\r\n";
+  struct ash_http_reader reader;
+  struct ash_request_facts facts;
+  struct ash_request_order order = { .deadline_ms = 70, .endpoint_id = "i-1", .urgency = -1 };
+  struct ash_buffer none = { 0 };
+  struct ash_buffer out = { 0 };
+  const char *sent;
+
+  ash_http_reader_init (&reader, ASH_HTTP_REQUEST, &keeper, NULL);
+  CU_ASSERT_EQUAL (ash_http_reader_feed (&reader, (const uint8_t *) text, sizeof text - 1),
+                   sizeof text - 1);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (kept_head);
+  ash_platform_request_read (kept_head, &facts);
+  CU_ASSERT_STRING_EQUAL (facts.key, "key");
+  CU_ASSERT (facts.prompt_tokens == 900 && facts.answer_tokens_max == 80);
+  CU_ASSERT (ash_platform_request_write (&out, kept_head, &order, &none));
+  ash_buffer_append (&out, "", 1);
+  sent = (const char *) out.bytes;
+  CU_ASSERT_EQUAL (strncmp (sent, "POST /a/b?c HTTP/1.1\r\nHost: h\r\n", 31), 0);
+  /* What names the request stays, whatever Connection says; the caller's own word on the
+   * system's fields goes. */
+  CU_ASSERT_PTR_NOT_NULL (strstr (sent, "Ashspindle-Attempt-Id: id-1\r\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (sent, "X-Own: 2\r\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (sent, "Ashspindle-Deadline-Ms: 70\r\n"));
+  CU_ASSERT_PTR_NULL (strstr (sent, "X-Hop"));
+  CU_ASSERT_PTR_NULL (strstr (sent, "forged"));
+  CU_ASSERT_PTR_NULL (strstr (sent, "Urgency"));
+  CU_ASSERT_PTR_NULL (strstr (sent, "key"));
+  CU_ASSERT_PTR_NULL (strstr (sent, "Content-Length"));
+  ash_buffer_finish (&out);
+  ash_http_reader_finish (&reader);
+}
+
+/* Reads a whole text as one message. @return the error. */
+static enum ash_http_error
+read_message (enum ash_http_kind kind, const char *text, bool *done)
+{
+  struct ash_http_reader reader;
+  enum ash_http_error error;
+
+  ash_http_reader_init (&reader, kind, &keeper, NULL);
+  reader.body_max_bytes = 100;
+  for (size_t i = 0; i < strlen (text) && !reader.error && !reader.done; i++)
+    ash_http_reader_feed (&reader, (const uint8_t *) text + i, 1);
+  error = reader.error;
+  *done = reader.done || ash_http_reader_eof (&reader);
+  ash_http_reader_finish (&reader);
+  return error;
+}
+
+static void
+test_strict_messages (void)
+{
+  static const struct
+  {
+    enum ash_http_kind kind;
+    const char *text;
+    enum ash_http_error error;
+    bool done;
+  } cases[] = {
+    { ASH_HTTP_REQUEST, "GET / HTTP/1.1\r\nHost: x\r\n\r\n", ASH_HTTP_OK, true },
+    { ASH_HTTP_REQUEST, "GET / HTTP/1.1\r\nHost : x\r\n\r\n", ASH_HTTP_MALFORMED, false },
+    { ASH_HTTP_REQUEST, "GET / HTTP/1.1\r\nHo st: x\r\n\r\n", ASH_HTTP_MALFORMED, false },
+    { ASH_HTTP_REQUEST, "GET / HTTP/1.1\nHost: x\n\n", ASH_HTTP_MALFORMED, false },
+    { ASH_HTTP_REQUEST, "GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", ASH_HTTP_MALFORMED, false },
+    { ASH_HTTP_REQUEST, "GET / HTTP/1.1\r\nA: b\rc\r\n\r\n", ASH_HTTP_MALFORMED, false },
+    { ASH_HTTP_REQUEST, "GET / HTTP/2.0\r\n\r\n", ASH_HTTP_MALFORMED, false },
+    { ASH_HTTP_REQUEST, "POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n", ASH_HTTP_BODY_TOO_LARGE,
+      false },
+    { ASH_HTTP_REQUEST, "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n", ASH_HTTP_OK,
+      false },
+    { ASH_HTTP_REQUEST, "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n",
+      ASH_HTTP_UNKNOWN_CODING, false },
+    { ASH_HTTP_REQUEST,
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
+      ASH_HTTP_UNKNOWN_CODING, false },
+    { ASH_HTTP_RESPONSE, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", ASH_HTTP_OK, true },
+    { ASH_HTTP_RESPONSE, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", ASH_HTTP_OK, false },
+    { ASH_HTTP_RESPONSE, "HTTP/1.1 200 OK\r\n\r\nto its end", ASH_HTTP_OK, true },
+    { ASH_HTTP_RESPONSE, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+      ASH_HTTP_OK, false },
+    { ASH_HTTP_RESPONSE, "rubbish", ASH_HTTP_MALFORMED, false },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      bool done;
+      enum ash_http_error error = read_message (cases[i].kind, cases[i].text, &done);
+
+      CU_ASSERT_EQUAL (error, cases[i].error);
+      CU_ASSERT_EQUAL (done, cases[i].done);
+      if (error != cases[i].error || done != cases[i].done)
+        printf ("\n%s\n", cases[i].text);
+    }
+}
+
+/* What a router can't do without, and further lines. */
+static void
+read_settings (struct ash_router_settings *settings,
+               const char *more,
+               struct ash_findings *findings)
+{
+  char text[1024];
+  int length = snprintf (
+      text, sizeof text,
+      "box = 'r'\nhall = 'h'\nfrontend_listen = '127.0.0.1:1'\nreadiness_listen = '127.0.0.1:2'\n"
+      "directory_listen = '127.0.0.1:3'\npeer_listen = '127.0.0.1:4'\n"
+      "metrics_listen = '127.0.0.1:5'\nstore_address = '127.0.0.1:6'\n"
+      "fleet_key = '00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff'\n%s",
+      more);
+
+  ash_findings_init (findings, "settings");
+  ash_router_settings_read (settings, text, (size_t) length, findings);
+}
+
 /* A deployment gives its time to stop as a number of seconds. The template wrote three zeros behind
  * it, which makes milliseconds of whole numbers only: of 7.5 it made 7.5000, a finding, and no
  * router would have started there. */
@@ -895,6 +1243,13 @@
   CU_add_test (suite, "expert layers: moves, shifts", test_layers);
   CU_add_test (suite, "expert layers: passes too long", test_pass_watch);
   CU_add_test (suite, "expert layers: a hold is near", test_hold_is_near);
+  CU_add_test (suite, "expert layers: an arm after the disarm", test_late_arm);
+  CU_add_test (suite, "expert layers: a refused hold", test_refused_hold);
+  CU_add_test (suite, "expert layers: finishing what is prepared unevenly", test_finish_uneven);
+  CU_add_test (suite, "platform: ranks", test_rank_formats);
+  CU_add_test (suite, "platform: store", test_store_format);
+  CU_add_test (suite, "platform: messages", test_message_format);
+  CU_add_test (suite, "platform: directory", test_directory_format);
   CU_add_test (suite, "settings: seconds with fractions", test_seconds);
   CU_add_test (suite, "peers: what they have and this process lacks", test_peer_news);
   CU_add_test (suite, "peers: what they have is the same after all", test_peer_news_settled);
