--- a/test/unit_router.c
+++ b/test/unit_router.c
@@ -669,6 +669,36 @@
   CU_ASSERT (ash_map_switch_version (&sw, 0) > sw.fence);
 }
 
+/* A report that a rank is armed with the version does not say for which step: another router may
+ * have armed it for another one. Taken for the answer to the arm, a pass had two maps. */
+static void
+test_report_is_no_answer (void)
+{
+  static const uint32_t copy_ms[ASH_LAYER_RANKS_MAX];
+  struct ash_time now = { 65000000 };
+  struct ash_rank_order orders[ASH_LAYER_RANKS_MAX];
+  struct ash_map_switch sw;
+
+  ash_map_switch_init (&sw, 4, 200, 0);
+  report_all (&sw, now, 100);
+  ash_map_switch_begin (&sw, now, ash_map_switch_version (&sw, 1), copy_ms);
+  answer_all (&sw, now, ASH_RANK_PREPARE, 4, 0);
+  answer_all (&sw, now, ASH_RANK_HOLD, 4, 0);
+  answer_all (&sw, now, ASH_RANK_ARM, 3, 0);
+  now = ash_time_add (now, 400);
+  for (uint32_t rank = 0; rank < 4; rank++)
+    {
+      struct ash_rank_report report = sw.ranks[rank].report;
+
+      report.rank = rank;
+      report.armed = sw.version;
+      ash_map_switch_report (&sw, now, &report);
+    }
+  CU_ASSERT_EQUAL (ash_map_switch_orders (&sw, now, orders), 1);
+  CU_ASSERT (orders[0].kind == ASH_RANK_ARM && orders[0].rank == 3);
+  CU_ASSERT_EQUAL (sw.phase, ASH_MAP_ARM);
+}
+
 /* A rank of this router's still holds step 103, from before it was started anew; so its holds of
  * 101 and on are refused. That does not tell that those steps have begun: taken for it, the change
  * that another router left at 101 was let go before anything was taken back. */
@@ -1032,6 +1062,7 @@
   CU_add_test (suite, "expert layers: a hold is near", test_hold_is_near);
   CU_add_test (suite, "expert layers: an arm after the disarm", test_late_arm);
   CU_add_test (suite, "expert layers: a refused hold", test_refused_hold);
+  CU_add_test (suite, "expert layers: a report is no answer", test_report_is_no_answer);
   CU_add_test (suite, "expert layers: finishing what is prepared unevenly", test_finish_uneven);
   CU_add_test (suite, "settings: seconds with fractions", test_seconds);
   CU_add_test (suite, "peers: what they have and this process lacks", test_peer_news);
