groups: a change of a map is planned over time, and shifts are looked for at once

A copy takes 0.4 s there and two a rank were made in one change; for 1.2 s after any decision (14.4 s over the ranks) no look was taken, also when the decision had been to change nothing; the map to come was believed to be in use while ranks still copied. Change: controllers/change_plan weighs copies a rank by the loss of time over what is left of the demand, told from the mean interval of shifts seen; map_change_gain goes by it. Looks again after 0.3 s. controllers/pass_model holds the engine's formula once. The unit tests of maps move to a file of their own.

--- a/controllers/layer_policy.c
+++ b/controllers/layer_policy.c
@@ -30,12 +30,19 @@
   double gain;     /* what it takes off the layer's norm */
 };
 
-/* All layers of a map while it is being changed. */
+/* All layers of a map while it is being changed, and the moves made so far, in order. */
 struct change
 {
   struct layer layers[ASH_LAYERS_MAX];
   struct move best[ASH_LAYERS_MAX];
   uint32_t rank_moves[ASH_LAYER_RANKS_MAX]; /* in all layers */
+  uint32_t rank_limit;                      /* of these, for now */
+  uint32_t made_count;
+  struct
+  {
+    uint32_t layer;
+    struct move move;
+  } made[ASH_LAYER_RANKS_MAX * ASH_CHANGE_COPIES_MAX];
 };
 
 void
@@ -244,7 +251,7 @@
       for (uint32_t rank = 0; rank < map->rank_count; rank++)
         if (!(layer->holders[expert] >> rank & 1) &&
             layer->new_count[rank] < weights->layer_moves &&
-            change->rank_moves[rank] < weights->rank_moves)
+            change->rank_moves[rank] < change->rank_limit)
           try_rank (layer, expert, rank, now, &best);
     }
   return best;
@@ -276,6 +283,9 @@
   layer->is_new[move.rank][move.slot] = true;
   layer->new_count[move.rank]++;
   change->rank_moves[move.rank]++;
+  change->made[change->made_count].layer = layer->index;
+  change->made[change->made_count].move = move;
+  change->made_count++;
   count_layer (layer);
 }
 
@@ -307,43 +317,96 @@
   return map->layer_count ? sum / map->layer_count : 1;
 }
 
+static double
+mean_skew (const struct change *change, uint32_t layer_count)
+{
+  double sum = 0;
+
+  for (uint32_t i = 0; i < layer_count; i++)
+    sum += change->layers[i].load[most_loaded (&change->layers[i])];
+  return layer_count ? sum / layer_count : 1;
+}
+
 /* Whether ranks that have their part of copies keep a move from being made. */
 static bool
-is_limited (const struct change *change, const struct ash_layer_map *map, uint32_t rank_moves)
+is_limited (const struct change *change, const struct ash_layer_map *map)
 {
   for (uint32_t rank = 0; rank < map->rank_count; rank++)
-    if (change->rank_moves[rank] >= rank_moves)
+    if (change->rank_moves[rank] >= change->rank_limit)
       return true;
   return false;
 }
 
+/* Makes the moves that are worth it while no rank may have more copies than the limit. */
+static void
+make_moves (struct change *change, const struct ash_layer_map *map, double least_gain)
+{
+  uint32_t layer;
+
+  for (uint32_t i = 0; i < map->layer_count; i++)
+    change->best[i] = find_move (change, &change->layers[i]);
+  while ((layer = best_layer (change, map, least_gain)) < map->layer_count)
+    {
+      make_move (change, &change->layers[layer]);
+      /* A rank that has its part of copies now is no longer open to any layer. */
+      for (uint32_t i = 0; i < map->layer_count; i++)
+        if (i == layer || change->rank_moves[change->best[i].rank] >= change->rank_limit)
+          change->best[i] = find_move (change, &change->layers[i]);
+    }
+}
+
+/* Makes of the map what it was, and of that what the first moves make of it. */
+static void
+keep_moves (const struct change *change,
+            const struct ash_layer_map *before,
+            struct ash_layer_map *map,
+            uint32_t count)
+{
+  *map = *before;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const struct move *move = &change->made[i].move;
+
+      map->slots[change->made[i].layer][move->rank][move->slot] = move->expert;
+    }
+}
+
 void
 ash_layer_policy_decide (const struct ash_layer_policy *policy,
+                         const struct ash_change_terms *terms,
                          struct ash_layer_map *map,
                          struct ash_layer_decision *decision)
 {
   struct change *change = calloc (1, sizeof *change);
-  uint32_t layer;
+  struct ash_layer_map *before = malloc (sizeof *before);
+  double after[ASH_CHANGE_COPIES_MAX];
+  uint32_t counts[ASH_CHANGE_COPIES_MAX + 1] = { 0 };
+  uint32_t most = 0;
 
   *decision = (struct ash_layer_decision){ .skew_before = ash_layer_skew (policy, map) };
   decision->skew_after = decision->skew_before;
-  if (!change)
-    return;
+  if (!change || !before)
+    goto out;
+  *before = *map;
   for (uint32_t i = 0; i < map->layer_count; i++)
+    open_layer (&change->layers[i], policy, map, i);
+  while (most < policy->weights.rank_moves && most < ASH_CHANGE_COPIES_MAX)
     {
-      open_layer (&change->layers[i], policy, map, i);
-      change->best[i] = find_move (change, &change->layers[i]);
-    }
-  while ((layer = best_layer (change, map, policy->weights.least_gain)) < map->layer_count)
-    {
-      make_move (change, &change->layers[layer]);
-      decision->moves++;
-      /* A rank that has its part of copies now is no longer open to any layer. */
-      for (uint32_t i = 0; i < map->layer_count; i++)
-        if (i == layer || change->rank_moves[change->best[i].rank] >= policy->weights.rank_moves)
-          change->best[i] = find_move (change, &change->layers[i]);
+      change->rank_limit = most + 1;
+      make_moves (change, map, policy->weights.least_gain);
+      if (change->made_count == counts[most])
+        break;
+      after[most++] = mean_skew (change, map->layer_count);
+      counts[most] = change->made_count;
     }
-  decision->more = is_limited (change, map, policy->weights.rank_moves);
-  decision->skew_after = ash_layer_skew (policy, map);
+  decision->copies = ash_change_plan (terms, decision->skew_before, after, most);
+  decision->moves = counts[decision->copies];
+  decision->more = decision->copies && (decision->copies < most || is_limited (change, map));
+  if (decision->copies)
+    decision->skew_after = after[decision->copies - 1];
+  keep_moves (change, before, map, decision->moves);
+
+out:
   free (change);
+  free (before);
 }
--- a/controllers/layer_policy.h
+++ b/controllers/layer_policy.h
@@ -11,12 +11,14 @@
  * What is asked for shifts at once and does not come back: counts from before a shift
  * say nothing of what comes after. So each layer's counts are added up as long as they
  * look alike, and begun anew when they don't. How long a change takes is decided by the
- * rank that copies most; so copies are dealt evenly over the ranks, and a large change is
- * made in steps, what helps most first.
+ * rank that copies most; so copies are dealt evenly over the ranks, first one to each that
+ * can use it, then a second one: what comes first of that is a change of its own where
+ * copying takes long (change_plan.h).
  */
 #ifndef ASH_LAYER_POLICY_H
 #define ASH_LAYER_POLICY_H
 
+#include "controllers/change_plan.h"
 #include "controllers/rank_state.h"
 
 /** Weights of the policy. */
@@ -26,7 +28,7 @@
   double alike;         /**< cosine of two reports of a layer from which they are alike */
   double least_gain;    /**< a move must take so much off the layer's norm, in mean loads */
   uint32_t layer_moves; /**< experts that are new to a rank in one layer, in one change */
-  uint32_t rank_moves;  /**< and in all layers together */
+  uint32_t rank_moves;  /**< and in all layers together, ASH_CHANGE_COPIES_MAX at most */
 };
 
 /** What is believed of the demand. */
@@ -46,7 +48,8 @@
   uint32_t moves;     /**< experts that are new to a rank */
   double skew_before; /**< most loaded rank over the mean, mean of all layers */
   double skew_after;
-  bool more; /**< there are moves left that would be worth it */
+  uint32_t copies; /**< of a rank at most */
+  bool more;       /**< there are moves left that would be worth it */
 };
 
 void ash_layer_policy_init (struct ash_layer_policy *policy,
@@ -57,8 +60,12 @@
 /** Takes in new counts: of each expert, layer after layer. */
 void ash_layer_policy_report (struct ash_layer_policy *policy, const double *counts);
 
-/** Changes @p map for what is believed. The map keeps its version. */
+/**
+ * Changes @p map for what is believed, if that pays. The map keeps its version.
+ * @param terms of a change; a decision without moves says that none pays.
+ */
 void ash_layer_policy_decide (const struct ash_layer_policy *policy,
+                              const struct ash_change_terms *terms,
                               struct ash_layer_map *map,
                               struct ash_layer_decision *decision);
 
--- a/controllers/pass_watch.c
+++ b/controllers/pass_watch.c
@@ -1,5 +1,7 @@
 #include "controllers/pass_watch.h"
 
+#include "controllers/pass_model.h"
+
 /* Part of the newest pause: the mean follows within about a dozen pauses, a pass or two of
  * a few streams. */
 #define NEWEST_PART 0.12
@@ -28,12 +30,12 @@
                       double streams,
                       int64_t pause_ms)
 {
-  double even_ms = engine->stride * (engine->step_ms + streams * engine->sequence_ms);
+  double even_ms = ash_pass_model_ms (engine, streams, 1);
   double ratio = even_ms > 0 ? (double) pause_ms / even_ms : 0;
 
   if (pause_ms < 1 || pause_ms > PAUSE_MOST_MS || even_ms <= 0)
     return;
-  watch->token_part = engine->stride * streams * engine->sequence_ms / even_ms;
+  watch->expert_part = ash_pass_model_expert_part (engine, streams);
   watch->pass_ms +=
       watch->seen ? NEWEST_PART * ((double) pause_ms - watch->pass_ms) : (double) pause_ms;
   watch->ratio += watch->seen ? NEWEST_PART * (ratio - watch->ratio) : ratio;
@@ -49,16 +51,10 @@
 }
 
 bool
-ash_pass_watch_slower (const struct ash_pass_watch *watch,
-                       const struct ash_engine_facts *engine,
-                       uint32_t ranks,
-                       double skew)
+ash_pass_watch_slower (const struct ash_pass_watch *watch, uint32_t ranks, double skew)
 {
   double times = SLOWER_TIMES + SLOWER_TIMES_RANKS / (ranks ? ranks : 1);
-  /* The most loaded rank sets how long the experts' part of the work for tokens takes. A
-   * step's fixed time does not grow with it. */
-  double tokens = 1 - engine->expert_share + engine->expert_share * skew;
-  double explained = 1 - watch->token_part + watch->token_part * tokens;
+  double explained = 1 + watch->expert_part * (skew - 1);
 
   if (explained < watch->accepted)
     explained = watch->accepted;
--- a/controllers/pass_watch.h
+++ b/controllers/pass_watch.h
@@ -12,11 +12,11 @@
 /** One group's passes. */
 struct ash_pass_watch
 {
-  double pass_ms;    /**< mean of the last few pauses */
-  double ratio;      /**< the same over a pass whose ranks are all even */
-  double accepted;   /**< the lowest ratio since a look at the counts found no shift; 0: none did */
-  double token_part; /**< of an even pass: the work for tokens, which grows with skew */
-  uint32_t seen;     /**< pauses since it was reset */
+  double pass_ms;  /**< mean of the last few pauses */
+  double ratio;    /**< the same over a pass whose ranks are all even */
+  double accepted; /**< the lowest ratio since a look at the counts found no shift; 0: none did */
+  double expert_part; /**< of an even pass: what grows with skew */
+  uint32_t seen;      /**< pauses since it was reset */
 };
 
 /** Forgets what was seen: the map has changed. */
@@ -39,9 +39,6 @@
  * @param skew that the map in use is believed to have.
  * @return whether passes take much longer than that explains.
  */
-bool ash_pass_watch_slower (const struct ash_pass_watch *watch,
-                            const struct ash_engine_facts *engine,
-                            uint32_t ranks,
-                            double skew);
+bool ash_pass_watch_slower (const struct ash_pass_watch *watch, uint32_t ranks, double skew);
 
 #endif
--- a/daemon/groups.c
+++ b/daemon/groups.c
@@ -1,5 +1,6 @@
 #include "daemon/groups.h"
 
+#include "controllers/pass_model.h"
 #include "daemon/rank_group.h"
 #include "daemon/router.h"
 
@@ -21,11 +22,11 @@
  * each with some tokens of every stream. */
 #define COUNTS_PAUSE_MS 100
 
-/* From a decision to the next look because of long passes, times the ranks: 0.2 s for 64,
- * 0.9 s for 16, so that the first passes of a changed map have shown themselves. */
-#define LOOK_AGAIN_RANK_MS 14400
-
-#define BITS_PER_MB 8.0
+/* From a decision to the next look because of long passes: two passes or three, so that the next
+ * one has shown something. A look costs a router and two ranks two questions; a second without one
+ * costs most of a second at a skew of about 3. Against 14.4 s over the number of ranks, 1.2 s for
+ * 12, on a group of 12: worth a day 0.42 instead of 0.40 (trials, 15 days each). */
+#define LOOK_AGAIN_MS 300
 
 /* Within so many passes of an epoch all counts are of what is asked for now. */
 #define FIRST_PASSES 40
@@ -41,8 +42,7 @@
                const struct ash_engine_facts *engine,
                uint32_t copy_ms[ASH_LAYER_RANKS_MAX])
 {
-  double one_ms =
-      engine->link_mbps > 0 ? engine->expert_mb * BITS_PER_MB * 1000 / engine->link_mbps : 0;
+  double one_ms = ash_pass_model_copy_ms (engine);
 
   for (uint32_t rank = 0; rank < group->map.rank_count; rank++)
     {
@@ -55,12 +55,33 @@
     }
 }
 
+/* Streams of a rank of the group, in the mean. */
+static double
+mean_streams (const struct ash_rank_group *group)
+{
+  const struct ash_direct_set *set;
+  uint32_t streams = 0;
+
+  for (uint32_t rank = 0; rank < group->sw.rank_count; rank++)
+    if (group->boxes[rank])
+      {
+        const struct ash_direct_endpoint *endpoint;
+
+        set = &group->boxes[rank]->groups->router->endpoints;
+        endpoint = ash_direct_find_hash (set, group->boxes[rank]->hash);
+        if (endpoint)
+          streams += endpoint->in_flight + endpoint->elsewhere;
+      }
+  return (double) streams / group->sw.rank_count;
+}
+
 static void
 decide_group (struct ash_rank_group *group, struct ash_groups *groups)
 {
   struct ash_router *router = groups->router;
   const struct ash_route_service *service = ash_rank_service (groups);
   struct ash_layer_decision decision;
+  struct ash_change_terms terms;
   uint32_t copy_ms[ASH_LAYER_RANKS_MAX] = { 0 };
   struct ash_time now = ash_clock_now ();
 
@@ -68,23 +89,25 @@
       !ash_rank_map_is_known (group))
     return;
   group->next = group->map;
-  ash_layer_policy_decide (groups->policy, &group->next, &decision);
+  terms = (struct ash_change_terms){
+    .copy_ms = ash_pass_model_copy_ms (&service->engine),
+    .expert_part = ash_pass_model_expert_part (&service->engine, mean_streams (group)),
+    .lasts_ms = ash_shift_times_lasts_ms (&groups->shifts, now),
+  };
+  ash_layer_policy_decide (groups->policy, &terms, &group->next, &decision);
   group->undecided = decision.more;
-  group->skew = decision.skew_after;
+  group->skew = decision.skew_before;
+  group->next_skew = decision.skew_after;
   ash_log_event (&router->log, ASH_EV_MAP_CHANGE,
-                 "group=%s epoch=%" PRIu64 " moves=%u more=%d skew=%.3f expected=%.3f "
-                 "counts=%" PRIu64 " age_ms=%lld pass_ms=%.1f ratio=%.2f step=%" PRIu64,
-                 group->name, group->sw.epoch, decision.moves, decision.more, decision.skew_before,
-                 decision.skew_after, groups->policy->reports,
+                 "group=%s epoch=%" PRIu64 " moves=%u copies=%u more=%d skew=%.3f expected=%.3f "
+                 "lasts_ms=%.0f counts=%" PRIu64
+                 " age_ms=%lld pass_ms=%.1f ratio=%.2f step=%" PRIu64,
+                 group->name, group->sw.epoch, decision.moves, decision.copies, decision.more,
+                 decision.skew_before, decision.skew_after, terms.lasts_ms, groups->policy->reports,
                  (long long) ash_time_diff (groups->decided, now), group->sw.pass_ms,
                  group->watch.ratio, group->sw.last_step);
-  if (!decision.moves ||
-      decision.skew_before - decision.skew_after < router->settings.map_change_gain)
-    {
-      group->undecided = false;
-      group->skew = decision.skew_before;
-      return;
-    }
+  if (!decision.moves)
+    return;
   expect_copies (group, &service->engine, copy_ms);
   group->next.version = ash_map_switch_version (&group->sw, ash_random_next (&router->random));
   ash_map_switch_begin (&group->sw, now, group->next.version, copy_ms);
@@ -107,6 +130,9 @@
   groups->counts_awaited = 0;
   groups->decided = now;
   ash_layer_policy_report (groups->policy, groups->counts);
+  /* In some layers alone, it may be a few counts' chance. */
+  if (groups->policy->shifts * 2 > groups->policy->layer_count)
+    ash_shift_times_note (&groups->shifts, now);
   memset (groups->counts, 0, wanted * sizeof *groups->counts);
   for (struct ash_rank_group *group = groups->groups; group; group = group->hh.next)
     {
@@ -141,11 +167,8 @@
 static bool
 is_slower (const struct ash_groups *groups)
 {
-  const struct ash_route_service *service = ash_rank_service (groups);
-
   for (const struct ash_rank_group *group = groups->groups; group; group = group->hh.next)
-    if (service && ash_pass_watch_slower (&group->watch, &service->engine,
-                                          HASH_COUNT (groups->boxes), group->skew))
+    if (ash_pass_watch_slower (&group->watch, HASH_COUNT (groups->boxes), group->skew))
       return true;
   return false;
 }
@@ -197,15 +220,6 @@
   return true;
 }
 
-/* A look has a price, and more streams share it where there are more ranks. */
-static int64_t
-look_again_ms (const struct ash_groups *groups)
-{
-  uint32_t ranks = HASH_COUNT (groups->boxes);
-
-  return ranks ? LOOK_AGAIN_RANK_MS / ranks : LOOK_AGAIN_RANK_MS;
-}
-
 /* Whether to look at the counts now, and from which moment on to count. */
 static void
 begin_look (struct ash_groups *groups, struct ash_time now)
@@ -217,7 +231,7 @@
       ask_counts (groups);
       set_counts_state (groups, is_young (groups) ? ASH_COUNTS_ASKED : ASH_COUNTS_BEFORE, now);
     }
-  else if (since_ms > look_again_ms (groups) && is_slower (groups))
+  else if (since_ms > LOOK_AGAIN_MS && is_slower (groups))
     {
       groups->suspects = true;
       ask_counts (groups);
@@ -262,26 +276,6 @@
     decide_group (group, groups);
 }
 
-/* Streams of a rank of the group, in the mean. */
-static double
-mean_streams (const struct ash_rank_group *group)
-{
-  const struct ash_direct_set *set;
-  uint32_t streams = 0;
-
-  for (uint32_t rank = 0; rank < group->sw.rank_count; rank++)
-    if (group->boxes[rank])
-      {
-        const struct ash_direct_endpoint *endpoint;
-
-        set = &group->boxes[rank]->groups->router->endpoints;
-        endpoint = ash_direct_find_hash (set, group->boxes[rank]->hash);
-        if (endpoint)
-          streams += endpoint->in_flight + endpoint->elsewhere;
-      }
-  return (double) streams / group->sw.rank_count;
-}
-
 void
 ash_groups_pause (struct ash_groups *groups, uint64_t endpoint_hash, int64_t pause_ms)
 {
@@ -389,6 +383,7 @@
   groups->counts_state = ASH_COUNTS_RESTING;
   groups->counts_awaited = 0;
   groups->suspects = false;
+  groups->shifts = (struct ash_shift_times){ 0 };
 }
 
 bool
--- a/daemon/groups.h
+++ b/daemon/groups.h
@@ -40,6 +40,7 @@
   bool suspects;  /**< the look under way was begun because of long passes */
   double *counts; /**< new since the last decision */
   struct ash_time decided;
+  struct ash_shift_times shifts;
   uint64_t orders; /**< sent */
   uint64_t reads;  /**< numbers read */
 };
--- a/daemon/rank_group.c
+++ b/daemon/rank_group.c
@@ -103,6 +103,7 @@
   if (sw->result == ASH_MAP_CHANGED)
     {
       group->map = group->next;
+      group->skew = group->next_skew;
       /* What the ranks report will lag behind; this router knows better. */
       for (uint32_t i = 0; i < sw->rank_count; i++)
         ash_map_switch_uses (sw, i, sw->epoch, group->map.version);
--- a/test/unit.c
+++ b/test/unit.c
@@ -703,6 +703,7 @@
   add_declared_tests (suite);
   add_config_tests (suite);
   add_router_tests (suite);
+  add_expert_tests (suite);
   add_platform_tests (suite);
   add_trace_tests (suite);
   add_router_world_tests (suite);
--- /dev/null
+++ b/test/unit_experts.c
@@ -0,0 +1,505 @@
+/**
+ * @file
+ * Unit tests of what the router that leads knows and decides of groups of ranks: how long passes
+ * take, whether a change of the expert map pays, the maps, and their change.
+ */
+#include "controllers/change_plan.h"
+#include "controllers/layer_policy.h"
+#include "controllers/map_switch.h"
+#include "controllers/pass_model.h"
+#include "controllers/pass_watch.h"
+#include "test/unit.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static struct ash_time
+at (int64_t ms)
+{
+  return (struct ash_time){ ms };
+}
+
+/* ---- expert maps ---- */
+
+#define LAYERS 2
+#define RANKS 4
+#define EXPERTS 16
+#define SLOTS 6
+
+static void
+deal (struct ash_layer_map *map)
+{
+  *map = (struct ash_layer_map){
+    .layer_count = LAYERS, .rank_count = RANKS, .slot_count = SLOTS, .expert_count = EXPERTS
+  };
+  for (uint32_t layer = 0; layer < LAYERS; layer++)
+    for (uint32_t rank = 0; rank < RANKS; rank++)
+      for (uint32_t slot = 0; slot < SLOTS; slot++)
+        map->slots[layer][rank][slot] =
+            slot < EXPERTS / RANKS ? (uint16_t) (rank + slot * RANKS) : ASH_NO_EXPERT;
+}
+
+/* Every expert stands somewhere, and none twice at a rank. */
+static void
+expect_sound (const struct ash_layer_map *map)
+{
+  for (uint32_t layer = 0; layer < LAYERS; layer++)
+    for (uint16_t expert = 0; expert < EXPERTS; expert++)
+      {
+        uint32_t held = 0;
+
+        for (uint32_t rank = 0; rank < RANKS; rank++)
+          {
+            uint32_t here = 0;
+
+            for (uint32_t slot = 0; slot < SLOTS; slot++)
+              here += map->slots[layer][rank][slot] == expert;
+            CU_ASSERT (here <= 1);
+            held += here;
+          }
+        CU_ASSERT (held >= 1);
+      }
+}
+
+static uint32_t
+changed_slots (const struct ash_layer_map *a, const struct ash_layer_map *b, uint32_t rank)
+{
+  uint32_t changed = 0;
+
+  for (uint32_t layer = 0; layer < LAYERS; layer++)
+    for (uint32_t slot = 0; slot < SLOTS; slot++)
+      changed += a->slots[layer][rank][slot] != b->slots[layer][rank][slot];
+  return changed;
+}
+
+static void
+test_layers (void)
+{
+  const struct ash_layer_weights weights = {
+    .decay = 0.5, .alike = 0.9, .least_gain = 0.02, .layer_moves = 2, .rank_moves = 3
+  };
+  const struct ash_change_terms lasting = { .expert_part = 0.5, .lasts_ms = 1e5 };
+  double counts[LAYERS * EXPERTS];
+  struct ash_layer_policy policy;
+  struct ash_layer_map map;
+  struct ash_layer_map before;
+  struct ash_layer_decision decision;
+  double skew;
+
+  deal (&map);
+  ash_layer_policy_init (&policy, LAYERS, EXPERTS, &weights);
+  for (int i = 0; i < LAYERS * EXPERTS; i++)
+    counts[i] = 1;
+  counts[5] = 20;
+  counts[EXPERTS + 9] = 20;
+  ash_layer_policy_report (&policy, counts);
+  skew = ash_layer_skew (&policy, &map);
+  CU_ASSERT (skew > 2);
+  for (int i = 0; i < 4; i++)
+    {
+      before = map;
+      ash_layer_policy_decide (&policy, &lasting, &map, &decision);
+      expect_sound (&map);
+      for (uint32_t rank = 0; rank < RANKS; rank++)
+        CU_ASSERT (changed_slots (&before, &map, rank) <= weights.rank_moves);
+      CU_ASSERT (decision.skew_after <= decision.skew_before);
+    }
+  CU_ASSERT (decision.skew_after < 1.25);
+  CU_ASSERT_EQUAL (decision.moves, 0);
+  /* A shift: what was counted before says nothing. */
+  counts[5] = 1;
+  counts[2] = 20;
+  ash_layer_policy_report (&policy, counts);
+  CU_ASSERT_EQUAL (policy.shifts, 1);
+  CU_ASSERT (policy.demand[0][5] < 0.05);
+  CU_ASSERT (ash_layer_skew (&policy, &map) > 1.4);
+  for (int i = 0; i < 4; i++)
+    ash_layer_policy_decide (&policy, &lasting, &map, &decision);
+  expect_sound (&map);
+  CU_ASSERT (decision.skew_after < 1.3);
+}
+
+/* ---- passes and changes ---- */
+
+/* Figures of engines that the decisions are to fit: steps, what a stream adds and what copying
+ * takes differ by three times either way from a middle one. */
+static struct ash_engine_facts
+engine_of (double sequence_ms, double expert_mb)
+{
+  return (struct ash_engine_facts){
+    .slots = 12,
+    .stride = 5,
+    .step_ms = 4.7,
+    .sequence_ms = sequence_ms,
+    .read_tokens_s = 65000,
+    .usual_prompt_tokens = 800,
+    .usual_answer_tokens = 120,
+    .layers = 6,
+    .experts = 96,
+    .expert_share = 0.85,
+    .expert_mb = expert_mb,
+    .link_mbps = 60000,
+  };
+}
+
+/* Nine streams a rank, right on one engine, had passes of 145 ms on another whose streams cost 2.5
+ * times as much, once demand had shifted: callers waited over 120 ms for an event, and 0.25 of them
+ * got a good stream where 0.6 did with six. */
+static void
+test_pass_streams (void)
+{
+  for (double sequence_ms = 0.2; sequence_ms < 2; sequence_ms *= 1.3)
+    {
+      struct ash_engine_facts engine = engine_of (sequence_ms, 1000);
+      uint32_t streams = ash_pass_model_streams (&engine, 120, engine.slots);
+      double shifted_ms = ash_pass_model_ms (&engine, streams, 3);
+
+      CU_ASSERT (streams >= 1 && streams <= engine.slots);
+      CU_ASSERT (streams == 1 || shifted_ms < 120);
+      /* Not fewer than needed. */
+      CU_ASSERT (streams == engine.slots || ash_pass_model_ms (&engine, streams + 1, 4) > 100);
+      CU_ASSERT (ash_pass_model_streams (&engine, 200, engine.slots) >= streams);
+    }
+  /* An engine that is too slow for the aim serves one at a time; one without figures is bounded. */
+  CU_ASSERT_EQUAL (
+      ash_pass_model_streams (&(struct ash_engine_facts){ .stride = 50, .step_ms = 9 }, 120, 12),
+      1);
+  CU_ASSERT_EQUAL (ash_pass_model_streams (&(struct ash_engine_facts){ 0 }, 120, 12), 12);
+}
+
+static uint32_t
+copies_of (double expert_mb, double lasts_ms, double skew, const double *after, uint32_t most)
+{
+  struct ash_engine_facts engine = engine_of (0.7, expert_mb);
+  struct ash_change_terms terms = {
+    .copy_ms = ash_pass_model_copy_ms (&engine),
+    .expert_part = ash_pass_model_expert_part (&engine, 6),
+    .lasts_ms = lasts_ms,
+  };
+
+  return ash_change_plan (&terms, skew, after, most);
+}
+
+/* Two copies a rank in one change took 0.93 s where one copy takes 0.4 s: passes were long twice as
+ * long as with one at a time. */
+static void
+test_change_plan (void)
+{
+  const double after[] = { 1.7, 1.25, 1.2 };
+  const double little[] = { 1.22, 1.21, 1.2 };
+
+  /* Copying takes 0.4 s, 0.13 s, 0.03 s, 2 s. */
+  CU_ASSERT_EQUAL (copies_of (3000, 3500, 3.2, after, 3), 1);
+  CU_ASSERT_EQUAL (copies_of (1000, 3500, 3.2, after, 3), 1);
+  CU_ASSERT_EQUAL (copies_of (220, 3500, 3.2, after, 3), 2);
+  CU_ASSERT_EQUAL (copies_of (15000, 1500, 3.2, after, 3), 0);
+  /* What takes little off pays only if it lasts, or costs nothing much. */
+  CU_ASSERT_EQUAL (copies_of (3000, 2500, 1.3, little, 3), 0);
+  CU_ASSERT (copies_of (3000, 60000, 1.4, little, 3) > 0);
+  CU_ASSERT_EQUAL (copies_of (3000, 3500, 3.2, after, 0), 0);
+}
+
+static void
+test_shift_times (void)
+{
+  struct ash_shift_times times = { 0 };
+  double first = ash_shift_times_lasts_ms (&times, at (0));
+
+  CU_ASSERT (first > 1000);
+  ash_shift_times_note (&times, at (10000));
+  CU_ASSERT_EQUAL (ash_shift_times_lasts_ms (&times, at (12000)), first);
+  ash_shift_times_note (&times, at (13600));
+  ash_shift_times_note (&times, at (17200));
+  CU_ASSERT_DOUBLE_EQUAL (ash_shift_times_lasts_ms (&times, at (17700)), 3100, 1);
+  /* Overdue: soon, but not at once. */
+  CU_ASSERT_DOUBLE_EQUAL (ash_shift_times_lasts_ms (&times, at (30000)), 1000, 1);
+}
+
+static void
+test_pass_watch (void)
+{
+  const struct ash_engine_facts engine = {
+    .stride = 6, .step_ms = 4.84, .sequence_ms = 0.362, .expert_share = 0.85
+  };
+  struct ash_pass_watch watch;
+
+  ash_pass_watch_reset (&watch);
+  /* An even pass of four streams takes 38 ms, 9 of them for tokens; a skew of 1.2 adds 1.5. */
+  for (int i = 0; i < 50; i++)
+    ash_pass_watch_pause (&watch, &engine, 4, 46);
+  CU_ASSERT_FALSE (ash_pass_watch_slower (&watch, 16, 1.2));
+  for (int i = 0; i < 15; i++)
+    ash_pass_watch_pause (&watch, &engine, 4, 80);
+  CU_ASSERT (ash_pass_watch_slower (&watch, 16, 1.2));
+  /* Nor does a skew of 2.5 explain twice an even pass: steps have a fixed time too. */
+  CU_ASSERT (ash_pass_watch_slower (&watch, 16, 2.5));
+  /* More streams explain longer passes: 55 ms, 26 of them for tokens. */
+  ash_pass_watch_reset (&watch);
+  for (int i = 0; i < 50; i++)
+    ash_pass_watch_pause (&watch, &engine, 12, 70);
+  CU_ASSERT_FALSE (ash_pass_watch_slower (&watch, 16, 1.2));
+  for (int i = 0; i < 50; i++)
+    ash_pass_watch_pause (&watch, &engine, 12, 95);
+  CU_ASSERT (ash_pass_watch_slower (&watch, 16, 1.2));
+  CU_ASSERT_FALSE (ash_pass_watch_slower (&watch, 16, 2.5));
+  /* More ranks share the price of a look: less is enough for one. */
+  for (int i = 0; i < 50; i++)
+    ash_pass_watch_pause (&watch, &engine, 12, 76);
+  CU_ASSERT_FALSE (ash_pass_watch_slower (&watch, 16, 1.2));
+  CU_ASSERT (ash_pass_watch_slower (&watch, 64, 1.2));
+  for (int i = 0; i < 50; i++)
+    ash_pass_watch_pause (&watch, &engine, 12, 95);
+  /* A look found no shift: only what is longer again is looked into. */
+  ash_pass_watch_accept (&watch);
+  CU_ASSERT_FALSE (ash_pass_watch_slower (&watch, 16, 1.2));
+  for (int i = 0; i < 50; i++)
+    ash_pass_watch_pause (&watch, &engine, 12, 130);
+  CU_ASSERT (ash_pass_watch_slower (&watch, 16, 1.2));
+  /* What was accepted holds no longer once passes were short in between. */
+  for (int i = 0; i < 50; i++)
+    ash_pass_watch_pause (&watch, &engine, 12, 60);
+  for (int i = 0; i < 50; i++)
+    ash_pass_watch_pause (&watch, &engine, 12, 95);
+  CU_ASSERT (ash_pass_watch_slower (&watch, 16, 1.2));
+}
+
+/* All ranks tell the same. */
+static void
+report_all (struct ash_map_switch *sw, struct ash_time now, uint64_t step)
+{
+  for (uint32_t i = 0; i < sw->rank_count; i++)
+    {
+      struct ash_rank_report report = {
+        .group = "g", .epoch = 1, .rank = i, .rank_count = sw->rank_count, .step = step
+      };
+
+      ash_map_switch_report (sw, now, &report);
+    }
+}
+
+/* Answers whatever is ordered until a step is to be held. @return that step. */
+static uint64_t
+held_step (struct ash_map_switch *sw, struct ash_time now)
+{
+  struct ash_rank_order orders[ASH_LAYER_RANKS_MAX];
+  uint32_t count = ash_map_switch_orders (sw, now, orders);
+
+  for (uint32_t i = 0; i < count; i++)
+    ash_map_switch_answered (sw, now, &orders[i], 200);
+  count = ash_map_switch_orders (sw, now, orders);
+  CU_ASSERT (count == 1 && orders[0].kind == ASH_RANK_HOLD);
+  return orders[0].step;
+}
+
+/* A step that is held far ahead would leave all ranks armed, and the map as it is, for as
+ * long as it takes to get there. */
+static void
+test_hold_is_near (void)
+{
+  static const uint32_t copy_ms[ASH_LAYER_RANKS_MAX];
+  struct ash_time now = { 65000000 };
+  struct ash_map_switch sw;
+
+  /* No step was seen as yet, though streams have told how long a pass takes. */
+  ash_map_switch_init (&sw, 4, 200, 0);
+  report_all (&sw, now, 0);
+  ash_map_switch_pass (&sw, 50);
+  CU_ASSERT (ash_map_switch_ready (&sw, now));
+  ash_map_switch_begin (&sw, now, ash_map_switch_version (&sw, 1), copy_ms);
+  CU_ASSERT_EQUAL (held_step (&sw, now), 1);
+  /* The group has been idle since its last step. */
+  ash_map_switch_init (&sw, 4, 200, 0);
+  report_all (&sw, now, 100);
+  ash_map_switch_pass (&sw, 50);
+  now = ash_time_add (now, 60000);
+  report_all (&sw, now, 100);
+  ash_map_switch_begin (&sw, now, ash_map_switch_version (&sw, 1), copy_ms);
+  CU_ASSERT_EQUAL (held_step (&sw, now), 101);
+  /* It is at work: what it has gone on since it told is counted in. */
+  ash_map_switch_init (&sw, 4, 200, 0);
+  report_all (&sw, now, 100);
+  ash_map_switch_pass (&sw, 50);
+  now = ash_time_add (now, 300);
+  ash_map_switch_begin (&sw, now, ash_map_switch_version (&sw, 1), copy_ms);
+  CU_ASSERT (held_step (&sw, now) >= 106);
+}
+
+/* Answers all that is due, which must be of that kind; that rank with another status. */
+static void
+answer_all (struct ash_map_switch *sw,
+            struct ash_time now,
+            enum ash_rank_order_kind kind,
+            uint32_t odd_rank,
+            uint16_t odd_status)
+{
+  struct ash_rank_order orders[ASH_LAYER_RANKS_MAX];
+  uint32_t count = ash_map_switch_orders (sw, now, orders);
+
+  CU_ASSERT (count > 0);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      CU_ASSERT_EQUAL (orders[i].kind, kind);
+      ash_map_switch_answered (sw, now, &orders[i], orders[i].rank == odd_rank ? odd_status : 200);
+    }
+}
+
+/* Users of a group had passes with two maps: a rank that copied longer than expected refused its
+ * arm seven times in 0.3 s, which was taken for never; all were disarmed and the step let go. The
+ * arm sent last came after the disarm, as the rank had just copied all, and was taken there alone.
+ * Seen at 12.368 s of a day of rolling stops, step 108: one rank with version 6127193. */
+static void
+test_late_arm (void)
+{
+  static const uint32_t copy_ms[ASH_LAYER_RANKS_MAX];
+  struct ash_time now = { 65000000 };
+  struct ash_rank_order orders[ASH_LAYER_RANKS_MAX];
+  struct ash_map_switch sw;
+  uint64_t version;
+
+  ash_map_switch_init (&sw, 4, 200, 0);
+  report_all (&sw, now, 100);
+  version = ash_map_switch_version (&sw, 1);
+  ash_map_switch_begin (&sw, now, version, copy_ms);
+  answer_all (&sw, now, ASH_RANK_PREPARE, 4, 0);
+  answer_all (&sw, now, ASH_RANK_HOLD, 4, 0);
+  /* It still copies: its reports, newer than the arms, tell of nothing prepared. */
+  for (int i = 0; i < 10; i++)
+    {
+      answer_all (&sw, now, ASH_RANK_ARM, 3, 409);
+      now = ash_time_add (now, 50);
+      report_all (&sw, now, 100);
+      CU_ASSERT_EQUAL (sw.phase, ASH_MAP_ARM);
+    }
+  now = ash_time_add (now, 5000);
+  answer_all (&sw, now, ASH_RANK_DISARM, 4, 0);
+  /* Disarmed is not enough to let go. */
+  CU_ASSERT (ash_map_switch_wants_fence (&sw));
+  CU_ASSERT_EQUAL (ash_map_switch_orders (&sw, now, orders), 0);
+  ash_map_switch_fence (&sw, ash_map_switch_version (&sw, 2));
+  CU_ASSERT (sw.fence > version);
+  /* The late arm was taken after the disarm: the rank refuses the fence. */
+  answer_all (&sw, now, ASH_RANK_PREPARE, 3, 409);
+  CU_ASSERT_EQUAL (ash_map_switch_orders (&sw, now, orders), 1);
+  CU_ASSERT_EQUAL (orders[0].kind, ASH_RANK_DISARM);
+  CU_ASSERT_EQUAL (orders[0].version, version);
+  ash_map_switch_answered (&sw, now, &orders[0], 200);
+  answer_all (&sw, now, ASH_RANK_PREPARE, 4, 0);
+  answer_all (&sw, now, ASH_RANK_GO, 4, 0);
+  CU_ASSERT_EQUAL (sw.result, ASH_MAP_GIVEN_UP);
+  CU_ASSERT (ash_map_switch_version (&sw, 0) > sw.fence);
+}
+
+/* A report that a rank is armed with the version does not say for which step: another router may
+ * have armed it for another one. Taken for the answer to the arm, a pass had two maps. */
+static void
+test_report_is_no_answer (void)
+{
+  static const uint32_t copy_ms[ASH_LAYER_RANKS_MAX];
+  struct ash_time now = { 65000000 };
+  struct ash_rank_order orders[ASH_LAYER_RANKS_MAX];
+  struct ash_map_switch sw;
+
+  ash_map_switch_init (&sw, 4, 200, 0);
+  report_all (&sw, now, 100);
+  ash_map_switch_begin (&sw, now, ash_map_switch_version (&sw, 1), copy_ms);
+  answer_all (&sw, now, ASH_RANK_PREPARE, 4, 0);
+  answer_all (&sw, now, ASH_RANK_HOLD, 4, 0);
+  answer_all (&sw, now, ASH_RANK_ARM, 3, 0);
+  now = ash_time_add (now, 400);
+  for (uint32_t rank = 0; rank < 4; rank++)
+    {
+      struct ash_rank_report report = sw.ranks[rank].report;
+
+      report.rank = rank;
+      report.armed = sw.version;
+      ash_map_switch_report (&sw, now, &report);
+    }
+  CU_ASSERT_EQUAL (ash_map_switch_orders (&sw, now, orders), 1);
+  CU_ASSERT (orders[0].kind == ASH_RANK_ARM && orders[0].rank == 3);
+  CU_ASSERT_EQUAL (sw.phase, ASH_MAP_ARM);
+}
+
+/* A rank of this router's still holds step 103, from before it was started anew; so its holds of
+ * 101 and on are refused. That does not tell that those steps have begun: taken for it, the change
+ * that another router left at 101 was let go before anything was taken back. */
+static void
+test_refused_hold (void)
+{
+  static const uint32_t copy_ms[ASH_LAYER_RANKS_MAX];
+  struct ash_time now = { 65000000 };
+  struct ash_map_switch sw;
+
+  ash_map_switch_init (&sw, 4, 200, 0);
+  report_all (&sw, now, 100);
+  ash_map_switch_begin (&sw, now, ash_map_switch_version (&sw, 1), copy_ms);
+  answer_all (&sw, now, ASH_RANK_PREPARE, 4, 0);
+  answer_all (&sw, now, ASH_RANK_HOLD, 0, 409);
+  CU_ASSERT_EQUAL (sw.last_step, 100);
+  CU_ASSERT_EQUAL (sw.step, 102);
+  /* Once another router's word is that the step has begun, nothing is armed any more. */
+  answer_all (&sw, now, ASH_RANK_HOLD, 4, 0);
+  answer_all (&sw, now, ASH_RANK_ARM, 3, 409);
+  report_all (&sw, now, 102);
+  answer_all (&sw, now, ASH_RANK_GO, 0, 409);
+  CU_ASSERT_EQUAL (sw.result, ASH_MAP_GIVEN_UP);
+  /* A step that was let go here is not held again. */
+  ash_map_switch_begin (&sw, now, ash_map_switch_version (&sw, 1), copy_ms);
+  answer_all (&sw, now, ASH_RANK_PREPARE, 4, 0);
+  CU_ASSERT (sw.phase == ASH_MAP_HOLD && sw.step == 103);
+  answer_all (&sw, now, ASH_RANK_HOLD, 4, 0);
+  answer_all (&sw, now, ASH_RANK_ARM, 4, 0);
+  answer_all (&sw, now, ASH_RANK_GO, 4, 0);
+  ash_map_switch_begin (&sw, now, ash_map_switch_version (&sw, 1), copy_ms);
+  answer_all (&sw, now, ASH_RANK_PREPARE, 4, 0);
+  CU_ASSERT_EQUAL (sw.step, 104);
+}
+
+/* A router died between hold and go, ranks with its version prepared unevenly; the one that
+ * finishes holds the step too, beside a hold of its own former life, and takes back before it lets
+ * go. */
+static void
+test_finish_uneven (void)
+{
+  struct ash_time now = { 65000000 };
+  struct ash_map_switch sw;
+
+  ash_map_switch_init (&sw, 4, 200, 0);
+  for (int i = 0; i < 20; i++)
+    {
+      for (uint32_t rank = 0; rank < 4; rank++)
+        {
+          struct ash_rank_report report = {
+            .group = "g",
+            .epoch = 1,
+            .rank = rank,
+            .rank_count = 4,
+            .step = 100,
+            .prepared = rank ? 7 : 0,
+            .held = rank ? 0 : 101,
+          };
+
+          ash_map_switch_report (&sw, now, &report);
+        }
+      now = ash_time_add (now, 50);
+    }
+  answer_all (&sw, now, ASH_RANK_HOLD, 4, 0);
+  CU_ASSERT_EQUAL (sw.holder, 2);
+  CU_ASSERT_EQUAL (sw.step, 101);
+  answer_all (&sw, now, ASH_RANK_DISARM, 4, 0);
+  CU_ASSERT (ash_map_switch_wants_fence (&sw));
+}
+
+void
+add_expert_tests (CU_pSuite suite)
+{
+  CU_add_test (suite, "expert layers: moves, shifts", test_layers);
+  CU_add_test (suite, "passes: streams that an engine bears", test_pass_streams);
+  CU_add_test (suite, "maps: whether and how a change pays", test_change_plan);
+  CU_add_test (suite, "maps: how long demand lasts", test_shift_times);
+  CU_add_test (suite, "expert layers: passes too long", test_pass_watch);
+  CU_add_test (suite, "expert layers: a hold is near", test_hold_is_near);
+  CU_add_test (suite, "expert layers: an arm after the disarm", test_late_arm);
+  CU_add_test (suite, "expert layers: a refused hold", test_refused_hold);
+  CU_add_test (suite, "expert layers: a report is no answer", test_report_is_no_answer);
+  CU_add_test (suite, "expert layers: finishing what is prepared unevenly", test_finish_uneven);
+}
