requests: streams a rank may have, from the engine's figures

Cause: nine streams a rank were right for an engine whose streams add 0.36 ms a step; where they add 0.9 ms, a pass after a shift took over 120 ms, and each stream under way was late. Change: the cap is the most streams with which a pass after a shift (skew 3.5), with a copy and a prompt, stays within the pause that is good (ash_pass_model_streams); rank_streams only bounds it.

--- a/daemon/requests.c
+++ b/daemon/requests.c
@@ -3,6 +3,7 @@
  * Callers' requests: denied, refused in a planned stop, or routed and begun as an exchange; and the
  * end of a stop, which ends them all.
  */
+#include "controllers/pass_model.h"
 #include "daemon/exchange.h"
 
 #include <string.h>
@@ -73,13 +74,22 @@
 /* More requests than slots of a plain endpoint queue there; an engine's streams slow
  * each other down, so fewer than its slots run. */
 static uint32_t
-cap_of (const struct ash_router *router, const struct ash_route_service *service)
+cap_of (const struct ash_router *router,
+        const struct ash_route *route,
+        const struct ash_route_service *service)
 {
   const struct ash_direct_endpoint *endpoint;
 
   if (service->has_engine)
-    return router->settings.rank_streams < service->engine.slots ? router->settings.rank_streams
-                                                                 : service->engine.slots;
+    {
+      uint32_t bound = router->settings.rank_streams < service->engine.slots
+                           ? router->settings.rank_streams
+                           : service->engine.slots;
+
+      return route->pause_aim_ms
+                 ? ash_pass_model_streams (&service->engine, route->pause_aim_ms, bound)
+                 : bound;
+    }
   for (endpoint = router->endpoints.endpoints; endpoint; endpoint = endpoint->hh.next)
     if (strcmp (endpoint->facts.service, service->name) == 0)
       return endpoint->facts.slots + router->settings.plain_queue;
@@ -103,7 +113,7 @@
     .servers_max = route->servers_max,
     .aim_ms = route->aim_ms,
     .service = service->name,
-    .cap = cap_of (router, service),
+    .cap = cap_of (router, route, service),
     .pause_aim_ms = service->has_engine ? route->pause_aim_ms : 0,
     .came = ash_clock_now (),
   };
--- a/options/router_settings.c
+++ b/options/router_settings.c
@@ -67,7 +67,7 @@
          "of callers at once; a small box has 4,100 descriptors, endpoints need some"),
   MS (wait_ms, "80", 0, 10000, "how long a request may wait for room"),
   COUNT (
-      rank_streams, "9", 1, 10000, "streams", "at once at one rank of an engine, over all entries"),
+      rank_streams, "16", 1, 10000, "streams", "at once at one rank of an engine, over all entries"),
   COUNT (plain_queue,
          "6",
          0,
