settings: loads told every 50 ms

Cause: routers that hear of each other's streams 100 ms late send to the same ranks; the fullest rank sets all ranks' pace.

--- a/options/router_settings.c
+++ b/options/router_settings.c
@@ -40,7 +40,7 @@
   MS (heartbeat_ms, "300", 10, 60000, "period of heartbeats on a peer link"),
   MS (link_silence_ms, "1000", 50, 600000, "a link without a frame for so long is closed"),
   MS (dial_retry_ms, "300", 10, 60000, "mean wait before a link is dialled again"),
-  MS (load_period_ms, "100", 10, 10000, "peers are told of changed loads at most this often"),
+  MS (load_period_ms, "50", 10, 10000, "peers are told of changed loads at most this often"),
   MS (store_wait_ms,
       "20000",
       100,
