groups: a look whose answers are lost is taken again, at other ranks

The two ranks asked for counts were always the same; without their answers a look decided on nothing (three decisions with the same skew to three digits), and a shift at 20.7 s was seen at 25.6 s. A rank whose first answer was lost and whose second came was counted from its start.

--- a/daemon/groups.c
+++ b/daemon/groups.c
@@ -31,6 +31,9 @@
 /* Within so many passes of an epoch all counts are of what is asked for now. */
 #define FIRST_PASSES 40
 
+/* Looks without any answer that are taken again at once, at other ranks. */
+#define LOOKS_LOST_MAX 3
+
 /* A rank whose pace is other by this much is to have more or fewer experts. */
 #define PACE_CHANGED 1.25
 
@@ -157,11 +160,58 @@
   groups->counts_since = now;
 }
 
+/* Some ranks: their requests are a sample of all, and each number has a price. */
+static void
+ask_counts (struct ash_groups *groups)
+{
+  uint32_t count = HASH_COUNT (groups->boxes);
+  uint32_t samples = groups->router->settings.count_samples;
+  uint32_t stride = count / samples ? count / samples : 1;
+  uint32_t index = 0;
+
+  groups->counts_awaited = 0;
+  groups->counts_taken = 0;
+  for (struct ash_rank_box *box = groups->boxes; box; box = box->hh.next, index++)
+    if (index % stride == groups->sample_first % stride)
+      {
+        ash_rank_ask (box, ASH_RANK_COUNTS);
+        groups->counts_awaited++;
+      }
+}
+
+/* What is asked for from now on is counted. */
+static void
+begin_counting (struct ash_groups *groups, struct ash_time now)
+{
+  ask_counts (groups);
+  groups->counts_from_look = true;
+  groups->look_began = now;
+  set_counts_state (groups, ASH_COUNTS_BEFORE, now);
+}
+
+/* The ranks were asked already: their answers are of all since the last look, or the start. */
+static void
+count_all_so_far (struct ash_groups *groups, struct ash_time now)
+{
+  groups->counts_from_look = false;
+  set_counts_state (groups, ASH_COUNTS_ASKED, now);
+}
+
 static void
 decide (struct ash_groups *groups, struct ash_time now)
 {
   uint32_t wanted = groups->policy->layer_count * groups->policy->expert_count;
 
+  /* All answers were lost. That was taken for a look that found no shift: with answers of 43 of 72
+   * endpoints lost, a shift was seen 4.9 s late. */
+  if (!groups->counts_taken && groups->looks_lost < LOOKS_LOST_MAX)
+    {
+      groups->looks_lost++;
+      groups->sample_first++;
+      begin_counting (groups, now);
+      return;
+    }
+  groups->looks_lost = 0;
   set_counts_state (groups, ASH_COUNTS_RESTING, now);
   groups->counts_awaited = 0;
   groups->decided = now;
@@ -209,24 +259,6 @@
   return false;
 }
 
-/* Some ranks: their requests are a sample of all, and each number has a price. */
-static void
-ask_counts (struct ash_groups *groups)
-{
-  uint32_t count = HASH_COUNT (groups->boxes);
-  uint32_t samples = groups->router->settings.count_samples;
-  uint32_t stride = count / samples ? count / samples : 1;
-  uint32_t index = 0;
-
-  groups->counts_awaited = 0;
-  for (struct ash_rank_box *box = groups->boxes; box; box = box->hh.next, index++)
-    if (index % stride == 0)
-      {
-        ash_rank_ask (box, ASH_RANK_COUNTS);
-        groups->counts_awaited++;
-      }
-}
-
 /* Passes are long: demand has shifted, or a rank has turned slow. */
 static void
 ask_reports (struct ash_groups *groups, struct ash_time now)
@@ -273,20 +305,20 @@
 
   if (!groups->policy->reports)
     {
-      ask_counts (groups);
-      set_counts_state (groups, is_young (groups) ? ASH_COUNTS_ASKED : ASH_COUNTS_BEFORE, now);
+      begin_counting (groups, now);
+      if (is_young (groups))
+        count_all_so_far (groups, now);
     }
   else if (since_ms > LOOK_AGAIN_MS && is_slower (groups))
     {
       groups->suspects = true;
-      ask_counts (groups);
       ask_reports (groups, now);
-      set_counts_state (groups, ASH_COUNTS_BEFORE, now);
+      begin_counting (groups, now);
     }
   else if (since_ms > groups->router->settings.map_period_ms)
     {
       ask_counts (groups);
-      set_counts_state (groups, ASH_COUNTS_ASKED, now);
+      count_all_so_far (groups, now);
     }
 }
 
--- a/daemon/groups.h
+++ b/daemon/groups.h
@@ -36,9 +36,14 @@
   struct ash_layer_policy *policy;
   enum ash_counts_state counts_state;
   struct ash_time counts_since; /**< when this state began */
+  struct ash_time look_began;   /**< the look's first question; counts are from there on */
+  bool counts_from_look;        /**< else from the last look on, or from the start */
+  uint32_t sample_first;        /**< ranks that are asked: every so manieth from here on */
   uint32_t counts_awaited;
-  bool suspects;  /**< the look under way was begun because of long passes */
-  double *counts; /**< new since the last decision */
+  uint32_t counts_taken; /**< answers of this look that counted */
+  uint32_t looks_lost;   /**< in a row, without such an answer */
+  bool suspects;         /**< the look under way was begun because of long passes */
+  double *counts;        /**< new since the last decision */
   struct ash_time decided;
   struct ash_shift_times shifts;
   uint64_t orders; /**< sent */
--- a/daemon/rank_group.c
+++ b/daemon/rank_group.c
@@ -163,23 +163,40 @@
   take_result (group, groups, now);
 }
 
+/* Whether a box's new counts are of the time that the look is about. Without its answer to the
+ * look's first question they are of all its life. */
+static bool
+are_of_look (const struct ash_rank_box *box, bool goes_on)
+{
+  const struct ash_groups *groups = box->groups;
+
+  if (groups->counts_state != ASH_COUNTS_ASKED)
+    return false;
+  if (!groups->counts_from_look)
+    return goes_on || !groups->policy->reports;
+  return goes_on && !ash_time_before (box->counts_read, groups->look_began);
+}
+
 /* Adds what is new since the box was last asked. */
 static void
 add_counts (struct ash_rank_box *box, const struct ash_rank_counts *counts)
 {
   struct ash_groups *groups = box->groups;
   bool goes_on = box->has_counts && box->counts_epoch == counts->epoch;
+  bool counts_here = are_of_look (box, goes_on);
 
+  groups->counts_taken += counts_here;
   for (uint32_t i = 0; i < counts->count; i++)
     {
       uint64_t before = goes_on && box->counts[i] <= counts->numbers[i] ? box->counts[i] : 0;
 
-      if (groups->counts_state == ASH_COUNTS_ASKED)
+      if (counts_here)
         groups->counts[i] += (double) (counts->numbers[i] - before);
       box->counts[i] = counts->numbers[i];
     }
   box->has_counts = true;
   box->counts_epoch = counts->epoch;
+  box->counts_read = ash_clock_now ();
 }
 
 static void
--- a/daemon/rank_group.h
+++ b/daemon/rank_group.h
@@ -46,6 +46,7 @@
   double pace; /* as it last told; 0: it has not */
   bool has_counts;
   uint64_t counts_epoch;
+  struct ash_time counts_read;
   uint64_t counts[ASH_LAYERS_MAX * ASH_LAYER_EXPERTS_MAX]; /* as last read */
   UT_hash_handle hh;
 };
