fleet: loads told by what has changed

Change: a message names the endpoints whose number has changed; every 20th, and the first after a link came up, names all.

--- a/controllers/direct.h
+++ b/controllers/direct.h
@@ -45,6 +45,7 @@
   enum ash_direct_presence presence;
   struct ash_time lapsed_until;
   uint32_t in_flight;           /**< of this process */
+  uint32_t told;                /**< of these, what peers were last told */
   uint32_t elsewhere;           /**< of its peers, as they last said */
   uint32_t failures;            /**< in a row */
   struct ash_time passed_until; /**< others are taken until then */
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -49,6 +49,10 @@
 
 /* ---- loads ---- */
 
+/* What peers are told of changes only is told whole this often, in messages: what one missed of an
+ * endpoint that it did not know yet is right a second later. */
+#define TELL_ALL_EVERY 20
+
 /* Takes back what the peer said last. */
 static void
 forget_loads (struct ash_fleet *fleet, struct ash_fleet_peer *peer)
@@ -87,6 +91,46 @@
     }
 }
 
+static bool
+make_room (struct ash_fleet_peer *peer, size_t count)
+{
+  uint64_t *endpoints = realloc (peer->load_endpoints, count * sizeof *endpoints);
+  uint64_t *in_flight;
+
+  if (!endpoints)
+    return false;
+  peer->load_endpoints = endpoints;
+  in_flight = realloc (peer->load_in_flight, count * sizeof *in_flight);
+  if (!in_flight)
+    return false;
+  peer->load_in_flight = in_flight;
+  return true;
+}
+
+/* There is room for one more. */
+static void
+set_load (struct ash_fleet *fleet, struct ash_fleet_peer *peer, uint64_t hash, uint64_t in_flight)
+{
+  struct ash_direct_endpoint *endpoint = ash_direct_find_hash (&fleet->router->endpoints, hash);
+  uint32_t at = 0;
+
+  if (!endpoint)
+    return;
+  while (at < peer->load_count && peer->load_endpoints[at] != hash)
+    at++;
+  if (at == peer->load_count)
+    {
+      peer->load_endpoints[at] = hash;
+      peer->load_in_flight[at] = 0;
+      peer->load_count++;
+    }
+  endpoint->elsewhere -= peer->load_in_flight[at] < endpoint->elsewhere
+                             ? (uint32_t) peer->load_in_flight[at]
+                             : endpoint->elsewhere;
+  endpoint->elsewhere += (uint32_t) in_flight;
+  peer->load_in_flight[at] = in_flight;
+}
+
 static void
 take_loads (struct ash_fleet *fleet,
             struct ash_fleet_peer *peer,
@@ -94,30 +138,19 @@
 {
   size_t count = loads->n_endpoints;
 
-  forget_loads (fleet, peer);
+  if (!loads->changes)
+    forget_loads (fleet, peer);
   fleet->router->room = true;
   take_slow (fleet, loads);
   if (!count || count != loads->n_in_flight || count > ASH_FLEET_LOADS_MAX)
     return;
-  peer->load_endpoints = calloc (count, sizeof *peer->load_endpoints);
-  peer->load_in_flight = calloc (count, sizeof *peer->load_in_flight);
-  if (!peer->load_endpoints || !peer->load_in_flight)
+  if (!make_room (peer, peer->load_count + count))
     {
       forget_loads (fleet, peer);
       return;
     }
   for (size_t i = 0; i < count; i++)
-    {
-      struct ash_direct_endpoint *endpoint =
-          ash_direct_find_hash (&fleet->router->endpoints, loads->endpoints[i]);
-
-      if (!endpoint)
-        continue;
-      endpoint->elsewhere += (uint32_t) loads->in_flight[i];
-      peer->load_endpoints[peer->load_count] = loads->endpoints[i];
-      peer->load_in_flight[peer->load_count] = loads->in_flight[i];
-      peer->load_count++;
-    }
+    set_load (fleet, peer, loads->endpoints[i], loads->in_flight[i]);
 }
 
 /* Only what was told here first: what peers tell is not told on, or it would never end. */
@@ -153,14 +186,17 @@
   uint32_t slow_milli[ASH_FLEET_SLOW_MAX];
   struct Ash__EndpointLoads loads = ASH__ENDPOINT_LOADS__INIT;
   struct Ash__Event event = ash_event_of ("", ASH__EVENT__KIND_ENDPOINT_LOADS, &loads);
-  const struct ash_direct_endpoint *endpoint = fleet->router->endpoints.endpoints;
+  struct ash_direct_endpoint *endpoint = fleet->router->endpoints.endpoints;
 
+  loads.changes = fleet->tells > 0;
+  fleet->tells = (fleet->tells + 1) % TELL_ALL_EVERY;
   loads.endpoints = endpoints;
   loads.in_flight = in_flight;
   for (; endpoint && loads.n_endpoints < ASH_FLEET_LOADS_MAX; endpoint = endpoint->hh.next)
     {
-      if (!endpoint->in_flight)
+      if (loads.changes ? endpoint->in_flight == endpoint->told : !endpoint->in_flight)
         continue;
+      endpoint->told = endpoint->in_flight;
       endpoints[loads.n_endpoints] = endpoint->hash;
       in_flight[loads.n_endpoints] = endpoint->in_flight;
       loads.n_endpoints++;
@@ -239,6 +275,7 @@
       peer->linked = true;
       peer->leaving = false;
       fleet->loads_changed = true;
+      fleet->tells = 0;
       fleet->links_changed = ash_clock_now ();
       break;
     case ASH__EVENT__KIND_LINK_DOWN:
--- a/daemon/fleet.h
+++ b/daemon/fleet.h
@@ -51,6 +51,7 @@
   struct ash_time links_changed; /**< when a link last came up or went down */
   uint32_t beats;                /**< heartbeats made */
   bool loads_changed;
+  uint32_t tells;  /**< messages of changed loads since one of all */
   bool asks_often; /**< this router is one that asks the store often */
   bool opened;
 };
--- a/proto/ash.pb-c.c
+++ b/proto/ash.pb-c.c
@@ -2136,7 +2136,7 @@
   (ProtobufCMessageInit) ash__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__endpoint_loads__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ash__endpoint_loads__field_descriptors[5] =
 {
   {
     "endpoints",
@@ -2186,8 +2186,21 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "changes",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ash__EndpointLoads, changes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ash__endpoint_loads__field_indices_by_name[] = {
+  4,   /* field[4] = changes */
   0,   /* field[0] = endpoints */
   1,   /* field[1] = in_flight */
   2,   /* field[2] = slow */
@@ -2196,7 +2209,7 @@
 static const ProtobufCIntRange ash__endpoint_loads__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor ash__endpoint_loads__descriptor =
 {
@@ -2206,7 +2219,7 @@
   "Ash__EndpointLoads",
   "ash",
   sizeof(Ash__EndpointLoads),
-  4,
+  5,
   ash__endpoint_loads__field_descriptors,
   ash__endpoint_loads__field_indices_by_name,
   1,  ash__endpoint_loads__number_ranges,
--- a/proto/ash.pb-c.h
+++ b/proto/ash.pb-c.h
@@ -341,10 +341,14 @@
    */
   size_t n_slow_milli;
   uint32_t *slow_milli;
+  /*
+   * only what has changed since the last message of the link
+   */
+  protobuf_c_boolean changes;
 };
 #define ASH__ENDPOINT_LOADS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ash__endpoint_loads__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
