--- a/common/events.h
+++ b/common/events.h
@@ -62,7 +62,8 @@
   X (603, INFO, FORECAST,           "a declared event is near: moves are made for its expert loads") \
   X (604, INFO, MAP_LEADER,         "this router leads the changes of maps, or no longer does") \
   X (605, INFO, MAP_EPOCH,          "a group has formed anew: it is back at its first map") \
-  X (606, INFO, MAP_ORDER_REFUSED,  "a rank refused an order")
+  X (606, INFO, MAP_ORDER_REFUSED,  "a rank refused an order")  \
+  X (607, INFO, RANK_PACE,          "a rank has turned slow, or is as usual again")
 /* clang-format on */
 
 #define ASH_EVENT_ENUM(number, level, name, text) ASH_EV_##name = (number),
--- a/controllers/change_plan.h
+++ b/controllers/change_plan.h
@@ -16,10 +16,9 @@
 /** What a change costs, and how long its gain lasts. */
 struct ash_change_terms
 {
-  double copy_ms;      /**< a rank copies one expert */
-  double expert_part;  /**< of a pass of even ranks: what grows with skew */
-  double lasts_ms;     /**< the present demand goes on so long */
-  const double *paces; /**< of the ranks: each takes so many times as long as usual; NULL: none */
+  double copy_ms;     /**< a rank copies one expert */
+  double expert_part; /**< of a pass of even ranks: what grows with skew */
+  double lasts_ms;    /**< the present demand goes on so long */
 };
 
 /**
--- a/controllers/layer_policy.c
+++ b/controllers/layer_policy.c
@@ -7,18 +7,15 @@
 /* Loads are compared by the sum of a high power: close to comparing the most loaded
  * ranks, but with a slope where several ranks share the top. The eighth is three
  * squarings. */
-#define MOVES_MAX 2048
-
 /* One layer while it is being changed. */
 struct layer
 {
   const struct ash_layer_policy *policy;
-  const double *paces; /* of the ranks; NULL: all as usual */
   struct ash_layer_map *map;
   uint32_t index;
   uint32_t replicas[ASH_LAYER_EXPERTS_MAX];
   uint64_t holders[ASH_LAYER_EXPERTS_MAX]; /* ranks that hold it, a bit each */
-  double load[ASH_LAYER_RANKS_MAX];        /* time for it, over the mean rank's */
+  double load[ASH_LAYER_RANKS_MAX];        /* over the mean rank's */
   double power;                            /* sum of the loads' eighth powers */
   uint32_t new_count[ASH_LAYER_RANKS_MAX];
   bool is_new[ASH_LAYER_RANKS_MAX][ASH_LAYER_SLOTS_MAX];
@@ -29,8 +26,8 @@
 {
   uint32_t rank;
   uint32_t slot;
-  uint16_t expert; /* ASH_NO_EXPERT: the slot is cleared, which needs no copy */
-  double gain;     /* what it takes off the layer's norm; 0: no move helps */
+  uint16_t expert; /* ASH_NO_EXPERT: none helps */
+  double gain;     /* what it takes off the layer's norm */
 };
 
 /* All layers of a map while it is being changed, and the moves made so far, in order. */
@@ -45,7 +42,7 @@
   {
     uint32_t layer;
     struct move move;
-  } made[MOVES_MAX];
+  } made[ASH_LAYER_RANKS_MAX * ASH_CHANGE_COPIES_MAX];
 };
 
 void
@@ -130,12 +127,6 @@
   return layer->policy->demand[layer->index][expert] * layer->map->rank_count / replicas;
 }
 
-static double
-pace_of (const struct layer *layer, uint32_t rank)
-{
-  return layer->paces ? layer->paces[rank] : 1;
-}
-
 static void
 sum_power (struct layer *layer)
 {
@@ -168,23 +159,22 @@
         uint16_t expert = map->slots[layer->index][rank][slot];
 
         if (expert != ASH_NO_EXPERT)
-          layer->load[rank] +=
-              share_of (layer, expert, layer->replicas[expert]) * pace_of (layer, rank);
+          layer->load[rank] += share_of (layer, expert, layer->replicas[expert]);
       }
   sum_power (layer);
 }
 
-/* The norm if @p expert came into the rank's slot in place of @p old, either of them none. Only
- * ranks that hold one of them change. */
+/* The norm if @p expert came into the rank's slot in place of @p old. Only ranks that hold
+ * one of them change. */
 static double
 norm_after (const struct layer *layer, uint32_t rank, uint16_t old, uint16_t expert)
 {
   uint64_t own = UINT64_C (1) << rank;
-  bool none = expert == ASH_NO_EXPERT;
-  uint64_t gains = none ? 0 : layer->holders[expert];
+  uint64_t gains = layer->holders[expert];
   uint64_t losses = old != ASH_NO_EXPERT ? layer->holders[old] & ~own : 0;
-  double share = none ? 0 : share_of (layer, expert, layer->replicas[expert] + 1);
-  double gain = none ? 0 : share - share_of (layer, expert, layer->replicas[expert]);
+  uint32_t replicas = layer->replicas[expert];
+  double share = share_of (layer, expert, replicas + 1);
+  double gain = share - share_of (layer, expert, replicas);
   double dropped = old != ASH_NO_EXPERT ? share_of (layer, old, layer->replicas[old]) : 0;
   double loss =
       old != ASH_NO_EXPERT ? share_of (layer, old, layer->replicas[old] - 1) - dropped : 0;
@@ -194,16 +184,14 @@
     {
       uint32_t other = (uint32_t) __builtin_ctzll (ranks);
       double load = layer->load[other];
-      double more = 0;
-      double after;
+      double after = load;
 
       if (gains >> other & 1)
-        more += gain;
+        after += gain;
       if (losses >> other & 1)
-        more += loss;
+        after += loss;
       if (other == rank)
-        more += share - dropped;
-      after = load + more * pace_of (layer, other);
+        after += share - dropped;
       power += raise (after) - raise (load);
     }
   return eighth_root (power > 0 ? power : 0);
@@ -244,25 +232,7 @@
     }
 }
 
-/* A slow rank may give up what others hold as well. Others keep it: it may serve the next demand.
- */
-static void
-try_clearing (const struct layer *layer, uint32_t rank, double now, struct move *best)
-{
-  for (uint32_t slot = 0; slot < layer->map->slot_count; slot++)
-    {
-      uint16_t old = layer->map->slots[layer->index][rank][slot];
-      double gain;
-
-      if (old == ASH_NO_EXPERT || layer->is_new[rank][slot] || layer->replicas[old] < 2)
-        continue;
-      gain = now - norm_after (layer, rank, old, ASH_NO_EXPERT);
-      if (gain > best->gain)
-        *best = (struct move){ rank, slot, ASH_NO_EXPERT, gain };
-    }
-}
-
-/* The best replica of any expert of the layer's most loaded rank, or one less there. */
+/* The best replica of any expert of the layer's most loaded rank. */
 static struct move
 find_move (const struct change *change, const struct layer *layer)
 {
@@ -284,8 +254,6 @@
             change->rank_moves[rank] < change->rank_limit)
           try_rank (layer, expert, rank, now, &best);
     }
-  if (pace_of (layer, most) > 1)
-    try_clearing (layer, most, now, &best);
   return best;
 }
 
@@ -297,7 +265,7 @@
   double gain = least_gain;
 
   for (uint32_t i = 0; i < map->layer_count; i++)
-    if (change->best[i].gain > gain)
+    if (change->best[i].expert != ASH_NO_EXPERT && change->best[i].gain > gain)
       {
         best = i;
         gain = change->best[i].gain;
@@ -312,12 +280,9 @@
   struct move move = change->best[layer->index];
 
   layer->map->slots[layer->index][move.rank][move.slot] = move.expert;
-  if (move.expert != ASH_NO_EXPERT)
-    {
-      layer->is_new[move.rank][move.slot] = true;
-      layer->new_count[move.rank]++;
-      change->rank_moves[move.rank]++;
-    }
+  layer->is_new[move.rank][move.slot] = true;
+  layer->new_count[move.rank]++;
+  change->rank_moves[move.rank]++;
   change->made[change->made_count].layer = layer->index;
   change->made[change->made_count].move = move;
   change->made_count++;
@@ -327,22 +292,18 @@
 static void
 open_layer (struct layer *layer,
             const struct ash_layer_policy *policy,
-            const double *paces,
             struct ash_layer_map *map,
             uint32_t index)
 {
   memset (layer, 0, sizeof *layer);
   layer->policy = policy;
-  layer->paces = paces;
   layer->map = map;
   layer->index = index;
   count_layer (layer);
 }
 
 double
-ash_layer_skew (const struct ash_layer_policy *policy,
-                const double *paces,
-                const struct ash_layer_map *map)
+ash_layer_skew (const struct ash_layer_policy *policy, const struct ash_layer_map *map)
 {
   double sum = 0;
 
@@ -350,7 +311,7 @@
     {
       struct layer layer;
 
-      open_layer (&layer, policy, paces, (struct ash_layer_map *) (uintptr_t) map, i);
+      open_layer (&layer, policy, (struct ash_layer_map *) (uintptr_t) map, i);
       sum += layer.load[most_loaded (&layer)];
     }
   return map->layer_count ? sum / map->layer_count : 1;
@@ -384,8 +345,7 @@
 
   for (uint32_t i = 0; i < map->layer_count; i++)
     change->best[i] = find_move (change, &change->layers[i]);
-  while (change->made_count < MOVES_MAX &&
-         (layer = best_layer (change, map, least_gain)) < map->layer_count)
+  while ((layer = best_layer (change, map, least_gain)) < map->layer_count)
     {
       make_move (change, &change->layers[layer]);
       /* A rank that has its part of copies now is no longer open to any layer. */
@@ -423,14 +383,13 @@
   uint32_t counts[ASH_CHANGE_COPIES_MAX + 1] = { 0 };
   uint32_t most = 0;
 
-  *decision =
-      (struct ash_layer_decision){ .skew_before = ash_layer_skew (policy, terms->paces, map) };
+  *decision = (struct ash_layer_decision){ .skew_before = ash_layer_skew (policy, map) };
   decision->skew_after = decision->skew_before;
   if (!change || !before)
     goto out;
   *before = *map;
   for (uint32_t i = 0; i < map->layer_count; i++)
-    open_layer (&change->layers[i], policy, terms->paces, map, i);
+    open_layer (&change->layers[i], policy, map, i);
   while (most < policy->weights.rank_moves && most < ASH_CHANGE_COPIES_MAX)
     {
       change->rank_limit = most + 1;
--- a/controllers/layer_policy.h
+++ b/controllers/layer_policy.h
@@ -45,7 +45,7 @@
 /** A decision with the numbers that it rests on. */
 struct ash_layer_decision
 {
-  uint32_t moves;     /**< slots that change */
+  uint32_t moves;     /**< experts that are new to a rank */
   double skew_before; /**< most loaded rank over the mean, mean of all layers */
   double skew_after;
   uint32_t copies; /**< of a rank at most */
@@ -69,13 +69,7 @@
                               struct ash_layer_map *map,
                               struct ash_layer_decision *decision);
 
-/**
- * @param paces of the ranks: each takes so many times as long as usual; NULL: all as usual.
- * @return the time of the most loaded rank over the mean under the newest report, mean of all
- * layers.
- */
-double ash_layer_skew (const struct ash_layer_policy *policy,
-                       const double *paces,
-                       const struct ash_layer_map *map);
+/** @return the most loaded rank over the mean under the newest report, mean of all layers. */
+double ash_layer_skew (const struct ash_layer_policy *policy, const struct ash_layer_map *map);
 
 #endif
--- a/daemon/groups.c
+++ b/daemon/groups.c
@@ -34,9 +34,6 @@
 /* Looks without any answer that are taken again at once, at other ranks. */
 #define LOOKS_LOST_MAX 3
 
-/* A rank whose pace is other by this much is to have more or fewer experts. */
-#define PACE_CHANGED 1.25
-
 /* How often a rank that is slow is asked whether it still is. */
 #define REPORT_SLOW_MS 400
 
@@ -84,31 +81,6 @@
   return (double) streams / group->sw.rank_count;
 }
 
-/* How many times as long as usual each rank takes. */
-static void
-fill_paces (const struct ash_rank_group *group, double paces[ASH_LAYER_RANKS_MAX])
-{
-  for (uint32_t rank = 0; rank < group->sw.rank_count; rank++)
-    paces[rank] = group->boxes[rank] && group->boxes[rank]->pace > 1 ? group->boxes[rank]->pace : 1;
-}
-
-/* A rank that has turned slow, or is as usual again, is a reason to decide anew. */
-static void
-note_paces (struct ash_rank_group *group)
-{
-  double paces[ASH_LAYER_RANKS_MAX];
-
-  fill_paces (group, paces);
-  for (uint32_t rank = 0; rank < group->sw.rank_count; rank++)
-    if (paces[rank] > PACE_CHANGED * group->paces[rank] ||
-        group->paces[rank] > PACE_CHANGED * paces[rank])
-      {
-        memcpy (group->paces, paces, sizeof paces);
-        group->undecided = true;
-        return;
-      }
-}
-
 static void
 decide_group (struct ash_rank_group *group, struct ash_groups *groups)
 {
@@ -117,21 +89,16 @@
   struct ash_layer_decision decision;
   struct ash_change_terms terms;
   uint32_t copy_ms[ASH_LAYER_RANKS_MAX] = { 0 };
-  double paces[ASH_LAYER_RANKS_MAX];
   struct ash_time now = ash_clock_now ();
 
-  if (groups->policy->reports)
-    note_paces (group);
   if (!group->undecided || !service || !ash_map_switch_ready (&group->sw, now) ||
       !ash_rank_map_is_known (group))
     return;
   group->next = group->map;
-  fill_paces (group, paces);
   terms = (struct ash_change_terms){
     .copy_ms = ash_pass_model_copy_ms (&service->engine),
     .expert_part = ash_pass_model_expert_part (&service->engine, mean_streams (group)),
     .lasts_ms = ash_shift_times_lasts_ms (&groups->shifts, now),
-    .paces = paces,
   };
   ash_layer_policy_decide (groups->policy, &terms, &group->next, &decision);
   group->undecided = decision.more;
--- a/daemon/rank_group.c
+++ b/daemon/rank_group.c
@@ -76,8 +76,6 @@
   ash_map_switch_init (&group->sw, report->rank_count, service->engine.report_lag_ms,
                        ash_fleet_index (&groups->router->fleet));
   init_map (service, group);
-  for (uint32_t rank = 0; rank < ASH_LAYER_RANKS_MAX; rank++)
-    group->paces[rank] = 1;
   HASH_ADD_STR (groups->groups, name, group);
   return group;
 }
@@ -126,13 +124,18 @@
 {
   struct ash_router *router = box->groups->router;
   struct ash_direct_endpoint *endpoint = ash_direct_find_hash (&router->endpoints, box->hash);
+  double before;
 
   if (!endpoint)
     return;
-  if (pace > 1 || ash_direct_pace (endpoint, now) > 1)
-    router->fleet.loads_changed = true;
+  before = ash_direct_pace (endpoint, now);
   ash_direct_slow (endpoint, now, pace);
   box->pace = ash_direct_pace (endpoint, now);
+  if (box->pace > 1 || before > 1)
+    router->fleet.loads_changed = true;
+  if ((box->pace > 1) != (before > 1))
+    ash_log_event (&router->log, ASH_EV_RANK_PACE, "endpoint=%s rank=%u pace=%.2f before=%.2f",
+                   endpoint->facts.id, box->rank, box->pace, before);
 }
 
 static void
--- a/daemon/rank_group.h
+++ b/daemon/rank_group.h
@@ -64,10 +64,9 @@
   struct ash_rank_order said; /* the order that the text below is of, whatever its rank */
   struct ash_buffer text;
   struct ash_pass_watch watch;
-  double skew;                       /* that the map in use is believed to have */
-  double next_skew;                  /* that the next one is */
-  double paces[ASH_LAYER_RANKS_MAX]; /* of its ranks, as last decided on */
-  bool undecided;                    /* there is something to decide on */
+  double skew;      /* that the map in use is believed to have */
+  double next_skew; /* that the next one is */
+  bool undecided;   /* there is something to decide on */
   UT_hash_handle hh;
 };
 
--- a/options/router_settings.c
+++ b/options/router_settings.c
@@ -65,7 +65,7 @@
          1000000,
          "connections",
          "of callers at once; a small box has 4,100 descriptors, endpoints need some"),
-  MS (wait_ms, "80", 0, 10000, "how long a request may wait for room"),
+  MS (wait_ms, "0", 0, 10000, "how long a request may wait for room"),
   COUNT (
       rank_streams,
       "16",
