layer_policy, pass_model, bench: a change's map is drawn up on a copy; one engine for the tests

No behaviour changes. ash_layer_policy_decide worked on the caller's map, kept a second one to go back to, and counted all layers twice for the skew before: it draws up on a copy and applies the moves that are kept. ash_pass_model_streams worked out the value of its best number once more at each step. The default engine of the experiment tool was chosen in two places, and its figures stood again in test/unit_experts.c.

--- a/bench/router_world.c
+++ b/bench/router_world.c
@@ -139,6 +139,12 @@
 
 /* ---- endpoints ---- */
 
+static const struct ash_engine_facts *
+or_usual (const struct ash_engine_facts *engine)
+{
+  return engine ? engine : &usual_engine;
+}
+
 double
 router_world_pass_ms (const struct ash_engine_facts *engine,
                       double skew,
@@ -146,18 +152,11 @@
                       uint32_t read_tokens,
                       double slow_times)
 {
-  if (!engine)
-    engine = &usual_engine;
+  engine = or_usual (engine);
   return slow_times *
          (ash_pass_model_ms (engine, writers, skew) + read_tokens * 1000.0 / engine->read_tokens_s);
 }
 
-static const struct ash_engine_facts *
-engine_of (const struct world *world)
-{
-  return world->setup->engine ? world->setup->engine : &usual_engine;
-}
-
 /* Demand has just shifted, and ranks copy what the map lacks. */
 static bool
 is_shifted (const struct world *world)
@@ -200,7 +199,7 @@
   class->overtaken += call->overtaken;
   if (!in_time)
     class->held_s += call->held_ms / 1000;
-  if (call->prompt + 10 * call->events * engine_of (world)->stride > BIG_SIZE * 2)
+  if (call->prompt + 10 * call->events * or_usual (world->setup->engine)->stride > BIG_SIZE * 2)
     {
       class->big++;
       class->big_served += in_time;
@@ -250,7 +249,7 @@
 static void
 begin_pass (struct world *world, uint32_t group)
 {
-  const struct ash_engine_facts *engine = engine_of (world);
+  const struct ash_engine_facts *engine = or_usual (world->setup->engine);
   uint32_t read_most = READ_TOKENS_STEP * engine->stride;
   uint32_t writers[ENDPOINTS] = { 0 };
   uint32_t read[ENDPOINTS] = { 0 };
--- a/controllers/layer_policy.c
+++ b/controllers/layer_policy.c
@@ -30,9 +30,10 @@
   double gain;     /* what it takes off the layer's norm */
 };
 
-/* All layers of a map while it is being changed, and the moves made so far, in order. */
+/* All layers of a map while a change is drawn up, and the moves made so far, in order. */
 struct change
 {
+  struct ash_layer_map map;
   struct layer layers[ASH_LAYERS_MAX];
   struct move best[ASH_LAYERS_MAX];
   uint32_t rank_moves[ASH_LAYER_RANKS_MAX]; /* in all layers */
@@ -318,8 +319,9 @@
 }
 
 static double
-mean_skew (const struct change *change, uint32_t layer_count)
+mean_skew (const struct change *change)
 {
+  uint32_t layer_count = change->map.layer_count;
   double sum = 0;
 
   for (uint32_t i = 0; i < layer_count; i++)
@@ -329,9 +331,9 @@
 
 /* Whether ranks that have their part of copies keep a move from being made. */
 static bool
-is_limited (const struct change *change, const struct ash_layer_map *map)
+is_limited (const struct change *change)
 {
-  for (uint32_t rank = 0; rank < map->rank_count; rank++)
+  for (uint32_t rank = 0; rank < change->map.rank_count; rank++)
     if (change->rank_moves[rank] >= change->rank_limit)
       return true;
   return false;
@@ -339,8 +341,9 @@
 
 /* Makes the moves that are worth it while no rank may have more copies than the limit. */
 static void
-make_moves (struct change *change, const struct ash_layer_map *map, double least_gain)
+make_moves (struct change *change, double least_gain)
 {
+  const struct ash_layer_map *map = &change->map;
   uint32_t layer;
 
   for (uint32_t i = 0; i < map->layer_count; i++)
@@ -355,14 +358,10 @@
     }
 }
 
-/* Makes of the map what it was, and of that what the first moves make of it. */
+/* Makes the first moves that were drawn up in the map itself. */
 static void
-keep_moves (const struct change *change,
-            const struct ash_layer_map *before,
-            struct ash_layer_map *map,
-            uint32_t count)
+apply_moves (const struct change *change, uint32_t count, struct ash_layer_map *map)
 {
-  *map = *before;
   for (uint32_t i = 0; i < count; i++)
     {
       const struct move *move = &change->made[i].move;
@@ -378,35 +377,37 @@
                          struct ash_layer_decision *decision)
 {
   struct change *change = calloc (1, sizeof *change);
-  struct ash_layer_map *before = malloc (sizeof *before);
-  double after[ASH_CHANGE_COPIES_MAX];
+  /* With so many copies a rank. */
+  double skews[ASH_CHANGE_COPIES_MAX + 1] = { 0 };
   uint32_t counts[ASH_CHANGE_COPIES_MAX + 1] = { 0 };
   uint32_t most = 0;
 
-  *decision = (struct ash_layer_decision){ .skew_before = ash_layer_skew (policy, map) };
-  decision->skew_after = decision->skew_before;
-  if (!change || !before)
-    goto out;
-  *before = *map;
+  *decision = (struct ash_layer_decision){ 0 };
+  if (!change)
+    {
+      decision->skew_before = ash_layer_skew (policy, map);
+      decision->skew_after = decision->skew_before;
+      return;
+    }
+  change->map = *map;
   for (uint32_t i = 0; i < map->layer_count; i++)
-    open_layer (&change->layers[i], policy, map, i);
+    open_layer (&change->layers[i], policy, &change->map, i);
+  skews[0] = mean_skew (change);
   while (most < policy->weights.rank_moves && most < ASH_CHANGE_COPIES_MAX)
     {
       change->rank_limit = most + 1;
-      make_moves (change, map, policy->weights.least_gain);
+      make_moves (change, policy->weights.least_gain);
       if (change->made_count == counts[most])
         break;
-      after[most++] = mean_skew (change, map->layer_count);
+      most++;
+      skews[most] = mean_skew (change);
       counts[most] = change->made_count;
     }
-  decision->copies = ash_change_plan (terms, decision->skew_before, after, most);
+  decision->copies = ash_change_plan (terms, skews[0], skews + 1, most);
   decision->moves = counts[decision->copies];
-  decision->more = decision->copies && (decision->copies < most || is_limited (change, map));
-  if (decision->copies)
-    decision->skew_after = after[decision->copies - 1];
-  keep_moves (change, before, map, decision->moves);
-
-out:
+  decision->more = decision->copies && (decision->copies < most || is_limited (change));
+  decision->skew_before = skews[0];
+  decision->skew_after = skews[decision->copies];
+  apply_moves (change, decision->moves, map);
   free (change);
-  free (before);
 }
--- a/controllers/pass_model.c
+++ b/controllers/pass_model.c
@@ -80,11 +80,19 @@
                         uint32_t bound)
 {
   uint32_t best = bound;
+  double best_value;
 
   if (ash_pass_model_ms (engine, 1, USUAL_SKEW) <= 0)
     return bound;
-  for (uint32_t streams = bound; streams >= 1; streams--)
-    if (value_of (engine, pause_aim_ms, streams) > value_of (engine, pause_aim_ms, best))
+  best_value = value_of (engine, pause_aim_ms, bound);
+  for (uint32_t streams = bound; streams-- > 1;)
+    {
+      double value = value_of (engine, pause_aim_ms, streams);
+
+      if (value <= best_value)
+        continue;
       best = streams;
+      best_value = value;
+    }
   return best;
 }
--- a/test/unit_experts.c
+++ b/test/unit_experts.c
@@ -3,6 +3,7 @@
  * Unit tests of what the router that leads knows and decides of groups of ranks: how long passes
  * take, whether a change of the expert map pays, the maps, and their change.
  */
+#include "bench/router_world.h"
 #include "controllers/change_plan.h"
 #include "controllers/layer_policy.h"
 #include "controllers/map_switch.h"
@@ -121,25 +122,15 @@
 
 /* ---- passes and changes ---- */
 
-/* Figures of engines that the decisions are to fit: steps, what a stream adds and what copying
- * takes differ by three times either way from a middle one. */
+/* The experiment tool's engine, whose ranks copy an expert of that size over a link of 60 gigabits.
+ */
 static struct ash_engine_facts
 engine_of (double sequence_ms, double expert_mb)
 {
-  return (struct ash_engine_facts){
-    .slots = 12,
-    .stride = 5,
-    .step_ms = 4.7,
-    .sequence_ms = sequence_ms,
-    .read_tokens_s = 65000,
-    .usual_prompt_tokens = 800,
-    .usual_answer_tokens = 120,
-    .layers = 6,
-    .experts = 96,
-    .expert_share = 0.85,
-    .expert_mb = expert_mb,
-    .link_mbps = 60000,
-  };
+  struct ash_engine_facts engine;
+
+  router_world_engine (&engine, sequence_ms, expert_mb * 8 / 60);
+  return engine;
 }
 
 /* Nine streams a rank, right on one engine, had passes of 145 ms on another whose streams cost 2.5
