store: fewer questions of many routers that start, or whose store is away

Now the first question comes after 0.15 s without a link, else after 1 s; routers behind the first three of their hall try again after 0.35 s and then each 2.5 s, one question at a time.

--- a/daemon/store.c
+++ b/daemon/store.c
@@ -41,11 +41,13 @@
  * connection; the longest a small part of the time in which a change must be in force. */
 #define RETRY_FIRST_MS 50
 #define RETRY_LONGEST_MS 400
+#define RETRY_FACTOR 2
 
 /* The same for a router that others of its hall come before: these see first that the store is
  * back, and tell. 149 routers made 6,000 calls, a price of 0.05 a day, to a store that was down for
  * 8 s. */
 #define RETRY_OTHERS_MS 2500
+#define RETRY_OTHERS_FACTOR 7
 
 /* So long after the store's return an entry that is missing may just have lapsed: endpoints
  * that live are back in the list within two seconds. */
@@ -57,10 +59,12 @@
  * that renew their entries every 1.2 s. */
 #define BEHIND_LAPSE_MS 1500
 
-/* From a whole listing to the first question for changes: by then the links to others of the hall
- * are up (0.1 to 0.35 s after the start), and most need not ask at all. Where 149 routers started
- * at once it was 2,300 calls. */
-#define FIRST_WATCH_MS 500
+/* From a whole listing to the first question for changes: by then a router that starts with many
+ * others sees those of its hall that ask, and most need not ask at all. A router that has no link
+ * by the first of the two times does not wait for others. 149 routers that started at once and did
+ * not wait made 2,300 calls. */
+#define ALONE_MS 150
+#define FIRST_WATCH_MS 1000
 
 /* Without an answer for so long, the store is away: endpoints may have missed a heartbeat. */
 #define AWAY_MS 800
@@ -363,13 +367,29 @@
   set_timer (reader, ms);
 }
 
-/* A router that has read nothing yet can't do with what others have read. */
+/* Whether others of the hall try for this router too. One that has read nothing yet can't do with
+ * what they have read. */
+static bool
+leaves_it_to_others (const struct ash_store_reader *reader)
+{
+  return reader->revision && !ash_fleet_first_of_hall (&reader->router->fleet);
+}
+
+/* How long a question that has failed rests. */
 static int64_t
-longest_wait_ms (const struct ash_store_reader *reader)
+retry_ms (const struct ash_store_reader *reader)
 {
-  if (reader->revision && !ash_fleet_first_of_hall (&reader->router->fleet))
-    return RETRY_OTHERS_MS;
-  return RETRY_LONGEST_MS;
+  const struct ash_store_reader *list = &reader->router->store.readers[ASH_STORE_SERVERS];
+  bool others = leaves_it_to_others (reader);
+  int64_t longest_ms = others ? RETRY_OTHERS_MS : RETRY_LONGEST_MS;
+  int64_t wait_ms = RETRY_FIRST_MS;
+
+  /* One question at a time shows whether the store is back. */
+  if (others && reader != list && list->failures > 1)
+    return longest_ms;
+  for (uint32_t i = 1; i < reader->failures && wait_ms < longest_ms; i++)
+    wait_ms *= others ? RETRY_OTHERS_FACTOR : RETRY_FACTOR;
+  return wait_ms;
 }
 
 static void
@@ -377,8 +397,7 @@
 {
   struct ash_router *router = reader->router;
   struct ash_time now = ash_clock_now ();
-  int64_t wait_ms = RETRY_FIRST_MS;
-  int64_t longest_ms = longest_wait_ms (reader);
+  int64_t wait_ms;
 
   if (reader->answers || !reader->failures)
     ash_log_event (&router->log, ASH_EV_PLATFORM_DOWN,
@@ -396,16 +415,36 @@
   *reader->page = '\0';
   reader->answers = false;
   reader->failures++;
-  for (uint32_t i = 1; i < reader->failures && wait_ms < longest_ms; i++)
-    wait_ms *= 2;
+  wait_ms = retry_ms (reader);
   /* Half to one and a half times, so that routers that failed together spread. */
   wait_ms = wait_ms / 2 + ash_random_below (&router->random, (uint32_t) wait_ms + 1);
   rest (reader, wait_ms);
 }
 
+static void ask (struct ash_store_reader *reader);
+
+/* The list's reader has an answer: the other one need not wait longer. */
+static void
+wake_others (const struct ash_store_reader *reader)
+{
+  struct ash_store *store = &reader->router->store;
+
+  for (int part = 0; part < ASH_STORE_PARTS; part++)
+    {
+      struct ash_store_reader *other = &store->readers[part];
+
+      if (other == reader || other->state != ASH_STORE_RESTING || !other->failures)
+        continue;
+      ev_timer_stop (reader->router->loop, &other->timer);
+      ask (other);
+    }
+}
+
 static void
 note_success (struct ash_store_reader *reader)
 {
+  bool was_away = reader->failures > 0;
+
   if (!reader->answers)
     ash_log_event (&reader->router->log, ASH_EV_PLATFORM_UP, "part=%d revision=%" PRIu64,
                    (int) reader->part, reader->revision);
@@ -415,6 +454,8 @@
   reader->suspicious = false;
   reader->paused = false;
   reader->answered = ash_clock_now ();
+  if (was_away)
+    wake_others (reader);
 }
 
 /* Counts answers that changed the list, as long as they come close together. */
@@ -431,8 +472,6 @@
   return ++reader->burst > BURST_ANSWERS;
 }
 
-static void ask (struct ash_store_reader *reader);
-
 static void
 take_answer (struct ash_store_reader *reader)
 {
@@ -483,7 +522,7 @@
   reader->state = ASH_STORE_WATCHING;
   reader->listed = listing;
   if (listing)
-    rest (reader, FIRST_WATCH_MS);
+    rest (reader, ALONE_MS);
   else if (is_burst (reader))
     rest (reader, BURST_MS);
   else
@@ -651,7 +690,13 @@
   (void) events;
   if (reader->state == ASH_STORE_RESTING)
     {
-      ask (reader);
+      if (reader->listed && ash_fleet_linked (&reader->router->fleet))
+        {
+          reader->listed = false;
+          rest (reader, FIRST_WATCH_MS - ALONE_MS);
+        }
+      else
+        ask (reader);
       return;
     }
   ash_http_call_cancel (&reader->call);
@@ -760,15 +805,6 @@
          left_ms > reader->router->settings.short_wait_ms && left_ms > watch_wait_ms (reader);
 }
 
-/* Nobody is there to wait for. */
-static void
-ask_first (struct ash_store_reader *reader)
-{
-  ev_timer_stop (reader->router->loop, &reader->timer);
-  reader->state = ASH_STORE_WATCHING;
-  ask (reader);
-}
-
 /* Those that asked for this router are gone or can't. What they told was whole up to its
  * revision. */
 static void
@@ -789,9 +825,6 @@
     {
       struct ash_store_reader *reader = &store->readers[part];
 
-      if (reader->state == ASH_STORE_RESTING && reader->listed &&
-          !ash_fleet_linked (&store->router->fleet))
-        ask_first (reader);
       if (reader->state == ASH_STORE_FOLLOWING && ash_fleet_reads_store (&store->router->fleet))
         stop_following (reader);
       if (!asks_sooner (reader, now))
