--- a/controllers/map_switch.h
+++ b/controllers/map_switch.h
@@ -87,7 +87,10 @@
   uint64_t refused;  /**< the last step that could not be held; it may not have begun */
   struct ash_time began;
   struct ash_time phase_began;
-  double pass_ms; /**< time of a pass, as last seen; 0: not known */
+  double pass_ms;          /**< time of a pass, as streams of this router show it; 0: not known */
+  double step_ms;          /**< the same, as the steps that ranks told show it */
+  uint64_t told_step;      /**< the last one told without lag */
+  struct ash_time told_at; /**< when */
   uint64_t last_step;
   struct ash_time last_step_at; /**< when it was reported, less the lag */
   uint64_t released;            /**< the last step let go here */
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -382,6 +382,9 @@
     case ASH__EVENT__KIND_ENDPOINT_LIST:
       ash_catch_up_take_list (&router->catch_up, event->endpoint_list, peer->box);
       break;
+    case ASH__EVENT__KIND_ENDPOINT_CHANGES:
+      ash_catch_up_take_list (&router->catch_up, event->endpoint_changes, peer->box);
+      break;
     default:
       break; /* messages of the roles with agents */
     }
--- a/proto/ash.pb-c.c
+++ b/proto/ash.pb-c.c
@@ -5476,7 +5476,7 @@
   (ProtobufCMessageInit) ash__engine_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__event__field_descriptors[39] =
+static const ProtobufCFieldDescriptor ash__event__field_descriptors[40] =
 {
   {
     "peer",
@@ -5766,6 +5766,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "endpoint_changes",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ash__Event, kind_case),
+    offsetof(Ash__Event, endpoint_changes),
+    &ash__endpoint_list__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "call",
     30,
@@ -5948,8 +5960,8 @@
   },
 };
 static const unsigned ash__event__field_indices_by_name[] = {
-  24,   /* field[24] = call */
-  25,   /* field[25] = caller_gone */
+  25,   /* field[25] = call */
+  26,   /* field[26] = caller_gone */
   5,   /* field[5] = cancel */
   12,   /* field[12] = challenge */
   19,   /* field[19] = config_delta */
@@ -5960,40 +5972,41 @@
   11,   /* field[11] = disowned */
   18,   /* field[18] = drain */
   9,   /* field[9] = end */
+  24,   /* field[24] = endpoint_changes */
   22,   /* field[22] = endpoint_list */
   23,   /* field[23] = endpoint_list_want */
   21,   /* field[21] = endpoint_loads */
-  34,   /* field[34] = engine_cancel */
-  36,   /* field[36] = engine_data */
-  37,   /* field[37] = engine_end */
-  35,   /* field[35] = engine_head */
-  33,   /* field[33] = engine_start */
+  35,   /* field[35] = engine_cancel */
+  37,   /* field[37] = engine_data */
+  38,   /* field[38] = engine_end */
+  36,   /* field[36] = engine_head */
+  34,   /* field[34] = engine_start */
   7,   /* field[7] = head */
   1,   /* field[1] = heartbeat */
   13,   /* field[13] = hello */
-  30,   /* field[30] = link_down */
-  29,   /* field[29] = link_up */
+  31,   /* field[31] = link_down */
+  30,   /* field[30] = link_up */
   0,   /* field[0] = peer */
   16,   /* field[16] = query */
   17,   /* field[17] = query_answer */
   14,   /* field[14] = rank_order */
   15,   /* field[15] = rank_state */
   6,   /* field[6] = refused */
-  26,   /* field[26] = reply */
-  27,   /* field[27] = reply_data */
-  28,   /* field[28] = reply_end */
+  27,   /* field[27] = reply */
+  28,   /* field[28] = reply_data */
+  29,   /* field[29] = reply_end */
   4,   /* field[4] = resume */
-  38,   /* field[38] = sent_ms */
-  32,   /* field[32] = stop */
+  39,   /* field[39] = sent_ms */
+  33,   /* field[33] = stop */
   3,   /* field[3] = submit */
-  31,   /* field[31] = tick */
+  32,   /* field[32] = tick */
 };
 static const ProtobufCIntRange ash__event__number_ranges[3 + 1] =
 {
   { 1, 0 },
-  { 30, 24 },
-  { 60, 38 },
-  { 0, 39 }
+  { 30, 25 },
+  { 60, 39 },
+  { 0, 40 }
 };
 const ProtobufCMessageDescriptor ash__event__descriptor =
 {
@@ -6003,7 +6016,7 @@
   "Ash__Event",
   "ash",
   sizeof(Ash__Event),
-  39,
+  40,
   ash__event__field_descriptors,
   ash__event__field_indices_by_name,
   3,  ash__event__number_ranges,
--- a/proto/ash.pb-c.h
+++ b/proto/ash.pb-c.h
@@ -1049,6 +1049,7 @@
   ASH__EVENT__KIND_ENDPOINT_LOADS = 22,
   ASH__EVENT__KIND_ENDPOINT_LIST = 23,
   ASH__EVENT__KIND_ENDPOINT_LIST_WANT = 24,
+  ASH__EVENT__KIND_ENDPOINT_CHANGES = 25,
   ASH__EVENT__KIND_CALL = 30,
   ASH__EVENT__KIND_CALLER_GONE = 31,
   ASH__EVENT__KIND_REPLY = 32,
@@ -1105,6 +1106,10 @@
     Ash__EndpointLoads *endpoint_loads;
     Ash__EndpointList *endpoint_list;
     Ash__EndpointListWant *endpoint_list_want;
+    /*
+     * since another one: whoever does not know them leaves them
+     */
+    Ash__EndpointList *endpoint_changes;
     /*
      * 30 and above never cross a link
      */
--- a/test/unit_experts.c
+++ b/test/unit_experts.c
@@ -381,6 +381,7 @@
   static const uint32_t copy_ms[ASH_LAYER_RANKS_MAX];
   struct ash_time now = { 65000000 };
   struct ash_map_switch sw;
+  uint64_t step;
 
   /* No step was seen as yet, though streams have told how long a pass takes. */
   ash_map_switch_init (&sw, 4, 200, 0);
@@ -404,6 +405,18 @@
   now = ash_time_add (now, 300);
   ash_map_switch_begin (&sw, now, ash_map_switch_version (&sw, 1), copy_ms);
   CU_ASSERT (held_step (&sw, now) >= 106);
+  /* No stream of this router shows its passes, but ranks have told steps: of the second group of a
+   * deployment nine steps were tried, each a round trip, before one had not begun. */
+  ash_map_switch_init (&sw, 4, 200, 0);
+  report_all (&sw, now, 100);
+  ash_map_switch_step (&sw, now, 110);
+  ash_map_switch_step (&sw, ash_time_add (now, 2), 111);
+  now = ash_time_add (now, 130);
+  ash_map_switch_step (&sw, now, 112);
+  now = ash_time_add (now, 300);
+  ash_map_switch_begin (&sw, now, ash_map_switch_version (&sw, 1), copy_ms);
+  step = held_step (&sw, now);
+  CU_ASSERT (step >= 115 && step <= 118);
 }
 
 /* Answers all that is due, which must be of that kind; that rank with another status. */
