http_call, test: idle connections are closed by one loop; one fixture for groups of many ranks

ash_http_pool_move() had the loop of ash_http_pool_doubt() again; it calls it now. The two tests of many ranks had weights, sizes and memory of their own, the same. No change of behaviour, no assertion changed.

--- a/net/http_call.c
+++ b/net/http_call.c
@@ -236,12 +236,7 @@
 bool
 ash_http_pool_move (struct ash_http_pool *pool, const char *address)
 {
-  struct ash_http_link *link;
-  struct ash_http_link *next;
-
-  DL_FOREACH_SAFE (pool->links, link, next)
-    if (!link->call && !link->feeding)
-      free_link (link);
+  ash_http_pool_doubt (pool, ASH_TIME_NEVER);
   return ash_socket_address (address, &pool->address);
 }
 
--- a/test/unit_experts.c
+++ b/test/unit_experts.c
@@ -137,6 +137,39 @@
   CU_ASSERT (decision.skew_after < 1.3);
 }
 
+#define MANY_LAYERS 16
+#define MANY_EXPERTS 192
+
+static const struct ash_layer_weights many_ranks_weights = {
+  .decay = 0.5, .alike = 0.9, .least_gain = 0.03, .layer_moves = 2, .rank_moves = 2
+};
+
+/* What a change for a group of many ranks is drawn up with: too large for the stack. */
+struct many_ranks
+{
+  double *counts; /* of each expert of each layer */
+  struct ash_layer_policy *policy;
+  struct ash_layer_map *map;
+};
+
+static struct many_ranks
+many_ranks_new (void)
+{
+  return (struct many_ranks){
+    .counts = calloc ((size_t) MANY_LAYERS * MANY_EXPERTS, sizeof (double)),
+    .policy = calloc (1, sizeof (struct ash_layer_policy)),
+    .map = calloc (1, sizeof (struct ash_layer_map)),
+  };
+}
+
+static void
+many_ranks_free (struct many_ranks *many)
+{
+  free (many->counts);
+  free (many->policy);
+  free (many->map);
+}
+
 /* A group of 96 ranks kept its first map all day: holders of an expert were a set of 64 bits, and
  * its reports were dropped without a word. The most loaded rank had 3.7 times the mean, 15,000 of
  * 22,800 streams were late. Also drawn up for 300 ranks, whose bits fill the fifth word in part. */
@@ -144,36 +177,27 @@
 test_large_groups (void)
 {
   static const uint32_t rank_counts[] = { 64, 65, 96, 300, ASH_LAYER_RANKS_MAX };
-  const struct ash_layer_weights weights = {
-    .decay = 0.5, .alike = 0.9, .least_gain = 0.03, .layer_moves = 2, .rank_moves = 2
-  };
   const struct ash_change_terms lasting = { .expert_part = 0.5, .lasts_ms = 1e5 };
-  const uint32_t layer_count = 16;
-  const uint32_t expert_count = 192;
-  double *counts = calloc ((size_t) layer_count * expert_count, sizeof *counts);
-  struct ash_layer_policy *policy = calloc (1, sizeof *policy);
-  struct ash_layer_map *map = calloc (1, sizeof *map);
+  struct many_ranks many = many_ranks_new ();
   struct ash_layer_decision decision;
 
-  for (uint32_t i = 0; i < layer_count * expert_count; i++)
-    counts[i] = i % expert_count == i / expert_count ? 30 : 1;
+  for (uint32_t i = 0; i < MANY_LAYERS * MANY_EXPERTS; i++)
+    many.counts[i] = i % MANY_EXPERTS == i / MANY_EXPERTS ? 30 : 1;
   for (size_t i = 0; i < sizeof rank_counts / sizeof rank_counts[0]; i++)
     {
-      uint32_t slot_count = (expert_count + rank_counts[i] - 1) / rank_counts[i] + 1;
+      uint32_t slot_count = (MANY_EXPERTS + rank_counts[i] - 1) / rank_counts[i] + 1;
 
-      deal_sized (map, layer_count, rank_counts[i], slot_count, expert_count);
-      ash_layer_policy_init (policy, layer_count, expert_count, &weights);
-      ash_layer_policy_report (policy, counts);
-      ash_layer_policy_decide (policy, &lasting, map, &decision);
-      expect_sound (map);
+      deal_sized (many.map, MANY_LAYERS, rank_counts[i], slot_count, MANY_EXPERTS);
+      ash_layer_policy_init (many.policy, MANY_LAYERS, MANY_EXPERTS, &many_ranks_weights);
+      ash_layer_policy_report (many.policy, many.counts);
+      ash_layer_policy_decide (many.policy, &lasting, many.map, &decision);
+      expect_sound (many.map);
       CU_ASSERT (decision.moves > 0);
       CU_ASSERT (decision.skew_before > 3);
       CU_ASSERT (decision.skew_after < 0.75 * decision.skew_before);
-      CU_ASSERT_DOUBLE_EQUAL (decision.skew_after, ash_layer_skew (policy, map), 1e-9);
+      CU_ASSERT_DOUBLE_EQUAL (decision.skew_after, ash_layer_skew (many.policy, many.map), 1e-9);
     }
-  free (counts);
-  free (policy);
-  free (map);
+  many_ranks_free (&many);
 }
 
 /* Demand of 16 layers has shifted for 96 ranks with one place more a rank than experts need. With
@@ -181,31 +205,22 @@
 static void
 test_skew_of_many_ranks (void)
 {
-  const struct ash_layer_weights weights = {
-    .decay = 0.5, .alike = 0.9, .least_gain = 0.03, .layer_moves = 2, .rank_moves = 2
-  };
   const struct ash_change_terms terms = { .expert_part = 0.5, .lasts_ms = 3600, .copy_ms = 18 };
-  const uint32_t layer_count = 16;
-  const uint32_t expert_count = 192;
-  double *counts = calloc ((size_t) layer_count * expert_count, sizeof *counts);
-  struct ash_layer_policy *policy = calloc (1, sizeof *policy);
-  struct ash_layer_map *map = calloc (1, sizeof *map);
+  struct many_ranks many = many_ranks_new ();
   struct ash_layer_decision decision;
   struct ash_random random;
 
   ash_random_init (&random, 7);
-  deal_sized (map, layer_count, 96, 3, expert_count);
-  ash_layer_policy_init (policy, layer_count, expert_count, &weights);
-  for (uint32_t i = 0; i < layer_count * expert_count; i++)
-    counts[i] = exp ((double) ash_random_below (&random, 1000) / 333 - 1);
-  ash_layer_policy_report (policy, counts);
-  ash_layer_policy_decide (policy, &terms, map, &decision);
-  expect_sound (map);
+  deal_sized (many.map, MANY_LAYERS, 96, 3, MANY_EXPERTS);
+  ash_layer_policy_init (many.policy, MANY_LAYERS, MANY_EXPERTS, &many_ranks_weights);
+  for (uint32_t i = 0; i < MANY_LAYERS * MANY_EXPERTS; i++)
+    many.counts[i] = exp ((double) ash_random_below (&random, 1000) / 333 - 1);
+  ash_layer_policy_report (many.policy, many.counts);
+  ash_layer_policy_decide (many.policy, &terms, many.map, &decision);
+  expect_sound (many.map);
   CU_ASSERT (decision.skew_before > 2.4);
   CU_ASSERT (decision.skew_after < 1.45);
-  free (counts);
-  free (policy);
-  free (map);
+  many_ranks_free (&many);
 }
 
 /* ---- passes and changes ---- */
