router: a line for each connection that ends under a request

Cause: the log can't tell whether requests at endpoints that end are one request or several; it names callers' ids, which change with each submission. Change: event 411 forward_cut with a digest of what is asked (account, target, body), the endpoint, how long it had it and how far the answer had come. No change of what is decided.

--- a/common/events.h
+++ b/common/events.h
@@ -52,6 +52,7 @@
   X (408, INFO, FORWARD_RESENT,     "a request goes to a further endpoint, and why") \
   X (409, INFO, FORWARD_GONE,       "the caller left while its request was under way") \
   X (410, INFO, FORWARD_DENIED,     "a request was denied: no such route, or no such key") \
+  X (411, WARN, FORWARD_CUT,        "the connection to an endpoint ended under a request, and what is known of both") \
   X (500, DEBUG, RUN_STARTED,       "an endpoint started a request") \
   X (501, DEBUG, RUN_ENDED,         "an endpoint's engine ended a request") \
   X (502, INFO, RUN_REFUSED,        "an endpoint refused a request") \
--- a/common/id.c
+++ b/common/id.c
@@ -27,22 +27,41 @@
   return sscanf (text, "%16" SCNx64 "%16" SCNx64, &id->hi, &id->lo) == 2;
 }
 
+static struct ash_id
+id_from_hash (crypto_generichash_state *state)
+{
+  uint8_t hash[crypto_generichash_BYTES_MIN];
+  struct ash_id id;
+
+  crypto_generichash_final (state, hash, sizeof hash);
+  memcpy (&id.hi, hash, sizeof id.hi);
+  memcpy (&id.lo, hash + sizeof id.hi, sizeof id.lo);
+  return id;
+}
+
 struct ash_id
 ash_id_from_key (const char *account, const char *service, const char *key)
 {
   crypto_generichash_state state;
-  uint8_t hash[crypto_generichash_BYTES_MIN];
-  struct ash_id id;
 
   /* Each part with its closing zero: "a","bc" and "ab","c" must differ. */
-  crypto_generichash_init (&state, NULL, 0, sizeof hash);
+  crypto_generichash_init (&state, NULL, 0, crypto_generichash_BYTES_MIN);
   crypto_generichash_update (&state, (const uint8_t *) account, strlen (account) + 1);
   crypto_generichash_update (&state, (const uint8_t *) service, strlen (service) + 1);
   crypto_generichash_update (&state, (const uint8_t *) key, strlen (key) + 1);
-  crypto_generichash_final (&state, hash, sizeof hash);
-  memcpy (&id.hi, hash, sizeof id.hi);
-  memcpy (&id.lo, hash + sizeof id.hi, sizeof id.lo);
-  return id;
+  return id_from_hash (&state);
+}
+
+struct ash_id
+ash_id_from_request (const char *account, const char *target, const void *body, size_t body_bytes)
+{
+  crypto_generichash_state state;
+
+  crypto_generichash_init (&state, NULL, 0, crypto_generichash_BYTES_MIN);
+  crypto_generichash_update (&state, (const uint8_t *) account, strlen (account) + 1);
+  crypto_generichash_update (&state, (const uint8_t *) target, strlen (target) + 1);
+  crypto_generichash_update (&state, body, body_bytes);
+  return id_from_hash (&state);
 }
 
 uint64_t
--- a/common/id.h
+++ b/common/id.h
@@ -37,6 +37,13 @@
  */
 struct ash_id ash_id_from_key (const char *account, const char *service, const char *key);
 
+/**
+ * Names what is asked, whoever asks it anew: the same for each submission of one account with the
+ * same target and body, at any box.
+ */
+struct ash_id
+ash_id_from_request (const char *account, const char *target, const void *body, size_t body_bytes);
+
 /** A weight for rendezvous hashing: the highest over all candidates wins. */
 uint64_t ash_hash_pair (struct ash_id id, const char *name);
 
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -183,6 +183,8 @@
       take_whole (exchange);
       return;
     }
+  if (end == ASH_CALL_CUT)
+    ash_exchange_note_cut (exchange);
   ash_exchange_saw (exchange, end == ASH_CALL_NOT_SENT ? ASH_DIRECT_MISSING : ASH_DIRECT_CUT);
   ash_exchange_release (exchange);
   if (end == ASH_CALL_NOT_SENT)
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -2,11 +2,13 @@
  * @file
  * A caller's request from its last byte to its answer's, as the files that handle it share it.
  * Calls go one way: requests.c begins an exchange, exchange.c moves it on, exchange_watch.c judges
- * the endpoint that has it, exchange_end.c ends it, exchange_answer.c takes the answer's bytes.
+ * the endpoint that has it, exchange_cut.c takes in that its connection ended, exchange_end.c ends
+ * it, exchange_answer.c takes the answer's bytes.
  */
 #ifndef ASH_EXCHANGE_H
 #define ASH_EXCHANGE_H
 
+#include "common/id.h"
 #include "daemon/router.h"
 #include "filters/forward.h"
 #include "net/event_stream.h"
@@ -51,6 +53,8 @@
   int64_t last_event;     /**< passed on */
   struct ash_time passed; /**< when */
   bool waiting;
+  bool has_digest;
+  struct ash_id digest; /**< of what is asked; worked out when first needed */
   ev_timer timer;
   struct ash_exchange *prev;
   struct ash_exchange *next;
@@ -94,6 +98,14 @@
 /** The request's time is up before anything came: takes what that says of the endpoint. */
 void ash_exchange_note_deadline (struct ash_exchange *exchange, struct ash_time now);
 
+/* ---- exchange_cut.c: connections that end under it ---- */
+
+/** @return what names this request in each submission: see ash_id_from_request(). */
+struct ash_id ash_exchange_digest (struct ash_exchange *exchange);
+
+/** The connection to its endpoint has ended before the answer did. */
+void ash_exchange_note_cut (struct ash_exchange *exchange);
+
 /* ---- exchange_end.c: its end ---- */
 
 /** Counts the exchange among those that wait for room, or no longer. */
--- a/test/unit.c
+++ b/test/unit.c
@@ -420,6 +420,20 @@
   CU_ASSERT_FALSE (ash_id_equal (id, ash_id_from_key ("a", "sk", "")));
 }
 
+/* What is asked has one name in each submission; another account, target or body has another. */
+static void
+test_ids_of_requests (void)
+{
+  struct ash_id id = ash_id_from_request ("a", "/t", "body", 4);
+
+  CU_ASSERT (ash_id_equal (id, ash_id_from_request ("a", "/t", "body", 4)));
+  CU_ASSERT_FALSE (ash_id_equal (id, ash_id_from_request ("b", "/t", "body", 4)));
+  CU_ASSERT_FALSE (ash_id_equal (id, ash_id_from_request ("a", "/t?x", "body", 4)));
+  CU_ASSERT_FALSE (ash_id_equal (id, ash_id_from_request ("a", "/t", "bodz", 4)));
+  CU_ASSERT_FALSE (ash_id_equal (id, ash_id_from_request ("a/", "t", "body", 4)));
+  CU_ASSERT_FALSE (ash_id_equal (id, ash_id_from_request ("a", "/t", NULL, 0)));
+}
+
 /* ---- links ---- */
 
 static void
@@ -692,6 +706,7 @@
   CU_add_test (suite, "experts: patience, and a price", test_expert_policy_patience);
   CU_add_test (suite, "keys: minted", test_minted_keys);
   CU_add_test (suite, "keys: ids", test_ids_of_keys);
+  CU_add_test (suite, "requests: ids of what is asked", test_ids_of_requests);
   CU_add_test (suite, "links: frames", test_frames);
   CU_add_test (suite, "links: frames are bounded", test_frames_bounded);
   CU_add_test (suite, "links: handshake", test_handshake);
