test: requests that end endpoints are kept away: red

Reproduces the incident with real processes: one request under six ids, at two routers in turn, ends each server that runs it. Bound from the rule: three ends prove it, then no endpoint gets it. All 411 lines have one digest: it is one request, and nothing remembers it.

--- a/test/router_tests.h
+++ b/test/router_tests.h
@@ -26,6 +26,9 @@
 /** What comes from the store and from peers, and the silence of questions to them. */
 extern const struct fault_test router_store_tests[];
 
+/** Requests under which endpoints end. */
+extern const struct fault_test router_end_tests[];
+
 /** Groups of ranks, and their expert maps. */
 extern const struct fault_test router_map_tests[];
 
--- a/test/router_world.c
+++ b/test/router_world.c
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/time.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #define FLEET_KEY "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff"
@@ -249,6 +250,53 @@
 
 static void wait_port (uint16_t port);
 
+static void
+start_server (struct world *world, int s)
+{
+  struct world_server *server = &world->servers[s];
+  char port[16];
+
+  snprintf (port, sizeof port, "%u", server->port);
+  snprintf (server->id, sizeof server->id, "i-%c%u", 'A' + s, ++server->lives);
+  server->pid = fleet_spawn (world->folder, server->name, "standin-server", port, server->name,
+                             server->id, (char *) NULL);
+}
+
+/* A process that ends closes what it listens on first: whoever has seen a connection to it end sees
+ * this too. */
+static bool
+listens (uint16_t port)
+{
+  int fd = connect_to (port);
+
+  if (fd >= 0)
+    close (fd);
+  return fd >= 0;
+}
+
+int
+world_revive (struct world *world)
+{
+  int count = 0;
+
+  for (int s = 0; s < WORLD_SERVERS; s++)
+    {
+      struct world_server *server = &world->servers[s];
+      char target[64];
+
+      if (listens (server->port))
+        continue;
+      waitpid (server->pid, NULL, 0);
+      count++;
+      snprintf (target, sizeof target, "/remove?servers/%s", server->id);
+      world_get (world->store_port, "PUT", target, "");
+      start_server (world, s);
+      wait_port (server->port);
+      world_list (world, s, "ready");
+    }
+  return count;
+}
+
 void
 world_start_group (struct world *world)
 {
@@ -423,10 +471,7 @@
 
       server->port = *port++;
       snprintf (server->name, sizeof server->name, "%c", 'A' + s);
-      snprintf (server->id, sizeof server->id, "i-%s1", server->name);
-      snprintf (text, sizeof text, "%u", server->port);
-      server->pid = fleet_spawn (world->folder, server->name, "standin-server", text, server->name,
-                                 server->id, (char *) NULL);
+      start_server (world, s);
     }
   for (int r = 0; r < WORLD_ROUTERS; r++)
     {
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -33,6 +33,7 @@
   uint16_t port;
   char name[8];
   char id[16];
+  uint32_t lives;
 };
 
 /** What a link can stand before. */
@@ -127,6 +128,10 @@
 /** Puts a server into the store's list. @param state "ready" or "draining". */
 void world_list (struct world *world, int s, const char *state);
 
+/** Starts servers that have ended again, each with another id, and lists them in place of the
+ * former. @return how many there were. */
+int world_revive (struct world *world);
+
 /** A call to a stand-in or a page of a router. @return the body. */
 const char *world_get (uint16_t port, const char *method, const char *target, const char *body);
 
--- a/test/standin_server.c
+++ b/test/standin_server.c
@@ -5,7 +5,10 @@
  * between them; NAME is this server's, or * for all. Actions:
  *
  *     ok fail shed moved reset mute foreign noid unsigned encoded cut unframed extra
- *     stream streamcut streamhang slow slower
+ *     stream streamcut streamhang slow slower end streamend
+ *
+ * With "end" the process itself ends once it has begun to run the request, with "streamend" after
+ * two events.
  *
  * GET /log tells each request that it got, a line each:
  *     ID METHOD TARGET body=BYTES deadline=MS expect=ID tenant=NAME last=ID urgency=N
@@ -15,6 +18,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 #include <utlist.h>
 
 #define TICK_S 0.01
@@ -23,6 +27,7 @@
 #define EVENT_MS 30
 #define SLOW_MS 300
 #define SLOWER_MS 800
+#define END_MS 40
 
 struct server
 {
@@ -147,6 +152,8 @@
     work->due = ash_time_add (work->due, SLOW_MS);
   if (strcmp (action, "slower") == 0)
     work->due = ash_time_add (work->due, SLOWER_MS);
+  if (strcmp (action, "end") == 0)
+    work->due = ash_time_add (work->due, END_MS);
   conn->request = work;
   if (strncmp (action, "stream", 6) != 0)
     return;
@@ -163,6 +170,9 @@
   if (ash_time_before (now, work->due) || strcmp (work->action, "mute") == 0 ||
       (work->silent && work->next == work->silent))
     return;
+  if (strcmp (work->action, "end") == 0 ||
+      (strcmp (work->action, "streamend") == 0 && work->next == 3))
+    _exit (EXIT_FAILURE);
   if (strncmp (work->action, "slow", 4) == 0)
     {
       conn->request = NULL;
