direct: an endpoint whose address another one has is gone

Cause: an entry that is missing while the list is not trusted (a router that has just started, a store that was away) may just have lapsed and is used on. If the endpoint has ended and started anew under another id, both ids stand for one address: a request goes to the former, is turned away, goes to the former id of the next, and is refused with both endpoints standing. Ruled out: a kept connection that died (the log shows evidence=5, turned away). Change: one that is missing while a listed one has its address is gone at once. Test: unit 'endpoints: an address taken over', failing before. The fixture list() of the unit tests gave all endpoints one address, which no two can have: each has its own now, the checks are the same.

--- a/controllers/direct.c
+++ b/controllers/direct.c
@@ -100,6 +100,28 @@
   return endpoint;
 }
 
+/* Whether another one that is listed has its address: nothing else can listen there. */
+static bool
+is_replaced (const struct ash_direct_set *set, const struct ash_direct_endpoint *endpoint)
+{
+  for (const struct ash_direct_endpoint *other = set->endpoints; other; other = other->hh.next)
+    if (other != endpoint && other->presence == ASH_DIRECT_LISTED && *other->facts.address &&
+        strcmp (other->facts.address, endpoint->facts.address) == 0)
+      return true;
+  return false;
+}
+
+/* Those that may just have lapsed, and whose address a new one has, have ended. Of the requests
+ * that go to either life half would be turned away, and after two such a request is refused. */
+static void
+replace_lapsed (struct ash_direct_set *set)
+{
+  for (struct ash_direct_endpoint *endpoint = set->endpoints; endpoint;
+       endpoint = endpoint->hh.next)
+    if (endpoint->presence == ASH_DIRECT_LAPSED && is_replaced (set, endpoint))
+      endpoint->presence = ASH_DIRECT_GONE;
+}
+
 /* The list tells of another life. */
 static bool
 is_reborn (const struct ash_direct_endpoint *endpoint, const struct ash_direct_facts *facts)
@@ -142,6 +164,8 @@
             endpoint->facts.draining != facts->draining;
   endpoint->facts = *facts;
   endpoint->presence = ASH_DIRECT_LISTED;
+  if (is_new)
+    replace_lapsed (set);
   if (reborn)
     {
       forget_evidence (endpoint);
@@ -161,7 +185,7 @@
   if (endpoint->presence == ASH_DIRECT_LAPSED && !trusted)
     return false;
   /* One that said it was leaving has left. */
-  if (trusted || endpoint->facts.draining)
+  if (trusted || endpoint->facts.draining || is_replaced (set, endpoint))
     endpoint->presence = ASH_DIRECT_GONE;
   else
     {
--- a/test/unit_router.c
+++ b/test/unit_router.c
@@ -108,9 +108,10 @@
 static struct ash_direct_endpoint *
 list (struct ash_direct_set *set, const char *id, bool draining)
 {
-  struct ash_direct_facts facts = { .service = "s", .address = "127.0.0.1:1", .slots = 4 };
+  struct ash_direct_facts facts = { .service = "s", .slots = 4 };
 
   snprintf (facts.id, sizeof facts.id, "%s", id);
+  snprintf (facts.address, sizeof facts.address, "at-%s:1", id);
   facts.draining = draining;
   ash_direct_listed (set, &facts);
   return ash_direct_find (set, id);
@@ -244,6 +245,43 @@
   ash_direct_finish (&set);
 }
 
+static void
+list_at (struct ash_direct_set *set, const char *id, const char *address)
+{
+  struct ash_direct_facts facts = { .service = "s", .slots = 8 };
+
+  snprintf (facts.id, sizeof facts.id, "%s", id);
+  snprintf (facts.address, sizeof facts.address, "%s", address);
+  ash_direct_listed (set, &facts);
+}
+
+/* A router that had just started refused a request while both endpoints stood: their former ids
+ * were missing from the list, which it did not trust yet, and it asked for these at the addresses
+ * that the new ones had. */
+static void
+test_address_taken_over (void)
+{
+  struct ash_direct_set set;
+
+  ash_direct_init (&set, 1);
+  list_at (&set, "a1", "10.0.0.1:80");
+  list_at (&set, "b1", "10.0.0.2:80");
+  list_at (&set, "c1", "10.0.0.3:80");
+  /* The new one is listed before the former one is missing, or after. */
+  list_at (&set, "a2", "10.0.0.1:80");
+  CU_ASSERT (ash_direct_usable (ash_direct_find (&set, "a1")));
+  ash_direct_removed (&set, "a1", false, at (9000));
+  CU_ASSERT_FALSE (ash_direct_usable (ash_direct_find (&set, "a1")));
+  ash_direct_removed (&set, "b1", false, at (9000));
+  CU_ASSERT (ash_direct_usable (ash_direct_find (&set, "b1")));
+  list_at (&set, "b2", "10.0.0.2:80");
+  CU_ASSERT_FALSE (ash_direct_usable (ash_direct_find (&set, "b1")));
+  CU_ASSERT (ash_direct_usable (ash_direct_find (&set, "b2")));
+  ash_direct_removed (&set, "c1", false, at (9000));
+  CU_ASSERT (ash_direct_usable (ash_direct_find (&set, "c1")));
+  ash_direct_finish (&set);
+}
+
 static void
 test_lapsing (void)
 {
@@ -932,6 +970,7 @@
   CU_add_test (suite, "endpoints: those of the own hall", test_own_hall);
   CU_add_test (suite, "endpoints: a slow one", test_slow_endpoint);
   CU_add_test (suite, "endpoints: lapsed and gone", test_lapsing);
+  CU_add_test (suite, "endpoints: an address taken over", test_address_taken_over);
   CU_add_test (suite, "forward: at most once", test_forward_once);
   CU_add_test (suite, "forward: repeatable", test_forward_repeatable);
   CU_add_test (suite, "forward: waiting for room", test_forward_room);
