--- a/cli/trace.c
+++ b/cli/trace.c
@@ -170,6 +170,8 @@
     { "failed", "the endpoint broke off, or answered with something that is no answer" },
     { "timeout", "the caller's or the route's time was over" },
     { "leaving", "the router was stopping, with too little time left for it" },
+    { "quarantined",
+      "endpoints ended under it before, so it is kept away from others: see event 413" },
     { "no_budget", "sending it again would have been over the fleet's bound on resends" },
   };
 
--- a/common/events.h
+++ b/common/events.h
@@ -53,6 +53,9 @@
   X (409, INFO, FORWARD_GONE,       "the caller left while its request was under way") \
   X (410, INFO, FORWARD_DENIED,     "a request was denied: no such route, or no such key") \
   X (411, WARN, FORWARD_CUT,        "the connection to an endpoint ended under a request, and what is known of both") \
+  X (412, WARN, ENDPOINT_ENDED,     "an endpoint's process ended under requests of this router") \
+  X (413, WARN, QUARANTINED,        "endpoints ended under a request: it is kept away from others") \
+  X (414, INFO, QUARANTINE_CLEARED, "a suspected request got its whole answer: it is not the cause") \
   X (500, DEBUG, RUN_STARTED,       "an endpoint started a request") \
   X (501, DEBUG, RUN_ENDED,         "an endpoint's engine ended a request") \
   X (502, INFO, RUN_REFUSED,        "an endpoint refused a request") \
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -30,6 +30,7 @@
     .own = router->incarnation,
     .far_parts = ash_fleet_far_parts (&router->fleet),
     .wait_ms = router->settings.wait_ms,
+    .quarantined_ms = ash_exchange_quarantined_ms (exchange, ash_clock_now ()),
   };
 }
 
@@ -110,6 +111,7 @@
   struct ash_forward_verdict verdict =
       ash_forward_next (&exchange->forward, &world, ash_clock_now ());
 
+  exchange->asked = 0;
   ash_exchange_set_waiting (exchange, verdict.action == ASH_FORWARD_WAIT);
   switch (verdict.action)
     {
@@ -196,7 +198,10 @@
       return;
     }
   exchange->forward.wait_until = ash_time_add (ash_clock_now (), RESUME_WAIT_MS);
-  ash_exchange_step (exchange);
+  if (exchange->asked)
+    set_timer (exchange, exchange->forward.wait_until);
+  else
+    ash_exchange_step (exchange);
 }
 
 static const struct ash_call_handler call_handler = {
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -53,6 +53,7 @@
   int64_t last_event;     /**< passed on */
   struct ash_time passed; /**< when */
   bool waiting;
+  uint64_t asked; /**< it goes on once this endpoint was asked whether it stands; 0: none */
   bool has_digest;
   struct ash_id digest; /**< of what is asked; worked out when first needed */
   ev_timer timer;
@@ -106,6 +107,12 @@
 /** The connection to its endpoint has ended before the answer did. */
 void ash_exchange_note_cut (struct ash_exchange *exchange);
 
+/** It got a whole answer: whatever ended endpoints, it was not this request. */
+void ash_exchange_note_answered (struct ash_exchange *exchange);
+
+/** @return how long its request is kept away from endpoints; 0: it is not. */
+int64_t ash_exchange_quarantined_ms (struct ash_exchange *exchange, struct ash_time now);
+
 /* ---- exchange_end.c: its end ---- */
 
 /** Counts the exchange among those that wait for room, or no longer. */
--- a/daemon/exchange_end.c
+++ b/daemon/exchange_end.c
@@ -132,6 +132,8 @@
                  "id=%s route=%s status=%u sent=%u age_ms=%lld", ash_exchange_id (exchange),
                  exchange->route->name, answer->status, exchange->forward.sent,
                  (long long) ash_exchange_age_ms (exchange));
+  if (answer->status < ASH_STATUS_MULTIPLE)
+    ash_exchange_note_answered (exchange);
   count_end (exchange, answer->status < ASH_STATUS_MULTIPLE ? "served" : "failed_there", true);
   conn->request = NULL;
   if (answer->passing)
@@ -156,6 +158,7 @@
                  ash_exchange_id (exchange), exchange->route->name, exchange->answer.status,
                  exchange->forward.sent, (long long) ash_exchange_age_ms (exchange),
                  (long long) exchange->last_event);
+  ash_exchange_note_answered (exchange);
   count_end (exchange, "served", true);
   conn->request = NULL;
   ash_http_conn_end (conn, true);
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -330,6 +330,7 @@
   loads.in_flight = in_flight;
   list_loads (fleet, audience_of (fleet, peer), &loads);
   ash_peers_send (&fleet->links, peer->box, &event);
+  ash_suspects_tell_peer (&fleet->router->suspects, peer->box);
 }
 
 static void
@@ -385,6 +386,9 @@
     case ASH__EVENT__KIND_ENDPOINT_CHANGES:
       ash_catch_up_take_list (&router->catch_up, event->endpoint_changes, peer->box);
       break;
+    case ASH__EVENT__KIND_SUSPECT_RUNS:
+      ash_suspects_told (&router->suspects, peer->box, event->suspect_runs);
+      break;
     default:
       break; /* messages of the roles with agents */
     }
@@ -633,6 +637,14 @@
       ash_peers_send (&fleet->links, peer->box, event);
 }
 
+void
+ash_fleet_send_all (struct ash_fleet *fleet, const struct Ash__Event *event)
+{
+  for (struct ash_fleet_peer *peer = fleet->peers; peer; peer = peer->hh.next)
+    if (peer->linked)
+      ash_peers_send (&fleet->links, peer->box, event);
+}
+
 void
 ash_fleet_tick (struct ash_fleet *fleet, struct ash_time now)
 {
--- a/daemon/fleet.h
+++ b/daemon/fleet.h
@@ -119,6 +119,9 @@
 /** Sends a message to all linked routers of the own hall. */
 void ash_fleet_send_near (struct ash_fleet *fleet, const struct Ash__Event *event);
 
+/** Sends a message to all linked routers. */
+void ash_fleet_send_all (struct ash_fleet *fleet, const struct Ash__Event *event);
+
 /** @return a peer that is linked and has that revision or a newer one, of the own hall if there is
  * such a one; NULL: none. */
 const struct ash_fleet_peer *
--- a/daemon/router.c
+++ b/daemon/router.c
@@ -117,6 +117,7 @@
 
   ash_log_event (&router->log, ASH_EV_ENDPOINT_REBORN, "endpoint=%s address=%s born_ms=%lld",
                  endpoint->facts.id, endpoint->facts.address, (long long) endpoint->facts.born_ms);
+  ash_suspects_reborn (&router->suspects, endpoint->hash);
   ash_groups_forget (&router->groups, endpoint->hash);
   if (endpoint->owner)
     ash_http_pool_move (endpoint->owner, endpoint->facts.address);
@@ -263,6 +264,7 @@
   ash_catch_up_tick (&router->catch_up, now);
   ash_store_tick (&router->store, now);
   ash_direct_tick (&router->endpoints, now);
+  ash_suspects_tick (&router->suspects, now);
   router->room = true;
   if (router->stopping && !router->given_up && nothing_left (router, now))
     give_up (router);
@@ -378,6 +380,7 @@
     return false;
   router->frontend.conn_max = settings->connections_max;
   ash_catch_up_open (&router->catch_up, router);
+  ash_suspects_open (&router->suspects, router, &ash_exchange_suspects_handler);
   if (!ash_fleet_open (&router->fleet, router))
     {
       ash_log_event (&router->log, ASH_EV_CANNOT_LISTEN, "address=%s error=\"%s\"",
@@ -462,6 +465,7 @@
   ash_http_listener_finish (&router->figures);
   ash_store_close (&router->store);
   ash_groups_close (&router->groups);
+  ash_suspects_close (&router->suspects);
   ash_direct_finish (&router->endpoints);
   ash_fleet_close (&router->fleet);
   HASH_ITER (hh, router->services, service, next)
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -15,6 +15,7 @@
 #include "daemon/fleet.h"
 #include "daemon/groups.h"
 #include "daemon/store.h"
+#include "daemon/suspects.h"
 #include "net/http_conn.h"
 #include "options/router_settings.h"
 
@@ -53,6 +54,7 @@
   struct ash_fleet fleet;
   struct ash_catch_up catch_up;
   struct ash_groups groups;
+  struct ash_suspects suspects;
   struct ash_http_listener frontend;
   struct ash_http_listener readiness;
   struct ash_http_listener directory;
@@ -105,6 +107,9 @@
 /** Requests of callers: what the frontend's listener calls. */
 extern const struct ash_conn_handler ash_requests_handler;
 
+/** What requests under way hear of those that are suspected. */
+extern const struct ash_suspects_handler ash_exchange_suspects_handler;
+
 /** Looks at all requests that wait for room. */
 void ash_exchange_room (struct ash_router *router);
 
--- a/daemon/router_pages.c
+++ b/daemon/router_pages.c
@@ -107,6 +107,9 @@
   ash_metrics_set (metrics, "ash_expert_counts_read_total", "", router->groups.reads);
   ash_metrics_set (metrics, "ash_groups_beyond_bounds_total", "", router->groups.beyond_bounds);
   ash_metrics_set (metrics, "ash_leads_maps", "", router->groups.leads);
+  ash_metrics_set (metrics, "ash_endpoints_ended_total", "", router->suspects.ended);
+  ash_metrics_set (metrics, "ash_quarantined_total", "", router->suspects.quarantined);
+  ash_metrics_set (metrics, "ash_suspects", "", HASH_COUNT (router->suspects.quarantine.suspects));
   ash_metrics_set (metrics, "ash_body_bytes", "", router->frontend.body_bytes);
   for (int part = 0; part < ASH_STORE_PARTS; part++)
     {
--- /dev/null
+++ b/daemon/suspects.c
@@ -0,0 +1,313 @@
+#include "daemon/suspects.h"
+
+#include "daemon/router.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <utlist.h>
+
+/* A machine whose process has ended refuses a connection within a round trip: a few milliseconds in
+ * a region, some 40 to another one. Nothing at all says nothing. */
+#define PROBE_MS 100
+
+#define MS_PER_S 1000.0
+
+/* A router that comes is told of so many requests by each peer: the newest, since such a request
+ * comes again within seconds. */
+#define TELL_NEW_MAX 32
+
+/* A connection to an endpoint, made to see whether anything listens there. */
+struct ash_end_probe
+{
+  struct ash_suspects *suspects;
+  uint64_t endpoint;
+  bool open;
+  bool refused;
+  struct ash_stream stream;
+  ev_timer timer;
+  struct ash_end_probe *prev;
+  struct ash_end_probe *next;
+};
+
+/* ---- telling peers ---- */
+
+static struct Ash__SuspectRun
+message_of (const struct ash_quarantine_run *run, struct ash_time now)
+{
+  struct Ash__SuspectRun message = ASH__SUSPECT_RUN__INIT;
+
+  message.request_hi = run->request.hi;
+  message.request_lo = run->request.lo;
+  message.endpoint = run->endpoint;
+  message.lasted_ms = (uint32_t) ash_time_diff (run->sent, run->ended);
+  message.age_ms = (uint32_t) ash_time_diff (run->ended, now);
+  message.spoke = run->spoke;
+  return message;
+}
+
+/* @param box NULL: all peers that there are links to. */
+static void
+tell (struct ash_suspects *suspects,
+      const char *box,
+      struct Ash__SuspectRun messages[],
+      size_t count)
+{
+  struct Ash__SuspectRun *list[ASH_QUARANTINE_CUTS];
+  struct Ash__SuspectRuns runs = ASH__SUSPECT_RUNS__INIT;
+  struct Ash__Event event = ash_event_of ("", ASH__EVENT__KIND_SUSPECT_RUNS, &runs);
+
+  for (size_t i = 0; i < count; i++)
+    list[i] = &messages[i];
+  runs.runs = list;
+  runs.n_runs = count;
+  if (box)
+    ash_peers_send (&suspects->router->fleet.links, box, &event);
+  else if (count)
+    ash_fleet_send_all (&suspects->router->fleet, &event);
+}
+
+void
+ash_suspects_tell_peer (struct ash_suspects *suspects, const char *box)
+{
+  struct Ash__SuspectRun messages[TELL_NEW_MAX * ASH_QUARANTINE_RUNS];
+  const struct ash_quarantine_suspect *suspect = suspects->quarantine.suspects;
+  uint32_t skip = HASH_COUNT (suspect);
+  struct ash_time now = ash_clock_now ();
+  size_t count = 0;
+
+  for (skip = skip > TELL_NEW_MAX ? skip - TELL_NEW_MAX : 0; skip; skip--)
+    suspect = suspect->hh.next;
+  for (; suspect; suspect = suspect->hh.next)
+    for (uint32_t i = 0; i < suspect->count; i++)
+      messages[count++] = message_of (&suspect->runs[i], now);
+  if (count)
+    tell (suspects, box, messages, count);
+}
+
+/* ---- evidence ---- */
+
+int64_t
+ash_suspects_left_ms (const struct ash_suspects *suspects,
+                      struct ash_id request,
+                      struct ash_time now)
+{
+  return ash_quarantine_left_ms (&suspects->quarantine, request, now);
+}
+
+/* Says so if the request is kept away since this run. */
+static void
+note_quarantined (struct ash_suspects *suspects,
+                  const struct ash_quarantine_run *run,
+                  struct ash_time now,
+                  const char *source)
+{
+  int64_t left_ms = ash_suspects_left_ms (suspects, run->request, now);
+  char digest[ASH_ID_TEXT_BYTES];
+
+  if (!left_ms)
+    return;
+  suspects->quarantined++;
+  ash_id_format (run->request, digest);
+  ash_log_event (&suspects->router->log, ASH_EV_QUARANTINED,
+                 "digest=%s ends=%u spoke=%d for_ms=%lld source=%s", digest,
+                 ash_quarantine_ends (&suspects->quarantine, run->request), run->spoke,
+                 (long long) left_ms, source);
+  suspects->handler->quarantined (suspects->router, run->request);
+}
+
+static void
+take_end (struct ash_suspects *suspects, uint64_t endpoint, enum ash_quarantine_proof proof)
+{
+  struct ash_quarantine_run found[ASH_QUARANTINE_CUTS];
+  struct Ash__SuspectRun messages[ASH_QUARANTINE_CUTS];
+  struct ash_time now = ash_clock_now ();
+  const struct ash_direct_endpoint *known =
+      ash_direct_find_hash (&suspects->router->endpoints, endpoint);
+  size_t count = ash_quarantine_ended (&suspects->quarantine, endpoint, proof, now, found);
+
+  if (!count)
+    return;
+  suspects->ended++;
+  ash_log_event (&suspects->router->log, ASH_EV_ENDPOINT_ENDED, "endpoint=%s requests=%zu proof=%s",
+                 known ? known->facts.id : "-", count,
+                 proof == ASH_QUARANTINE_REFUSES ? "refuses" : "reborn");
+  for (size_t i = 0; i < count; i++)
+    messages[i] = message_of (&found[i], now);
+  tell (suspects, NULL, messages, count);
+  for (size_t i = 0; i < count; i++)
+    note_quarantined (suspects, &found[i], now, "own");
+}
+
+void
+ash_suspects_reborn (struct ash_suspects *suspects, uint64_t endpoint)
+{
+  take_end (suspects, endpoint, ASH_QUARANTINE_REBORN);
+}
+
+/* @return whether it was suspected. */
+static bool
+clear (struct ash_suspects *suspects, struct ash_id request, const char *source)
+{
+  char digest[ASH_ID_TEXT_BYTES];
+
+  if (!ash_quarantine_clear (&suspects->quarantine, request))
+    return false;
+  ash_id_format (request, digest);
+  ash_log_event (&suspects->router->log, ASH_EV_QUARANTINE_CLEARED, "digest=%s source=%s", digest,
+                 source);
+  return true;
+}
+
+void
+ash_suspects_answered (struct ash_suspects *suspects, struct ash_id request)
+{
+  struct Ash__SuspectRun message = ASH__SUSPECT_RUN__INIT;
+
+  if (!clear (suspects, request, "own"))
+    return;
+  message.request_hi = request.hi;
+  message.request_lo = request.lo;
+  message.cleared = true;
+  tell (suspects, NULL, &message, 1);
+}
+
+void
+ash_suspects_told (struct ash_suspects *suspects,
+                   const char *peer,
+                   const struct Ash__SuspectRuns *message)
+{
+  struct ash_time now = ash_clock_now ();
+
+  for (size_t i = 0; i < message->n_runs; i++)
+    {
+      const struct Ash__SuspectRun *told = message->runs[i];
+      struct ash_quarantine_run run = {
+        .request = { told->request_hi, told->request_lo },
+        .endpoint = told->endpoint,
+        .ended = ash_time_add (now, -(int64_t) told->age_ms),
+        .spoke = told->spoke,
+      };
+
+      run.sent = ash_time_add (run.ended, -(int64_t) told->lasted_ms);
+      if (told->cleared)
+        clear (suspects, run.request, peer);
+      else if (ash_quarantine_take (&suspects->quarantine, &run))
+        note_quarantined (suspects, &run, now, peer);
+    }
+}
+
+/* ---- asking ---- */
+
+static void
+free_probe (struct ash_end_probe *probe)
+{
+  if (probe->open)
+    ash_stream_finish (&probe->stream);
+  ev_timer_stop (probe->suspects->router->loop, &probe->timer);
+  DL_DELETE (probe->suspects->probes, probe);
+  free (probe);
+}
+
+static void
+end_probe (struct ash_end_probe *probe, bool refused)
+{
+  struct ash_suspects *suspects = probe->suspects;
+  uint64_t endpoint = probe->endpoint;
+
+  free_probe (probe);
+  if (refused)
+    take_end (suspects, endpoint, ASH_QUARANTINE_REFUSES);
+  suspects->handler->asked (suspects->router, endpoint);
+}
+
+static void
+on_probe_data (struct ash_stream *stream, const uint8_t *bytes, size_t length)
+{
+  (void) bytes;
+  (void) length;
+  end_probe (stream->owner, false);
+}
+
+static void
+on_probe_end (struct ash_stream *stream, enum ash_stream_end end)
+{
+  end_probe (stream->owner, end == ASH_STREAM_NO_CONNECT && stream->refused);
+}
+
+/* The connection is up: something listens. */
+static void
+on_probe_drained (struct ash_stream *stream)
+{
+  end_probe (stream->owner, false);
+}
+
+static const struct ash_stream_handler probe_handler = { on_probe_data, on_probe_end,
+                                                         on_probe_drained };
+
+static void
+on_probe_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct ash_end_probe *probe = timer->data;
+
+  (void) loop;
+  (void) events;
+  end_probe (probe, probe->refused);
+}
+
+static void
+start_probe (struct ash_suspects *suspects, uint64_t endpoint, const struct sockaddr_in *address)
+{
+  struct ash_end_probe *probe = calloc (1, sizeof *probe);
+  struct ev_loop *loop = suspects->router->loop;
+
+  if (!probe)
+    return;
+  probe->suspects = suspects;
+  probe->endpoint = endpoint;
+  probe->open = ash_stream_connect (&probe->stream, loop, address, &probe_handler, probe);
+  probe->refused = !probe->open && errno == ECONNREFUSED;
+  /* One that could not be begun ends when the loop comes round: its owner is at work now. */
+  ev_timer_init (&probe->timer, on_probe_timer, probe->open ? PROBE_MS / MS_PER_S : 0, 0);
+  probe->timer.data = probe;
+  ev_timer_start (loop, &probe->timer);
+  DL_APPEND (suspects->probes, probe);
+}
+
+void
+ash_suspects_cut (struct ash_suspects *suspects,
+                  const struct sockaddr_in *address,
+                  const struct ash_quarantine_run *run)
+{
+  const struct ash_end_probe *probe;
+
+  ash_quarantine_cut (&suspects->quarantine, run);
+  DL_FOREACH (suspects->probes, probe)
+    if (probe->endpoint == run->endpoint)
+      return;
+  start_probe (suspects, run->endpoint, address);
+}
+
+/* ---- life ---- */
+
+void
+ash_suspects_open (struct ash_suspects *suspects,
+                   struct ash_router *router,
+                   const struct ash_suspects_handler *handler)
+{
+  suspects->router = router;
+  suspects->handler = handler;
+}
+
+void
+ash_suspects_close (struct ash_suspects *suspects)
+{
+  while (suspects->probes)
+    free_probe (suspects->probes);
+  ash_quarantine_finish (&suspects->quarantine);
+}
+
+void
+ash_suspects_tick (struct ash_suspects *suspects, struct ash_time now)
+{
+  ash_quarantine_tick (&suspects->quarantine, now);
+}
--- a/filters/forward.c
+++ b/filters/forward.c
@@ -33,6 +33,8 @@
       return "no_budget";
     case ASH_FORWARD_LEAVING:
       return "leaving";
+    case ASH_FORWARD_QUARANTINED:
+      return "quarantined";
     }
   return "unknown";
 }
@@ -56,6 +58,8 @@
   int64_t most_ms = left_ms / RETURN_MOST_PART;
   int64_t least_ms;
 
+  if (reason == ASH_FORWARD_QUARANTINED)
+    return (uint32_t) world->quarantined_ms;
   if (reason != ASH_FORWARD_NO_ROOM && reason != ASH_FORWARD_TURNED_AWAY)
     return RETRY_AFTER_LEAST_MS + ash_random_below (random, RETRY_AFTER_SPREAD_MS);
   if (most_ms > RETURN_MOST_MS)
@@ -124,6 +128,8 @@
 
   if (!ash_time_before (now, forward->deadline))
     return answer (forward, world, now, ASH_FORWARD_TIMEOUT);
+  if (world->quarantined_ms > 0)
+    return answer (forward, world, now, ASH_FORWARD_QUARANTINED);
   if (forward->unsure && forward->repeat == ASH_REPEAT_ONCE)
     return answer (forward, world, now, ASH_FORWARD_FAILED);
   if (forward->sent >= forward->servers_max)
--- a/filters/forward.h
+++ b/filters/forward.h
@@ -21,6 +21,7 @@
   ASH_FORWARD_TIMEOUT,     /**< its time is up */
   ASH_FORWARD_NO_BUDGET,   /**< it could be sent again, but not affordably */
   ASH_FORWARD_LEAVING,     /**< this process ends too soon to see it through */
+  ASH_FORWARD_QUARANTINED, /**< endpoints have ended under it: it is kept away from others */
 };
 
 /** What comes next. */
@@ -73,11 +74,12 @@
   struct ash_direct_set *endpoints;
   struct ash_resend_window *window;
   struct ash_resend_bound bound;
-  uint32_t entries;   /**< that share the bound */
-  const char *hall;   /**< of this process */
-  uint64_t own;       /**< tells this process from the others */
-  uint32_t far_parts; /**< of the endpoints of other halls, it takes one part in so many */
-  uint32_t wait_ms;   /**< how long a request may wait for room */
+  uint32_t entries;       /**< that share the bound */
+  const char *hall;       /**< of this process */
+  uint64_t own;           /**< tells this process from the others */
+  uint32_t far_parts;     /**< of the endpoints of other halls, it takes one part in so many */
+  uint32_t wait_ms;       /**< how long a request may wait for room */
+  int64_t quarantined_ms; /**< how long the request is kept away from endpoints; 0: it is not */
 };
 
 /** What comes next, now. */
--- a/net/stream.c
+++ b/net/stream.c
@@ -49,6 +49,7 @@
   getsockopt (stream->fd, SOL_SOCKET, SO_ERROR, &error, &error_bytes);
   if (error)
     {
+      stream->refused = error == ECONNREFUSED;
       stream->handler->end (stream, ASH_STREAM_NO_CONNECT);
       return false;
     }
@@ -125,7 +126,10 @@
     return false;
   if (connect (fd, (const struct sockaddr *) address, sizeof *address) < 0 && errno != EINPROGRESS)
     {
+      int error = errno;
+
       close (fd);
+      errno = error;
       return false;
     }
   ash_stream_init (stream, loop, fd, handler, owner);
--- a/net/stream.h
+++ b/net/stream.h
@@ -40,8 +40,9 @@
   void *owner;
   int fd; /**< -1: finished */
   bool connecting;
-  bool broken; /**< a write failed; told by the loop */
-  bool paused; /**< nothing is read */
+  bool refused; /**< it never came up: nothing listens there */
+  bool broken;  /**< a write failed; told by the loop */
+  bool paused;  /**< nothing is read */
   ev_io read_io;
   ev_io write_io;
   struct ash_buffer out;
@@ -54,7 +55,7 @@
                       const struct ash_stream_handler *handler,
                       void *owner);
 
-/** Starts a connection. @return false if no socket could be had. */
+/** Starts a connection. @return false with errno set if it could not be begun. */
 bool ash_stream_connect (struct ash_stream *stream,
                          struct ev_loop *loop,
                          const struct sockaddr_in *address,
--- a/proto/ash.pb-c.c
+++ b/proto/ash.pb-c.c
@@ -187,6 +187,96 @@
   assert(message->base.descriptor == &ash__endpoint_loads__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ash__suspect_run__init
+                     (Ash__SuspectRun         *message)
+{
+  static const Ash__SuspectRun init_value = ASH__SUSPECT_RUN__INIT;
+  *message = init_value;
+}
+size_t ash__suspect_run__get_packed_size
+                     (const Ash__SuspectRun *message)
+{
+  assert(message->base.descriptor == &ash__suspect_run__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ash__suspect_run__pack
+                     (const Ash__SuspectRun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ash__suspect_run__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ash__suspect_run__pack_to_buffer
+                     (const Ash__SuspectRun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ash__suspect_run__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ash__SuspectRun *
+       ash__suspect_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ash__SuspectRun *)
+     protobuf_c_message_unpack (&ash__suspect_run__descriptor,
+                                allocator, len, data);
+}
+void   ash__suspect_run__free_unpacked
+                     (Ash__SuspectRun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ash__suspect_run__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ash__suspect_runs__init
+                     (Ash__SuspectRuns         *message)
+{
+  static const Ash__SuspectRuns init_value = ASH__SUSPECT_RUNS__INIT;
+  *message = init_value;
+}
+size_t ash__suspect_runs__get_packed_size
+                     (const Ash__SuspectRuns *message)
+{
+  assert(message->base.descriptor == &ash__suspect_runs__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ash__suspect_runs__pack
+                     (const Ash__SuspectRuns *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ash__suspect_runs__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ash__suspect_runs__pack_to_buffer
+                     (const Ash__SuspectRuns *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ash__suspect_runs__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ash__SuspectRuns *
+       ash__suspect_runs__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ash__SuspectRuns *)
+     protobuf_c_message_unpack (&ash__suspect_runs__descriptor,
+                                allocator, len, data);
+}
+void   ash__suspect_runs__free_unpacked
+                     (Ash__SuspectRuns *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ash__suspect_runs__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ash__endpoint_list__init
                      (Ash__EndpointList         *message)
 {
@@ -2252,6 +2342,160 @@
   (ProtobufCMessageInit) ash__endpoint_loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ash__suspect_run__field_descriptors[7] =
+{
+  {
+    "request_hi",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__SuspectRun, request_hi),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request_lo",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__SuspectRun, request_lo),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__SuspectRun, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lasted_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ash__SuspectRun, lasted_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ash__SuspectRun, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spoke",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ash__SuspectRun, spoke),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cleared",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ash__SuspectRun, cleared),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ash__suspect_run__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
+  6,   /* field[6] = cleared */
+  2,   /* field[2] = endpoint */
+  3,   /* field[3] = lasted_ms */
+  0,   /* field[0] = request_hi */
+  1,   /* field[1] = request_lo */
+  5,   /* field[5] = spoke */
+};
+static const ProtobufCIntRange ash__suspect_run__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor ash__suspect_run__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ash.SuspectRun",
+  "SuspectRun",
+  "Ash__SuspectRun",
+  "ash",
+  sizeof(Ash__SuspectRun),
+  7,
+  ash__suspect_run__field_descriptors,
+  ash__suspect_run__field_indices_by_name,
+  1,  ash__suspect_run__number_ranges,
+  (ProtobufCMessageInit) ash__suspect_run__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ash__suspect_runs__field_descriptors[1] =
+{
+  {
+    "runs",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ash__SuspectRuns, n_runs),
+    offsetof(Ash__SuspectRuns, runs),
+    &ash__suspect_run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ash__suspect_runs__field_indices_by_name[] = {
+  0,   /* field[0] = runs */
+};
+static const ProtobufCIntRange ash__suspect_runs__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor ash__suspect_runs__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ash.SuspectRuns",
+  "SuspectRuns",
+  "Ash__SuspectRuns",
+  "ash",
+  sizeof(Ash__SuspectRuns),
+  1,
+  ash__suspect_runs__field_descriptors,
+  ash__suspect_runs__field_indices_by_name,
+  1,  ash__suspect_runs__number_ranges,
+  (ProtobufCMessageInit) ash__suspect_runs__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ash__endpoint_list__field_descriptors[6] =
 {
   {
@@ -5476,7 +5720,7 @@
   (ProtobufCMessageInit) ash__engine_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__event__field_descriptors[40] =
+static const ProtobufCFieldDescriptor ash__event__field_descriptors[41] =
 {
   {
     "peer",
@@ -5778,6 +6022,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspect_runs",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ash__Event, kind_case),
+    offsetof(Ash__Event, suspect_runs),
+    &ash__suspect_runs__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "call",
     30,
@@ -5960,8 +6216,8 @@
   },
 };
 static const unsigned ash__event__field_indices_by_name[] = {
-  25,   /* field[25] = call */
-  26,   /* field[26] = caller_gone */
+  26,   /* field[26] = call */
+  27,   /* field[27] = caller_gone */
   5,   /* field[5] = cancel */
   12,   /* field[12] = challenge */
   19,   /* field[19] = config_delta */
@@ -5976,37 +6232,38 @@
   22,   /* field[22] = endpoint_list */
   23,   /* field[23] = endpoint_list_want */
   21,   /* field[21] = endpoint_loads */
-  35,   /* field[35] = engine_cancel */
-  37,   /* field[37] = engine_data */
-  38,   /* field[38] = engine_end */
-  36,   /* field[36] = engine_head */
-  34,   /* field[34] = engine_start */
+  36,   /* field[36] = engine_cancel */
+  38,   /* field[38] = engine_data */
+  39,   /* field[39] = engine_end */
+  37,   /* field[37] = engine_head */
+  35,   /* field[35] = engine_start */
   7,   /* field[7] = head */
   1,   /* field[1] = heartbeat */
   13,   /* field[13] = hello */
-  31,   /* field[31] = link_down */
-  30,   /* field[30] = link_up */
+  32,   /* field[32] = link_down */
+  31,   /* field[31] = link_up */
   0,   /* field[0] = peer */
   16,   /* field[16] = query */
   17,   /* field[17] = query_answer */
   14,   /* field[14] = rank_order */
   15,   /* field[15] = rank_state */
   6,   /* field[6] = refused */
-  27,   /* field[27] = reply */
-  28,   /* field[28] = reply_data */
-  29,   /* field[29] = reply_end */
+  28,   /* field[28] = reply */
+  29,   /* field[29] = reply_data */
+  30,   /* field[30] = reply_end */
   4,   /* field[4] = resume */
-  39,   /* field[39] = sent_ms */
-  33,   /* field[33] = stop */
+  40,   /* field[40] = sent_ms */
+  34,   /* field[34] = stop */
   3,   /* field[3] = submit */
-  32,   /* field[32] = tick */
+  25,   /* field[25] = suspect_runs */
+  33,   /* field[33] = tick */
 };
 static const ProtobufCIntRange ash__event__number_ranges[3 + 1] =
 {
   { 1, 0 },
-  { 30, 25 },
-  { 60, 39 },
-  { 0, 40 }
+  { 30, 26 },
+  { 60, 40 },
+  { 0, 41 }
 };
 const ProtobufCMessageDescriptor ash__event__descriptor =
 {
@@ -6016,7 +6273,7 @@
   "Ash__Event",
   "ash",
   sizeof(Ash__Event),
-  40,
+  41,
   ash__event__field_descriptors,
   ash__event__field_indices_by_name,
   3,  ash__event__number_ranges,
--- a/proto/ash.pb-c.h
+++ b/proto/ash.pb-c.h
@@ -19,6 +19,8 @@
 typedef struct Ash__Hello Ash__Hello;
 typedef struct Ash__Heartbeat Ash__Heartbeat;
 typedef struct Ash__EndpointLoads Ash__EndpointLoads;
+typedef struct Ash__SuspectRun Ash__SuspectRun;
+typedef struct Ash__SuspectRuns Ash__SuspectRuns;
 typedef struct Ash__EndpointList Ash__EndpointList;
 typedef struct Ash__EndpointListWant Ash__EndpointListWant;
 typedef struct Ash__ConfigOffer Ash__ConfigOffer;
@@ -359,6 +361,54 @@
     , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
+/*
+ * Requests under which endpoints ended, to all peers; see controllers/quarantine.
+ */
+struct  Ash__SuspectRun
+{
+  ProtobufCMessage base;
+  /*
+   * digest of what was asked
+   */
+  uint64_t request_hi;
+  uint64_t request_lo;
+  /*
+   * hash of its id
+   */
+  uint64_t endpoint;
+  /*
+   * from its sending to the end
+   */
+  uint32_t lasted_ms;
+  /*
+   * since the end
+   */
+  uint32_t age_ms;
+  /*
+   * a part of its answer had come
+   */
+  protobuf_c_boolean spoke;
+  /*
+   * none of this: the request got its whole answer
+   */
+  protobuf_c_boolean cleared;
+};
+#define ASH__SUSPECT_RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ash__suspect_run__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Ash__SuspectRuns
+{
+  ProtobufCMessage base;
+  size_t n_runs;
+  Ash__SuspectRun **runs;
+};
+#define ASH__SUSPECT_RUNS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ash__suspect_runs__descriptor) \
+    , 0,NULL }
+
+
 /*
  * The list of endpoints, or its changes, to an entry that does not read it itself.
  */
@@ -1050,6 +1100,7 @@
   ASH__EVENT__KIND_ENDPOINT_LIST = 23,
   ASH__EVENT__KIND_ENDPOINT_LIST_WANT = 24,
   ASH__EVENT__KIND_ENDPOINT_CHANGES = 25,
+  ASH__EVENT__KIND_SUSPECT_RUNS = 26,
   ASH__EVENT__KIND_CALL = 30,
   ASH__EVENT__KIND_CALLER_GONE = 31,
   ASH__EVENT__KIND_REPLY = 32,
@@ -1110,6 +1161,7 @@
      * since another one: whoever does not know them leaves them
      */
     Ash__EndpointList *endpoint_changes;
+    Ash__SuspectRuns *suspect_runs;
     /*
      * 30 and above never cross a link
      */
@@ -1210,6 +1262,44 @@
 void   ash__endpoint_loads__free_unpacked
                      (Ash__EndpointLoads *message,
                       ProtobufCAllocator *allocator);
+/* Ash__SuspectRun methods */
+void   ash__suspect_run__init
+                     (Ash__SuspectRun         *message);
+size_t ash__suspect_run__get_packed_size
+                     (const Ash__SuspectRun   *message);
+size_t ash__suspect_run__pack
+                     (const Ash__SuspectRun   *message,
+                      uint8_t             *out);
+size_t ash__suspect_run__pack_to_buffer
+                     (const Ash__SuspectRun   *message,
+                      ProtobufCBuffer     *buffer);
+Ash__SuspectRun *
+       ash__suspect_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ash__suspect_run__free_unpacked
+                     (Ash__SuspectRun *message,
+                      ProtobufCAllocator *allocator);
+/* Ash__SuspectRuns methods */
+void   ash__suspect_runs__init
+                     (Ash__SuspectRuns         *message);
+size_t ash__suspect_runs__get_packed_size
+                     (const Ash__SuspectRuns   *message);
+size_t ash__suspect_runs__pack
+                     (const Ash__SuspectRuns   *message,
+                      uint8_t             *out);
+size_t ash__suspect_runs__pack_to_buffer
+                     (const Ash__SuspectRuns   *message,
+                      ProtobufCBuffer     *buffer);
+Ash__SuspectRuns *
+       ash__suspect_runs__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ash__suspect_runs__free_unpacked
+                     (Ash__SuspectRuns *message,
+                      ProtobufCAllocator *allocator);
 /* Ash__EndpointList methods */
 void   ash__endpoint_list__init
                      (Ash__EndpointList         *message);
@@ -1889,6 +1979,12 @@
 typedef void (*Ash__EndpointLoads_Closure)
                  (const Ash__EndpointLoads *message,
                   void *closure_data);
+typedef void (*Ash__SuspectRun_Closure)
+                 (const Ash__SuspectRun *message,
+                  void *closure_data);
+typedef void (*Ash__SuspectRuns_Closure)
+                 (const Ash__SuspectRuns *message,
+                  void *closure_data);
 typedef void (*Ash__EndpointList_Closure)
                  (const Ash__EndpointList *message,
                   void *closure_data);
@@ -2007,6 +2103,8 @@
 extern const ProtobufCMessageDescriptor ash__hello__descriptor;
 extern const ProtobufCMessageDescriptor ash__heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor ash__endpoint_loads__descriptor;
+extern const ProtobufCMessageDescriptor ash__suspect_run__descriptor;
+extern const ProtobufCMessageDescriptor ash__suspect_runs__descriptor;
 extern const ProtobufCMessageDescriptor ash__endpoint_list__descriptor;
 extern const ProtobufCMessageDescriptor ash__endpoint_list_want__descriptor;
 extern const ProtobufCMessageDescriptor ash__config_offer__descriptor;
--- a/test/router_ends.c
+++ b/test/router_ends.c
@@ -15,7 +15,10 @@
 #include "test/router_tests.h"
 
 #include <CUnit/CUnit.h>
+#include <signal.h>
+#include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 /* Ends that prove it: from then on no endpoint is to get the request. */
 #define ENDS_MOST 3
@@ -82,7 +85,119 @@
   check_kept_away ("/once/ends", "*=end");
 }
 
+/* A router that comes learns from its peers what is kept away. */
+static void
+test_newcomer (void)
+{
+  start_two ();
+  for (int i = 0; i < 2; i++)
+    {
+      world_call_at (&world, 0, "end", "/once/ends", "*=end", "", &answer);
+      CU_ASSERT_EQUAL (answer.status, 502);
+      CU_ASSERT_EQUAL (revive (), 1);
+    }
+  CU_ASSERT (world_wait_logged (&world, 1, " quarantined "));
+  fleet_end (&world.routers[1].pid, SIGKILL);
+  world_start_router (&world, 1);
+  CU_ASSERT (world_wait_ready (&world, 1, true));
+  CU_ASSERT (world_wait_logged (&world, 1, "ends=2 spoke=0 for_ms=59"));
+  world_call_at (&world, 1, "end-2", "/once/ends", "*=end", "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 503);
+  CU_ASSERT (has ("quarantined: the request did not run"));
+  CU_ASSERT_EQUAL (world_runs (&world, "end-2"), 0);
+  world_stop (&world);
+}
+
+/* Connections that end under a request at endpoints that stand say nothing of the request. */
+static void
+test_reset_only (void)
+{
+  start_two ();
+  for (int i = 0; i < 6; i++)
+    {
+      world_call_at (&world, i % 2, "reset", "/safe/x", "*=reset", "", &answer);
+      CU_ASSERT_EQUAL (answer.status, 502);
+    }
+  world_call (&world, "ok", "/safe/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  CU_ASSERT_FALSE (world_logged (&world, 0, " endpoint_ended "));
+  CU_ASSERT_FALSE (world_logged (&world, 0, " quarantined "));
+  world_stop (&world);
+}
+
+/* An end, an answer, an end: a request that is asked often, at endpoints that end for another
+ * reason. */
+static void
+test_cleared (void)
+{
+  start_two ();
+  for (int i = 0; i < 4; i++)
+    {
+      world_call_at (&world, i % 2, "end", "/once/often", "*=end", "", &answer);
+      CU_ASSERT_EQUAL (answer.status, 502);
+      CU_ASSERT_EQUAL (revive (), 1);
+      CU_ASSERT (world_wait_logged (&world, (i + 1) % 2, " link_up "));
+      world_call_at (&world, (i + 1) % 2, "often", "/once/often", NULL, "", &answer);
+      CU_ASSERT_EQUAL (answer.status, 200);
+      fleet_sleep (50);
+    }
+  CU_ASSERT (world_logged (&world, 0, " quarantine_cleared "));
+  CU_ASSERT (world_logged (&world, 1, "source=router-0"));
+  world_stop (&world);
+}
+
+/* @return the server that has a request, once the second router knows that it has one. */
+static int
+server_with (const char *id)
+{
+  char wanted[64];
+  int s = 0;
+
+  wait_arrived (id);
+  while (s + 1 < WORLD_SERVERS && !strstr (server_log (s), id))
+    s++;
+  snprintf (wanted, sizeof wanted, "ash_endpoint_elsewhere{endpoint=\"%s\"} 1",
+            world.servers[s].id);
+  for (int i = 0; i < 200; i++)
+    {
+      if (strstr (world_get (world.routers[1].figures, "GET", "/metrics", ""), wanted))
+        return s;
+      fleet_sleep (10);
+    }
+  CU_FAIL ("the second router does not know of the request");
+  return s;
+}
+
+/* A copy of the request that waits at an endpoint is taken back once two others have ended. */
+static void
+test_copy_taken_back (void)
+{
+  struct world_answer copy;
+  int fd;
+  int s;
+
+  start_two ();
+  world_call_at (&world, 0, "end-1", "/once/ends", "*=end", "", &answer);
+  CU_ASSERT_EQUAL (revive (), 1);
+  fd = world_connect (&world, 0);
+  world_send (fd, "POST /once/ends HTTP/1.1\r\n" HEAD
+                  "copy\r\nX-Do: *=mute\r\nContent-Length: 5\r\n\r\nhello");
+  s = server_with ("copy");
+  world_call_at (&world, 1, "end-2", "/once/ends", "*=end", "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 502);
+  world_read (fd, &copy);
+  close (fd);
+  CU_ASSERT_EQUAL (copy.status, 502);
+  CU_ASSERT_PTR_NOT_NULL (strstr (copy.body, "quarantined"));
+  CU_ASSERT_EQUAL (atoi (world_get (world.servers[s].port, "GET", "/gone", "")), 1);
+  world_stop (&world);
+}
+
 const struct fault_test router_end_tests[] = {
   { "requests that end endpoints are kept away", test_kept_away },
+  { "a router that comes learns what is kept away", test_newcomer },
+  { "connections reset at endpoints that stand", test_reset_only },
+  { "a request that is answered is not suspected", test_cleared },
+  { "a copy of a request that is kept away is taken back", test_copy_taken_back },
   { NULL, NULL },
 };
--- a/test/unit.h
+++ b/test/unit.h
@@ -16,6 +16,9 @@
 /** The router's cores. */
 void add_router_tests (CU_pSuite suite);
 
+/** Requests under which endpoints ended. */
+void add_quarantine_tests (CU_pSuite suite);
+
 /** Passes of groups, expert maps and their change. */
 void add_expert_tests (CU_pSuite suite);
 
--- /dev/null
+++ b/test/unit_quarantine.c
@@ -0,0 +1,176 @@
+/**
+ * @file
+ * Unit tests of requests that are kept away since endpoints ended under them.
+ */
+#include "controllers/quarantine.h"
+#include "test/unit.h"
+
+#define MINUTE_MS (60 * 1000)
+
+static const struct ash_id asked = { 1, 2 };
+
+static struct ash_time
+at (int64_t ms)
+{
+  return (struct ash_time){ ms };
+}
+
+static struct ash_quarantine_run
+run_of (struct ash_id request, uint64_t endpoint, int64_t sent_ms, int64_t ended_ms)
+{
+  return (struct ash_quarantine_run){ request, endpoint, at (sent_ms), at (ended_ms), false };
+}
+
+static bool
+take (struct ash_quarantine *quarantine, int64_t sent_ms, int64_t ended_ms)
+{
+  struct ash_quarantine_run run = run_of (asked, 7, sent_ms, ended_ms);
+
+  return ash_quarantine_take (quarantine, &run);
+}
+
+/* Two ends, one run after the other, under a request that gave no answer either time. */
+static void
+test_two_ends (void)
+{
+  struct ash_quarantine quarantine = { 0 };
+  const struct ash_id other = { 1, 3 };
+
+  CU_ASSERT (take (&quarantine, 0, 100));
+  CU_ASSERT_EQUAL (ash_quarantine_left_ms (&quarantine, asked, at (100)), 0);
+  CU_ASSERT (take (&quarantine, 100, 200));
+  CU_ASSERT_EQUAL (ash_quarantine_ends (&quarantine, asked), 2);
+  CU_ASSERT_EQUAL (ash_quarantine_left_ms (&quarantine, asked, at (200)), 10 * MINUTE_MS);
+  CU_ASSERT_EQUAL (ash_quarantine_left_ms (&quarantine, other, at (200)), 0);
+  ash_quarantine_finish (&quarantine);
+}
+
+/* One that had begun to answer may only have been there: three ends prove it. */
+static void
+test_three_ends (void)
+{
+  struct ash_quarantine quarantine = { 0 };
+  struct ash_quarantine_run run = run_of (asked, 7, 0, 100);
+
+  run.spoke = true;
+  CU_ASSERT (ash_quarantine_take (&quarantine, &run));
+  CU_ASSERT (take (&quarantine, 100, 200));
+  CU_ASSERT_EQUAL (ash_quarantine_left_ms (&quarantine, asked, at (200)), 0);
+  CU_ASSERT (take (&quarantine, 300, 400));
+  CU_ASSERT (ash_quarantine_left_ms (&quarantine, asked, at (400)) > 0);
+  ash_quarantine_finish (&quarantine);
+}
+
+/* Many endpoints end at once, a rack say, while a request that is asked often runs at each: one of
+ * these runs counts. What a peer tells again counts once too. */
+static void
+test_side_by_side (void)
+{
+  struct ash_quarantine quarantine = { 0 };
+
+  CU_ASSERT (take (&quarantine, 0, 1000));
+  for (int i = 0; i < 8; i++)
+    CU_ASSERT_FALSE (take (&quarantine, 10 * i, 1000 + i));
+  CU_ASSERT_FALSE (take (&quarantine, 0, 1000));
+  CU_ASSERT_EQUAL (ash_quarantine_ends (&quarantine, asked), 1);
+  ash_quarantine_finish (&quarantine);
+}
+
+static void
+test_cleared (void)
+{
+  struct ash_quarantine quarantine = { 0 };
+
+  CU_ASSERT_FALSE (ash_quarantine_clear (&quarantine, asked));
+  take (&quarantine, 0, 100);
+  CU_ASSERT (ash_quarantine_clear (&quarantine, asked));
+  CU_ASSERT_EQUAL (ash_quarantine_ends (&quarantine, asked), 0);
+  take (&quarantine, 200, 300);
+  CU_ASSERT_EQUAL (ash_quarantine_left_ms (&quarantine, asked, at (300)), 0);
+  ash_quarantine_finish (&quarantine);
+}
+
+/* It may run again after ten minutes; then one end is enough, and only an hour without one makes it
+ * as any other. */
+static void
+test_time (void)
+{
+  struct ash_quarantine quarantine = { 0 };
+  int64_t later_ms = 200 + 10 * MINUTE_MS;
+
+  take (&quarantine, 0, 100);
+  take (&quarantine, 100, 200);
+  ash_quarantine_tick (&quarantine, at (later_ms));
+  CU_ASSERT_EQUAL (ash_quarantine_left_ms (&quarantine, asked, at (later_ms - 1)), 1);
+  CU_ASSERT_EQUAL (ash_quarantine_left_ms (&quarantine, asked, at (later_ms)), 0);
+  take (&quarantine, later_ms, later_ms + 50);
+  CU_ASSERT (ash_quarantine_left_ms (&quarantine, asked, at (later_ms + 50)) > 0);
+  ash_quarantine_tick (&quarantine, at (later_ms + 50 + 60 * MINUTE_MS));
+  CU_ASSERT_EQUAL (ash_quarantine_ends (&quarantine, asked), 0);
+  ash_quarantine_finish (&quarantine);
+}
+
+/* The end of a connection alone is no evidence; that of the endpoint makes it some, for what ended
+ * there shortly before. */
+static void
+test_cuts (void)
+{
+  struct ash_quarantine quarantine = { 0 };
+  struct ash_quarantine_run found[ASH_QUARANTINE_CUTS];
+  struct ash_quarantine_run here = run_of (asked, 7, 0, 1000);
+  struct ash_quarantine_run elsewhere = run_of ((struct ash_id){ 5, 5 }, 8, 0, 1000);
+
+  ash_quarantine_cut (&quarantine, &here);
+  ash_quarantine_cut (&quarantine, &elsewhere);
+  CU_ASSERT_EQUAL (ash_quarantine_ends (&quarantine, asked), 0);
+  /* Asked only later: something else has ended it. */
+  CU_ASSERT_EQUAL (ash_quarantine_ended (&quarantine, 8, ASH_QUARANTINE_REFUSES, at (3000), found),
+                   0);
+  CU_ASSERT_EQUAL (ash_quarantine_ended (&quarantine, 7, ASH_QUARANTINE_REBORN, at (4000), found),
+                   1);
+  CU_ASSERT (ash_id_equal (found[0].request, asked));
+  CU_ASSERT_EQUAL (ash_quarantine_ended (&quarantine, 7, ASH_QUARANTINE_REBORN, at (4000), found),
+                   0);
+  CU_ASSERT_EQUAL (ash_quarantine_ends (&quarantine, asked), 1);
+  ash_quarantine_finish (&quarantine);
+}
+
+/* What is kept is bounded, and what is proved stays while what is not makes room. */
+static void
+test_bounds (void)
+{
+  struct ash_quarantine quarantine = { 0 };
+  struct ash_quarantine_run found[ASH_QUARANTINE_CUTS];
+
+  take (&quarantine, 0, 100);
+  take (&quarantine, 100, 200);
+  for (uint32_t i = 0; i < 2 * ASH_QUARANTINE_SUSPECTS_MAX; i++)
+    {
+      struct ash_quarantine_run run = run_of ((struct ash_id){ 9, i }, 7, 300, 400);
+
+      CU_ASSERT (ash_quarantine_take (&quarantine, &run));
+    }
+  CU_ASSERT_EQUAL (HASH_COUNT (quarantine.suspects), ASH_QUARANTINE_SUSPECTS_MAX);
+  CU_ASSERT (ash_quarantine_left_ms (&quarantine, asked, at (400)) > 0);
+  for (uint32_t i = 0; i < 2 * ASH_QUARANTINE_CUTS; i++)
+    {
+      struct ash_quarantine_run run = run_of ((struct ash_id){ 10, i }, 8, 300, 400);
+
+      ash_quarantine_cut (&quarantine, &run);
+    }
+  CU_ASSERT_EQUAL (ash_quarantine_ended (&quarantine, 8, ASH_QUARANTINE_REFUSES, at (400), found),
+                   ASH_QUARANTINE_CUTS);
+  ash_quarantine_finish (&quarantine);
+}
+
+void
+add_quarantine_tests (CU_pSuite suite)
+{
+  CU_add_test (suite, "quarantine: two ends", test_two_ends);
+  CU_add_test (suite, "quarantine: three ends of one that spoke", test_three_ends);
+  CU_add_test (suite, "quarantine: runs side by side", test_side_by_side);
+  CU_add_test (suite, "quarantine: cleared by an answer", test_cleared);
+  CU_add_test (suite, "quarantine: time", test_time);
+  CU_add_test (suite, "quarantine: ends of connections", test_cuts);
+  CU_add_test (suite, "quarantine: bounds", test_bounds);
+}
