fleet: a router that starts is told of its peers' work once it has a list

Cause: it was told as the link came up; what concerns endpoints that it has not listed yet it drops, and it heard nothing more until that work changed. Change: a peer is told of all with the next message after its link is up, and again once its heartbeat shows a list; the second way of telling at link-up is gone.

--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -219,6 +219,28 @@
   return is_near ? NEAR_PEERS : FAR_PEERS;
 }
 
+/* One that has just come knows nothing of this router's work. Nobody else is told, or each router
+ * that comes would have all tell all. */
+static void
+tell_untold (struct ash_fleet *fleet)
+{
+  uint64_t endpoints[ASH_FLEET_LOADS_MAX];
+  uint64_t in_flight[ASH_FLEET_LOADS_MAX];
+  struct Ash__EndpointLoads loads = ASH__ENDPOINT_LOADS__INIT;
+  struct Ash__Event event = ash_event_of ("", ASH__EVENT__KIND_ENDPOINT_LOADS, &loads);
+
+  loads.endpoints = endpoints;
+  loads.in_flight = in_flight;
+  for (struct ash_fleet_peer *peer = fleet->peers; peer; peer = peer->hh.next)
+    if (peer->linked && peer->untold)
+      {
+        peer->untold = false;
+        if (!loads.n_endpoints)
+          list_loads (fleet, NEAR_PEERS, &loads);
+        ash_peers_send (&fleet->links, peer->box, &event);
+      }
+}
+
 static void
 send_loads (struct ash_fleet *fleet, int audience, const struct Ash__EndpointLoads *loads)
 {
@@ -264,6 +286,7 @@
 
   (void) loop;
   (void) events;
+  tell_untold (fleet);
   for (int i = 0; i < ASH_DIRECT_AUDIENCES; i++)
     {
       struct ash_fleet_audience *audience = &fleet->audiences[i];
@@ -299,6 +322,8 @@
   snprintf (peer->hall, sizeof peer->hall, "%s", heartbeat->hall);
   peer->leaving = heartbeat->leaving;
   peer->version = heartbeat->revision;
+  /* What it was told of endpoints that it did not know yet it has dropped. */
+  peer->untold = peer->untold || (heartbeat->endpoints_revision && !peer->endpoints_revision);
   peer->endpoints_revision = heartbeat->endpoints_revision;
   peer->endpoints_digest = heartbeat->endpoints_digest;
   peer->reads_store = heartbeat->reads_platform;
@@ -313,23 +338,14 @@
   ash_catch_up_told (&fleet->router->catch_up, ash_clock_now (), peer);
 }
 
-/* The peer knows nothing of this router's work yet: it is told of all at once. Nobody else is, or
- * each router that comes would have all tell all. */
 static void
 take_link_up (struct ash_fleet *fleet, struct ash_fleet_peer *peer)
 {
-  uint64_t endpoints[ASH_FLEET_LOADS_MAX];
-  uint64_t in_flight[ASH_FLEET_LOADS_MAX];
-  struct Ash__EndpointLoads loads = ASH__ENDPOINT_LOADS__INIT;
-  struct Ash__Event event = ash_event_of ("", ASH__EVENT__KIND_ENDPOINT_LOADS, &loads);
-
   peer->linked = true;
   peer->is_new = true;
   peer->leaving = false;
-  loads.endpoints = endpoints;
-  loads.in_flight = in_flight;
-  list_loads (fleet, audience_of (fleet, peer), &loads);
-  ash_peers_send (&fleet->links, peer->box, &event);
+  peer->untold = true;
+  peer->endpoints_revision = 0;
   ash_suspects_tell_peer (&fleet->router->suspects, peer->box);
 }
 
--- a/daemon/fleet.h
+++ b/daemon/fleet.h
@@ -30,6 +30,7 @@
   char hall[ASH_NAME_BYTES];
   bool linked;
   bool is_new;          /**< the link has just come up: it has not been told of the others yet */
+  bool untold;          /**< it is to be told of all of this router's work */
   struct ash_time seen; /**< when it was last linked */
   bool leaving;
   uint64_t version; /**< of the configuration it has in force */
--- a/test/router.c
+++ b/test/router.c
@@ -587,6 +587,50 @@
   return elsewhere (r) == wanted;
 }
 
+/* @return the connection of a request at the first router that gets no answer. */
+static int
+begin_mute (int i)
+{
+  int fd = world_connect (&world, 0);
+  char request[256];
+
+  snprintf (request, sizeof request,
+            "GET /any/x HTTP/1.1\r\n" HEAD "load-%d\r\nX-Do: *=mute\r\n\r\n", i);
+  world_send (fd, request);
+  return fd;
+}
+
+/* A router that starts has its links before its list of endpoints where the store is slow to
+ * answer. It was told of its peers' work as the links came up, dropped what concerned endpoints
+ * that it did not know yet, and then sent as many requests again to endpoints that had them
+ * already, until that work changed. */
+static void
+test_peer_loads_before_list (void)
+{
+  int fds[4];
+
+  start ();
+  for (int i = 0; i < 4; i++)
+    fds[i] = begin_mute (i);
+  /* Each has gone to its second endpoint, the last: nothing changes from now on. */
+  for (int i = 0; i < 4; i++)
+    {
+      char resent[64];
+
+      snprintf (resent, sizeof resent, "forward_resent box=router-0 module=router id=load-%d ", i);
+      CU_ASSERT (world_wait_logged (&world, 0, resent));
+    }
+  kill (world.store, SIGSTOP);
+  /* No seed: there is one link to it. */
+  world_start_router (&world, 2);
+  CU_ASSERT (world_wait_ready (&world, 2, true));
+  CU_ASSERT (comes_to_have_elsewhere (2, 4));
+  kill (world.store, SIGCONT);
+  for (int i = 0; i < 4; i++)
+    close (fds[i]);
+  world_stop (&world);
+}
+
 /* Peers are told what has changed since the message before: what they add up must be what there is,
  * after requests have ended in another order, and for a peer that has forgotten all. */
 static void
@@ -598,14 +642,7 @@
   world_start_router (&world, 1);
   CU_ASSERT (world_wait_ready (&world, 1, true));
   for (int i = 0; i < 4; i++)
-    {
-      char request[256];
-
-      fds[i] = world_connect (&world, 0);
-      snprintf (request, sizeof request,
-                "GET /safe/x HTTP/1.1\r\n" HEAD "load-%d\r\nX-Do: *=mute\r\n\r\n", i);
-      world_send (fds[i], request);
-    }
+    fds[i] = begin_mute (i);
   CU_ASSERT (comes_to_have_elsewhere (1, 4));
   CU_ASSERT_EQUAL (elsewhere (0), 0);
   close (fds[1]);
@@ -625,6 +662,7 @@
   { "trace: from a failed request's id to the cause", test_trace },
   { "path of a request", test_path },
   { "peers know each other's loads", test_peer_loads },
+  { "peers' loads told before the list", test_peer_loads_before_list },
   { "HEAD", test_head },
   { "odd attempt id", test_odd_id },
   { "more callers than allowed", test_many_callers },
