--- a/test/operators.c
+++ b/test/operators.c
@@ -268,6 +268,40 @@
     }
 }
 
+/* An entry's plan was refused once, by an entry that had just started beside a platform that was
+ * starting too: its first read failed, it had the document from its peer before the second, which
+ * then waited for something newer as if the platform were known to answer; until that wait was
+ * over, 10 s, "this box does not hear the platform". Here the platform is not there yet for one
+ * entry. */
+static void
+test_first_read_fails (void)
+{
+  struct fleet fleet;
+  uint16_t late_port;
+  char port[8];
+  char path[128];
+  json_t *plan;
+  pid_t late;
+  long status = 0;
+
+  fleet_start (&fleet, OPERATORS);
+  fleet_free_ports (&late_port, 1);
+  fleet_end (&fleet.entries[1].pid, SIGKILL);
+  fleet.entries[1].platform_port = late_port;
+  fleet_start_entry (&fleet, 1);
+  CU_ASSERT (wait_revision (&fleet, 1, 1));
+  sprintf (port, "%u", late_port);
+  snprintf (path, sizeof path, "%s/published.toml", fleet.folder);
+  late = fleet_spawn (fleet.folder, "late", "standin", "platform", port, path, (char *) NULL);
+  CU_ASSERT (fleet_wait_live (&fleet, 1, FLEET_ENDPOINTS));
+  plan = operate (&fleet, 1, "/v1/plan", OPERATOR_KEY, "[[hall]]\nname = \"h2\"\n", &status);
+  CU_ASSERT_EQUAL (status, 200);
+  CU_ASSERT (confirm_soon (&fleet, 1, plan));
+  json_decref (plan);
+  fleet_end (&late, SIGKILL);
+  fleet_stop (&fleet);
+}
+
 /* A document that the watches miss is in force late, users saw: a router was cut off from the
  * platform while a version was published. Its watch, which was under way, stayed silent after the
  * cut; the read of the list failed once and was back at once, and told the watch nothing: the old
@@ -631,6 +665,7 @@
   { "configuration: by deltas", test_deltas },
   { "plans: two operators on one base", test_operators_race },
   { "plans: the reader of the platform dies", test_reader_dies },
+  { "plans: an entry whose first read fails", test_first_read_fails },
   { "platform: watches are silent, and the list fails once", test_silent_watch_and_list },
   { "platform: a watch is silent, and peers know more", test_silent_watch_and_peers },
   { "platform: it hangs", test_platform_hangs },
