--- a/test/workers.c
+++ b/test/workers.c
@@ -1,8 +1,11 @@
 #include "test/workers.h"
 
 #include <inttypes.h>
+#include <signal.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -36,26 +39,65 @@
     workers->totals[i % workers->total_count] += value;
 }
 
+static void
+end_others (pid_t pids[WORKERS])
+{
+  for (int i = 0; i < WORKERS; i++)
+    if (pids[i] > 0)
+      kill (pids[i], SIGKILL);
+}
+
+/* Waits for all; the others are ended once one has found something, if that is wanted.
+ * @return how many found something. */
+static int
+wait_all (pid_t pids[WORKERS], bool stop)
+{
+  bool ended = false;
+  int failures = 0;
+  int status;
+  pid_t pid;
+
+  while ((pid = wait (&status)) > 0)
+    {
+      for (int i = 0; i < WORKERS; i++)
+        if (pids[i] == pid)
+          pids[i] = 0;
+      /* One that crashed has found something; one that was ended here has not. */
+      if (status == 0 || (ended && WIFSIGNALED (status) && WTERMSIG (status) == SIGKILL))
+        continue;
+      failures++;
+      if (stop)
+        end_others (pids);
+      ended = stop;
+    }
+  return failures;
+}
+
 int
 workers_run (const struct workers *workers, int argc, char **argv)
 {
   uint64_t count = argc > 1 ? strtoull (argv[1], NULL, 10) : COUNT_DEFAULT;
   uint64_t first = argc > 2 ? strtoull (argv[2], NULL, 10) : 1;
   uint64_t share = (count + WORKERS - 1) / WORKERS;
-  int failures = 0;
+  bool stop = argc > 3 && strcmp (argv[3], "stop") == 0;
+  pid_t pids[WORKERS];
+  int failures;
   int ends[2];
-  int status;
 
   if (pipe (ends) < 0)
     return WORKERS;
   for (uint64_t i = 0; i < WORKERS; i++)
-    if (fork () == 0)
-      _exit (run_share (workers, first + i * share, share, ends[1]));
-  for (int i = 0; i < WORKERS; i++)
     {
-      wait (&status);
-      failures += status != 0;
+      pids[i] = fork ();
+      if (pids[i] == 0)
+        _exit (run_share (workers, first + i * share, share, ends[1]));
+      if (pids[i] < 0)
+        {
+          perror ("fork");
+          return WORKERS;
+        }
     }
+  failures = wait_all (pids, stop);
   close (ends[1]);
   add_totals (workers, ends[0]);
   close (ends[0]);
--- a/test/workers.h
+++ b/test/workers.h
@@ -19,7 +19,8 @@
 /**
  * Plays seeds; a worker stops at its first that breaks something, and plays it
  * again, traced.
- * @param arguments [COUNT [FIRST_SEED]] of the command line.
+ * @param arguments [COUNT [FIRST_SEED [stop]]] of the command line; with "stop" the other workers
+ * end once one has found something.
  * @return how many workers found something broken.
  */
 int workers_run (const struct workers *workers, int argc, char **argv);
