store: what it says is ordered by era and revision

Cause: a store that comes back from an older copy gives revisions out again. All that is ordered by them went by the bare number: a watch that asked on from where it was missed changes below (a revoked key worked on without end), entries of the former era passed for newer, a server that had left was used again, and what the copy lacked was taken for gone at once. Change: controllers/place makes one ordered number of era and revision, for every place that orders by revision: readers' places, entries, the list's place, peers' heartbeats, lists and changes ('since'), who is behind. A new era is read anew, whole; what it lacks may have lapsed for 2.3 s; answers of a former era and eras that can't be read are refused with a line, and nothing changes. controllers/departed keeps whom we saw leaving: listed again by a copy they get nothing for their life if they said so, else until an entry that nobody renews must have lapsed (6 s). Configurations go by their version, as before: an older one is never taken. Tests: six with real processes, four units.

--- a/daemon/store.c
+++ b/daemon/store.c
@@ -1,6 +1,7 @@
 #include "daemon/store.h"
 
 #include "common/id.h"
+#include "controllers/place.h"
 #include "daemon/router.h"
 
 #include <inttypes.h>
@@ -117,14 +118,15 @@
 /* The store here and peers may tell of the same entry in any order: an older word does not
  * undo a newer one. */
 static bool
-is_outdated (const struct ash_store_entry *entry, const struct ash_store_item *item)
+is_outdated (const struct ash_store_entry *entry, uint64_t place)
 {
-  return entry && item->revision < entry->revision;
+  return entry && place < entry->place;
 }
 
 static void
 keep_entry (struct ash_store *store,
             const struct ash_store_item *item,
+            uint64_t place,
             const struct ash_direct_facts *facts)
 {
   struct ash_store_entry *entry = find_entry (store, item->name);
@@ -142,7 +144,7 @@
   entry->value_bytes = entry->value ? item->value_bytes : 0;
   if (entry->value)
     memcpy (entry->value, item->value, item->value_bytes);
-  entry->revision = item->revision;
+  entry->place = place;
   store->digest ^= entry->digest;
   entry->digest = digest_of (facts);
   store->digest ^= entry->digest;
@@ -178,6 +180,11 @@
   struct ash_store_entry *entry = find_entry (store, id);
   struct ash_direct_endpoint *endpoint = ash_direct_find (&router->endpoints, id);
 
+  if (endpoint)
+    ash_departed_note (&store->departed,
+                       &(struct ash_departed_one){ .endpoint = endpoint->hash,
+                                                   .born_ms = endpoint->facts.born_ms,
+                                                   .era = store->era });
   if (endpoint && ash_direct_removed (&router->endpoints, id, trusted, until))
     {
       store->readers[ASH_STORE_SERVERS].changed = true;
@@ -208,14 +215,34 @@
     drop_entry (store, entry);
 }
 
+/* One that says it is leaving is remembered, and so is one that is missing: a store that comes back
+ * from an older copy lists both as if they stood ready. Such a one gets nothing new for now. */
 static void
-take_endpoint (struct ash_store *store, const struct ash_store_item *item, const char *source)
+note_departure (struct ash_store *store, struct ash_direct_facts *facts)
+{
+  uint64_t endpoint = ash_hash_text (facts->id);
+
+  if (facts->draining)
+    ash_departed_note (&store->departed, &(struct ash_departed_one){ .endpoint = endpoint,
+                                                                     .born_ms = facts->born_ms,
+                                                                     .era = store->era,
+                                                                     .draining = true });
+  else if (ash_departed_doubts (&store->departed, ash_clock_now (), endpoint, facts->born_ms,
+                                store->era))
+    facts->draining = true;
+}
+
+static void
+take_endpoint (struct ash_store *store,
+               const struct ash_store_item *item,
+               uint64_t place,
+               const char *source)
 {
   struct ash_router *router = store->router;
   struct ash_direct_facts facts;
   const char *wrong;
 
-  if (is_outdated (find_entry (store, item->name), item))
+  if (is_outdated (find_entry (store, item->name), place))
     return;
   wrong = ash_platform_server_read (item->name, item->value, item->value_bytes, &facts);
   if (wrong)
@@ -223,7 +250,8 @@
       drop_unusable (store, item, wrong, source);
       return;
     }
-  keep_entry (store, item, &facts);
+  keep_entry (store, item, place, &facts);
+  note_departure (store, &facts);
   if (!ash_direct_listed (&router->endpoints, &facts))
     return;
   store->readers[ASH_STORE_SERVERS].changed = true;
@@ -232,17 +260,17 @@
                 source);
 }
 
-/* What a whole listing did not have, as far as no peer had it later. @param revision of the
+/* What a whole listing did not have, as far as no peer had it later. @param place of the
  * listing's first page. */
 static void
-lose_unlisted (struct ash_store_reader *reader, uint64_t revision)
+lose_unlisted (struct ash_store_reader *reader, uint64_t place)
 {
   struct ash_store *store = &reader->router->store;
   struct ash_store_entry *entry;
   struct ash_store_entry *next;
 
   HASH_ITER (hh, store->entries, entry, next)
-    if (entry->listing != reader->listing && entry->revision <= revision)
+    if (entry->listing != reader->listing && entry->place <= place)
       lose_endpoint (store, entry->id, "store");
 }
 
@@ -298,10 +326,10 @@
   list->values[list->n_values++] = (struct ProtobufCBinaryData){ entry->value_bytes, entry->value };
 }
 
-/* What the store has just said goes to the own hall at once. @param since the revision before.
- * @param revision up to which it has said it: the list may be newer here, through a peer. */
+/* What the store has just said goes to the own hall at once. @param since the place before.
+ * @param place up to which it has said it: the list may be newer here, through a peer. */
 static void
-tell_changes (struct ash_store *store, uint64_t since, uint64_t revision)
+tell_changes (struct ash_store *store, uint64_t since, uint64_t place)
 {
   struct ash_store_changes *changes = &store->changes;
   struct Ash__EndpointList list = ASH__ENDPOINT_LIST__INIT;
@@ -310,7 +338,7 @@
 
   if (!room || !since)
     return;
-  list.revision = revision;
+  list.revision = place;
   list.since = since;
   list.doubtful_ms = doubtful_ms (store);
   list.ids = calloc (room, sizeof *list.ids);
@@ -333,6 +361,7 @@
 {
   struct ash_store_reader *reader = data;
   struct ash_router *router = reader->router;
+  uint64_t place = ash_place_of (router->store.era, item->revision);
 
   switch (reader->part)
     {
@@ -342,8 +371,8 @@
       break;
     case ASH_STORE_SERVERS:
       if (!item->removed)
-        take_endpoint (&router->store, item, "store");
-      else if (!is_outdated (find_entry (&router->store, item->name), item))
+        take_endpoint (&router->store, item, place, "store");
+      else if (!is_outdated (find_entry (&router->store, item->name), place))
         lose_endpoint (&router->store, item->name, "store");
       mark_listed (reader, item->name);
       if (reader->state == ASH_STORE_WATCHING)
@@ -372,7 +401,7 @@
 static bool
 leaves_it_to_others (const struct ash_store_reader *reader)
 {
-  return reader->revision && !ash_fleet_first_of_hall (&reader->router->fleet);
+  return reader->place && !ash_fleet_first_of_hall (&reader->router->fleet);
 }
 
 /* How long a question that has failed rests. */
@@ -402,7 +431,7 @@
   if (reader->answers || !reader->failures)
     ash_log_event (&router->log, ASH_EV_PLATFORM_DOWN,
                    "part=%d why=\"%s\" status=%u revision=%" PRIu64 " age_ms=%lld",
-                   (int) reader->part, why, reader->status, reader->revision,
+                   (int) reader->part, why, reader->status, reader->place,
                    (long long) ash_time_diff (reader->answered, now));
   if (!reader->failures)
     reader->failing_since = now;
@@ -411,7 +440,7 @@
     reader->trouble = now;
   /* A listing that broke off begins anew. */
   if (reader->state == ASH_STORE_LISTING)
-    reader->revision = 0;
+    reader->place = 0;
   *reader->page = '\0';
   reader->answers = false;
   reader->failures++;
@@ -447,7 +476,7 @@
 
   if (!reader->answers)
     ash_log_event (&reader->router->log, ASH_EV_PLATFORM_UP, "part=%d revision=%" PRIu64,
-                   (int) reader->part, reader->revision);
+                   (int) reader->part, reader->place);
   reader->answers = true;
   reader->failures = 0;
   reader->timeouts = 0;
@@ -472,6 +501,79 @@
   return ++reader->burst > BURST_ANSWERS;
 }
 
+static void
+list_anew (struct ash_store_reader *reader)
+{
+  reader->place = 0;
+  *reader->page = '\0';
+  reader->state = ASH_STORE_RESTING;
+  ask (reader);
+}
+
+/* The store has come back from an older copy, as an answer or a peer tells. What it lacks endpoints
+ * write again within two seconds, so what is missing until then may live. */
+static void
+begin_era (struct ash_store *store, uint64_t era, const char *source)
+{
+  ash_log_event (&store->router->log, ASH_EV_STORE_ERA,
+                 "era=%" PRIu64 " before=%" PRIu64 " source=%s", era, store->era, source);
+  store->era = era;
+  for (int part = 0; part < ASH_STORE_PARTS; part++)
+    store->readers[part].trouble = ash_clock_now ();
+}
+
+/* Its revisions were given out again since, so what was read up to one of them says nothing of what
+ * is below it now: all of the other part is read anew too. */
+static void
+list_others_anew (const struct ash_store_reader *reader)
+{
+  struct ash_store *store = &reader->router->store;
+
+  for (int part = 0; part < ASH_STORE_PARTS; part++)
+    {
+      struct ash_store_reader *other = &store->readers[part];
+
+      if (other == reader || other->state == ASH_STORE_FOLLOWING)
+        continue;
+      ash_http_call_cancel (&other->call);
+      list_anew (other);
+    }
+}
+
+/* Looks at the era that an answer is of. @return false if there is nothing more to take from it. */
+static bool
+take_era (struct ash_store_reader *reader)
+{
+  struct ash_store *store = &reader->router->store;
+  bool first =
+      !store->era && !reader->place && reader->state == ASH_STORE_LISTING && !*reader->page;
+
+  if (reader->era_told == ASH_STORE_ERA_BAD)
+    {
+      fail (reader, "its era can't be read");
+      return false;
+    }
+  if (reader->era_told == ASH_STORE_ERA_NONE || reader->era == store->era)
+    return true;
+  if (reader->era < store->era)
+    {
+      fail (reader, "an answer of a former era");
+      return false;
+    }
+  if (first && !store->entries && !ash_router_version (reader->router))
+    {
+      /* The first word from the store: nothing is known of another era. */
+      store->era = reader->era;
+      return true;
+    }
+  begin_era (store, reader->era, "store");
+  list_others_anew (reader);
+  if (reader->state == ASH_STORE_LISTING && !*reader->page && !reader->place)
+    return true;
+  list_anew (reader);
+  return false;
+}
+
 static void
 take_answer (struct ash_store_reader *reader)
 {
@@ -479,18 +581,19 @@
   struct ash_store_taker taker = { take_item, reader };
   struct ash_store_answer answer;
   bool listing = reader->state == ASH_STORE_LISTING;
-  uint64_t since = reader->revision;
+  uint64_t since = reader->place;
+  uint64_t place;
 
   reader->changed = false;
   if (reader->part == ASH_STORE_SERVERS)
     router->store.changes.count = 0;
+  if (!take_era (reader))
+    return;
   if (reader->status == 410)
     {
       /* The changes since then are gone: all is read anew. What is missing then was
        * removed in between. */
-      reader->revision = 0;
-      *reader->page = '\0';
-      ask (reader);
+      list_anew (reader);
       return;
     }
   if (reader->status != 200 ||
@@ -500,24 +603,25 @@
       fail (reader, reader->status == 200 ? "unreadable answer" : "refused");
       return;
     }
+  place = ash_place_of (router->store.era, answer.revision);
   if (listing && answer.more)
     {
       memcpy (reader->page, answer.next_page, sizeof reader->page);
       /* Pages are no snapshot: changes are watched from the first one on. */
-      if (!reader->revision)
-        reader->revision = answer.revision;
+      if (!reader->place)
+        reader->place = place;
       ask (reader);
       return;
     }
   if (listing && reader->part == ASH_STORE_SERVERS)
-    lose_unlisted (reader, reader->revision ? reader->revision : answer.revision);
+    lose_unlisted (reader, reader->place ? reader->place : place);
   *reader->page = '\0';
-  if (!listing || !reader->revision)
-    reader->revision = answer.revision > reader->revision ? answer.revision : reader->revision;
-  if (reader->part == ASH_STORE_SERVERS && reader->revision > router->endpoints.revision)
-    router->endpoints.revision = reader->revision;
+  if (!listing || !reader->place)
+    reader->place = place > reader->place ? place : reader->place;
+  if (reader->part == ASH_STORE_SERVERS && reader->place > router->endpoints.revision)
+    router->endpoints.revision = reader->place;
   if (reader->part == ASH_STORE_SERVERS && !listing)
-    tell_changes (&router->store, since, reader->revision);
+    tell_changes (&router->store, since, reader->place);
   note_success (reader);
   reader->state = ASH_STORE_WATCHING;
   reader->listed = listing;
@@ -537,6 +641,7 @@
   struct ash_store_reader *reader = call->owner;
 
   reader->status = head->status;
+  reader->era_told = ash_platform_store_era (head, &reader->era);
   return true;
 }
 
@@ -599,8 +704,8 @@
 static bool
 may_follow (const struct ash_store_reader *reader)
 {
-  return !reader->paused && reader->revision && !*reader->page &&
-         reader->state != ASH_STORE_LISTING && !ash_fleet_reads_store (&reader->router->fleet);
+  return !reader->paused && reader->place && !*reader->page && reader->state != ASH_STORE_LISTING &&
+         !ash_fleet_reads_store (&reader->router->fleet);
 }
 
 static void
@@ -614,6 +719,12 @@
   uint32_t wait_ms = watch_wait_ms (reader);
   int64_t due_ms = answer_due_ms (reader);
 
+  /* A place of a former era is none in this one. */
+  if (ash_place_era (reader->place) < router->store.era)
+    {
+      reader->place = 0;
+      *reader->page = '\0';
+    }
   if (may_follow (reader))
     {
       ev_timer_stop (router->loop, &reader->timer);
@@ -626,7 +737,7 @@
   reader->due = ash_time_add (reader->asked, OVERDUE_MS);
   reader->wait_ms = 0;
   ash_buffer_consume (&reader->answer, reader->answer.length);
-  if (reader->revision && !*reader->page && reader->state != ASH_STORE_LISTING)
+  if (reader->place && !*reader->page && reader->state != ASH_STORE_LISTING)
     {
       reader->state = ASH_STORE_WATCHING;
       if (!reader->answers)
@@ -636,8 +747,8 @@
       due_ms += wait_ms;
       reader->wait_ms = wait_ms;
       reader->due = ash_time_add (reader->due, wait_ms);
-      ash_platform_store_watch (&request, settings->store_address, reader->part, reader->revision,
-                                wait_ms);
+      ash_platform_store_watch (&request, settings->store_address, reader->part,
+                                ash_place_revision (reader->place), wait_ms);
     }
   else
     {
@@ -812,12 +923,34 @@
 {
   uint64_t told = reader->router->endpoints.revision;
 
-  if (reader->part == ASH_STORE_SERVERS && told > reader->revision)
-    reader->revision = told;
+  if (reader->part == ASH_STORE_SERVERS && told > reader->place)
+    reader->place = told;
   reader->state = ASH_STORE_WATCHING;
   ask (reader);
 }
 
+/* Those that an older copy has listed for so long that they must live. */
+static void
+take_back_departed (struct ash_store *store, struct ash_time now)
+{
+  uint64_t endpoint;
+
+  while ((endpoint = ash_departed_due (&store->departed, now)))
+    {
+      const struct ash_direct_endpoint *known =
+          ash_direct_find_hash (&store->router->endpoints, endpoint);
+      const struct ash_store_entry *entry = known ? find_entry (store, known->facts.id) : NULL;
+      struct ash_store_item item;
+
+      if (!entry)
+        continue;
+      item = (struct ash_store_item){ .name = entry->id,
+                                      .value = entry->value,
+                                      .value_bytes = entry->value_bytes };
+      take_endpoint (store, &item, entry->place, "kept");
+    }
+}
+
 void
 ash_store_tick (struct ash_store *store, struct ash_time now)
 {
@@ -832,6 +965,7 @@
       ash_http_call_cancel (&reader->call);
       ask (reader);
     }
+  take_back_departed (store, now);
 }
 
 void
@@ -897,13 +1031,13 @@
 
 /* What a peer's list did not have and the store here has not told since. */
 static void
-lose_untold (struct ash_store *store, uint64_t revision, const char *source)
+lose_untold (struct ash_store *store, uint64_t place, const char *source)
 {
   struct ash_store_entry *entry;
   struct ash_store_entry *next;
 
   HASH_ITER (hh, store->entries, entry, next)
-    if (entry->revision < revision)
+    if (entry->place < place)
       lose_endpoint (store, entry->id, source);
 }
 
@@ -925,6 +1059,8 @@
     return true;
   if (list->since > endpoints->revision)
     return false;
+  if (ash_place_era (list->revision) > store->era)
+    begin_era (store, ash_place_era (list->revision), source);
   endpoints->revision = list->revision;
   if (list->doubtful_ms)
     take_doubt (store, list->doubtful_ms);
@@ -932,12 +1068,11 @@
     {
       struct ash_store_item item = {
         .name = list->ids[i],
-        .revision = list->revision,
         .value = list->values[i].data,
         .value_bytes = list->values[i].len,
       };
 
-      take_endpoint (store, &item, source);
+      take_endpoint (store, &item, list->revision, source);
     }
   if (list->since)
     lose_removed (store, list, source);
--- a/daemon/store.h
+++ b/daemon/store.h
@@ -8,6 +8,7 @@
 #define ASH_STORE_H
 
 #include "common/clock.h"
+#include "controllers/departed.h"
 #include "net/http_call.h"
 #include "platform/store.h"
 #include "proto/event.h"
@@ -38,7 +39,9 @@
   struct ash_http_call call;
   struct ash_buffer answer;
   uint16_t status;
-  uint64_t revision;        /**< where the watch goes on; 0: all must be read first */
+  enum ash_store_era era_told; /**< what the answer says of the store's era */
+  uint64_t era;
+  uint64_t place;           /**< where the watch goes on; 0: all must be read first */
   char page[256];           /**< of the listing; empty: the first */
   uint32_t listing;         /**< number of the listing under way, to see what it misses */
   struct ash_time asked;    /**< when the question that is under way was */
@@ -65,9 +68,9 @@
   char id[ASH_DIRECT_NAME_BYTES];
   uint8_t *value;
   size_t value_bytes;
-  uint64_t digest;   /**< of what it says */
-  uint64_t revision; /**< of the store, up to which this is known to hold */
-  uint32_t listing;  /**< the last one read from the store that had it */
+  uint64_t digest;  /**< of what it says */
+  uint64_t place;   /**< in the store's history, up to which this is known to hold */
+  uint32_t listing; /**< the last one read from the store that had it */
   UT_hash_handle hh;
 };
 
@@ -87,6 +90,8 @@
   struct ash_store_reader readers[ASH_STORE_PARTS];
   struct ash_store_entry *entries;
   uint64_t digest; /**< of all entries: the same for the same ones, in whatever order */
+  uint64_t era;    /**< of what is known here: see controllers/place.h */
+  struct ash_departed departed;
   struct ash_store_changes changes;
   uint64_t calls;                 /**< questions asked */
   struct ash_time doubtful_until; /**< what is missing may have lapsed, as far as peers tell */
--- a/test/router_tests.h
+++ b/test/router_tests.h
@@ -29,6 +29,9 @@
 /** Requests under which endpoints end. */
 extern const struct fault_test router_end_tests[];
 
+/** A store that comes back from an older copy. */
+extern const struct fault_test router_era_tests[];
+
 /** Groups of ranks, and their expert maps. */
 extern const struct fault_test router_map_tests[];
 
--- a/test/standin_store.c
+++ b/test/standin_store.c
@@ -6,6 +6,9 @@
  *     PUT /put?KEY (body: the value)      PUT /remove?KEY
  *     PUT /mode?ok | busy | silent | forget (its history is gone)
  *     PUT /mode?slowMS (each answer comes so many ms late)
+ *     PUT /era?TEXT (the header Store-Era of all answers from now on; none: no such header)
+ *     PUT /restore?REVISION (it comes back from a copy of that revision: what was written since is
+ *     gone, revisions are given out again, the era rises by one, what waits is cut)
  *     PUT /deafen (what waits now is never answered, nor cut; new questions are)
  */
 #include "net/http_conn.h"
@@ -38,6 +41,7 @@
   uint64_t revision;
   uint64_t forgotten; /* no watch from before this */
   char mode[16];
+  char era[64];
   ev_timer tick;
 };
 
@@ -99,12 +103,22 @@
 
 /* ---- calls ---- */
 
+static void
+answer_text (struct ash_http_conn *conn, uint16_t status, const char *text)
+{
+  char fields[160];
+
+  snprintf (fields, sizeof fields, "%s%s%s%s", JSON_FIELDS, *store.era ? "Store-Era: " : "",
+            store.era, *store.era ? "\r\n" : "");
+  ash_http_conn_answer (conn, status, fields, strlen (fields), text, strlen (text));
+}
+
 static void
 answer_json (struct ash_http_conn *conn, json_t *object)
 {
   char *text = json_dumps (object, JSON_COMPACT);
 
-  ash_http_conn_answer (conn, 200, JSON_FIELDS, strlen (JSON_FIELDS), text, strlen (text));
+  answer_text (conn, 200, text);
   free (text);
   json_decref (object);
 }
@@ -192,8 +206,8 @@
 {
   uint64_t since = strtoull (parameter (conn, "SinceRevision"), NULL, 10);
 
-  if (since < store.forgotten)
-    ash_http_conn_answer (conn, 410, "", 0, "", 0);
+  if (since < store.forgotten || since > store.revision)
+    answer_text (conn, 410, "");
   else if (!answer_watch (conn, false))
     conn->request = conn; /* answered by the tick */
 }
@@ -208,6 +222,31 @@
       conn->request = &deafened;
 }
 
+static void
+restore (uint64_t revision)
+{
+  struct ash_http_conn *conn;
+  struct item *item;
+  struct item *next;
+
+  DL_FOREACH_SAFE (store.items, item, next)
+    if (item->revision > revision)
+      {
+        DL_DELETE (store.items, item);
+        free (item->value);
+        free (item);
+      }
+  store.revision = revision;
+  snprintf (store.era, sizeof store.era, "%llu", strtoull (store.era, NULL, 10) + 1);
+  DL_FOREACH (store.listener.conns, conn)
+    if (conn->request && !conn->dead)
+      {
+        conn->request = NULL;
+        ash_stream_reset (&conn->stream);
+        conn->dead = true;
+      }
+}
+
 /* The request's body as a text. */
 static char *
 copy_body (const struct ash_http_conn *conn)
@@ -230,6 +269,10 @@
     add_item (argument, NULL);
   else if (strncmp (target, "/deafen", 7) == 0)
     deafen ();
+  else if (strncmp (target, "/era", 4) == 0)
+    snprintf (store.era, sizeof store.era, "%s", argument);
+  else if (strncmp (target, "/restore", 8) == 0)
+    restore (strtoull (argument, NULL, 10));
   else if (strcmp (argument, "forget") == 0)
     store.forgotten = store.revision;
   else
--- a/test/unit.c
+++ b/test/unit.c
@@ -717,6 +717,7 @@
   CU_add_test (suite, "texts: metrics", test_metrics);
   add_declared_tests (suite);
   add_config_tests (suite);
+  add_era_tests (suite);
   add_quarantine_tests (suite);
   add_router_tests (suite);
   add_expert_tests (suite);
--- /dev/null
+++ b/test/unit_era.c
@@ -0,0 +1,119 @@
+/**
+ * @file
+ * Unit tests of a store that comes back from an older copy: the order of what it says, its era as
+ * it is told, and endpoints that it lists again though they left.
+ */
+#include "controllers/departed.h"
+#include "controllers/place.h"
+#include "platform/store.h"
+#include "test/unit.h"
+
+static struct ash_time
+at (int64_t ms)
+{
+  return (struct ash_time){ ms };
+}
+
+static void
+test_places (void)
+{
+  CU_ASSERT (ash_place_of (3, 1) > ash_place_of (2, ASH_PLACE_REVISIONS - 1));
+  CU_ASSERT (ash_place_of (2, 8) > ash_place_of (2, 7));
+  CU_ASSERT_EQUAL (ash_place_era (ash_place_of (ASH_PLACE_ERA_MAX, 5)), ASH_PLACE_ERA_MAX);
+  CU_ASSERT_EQUAL (ash_place_revision (ash_place_of (ASH_PLACE_ERA_MAX, 5)), 5);
+  /* A store that tells no era, and no place at all. */
+  CU_ASSERT_EQUAL (ash_place_of (0, 282), 282);
+  CU_ASSERT_EQUAL (ash_place_of (3, 0), 0);
+}
+
+static enum ash_store_era
+read_era (const char *first, const char *second, uint64_t *era)
+{
+  struct ash_http_head head = { .field_count = 1 };
+
+  head.fields[0] = (struct ash_http_field){ "Content-Type", "application/json" };
+  if (first)
+    head.fields[head.field_count++] = (struct ash_http_field){ "store-era", first };
+  if (second)
+    head.fields[head.field_count++] = (struct ash_http_field){ "Store-Era", second };
+  return ash_platform_store_era (&head, era);
+}
+
+static void
+test_era_told (void)
+{
+  static const char *const bad[] = { "",    "-1",  "+1",  " 1",       "1 ",
+                                     "1,2", "0x1", "1e3", "18000001", "99999999999999999999999" };
+  uint64_t era = 0;
+
+  CU_ASSERT_EQUAL (read_era (NULL, NULL, &era), ASH_STORE_ERA_NONE);
+  CU_ASSERT_EQUAL (read_era ("0", NULL, &era), ASH_STORE_ERA_GIVEN);
+  CU_ASSERT_EQUAL (read_era ("41", NULL, &era), ASH_STORE_ERA_GIVEN);
+  CU_ASSERT_EQUAL (era, 41);
+  CU_ASSERT_EQUAL (read_era ("42", "42", &era), ASH_STORE_ERA_GIVEN);
+  CU_ASSERT_EQUAL (read_era ("42", "43", &era), ASH_STORE_ERA_BAD);
+  CU_ASSERT_EQUAL (read_era ("42", "x", &era), ASH_STORE_ERA_BAD);
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    CU_ASSERT_EQUAL (read_era (bad[i], NULL, &era), ASH_STORE_ERA_BAD);
+}
+
+#define ENDPOINT 77
+
+static void
+note (struct ash_departed *departed, int64_t born_ms, uint64_t era, bool draining)
+{
+  ash_departed_note (departed,
+                     &(struct ash_departed_one){ ENDPOINT, born_ms, era, .draining = draining });
+}
+
+/* One that was missing: doubted in a later era until its entry must have lapsed. */
+static void
+test_departed_missing (void)
+{
+  struct ash_departed departed = { 0 };
+
+  CU_ASSERT_FALSE (ash_departed_doubts (&departed, at (1), ENDPOINT, 5, 3));
+  note (&departed, 5, 3, false);
+  CU_ASSERT (ash_departed_doubts (&departed, at (100), ENDPOINT, 5, 4));
+  CU_ASSERT (ash_departed_doubts (&departed, at (6099), ENDPOINT, 5, 4));
+  CU_ASSERT_EQUAL (ash_departed_due (&departed, at (6099)), 0);
+  CU_ASSERT_EQUAL (ash_departed_due (&departed, at (6100)), ENDPOINT);
+  CU_ASSERT_EQUAL (ash_departed_due (&departed, at (6100)), 0);
+  CU_ASSERT_FALSE (ash_departed_doubts (&departed, at (6100), ENDPOINT, 5, 4));
+  /* In the era in which it went it can only have written its entry again; so has a later life. */
+  note (&departed, 5, 4, false);
+  CU_ASSERT_FALSE (ash_departed_doubts (&departed, at (7000), ENDPOINT, 5, 4));
+  note (&departed, 5, 4, false);
+  CU_ASSERT_FALSE (ash_departed_doubts (&departed, at (7000), ENDPOINT, 6, 5));
+}
+
+/* One that said it was leaving does so for its life, however long an older copy says otherwise. */
+static void
+test_departed_draining (void)
+{
+  struct ash_departed departed = { 0 };
+
+  note (&departed, 5, 3, true);
+  CU_ASSERT (ash_departed_doubts (&departed, at (100), ENDPOINT, 5, 4));
+  CU_ASSERT (ash_departed_doubts (&departed, at (100000), ENDPOINT, 5, 6));
+  CU_ASSERT_EQUAL (ash_departed_due (&departed, at (100000)), 0);
+  /* Then it is missing too. */
+  note (&departed, 5, 6, false);
+  CU_ASSERT (ash_departed_doubts (&departed, at (200000), ENDPOINT, 5, 7));
+  CU_ASSERT (ash_departed_doubts (&departed, at (300000), ENDPOINT, 5, 7));
+  CU_ASSERT_FALSE (ash_departed_doubts (&departed, at (300000), ENDPOINT, 9, 7));
+  /* The oldest make room. */
+  note (&departed, 5, 3, true);
+  for (uint64_t i = 0; i < ASH_DEPARTED_MAX; i++)
+    ash_departed_note (&departed, &(struct ash_departed_one){ 1000 + i, 1, 3, .draining = true });
+  CU_ASSERT_FALSE (ash_departed_doubts (&departed, at (1), ENDPOINT, 5, 4));
+}
+
+void
+add_era_tests (CU_pSuite suite)
+{
+  CU_add_test (suite, "older copy: places", test_places);
+  CU_add_test (suite, "older copy: the era as told", test_era_told);
+  CU_add_test (suite, "older copy: one that was missing", test_departed_missing);
+  CU_add_test (suite, "older copy: one that was leaving", test_departed_draining);
+}
