clock: counts suspended time; a router that wakes looks at all that waits for a timer

Cause: the one clock read CLOCK_MONOTONIC, which stops with the machine: a router that woke believed that no time had passed. Deadlines of callers, leases of peers, its lead of a group, what it knew of endpoints were all older than it thought; the loop's own timers do not count that time either. Change: CLOCK_BOOTTIME. On waking (a gap of a second or more, as for a paused process) resting connections to endpoints are closed; what is read in the first 50 ms may be as old as the gap, and its deadline is that much nearer, here and as told to endpoints; a moment later each request under way, and a planned stop's end, is looked at anew.

--- a/common/clock.c
+++ b/common/clock.c
@@ -11,7 +11,7 @@
 {
   struct timespec ts;
 
-  clock_gettime (CLOCK_MONOTONIC, &ts);
+  clock_gettime (CLOCK_BOOTTIME, &ts);
   return (int64_t) ts.tv_sec * US_PER_S + ts.tv_nsec / NS_PER_US;
 }
 
--- a/common/clock.h
+++ b/common/clock.h
@@ -1,10 +1,12 @@
 /**
  * @file
- * The one clock type of the project: milliseconds on a monotonic clock.
+ * The one clock type of the project: milliseconds on a clock that never goes back and does not
+ * stop with the machine.
  *
  * Only the daemon, tools and tests read a clock (ash_clock_now()); filters and
- * controllers are handed a time. A paused process sees the clock jump, which
- * is how it learns that it was away.
+ * controllers are handed a time. A process that was paused, or whose machine was suspended, sees the
+ * clock jump, which is how it learns that it was away. The event loop's timers don't count the time
+ * for which a machine was suspended: whoever waits by one looks again when the process wakes.
  */
 #ifndef ASH_CLOCK_H
 #define ASH_CLOCK_H
@@ -21,7 +23,7 @@
 /** A point in time that never comes. */
 #define ASH_TIME_NEVER ((struct ash_time){ INT64_MAX })
 
-/** Reads CLOCK_MONOTONIC, or the clock that a test has set. */
+/** Reads CLOCK_BOOTTIME, which counts the time for which the machine was suspended too. */
 struct ash_time ash_clock_now (void);
 
 /** Microseconds on the same clock; for measurements only. */
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -245,6 +245,15 @@
   ash_exchange_step (exchange);
 }
 
+void
+ash_exchange_woke (struct ash_router *router)
+{
+  struct ash_exchange *exchange;
+
+  DL_FOREACH (router->exchanges, exchange)
+    ev_feed_event (router->loop, &exchange->timer, EV_TIMER);
+}
+
 void
 ash_exchange_room (struct ash_router *router)
 {
--- a/daemon/requests.c
+++ b/daemon/requests.c
@@ -117,7 +117,10 @@
     .pause_aim_ms = service->has_engine ? route->pause_aim_ms : 0,
     .came = ash_clock_now (),
   };
-  forward->deadline = ash_time_add (forward->came, (int64_t) most_ms - DEADLINE_MARGIN_MS);
+  /* One that is read just after this process was away may have waited for as long: its caller waits
+   * no longer than it said, and an endpoint that is told more works for nobody. */
+  forward->deadline =
+      ash_time_add (forward->came, (int64_t) most_ms - DEADLINE_MARGIN_MS - router->away_ms);
 }
 
 /* Whether a planned stop may come to its end before the answer does. What is under way then is cut,
--- a/daemon/router.c
+++ b/daemon/router.c
@@ -30,6 +30,9 @@
  * connection closed sooner loses what its socket did not take at once. */
 #define STOP_FLUSH_MS 150
 
+/* What came while this process was away is read within some milliseconds after. */
+#define WOKE_MS 50
+
 #define MS_PER_S 1000.0
 
 uint64_t
@@ -270,8 +273,39 @@
     give_up (router);
 }
 
+/* The loop's timers don't count the time for which the machine was suspended: all that waits for
+ * one is looked at now. */
+static void
+on_woke_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct ash_router *router = timer->data;
+
+  (void) loop;
+  (void) events;
+  router->away_ms = 0;
+  ash_exchange_woke (router);
+  if (router->stopping && !router->given_up)
+    set_stop_timer (router, ash_time_diff (ash_clock_now (), ash_router_stop_ends (router)));
+}
+
+/* What others do is asked anew, nothing goes out on connections that may have ended meanwhile, and
+ * what callers sent is as old as the time away may make it. */
+static void
+wake (struct ash_router *router, struct ash_time now, int64_t gap_ms)
+{
+  ash_log_event (&router->log, ASH_EV_WOKE, "gap_ms=%lld", (long long) gap_ms);
+  ash_groups_woke (&router->groups);
+  ash_fleet_woke (&router->fleet);
+  ash_store_woke (&router->store);
+  ash_router_doubt_connections (router, now);
+  router->away_ms = gap_ms;
+  ev_timer_stop (router->loop, &router->woke_timer);
+  ev_timer_set (&router->woke_timer, WOKE_MS / MS_PER_S, 0);
+  ev_timer_start (router->loop, &router->woke_timer);
+}
+
 /* First after the loop has slept, which lasts a tick at most. A longer gap means that
- * the process was stopped: what it holds of others is old. */
+ * the process was stopped, or its machine suspended: what it holds of others is old. */
 static void
 on_after_sleep (struct ev_loop *loop, ev_check *check, int events)
 {
@@ -282,12 +316,8 @@
   (void) loop;
   (void) events;
   router->last_turn = now;
-  if (gap_ms <= PAUSE_MS)
-    return;
-  ash_log_event (&router->log, ASH_EV_WOKE, "gap_ms=%lld", (long long) gap_ms);
-  ash_groups_woke (&router->groups);
-  ash_fleet_woke (&router->fleet);
-  ash_store_woke (&router->store);
+  if (gap_ms > PAUSE_MS)
+    wake (router, now, gap_ms);
 }
 
 /* Last before the loop sleeps: whatever made room in this turn is used. */
@@ -410,6 +440,8 @@
   ev_timer_start (router->loop, &router->tick);
   ev_init (&router->stop_timer, on_stop_timer);
   router->stop_timer.data = router;
+  ev_init (&router->woke_timer, on_woke_timer);
+  router->woke_timer.data = router;
   router->last_turn = ash_clock_now ();
   ev_check_init (&router->after_sleep, on_after_sleep);
   ev_set_priority (&router->after_sleep, EV_MAXPRI);
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -71,6 +71,8 @@
   ev_timer tick;
   ev_check after_sleep;
   struct ash_time last_turn; /**< of the loop */
+  ev_timer woke_timer;       /**< what came while the process was away is read by then */
+  int64_t away_ms;           /**< until then: for how long it was away; else 0 */
   ev_prepare before_sleep;
   ev_signal on_term;
   ev_signal on_int;
@@ -110,6 +112,9 @@
 /** What requests under way hear of those that are suspected. */
 extern const struct ash_suspects_handler ash_exchange_suspects_handler;
 
+/** The process was away: looks at all requests as if their timers were due. */
+void ash_exchange_woke (struct ash_router *router);
+
 /** Looks at all requests that wait for room. */
 void ash_exchange_room (struct ash_router *router);
 
--- a/test/router_maps.c
+++ b/test/router_maps.c
@@ -147,8 +147,46 @@
   world_stop (&world);
 }
 
+/* The router that leads is away while demand shifts, with a change held, armed or half done;
+ * another one leads meanwhile. On waking it believes nothing of what it knew. */
+static void
+test_leader_suspended (void)
+{
+  struct caller callers[CALLERS];
+  long changes;
+
+  world_start_suspendable (&world);
+  world_start_group (&world);
+  world_publish (&world);
+  world_start_router (&world, 1);
+  CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 0, true) && world_wait_ready (&world, 1, true));
+  start_callers (callers, 1);
+  CU_ASSERT (wait_changes (1));
+  for (int i = 0; i < 4; i++)
+    {
+      char target[32];
+
+      snprintf (target, sizeof target, "/state?shift=%d", 3 * i + 2);
+      world_get (world.ranks[0], "GET", target, "");
+      fleet_sleep (90 * i);
+      kill (world.routers[0].pid, SIGSTOP);
+      fleet_sleep (i % 2 ? 1500 : 100);
+      world_clock_ahead (&world, i % 2 ? 5000 : 1500);
+      kill (world.routers[0].pid, SIGCONT);
+      fleet_sleep (600);
+    }
+  changes = world_group (&world, "changes");
+  world_get (world.ranks[0], "GET", "/state?shift=6", "");
+  CU_ASSERT (wait_changes (changes + 1));
+  CU_ASSERT (stop_callers (callers) > 0);
+  CU_ASSERT_EQUAL (world_group (&world, "broken"), 0);
+  CU_ASSERT (world_group (&world, "standing_ms") < 3000);
+  world_stop (&world);
+}
+
 const struct fault_test router_map_tests[] = {
   { "expert maps follow what is asked for", test_maps },
   { "expert maps in trouble", test_maps_in_trouble },
+  { "suspended: the router that leads", test_leader_suspended },
   { NULL, NULL },
 };
--- a/test/router_tests.h
+++ b/test/router_tests.h
@@ -32,6 +32,9 @@
 /** A store that comes back from an older copy. */
 extern const struct fault_test router_era_tests[];
 
+/** Routers whose machine was suspended. */
+extern const struct fault_test router_woke_tests[];
+
 /** Groups of ranks, and their expert maps. */
 extern const struct fault_test router_map_tests[];
 
--- a/test/router_world.c
+++ b/test/router_world.c
@@ -348,6 +348,45 @@
     }
 }
 
+static void
+clock_path (const struct world *world, char path[128])
+{
+  snprintf (path, 128, "%s/clock", world->folder);
+}
+
+/* For the next process: a clock that the test sets. A sanitizer wants to come first unless told. */
+static void
+set_clock (const struct world *world)
+{
+  const char *build = getenv ("ASH_BUILD");
+  char folder[256];
+  char text[512];
+
+  clock_path (world, text);
+  setenv ("ASH_TEST_CLOCK", text, 1);
+  setenv ("ASAN_OPTIONS", "verify_asan_link_order=0", 1);
+  if (getcwd (folder, sizeof folder))
+    {
+      snprintf (text, sizeof text, "%s/%s/libtest-clock.so", folder, build ? build : "build");
+      setenv ("LD_PRELOAD", text, 1);
+    }
+}
+
+void
+world_clock_ahead (struct world *world, int64_t ms)
+{
+  char path[128];
+  FILE *file;
+
+  world->ahead_ms += ms;
+  clock_path (world, path);
+  file = fopen (path, "w");
+  if (!file)
+    abort ();
+  fprintf (file, "%lld\n", (long long) world->ahead_ms);
+  fclose (file);
+}
+
 void
 world_start_router (struct world *world, int r)
 {
@@ -376,7 +415,10 @@
            reached_at (world, WORLD_LINK_PEERS + 1, world->routers[1].peers), world->grace,
            world->wait_ms, world->store_wait_ms, world->list_wait_ms, world->short_wait_ms);
   fclose (file);
+  if (world->suspendable)
+    set_clock (world);
   router->pid = fleet_spawn (world->folder, name, "ashspindle-router", path, (char *) NULL);
+  unsetenv ("LD_PRELOAD");
   wait_port (router->readiness);
 }
 
@@ -443,7 +485,7 @@
 }
 
 static void
-start_all (struct world *world, bool linked)
+start_all (struct world *world, bool linked, bool suspendable)
 {
   uint16_t ports[PORTS];
   uint16_t *port = ports;
@@ -452,6 +494,7 @@
   *world = (struct world){
     .has_key = true,
     .linked = linked,
+    .suspendable = suspendable,
     .store_wait_ms = 1000,
     .list_wait_ms = 600,
     .short_wait_ms = 1500,
@@ -503,13 +546,19 @@
 void
 world_start (struct world *world)
 {
-  start_all (world, false);
+  start_all (world, false, false);
 }
 
 void
 world_start_linked (struct world *world)
 {
-  start_all (world, true);
+  start_all (world, true, false);
+}
+
+void
+world_start_suspendable (struct world *world)
+{
+  start_all (world, true, true);
 }
 
 void
--- a/test/router_world.h
+++ b/test/router_world.h
@@ -74,6 +74,8 @@
   pid_t group; /**< of ranks; started by world_start_group() */
   uint16_t ranks[WORLD_RANKS];
   bool linked; /**< connections pass links */
+  bool suspendable;
+  int64_t ahead_ms;
   struct world_link links[WORLD_LINKS];
   uint32_t version;
   bool has_key;           /**< the published account has its key */
@@ -99,6 +101,12 @@
 /** The same, with a link before all that is connected to. */
 void world_start_linked (struct world *world);
 
+/** The same; routers that are started may find their clock ahead, see world_clock_ahead(). */
+void world_start_suspendable (struct world *world);
+
+/** The clock that counts suspended time runs ahead by so much more, for all routers. */
+void world_clock_ahead (struct world *world, int64_t ms);
+
 /** Silences the connections that are open at a link, for good and without an end. */
 void world_silence (struct world *world, int link, enum world_silence silence);
 
--- /dev/null
+++ b/test/standin_clock.c
@@ -0,0 +1,47 @@
+/**
+ * @file
+ * Stands before the C library in a process under test: the clock that counts suspended time runs
+ * ahead by the milliseconds in the file that ASH_TEST_CLOCK names, as it does after the machine was
+ * suspended for as long; all other clocks stay.
+ */
+#include <fcntl.h>
+#include <stdlib.h>
+#include <sys/syscall.h>
+#include <time.h>
+#include <unistd.h>
+
+int clock_gettime (clockid_t id, struct timespec *ts);
+
+/* Read at each call: the file changes while the process is stopped. */
+static long long
+ahead_ms (void)
+{
+  const char *path = getenv ("ASH_TEST_CLOCK");
+  char text[32] = "";
+  int fd = path ? open (path, O_RDONLY | O_CLOEXEC) : -1;
+  ssize_t length = fd >= 0 ? read (fd, text, sizeof text - 1) : 0;
+
+  if (fd >= 0)
+    close (fd);
+  return length > 0 ? strtoll (text, NULL, 10) : 0;
+}
+
+int
+clock_gettime (clockid_t id, struct timespec *ts)
+{
+  int result = (int) syscall (SYS_clock_gettime, id, ts);
+
+  if (result == 0 && id == CLOCK_BOOTTIME)
+    {
+      long long ahead = ahead_ms ();
+
+      ts->tv_sec += ahead / 1000;
+      ts->tv_nsec += ahead % 1000 * 1000000;
+      if (ts->tv_nsec >= 1000000000)
+        {
+          ts->tv_sec++;
+          ts->tv_nsec -= 1000000000;
+        }
+    }
+  return result;
+}
