--- a/controllers/departed.c
+++ b/controllers/departed.c
@@ -28,10 +28,12 @@
   found->draining = found->draining || draining;
 }
 
+/* Born is another machine's time of day, which may jump: it tells two lives apart, not which came
+ * first. */
 static bool
-is_later_life (const struct ash_departed_one *one, int64_t born_ms)
+is_other_life (const struct ash_departed_one *one, int64_t born_ms)
 {
-  return born_ms && one->born_ms && born_ms > one->born_ms;
+  return born_ms && one->born_ms && born_ms != one->born_ms;
 }
 
 bool
@@ -46,7 +48,7 @@
   if (!found)
     return false;
   /* Within one era an entry that comes back was written again. */
-  if (era <= found->era || is_later_life (found, born_ms))
+  if (era <= found->era || is_other_life (found, born_ms))
     {
       found->endpoint = 0;
       return false;
--- a/test/unit_era.c
+++ b/test/unit_era.c
@@ -80,11 +80,14 @@
   CU_ASSERT_EQUAL (ash_departed_due (&departed, at (6100)), ENDPOINT);
   CU_ASSERT_EQUAL (ash_departed_due (&departed, at (6100)), 0);
   CU_ASSERT_FALSE (ash_departed_doubts (&departed, at (6100), ENDPOINT, 5, 4));
-  /* In the era in which it went it can only have written its entry again; so has a later life. */
+  /* In the era in which it went it can only have written its entry again; so has another life,
+   * whichever its machine's clock says came first. */
   note (&departed, 5, 4, false);
   CU_ASSERT_FALSE (ash_departed_doubts (&departed, at (7000), ENDPOINT, 5, 4));
   note (&departed, 5, 4, false);
   CU_ASSERT_FALSE (ash_departed_doubts (&departed, at (7000), ENDPOINT, 6, 5));
+  note (&departed, 5, 4, true);
+  CU_ASSERT_FALSE (ash_departed_doubts (&departed, at (7000), ENDPOINT, 4, 5));
 }
 
 /* One that said it was leaving does so for its life, however long an older copy says otherwise. */
