--- a/test/router_maps.c
+++ b/test/router_maps.c
@@ -111,19 +111,40 @@
   world_stop (&world);
 }
 
-/* Orders get lost or come late, and the router that leads is killed again and again. */
+/* The map still follows a shift, all ranks had one map throughout, and the group never stood for
+ * long. */
 static void
-test_maps_in_trouble (void)
+end_calm (struct caller *callers)
 {
-  struct caller callers[CALLERS];
-  long changes;
+  long changes = world_group (&world, "changes");
 
-  world_start (&world);
+  world_get (world.ranks[0], "GET", "/state?shift=6", "");
+  CU_ASSERT (wait_changes (changes + 1));
+  CU_ASSERT (stop_callers (callers) > 0);
+  CU_ASSERT_EQUAL (world_group (&world, "broken"), 0);
+  CU_ASSERT (world_group (&world, "standing_ms") < 3000);
+  world_stop (&world);
+}
+
+/* Starts two routers before a group, with callers at the second. */
+static void
+start_led (struct caller *callers, void (*start_world) (struct world *))
+{
+  start_world (&world);
   world_start_group (&world);
   world_publish (&world);
   world_start_router (&world, 1);
   CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 0, true) && world_wait_ready (&world, 1, true));
   start_callers (callers, 1);
+}
+
+/* Orders get lost or come late, and the router that leads is killed again and again. */
+static void
+test_maps_in_trouble (void)
+{
+  struct caller callers[CALLERS];
+
+  start_led (callers, world_start);
   world_get (world.ranks[0], "GET", "/state?late=10", "");
   for (int i = 0; i < 5; i++)
     {
@@ -138,13 +159,7 @@
   /* Calm again: late orders are over, and the map follows once more. */
   world_get (world.ranks[0], "GET", "/state?late=0", "");
   fleet_sleep (2000);
-  changes = world_group (&world, "changes");
-  world_get (world.ranks[0], "GET", "/state?shift=6", "");
-  CU_ASSERT (wait_changes (changes + 1));
-  CU_ASSERT (stop_callers (callers) > 0);
-  CU_ASSERT_EQUAL (world_group (&world, "broken"), 0);
-  CU_ASSERT (world_group (&world, "standing_ms") < 3000);
-  world_stop (&world);
+  end_calm (callers);
 }
 
 /* The router that leads is away while demand shifts, with a change held, armed or half done;
@@ -153,14 +168,8 @@
 test_leader_suspended (void)
 {
   struct caller callers[CALLERS];
-  long changes;
 
-  world_start_suspendable (&world);
-  world_start_group (&world);
-  world_publish (&world);
-  world_start_router (&world, 1);
-  CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 0, true) && world_wait_ready (&world, 1, true));
-  start_callers (callers, 1);
+  start_led (callers, world_start_suspendable);
   CU_ASSERT (wait_changes (1));
   for (int i = 0; i < 4; i++)
     {
@@ -175,13 +184,7 @@
       kill (world.routers[0].pid, SIGCONT);
       fleet_sleep (600);
     }
-  changes = world_group (&world, "changes");
-  world_get (world.ranks[0], "GET", "/state?shift=6", "");
-  CU_ASSERT (wait_changes (changes + 1));
-  CU_ASSERT (stop_callers (callers) > 0);
-  CU_ASSERT_EQUAL (world_group (&world, "broken"), 0);
-  CU_ASSERT (world_group (&world, "standing_ms") < 3000);
-  world_stop (&world);
+  end_calm (callers);
 }
 
 const struct fault_test router_map_tests[] = {
