store: an entry that is taken again is copied before its text is freed

Ruled out: load (the test fails on that build run alone too). Without the sanitizer the freed text was still there.

--- a/daemon/store_list.c
+++ b/daemon/store_list.c
@@ -62,6 +62,7 @@
             const struct ash_direct_facts *facts)
 {
   struct ash_store_entry *entry = find_entry (store, item->name);
+  uint8_t *value;
 
   if (!entry)
     {
@@ -71,11 +72,13 @@
       snprintf (entry->id, sizeof entry->id, "%s", item->name);
       HASH_ADD_STR (store->entries, id, entry);
     }
+  /* The item's value may be the entry's own. */
+  value = malloc (item->value_bytes + 1);
+  if (value)
+    memcpy (value, item->value, item->value_bytes);
   free (entry->value);
-  entry->value = malloc (item->value_bytes + 1);
-  entry->value_bytes = entry->value ? item->value_bytes : 0;
-  if (entry->value)
-    memcpy (entry->value, item->value, item->value_bytes);
+  entry->value = value;
+  entry->value_bytes = value ? item->value_bytes : 0;
   entry->place = place;
   store->digest ^= entry->digest;
   entry->digest = digest_of (facts);
