--- a/daemon/store.c
+++ b/daemon/store.c
@@ -611,14 +611,20 @@
 }
 
 /* Those that asked for this router are gone or can't. What they told was whole up to its
- * revision. */
+ * revision. Why they stopped is not known: in a silence of the store that this router has not seen
+ * itself entries may have lapsed though their endpoints live. */
 static void
 stop_following (struct ash_store_reader *reader)
 {
+  struct ash_store *store = &reader->router->store;
   uint64_t told = reader->router->endpoints.revision;
 
-  if (reader->part == ASH_STORE_SERVERS && told > reader->place)
-    reader->place = told;
+  if (reader->part == ASH_STORE_SERVERS)
+    {
+      if (told > reader->place)
+        reader->place = told;
+      ash_store_behind (store, ash_clock_now ());
+    }
   reader->state = ASH_STORE_WATCHING;
   ask (reader);
 }
@@ -643,7 +649,10 @@
 void
 ash_store_behind (struct ash_store *store, struct ash_time since)
 {
-  store->doubtful_until = ash_time_add (since, BEHIND_LAPSE_MS);
+  struct ash_time until = ash_time_add (since, BEHIND_LAPSE_MS);
+
+  if (ash_time_before (store->doubtful_until, until))
+    store->doubtful_until = until;
 }
 
 void
