fleet, map_switch: a router that would lead next goes on with a held change soon

Cause: a router that leads and stops while it holds a step leaves its group standing. Ruled out: faster heartbeats of all (bytes at 300 routers); a shorter silence (a small box is busy for 0.1 s at times, and links are dropped for it). Change: a router that changes a map says so to the two that would lead next, before its first order and each 60 ms; one that said so and is not heard for 300 ms is passed over for leading. What another one holds is finished on what ranks' lists tell, which don't lag, after 120 ms. No look begins while a step is held elsewhere. fleet.c is split by job (loads, roles).

--- a/controllers/map_switch.c
+++ b/controllers/map_switch.c
@@ -37,7 +37,7 @@
 
 /* How long a hold must have been seen before another router finishes it: longer than a
  * change takes from hold to go, an answer lost included. */
-#define FOREIGN_MS 250
+#define FOREIGN_MS 120
 
 /* How long reports may still tell of a hold that was let go. */
 #define RELEASED_MS 1200
@@ -186,6 +186,32 @@
     sw->ranks[rank].report.map = version;
 }
 
+void
+ash_map_switch_prepared (struct ash_map_switch *sw,
+                         uint32_t rank,
+                         uint64_t epoch,
+                         uint64_t version,
+                         struct ash_time asked)
+{
+  if (epoch != sw->epoch)
+    return;
+  sw->ranks[rank].prepared = version;
+  sw->ranks[rank].lists_asked = asked;
+}
+
+bool
+ash_map_switch_wants_lists (const struct ash_map_switch *sw, uint32_t rank)
+{
+  return sw->phase == ASH_MAP_IDLE && sw->foreign_held &&
+         ash_time_before (sw->ranks[rank].lists_asked, sw->foreign_since);
+}
+
+bool
+ash_map_switch_held_elsewhere (const struct ash_map_switch *sw)
+{
+  return sw->foreign_held != 0;
+}
+
 void
 ash_map_switch_pass (struct ash_map_switch *sw, double pass_ms)
 {
@@ -331,52 +357,80 @@
   sw->holds++;
 }
 
+/* What a rank has prepared, by its newest word: lists don't lag, reports do. */
+static uint64_t
+prepared_of (const struct ash_map_switch *sw, const struct ash_map_rank *rank)
+{
+  struct ash_time reported = ash_time_add (rank->reported, -(int64_t) sw->lag_ms);
+
+  return ash_time_before (reported, rank->lists_asked) ? rank->prepared : rank->report.prepared;
+}
+
 /* What all ranks are to take at a step that another router holds, or what none may; 0: there
  * is nothing. What is prepared may have been armed by orders that are still under way. Of two
- * versions the lower one has got that far. */
+ * versions the lower one has got that far. An old report may tell of an arm that was taken. */
 static uint64_t
 version_to_finish (const struct ash_map_switch *sw)
 {
   uint64_t lowest = 0;
 
   for (uint32_t i = 0; i < sw->rank_count; i++)
-    if (sw->ranks[i].report.armed)
+    if (sw->ranks[i].report.armed > sw->ranks[i].report.map)
       return sw->ranks[i].report.armed;
   for (uint32_t i = 0; i < sw->rank_count; i++)
     {
-      const struct ash_rank_report *report = &sw->ranks[i].report;
+      uint64_t prepared = prepared_of (sw, &sw->ranks[i]);
 
-      if (report->prepared > report->map && (!lowest || report->prepared < lowest))
-        lowest = report->prepared;
+      if (prepared > sw->ranks[i].report.map && (!lowest || prepared < lowest))
+        lowest = prepared;
     }
   return lowest;
 }
 
-/* The reports that tell what another router had done must be newer than its hold. */
+/* What tells what another router had done must be newer than its hold. */
 static bool
-reported_since (const struct ash_map_switch *sw, struct ash_time since)
+told_since (const struct ash_map_switch *sw, struct ash_time since)
 {
   for (uint32_t i = 0; i < sw->rank_count; i++)
-    if (ash_time_diff (since, sw->ranks[i].reported) < (int64_t) sw->lag_ms + REPORT_MARGIN_MS)
-      return false;
+    {
+      const struct ash_map_rank *rank = &sw->ranks[i];
+      int64_t reported_ms = ash_time_diff (since, rank->reported);
+
+      if (ash_time_before (rank->lists_asked, since) &&
+          reported_ms < (int64_t) sw->lag_ms + REPORT_MARGIN_MS)
+        return false;
+    }
   return true;
 }
 
-/* Where this router can hold a step beside what is held. At its own rank a hold of its former
- * life may stand, which takes no other, and which an order to go of that life may still end. */
+/* Whether a hold at that rank is this router's alone to end. A hold that stands there takes no
+ * other, and it may be one of this router's former life, whose order to go may still come. So may
+ * one of this life, where it has let that step go before. */
+static bool
+is_free (const struct ash_map_switch *sw, uint32_t rank, uint64_t step)
+{
+  return !sw->ranks[rank].report.held && sw->ranks[rank].let_go != step;
+}
+
+/* Where this router can hold a step beside what is held. */
 static uint32_t
-free_rank (const struct ash_map_switch *sw)
+free_rank (const struct ash_map_switch *sw, uint64_t step)
 {
   uint32_t spare = (sw->own_rank + sw->rank_count / 2) % sw->rank_count;
 
-  return sw->ranks[sw->own_rank].report.held ? spare : sw->own_rank;
+  if (is_free (sw, sw->own_rank, step))
+    return sw->own_rank;
+  for (uint32_t i = 0; i < sw->rank_count; i++)
+    if (is_free (sw, (spare + i) % sw->rank_count, step))
+      return (spare + i) % sw->rank_count;
+  return spare;
 }
 
 static void
 finish_foreign (struct ash_map_switch *sw, struct ash_time now)
 {
   if (!sw->foreign_held || ash_time_diff (sw->foreign_since, now) < FOREIGN_MS || !all_known (sw) ||
-      !reported_since (sw, sw->foreign_since))
+      !told_since (sw, sw->foreign_since))
     return;
   sw->version = version_to_finish (sw);
   sw->step = sw->foreign_held;
@@ -385,7 +439,7 @@
   sw->began = now;
   /* With nothing to arm the group is just let go. Else the step is held here as well: the
    * other router may live, and let go what it holds while ranks are being armed. */
-  sw->holder = sw->version ? free_rank (sw) : sw->foreign_rank;
+  sw->holder = sw->version ? free_rank (sw, sw->step) : sw->foreign_rank;
   enter (sw, now, sw->version ? ASH_MAP_HOLD : ASH_MAP_GO);
 }
 
@@ -710,6 +764,8 @@
           (rank->sent.ms && ash_time_diff (rank->sent, now) < resend_ms (sw, rank, now)))
         continue;
       rank->sent = now;
+      if (sw->phase == ASH_MAP_GO)
+        rank->let_go = sw->step;
       orders[count++] = order_due (sw, i);
     }
   return count;
--- a/controllers/map_switch.h
+++ b/controllers/map_switch.h
@@ -59,11 +59,14 @@
   struct ash_rank_report report;
   struct ash_time reported;
   bool known;
-  bool answered; /**< the present phase's order is carried out there */
-  bool copying;  /**< it has begun to prepare */
-  bool rearmed;  /**< it has refused the fence: to be disarmed first */
+  uint64_t prepared;           /**< as its lists told, without the lag of reports */
+  struct ash_time lists_asked; /**< when the question was sent that those answered */
+  bool answered;               /**< the present phase's order is carried out there */
+  bool copying;                /**< it has begun to prepare */
+  bool rearmed;                /**< it has refused the fence: to be disarmed first */
   struct ash_time copying_since;
   struct ash_time sent; /**< the present phase's order; 0: not yet */
+  uint64_t let_go;      /**< the last step for which it was told to go */
   uint32_t refusals;    /**< of the present phase's order */
   uint32_t copy_ms;     /**< how long it is expected to copy for the present change */
 };
@@ -140,6 +143,22 @@
 void
 ash_map_switch_uses (struct ash_map_switch *sw, uint32_t rank, uint64_t epoch, uint64_t version);
 
+/**
+ * A rank's lists have told what it has prepared.
+ * @param asked when the question was sent: the answer is of no earlier moment.
+ */
+void ash_map_switch_prepared (struct ash_map_switch *sw,
+                              uint32_t rank,
+                              uint64_t epoch,
+                              uint64_t version,
+                              struct ash_time asked);
+
+/** @return whether a rank's lists are needed to finish what another router holds. */
+bool ash_map_switch_wants_lists (const struct ash_map_switch *sw, uint32_t rank);
+
+/** @return whether a step is held by another router, as far as is known. */
+bool ash_map_switch_held_elsewhere (const struct ash_map_switch *sw);
+
 /** A pass takes so long now, as the pauses of streams show. */
 void ash_map_switch_pass (struct ash_map_switch *sw, double pass_ms);
 
--- a/daemon/fleet.h
+++ b/daemon/fleet.h
@@ -29,9 +29,11 @@
   char address[ASH_NAME_BYTES]; /**< where its links are accepted */
   char hall[ASH_NAME_BYTES];
   bool linked;
-  bool is_new;          /**< the link has just come up: it has not been told of the others yet */
-  bool untold;          /**< it is to be told of all of this router's work */
-  struct ash_time seen; /**< when it was last linked */
+  bool is_new;           /**< the link has just come up: it has not been told of the others yet */
+  bool untold;           /**< it is to be told of all of this router's work */
+  struct ash_time seen;  /**< when it was last linked */
+  struct ash_time heard; /**< its last word */
+  bool changes_map;      /**< it said so then */
   bool leaving;
   uint64_t version; /**< of the configuration it has in force */
   uint64_t endpoints_revision;
@@ -98,6 +100,9 @@
  */
 bool ash_fleet_leads (const struct ash_fleet *fleet);
 
+/** A change of a map begins, goes on or is over: those that would lead next are told at once. */
+void ash_fleet_tell_seconds (struct ash_fleet *fleet);
+
 /**
  * Whether this router is one of the few that ask the store often, spread over the halls of
  * those that see each other and that the store answers. The others hear from them what is new.
--- /dev/null
+++ b/daemon/fleet_loads.c
@@ -0,0 +1,272 @@
+#include "daemon/fleet_loads.h"
+
+#include "controllers/talk.h"
+#include "daemon/router.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define MS_PER_S 1000.0
+#define MILLI 1000.0
+
+/* What peers are told of changes only is told whole this often, in messages: what one missed of an
+ * endpoint that it did not know yet is right a second later. */
+#define TELL_ALL_EVERY 20
+
+/* Takes back what the peer said last. */
+void
+ash_fleet_forget_loads (struct ash_fleet *fleet, struct ash_fleet_peer *peer)
+{
+  struct ash_direct_set *set = &fleet->router->endpoints;
+
+  for (uint32_t i = 0; i < peer->load_count; i++)
+    {
+      struct ash_direct_endpoint *endpoint = ash_direct_find_hash (set, peer->load_endpoints[i]);
+      uint32_t load = (uint32_t) peer->load_in_flight[i];
+
+      /* An endpoint that was listed after the peer's word has nothing to take back. */
+      if (endpoint)
+        endpoint->elsewhere -= load < endpoint->elsewhere ? load : endpoint->elsewhere;
+    }
+  free (peer->load_endpoints);
+  free (peer->load_in_flight);
+  peer->load_endpoints = NULL;
+  peer->load_in_flight = NULL;
+  peer->load_count = 0;
+}
+
+/* Those that a peer that watches groups tells to be slow. */
+static void
+take_slow (struct ash_fleet *fleet, const struct Ash__EndpointLoads *loads)
+{
+  struct ash_time now = ash_clock_now ();
+
+  for (size_t i = 0; i < loads->n_slow && i < loads->n_slow_milli; i++)
+    {
+      struct ash_direct_endpoint *endpoint =
+          ash_direct_find_hash (&fleet->router->endpoints, loads->slow[i]);
+
+      if (endpoint)
+        ash_direct_slow (endpoint, now, loads->slow_milli[i] / MILLI);
+    }
+}
+
+static bool
+make_room (struct ash_fleet_peer *peer, size_t count)
+{
+  uint64_t *endpoints = realloc (peer->load_endpoints, count * sizeof *endpoints);
+  uint64_t *in_flight;
+
+  if (!endpoints)
+    return false;
+  peer->load_endpoints = endpoints;
+  in_flight = realloc (peer->load_in_flight, count * sizeof *in_flight);
+  if (!in_flight)
+    return false;
+  peer->load_in_flight = in_flight;
+  return true;
+}
+
+/* There is room for one more. */
+static void
+set_load (struct ash_fleet *fleet, struct ash_fleet_peer *peer, uint64_t hash, uint64_t in_flight)
+{
+  struct ash_direct_endpoint *endpoint = ash_direct_find_hash (&fleet->router->endpoints, hash);
+  uint32_t at = 0;
+
+  if (!endpoint)
+    return;
+  while (at < peer->load_count && peer->load_endpoints[at] != hash)
+    at++;
+  if (at == peer->load_count)
+    {
+      peer->load_endpoints[at] = hash;
+      peer->load_in_flight[at] = 0;
+      peer->load_count++;
+    }
+  endpoint->elsewhere -= peer->load_in_flight[at] < endpoint->elsewhere
+                             ? (uint32_t) peer->load_in_flight[at]
+                             : endpoint->elsewhere;
+  endpoint->elsewhere += (uint32_t) in_flight;
+  peer->load_in_flight[at] = in_flight;
+}
+
+void
+ash_fleet_take_loads (struct ash_fleet *fleet,
+                      struct ash_fleet_peer *peer,
+                      const struct Ash__EndpointLoads *loads)
+{
+  size_t count = loads->n_endpoints;
+
+  if (!loads->changes)
+    ash_fleet_forget_loads (fleet, peer);
+  fleet->router->room = true;
+  take_slow (fleet, loads);
+  if (!count || count != loads->n_in_flight || count > ASH_FLEET_LOADS_MAX)
+    return;
+  if (!make_room (peer, peer->load_count + count))
+    {
+      ash_fleet_forget_loads (fleet, peer);
+      return;
+    }
+  for (size_t i = 0; i < count; i++)
+    set_load (fleet, peer, loads->endpoints[i], loads->in_flight[i]);
+}
+
+/* Only what was told here first: what peers tell is not told on, or it would never end. */
+static size_t
+list_slow (const struct ash_fleet *fleet,
+           uint64_t slow[ASH_FLEET_SLOW_MAX],
+           uint32_t slow_milli[ASH_FLEET_SLOW_MAX])
+{
+  const struct ash_router *router = fleet->router;
+  const struct ash_direct_endpoint *endpoint = router->endpoints.endpoints;
+  struct ash_time now = ash_clock_now ();
+  size_t count = 0;
+
+  for (; router->groups.leads && endpoint && count < ASH_FLEET_SLOW_MAX;
+       endpoint = endpoint->hh.next)
+    {
+      double pace = ash_direct_pace (endpoint, now);
+
+      if (pace <= 1)
+        continue;
+      slow[count] = endpoint->hash;
+      slow_milli[count++] = (uint32_t) (pace * MILLI);
+    }
+  return count;
+}
+
+/* Fills in this router's own work: at each endpoint, or where it has changed since the audience was
+ * last told. */
+static void
+list_loads (const struct ash_fleet *fleet, int audience, struct Ash__EndpointLoads *loads)
+{
+  struct ash_direct_endpoint *endpoint = fleet->router->endpoints.endpoints;
+
+  for (; endpoint && loads->n_endpoints < ASH_FLEET_LOADS_MAX; endpoint = endpoint->hh.next)
+    {
+      uint32_t in_flight = endpoint->in_flight;
+
+      if (loads->changes ? in_flight == endpoint->told[audience] : !in_flight)
+        continue;
+      loads->endpoints[loads->n_endpoints] = endpoint->hash;
+      loads->in_flight[loads->n_endpoints] = in_flight;
+      loads->n_endpoints++;
+    }
+  loads->n_in_flight = loads->n_endpoints;
+}
+
+/* A peer whose hall is not known yet counts as near. */
+int
+ash_fleet_audience_of (const struct ash_fleet *fleet, const struct ash_fleet_peer *peer)
+{
+  bool is_near = !*peer->hall || strcmp (peer->hall, fleet->router->settings.hall) == 0;
+
+  return is_near ? ASH_FLEET_NEAR : ASH_FLEET_FAR;
+}
+
+/* One that has just come knows nothing of this router's work. Nobody else is told, or each router
+ * that comes would have all tell all. */
+static void
+tell_untold (struct ash_fleet *fleet)
+{
+  uint64_t endpoints[ASH_FLEET_LOADS_MAX];
+  uint64_t in_flight[ASH_FLEET_LOADS_MAX];
+  struct Ash__EndpointLoads loads = ASH__ENDPOINT_LOADS__INIT;
+  struct Ash__Event event = ash_event_of ("", ASH__EVENT__KIND_ENDPOINT_LOADS, &loads);
+
+  loads.endpoints = endpoints;
+  loads.in_flight = in_flight;
+  for (struct ash_fleet_peer *peer = fleet->peers; peer; peer = peer->hh.next)
+    if (peer->linked && peer->untold)
+      {
+        peer->untold = false;
+        if (!loads.n_endpoints)
+          list_loads (fleet, ASH_FLEET_NEAR, &loads);
+        ash_peers_send (&fleet->links, peer->box, &event);
+      }
+}
+
+static void
+send_loads (struct ash_fleet *fleet, int audience, const struct Ash__EndpointLoads *loads)
+{
+  struct Ash__Event event = ash_event_of ("", ASH__EVENT__KIND_ENDPOINT_LOADS, loads);
+  struct ash_direct_endpoint *endpoint = fleet->router->endpoints.endpoints;
+
+  for (; endpoint; endpoint = endpoint->hh.next)
+    endpoint->told[audience] = endpoint->in_flight;
+  for (struct ash_fleet_peer *peer = fleet->peers; peer; peer = peer->hh.next)
+    if (peer->linked && ash_fleet_audience_of (fleet, peer) == audience)
+      ash_peers_send (&fleet->links, peer->box, &event);
+}
+
+static void
+tell_loads (struct ash_fleet *fleet, int audience)
+{
+  uint64_t endpoints[ASH_FLEET_LOADS_MAX];
+  uint64_t in_flight[ASH_FLEET_LOADS_MAX];
+  uint64_t slow[ASH_FLEET_SLOW_MAX];
+  uint32_t slow_milli[ASH_FLEET_SLOW_MAX];
+  struct Ash__EndpointLoads loads = ASH__ENDPOINT_LOADS__INIT;
+  struct ash_fleet_audience *told = &fleet->audiences[audience];
+
+  loads.changes = told->tells > 0;
+  told->tells = (told->tells + 1) % TELL_ALL_EVERY;
+  loads.endpoints = endpoints;
+  loads.in_flight = in_flight;
+  list_loads (fleet, audience, &loads);
+  loads.slow = slow;
+  loads.slow_milli = slow_milli;
+  loads.n_slow = list_slow (fleet, slow, slow_milli);
+  loads.n_slow_milli = loads.n_slow;
+  send_loads (fleet, audience, &loads);
+}
+
+static void
+on_tell (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  struct ash_fleet *fleet = timer->data;
+  uint32_t period_ms = fleet->router->settings.load_period_ms;
+  uint32_t far_ms = ash_talk_far_load_ms (period_ms, fleet->far_linked);
+  struct ash_time now = ash_clock_now ();
+
+  (void) loop;
+  (void) events;
+  tell_untold (fleet);
+  for (int i = 0; i < ASH_DIRECT_AUDIENCES; i++)
+    {
+      struct ash_fleet_audience *audience = &fleet->audiences[i];
+      uint32_t due_ms = i == ASH_FLEET_FAR ? far_ms : period_ms;
+
+      /* Half a period early is nearer than half a period late. */
+      if (!audience->loads_changed || ash_time_diff (audience->told, now) + period_ms / 2 < due_ms)
+        continue;
+      audience->loads_changed = false;
+      audience->told = now;
+      tell_loads (fleet, i);
+    }
+}
+
+void
+ash_fleet_loads_changed (struct ash_fleet *fleet)
+{
+  for (int i = 0; i < ASH_DIRECT_AUDIENCES; i++)
+    fleet->audiences[i].loads_changed = true;
+}
+
+void
+ash_fleet_start_loads (struct ash_fleet *fleet)
+{
+  double period_s = fleet->router->settings.load_period_ms / MS_PER_S;
+
+  ev_timer_init (&fleet->tell_timer, on_tell, period_s, period_s);
+  fleet->tell_timer.data = fleet;
+  ev_timer_start (fleet->router->loop, &fleet->tell_timer);
+}
+
+void
+ash_fleet_stop_loads (struct ash_fleet *fleet)
+{
+  ev_timer_stop (fleet->router->loop, &fleet->tell_timer);
+}
--- /dev/null
+++ b/daemon/fleet_roles.c
@@ -0,0 +1,167 @@
+#include "daemon/fleet_roles.h"
+
+#include "controllers/askers.h"
+#include "daemon/router.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Routers that ask the store often: one that is lost, and one that is being stopped, leave one. */
+#define OFTEN_ROUTERS 3
+
+/* Routers of a hall that ask the store at all, likewise. If all of a large fleet asked, most calls
+ * would be to learn of the same endpoint. */
+#define HALL_READERS 3
+
+/* Routers that stand ready to go on with a change: one of them may be lost or stopped too. */
+#define SECONDS 2
+
+/* Several times what lies between two words of a router that changes a map, and longer than a small
+ * box is busy with one thing. */
+#define STUCK_MS 300
+
+static struct ash_asker
+own_asker (const struct ash_fleet *fleet)
+{
+  const struct ash_router_settings *settings = &fleet->router->settings;
+
+  return (struct ash_asker){ settings->box, settings->hall, (uint32_t) settings->link_mbps };
+}
+
+static struct ash_asker
+asker_of (const struct ash_fleet_peer *peer)
+{
+  return (struct ash_asker){ peer->box, peer->hall, peer->link_mbps };
+}
+
+void
+ash_fleet_choose_askers (struct ash_fleet *fleet)
+{
+  struct ash_asker own = own_asker (fleet);
+  struct ash_asker *others = calloc (HASH_COUNT (fleet->peers) + 1, sizeof *others);
+  bool read_before = fleet->reads_store;
+  size_t count = 0;
+
+  fleet->asks_often = true;
+  fleet->reads_store = true;
+  fleet->first_of_hall = true;
+  if (!others)
+    return;
+  for (const struct ash_fleet_peer *peer = fleet->peers; peer; peer = peer->hh.next)
+    if (peer->linked)
+      others[count++] = asker_of (peer);
+  fleet->first_of_hall = ash_askers_in_hall (own, others, count, HALL_READERS);
+  count = 0;
+  for (const struct ash_fleet_peer *peer = fleet->peers; peer; peer = peer->hh.next)
+    if (peer->linked && peer->reads_store)
+      others[count++] = asker_of (peer);
+  fleet->asks_often = ash_askers_has (own, others, count, OFTEN_ROUTERS);
+  fleet->reads_store = ash_askers_in_hall (own, others, count, HALL_READERS);
+  free (others);
+  if (fleet->reads_store != read_before)
+    ash_log_event (&fleet->router->log, ASH_EV_STORE_READER, "reads=%d able=%zu linked=%u",
+                   fleet->reads_store, count, ash_fleet_linked (fleet));
+}
+
+bool
+ash_fleet_asks_often (const struct ash_fleet *fleet)
+{
+  return fleet->asks_often;
+}
+
+bool
+ash_fleet_first_of_hall (const struct ash_fleet *fleet)
+{
+  return fleet->first_of_hall;
+}
+
+bool
+ash_fleet_reads_store (const struct ash_fleet *fleet)
+{
+  return fleet->reads_store;
+}
+
+/* Routers there are at least: those heard of, or the seeds if they are more. */
+static uint32_t
+known_count (const struct ash_fleet *fleet)
+{
+  const struct ash_router_settings *settings = &fleet->router->settings;
+  uint32_t heard = HASH_COUNT (fleet->peers) + 1;
+  uint32_t seeds = 1;
+
+  for (uint32_t i = 0; i < settings->seed_count; i++)
+    seeds += strcmp (settings->seeds[i], settings->peer_listen) != 0;
+  return heard > seeds ? heard : seeds;
+}
+
+/* One that said that it changes a map and has gone silent may have left a group standing: it is not
+ * waited for as long as a link. It tells those that come next several times meanwhile. */
+static bool
+is_stuck (const struct ash_fleet_peer *peer, struct ash_time now)
+{
+  return peer->changes_map && ash_time_diff (peer->heard, now) > STUCK_MS;
+}
+
+static bool
+may_lead (const struct ash_fleet_peer *peer, struct ash_time now)
+{
+  return peer->linked && !peer->leaving && !is_stuck (peer, now);
+}
+
+bool
+ash_fleet_leads (const struct ash_fleet *fleet)
+{
+  struct ash_asker own = own_asker (fleet);
+  struct ash_time now = ash_clock_now ();
+  uint32_t known = known_count (fleet);
+  uint32_t seen = ash_fleet_linked (fleet) + 1;
+  bool first_of_all = true;
+
+  if (!ash_router_ready (fleet->router))
+    return false;
+  for (const struct ash_fleet_peer *peer = fleet->peers; peer; peer = peer->hh.next)
+    {
+      bool before = ash_askers_before (asker_of (peer), own);
+
+      if (before && may_lead (peer, now))
+        return false;
+      first_of_all = first_of_all && !before;
+    }
+  return 2 * seen > known || (2 * seen == known && first_of_all);
+}
+
+uint32_t
+ash_fleet_index (const struct ash_fleet *fleet)
+{
+  uint32_t before = 0;
+
+  for (const struct ash_fleet_peer *peer = fleet->peers; peer; peer = peer->hh.next)
+    before += ash_askers_before (asker_of (peer), own_asker (fleet));
+  return before;
+}
+
+/* The one that comes next, so many others before it left out; NULL: there is none. */
+static const struct ash_fleet_peer *
+next_in_order (const struct ash_fleet *fleet, const struct ash_fleet_peer *after)
+{
+  struct ash_time now = ash_clock_now ();
+  const struct ash_fleet_peer *best = NULL;
+
+  for (const struct ash_fleet_peer *peer = fleet->peers; peer; peer = peer->hh.next)
+    if (may_lead (peer, now) && (!after || ash_askers_before (asker_of (after), asker_of (peer))) &&
+        peer != after && (!best || ash_askers_before (asker_of (peer), asker_of (best))))
+      best = peer;
+  return best;
+}
+
+void
+ash_fleet_tell_seconds (struct ash_fleet *fleet)
+{
+  const struct ash_fleet_peer *peer = next_in_order (fleet, NULL);
+
+  for (int i = 0; i < SECONDS && peer; i++)
+    {
+      ash_peers_beat_one (&fleet->links, peer->box);
+      peer = next_in_order (fleet, peer);
+    }
+}
--- a/daemon/groups.c
+++ b/daemon/groups.c
@@ -34,12 +34,41 @@
 /* Looks without any answer that are taken again at once, at other ranks. */
 #define LOOKS_LOST_MAX 3
 
+/* Several words within the time after which others take it that this router is stuck. */
+#define CHANGES_TOLD_MS 60
+
 /* How often a rank that is slow is asked whether it still is. */
 #define REPORT_SLOW_MS 400
 
 /* How often an endpoint that is in no group as yet is asked. */
 #define REPORT_ALONE_MS 1000
 
+/* ---- what others are told ---- */
+
+bool
+ash_groups_changes (const struct ash_groups *groups)
+{
+  for (const struct ash_rank_group *group = groups->groups; group; group = group->hh.next)
+    if (group->sw.phase != ASH_MAP_IDLE)
+      return true;
+  return false;
+}
+
+/* Those that would lead next hear of a change before its first order leaves, and then often, so
+ * that they notice soon if this router stops in the midst of it. */
+static void
+tell_changes (struct ash_groups *groups, struct ash_time now)
+{
+  bool changes = ash_groups_changes (groups);
+
+  if (changes == groups->changes &&
+      (!changes || ash_time_diff (groups->changes_told, now) < CHANGES_TOLD_MS))
+    return;
+  groups->changes = changes;
+  groups->changes_told = now;
+  ash_fleet_tell_seconds (&groups->router->fleet);
+}
+
 /* ---- decisions ---- */
 
 /* How long each rank will copy what is new to it. */
@@ -117,6 +146,7 @@
   expect_copies (group, &service->engine, copy_ms);
   group->next.version = ash_map_switch_version (&group->sw, ash_random_next (&router->random));
   ash_map_switch_begin (&group->sw, now, group->next.version, copy_ms);
+  tell_changes (groups, now);
   ash_rank_send_orders (group, groups);
 }
 
@@ -198,11 +228,12 @@
   groups->suspects = false;
 }
 
+/* A group that stands counts nothing: a look would take that for no demand at all. */
 static bool
 has_begun (const struct ash_groups *groups)
 {
   for (const struct ash_rank_group *group = groups->groups; group; group = group->hh.next)
-    if (group->sw.last_step)
+    if (group->sw.last_step && !ash_map_switch_held_elsewhere (&group->sw) && !group->sw.finishing)
       return true;
   return false;
 }
@@ -338,6 +369,20 @@
 
 /* ---- watching ---- */
 
+/* Of the map in use, to draw the next one; or to finish what another router holds. */
+static bool
+wants_lists (const struct ash_rank_group *group,
+             const struct ash_rank_box *box,
+             struct ash_time now)
+{
+  bool map_needed =
+      ash_map_switch_ready (&group->sw, now) || ash_map_switch_wants_fence (&group->sw);
+
+  if (ash_map_switch_wants_lists (&group->sw, box->rank))
+    return true;
+  return map_needed && !ash_rank_map_is_known (group) && !group->listed[box->rank];
+}
+
 static void
 watch_box (struct ash_rank_box *box, struct ash_time now)
 {
@@ -354,8 +399,7 @@
   if ((asked_ms >= 100 && ash_map_switch_wants_report (&group->sw, now, box->rank)) ||
       (asked_ms >= REPORT_SLOW_MS && box->pace > 1))
     ash_rank_ask (box, ASH_RANK_REPORT);
-  if ((ash_map_switch_ready (&group->sw, now) || ash_map_switch_wants_fence (&group->sw)) &&
-      !ash_rank_map_is_known (group) && !group->listed[box->rank] &&
+  if (wants_lists (group, box, now) &&
       ash_time_diff (box->asked[ASH_RANK_LISTS], now) >= ASH_RANK_CALL_MS)
     ash_rank_ask (box, ASH_RANK_LISTS);
   /* A part of a map that is not the one in use any more. */
@@ -472,6 +516,7 @@
   (void) loop;
   (void) events;
   set_leads (groups, ash_fleet_leads (&groups->router->fleet), now);
+  tell_changes (groups, now);
   if (!groups->leads)
     return;
   add_boxes (groups);
--- a/daemon/groups.h
+++ b/daemon/groups.h
@@ -46,6 +46,8 @@
   double *counts;        /**< new since the last decision */
   struct ash_time decided;
   struct ash_shift_times shifts;
+  bool changes; /**< as those that would lead next were last told */
+  struct ash_time changes_told;
   uint64_t orders;           /**< sent */
   uint64_t reads;            /**< numbers read */
   uint64_t beyond_bounds;    /**< reports of groups that are larger than what is kept here */
@@ -62,6 +64,10 @@
 /** @return whether a group stands still until this router lets it go. */
 bool ash_groups_holds (const struct ash_groups *groups);
 
+/** @return whether a change of a map is under way here: if this router is lost, a group may stand.
+ */
+bool ash_groups_changes (const struct ash_groups *groups);
+
 /** A stream at that endpoint has paused so long between two events. */
 void ash_groups_pause (struct ash_groups *groups, uint64_t endpoint_hash, int64_t pause_ms);
 
--- a/daemon/rank_group.c
+++ b/daemon/rank_group.c
@@ -265,14 +265,14 @@
 take_lists (struct ash_rank_box *box, const struct ash_rank_call *call)
 {
   struct ash_rank_group *group = box->group;
+  struct ash_rank_lists lists;
   uint64_t version;
-  uint64_t epoch;
 
   if (!group)
     return;
   version = group->map.version;
   if (!ash_platform_lists_read ((const char *) call->answer.bytes + call->answer.start,
-                                call->answer.length, box->rank, &group->map, &epoch))
+                                call->answer.length, box->rank, &group->map, &lists))
     {
       ash_log_event (&box->groups->router->log, ASH_EV_MAP_GIVEN_UP,
                      "group=%s rank=%u why=\"unreadable lists\" bytes=%zu", group->name, box->rank,
@@ -281,12 +281,13 @@
       return;
     }
   /* Parts of two maps do not make one. */
-  if (version != group->map.version || epoch != group->lists_epoch)
+  if (version != group->map.version || lists.epoch != group->lists_epoch)
     forget_map (group);
-  group->lists_epoch = epoch;
+  group->lists_epoch = lists.epoch;
   group->listed[box->rank] = true;
   /* Lists do not lag as reports do. */
-  ash_map_switch_uses (&group->sw, box->rank, epoch, group->map.version);
+  ash_map_switch_uses (&group->sw, box->rank, lists.epoch, group->map.version);
+  ash_map_switch_prepared (&group->sw, box->rank, lists.epoch, lists.prepared, call->sent);
 }
 
 static void
--- a/proto/ash.pb-c.c
+++ b/proto/ash.pb-c.c
@@ -1993,7 +1993,7 @@
   (ProtobufCMessageInit) ash__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__heartbeat__field_descriptors[18] =
+static const ProtobufCFieldDescriptor ash__heartbeat__field_descriptors[19] =
 {
   {
     "revision",
@@ -2211,8 +2211,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "changes_map",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ash__Heartbeat, changes_map),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ash__heartbeat__field_indices_by_name[] = {
+  18,   /* field[18] = changes_map */
   15,   /* field[15] = endpoints_digest */
   12,   /* field[12] = endpoints_revision */
   9,   /* field[9] = frontend */
@@ -2235,7 +2248,7 @@
 static const ProtobufCIntRange ash__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor ash__heartbeat__descriptor =
 {
@@ -2245,7 +2258,7 @@
   "Ash__Heartbeat",
   "ash",
   sizeof(Ash__Heartbeat),
-  18,
+  19,
   ash__heartbeat__field_descriptors,
   ash__heartbeat__field_indices_by_name,
   1,  ash__heartbeat__number_ranges,
--- a/proto/ash.pb-c.h
+++ b/proto/ash.pb-c.h
@@ -322,10 +322,14 @@
    * what its box can send; 0: it does not say
    */
   uint32_t link_mbps;
+  /*
+   * it changes a group's map: silent now, it may leave that standing
+   */
+  protobuf_c_boolean changes_map;
 };
 #define ASH__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ash__heartbeat__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/test/map_schedule.c
+++ b/test/map_schedule.c
@@ -20,6 +20,7 @@
 #define PASS_MS 48
 #define LAG_MS 200
 #define COPY_MS 150
+#define LISTS_AGAIN_MS 400
 
 /* In one schedule of three, copies take up to so long, and some orders so long on their way:
  * those sent later on another connection pass them. */
@@ -52,13 +53,16 @@
   uint64_t held;
 };
 
-/* Something that happens later: an order at a rank, its answer, or a report. */
+/* Something that happens later: an order or a question for its lists at a rank, the answer, or a
+ * report. */
 struct message
 {
   bool used;
   int64_t due_ms;
   bool is_answer;
   bool is_report;
+  bool is_lists;
+  struct ash_time asked; /* the question for lists */
   bool unanswered;
   int router;
   uint32_t life; /* of the router */
@@ -74,6 +78,7 @@
   bool leads;
   int64_t paused_until;
   int64_t asked[RANKS];
+  int64_t asked_lists[RANKS];
 };
 
 struct run
@@ -284,12 +289,30 @@
     post (run, &message);
 }
 
+static void
+ask_lists (struct run *run, int r, uint32_t rank)
+{
+  struct message message = {
+    .due_ms = run->now_ms + 1 + ash_random_below (&run->random, 6),
+    .is_lists = true,
+    .asked = now (run),
+    .router = r,
+    .life = run->routers[r].life,
+    .report = { .rank = rank },
+  };
+
+  run->routers[r].asked_lists[rank] = run->now_ms;
+  if (!chance (run, run->loss))
+    post (run, &message);
+}
+
 static void
 forget (struct run *run, int r)
 {
   run->routers[r].life++;
   ash_map_switch_init (&run->routers[r].sw, RANKS, LAG_MS, (uint32_t) r);
   memset (run->routers[r].asked, 0, sizeof run->routers[r].asked);
+  memset (run->routers[r].asked_lists, 0, sizeof run->routers[r].asked_lists);
 }
 
 static void
@@ -331,6 +354,10 @@
     if (run->now_ms - router->asked[i] > 100 &&
         ash_map_switch_wants_report (&router->sw, now (run), i))
       ask_report (run, r, i);
+  for (uint32_t i = 0; i < RANKS; i++)
+    if (run->now_ms - router->asked_lists[i] > LISTS_AGAIN_MS &&
+        ash_map_switch_wants_lists (&router->sw, i))
+      ask_lists (run, r, i);
   if (router->leads && ash_map_switch_ready (&router->sw, now (run)) && chance (run, 10))
     ash_map_switch_begin (&router->sw, now (run),
                           ash_map_switch_version (&router->sw, ash_random_next (&run->random)),
@@ -345,6 +372,27 @@
     send_order (run, r, &orders[i]);
 }
 
+/* A rank is asked for its lists, or its answer comes. */
+static void
+deliver_lists (struct run *run, struct message *message, bool here)
+{
+  struct ash_map_switch *sw = &run->routers[message->router].sw;
+  const struct ash_rank_report *report = &message->report;
+
+  if (!message->is_answer)
+    {
+      message->report = report_of (run, report->rank);
+      message->is_answer = true;
+      message->due_ms = run->now_ms + 1 + ash_random_below (&run->random, 5);
+      post (run, message);
+    }
+  else if (here)
+    {
+      ash_map_switch_uses (sw, report->rank, report->epoch, report->map);
+      ash_map_switch_prepared (sw, report->rank, report->epoch, report->prepared, message->asked);
+    }
+}
+
 static void
 deliver (struct run *run, struct message *message)
 {
@@ -353,7 +401,9 @@
   bool here = copy.life == router->life && run->now_ms >= router->paused_until;
 
   message->used = false;
-  if (copy.is_report)
+  if (copy.is_lists)
+    deliver_lists (run, &copy, here);
+  else if (copy.is_report)
     {
       if (here)
         ash_map_switch_report (&router->sw, now (run), &copy.report);
--- a/test/router_maps.c
+++ b/test/router_maps.c
@@ -187,9 +187,38 @@
   end_calm (callers);
 }
 
+/* The router that leads is stopped while the group stands for it. The one that would lead next does
+ * not wait for the link to be silent for a second, nor for reports that lag. */
+static void
+test_leader_stuck (void)
+{
+  struct caller callers[CALLERS];
+  int64_t stopped;
+  long step;
+
+  start_led (callers, world_start);
+  CU_ASSERT (wait_changes (1));
+  world_get (world.ranks[0], "GET", "/state?deaf=1", "");
+  world_get (world.ranks[0], "GET", "/state?shift=7", "");
+  for (int i = 0; i < 4000 && !world_group (&world, "held"); i++)
+    fleet_sleep (1);
+  kill (world.routers[0].pid, SIGSTOP);
+  stopped = fleet_now ();
+  CU_ASSERT_EQUAL (world_group (&world, "held"), 1);
+  step = world_group (&world, "step");
+  world_get (world.ranks[0], "GET", "/state?deaf=0", "");
+  while (world_group (&world, "step") == step && fleet_now () - stopped < 5000)
+    fleet_sleep (5);
+  CU_ASSERT (fleet_now () - stopped < 1000);
+  CU_ASSERT (world_logged (&world, 1, "map_leader"));
+  kill (world.routers[0].pid, SIGCONT);
+  end_calm (callers);
+}
+
 const struct fault_test router_map_tests[] = {
   { "expert maps follow what is asked for", test_maps },
   { "expert maps in trouble", test_maps_in_trouble },
   { "suspended: the router that leads", test_leader_suspended },
+  { "the router that leads stops while it holds a step", test_leader_stuck },
   { NULL, NULL },
 };
--- a/test/standin_ranks.c
+++ b/test/standin_ranks.c
@@ -9,7 +9,8 @@
  *
  * where broken says that a pass began while two ranks had different maps. GET
  * /state?shift=N moves what is asked for; GET /state?late=PERCENT carries so many orders out
- * late and leaves them unanswered.
+ * late and leaves them unanswered; GET /state?deaf=1 has ranks lose all orders to arm, till
+ * /state?deaf=0, so that a step that is held stays so.
  */
 #include "common/random.h"
 #include "net/http_conn.h"
@@ -76,6 +77,7 @@
   uint64_t changes;
   uint32_t shift;
   uint32_t late_percent;
+  bool deaf;
   uint32_t ticks;
   bool broken;
   struct ash_time last_pass;
@@ -234,6 +236,11 @@
 {
   char *body = copy_body (conn);
 
+  if (group.deaf && strstr (body, "\"arm\""))
+    {
+      free (body);
+      return; /* never answered */
+    }
   if (ash_random_below (&group.random, 100) < group.late_percent)
     {
       struct late *late = calloc (1, sizeof *late);
@@ -282,9 +289,18 @@
   char *text;
 
   if (lists)
-    json_object_set_new (object, "Map",
-                         json_pack ("{s:I, s:O}", "Version", (json_int_t) rank->map.version,
-                                    "Experts", rank->map.experts));
+    {
+      bool copied = rank->prepared.experts && ash_time_before (rank->copied, ash_clock_now ());
+
+      json_object_set_new (object, "Map",
+                           json_pack ("{s:I, s:O}", "Version", (json_int_t) rank->map.version,
+                                      "Experts", rank->map.experts));
+      if (copied)
+        json_object_set_new (object, "Prepared",
+                             json_pack ("{s:I, s:O}", "Version",
+                                        (json_int_t) rank->prepared.version, "Experts",
+                                        rank->prepared.experts));
+    }
   else
     {
       json_t *counts = json_array ();
@@ -304,6 +320,7 @@
 {
   const char *shift = strstr (target, "shift=");
   const char *late = strstr (target, "late=");
+  const char *deaf = strstr (target, "deaf=");
   char text[256];
   bool held = false;
 
@@ -311,6 +328,8 @@
     group.shift = (uint32_t) strtoul (shift + strlen ("shift="), NULL, 10);
   if (late)
     group.late_percent = (uint32_t) strtoul (late + strlen ("late="), NULL, 10);
+  if (deaf)
+    group.deaf = deaf[strlen ("deaf=")] == '1';
   for (uint32_t i = 0; i < group.rank_count; i++)
     held = held || group.ranks[i].held;
   snprintf (text, sizeof text, "step=%llu map=%llu changes=%llu held=%d broken=%d standing_ms=%lld",
--- a/test/unit_platform.c
+++ b/test/unit_platform.c
@@ -28,8 +28,9 @@
       "{\"Stage\":\"unified\",\"Queued\":1,\"Active\":12,\"step\":812,\"Map\":3,\"Prepared\":4,"
       "\"Armed\":0,\"held\":815,\"pace\":1.5,\"group\":{\"Name\":\"g0-1\",\"epoch\":2,\"rank\":5,"
       "\"State\":\"open\",\"size\":8}}";
-  static const char lists_text[] = "{\"epoch\":2,\"step\":9,\"Map\":{\"Version\":3,\"Experts\":"
-                                   "[[0,4],[1]]}}";
+  static const char lists_text[] =
+      "{\"epoch\":2,\"step\":9,\"Map\":{\"Version\":3,\"Experts\":"
+      "[[0,4],[1]]},\"Prepared\":{\"Version\":6,\"Experts\":[[0],[1]]}}";
   struct ash_rank_report report;
   struct ash_layer_map map = {
     .layer_count = 2, .rank_count = 1, .slot_count = 2, .expert_count = 8
@@ -37,14 +38,15 @@
   struct ash_rank_order order = { ASH_RANK_PREPARE, 0, 2, 7, 0 };
   struct ash_buffer out = { 0 };
   struct ash_buffer body = { 0 };
-  uint64_t epoch;
+  struct ash_rank_lists lists;
 
   CU_ASSERT (ash_platform_report_read (report_text, sizeof report_text - 1, &report));
   CU_ASSERT_STRING_EQUAL (report.group, "g0-1");
   CU_ASSERT (report.epoch == 2 && report.rank == 5 && report.rank_count == 8 && !report.broken);
   CU_ASSERT (report.step == 812 && report.map == 3 && report.prepared == 4 && report.held == 815);
   CU_ASSERT_FALSE (ash_platform_report_read ("nothing", 7, &report));
-  CU_ASSERT (ash_platform_lists_read (lists_text, sizeof lists_text - 1, 0, &map, &epoch));
+  CU_ASSERT (ash_platform_lists_read (lists_text, sizeof lists_text - 1, 0, &map, &lists));
+  CU_ASSERT (lists.epoch == 2 && lists.prepared == 6);
   CU_ASSERT (map.version == 3 && map.slots[0][0][1] == 4 && map.slots[1][0][1] == ASH_NO_EXPERT);
   ash_platform_order_body (&body, &order, &map);
   ash_platform_rank_order (&out, "x:1", &body);
@@ -55,7 +57,7 @@
   ash_buffer_finish (&body);
   /* There is no such expert. */
   map.expert_count = 4;
-  CU_ASSERT_FALSE (ash_platform_lists_read (lists_text, sizeof lists_text - 1, 0, &map, &epoch));
+  CU_ASSERT_FALSE (ash_platform_lists_read (lists_text, sizeof lists_text - 1, 0, &map, &lists));
 }
 
 static void
