prompt_gate: new prompts wait while passes have just become long, and go a few a pass

Ruled out: sooner notice (the first long pass is the measure, not how many); fewer counts (7 ms a question, needed to see what is asked for); two prompts at one rank (a pass hardly grows with that: 0.24 ms a prompt). Change: a router that sees its streams' pauses jump by a quarter, to more than 0.6 of the good one, keeps new prompts for 0.4 of their aim at most, until passes are as usual; only where a copy of an expert takes less than a quarter of that, so that the map has followed by then (the engine's published figures). What comes at once goes as many a pass as take a tenth of the good pause; streams that broke before leave one to others.

--- a/common/events.h
+++ b/common/events.h
@@ -57,6 +57,7 @@
   X (412, WARN, ENDPOINT_ENDED,     "an endpoint's process ended under requests of this router") \
   X (413, WARN, QUARANTINED,        "endpoints ended under a request: it is kept away from others") \
   X (414, INFO, QUARANTINE_CLEARED, "a suspected request got its whole answer: it is not the cause") \
+  X (415, INFO, PROMPTS_KEPT,       "passes have just become long: new prompts wait, or no longer") \
   X (500, DEBUG, RUN_STARTED,       "an endpoint started a request") \
   X (501, DEBUG, RUN_ENDED,         "an endpoint's engine ended a request") \
   X (502, INFO, RUN_REFUSED,        "an endpoint refused a request") \
--- a/controllers/direct.c
+++ b/controllers/direct.c
@@ -297,6 +297,17 @@
   return endpoint->presence != ASH_DIRECT_GONE && !endpoint->facts.draining;
 }
 
+uint32_t
+ash_direct_count (const struct ash_direct_set *set, const char *service)
+{
+  uint32_t count = 0;
+
+  for (const struct ash_direct_endpoint *endpoint = set->endpoints; endpoint;
+       endpoint = endpoint->hh.next)
+    count += ash_direct_usable (endpoint) && strcmp (endpoint->facts.service, service) == 0;
+  return count;
+}
+
 static bool
 was_tried (const struct ash_direct_wish *wish, uint64_t hash)
 {
--- a/controllers/direct.h
+++ b/controllers/direct.h
@@ -124,6 +124,9 @@
 /** @return how many times as long as usual it takes now; 1 if nothing is known. */
 double ash_direct_pace (const struct ash_direct_endpoint *endpoint, struct ash_time now);
 
+/** @return how many endpoints of that service may be sent new work. */
+uint32_t ash_direct_count (const struct ash_direct_set *set, const char *service);
+
 /** @return whether it may be sent new work. */
 bool ash_direct_usable (const struct ash_direct_endpoint *endpoint);
 
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -20,16 +20,18 @@
 world_of (struct ash_exchange *exchange)
 {
   struct ash_router *router = exchange->router;
+  struct ash_router_service *service = ash_router_service (router, exchange->forward.service);
 
   return (struct ash_forward_world){
     .endpoints = &router->endpoints,
-    .window = ash_router_window (router, exchange->forward.service),
+    .window = &service->window,
     .bound = ash_router_resend_bound (router),
     .entries = ash_fleet_size (&router->fleet),
     .hall = router->settings.hall,
     .own = router->incarnation,
     .far_parts = ash_fleet_far_parts (&router->fleet),
     .wait_ms = router->settings.wait_ms,
+    .gate = exchange->forward.pause_aim_ms ? &service->gate : NULL,
     .quarantined_ms = ash_exchange_quarantined_ms (exchange, ash_clock_now ()),
   };
 }
@@ -89,6 +91,8 @@
             ash_http_call_start (&exchange->call, ash_router_pool (router, endpoint),
                                  request.bytes + request.start, request.length, exchange->trusted);
   ash_buffer_finish (&request);
+  if (exchange->forward.pause_aim_ms)
+    ash_prompt_gate_sent (&ash_router_service (router, exchange->forward.service)->gate);
   ash_forward_sent (&exchange->forward, endpoint);
   exchange->sent = ash_clock_now ();
   exchange->heard = exchange->sent;
--- a/daemon/exchange_answer.c
+++ b/daemon/exchange_answer.c
@@ -59,6 +59,22 @@
   return true;
 }
 
+/* Prompts that are kept back may go once passes are as usual. */
+static void
+note_pass (struct ash_exchange *exchange, int64_t pause_ms)
+{
+  struct ash_router *router = exchange->router;
+  struct ash_prompt_gate *gate = &ash_router_service (router, exchange->forward.service)->gate;
+
+  if (!ash_prompt_gate_pause (gate, exchange->heard, pause_ms, exchange->forward.pause_aim_ms))
+    return;
+  router->room = router->room || !gate->closed;
+  ash_log_event (&router->log, ASH_EV_PROMPTS_KEPT,
+                 "service=%s kept=%d pass_ms=%lld usual_ms=%.1f waiting=%u",
+                 exchange->forward.service, gate->closed, (long long) pause_ms, gate->usual_ms,
+                 router->waiting_count);
+}
+
 /* The pause since the event before says how fast the endpoint's passes are. */
 static void
 note_pause (struct ash_exchange *exchange)
@@ -68,6 +84,7 @@
   /* Two events that came at once are of one pass. */
   if (pause_ms < 1)
     return;
+  note_pass (exchange, pause_ms);
   ash_direct_paused (exchange->endpoint, exchange->heard, pause_ms);
   ash_groups_pause (&exchange->router->groups, exchange->endpoint->hash, pause_ms);
 }
--- a/daemon/requests.c
+++ b/daemon/requests.c
@@ -96,6 +96,24 @@
   return router->settings.plain_queue + 1;
 }
 
+/* What holds for a prompt that is to be read by the service's engines. */
+static struct ash_prompt_terms
+prompt_terms (const struct ash_exchange *exchange, const struct ash_route_service *service)
+{
+  const struct ash_route *route = exchange->route;
+  const struct ash_router *router = exchange->router;
+  uint32_t ranks = ash_direct_count (&router->endpoints, service->name);
+
+  return (struct ash_prompt_terms){
+    .per_pass = ash_prompt_gate_per_pass (&service->engine, route->pause_aim_ms, ranks,
+                                          ash_fleet_size (&router->fleet)),
+    .maps_follow = ash_prompt_gate_maps_follow (&service->engine, route->aim_ms),
+    .pause_aim_ms = route->pause_aim_ms,
+    .aim_ms = route->aim_ms,
+    .resumed = exchange->facts.last_event_id != NULL,
+  };
+}
+
 static void
 fill_forward (struct ash_exchange *exchange)
 {
@@ -119,6 +137,8 @@
   };
   /* One that is read just after this process was away may have waited for as long: its caller waits
    * no longer than it said, and an endpoint that is told more works for nobody. */
+  if (forward->pause_aim_ms)
+    forward->prompt = prompt_terms (exchange, service);
   forward->deadline =
       ash_time_add (forward->came, (int64_t) most_ms - DEADLINE_MARGIN_MS - router->away_ms);
 }
@@ -187,8 +207,8 @@
   exchange->account = account;
   exchange->facts = facts;
   fill_forward (exchange);
-  ash_resend_window_request (ash_router_window (router, exchange->forward.service), &bound,
-                             exchange->forward.came);
+  ash_resend_window_request (&ash_router_service (router, exchange->forward.service)->window,
+                             &bound, exchange->forward.came);
   if (ends_too_soon (exchange))
     ash_exchange_end_self (exchange, 503, ASH_FORWARD_LEAVING, LEAVING_RETRY_MS);
   else
--- a/daemon/router.c
+++ b/daemon/router.c
@@ -54,21 +54,21 @@
                                     router->settings.resend_ratio, router->settings.resend_slack };
 }
 
-struct ash_resend_window *
-ash_router_window (struct ash_router *router, const char *service)
+struct ash_router_service *
+ash_router_service (struct ash_router *router, const char *name)
 {
-  static struct ash_resend_window none; /* without memory nothing is sent again for long */
+  static struct ash_router_service none; /* without memory nothing is sent again for long */
   struct ash_router_service *found;
 
-  HASH_FIND_STR (router->services, service, found);
+  HASH_FIND_STR (router->services, name, found);
   if (found)
-    return &found->window;
+    return found;
   found = calloc (1, sizeof *found);
   if (!found)
     return &none;
-  snprintf (found->name, sizeof found->name, "%s", service);
+  snprintf (found->name, sizeof found->name, "%s", name);
   HASH_ADD_STR (router->services, name, found);
-  return &found->window;
+  return found;
 }
 
 /* ---- connections to endpoints ---- */
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -9,6 +9,7 @@
 #include "common/log.h"
 #include "common/metrics.h"
 #include "controllers/direct.h"
+#include "controllers/prompt_gate.h"
 #include "controllers/resend_window.h"
 #include "controllers/route_table.h"
 #include "daemon/catch_up.h"
@@ -26,6 +27,7 @@
 {
   char name[ASH_DIRECT_NAME_BYTES];
   struct ash_resend_window window;
+  struct ash_prompt_gate gate;
   UT_hash_handle hh;
 };
 
@@ -100,8 +102,8 @@
 /** @return when a planned stop that has begun gives up what is still under way. */
 struct ash_time ash_router_stop_ends (const struct ash_router *router);
 
-/** The count of a service's requests; made when first asked for. */
-struct ash_resend_window *ash_router_window (struct ash_router *router, const char *service);
+/** @return what is kept of a service; made when first asked for. */
+struct ash_router_service *ash_router_service (struct ash_router *router, const char *name);
 
 /** @return what bounds requests that are sent again. */
 struct ash_resend_bound ash_router_resend_bound (const struct ash_router *router);
--- a/filters/forward.c
+++ b/filters/forward.c
@@ -109,6 +109,17 @@
   return (struct ash_forward_verdict){ .action = ASH_FORWARD_WAIT, .until = until };
 }
 
+/* When a stream that was not sent yet may go. */
+static struct ash_time
+kept_until (const struct ash_forward *forward,
+            const struct ash_forward_world *world,
+            struct ash_time now)
+{
+  return forward->sent || !world->gate
+             ? now
+             : ash_prompt_gate_until (world->gate, &forward->prompt, forward->came, now);
+}
+
 struct ash_forward_verdict
 ash_forward_next (struct ash_forward *forward,
                   const struct ash_forward_world *world,
@@ -124,6 +135,7 @@
     .tried = forward->tried,
     .tried_count = forward->tried_count,
   };
+  struct ash_time kept = kept_until (forward, world, now);
   struct ash_direct_endpoint *endpoint;
 
   if (!ash_time_before (now, forward->deadline))
@@ -135,6 +147,8 @@
   if (forward->sent >= forward->servers_max)
     return answer (forward, world, now,
                    forward->unsure ? ASH_FORWARD_FAILED : ASH_FORWARD_TURNED_AWAY);
+  if (ash_time_before (now, kept))
+    return (struct ash_forward_verdict){ .action = ASH_FORWARD_WAIT, .until = kept };
   switch (ash_direct_choose (world->endpoints, now, &wish, &endpoint))
     {
     case ASH_DIRECT_NONE:
--- a/filters/forward.h
+++ b/filters/forward.h
@@ -8,6 +8,7 @@
 #define ASH_FORWARD_H
 
 #include "controllers/direct.h"
+#include "controllers/prompt_gate.h"
 #include "controllers/resend_window.h"
 #include "controllers/route_table.h"
 
@@ -61,6 +62,7 @@
   struct ash_time came;
   struct ash_time deadline; /**< the final answer is due */
   struct ash_time wait_until;
+  struct ash_prompt_terms prompt;
   bool began;      /**< a part of the answer went to the caller */
   uint32_t unsure; /**< endpoints that got it and do not vouch that it did not run */
   uint32_t sent;   /**< endpoints that it was sent to */
@@ -74,11 +76,12 @@
   struct ash_direct_set *endpoints;
   struct ash_resend_window *window;
   struct ash_resend_bound bound;
-  uint32_t entries;       /**< that share the bound */
-  const char *hall;       /**< of this process */
-  uint64_t own;           /**< tells this process from the others */
-  uint32_t far_parts;     /**< of the endpoints of other halls, it takes one part in so many */
-  uint32_t wait_ms;       /**< how long a request may wait for room */
+  uint32_t entries;   /**< that share the bound */
+  const char *hall;   /**< of this process */
+  uint64_t own;       /**< tells this process from the others */
+  uint32_t far_parts; /**< of the endpoints of other halls, it takes one part in so many */
+  uint32_t wait_ms;   /**< how long a request may wait for room */
+  struct ash_prompt_gate *gate; /**< of the service; NULL: it reads no prompts */
   int64_t quarantined_ms; /**< how long the request is kept away from endpoints; 0: it is not */
 };
 
--- a/test/unit.h
+++ b/test/unit.h
@@ -31,6 +31,9 @@
 /** Configurations that are read route by route. */
 void add_rows_tests (CU_pSuite suite);
 
+/** When prompts go to engines. */
+void add_prompt_tests (CU_pSuite suite);
+
 /** The model that the router's policy is weighed in. */
 void add_router_world_tests (CU_pSuite suite);
 
--- /dev/null
+++ b/test/unit_prompts.c
@@ -0,0 +1,296 @@
+/**
+ * @file
+ * Unit tests of when prompts go to engines: the gate's decisions, and what callers get of them when
+ * demand for experts shifts and when many return at once, played with many routers before a group
+ * whose passes are near the longest good pause.
+ */
+#include "controllers/prompt_gate.h"
+#include "test/unit.h"
+
+#include <string.h>
+
+#define PAUSE_AIM_MS 120
+#define AIM_MS 400
+
+static const struct ash_prompt_terms usual_terms = {
+  .per_pass = 2,
+  .maps_follow = true,
+  .pause_aim_ms = PAUSE_AIM_MS,
+  .aim_ms = AIM_MS,
+};
+
+static struct ash_time
+at (int64_t ms)
+{
+  return (struct ash_time){ 1000000 + ms };
+}
+
+/* @return how long a prompt that came at a time waits there, before it is looked at again. */
+static int64_t
+wait_ms (struct ash_prompt_gate *gate,
+         const struct ash_prompt_terms *terms,
+         int64_t came,
+         int64_t ms)
+{
+  return ash_time_diff (at (ms), ash_prompt_gate_until (gate, terms, at (came), at (ms)));
+}
+
+static void
+see (struct ash_prompt_gate *gate, int64_t ms, int64_t pause_ms)
+{
+  ash_prompt_gate_pause (gate, at (ms), pause_ms, PAUSE_AIM_MS);
+}
+
+/* ---- decisions ---- */
+
+static void
+test_jump (void)
+{
+  struct ash_prompt_gate gate = { 0 };
+  struct ash_prompt_terms slow = usual_terms;
+
+  slow.maps_follow = false;
+  see (&gate, 0, 55);
+  see (&gate, 55, 56);
+  CU_ASSERT_EQUAL (wait_ms (&gate, &usual_terms, 60, 60), 0);
+  see (&gate, 150, 95);
+  CU_ASSERT_EQUAL (wait_ms (&gate, &usual_terms, 150, 150), 160);
+  /* One that has waited as long goes; so does one whose maps take too long to follow. */
+  CU_ASSERT_EQUAL (wait_ms (&gate, &usual_terms, 0, 160), 0);
+  CU_ASSERT_EQUAL (wait_ms (&gate, &slow, 150, 150), 0);
+  CU_ASSERT (ash_prompt_gate_pause (&gate, at (250), 58, PAUSE_AIM_MS));
+  CU_ASSERT_FALSE (gate.closed);
+  CU_ASSERT_EQUAL (wait_ms (&gate, &usual_terms, 250, 250), 0);
+}
+
+/* Passes that stay long are the usual ones, and short ones leave room for prompts. */
+static void
+test_no_jump (void)
+{
+  struct ash_prompt_gate gate = { 0 };
+
+  see (&gate, 0, 55);
+  for (int64_t ms = 100; ms < 700; ms += 100)
+    see (&gate, ms, 100);
+  CU_ASSERT_EQUAL (wait_ms (&gate, &usual_terms, 700, 700), 0);
+  see (&gate, 800, 102);
+  CU_ASSERT_EQUAL (wait_ms (&gate, &usual_terms, 800, 800), 0);
+  gate = (struct ash_prompt_gate){ 0 };
+  see (&gate, 0, 30);
+  see (&gate, 60, 60);
+  CU_ASSERT_EQUAL (wait_ms (&gate, &usual_terms, 60, 60), 0);
+  /* A group that stood still tells nothing of its passes. */
+  see (&gate, 2000, 1900);
+  CU_ASSERT_EQUAL (wait_ms (&gate, &usual_terms, 2000, 2000), 0);
+}
+
+static void
+test_paced (void)
+{
+  struct ash_prompt_gate gate = { 0 };
+  struct ash_prompt_terms resumed = usual_terms;
+
+  resumed.resumed = true;
+  see (&gate, 0, 50);
+  for (int i = 0; i < 2; i++)
+    {
+      CU_ASSERT_EQUAL (wait_ms (&gate, &usual_terms, 100, 100), 0);
+      ash_prompt_gate_sent (&gate);
+    }
+  /* Two a pass of 50 ms: the third goes 25 ms later. */
+  CU_ASSERT_EQUAL (wait_ms (&gate, &usual_terms, 100, 100), 26);
+  CU_ASSERT_EQUAL (wait_ms (&gate, &usual_terms, 100, 126), 0);
+  /* A stream that broke before leaves one to those that come new. */
+  CU_ASSERT (wait_ms (&gate, &resumed, 126, 126) > 0);
+  CU_ASSERT_EQUAL (wait_ms (&gate, &resumed, 126, 152), 0);
+  /* It has waited long enough, whatever else goes. */
+  ash_prompt_gate_sent (&gate);
+  ash_prompt_gate_sent (&gate);
+  CU_ASSERT (wait_ms (&gate, &resumed, -400, 152) > 0);
+  CU_ASSERT_EQUAL (wait_ms (&gate, &resumed, -448, 152), 0);
+}
+
+static void
+test_figures (void)
+{
+  struct ash_engine_facts engine = { .read_tokens_s = 80000, .usual_prompt_tokens = 800 };
+
+  /* 10 ms a prompt, 12 ms of a pass for them: 1.2 prompts a rank. */
+  CU_ASSERT_DOUBLE_EQUAL (ash_prompt_gate_per_pass (&engine, 120, 60, 30), 2.4, 1e-9);
+  CU_ASSERT_DOUBLE_EQUAL (ash_prompt_gate_per_pass (&(struct ash_engine_facts){ 0 }, 120, 60, 30),
+                          0, 0);
+  CU_ASSERT_FALSE (ash_prompt_gate_maps_follow (&engine, AIM_MS));
+  engine.expert_mb = 320;
+  engine.link_mbps = 180000;
+  CU_ASSERT (ash_prompt_gate_maps_follow (&engine, AIM_MS));
+  engine.link_mbps = 18000;
+  CU_ASSERT_FALSE (ash_prompt_gate_maps_follow (&engine, AIM_MS));
+}
+
+/* ---- played ---- */
+
+#define ROUTERS 40
+#define PROMPTS_MAX 2000
+#define STREAMS 300
+
+/* A pass of even ranks, and more of it for skew; what a prompt adds at a skew of 1; what copies
+ * add. */
+#define PASS_EVEN_MS 54.0
+#define PASS_SKEW_MS 11.0
+#define PROMPT_MS 0.16
+#define COPYING_PART 1.15
+
+/* From its sending until a prompt may be read. */
+#define FIRST_MS 70
+
+/* Demand shifts, the map follows, and meanwhile ranks copy. */
+#define SHIFT_MS 2000
+#define COPIES_MS 2240
+#define FOLLOWED_MS 2340
+#define SHIFTED_SKEW 3.5
+#define USUAL_SKEW 1.2
+
+struct prompt
+{
+  int64_t came_ms;
+  int64_t sent_ms; /* -1: not yet */
+  bool resumed;
+  bool read;
+};
+
+struct play
+{
+  bool gated;
+  struct ash_prompt_gate gates[ROUTERS];
+  struct prompt prompts[PROMPTS_MAX];
+  int count;
+  double longest_ms; /* pass */
+  int late;          /* first events beyond the aim, of those that come new */
+};
+
+static void
+add_prompt (struct play *play, int64_t ms, bool resumed)
+{
+  if (play->count < PROMPTS_MAX)
+    play->prompts[play->count++] = (struct prompt){ ms, -1, resumed, false };
+}
+
+static void
+send_due (struct play *play, int64_t ms)
+{
+  for (int i = 0; i < play->count; i++)
+    {
+      struct prompt *prompt = &play->prompts[i];
+      struct ash_prompt_gate *gate = &play->gates[i % ROUTERS];
+      struct ash_prompt_terms terms = usual_terms;
+
+      terms.resumed = prompt->resumed;
+      if (prompt->sent_ms >= 0 || (play->gated && wait_ms (gate, &terms, prompt->came_ms, ms) > 0))
+        continue;
+      ash_prompt_gate_sent (gate);
+      prompt->sent_ms = ms;
+    }
+}
+
+/* @return how long the pass that begins now takes. */
+static double
+begin_pass (struct play *play, int64_t ms, bool shifts)
+{
+  bool shifted = shifts && ms >= SHIFT_MS && ms < FOLLOWED_MS;
+  double skew = shifted ? SHIFTED_SKEW : USUAL_SKEW;
+  double pass_ms = PASS_EVEN_MS + PASS_SKEW_MS * skew;
+
+  for (int i = 0; i < play->count; i++)
+    {
+      struct prompt *prompt = &play->prompts[i];
+
+      if (prompt->read || prompt->sent_ms < 0 || ms - prompt->sent_ms < FIRST_MS)
+        continue;
+      prompt->read = true;
+      pass_ms += PROMPT_MS * skew;
+    }
+  return shifted && ms >= COPIES_MS ? pass_ms * COPYING_PART : pass_ms;
+}
+
+static void
+end_pass (struct play *play, int64_t ms, double pass_ms)
+{
+  for (int i = 0; i < play->count; i++)
+    {
+      struct prompt *prompt = &play->prompts[i];
+
+      if (prompt->read && prompt->came_ms >= 0 && !prompt->resumed)
+        {
+          play->late += ms - prompt->came_ms > AIM_MS;
+          prompt->came_ms = -1;
+        }
+    }
+  if (pass_ms > play->longest_ms)
+    play->longest_ms = pass_ms;
+  for (int r = 0; r < ROUTERS; r++)
+    see (&play->gates[r], ms, (int64_t) (pass_ms + 0.5));
+}
+
+/* Four seconds with a prompt each 4 ms. */
+static void
+play_load (struct play *play, bool gated, bool shifts, int returning)
+{
+  int64_t pass_ends_ms = 0;
+  double pass_ms = 0;
+
+  memset (play, 0, sizeof *play);
+  play->gated = gated;
+  for (int64_t ms = 0; ms < 4000; ms++)
+    {
+      if (ms % 4 == 0)
+        add_prompt (play, ms, false);
+      for (int i = 0; ms == SHIFT_MS && i < returning; i++)
+        add_prompt (play, ms, true);
+      if (ms >= pass_ends_ms)
+        {
+          if (pass_ms > 0)
+            end_pass (play, ms, pass_ms);
+          pass_ms = begin_pass (play, ms, shifts);
+          pass_ends_ms = ms + (int64_t) (pass_ms + 0.5);
+        }
+      send_due (play, ms);
+    }
+}
+
+/* Streams under way pause as long as the longest pass. */
+static void
+test_shift_played (void)
+{
+  static struct play open;
+  static struct play gated;
+
+  play_load (&open, false, true, 0);
+  play_load (&gated, true, true, 0);
+  CU_ASSERT (open.longest_ms > PAUSE_AIM_MS);
+  CU_ASSERT (gated.longest_ms < PAUSE_AIM_MS);
+  CU_ASSERT_EQUAL (gated.late, 0);
+}
+
+static void
+test_return_played (void)
+{
+  static struct play open;
+  static struct play gated;
+
+  play_load (&open, false, false, STREAMS);
+  play_load (&gated, true, false, STREAMS);
+  CU_ASSERT (open.longest_ms > PAUSE_AIM_MS - 10);
+  CU_ASSERT (gated.longest_ms < open.longest_ms - 20);
+  CU_ASSERT_EQUAL (gated.late, 0);
+}
+
+void
+add_prompt_tests (CU_pSuite suite)
+{
+  CU_add_test (suite, "prompts: kept back when passes jump", test_jump);
+  CU_add_test (suite, "prompts: go where passes stay long", test_no_jump);
+  CU_add_test (suite, "prompts: paced", test_paced);
+  CU_add_test (suite, "prompts: from the engine's figures", test_figures);
+  CU_add_test (suite, "prompts: a shift played", test_shift_played);
+  CU_add_test (suite, "prompts: many return, played", test_return_played);
+}
