layer_policy: slow ranks give up experts by what that gains

Cause: all ranks wait for the slowest. Its experts' part is what can be taken off it: 175 ms of 660 by the engine's formula. Ruled out: fewer streams alone (the rank had one; a pass was as long); more than the experts (the rank's own fixed part, 400 of 660 ms, stays). Change: loads of ranks are weighed by how many times as long they say they take; a slow rank gives up replicas that others hold too, which needs no copy, and others take replicas of what it holds. Decided as soon as a rank turns slow or is as usual again. Test: `expert layers: a slow rank`.

--- a/controllers/layer_policy.c
+++ b/controllers/layer_policy.c
@@ -11,6 +11,12 @@
  * may have more of them, by the number of ranks. */
 #define WEIGHTS_RANKS 12
 
+/* Replicas that slow ranks give up in one change, at most. */
+#define GIVEN_UP_MAX 1024
+
+/* Giving up alone must take so much off the skew: a change has the group stand for a moment. */
+#define GIVEN_UP_LEAST 0.05
+
 /* Ranks of a group, a bit each. */
 struct rank_set
 {
@@ -25,6 +31,7 @@
 struct layer
 {
   const struct ash_layer_policy *policy;
+  const double *pace; /* of each rank; NULL: none is slow */
   struct ash_layer_map *map;
   uint32_t index;
   uint32_t replicas[ASH_LAYER_EXPERTS_MAX];
@@ -57,7 +64,7 @@
   {
     uint32_t layer;
     struct move move;
-  } made[ASH_LAYER_RANKS_MAX * ASH_CHANGE_COPIES_MAX];
+  } made[GIVEN_UP_MAX + ASH_LAYER_RANKS_MAX * ASH_CHANGE_COPIES_MAX];
 };
 
 void
@@ -155,6 +162,13 @@
   return sqrt (sqrt (sqrt (power)));
 }
 
+/* The time that a rank takes for a load. */
+static double
+time_of (const struct layer *layer, uint32_t rank, double load)
+{
+  return layer->pace ? layer->pace[rank] * load : load;
+}
+
 /* What a replica of the expert carries, over the mean rank's load. */
 static double
 share_of (const struct layer *layer, uint16_t expert, uint32_t replicas)
@@ -194,7 +208,8 @@
         uint16_t expert = map->slots[layer->index][rank][slot];
 
         if (expert != ASH_NO_EXPERT)
-          layer->load[rank] += share_of (layer, expert, layer->replicas[expert]);
+          layer->load[rank] +=
+              time_of (layer, rank, share_of (layer, expert, layer->replicas[expert]));
       }
   sum_power (layer);
 }
@@ -215,11 +230,15 @@
 static struct swap
 swap_of (const struct layer *layer, uint32_t rank, uint16_t old, uint16_t expert)
 {
-  uint32_t replicas = layer->replicas[expert];
-  struct swap swap = { .rank = rank, .gains = &layer->holders[expert] };
+  uint32_t replicas = expert == ASH_NO_EXPERT ? 0 : layer->replicas[expert];
+  struct swap swap = { .rank = rank };
 
-  swap.share = share_of (layer, expert, replicas + 1);
-  swap.gain = swap.share - share_of (layer, expert, replicas);
+  if (expert != ASH_NO_EXPERT)
+    {
+      swap.gains = &layer->holders[expert];
+      swap.share = share_of (layer, expert, replicas + 1);
+      swap.gain = swap.share - share_of (layer, expert, replicas);
+    }
   if (old == ASH_NO_EXPERT)
     return swap;
   swap.losses = &layer->holders[old];
@@ -231,15 +250,15 @@
 static double
 load_after (const struct layer *layer, const struct swap *swap, uint32_t rank)
 {
-  double load = layer->load[rank];
+  double more = 0;
 
-  if (has_rank (swap->gains, rank))
-    load += swap->gain;
+  if (swap->gains && has_rank (swap->gains, rank))
+    more += swap->gain;
   if (rank == swap->rank)
-    load += swap->share - swap->dropped;
+    more += swap->share - swap->dropped;
   else if (swap->losses && has_rank (swap->losses, rank))
-    load += swap->loss;
-  return load;
+    more += swap->loss;
+  return layer->load[rank] + time_of (layer, rank, more);
 }
 
 /* The norm if @p expert came into the rank's slot in place of @p old. Only ranks that hold
@@ -253,7 +272,8 @@
 
   for (uint32_t i = 0; i < words; i++)
     {
-      uint64_t ranks = swap.gains->words[i] | (swap.losses ? swap.losses->words[i] : 0);
+      uint64_t ranks =
+          (swap.gains ? swap.gains->words[i] : 0) | (swap.losses ? swap.losses->words[i] : 0);
 
       if (rank / WORD_BITS == i)
         ranks |= UINT64_C (1) << rank % WORD_BITS;
@@ -362,11 +382,13 @@
 static void
 open_layer (struct layer *layer,
             const struct ash_layer_policy *policy,
+            const double *pace,
             struct ash_layer_map *map,
             uint32_t index)
 {
   memset (layer, 0, sizeof *layer);
   layer->policy = policy;
+  layer->pace = pace;
   layer->map = map;
   layer->index = index;
   count_layer (layer);
@@ -381,7 +403,7 @@
     {
       struct layer layer;
 
-      open_layer (&layer, policy, (struct ash_layer_map *) (uintptr_t) map, i);
+      open_layer (&layer, policy, NULL, (struct ash_layer_map *) (uintptr_t) map, i);
       sum += layer.load[most_loaded (&layer)];
     }
   return map->layer_count ? sum / map->layer_count : 1;
@@ -433,6 +455,44 @@
   return most < ASH_CHANGE_COPIES_MAX ? most : ASH_CHANGE_COPIES_MAX;
 }
 
+/* A slow rank gives up the replica whose loss shortens the layer's norm most. That needs no copy.
+ * @return whether there was one. */
+static bool
+give_up (struct change *change, struct layer *layer, uint32_t rank)
+{
+  const struct ash_layer_map *map = layer->map;
+  struct move best = { .rank = rank, .expert = ASH_NO_EXPERT };
+  double now = eighth_root (layer->power);
+
+  for (uint32_t slot = 0; slot < map->slot_count; slot++)
+    {
+      uint16_t old = map->slots[layer->index][rank][slot];
+      double gain;
+
+      if (old == ASH_NO_EXPERT || layer->replicas[old] < 2)
+        continue;
+      gain = now - norm_after (layer, rank, old, ASH_NO_EXPERT);
+      if (gain > best.gain)
+        best = (struct move){ rank, slot, ASH_NO_EXPERT, gain };
+    }
+  if (best.gain <= 0 || change->made_count == GIVEN_UP_MAX)
+    return false;
+  layer->map->slots[layer->index][rank][best.slot] = ASH_NO_EXPERT;
+  change->made[change->made_count].layer = layer->index;
+  change->made[change->made_count++].move = best;
+  count_layer (layer);
+  return true;
+}
+
+static void
+relieve_slow (struct change *change, const struct ash_change_terms *terms)
+{
+  for (uint32_t rank = 0; terms->pace && rank < change->map.rank_count; rank++)
+    for (uint32_t i = 0; terms->pace[rank] > 1 && i < change->map.layer_count; i++)
+      while (give_up (change, &change->layers[i], rank))
+        ;
+}
+
 /* Makes the moves that are worth it while no rank may have more copies than the limit. */
 static void
 make_moves (struct change *change, double least_gain)
@@ -485,8 +545,11 @@
     }
   ash_layer_map_copy (&change->map, map);
   for (uint32_t i = 0; i < map->layer_count; i++)
-    open_layer (&change->layers[i], policy, &change->map, i);
+    open_layer (&change->layers[i], policy, terms->pace, &change->map, i);
+  decision->skew_before = mean_skew (change);
+  relieve_slow (change, terms);
   skews[0] = mean_skew (change);
+  counts[0] = change->made_count;
   while (most < most_copies (map, &policy->weights))
     {
       change->rank_limit = most + 1;
@@ -499,9 +562,13 @@
     }
   decision->copies = ash_change_plan (terms, skews[0], skews + 1, most);
   decision->moves = counts[decision->copies];
-  decision->more = decision->copies && (decision->copies < most || is_limited (change));
-  decision->skew_before = skews[0];
   decision->skew_after = skews[decision->copies];
+  if (!decision->copies && decision->skew_before - skews[0] < GIVEN_UP_LEAST)
+    {
+      decision->moves = 0;
+      decision->skew_after = decision->skew_before;
+    }
+  decision->more = decision->copies && (decision->copies < most || is_limited (change));
   apply_moves (change, decision->moves, map);
   free (change);
 }
--- a/daemon/groups.c
+++ b/daemon/groups.c
@@ -85,7 +85,8 @@
 
       for (uint32_t layer = 0; layer < group->map.layer_count; layer++)
         for (uint32_t slot = 0; slot < group->map.slot_count; slot++)
-          copies += group->next.slots[layer][rank][slot] != group->map.slots[layer][rank][slot];
+          copies += group->next.slots[layer][rank][slot] != ASH_NO_EXPERT &&
+                    group->next.slots[layer][rank][slot] != group->map.slots[layer][rank][slot];
       copy_ms[rank] = (uint32_t) (copies * one_ms);
     }
 }
@@ -117,6 +118,7 @@
   const struct ash_route_service *service = ash_rank_service (groups);
   struct ash_layer_decision decision;
   struct ash_change_terms terms;
+  double pace[ASH_LAYER_RANKS_MAX];
   uint32_t copy_ms[ASH_LAYER_RANKS_MAX] = { 0 };
   struct ash_time now = ash_clock_now ();
 
@@ -128,7 +130,10 @@
     .copy_ms = ash_pass_model_copy_ms (&service->engine),
     .expert_part = ash_pass_model_expert_part (&service->engine, mean_streams (group)),
     .lasts_ms = ash_shift_times_lasts_ms (&groups->shifts, now),
+    .pace = pace,
   };
+  for (uint32_t rank = 0; rank < group->sw.rank_count; rank++)
+    pace[rank] = group->boxes[rank] && group->boxes[rank]->pace > 1 ? group->boxes[rank]->pace : 1;
   ash_layer_policy_decide (groups->policy, &terms, &group->next, &decision);
   group->undecided = decision.more;
   group->skew = decision.skew_before;
--- a/daemon/rank_group.c
+++ b/daemon/rank_group.c
@@ -150,8 +150,9 @@
   sw->result = ASH_MAP_NONE;
 }
 
-/* Callers' requests spare an endpoint that is slow, here and at the peers. */
-static void
+/* Callers' requests spare an endpoint that is slow, here and at the peers. @return whether it has
+ * turned slow, or is as usual again. */
+static bool
 note_pace (struct ash_rank_box *box, struct ash_time now, double pace)
 {
   struct ash_router *router = box->groups->router;
@@ -159,15 +160,17 @@
   double before;
 
   if (!endpoint)
-    return;
+    return false;
   before = ash_direct_pace (endpoint, now);
   ash_direct_slow (endpoint, now, pace);
   box->pace = ash_direct_pace (endpoint, now);
   if (box->pace > 1 || before > 1)
     ash_fleet_loads_changed (&router->fleet);
-  if ((box->pace > 1) != (before > 1))
-    ash_log_event (&router->log, ASH_EV_RANK_PACE, "endpoint=%s rank=%u pace=%.2f before=%.2f",
-                   endpoint->facts.id, box->rank, box->pace, before);
+  if ((box->pace > 1) == (before > 1))
+    return false;
+  ash_log_event (&router->log, ASH_EV_RANK_PACE, "endpoint=%s rank=%u pace=%.2f before=%.2f",
+                 endpoint->facts.id, box->rank, box->pace, before);
+  return true;
 }
 
 static void
@@ -180,7 +183,8 @@
 
   if (!group || report->rank >= group->sw.rank_count)
     return;
-  note_pace (box, now, report->pace);
+  if (note_pace (box, now, report->pace) && groups->policy && groups->policy->reports)
+    group->undecided = true;
   if (box->group && box->group != group)
     box->group->boxes[box->rank] = NULL;
   box->group = group;
--- a/test/unit_experts.c
+++ b/test/unit_experts.c
@@ -223,6 +223,59 @@
   many_ranks_free (&many);
 }
 
+static uint32_t
+held_slots (const struct ash_layer_map *map, uint32_t rank)
+{
+  uint32_t held = 0;
+
+  for (uint32_t layer = 0; layer < map->layer_count; layer++)
+    for (uint32_t slot = 0; slot < map->slot_count; slot++)
+      held += map->slots[layer][rank][slot] != ASH_NO_EXPERT;
+  return held;
+}
+
+/* All ranks wait for a slow one: others come to hold what it holds, it gives that up, and the time of
+ * the slowest rank falls. As usual again, it takes its part. */
+static void
+test_slow_rank (void)
+{
+  static const uint32_t slow = 5;
+  double pace[ASH_LAYER_RANKS_MAX];
+  struct ash_change_terms terms = { .expert_part = 0.5, .lasts_ms = 1e5, .pace = pace };
+  struct many_ranks many = many_ranks_new ();
+  struct ash_layer_decision decision;
+  uint32_t held;
+
+  for (uint32_t rank = 0; rank < ASH_LAYER_RANKS_MAX; rank++)
+    pace[rank] = 1;
+  for (uint32_t i = 0; i < MANY_LAYERS * MANY_EXPERTS; i++)
+    many.counts[i] = 1 + i % 7;
+  deal_sized (many.map, MANY_LAYERS, 32, 8, MANY_EXPERTS);
+  ash_layer_policy_init (many.policy, MANY_LAYERS, MANY_EXPERTS, &many_ranks_weights);
+  ash_layer_policy_report (many.policy, many.counts);
+  for (int i = 0; i < 6; i++)
+    ash_layer_policy_decide (many.policy, &terms, many.map, &decision);
+  held = held_slots (many.map, slow);
+  pace[slow] = 4;
+  ash_layer_policy_decide (many.policy, &terms, many.map, &decision);
+  expect_sound (many.map);
+  CU_ASSERT (held_slots (many.map, slow) <= held);
+  CU_ASSERT (decision.skew_before > 3);
+  CU_ASSERT (decision.skew_after < 0.75 * decision.skew_before);
+  for (int i = 0; i < 6; i++)
+    ash_layer_policy_decide (many.policy, &terms, many.map, &decision);
+  expect_sound (many.map);
+  /* Others hold by now what it held alone. */
+  CU_ASSERT (held_slots (many.map, slow) < held);
+  CU_ASSERT (decision.skew_after < 1.3);
+  pace[slow] = 1;
+  for (int i = 0; i < 6; i++)
+    ash_layer_policy_decide (many.policy, &terms, many.map, &decision);
+  expect_sound (many.map);
+  CU_ASSERT (decision.skew_after < 1.3);
+  many_ranks_free (&many);
+}
+
 /* ---- passes and changes ---- */
 
 /* The experiment tool's engine, whose ranks copy an expert of that size over a link of 60 gigabits.
@@ -605,6 +658,7 @@
   CU_add_test (suite, "expert layers: moves, shifts", test_layers);
   CU_add_test (suite, "expert layers: groups of hundreds of ranks", test_large_groups);
   CU_add_test (suite, "expert layers: skew of many ranks", test_skew_of_many_ranks);
+  CU_add_test (suite, "expert layers: a slow rank", test_slow_rank);
   CU_add_test (suite, "passes: streams that an engine bears", test_pass_streams);
   CU_add_test (suite, "maps: whether and how a change pays", test_change_plan);
   CU_add_test (suite, "maps: how long demand lasts", test_shift_times);
