--- a/test/unit_experts.c
+++ b/test/unit_experts.c
@@ -234,8 +234,8 @@
   return held;
 }
 
-/* All ranks wait for a slow one: others come to hold what it holds, it gives that up, and the time of
- * the slowest rank falls. As usual again, it takes its part. */
+/* All ranks wait for a slow one: others come to hold what it holds, it gives that up, and the time
+ * of the slowest rank falls. As usual again, it takes its part. */
 static void
 test_slow_rank (void)
 {
