--- a/controllers/direct.c
+++ b/controllers/direct.c
@@ -35,8 +35,7 @@
 #define PACE_SLOW 1.2
 
 /* An endpoint in another hall is taken only if it has more than so many requests less: bytes
- * between halls have a price. 3 requests cost worth on a group of 12 ranks, which become uneven; 0
- * to 2 are alike there, and with 72 ranks worth a day is 0.74 with 2, 0.73 with 1, 0.71 with 0. */
+ * between halls have a price. With a wider margin ranks of a group become uneven. */
 #define HALL_WORK 2.0
 
 /* Any odd number with bits all over, and a shift to its upper ones. */
@@ -44,8 +43,8 @@
 #define MIX_SHIFT 33
 
 /* Part of an endpoint's places that a router of another hall leaves, where there are so many that
- * loads are told to other halls less often. With 149 routers that all took the last places of ranks
- * whose load they knew 300 ms late, 192 ranks had 1,650 streams at a cap of 1,152. */
+ * loads are told to other halls less often. If all took the last places of ranks whose load they
+ * know late, ranks would have far more streams than their cap. */
 #define FAR_LEFT_PART 0.5
 
 /* The cap is for passes that take this part of the longest good pause: passes vary, and one
--- a/controllers/layer_policy.c
+++ b/controllers/layer_policy.c
@@ -431,8 +431,7 @@
 }
 
 /* What a move must gain at least. Where many ranks share the top, the norm of all hardly falls with
- * one of them: with the same bound for 96 ranks as for 8, maps kept a skew of 1.6 after a shift,
- * and 1.3 with this; worth a day 0.68 instead of 0.51, one day of 470 streams a second. */
+ * one of them: by the bound for few ranks no move would pay after a shift. */
 static double
 least_gain_of (const struct change *change, const struct ash_layer_weights *weights)
 {
@@ -443,8 +442,7 @@
 }
 
 /* Copies of a rank at most. A rank of a large group has a small part of the experts, and each hot
- * one is to stand at many ranks. With 8 instead of 2 in groups of 8 ranks nothing is gained (0.63
- * and 0.66 a day, 16 days each). */
+ * one is to stand at many ranks. In groups of few ranks more copies gain nothing. */
 static uint32_t
 most_copies (const struct ash_layer_map *map, const struct ash_layer_weights *weights)
 {
--- a/daemon/exchange_watch.c
+++ b/daemon/exchange_watch.c
@@ -89,9 +89,8 @@
   return ash_time_add (exchange->heard, ash_time_diff (exchange->heard, now) / 2);
 }
 
-/* Nothing came for long: the endpoint's other kept connections may be as silent. Of 8 requests that
- * may not be repeated, two at a time before 4 silent connections to each of 2 endpoints, 2 fail
- * instead of 6; of those that may be, none instead of 4. */
+/* Nothing came for long: the endpoint's other kept connections may be as silent, and a request that
+ * may not be repeated would fail on each of them. */
 void
 ash_exchange_doubt_connections (struct ash_exchange *exchange, struct ash_time now)
 {
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -170,8 +170,8 @@
 
 /* Whether a heartbeat to that peer names the others, so that all find each other. One that has just
  * come learns of all from the seeds; besides about one peer a period is told, for pairs that missed
- * each other. All that were told of all, each time a link changed, made two thirds of what 149
- * routers sent between halls. */
+ * each other. If all were told of all each time a link changes, that would be most of what a large
+ * fleet sends between halls. */
 static bool
 names_others (struct ash_fleet *fleet, struct ash_fleet_peer *peer)
 {
--- a/daemon/groups.c
+++ b/daemon/groups.c
@@ -24,8 +24,7 @@
 
 /* From a decision to the next look because of long passes: two passes or three, so that the next
  * one has shown something. A look costs a router and two ranks two questions; a second without one
- * costs most of a second at a skew of about 3. Against 14.4 s over the number of ranks, 1.2 s for
- * 12, on a group of 12: worth a day 0.42 instead of 0.40 (trials, 15 days each). */
+ * costs most of a second at a skew of about 3. */
 #define LOOK_AGAIN_MS 300
 
 /* Within so many passes of an epoch all counts are of what is asked for now. */
--- a/daemon/store.c
+++ b/daemon/store.c
@@ -20,8 +20,7 @@
 
 /* A connection to the store that is silent for so long is given up, a keep-alive probe
  * included: a second before the platform takes for granted that a box is in touch again. It
- * notices a cut without any call that the store would count: after 2.0 s instead of 21.5 s,
- * measured with questions that wait for 20 s and peers that tell nothing. */
+ * notices a cut without any call that the store would count, long before a question that waits. */
 #define SILENCE_MS 2000
 
 /* A question asked less long ago may still be on its way. */
@@ -45,8 +44,8 @@
 #define RETRY_FACTOR 2
 
 /* The same for a router that others of its hall come before: these see first that the store is
- * back, and tell. 149 routers made 6,000 calls, a price of 0.05 a day, to a store that was down for
- * 8 s. */
+ * back, and tell. If all of a large fleet tried on, a store that is away would get thousands of
+ * calls. */
 #define RETRY_OTHERS_MS 2500
 #define RETRY_OTHERS_FACTOR 7
 
@@ -58,8 +57,7 @@
 
 /* From a whole listing to the first question for changes: by then a router that starts with many
  * others sees those of its hall that ask, and most need not ask at all. A router that has no link
- * by the first of the two times does not wait for others. 149 routers that started at once and did
- * not wait made 2,300 calls. */
+ * by the first of the two times does not wait for others. */
 #define ALONE_MS 150
 #define FIRST_WATCH_MS 1000
 
--- a/filters/forward.c
+++ b/filters/forward.c
@@ -7,9 +7,7 @@
 
 /* For want of room: after an eighth to a third of the time that the caller has left, 1 to 2.7 s
  * of 8; callers wait no longer than a third, and bursts last seconds. The answer is late either
- * way. Against 0.3 to 1 s, on ten days a site with slow endpoints, bursts and rolling stops: 27.0
- * and 27.7 in 100 of the requests end refused instead of 29.6 and 30.1. Of long deadlines at most 3
- * s. */
+ * way, and of those that return sooner more are refused again. Of long deadlines at most 3 s. */
 #define RETURN_LEAST_PART 8
 #define RETURN_MOST_PART 3
 #define RETURN_MOST_MS 3000
