--- a/controllers/change_plan.h
+++ b/controllers/change_plan.h
@@ -19,8 +19,8 @@
   double copy_ms;     /**< a rank copies one expert */
   double expert_part; /**< of a pass of even ranks: what grows with skew */
   double lasts_ms;    /**< the present demand goes on so long */
-  const double
-      *pace; /**< of each rank: it takes so many times as long as usual; NULL: none is slow */
+  /** Of each rank: it takes so many times as long as usual; NULL: none is slow. */
+  const double *pace;
 };
 
 /**
--- a/controllers/prompt_gate.c
+++ b/controllers/prompt_gate.c
@@ -23,14 +23,14 @@
 /* Of the aim: what is left is enough for a first event once passes are as usual. */
 #define KEPT_PART 0.4
 
-/* Of the time for which a prompt may be kept: what the copy of one expert takes at most. A change
- * has several, after a look at the counts. */
-#define COPY_PART 0.25
-
 /* The same for a stream that broke before: when many routers or links were lost, all that were
  * under way come back at once, and those that come new would be late with them. */
 #define KEPT_RESUMED_PART 1.5
 
+/* Of the time for which a prompt may be kept: what the copy of one expert takes at most. A change
+ * has several, after a look at the counts. */
+#define COPY_PART 0.25
+
 /* Of the good pause: what the reading of prompts may take of each pass. */
 #define READING_PART 0.1
 
