--- a/daemon/groups.c
+++ b/daemon/groups.c
@@ -36,6 +36,10 @@
 /* Several words within the time after which others take it that this router is stuck. */
 #define CHANGES_TOLD_MS 60
 
+/* Part of a pass that experts take, from which a slow rank is worth a change: it costs orders to
+ * all ranks, and a group with few streams is slow by the rank's own part. */
+#define SLOW_PART_LEAST 0.1
+
 /* How often a rank that is slow is asked whether it still is. */
 #define REPORT_SLOW_MS 400
 
@@ -129,8 +133,10 @@
     .copy_ms = ash_pass_model_copy_ms (&service->engine),
     .expert_part = ash_pass_model_expert_part (&service->engine, mean_streams (group)),
     .lasts_ms = ash_shift_times_lasts_ms (&groups->shifts, now),
-    .pace = pace,
   };
+  /* What slow ranks hold matters only where experts do. */
+  if (terms.expert_part >= SLOW_PART_LEAST)
+    terms.pace = pace;
   for (uint32_t rank = 0; rank < group->sw.rank_count; rank++)
     pace[rank] = group->boxes[rank] && group->boxes[rank]->pace > 1 ? group->boxes[rank]->pace : 1;
   ash_layer_policy_decide (groups->policy, &terms, &group->next, &decision);
