--- a/daemon/fleet_roles.c
+++ b/daemon/fleet_roles.c
@@ -140,7 +140,7 @@
   return before;
 }
 
-/* The peer that would lead after that one, or first of all peers after NULL; NULL: there is none. */
+/* The peer that would lead after that one, or first of all after NULL; NULL: there is none. */
 static const struct ash_fleet_peer *
 next_in_order (const struct ash_fleet *fleet, const struct ash_fleet_peer *after)
 {
