--- a/test/unit_experts.c
+++ b/test/unit_experts.c
@@ -652,6 +652,40 @@
   CU_ASSERT (ash_map_switch_wants_fence (&sw));
 }
 
+/* Two routers died, each with a hold: the group stands at the lower step, whichever is told last,
+ * and that one is finished without a new wait each time. */
+static void
+test_two_holds (void)
+{
+  struct ash_time now = { 65000000 };
+  struct ash_map_switch sw;
+
+  ash_map_switch_init (&sw, 4, 200, 0);
+  for (int i = 0; i < 20; i++)
+    {
+      for (uint32_t rank = 0; rank < 4; rank++)
+        {
+          struct ash_rank_report report = {
+            .group = "g",
+            .epoch = 1,
+            .rank = rank,
+            .rank_count = 4,
+            .step = 100,
+            .prepared = 7,
+            .held = rank == 1   ? 101
+                    : rank == 2 ? 103
+                                : 0,
+          };
+
+          ash_map_switch_report (&sw, now, &report);
+        }
+      now = ash_time_add (now, 50);
+    }
+  answer_all (&sw, now, ASH_RANK_HOLD, 4, 0);
+  CU_ASSERT_EQUAL (sw.step, 101);
+  CU_ASSERT (sw.finishing);
+}
+
 void
 add_expert_tests (CU_pSuite suite)
 {
@@ -668,4 +702,5 @@
   CU_add_test (suite, "expert layers: a refused hold", test_refused_hold);
   CU_add_test (suite, "expert layers: a report is no answer", test_report_is_no_answer);
   CU_add_test (suite, "expert layers: finishing what is prepared unevenly", test_finish_uneven);
+  CU_add_test (suite, "expert layers: two holds", test_two_holds);
 }
