--- a/daemon/fleet.h
+++ b/daemon/fleet.h
@@ -101,7 +101,7 @@
 bool ash_fleet_leads (const struct ash_fleet *fleet);
 
 /** A change of a map begins, goes on or is over: those that would lead next are told at once. */
-void ash_fleet_tell_seconds (struct ash_fleet *fleet);
+void ash_fleet_tell_successors (struct ash_fleet *fleet);
 
 /**
  * Whether this router is one of the few that ask the store often, spread over the halls of
--- a/daemon/fleet_roles.c
+++ b/daemon/fleet_roles.c
@@ -14,7 +14,7 @@
 #define HALL_READERS 3
 
 /* Routers that stand ready to go on with a change: one of them may be lost or stopped too. */
-#define SECONDS 2
+#define SUCCESSORS 2
 
 /* Several times what lies between two words of a router that changes a map, and longer than a small
  * box is busy with one thing. */
@@ -149,17 +149,17 @@
 
   for (const struct ash_fleet_peer *peer = fleet->peers; peer; peer = peer->hh.next)
     if (may_lead (peer, now) && (!after || ash_askers_before (asker_of (after), asker_of (peer))) &&
-        peer != after && (!best || ash_askers_before (asker_of (peer), asker_of (best))))
+        (!best || ash_askers_before (asker_of (peer), asker_of (best))))
       best = peer;
   return best;
 }
 
 void
-ash_fleet_tell_seconds (struct ash_fleet *fleet)
+ash_fleet_tell_successors (struct ash_fleet *fleet)
 {
   const struct ash_fleet_peer *peer = next_in_order (fleet, NULL);
 
-  for (int i = 0; i < SECONDS && peer; i++)
+  for (int i = 0; i < SUCCESSORS && peer; i++)
     {
       ash_peers_beat_one (&fleet->links, peer->box);
       peer = next_in_order (fleet, peer);
