--- a/test/unit_experts.c
+++ b/test/unit_experts.c
@@ -617,16 +617,14 @@
   CU_ASSERT_EQUAL (sw.step, 104);
 }
 
-/* A router died between hold and go, ranks with its version prepared unevenly; the one that
- * finishes holds the step too, beside a hold of its own former life, and takes back before it lets
- * go. */
-static void
-test_finish_uneven (void)
+/* Four ranks that stand before a step tell for a second what they have prepared and hold. @return
+ * the time after it. */
+static struct ash_time
+report_held (struct ash_map_switch *sw,
+             struct ash_time now,
+             const uint64_t prepared[4],
+             const uint64_t held[4])
 {
-  struct ash_time now = { 65000000 };
-  struct ash_map_switch sw;
-
-  ash_map_switch_init (&sw, 4, 200, 0);
   for (int i = 0; i < 20; i++)
     {
       for (uint32_t rank = 0; rank < 4; rank++)
@@ -637,14 +635,30 @@
             .rank = rank,
             .rank_count = 4,
             .step = 100,
-            .prepared = rank ? 7 : 0,
-            .held = rank ? 0 : 101,
+            .prepared = prepared[rank],
+            .held = held[rank],
           };
 
-          ash_map_switch_report (&sw, now, &report);
+          ash_map_switch_report (sw, now, &report);
         }
       now = ash_time_add (now, 50);
     }
+  return now;
+}
+
+/* A router died between hold and go, ranks with its version prepared unevenly; the one that
+ * finishes holds the step too, beside a hold of its own former life, and takes back before it lets
+ * go. */
+static void
+test_finish_uneven (void)
+{
+  static const uint64_t prepared[] = { 0, 7, 7, 7 };
+  static const uint64_t held[] = { 101, 0, 0, 0 };
+  struct ash_time now = { 65000000 };
+  struct ash_map_switch sw;
+
+  ash_map_switch_init (&sw, 4, 200, 0);
+  now = report_held (&sw, now, prepared, held);
   answer_all (&sw, now, ASH_RANK_HOLD, 4, 0);
   CU_ASSERT_EQUAL (sw.holder, 2);
   CU_ASSERT_EQUAL (sw.step, 101);
@@ -657,30 +671,13 @@
 static void
 test_two_holds (void)
 {
+  static const uint64_t prepared[] = { 7, 7, 7, 7 };
+  static const uint64_t held[] = { 0, 101, 103, 0 };
   struct ash_time now = { 65000000 };
   struct ash_map_switch sw;
 
   ash_map_switch_init (&sw, 4, 200, 0);
-  for (int i = 0; i < 20; i++)
-    {
-      for (uint32_t rank = 0; rank < 4; rank++)
-        {
-          struct ash_rank_report report = {
-            .group = "g",
-            .epoch = 1,
-            .rank = rank,
-            .rank_count = 4,
-            .step = 100,
-            .prepared = 7,
-            .held = rank == 1   ? 101
-                    : rank == 2 ? 103
-                                : 0,
-          };
-
-          ash_map_switch_report (&sw, now, &report);
-        }
-      now = ash_time_add (now, 50);
-    }
+  now = report_held (&sw, now, prepared, held);
   answer_all (&sw, now, ASH_RANK_HOLD, 4, 0);
   CU_ASSERT_EQUAL (sw.step, 101);
   CU_ASSERT (sw.finishing);
