--- a/controllers/direct.h
+++ b/controllers/direct.h
@@ -9,6 +9,8 @@
 
 #include "common/clock.h"
 #include "common/random.h"
+#include "controllers/endpoint_terms.h"
+#include "controllers/rate_limit.h"
 
 #include <uthash.h>
 
@@ -57,6 +59,7 @@
   struct ash_time pause_seen; /**< when a pause was last seen */
   double pace;                /**< it takes so many times as long as usual; see pace_seen */
   struct ash_time pace_seen;  /**< when it last told so; a while later it counts as usual */
+  struct ash_rate_limit limit;
   void *owner;                /**< of the task that has connections to it */
   UT_hash_handle hh;          /**< by id */
   UT_hash_handle by_hash;
--- /dev/null
+++ b/controllers/endpoint_terms.h
@@ -0,0 +1,18 @@
+/**
+ * @file
+ * What an endpoint says in an answer about how it wants to be used from then on.
+ */
+#ifndef ASH_ENDPOINT_TERMS_H
+#define ASH_ENDPOINT_TERMS_H
+
+#include <stdint.h>
+
+/** Of one answer. */
+struct ash_endpoint_terms
+{
+  /** Requests a second that it takes from all routers together, in thousandths; 0: it names none.
+   */
+  uint32_t limit_milli;
+};
+
+#endif
--- a/daemon/exchange_answer.c
+++ b/daemon/exchange_answer.c
@@ -46,6 +46,7 @@
       strcmp (facts.attempt_id, exchange->facts.attempt_id) != 0)
     return false;
   exchange->heard = ash_clock_now ();
+  ash_exchange_heard_terms (exchange, &facts.terms);
   answer->status = head->status;
   answer->not_run = facts.not_run;
   answer->length = head->length == UINT64_MAX ? 0 : head->length;
--- a/filters/request_facts.h
+++ b/filters/request_facts.h
@@ -6,6 +6,8 @@
 #ifndef ASH_REQUEST_FACTS_H
 #define ASH_REQUEST_FACTS_H
 
+#include "controllers/endpoint_terms.h"
+
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -28,6 +30,7 @@
   bool is_signed;         /**< the endpoint's signature is there */
   bool not_run;           /**< the endpoint vouches that it did not run the request */
   bool encoded;           /**< the body is not as the endpoint made it */
+  struct ash_endpoint_terms terms;
 };
 
 /** What is told to an endpoint along with a request. */
