--- a/test/router.c
+++ b/test/router.c
@@ -690,9 +690,8 @@
 };
 
 static const struct fault_test *const tables[] = {
-  path_tests,       router_stop_tests, router_store_tests,
-  router_end_tests, router_era_tests,  router_woke_tests,
-  router_map_tests, process_tests,     NULL,
+  path_tests,        router_stop_tests,  router_store_tests, router_end_tests, router_era_tests,
+  router_woke_tests, router_terms_tests, router_map_tests,   process_tests,    NULL,
 };
 
 int
--- /dev/null
+++ b/test/router_terms.c
@@ -0,0 +1,98 @@
+/**
+ * @file
+ * What endpoints say in their answers about how they want to be used.
+ */
+#include "test/router_tests.h"
+
+#include <CUnit/CUnit.h>
+#include <stdio.h>
+#include <string.h>
+
+#define ROUTERS 3
+
+/* Of the stand-in's action "limit". */
+#define LIMIT_PER_S 1.0
+
+/* What is borne beyond a rate: half of it more, and five requests. */
+#define LIMIT_FACTOR 1.5
+#define LIMIT_SLACK 5
+
+#define MS_PER_S 1000.0
+#define WINDOW_MS 4000
+#define CALL_PAUSE_MS 15
+
+static void
+start_routers (void)
+{
+  start ();
+  for (int r = 1; r < ROUTERS; r++)
+    {
+      world_start_router (&world, r);
+      CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, r, true));
+    }
+}
+
+static int
+arrived (int s)
+{
+  return count_of (server_log (s), " POST ");
+}
+
+/* A call at each router in turn. @return how many were answered as the endpoint did. */
+static int
+call_all (const char *action, int rounds)
+{
+  int served = 0;
+
+  for (int i = 0; i < rounds * ROUTERS; i++)
+    {
+      world_call_at (&world, i % ROUTERS, "c", "/safe/x", action, "", &answer);
+      served += answer.status == 200;
+    }
+  return served;
+}
+
+/* Until each router knows, by its own calls or from a peer. */
+static void
+wait_known (int s, const char *what)
+{
+  char text[96];
+
+  snprintf (text, sizeof text, "endpoint=%s %s", world.servers[s].id, what);
+  for (int r = 0; r < ROUTERS; r++)
+    CU_ASSERT_TRUE_FATAL (world_wait_logged (&world, r, text));
+}
+
+static void
+test_limit_kept (void)
+{
+  int64_t began_ms;
+  int64_t ended_ms;
+  int before;
+  int calls = 0;
+  int served = 0;
+
+  start_routers ();
+  call_all ("A=limit", 6);
+  wait_known (0, "limit_milli=1000");
+  before = arrived (0);
+  began_ms = fleet_now ();
+  do
+    {
+      served += call_all ("A=limit", 1);
+      calls += ROUTERS;
+      fleet_sleep (ROUTERS * CALL_PAUSE_MS);
+      ended_ms = fleet_now ();
+    }
+  while (ended_ms < began_ms + WINDOW_MS);
+  CU_ASSERT ((arrived (0) - before) <=
+             LIMIT_FACTOR * LIMIT_PER_S * (double) (ended_ms - began_ms) / MS_PER_S + LIMIT_SLACK);
+  /* The other endpoint has room for all. */
+  CU_ASSERT_EQUAL (served, calls);
+  world_stop (&world);
+}
+
+const struct fault_test router_terms_tests[] = {
+  { "a rate that an endpoint names is kept by all routers together", test_limit_kept },
+  { NULL, NULL },
+};
--- a/test/router_tests.h
+++ b/test/router_tests.h
@@ -29,6 +29,9 @@
 /** Requests under which endpoints end. */
 extern const struct fault_test router_end_tests[];
 
+/** What endpoints say of how they want to be used. */
+extern const struct fault_test router_terms_tests[];
+
 /** A store that comes back from an older copy. */
 extern const struct fault_test router_era_tests[];
 
