router: a rate that an endpoint names is kept by all routers together

Cause: its word was read by nobody: requests went by work alone.

Change: controllers/rate_limit. The word is told to all peers; a few routers each hold a part of the rate, chosen by all in the same way among those that are there (endpoint's own hall first), each with its own small burst; the others send that endpoint nothing. So no fleet size and no number of routers that learn at once exceeds it, and nobody is asked before a request goes. A router without a link counts as there for 5 s: links that break together must not give each the whole rate. When all endpoints of a service are at their rate, callers are refused at once and told to come back when one takes requests again. A word is newest by its age, not by its way; the answer to a request that was sent before a rate was named does not take it back.

Unit: fleets of 1 to 300 routers at rates of 0.001 to 100 a second, a third of them away for a while, each blind to one other: never above what is borne in any 4 s, and 0.8 of the rate is used. Two routers that don't see each other at all send twice the rate: not bounded, said so in the test.

--- a/bench/router_world.c
+++ b/bench/router_world.c
@@ -339,7 +339,7 @@
   note_overtaken (world, call);
   call->held_ms += (double) (world->now_ms + 1 - call->forward.came.ms);
   ash_forward_sent (&call->forward, endpoint);
-  endpoint->in_flight++;
+  ash_direct_sent (endpoint, time_of (world));
   router->changed = true;
   call->state = CALL_SENT;
   call->endpoint = at;
--- a/controllers/direct.c
+++ b/controllers/direct.c
@@ -139,6 +139,7 @@
   endpoint->passed_until = (struct ash_time){ 0 };
   endpoint->pause_ms = 0;
   endpoint->pace = 0;
+  endpoint->limit = (struct ash_rate_limit){ 0 };
 }
 
 bool
@@ -231,6 +232,13 @@
   pass_over (endpoint, now, ms);
 }
 
+void
+ash_direct_sent (struct ash_direct_endpoint *endpoint, struct ash_time now)
+{
+  endpoint->in_flight++;
+  ash_rate_limit_spend (&endpoint->limit, now);
+}
+
 void
 ash_direct_saw (struct ash_direct_endpoint *endpoint,
                 struct ash_time now,
@@ -392,6 +400,13 @@
   return load < cap_now (endpoint, wish, now);
 }
 
+/* In how many ms the endpoint takes a request by its own word; below 0: not from this router. */
+static int64_t
+opens_ms (const struct ash_direct_endpoint *endpoint, struct ash_time now)
+{
+  return ash_rate_limit_opens_ms (&endpoint->limit, now);
+}
+
 static struct rank
 rank_of (const struct ash_direct_endpoint *endpoint,
          const struct ash_direct_wish *wish,
@@ -430,7 +445,7 @@
       if (!is_open (endpoint, wish) || (is_far (endpoint, wish) && !is_in_part (endpoint, wish)))
         continue;
       any = true;
-      if (!has_room (endpoint, wish, now))
+      if (!has_room (endpoint, wish, now) || opens_ms (endpoint, now))
         continue;
       rank = rank_of (endpoint, wish, now);
       order = *chosen ? compare (rank, best) : -1;
@@ -460,3 +475,22 @@
   all.far_parts = 1;
   return search (set, now, &all, chosen);
 }
+
+int64_t
+ash_direct_opens_ms (const struct ash_direct_set *set,
+                     struct ash_time now,
+                     const struct ash_direct_wish *wish)
+{
+  int64_t least_ms = -1;
+
+  for (const struct ash_direct_endpoint *endpoint = set->endpoints; endpoint;
+       endpoint = endpoint->hh.next)
+    if (is_open (endpoint, wish) && has_room (endpoint, wish, now))
+      {
+        int64_t ms = opens_ms (endpoint, now);
+
+        if (ms >= 0 && (least_ms < 0 || ms < least_ms))
+          least_ms = ms;
+      }
+  return least_ms;
+}
--- a/controllers/direct.h
+++ b/controllers/direct.h
@@ -60,8 +60,8 @@
   double pace;                /**< it takes so many times as long as usual; see pace_seen */
   struct ash_time pace_seen;  /**< when it last told so; a while later it counts as usual */
   struct ash_rate_limit limit;
-  void *owner;                /**< of the task that has connections to it */
-  UT_hash_handle hh;          /**< by id */
+  void *owner;       /**< of the task that has connections to it */
+  UT_hash_handle hh; /**< by id */
   UT_hash_handle by_hash;
 };
 
@@ -112,6 +112,9 @@
 /** Time goes on: lapsed ones go, and those that are gone and idle are freed. */
 void ash_direct_tick (struct ash_direct_set *set, struct ash_time now);
 
+/** A request leaves for the endpoint. */
+void ash_direct_sent (struct ash_direct_endpoint *endpoint, struct ash_time now);
+
 /** Takes in how a request ended there. */
 void ash_direct_saw (struct ash_direct_endpoint *endpoint,
                      struct ash_time now,
@@ -163,4 +166,10 @@
                                           const struct ash_direct_wish *wish,
                                           struct ash_direct_endpoint **chosen);
 
+/** @return in how many ms one that has room takes a request again, by what it said of how it wants
+ * to be used; below 0: there is none such. */
+int64_t ash_direct_opens_ms (const struct ash_direct_set *set,
+                             struct ash_time now,
+                             const struct ash_direct_wish *wish);
+
 #endif
--- a/controllers/rate_limit.c
+++ b/controllers/rate_limit.c
@@ -1,10 +1,28 @@
 #include "controllers/rate_limit.h"
 
+#include "common/random.h"
+
 /* A rate that differs by less than this part of it is no news. */
 #define SAME_PART 10
 
+/* An endpoint that names less gets so much all the same: else nobody would hear for long that it
+ * names none any more. */
+#define LEAST_PER_S 0.25
+
+/* Routers that hold a part: few at a small rate, since each may send one request at once. For a
+ * while some may see more routers than others, and both hold what is one part. */
+#define HOLDERS_LEAST 2.0
+#define HOLDERS_PER_S 1.5
+
+/* Requests that may go at once, over all that hold a part, beside the rate itself. */
+#define BURST_LEAST 3.0
+#define BURST_PER_S 1.0
+
+#define MS_PER_S 1000.0
+#define MILLI 1000.0
+
 static bool
-is_new (uint32_t before, uint32_t after)
+is_news (uint32_t before, uint32_t after)
 {
   uint32_t apart = before > after ? before - after : after - before;
 
@@ -26,5 +44,82 @@
     return false;
   limit->milli_per_s = milli_per_s;
   limit->heard = said;
-  return is_new (before, milli_per_s);
+  if (before != milli_per_s)
+    limit->members = 0;
+  if (!before)
+    ash_rate_limit_waive (limit);
+  return is_news (before, milli_per_s);
+}
+
+uint64_t
+ash_rate_limit_order (uint64_t endpoint, uint64_t router)
+{
+  struct ash_random random;
+
+  ash_random_init (&random, endpoint ^ router);
+  return ash_random_next (&random);
+}
+
+/* What is saved by now. */
+static double
+saved (const struct ash_rate_limit *limit, struct ash_time now)
+{
+  double more = limit->part_per_s * (double) ash_time_diff (limit->filled, now) / MS_PER_S;
+  double sum = limit->saved + (more > 0 ? more : 0);
+
+  return sum < limit->burst ? sum : limit->burst;
+}
+
+void
+ash_rate_limit_deal (struct ash_rate_limit *limit,
+                     struct ash_time now,
+                     uint64_t members,
+                     uint32_t count,
+                     uint32_t before)
+{
+  double per_s = limit->milli_per_s / MILLI;
+  double holders = HOLDERS_LEAST + HOLDERS_PER_S * per_s;
+
+  holders = holders < count ? (uint32_t) holders : count;
+  if (before >= holders)
+    {
+      ash_rate_limit_waive (limit);
+      limit->members = members;
+      return;
+    }
+  limit->saved = saved (limit, now);
+  limit->filled = now;
+  limit->members = members;
+  limit->part_per_s = (per_s < LEAST_PER_S ? LEAST_PER_S : per_s) / holders;
+  limit->burst = (BURST_LEAST + BURST_PER_S * per_s) / holders;
+  if (limit->burst < 1)
+    limit->burst = 1;
+}
+
+void
+ash_rate_limit_waive (struct ash_rate_limit *limit)
+{
+  limit->members = 0;
+  limit->part_per_s = 0;
+  limit->burst = 0;
+  limit->saved = 0;
+}
+
+int64_t
+ash_rate_limit_opens_ms (const struct ash_rate_limit *limit, struct ash_time now)
+{
+  double lacks = 1 - saved (limit, now);
+
+  if (!limit->milli_per_s || lacks <= 0)
+    return 0;
+  return limit->part_per_s > 0 ? (int64_t) (lacks / limit->part_per_s * MS_PER_S) + 1 : -1;
+}
+
+void
+ash_rate_limit_spend (struct ash_rate_limit *limit, struct ash_time now)
+{
+  if (!limit->milli_per_s)
+    return;
+  limit->saved = saved (limit, now) - 1;
+  limit->filled = now;
 }
--- a/controllers/rate_limit.h
+++ b/controllers/rate_limit.h
@@ -1,6 +1,9 @@
 /**
  * @file
- * A rate that an endpoint names: the requests a second that it takes from all routers together.
+ * A rate that an endpoint names: the requests a second that it takes from all routers together. A
+ * few routers hold a part of it each, chosen by all in the same way from those that they see; the
+ * others send the endpoint nothing. So a fleet of any size keeps to the rate without asking
+ * anybody, and parts are large enough to be of use.
  */
 #ifndef ASH_RATE_LIMIT_H
 #define ASH_RATE_LIMIT_H
@@ -10,11 +13,17 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** An endpoint's rate. Zeroed memory is a valid start: none is named. */
+/** An endpoint's rate and this router's part of it. Zeroed memory is a valid start: none is named.
+ */
 struct ash_rate_limit
 {
   uint32_t milli_per_s;  /**< in thousandths; 0: none */
   struct ash_time heard; /**< when the endpoint last named one, or no longer did */
+  uint64_t members; /**< a digest of the routers among which the part was dealt; 0: it was not */
+  double part_per_s;
+  double burst;           /**< requests of the part that may go at once */
+  double saved;           /**< of these, as of the next */
+  struct ash_time filled; /**< when it was worked out */
 };
 
 /**
@@ -31,4 +40,29 @@
                            struct ash_time said,
                            struct ash_time asked);
 
+/** @return where a router stands among those that may hold a part of an endpoint's rate: the lowest
+ * are the first to hold one. Both are named by hashes. */
+uint64_t ash_rate_limit_order (uint64_t endpoint, uint64_t router);
+
+/**
+ * Deals the rate out anew.
+ * @param members digest of the routers that are dealt to, any number but 0.
+ * @param count how many they are.
+ * @param before how many of them come before this one.
+ */
+void ash_rate_limit_deal (struct ash_rate_limit *limit,
+                          struct ash_time now,
+                          uint64_t members,
+                          uint32_t count,
+                          uint32_t before);
+
+/** This router gets no part any more. */
+void ash_rate_limit_waive (struct ash_rate_limit *limit);
+
+/** @return in how many ms the endpoint may get a request; 0: now; below 0: it may not. */
+int64_t ash_rate_limit_opens_ms (const struct ash_rate_limit *limit, struct ash_time now);
+
+/** A request leaves for the endpoint. */
+void ash_rate_limit_spend (struct ash_rate_limit *limit, struct ash_time now);
+
 #endif
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -102,7 +102,7 @@
       ash_exchange_step (exchange);
       return;
     }
-  endpoint->in_flight++;
+  ash_direct_sent (endpoint, exchange->sent);
   exchange->endpoint = endpoint;
   ash_fleet_loads_changed (&router->fleet);
   set_timer (exchange, ASH_TIME_NEVER);
@@ -157,7 +157,8 @@
 
   if (answer->not_run)
     {
-      ash_exchange_saw (exchange, answer->status == 421 ? ASH_DIRECT_MISSING : ASH_DIRECT_FULL);
+      ash_exchange_saw (exchange, answer->status == ASH_STATUS_OTHER_SERVER ? ASH_DIRECT_MISSING
+                                                                            : ASH_DIRECT_FULL);
       ash_exchange_release (exchange);
       ash_forward_not_run (&exchange->forward, true);
       ash_exchange_step (exchange);
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -17,6 +17,7 @@
 
 #define ASH_STATUS_OK 200
 #define ASH_STATUS_MULTIPLE 300
+#define ASH_STATUS_OTHER_SERVER 421 /* another one has that address by now */
 #define ASH_STATUS_SERVER_ERROR 500
 
 /** What the present answer of an endpoint has shown so far. */
@@ -80,10 +81,6 @@
 /** Takes evidence on the endpoint, and logs if that is passed over from now on. */
 void ash_exchange_saw (struct ash_exchange *exchange, enum ash_direct_evidence evidence);
 
-/** Takes in what the endpoint says in its answer about how it wants to be used. */
-void ash_exchange_heard_terms (const struct ash_exchange *exchange,
-                               const struct ash_endpoint_terms *terms);
-
 /**
  * @param until when the exchange is to be looked at again at the latest.
  * @return when it is to be looked at if nothing comes: the deadline, the end of a silence that may
--- a/daemon/exchange_watch.c
+++ b/daemon/exchange_watch.c
@@ -38,20 +38,6 @@
                    endpoint->failures, (long long) ash_time_diff (now, endpoint->passed_until));
 }
 
-void
-ash_exchange_heard_terms (const struct ash_exchange *exchange,
-                          const struct ash_endpoint_terms *terms)
-{
-  struct ash_direct_endpoint *endpoint = exchange->endpoint;
-  uint32_t before_milli = endpoint->limit.milli_per_s;
-
-  if (!ash_rate_limit_heard (&endpoint->limit, terms->limit_milli, exchange->heard, exchange->sent))
-    return;
-  ash_log_event (&exchange->router->log, ASH_EV_ENDPOINT_LIMITED,
-                 "id=%s endpoint=%s limit_milli=%u before_milli=%u source=own",
-                 ash_exchange_id (exchange), endpoint->facts.id, terms->limit_milli, before_milli);
-}
-
 static struct ash_time
 earlier (struct ash_time a, struct ash_time b)
 {
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -4,6 +4,7 @@
 #include "controllers/talk.h"
 #include "daemon/fleet_loads.h"
 #include "daemon/fleet_roles.h"
+#include "daemon/fleet_terms.h"
 #include "daemon/router.h"
 
 #include <stdlib.h>
@@ -39,6 +40,7 @@
   if (!peer)
     return NULL;
   snprintf (peer->box, sizeof peer->box, "%s", box);
+  peer->hash = ash_hash_text (box);
   peer->seen = ash_clock_now ();
   HASH_ADD_STR (fleet->peers, box, peer);
   return peer;
@@ -85,6 +87,7 @@
   peer->untold = true;
   peer->endpoints_revision = 0;
   ash_suspects_tell_peer (&fleet->router->suspects, peer->box);
+  ash_fleet_tell_terms (fleet, peer);
 }
 
 static void
@@ -144,6 +147,9 @@
     case ASH__EVENT__KIND_SUSPECT_RUNS:
       ash_suspects_told (&router->suspects, peer->box, event->suspect_runs);
       break;
+    case ASH__EVENT__KIND_ENDPOINT_TERMS:
+      ash_fleet_take_terms (fleet, peer, event->endpoint_terms);
+      break;
     default:
       break; /* messages of the roles with agents */
     }
@@ -369,6 +375,7 @@
           free (peer);
         }
     }
+  ash_fleet_deal_rates (fleet, now);
 }
 
 uint32_t
--- a/daemon/fleet.h
+++ b/daemon/fleet.h
@@ -25,6 +25,7 @@
 struct ash_fleet_peer
 {
   char box[ASH_NAME_BYTES];
+  uint64_t hash; /**< of its name */
   char frontend[ASH_NAME_BYTES];
   char address[ASH_NAME_BYTES]; /**< where its links are accepted */
   char hall[ASH_NAME_BYTES];
--- /dev/null
+++ b/daemon/fleet_terms.c
@@ -0,0 +1,188 @@
+#include "daemon/fleet_terms.h"
+
+#include "daemon/router.h"
+
+#include <string.h>
+
+/* Endpoints whose terms one message tells at most. */
+#define TERMS_MAX 64
+
+/* A router without a link for no longer than this counts as there: links may break at many routers
+ * at once, and if each then took the whole rate an endpoint would get several times as much. */
+#define GONE_MS 5000
+
+/* ---- telling peers ---- */
+
+static struct Ash__EndpointTerms
+message_of (const struct ash_direct_endpoint *endpoint, struct ash_time now)
+{
+  struct Ash__EndpointTerms message = ASH__ENDPOINT_TERMS__INIT;
+
+  message.endpoint = endpoint->hash;
+  message.limit_milli = endpoint->limit.milli_per_s;
+  message.age_ms = (uint32_t) ash_time_diff (endpoint->limit.heard, now);
+  return message;
+}
+
+/* @param peer NULL: all that there are links to. */
+static void
+tell (struct ash_fleet *fleet,
+      const struct ash_fleet_peer *peer,
+      struct Ash__EndpointTerms messages[],
+      size_t count)
+{
+  struct Ash__EndpointTerms *list[TERMS_MAX];
+  struct Ash__EndpointTermsList terms = ASH__ENDPOINT_TERMS_LIST__INIT;
+  struct Ash__Event event = ash_event_of ("", ASH__EVENT__KIND_ENDPOINT_TERMS, &terms);
+
+  if (!count)
+    return;
+  for (size_t i = 0; i < count; i++)
+    list[i] = &messages[i];
+  terms.terms = list;
+  terms.n_terms = count;
+  if (peer)
+    ash_peers_send (&fleet->links, peer->box, &event);
+  else
+    ash_fleet_send_all (fleet, &event);
+}
+
+void
+ash_fleet_tell_terms (struct ash_fleet *fleet, const struct ash_fleet_peer *peer)
+{
+  struct Ash__EndpointTerms messages[TERMS_MAX];
+  struct ash_time now = ash_clock_now ();
+  size_t count = 0;
+
+  for (struct ash_direct_endpoint *endpoint = fleet->router->endpoints.endpoints;
+       endpoint && count < TERMS_MAX; endpoint = endpoint->hh.next)
+    if (endpoint->limit.milli_per_s)
+      messages[count++] = message_of (endpoint, now);
+  tell (fleet, peer, messages, count);
+}
+
+/* ---- taking what was said ---- */
+
+/* @return whether it is news. */
+static bool
+take (struct ash_fleet *fleet,
+      struct ash_direct_endpoint *endpoint,
+      const struct ash_endpoint_terms *terms,
+      struct ash_time said,
+      struct ash_time asked,
+      const char *source)
+{
+  uint32_t before_milli = endpoint->limit.milli_per_s;
+
+  if (!ash_rate_limit_heard (&endpoint->limit, terms->limit_milli, said, asked))
+    return false;
+  ash_log_event (&fleet->router->log, ASH_EV_ENDPOINT_LIMITED,
+                 "endpoint=%s limit_milli=%u before_milli=%u source=%s", endpoint->facts.id,
+                 terms->limit_milli, before_milli, source);
+  return true;
+}
+
+void
+ash_fleet_heard_terms (struct ash_fleet *fleet,
+                       struct ash_direct_endpoint *endpoint,
+                       const struct ash_endpoint_terms *terms,
+                       struct ash_time asked)
+{
+  struct ash_time now = ash_clock_now ();
+  struct Ash__EndpointTerms message;
+
+  if (!take (fleet, endpoint, terms, now, asked, "own"))
+    return;
+  message = message_of (endpoint, now);
+  tell (fleet, NULL, &message, 1);
+}
+
+void
+ash_fleet_take_terms (struct ash_fleet *fleet,
+                      const struct ash_fleet_peer *peer,
+                      const struct Ash__EndpointTermsList *told)
+{
+  struct ash_time now = ash_clock_now ();
+
+  for (size_t i = 0; i < told->n_terms; i++)
+    {
+      struct ash_direct_endpoint *endpoint =
+          ash_direct_find_hash (&fleet->router->endpoints, told->terms[i]->endpoint);
+      struct ash_endpoint_terms terms = { .limit_milli = told->terms[i]->limit_milli };
+      struct ash_time said = ash_time_add (now, -(int64_t) told->terms[i]->age_ms);
+
+      if (endpoint)
+        take (fleet, endpoint, &terms, said, said, peer->box);
+    }
+}
+
+/* ---- dealing rates out ---- */
+
+static bool
+is_member (const struct ash_fleet_peer *peer, struct ash_time now)
+{
+  return !peer->leaving && (peer->linked || ash_time_diff (peer->seen, now) <= GONE_MS);
+}
+
+/* Of the routers that are there, this one included. */
+static uint64_t
+members_digest (const struct ash_fleet *fleet, struct ash_time now)
+{
+  uint64_t digest = 1;
+
+  for (const struct ash_fleet_peer *peer = fleet->peers; peer; peer = peer->hh.next)
+    if (is_member (peer, now))
+      digest += peer->hash;
+  return digest ? digest : 1;
+}
+
+/* Those of the endpoint's own hall come first, as they send it most. */
+static bool
+comes_first (const struct ash_direct_endpoint *endpoint,
+             const struct ash_fleet_peer *peer,
+             const char *own_hall,
+             uint64_t own_order)
+{
+  bool is_near = strcmp (peer->hall, endpoint->facts.hall) == 0;
+  bool own_is_near = strcmp (own_hall, endpoint->facts.hall) == 0;
+
+  if (is_near != own_is_near)
+    return is_near;
+  return ash_rate_limit_order (endpoint->hash, peer->hash) < own_order;
+}
+
+static void
+deal (const struct ash_fleet *fleet,
+      struct ash_direct_endpoint *endpoint,
+      struct ash_time now,
+      uint64_t members)
+{
+  const struct ash_router_settings *settings = &fleet->router->settings;
+  uint64_t own_order = ash_rate_limit_order (endpoint->hash, ash_hash_text (settings->box));
+  uint32_t count = 1;
+  uint32_t before = 0;
+
+  for (const struct ash_fleet_peer *peer = fleet->peers; peer; peer = peer->hh.next)
+    if (is_member (peer, now))
+      {
+        count++;
+        before += comes_first (endpoint, peer, settings->hall, own_order);
+      }
+  ash_rate_limit_deal (&endpoint->limit, now, members, count, before);
+}
+
+void
+ash_fleet_deal_rates (struct ash_fleet *fleet, struct ash_time now)
+{
+  uint64_t members = members_digest (fleet, now);
+
+  for (struct ash_direct_endpoint *endpoint = fleet->router->endpoints.endpoints; endpoint;
+       endpoint = endpoint->hh.next)
+    if (!endpoint->limit.milli_per_s)
+      continue;
+    /* The others deal among themselves from the moment on at which they are told. */
+    else if (fleet->router->stopping)
+      ash_rate_limit_waive (&endpoint->limit);
+    else if (endpoint->limit.members != members)
+      deal (fleet, endpoint, now, members);
+}
--- a/filters/forward.c
+++ b/filters/forward.c
@@ -45,6 +45,21 @@
   return reason == ASH_FORWARD_TIMEOUT ? 504 : 502;
 }
 
+static struct ash_direct_wish
+wish_of (const struct ash_forward *forward, const struct ash_forward_world *world)
+{
+  return (struct ash_direct_wish){
+    .service = forward->service,
+    .hall = world->hall,
+    .own = world->own,
+    .far_parts = world->far_parts,
+    .cap = forward->cap,
+    .pause_aim_ms = forward->pause_aim_ms,
+    .tried = forward->tried,
+    .tried_count = forward->tried_count,
+  };
+}
+
 static uint32_t
 retry_after_ms (const struct ash_forward *forward,
                 const struct ash_forward_world *world,
@@ -52,9 +67,11 @@
                 enum ash_forward_reason reason)
 {
   struct ash_random *random = &world->endpoints->random;
+  struct ash_direct_wish wish = wish_of (forward, world);
   int64_t left_ms = ash_time_diff (now, forward->deadline);
   int64_t most_ms = left_ms / RETURN_MOST_PART;
   int64_t least_ms;
+  int64_t opens_ms;
 
   if (reason == ASH_FORWARD_QUARANTINED)
     return (uint32_t) world->quarantined_ms;
@@ -63,6 +80,10 @@
   if (most_ms > RETURN_MOST_MS)
     most_ms = RETURN_MOST_MS;
   least_ms = most_ms * RETURN_MOST_PART / RETURN_LEAST_PART;
+  /* Before an endpoint takes requests again by its own word, a return is in vain. */
+  opens_ms = ash_direct_opens_ms (world->endpoints, now, &wish);
+  if (opens_ms > least_ms && most_ms > least_ms)
+    least_ms = opens_ms < most_ms ? opens_ms : most_ms - 1;
   return (uint32_t) (1 + least_ms) + ash_random_below (random, (uint32_t) (most_ms - least_ms));
 }
 
@@ -123,16 +144,7 @@
                   const struct ash_forward_world *world,
                   struct ash_time now)
 {
-  struct ash_direct_wish wish = {
-    .service = forward->service,
-    .hall = world->hall,
-    .own = world->own,
-    .far_parts = world->far_parts,
-    .cap = forward->cap,
-    .pause_aim_ms = forward->pause_aim_ms,
-    .tried = forward->tried,
-    .tried_count = forward->tried_count,
-  };
+  struct ash_direct_wish wish = wish_of (forward, world);
   struct ash_time kept = kept_until (forward, world, now);
   struct ash_direct_endpoint *endpoint;
 
--- a/proto/ash.pb-c.c
+++ b/proto/ash.pb-c.c
@@ -187,6 +187,96 @@
   assert(message->base.descriptor == &ash__endpoint_loads__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ash__endpoint_terms__init
+                     (Ash__EndpointTerms         *message)
+{
+  static const Ash__EndpointTerms init_value = ASH__ENDPOINT_TERMS__INIT;
+  *message = init_value;
+}
+size_t ash__endpoint_terms__get_packed_size
+                     (const Ash__EndpointTerms *message)
+{
+  assert(message->base.descriptor == &ash__endpoint_terms__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ash__endpoint_terms__pack
+                     (const Ash__EndpointTerms *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ash__endpoint_terms__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ash__endpoint_terms__pack_to_buffer
+                     (const Ash__EndpointTerms *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ash__endpoint_terms__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ash__EndpointTerms *
+       ash__endpoint_terms__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ash__EndpointTerms *)
+     protobuf_c_message_unpack (&ash__endpoint_terms__descriptor,
+                                allocator, len, data);
+}
+void   ash__endpoint_terms__free_unpacked
+                     (Ash__EndpointTerms *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ash__endpoint_terms__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ash__endpoint_terms_list__init
+                     (Ash__EndpointTermsList         *message)
+{
+  static const Ash__EndpointTermsList init_value = ASH__ENDPOINT_TERMS_LIST__INIT;
+  *message = init_value;
+}
+size_t ash__endpoint_terms_list__get_packed_size
+                     (const Ash__EndpointTermsList *message)
+{
+  assert(message->base.descriptor == &ash__endpoint_terms_list__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ash__endpoint_terms_list__pack
+                     (const Ash__EndpointTermsList *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ash__endpoint_terms_list__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ash__endpoint_terms_list__pack_to_buffer
+                     (const Ash__EndpointTermsList *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ash__endpoint_terms_list__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ash__EndpointTermsList *
+       ash__endpoint_terms_list__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ash__EndpointTermsList *)
+     protobuf_c_message_unpack (&ash__endpoint_terms_list__descriptor,
+                                allocator, len, data);
+}
+void   ash__endpoint_terms_list__free_unpacked
+                     (Ash__EndpointTermsList *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ash__endpoint_terms_list__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ash__suspect_run__init
                      (Ash__SuspectRun         *message)
 {
@@ -2355,6 +2445,108 @@
   (ProtobufCMessageInit) ash__endpoint_loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ash__endpoint_terms__field_descriptors[3] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__EndpointTerms, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_milli",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ash__EndpointTerms, limit_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ash__EndpointTerms, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ash__endpoint_terms__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  0,   /* field[0] = endpoint */
+  1,   /* field[1] = limit_milli */
+};
+static const ProtobufCIntRange ash__endpoint_terms__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ash__endpoint_terms__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ash.EndpointTerms",
+  "EndpointTerms",
+  "Ash__EndpointTerms",
+  "ash",
+  sizeof(Ash__EndpointTerms),
+  3,
+  ash__endpoint_terms__field_descriptors,
+  ash__endpoint_terms__field_indices_by_name,
+  1,  ash__endpoint_terms__number_ranges,
+  (ProtobufCMessageInit) ash__endpoint_terms__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ash__endpoint_terms_list__field_descriptors[1] =
+{
+  {
+    "terms",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ash__EndpointTermsList, n_terms),
+    offsetof(Ash__EndpointTermsList, terms),
+    &ash__endpoint_terms__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ash__endpoint_terms_list__field_indices_by_name[] = {
+  0,   /* field[0] = terms */
+};
+static const ProtobufCIntRange ash__endpoint_terms_list__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor ash__endpoint_terms_list__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ash.EndpointTermsList",
+  "EndpointTermsList",
+  "Ash__EndpointTermsList",
+  "ash",
+  sizeof(Ash__EndpointTermsList),
+  1,
+  ash__endpoint_terms_list__field_descriptors,
+  ash__endpoint_terms_list__field_indices_by_name,
+  1,  ash__endpoint_terms_list__number_ranges,
+  (ProtobufCMessageInit) ash__endpoint_terms_list__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ash__suspect_run__field_descriptors[7] =
 {
   {
@@ -5733,7 +5925,7 @@
   (ProtobufCMessageInit) ash__engine_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__event__field_descriptors[41] =
+static const ProtobufCFieldDescriptor ash__event__field_descriptors[42] =
 {
   {
     "peer",
@@ -6047,6 +6239,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "endpoint_terms",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ash__Event, kind_case),
+    offsetof(Ash__Event, endpoint_terms),
+    &ash__endpoint_terms_list__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "call",
     30,
@@ -6229,8 +6433,8 @@
   },
 };
 static const unsigned ash__event__field_indices_by_name[] = {
-  26,   /* field[26] = call */
-  27,   /* field[27] = caller_gone */
+  27,   /* field[27] = call */
+  28,   /* field[28] = caller_gone */
   5,   /* field[5] = cancel */
   12,   /* field[12] = challenge */
   19,   /* field[19] = config_delta */
@@ -6245,38 +6449,39 @@
   22,   /* field[22] = endpoint_list */
   23,   /* field[23] = endpoint_list_want */
   21,   /* field[21] = endpoint_loads */
-  36,   /* field[36] = engine_cancel */
-  38,   /* field[38] = engine_data */
-  39,   /* field[39] = engine_end */
-  37,   /* field[37] = engine_head */
-  35,   /* field[35] = engine_start */
+  26,   /* field[26] = endpoint_terms */
+  37,   /* field[37] = engine_cancel */
+  39,   /* field[39] = engine_data */
+  40,   /* field[40] = engine_end */
+  38,   /* field[38] = engine_head */
+  36,   /* field[36] = engine_start */
   7,   /* field[7] = head */
   1,   /* field[1] = heartbeat */
   13,   /* field[13] = hello */
-  32,   /* field[32] = link_down */
-  31,   /* field[31] = link_up */
+  33,   /* field[33] = link_down */
+  32,   /* field[32] = link_up */
   0,   /* field[0] = peer */
   16,   /* field[16] = query */
   17,   /* field[17] = query_answer */
   14,   /* field[14] = rank_order */
   15,   /* field[15] = rank_state */
   6,   /* field[6] = refused */
-  28,   /* field[28] = reply */
-  29,   /* field[29] = reply_data */
-  30,   /* field[30] = reply_end */
+  29,   /* field[29] = reply */
+  30,   /* field[30] = reply_data */
+  31,   /* field[31] = reply_end */
   4,   /* field[4] = resume */
-  40,   /* field[40] = sent_ms */
-  34,   /* field[34] = stop */
+  41,   /* field[41] = sent_ms */
+  35,   /* field[35] = stop */
   3,   /* field[3] = submit */
   25,   /* field[25] = suspect_runs */
-  33,   /* field[33] = tick */
+  34,   /* field[34] = tick */
 };
 static const ProtobufCIntRange ash__event__number_ranges[3 + 1] =
 {
   { 1, 0 },
-  { 30, 26 },
-  { 60, 40 },
-  { 0, 41 }
+  { 30, 27 },
+  { 60, 41 },
+  { 0, 42 }
 };
 const ProtobufCMessageDescriptor ash__event__descriptor =
 {
@@ -6286,7 +6491,7 @@
   "Ash__Event",
   "ash",
   sizeof(Ash__Event),
-  41,
+  42,
   ash__event__field_descriptors,
   ash__event__field_indices_by_name,
   3,  ash__event__number_ranges,
--- a/proto/ash.pb-c.h
+++ b/proto/ash.pb-c.h
@@ -19,6 +19,8 @@
 typedef struct Ash__Hello Ash__Hello;
 typedef struct Ash__Heartbeat Ash__Heartbeat;
 typedef struct Ash__EndpointLoads Ash__EndpointLoads;
+typedef struct Ash__EndpointTerms Ash__EndpointTerms;
+typedef struct Ash__EndpointTermsList Ash__EndpointTermsList;
 typedef struct Ash__SuspectRun Ash__SuspectRun;
 typedef struct Ash__SuspectRuns Ash__SuspectRuns;
 typedef struct Ash__EndpointList Ash__EndpointList;
@@ -365,6 +367,41 @@
     , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
+/*
+ * What an endpoint said of how it wants to be used, to all peers; see controllers/endpoint_terms.
+ */
+struct  Ash__EndpointTerms
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its id
+   */
+  uint64_t endpoint;
+  /*
+   * requests a second from all routers, in thousandths; 0: none any more
+   */
+  uint32_t limit_milli;
+  /*
+   * since it said so
+   */
+  uint32_t age_ms;
+};
+#define ASH__ENDPOINT_TERMS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ash__endpoint_terms__descriptor) \
+    , 0, 0, 0 }
+
+
+struct  Ash__EndpointTermsList
+{
+  ProtobufCMessage base;
+  size_t n_terms;
+  Ash__EndpointTerms **terms;
+};
+#define ASH__ENDPOINT_TERMS_LIST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ash__endpoint_terms_list__descriptor) \
+    , 0,NULL }
+
+
 /*
  * Requests under which endpoints ended, to all peers; see controllers/quarantine.
  */
@@ -1105,6 +1142,7 @@
   ASH__EVENT__KIND_ENDPOINT_LIST_WANT = 24,
   ASH__EVENT__KIND_ENDPOINT_CHANGES = 25,
   ASH__EVENT__KIND_SUSPECT_RUNS = 26,
+  ASH__EVENT__KIND_ENDPOINT_TERMS = 27,
   ASH__EVENT__KIND_CALL = 30,
   ASH__EVENT__KIND_CALLER_GONE = 31,
   ASH__EVENT__KIND_REPLY = 32,
@@ -1166,6 +1204,7 @@
      */
     Ash__EndpointList *endpoint_changes;
     Ash__SuspectRuns *suspect_runs;
+    Ash__EndpointTermsList *endpoint_terms;
     /*
      * 30 and above never cross a link
      */
@@ -1266,6 +1305,44 @@
 void   ash__endpoint_loads__free_unpacked
                      (Ash__EndpointLoads *message,
                       ProtobufCAllocator *allocator);
+/* Ash__EndpointTerms methods */
+void   ash__endpoint_terms__init
+                     (Ash__EndpointTerms         *message);
+size_t ash__endpoint_terms__get_packed_size
+                     (const Ash__EndpointTerms   *message);
+size_t ash__endpoint_terms__pack
+                     (const Ash__EndpointTerms   *message,
+                      uint8_t             *out);
+size_t ash__endpoint_terms__pack_to_buffer
+                     (const Ash__EndpointTerms   *message,
+                      ProtobufCBuffer     *buffer);
+Ash__EndpointTerms *
+       ash__endpoint_terms__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ash__endpoint_terms__free_unpacked
+                     (Ash__EndpointTerms *message,
+                      ProtobufCAllocator *allocator);
+/* Ash__EndpointTermsList methods */
+void   ash__endpoint_terms_list__init
+                     (Ash__EndpointTermsList         *message);
+size_t ash__endpoint_terms_list__get_packed_size
+                     (const Ash__EndpointTermsList   *message);
+size_t ash__endpoint_terms_list__pack
+                     (const Ash__EndpointTermsList   *message,
+                      uint8_t             *out);
+size_t ash__endpoint_terms_list__pack_to_buffer
+                     (const Ash__EndpointTermsList   *message,
+                      ProtobufCBuffer     *buffer);
+Ash__EndpointTermsList *
+       ash__endpoint_terms_list__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ash__endpoint_terms_list__free_unpacked
+                     (Ash__EndpointTermsList *message,
+                      ProtobufCAllocator *allocator);
 /* Ash__SuspectRun methods */
 void   ash__suspect_run__init
                      (Ash__SuspectRun         *message);
@@ -1983,6 +2060,12 @@
 typedef void (*Ash__EndpointLoads_Closure)
                  (const Ash__EndpointLoads *message,
                   void *closure_data);
+typedef void (*Ash__EndpointTerms_Closure)
+                 (const Ash__EndpointTerms *message,
+                  void *closure_data);
+typedef void (*Ash__EndpointTermsList_Closure)
+                 (const Ash__EndpointTermsList *message,
+                  void *closure_data);
 typedef void (*Ash__SuspectRun_Closure)
                  (const Ash__SuspectRun *message,
                   void *closure_data);
@@ -2107,6 +2190,8 @@
 extern const ProtobufCMessageDescriptor ash__hello__descriptor;
 extern const ProtobufCMessageDescriptor ash__heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor ash__endpoint_loads__descriptor;
+extern const ProtobufCMessageDescriptor ash__endpoint_terms__descriptor;
+extern const ProtobufCMessageDescriptor ash__endpoint_terms_list__descriptor;
 extern const ProtobufCMessageDescriptor ash__suspect_run__descriptor;
 extern const ProtobufCMessageDescriptor ash__suspect_runs__descriptor;
 extern const ProtobufCMessageDescriptor ash__endpoint_list__descriptor;
--- a/test/router_terms.c
+++ b/test/router_terms.c
@@ -92,7 +92,46 @@
   world_stop (&world);
 }
 
+/* Routers that the endpoint has told nothing, those that come later among them. */
+static void
+test_limit_told_on (void)
+{
+  start ();
+  world_start_router (&world, 1);
+  CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 1, true));
+  CU_ASSERT_TRUE_FATAL (world_wait_logged (&world, 1, " link_up "));
+  for (int i = 0; i < 10; i++)
+    world_call (&world, "c", "/safe/x", "A=limit", "", &answer);
+  CU_ASSERT (world_wait_logged (&world, 1, "limit_milli=1000 before_milli=0 source=router"));
+  world_start_router (&world, 2);
+  CU_ASSERT (world_wait_logged (&world, 2, "limit_milli=1000 before_milli=0 source=router"));
+  world_stop (&world);
+}
+
+/* The endpoint gets work as before once it names no rate any more. */
+static void
+test_limit_over (void)
+{
+  int before;
+
+  start_routers ();
+  call_all ("A=limit", 6);
+  wait_known (0, "limit_milli=1000");
+  for (int i = 0; i < 400 && !world_logged (&world, 0, "limit_milli=0 before_milli=1000"); i++)
+    {
+      call_all (NULL, 1);
+      fleet_sleep (ROUTERS * CALL_PAUSE_MS);
+    }
+  wait_known (0, "limit_milli=0 before_milli=1000");
+  before = arrived (0);
+  CU_ASSERT_EQUAL (call_all (NULL, 10), 10 * ROUTERS);
+  CU_ASSERT (arrived (0) - before > LIMIT_SLACK);
+  world_stop (&world);
+}
+
 const struct fault_test router_terms_tests[] = {
   { "a rate that an endpoint names is kept by all routers together", test_limit_kept },
+  { "a rate that an endpoint names is told on", test_limit_told_on },
+  { "a rate that an endpoint no longer names", test_limit_over },
   { NULL, NULL },
 };
--- a/test/unit.c
+++ b/test/unit.c
@@ -721,6 +721,7 @@
   add_prompt_tests (suite);
   add_rows_tests (suite);
   add_quarantine_tests (suite);
+  add_terms_tests (suite);
   add_router_tests (suite);
   add_expert_tests (suite);
   add_platform_tests (suite);
--- a/test/unit.h
+++ b/test/unit.h
@@ -19,6 +19,9 @@
 /** Requests under which endpoints ended. */
 void add_quarantine_tests (CU_pSuite suite);
 
+/** What endpoints say of how they want to be used. */
+void add_terms_tests (CU_pSuite suite);
+
 /** A store that comes back from an older copy. */
 void add_era_tests (CU_pSuite suite);
 
--- /dev/null
+++ b/test/unit_terms.c
@@ -0,0 +1,266 @@
+/**
+ * @file
+ * Unit tests of what endpoints say of how they want to be used: rates, kept by all routers
+ * together.
+ */
+#include "common/id.h"
+#include "controllers/rate_limit.h"
+#include "filters/forward.h"
+#include "test/unit.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ROUTERS_MAX 300
+#define STEP_MS 10
+#define PLAY_MS 30000
+#define STEPS (PLAY_MS / STEP_MS)
+
+/* What is borne of a rate in any such window: half of it more, and five requests. */
+#define WINDOW_MS 4000
+#define WINDOW_STEPS (WINDOW_MS / STEP_MS)
+#define BORNE_FACTOR 1.5
+#define BORNE_SLACK 5
+
+/* Part of a rate that is of use, where there is more demand. */
+#define USED_PART 0.8
+
+static struct ash_time
+at (int64_t ms)
+{
+  return (struct ash_time){ ms };
+}
+
+/* Routers before one endpoint. Those that are away send nothing, and the others deal without them.
+ */
+struct fleet
+{
+  uint32_t count;
+  struct ash_rate_limit limits[ROUTERS_MAX];
+  bool away[ROUTERS_MAX];
+  uint32_t sent[STEPS];
+};
+
+static uint64_t
+name_of (uint32_t router)
+{
+  return ash_hash_bytes (&router, sizeof router);
+}
+
+/* @param unseen one router that this one does not see. */
+static void
+deal (struct fleet *fleet, uint32_t own, struct ash_time now, uint32_t unseen)
+{
+  uint32_t count = 0;
+  uint32_t before = 0;
+
+  for (uint32_t i = 0; i < fleet->count; i++)
+    if (!fleet->away[i] && (i != unseen || i == own))
+      {
+        count++;
+        before += ash_rate_limit_order (1, name_of (i)) < ash_rate_limit_order (1, name_of (own));
+      }
+  ash_rate_limit_deal (&fleet->limits[own], now, 1, count, before);
+}
+
+static void
+deal_all (struct fleet *fleet, struct ash_time now, bool alike)
+{
+  for (uint32_t i = 0; i < fleet->count; i++)
+    deal (fleet, i, now, alike ? UINT32_MAX : (i + 1) % fleet->count);
+}
+
+/* All that may send, do. */
+static void
+step (struct fleet *fleet, uint32_t n, uint32_t first)
+{
+  struct ash_time now = at ((int64_t) (n + 1) * STEP_MS);
+
+  for (uint32_t i = 0; i < fleet->count; i++)
+    {
+      uint32_t router = (first + i) % fleet->count;
+
+      if (fleet->away[router] || ash_rate_limit_opens_ms (&fleet->limits[router], now))
+        continue;
+      ash_rate_limit_spend (&fleet->limits[router], now);
+      fleet->sent[n]++;
+    }
+}
+
+static uint32_t
+sum_of (const struct fleet *fleet, uint32_t from, uint32_t to)
+{
+  uint32_t sum = 0;
+
+  for (uint32_t n = from; n < to; n++)
+    sum += fleet->sent[n];
+  return sum;
+}
+
+static uint32_t
+worst_window (const struct fleet *fleet)
+{
+  uint32_t sum = sum_of (fleet, 0, WINDOW_STEPS);
+  uint32_t worst = sum;
+
+  for (uint32_t n = WINDOW_STEPS; n < STEPS; n++)
+    {
+      sum += fleet->sent[n] - fleet->sent[n - WINDOW_STEPS];
+      worst = sum > worst ? sum : worst;
+    }
+  return worst;
+}
+
+/* More demand at each router than the endpoint takes of all. A third of the routers is away for a
+ * third of the time. */
+static void
+play_rate (uint32_t routers, uint32_t milli_per_s, bool alike, uint64_t seed)
+{
+  struct fleet *fleet = calloc (1, sizeof *fleet);
+  double per_s = milli_per_s / 1000.0;
+  struct ash_random random;
+  double borne = BORNE_FACTOR * per_s * WINDOW_MS / 1000 + BORNE_SLACK;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (fleet);
+  ash_random_init (&random, seed);
+  fleet->count = routers;
+  for (uint32_t i = 0; i < routers; i++)
+    ash_rate_limit_heard (&fleet->limits[i], milli_per_s, at (1), at (0));
+  deal_all (fleet, at (1), alike);
+  for (uint32_t n = 0; n < STEPS; n++)
+    {
+      for (uint32_t i = 0; i < routers / 3 && n % (STEPS / 3) == 0; i++)
+        fleet->away[i] = n == STEPS / 3;
+      if (n % (STEPS / 3) == 0)
+        deal_all (fleet, at ((int64_t) (n + 1) * STEP_MS), alike);
+      step (fleet, n, ash_random_below (&random, routers));
+    }
+  CU_ASSERT (worst_window (fleet) <= borne);
+  CU_ASSERT (sum_of (fleet, 0, STEPS) >= USED_PART * per_s * PLAY_MS / 1000);
+  free (fleet);
+}
+
+static void
+test_rate_of_fleets (void)
+{
+  static const uint32_t sizes[] = { 1, 2, 7, 38, ROUTERS_MAX };
+  static const uint32_t rates_milli[] = { 1, 100, 250, 1000, 1400, 1600, 4000, 20000, 100000 };
+
+  for (uint32_t i = 0; i < sizeof sizes / sizeof sizes[0]; i++)
+    for (uint32_t k = 0; k < sizeof rates_milli / sizeof rates_milli[0]; k++)
+      {
+        play_rate (sizes[i], rates_milli[k], true, 1 + k);
+        /* Each does not see one of the others. Two that see nobody are cut off from each other: what
+         * each sends is bounded, what both send is not. */
+        if (sizes[i] > 2)
+          play_rate (sizes[i], rates_milli[k], false, 1 + k);
+      }
+}
+
+static void
+test_rate_heard (void)
+{
+  struct ash_rate_limit limit = { 0 };
+
+  /* Most endpoints name none. */
+  CU_ASSERT_FALSE (ash_rate_limit_heard (&limit, 0, at (10), at (5)));
+  CU_ASSERT_EQUAL (ash_rate_limit_opens_ms (&limit, at (10)), 0);
+  CU_ASSERT (ash_rate_limit_heard (&limit, 2000, at (20), at (15)));
+  /* Nothing is sent before the rate is dealt out. */
+  CU_ASSERT (ash_rate_limit_opens_ms (&limit, at (20000)) < 0);
+  CU_ASSERT_FALSE (ash_rate_limit_heard (&limit, 2100, at (30), at (25)));
+  CU_ASSERT_EQUAL (limit.milli_per_s, 2100);
+  CU_ASSERT (ash_rate_limit_heard (&limit, 3000, at (40), at (35)));
+  /* An older word, by way of a peer. */
+  CU_ASSERT_FALSE (ash_rate_limit_heard (&limit, 9000, at (35), at (35)));
+  CU_ASSERT_EQUAL (limit.milli_per_s, 3000);
+  /* The answer to a request that was sent before the rate was named. */
+  CU_ASSERT_FALSE (ash_rate_limit_heard (&limit, 0, at (60), at (39)));
+  CU_ASSERT_EQUAL (limit.milli_per_s, 3000);
+  CU_ASSERT (ash_rate_limit_heard (&limit, 0, at (70), at (50)));
+  CU_ASSERT_EQUAL (ash_rate_limit_opens_ms (&limit, at (70)), 0);
+}
+
+/* ---- requests ---- */
+
+static struct ash_direct_endpoint *
+add_endpoint (struct ash_direct_set *set, const char *id)
+{
+  struct ash_direct_facts facts = { .service = "s", .hall = "h", .slots = 8 };
+
+  snprintf (facts.id, sizeof facts.id, "%s", id);
+  snprintf (facts.address, sizeof facts.address, "1.2.3.4:%c", id[0]);
+  ash_direct_listed (set, &facts);
+  return ash_direct_find (set, id);
+}
+
+static struct ash_forward
+new_forward (int64_t now_ms)
+{
+  return (struct ash_forward){
+    .repeat = ASH_REPEAT_SAFE,
+    .servers_max = 2,
+    .aim_ms = 300,
+    .service = "s",
+    .cap = 8,
+    .came = at (now_ms),
+    .deadline = at (now_ms + 8000),
+  };
+}
+
+static struct ash_forward_verdict
+ask (struct ash_direct_set *set, struct ash_resend_window *window, int64_t now_ms)
+{
+  struct ash_forward forward = new_forward (now_ms);
+  struct ash_forward_world world = {
+    .endpoints = set, .window = window, .bound = { 10000, 0.2, 100 }, .entries = 1, .hall = "h"
+  };
+  struct ash_forward_verdict verdict = ash_forward_next (&forward, &world, at (now_ms));
+
+  if (verdict.action == ASH_FORWARD_SEND)
+    ash_direct_sent (verdict.endpoint, at (now_ms));
+  return verdict;
+}
+
+/* Refused at once, and told to come back when an endpoint takes requests again. */
+static void
+test_all_at_their_rate (void)
+{
+  struct ash_resend_window window = { 0 };
+  struct ash_direct_set set;
+  struct ash_forward_verdict verdict;
+  uint32_t sent = 0;
+
+  ash_direct_init (&set, 1);
+  for (int i = 0; i < 2; i++)
+    {
+      struct ash_direct_endpoint *endpoint = add_endpoint (&set, i ? "b" : "a");
+
+      ash_rate_limit_heard (&endpoint->limit, 500, at (1), at (0));
+      ash_rate_limit_deal (&endpoint->limit, at (1), 1, 1, 0);
+    }
+  for (int64_t now_ms = 1; now_ms <= 2000; now_ms++)
+    sent += ask (&set, &window, now_ms).action == ASH_FORWARD_SEND;
+  CU_ASSERT_EQUAL (sent, 0);
+  sent = ask (&set, &window, 2010).action == ASH_FORWARD_SEND;
+  sent += ask (&set, &window, 2010).action == ASH_FORWARD_SEND;
+  CU_ASSERT_EQUAL (sent, 2);
+  verdict = ask (&set, &window, 2010);
+  CU_ASSERT_FATAL (verdict.action == ASH_FORWARD_ANSWER);
+  CU_ASSERT (verdict.answer.status == 503 && verdict.answer.reason == ASH_FORWARD_NO_ROOM);
+  CU_ASSERT (verdict.answer.retry_after_ms >= 1990 && verdict.answer.retry_after_ms <= 8000 / 3);
+  /* A new life has named none. */
+  CU_ASSERT (ash_direct_listed (
+      &set, &(struct ash_direct_facts){
+                .id = "a", .service = "s", .hall = "h", .address = "1.2.3.4:9", .slots = 8 }));
+  CU_ASSERT (ask (&set, &window, 2011).action == ASH_FORWARD_SEND);
+  ash_direct_finish (&set);
+}
+
+void
+add_terms_tests (CU_pSuite suite)
+{
+  CU_add_test (suite, "rates: a fleet of any size keeps to one, and uses it", test_rate_of_fleets);
+  CU_add_test (suite, "rates: the newest word holds", test_rate_heard);
+  CU_add_test (suite, "rates: all endpoints at theirs, refused at once", test_all_at_their_rate);
+}
