--- a/common/events.h
+++ b/common/events.h
@@ -36,6 +36,7 @@
   X (213, INFO, ENDPOINT_REBORN,    "an endpoint has started anew under its id") \
   X (214, WARN, STORE_ERA,          "the store has come back from an older copy: all is read anew") \
   X (215, INFO, ENDPOINT_LIMITED,   "an endpoint names how many requests a second it takes, or no longer does") \
+  X (216, INFO, ENDPOINT_RESTS,     "an endpoint turned a request away and wants none from this router for a while") \
   X (300, INFO, LINK_UP,            "a peer link is up") \
   X (301, INFO, LINK_DOWN,          "a peer link is down") \
   X (302, WARN, PEER_REFUSED,       "a peer could not prove the fleet key, or broke the protocol") \
--- a/controllers/direct.c
+++ b/controllers/direct.c
@@ -140,6 +140,7 @@
   endpoint->pause_ms = 0;
   endpoint->pace = 0;
   endpoint->limit = (struct ash_rate_limit){ 0 };
+  endpoint->rests_until = (struct ash_time){ 0 };
 }
 
 bool
@@ -239,6 +240,23 @@
   ash_rate_limit_spend (&endpoint->limit, now);
 }
 
+void
+ash_direct_rests (struct ash_direct_endpoint *endpoint, struct ash_time now, int64_t ms)
+{
+  struct ash_time until = ash_time_add (now, ms);
+
+  if (ash_time_before (endpoint->rests_until, until))
+    endpoint->rests_until = until;
+}
+
+int64_t
+ash_direct_rests_ms (const struct ash_direct_endpoint *endpoint, struct ash_time now)
+{
+  int64_t ms = ash_time_diff (now, endpoint->rests_until);
+
+  return ms > 0 ? ms : 0;
+}
+
 void
 ash_direct_saw (struct ash_direct_endpoint *endpoint,
                 struct ash_time now,
--- a/controllers/direct.h
+++ b/controllers/direct.h
@@ -60,8 +60,9 @@
   double pace;                /**< it takes so many times as long as usual; see pace_seen */
   struct ash_time pace_seen;  /**< when it last told so; a while later it counts as usual */
   struct ash_rate_limit limit;
-  void *owner;       /**< of the task that has connections to it */
-  UT_hash_handle hh; /**< by id */
+  struct ash_time rests_until; /**< it asked this router for rest until then */
+  void *owner;                 /**< of the task that has connections to it */
+  UT_hash_handle hh;           /**< by id */
   UT_hash_handle by_hash;
 };
 
@@ -115,6 +116,12 @@
 /** A request leaves for the endpoint. */
 void ash_direct_sent (struct ash_direct_endpoint *endpoint, struct ash_time now);
 
+/** It has turned a request away and wants no others from this router for so long. */
+void ash_direct_rests (struct ash_direct_endpoint *endpoint, struct ash_time now, int64_t ms);
+
+/** @return for how long it still wants nothing from this router. */
+int64_t ash_direct_rests_ms (const struct ash_direct_endpoint *endpoint, struct ash_time now);
+
 /** Takes in how a request ended there. */
 void ash_direct_saw (struct ash_direct_endpoint *endpoint,
                      struct ash_time now,
--- a/controllers/endpoint_terms.h
+++ b/controllers/endpoint_terms.h
@@ -13,6 +13,8 @@
   /** Requests a second that it takes from all routers together, in thousandths; 0: it names none.
    */
   uint32_t limit_milli;
+  /** Turned away: it wants nothing from this router for so long; 0: it does not say. */
+  uint32_t rest_ms;
 };
 
 #endif
--- a/daemon/fleet_terms.c
+++ b/daemon/fleet_terms.c
@@ -82,6 +82,21 @@
   return true;
 }
 
+/* Asked of this router alone: peers are not told. */
+static void
+take_rest (struct ash_fleet *fleet,
+           struct ash_direct_endpoint *endpoint,
+           uint32_t rest_ms,
+           struct ash_time now)
+{
+  if (!rest_ms)
+    return;
+  ash_log_event (&fleet->router->log, ASH_EV_ENDPOINT_RESTS,
+                 "endpoint=%s for_ms=%u before_ms=%lld load=%u", endpoint->facts.id, rest_ms,
+                 (long long) ash_direct_rests_ms (endpoint, now), endpoint->in_flight);
+  ash_direct_rests (endpoint, now, rest_ms);
+}
+
 void
 ash_fleet_heard_terms (struct ash_fleet *fleet,
                        struct ash_direct_endpoint *endpoint,
@@ -91,6 +106,7 @@
   struct ash_time now = ash_clock_now ();
   struct Ash__EndpointTerms message;
 
+  take_rest (fleet, endpoint, terms->rest_ms, now);
   if (!take (fleet, endpoint, terms, now, asked, "own"))
     return;
   message = message_of (endpoint, now);
