--- a/test/router_terms.c
+++ b/test/router_terms.c
@@ -129,9 +129,21 @@
   world_stop (&world);
 }
 
+/* Each router may find out by itself; from then on the endpoint gets nothing from it, however little
+ * work it has. */
+static void
+test_rest_kept (void)
+{
+  start_routers ();
+  CU_ASSERT_EQUAL (call_all ("A=rest", 30), 30 * ROUTERS);
+  CU_ASSERT (arrived (0) > 0 && arrived (0) <= ROUTERS);
+  world_stop (&world);
+}
+
 const struct fault_test router_terms_tests[] = {
   { "a rate that an endpoint names is kept by all routers together", test_limit_kept },
   { "a rate that an endpoint names is told on", test_limit_told_on },
   { "a rate that an endpoint no longer names", test_limit_over },
+  { "an endpoint that asks for rest gets it", test_rest_kept },
   { NULL, NULL },
 };
