router: an endpoint that says in an answer that it leaves gets nothing more

An endpoint that ends without ever saying so in the list tells each caller of it in its answers; routers went on to send it requests until its entry went.

Change: its word holds for its life, whatever the list says; peers are told, those that come later too, and it is remembered with those that departed. What a peer tells of another life under the id does not count. Peers are told of terms when they know the endpoints, not as soon as there is a link.

--- a/controllers/direct.c
+++ b/controllers/direct.c
@@ -139,6 +139,7 @@
   endpoint->passed_until = (struct ash_time){ 0 };
   endpoint->pause_ms = 0;
   endpoint->pace = 0;
+  endpoint->said_leaving = false;
   endpoint->limit = (struct ash_rate_limit){ 0 };
   endpoint->rests_until = (struct ash_time){ 0 };
 }
@@ -176,6 +177,12 @@
   return changed;
 }
 
+static bool
+is_leaving (const struct ash_direct_endpoint *endpoint)
+{
+  return endpoint->facts.draining || endpoint->said_leaving;
+}
+
 bool
 ash_direct_removed (struct ash_direct_set *set, const char *id, bool trusted, struct ash_time until)
 {
@@ -186,7 +193,7 @@
   if (endpoint->presence == ASH_DIRECT_LAPSED && !trusted)
     return false;
   /* One that said it was leaving has left. */
-  if (trusted || endpoint->facts.draining || is_replaced (set, endpoint))
+  if (trusted || is_leaving (endpoint) || is_replaced (set, endpoint))
     endpoint->presence = ASH_DIRECT_GONE;
   else
     {
@@ -319,7 +326,7 @@
 bool
 ash_direct_usable (const struct ash_direct_endpoint *endpoint)
 {
-  return endpoint->presence != ASH_DIRECT_GONE && !endpoint->facts.draining;
+  return endpoint->presence != ASH_DIRECT_GONE && !is_leaving (endpoint);
 }
 
 uint32_t
--- a/controllers/direct.h
+++ b/controllers/direct.h
@@ -59,6 +59,7 @@
   struct ash_time pause_seen; /**< when a pause was last seen */
   double pace;                /**< it takes so many times as long as usual; see pace_seen */
   struct ash_time pace_seen;  /**< when it last told so; a while later it counts as usual */
+  bool said_leaving;          /**< in an answer: it never takes that back in its life */
   struct ash_rate_limit limit;
   struct ash_time rests_until; /**< it asked this router for rest until then */
   void *owner;                 /**< of the task that has connections to it */
--- a/controllers/endpoint_terms.h
+++ b/controllers/endpoint_terms.h
@@ -5,6 +5,7 @@
 #ifndef ASH_ENDPOINT_TERMS_H
 #define ASH_ENDPOINT_TERMS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /** Of one answer. */
@@ -15,6 +16,7 @@
   uint32_t limit_milli;
   /** Turned away: it wants nothing from this router for so long; 0: it does not say. */
   uint32_t rest_ms;
+  bool leaving; /**< it will end, whatever the list says of it */
 };
 
 #endif
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -87,7 +87,6 @@
   peer->untold = true;
   peer->endpoints_revision = 0;
   ash_suspects_tell_peer (&fleet->router->suspects, peer->box);
-  ash_fleet_tell_terms (fleet, peer);
 }
 
 static void
--- a/daemon/fleet.h
+++ b/daemon/fleet.h
@@ -31,7 +31,7 @@
   char hall[ASH_NAME_BYTES];
   bool linked;
   bool is_new;           /**< the link has just come up: it has not been told of the others yet */
-  bool untold;           /**< it is to be told of all of this router's work */
+  bool untold;           /**< it is to be told of all of this router's work, and of all terms */
   struct ash_time seen;  /**< when it was last linked */
   struct ash_time heard; /**< its last word */
   bool changes_map;      /**< it said so then */
--- a/daemon/fleet_loads.c
+++ b/daemon/fleet_loads.c
@@ -1,6 +1,7 @@
 #include "daemon/fleet_loads.h"
 
 #include "controllers/talk.h"
+#include "daemon/fleet_terms.h"
 #include "daemon/router.h"
 
 #include <stdlib.h>
@@ -185,6 +186,7 @@
         if (!loads.n_endpoints)
           list_loads (fleet, ASH_FLEET_NEAR, &loads);
         ash_peers_send (&fleet->links, peer->box, &event);
+        ash_fleet_tell_terms (fleet, peer);
       }
 }
 
--- a/daemon/fleet_terms.c
+++ b/daemon/fleet_terms.c
@@ -17,10 +17,13 @@
 message_of (const struct ash_direct_endpoint *endpoint, struct ash_time now)
 {
   struct Ash__EndpointTerms message = ASH__ENDPOINT_TERMS__INIT;
+  int64_t age_ms = ash_time_diff (endpoint->limit.heard, now);
 
   message.endpoint = endpoint->hash;
+  message.born_ms = endpoint->facts.born_ms;
+  message.leaving = endpoint->said_leaving;
   message.limit_milli = endpoint->limit.milli_per_s;
-  message.age_ms = (uint32_t) ash_time_diff (endpoint->limit.heard, now);
+  message.age_ms = age_ms < UINT32_MAX ? (uint32_t) age_ms : UINT32_MAX;
   return message;
 }
 
@@ -56,7 +59,7 @@
 
   for (struct ash_direct_endpoint *endpoint = fleet->router->endpoints.endpoints;
        endpoint && count < TERMS_MAX; endpoint = endpoint->hh.next)
-    if (endpoint->limit.milli_per_s)
+    if (endpoint->limit.milli_per_s || endpoint->said_leaving)
       messages[count++] = message_of (endpoint, now);
   tell (fleet, peer, messages, count);
 }
@@ -65,20 +68,36 @@
 
 /* @return whether it is news. */
 static bool
-take (struct ash_fleet *fleet,
-      struct ash_direct_endpoint *endpoint,
-      const struct ash_endpoint_terms *terms,
-      struct ash_time said,
-      struct ash_time asked,
-      const char *source)
+take_limit (struct ash_fleet *fleet,
+            struct ash_direct_endpoint *endpoint,
+            uint32_t limit_milli,
+            struct ash_time said,
+            struct ash_time asked,
+            const char *source)
 {
   uint32_t before_milli = endpoint->limit.milli_per_s;
 
-  if (!ash_rate_limit_heard (&endpoint->limit, terms->limit_milli, said, asked))
+  if (!ash_rate_limit_heard (&endpoint->limit, limit_milli, said, asked))
     return false;
   ash_log_event (&fleet->router->log, ASH_EV_ENDPOINT_LIMITED,
                  "endpoint=%s limit_milli=%u before_milli=%u source=%s", endpoint->facts.id,
-                 terms->limit_milli, before_milli, source);
+                 limit_milli, before_milli, source);
+  return true;
+}
+
+/* @return whether it is news. */
+static bool
+take_leaving (struct ash_fleet *fleet,
+              struct ash_direct_endpoint *endpoint,
+              bool leaving,
+              const char *source)
+{
+  if (!leaving || endpoint->said_leaving)
+    return false;
+  endpoint->said_leaving = true;
+  ash_log_event (&fleet->router->log, ASH_EV_ENDPOINT_LEAVING,
+                 "endpoint=%s source=%s service=%s address=%s in_flight=%u", endpoint->facts.id,
+                 source, endpoint->facts.service, endpoint->facts.address, endpoint->in_flight);
   return true;
 }
 
@@ -105,9 +124,12 @@
 {
   struct ash_time now = ash_clock_now ();
   struct Ash__EndpointTerms message;
+  bool is_news;
 
   take_rest (fleet, endpoint, terms->rest_ms, now);
-  if (!take (fleet, endpoint, terms, now, asked, "own"))
+  is_news = take_limit (fleet, endpoint, terms->limit_milli, now, asked, "own");
+  is_news = take_leaving (fleet, endpoint, terms->leaving, "own") || is_news;
+  if (!is_news)
     return;
   message = message_of (endpoint, now);
   tell (fleet, NULL, &message, 1);
@@ -122,13 +144,16 @@
 
   for (size_t i = 0; i < told->n_terms; i++)
     {
+      const struct Ash__EndpointTerms *terms = told->terms[i];
       struct ash_direct_endpoint *endpoint =
-          ash_direct_find_hash (&fleet->router->endpoints, told->terms[i]->endpoint);
-      struct ash_endpoint_terms terms = { .limit_milli = told->terms[i]->limit_milli };
-      struct ash_time said = ash_time_add (now, -(int64_t) told->terms[i]->age_ms);
-
-      if (endpoint)
-        take (fleet, endpoint, &terms, said, said, peer->box);
+          ash_direct_find_hash (&fleet->router->endpoints, terms->endpoint);
+      struct ash_time said = ash_time_add (now, -(int64_t) terms->age_ms);
+
+      /* Another life under the same id has said nothing of the kind. */
+      if (!endpoint || endpoint->facts.born_ms != terms->born_ms)
+        continue;
+      take_limit (fleet, endpoint, terms->limit_milli, said, said, peer->box);
+      take_leaving (fleet, endpoint, terms->leaving, peer->box);
     }
 }
 
--- a/daemon/fleet_terms.h
+++ b/daemon/fleet_terms.h
@@ -28,7 +28,7 @@
                            const struct ash_fleet_peer *peer,
                            const struct Ash__EndpointTermsList *told);
 
-/** The link to a peer has come up: it is told of what is known. */
+/** Tells a peer all that is known. */
 void ash_fleet_tell_terms (struct ash_fleet *fleet, const struct ash_fleet_peer *peer);
 
 /** Time goes on: parts of rates follow the routers that are there. */
--- a/daemon/store_list.c
+++ b/daemon/store_list.c
@@ -120,7 +120,8 @@
     ash_departed_note (&store->departed,
                        &(struct ash_departed_one){ .endpoint = endpoint->hash,
                                                    .born_ms = endpoint->facts.born_ms,
-                                                   .era = store->era });
+                                                   .era = store->era,
+                                                   .draining = endpoint->said_leaving });
   if (endpoint && ash_direct_removed (&router->endpoints, id, trusted, until))
     {
       store->readers[ASH_STORE_SERVERS].changed = true;
--- a/proto/ash.pb-c.c
+++ b/proto/ash.pb-c.c
@@ -2445,7 +2445,7 @@
   (ProtobufCMessageInit) ash__endpoint_loads__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__endpoint_terms__field_descriptors[3] =
+static const ProtobufCFieldDescriptor ash__endpoint_terms__field_descriptors[5] =
 {
   {
     "endpoint",
@@ -2483,16 +2483,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ash__EndpointTerms, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__EndpointTerms, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ash__endpoint_terms__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
+  4,   /* field[4] = born_ms */
   0,   /* field[0] = endpoint */
+  3,   /* field[3] = leaving */
   1,   /* field[1] = limit_milli */
 };
 static const ProtobufCIntRange ash__endpoint_terms__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor ash__endpoint_terms__descriptor =
 {
@@ -2502,7 +2528,7 @@
   "Ash__EndpointTerms",
   "ash",
   sizeof(Ash__EndpointTerms),
-  3,
+  5,
   ash__endpoint_terms__field_descriptors,
   ash__endpoint_terms__field_indices_by_name,
   1,  ash__endpoint_terms__number_ranges,
--- a/proto/ash.pb-c.h
+++ b/proto/ash.pb-c.h
@@ -382,13 +382,21 @@
    */
   uint32_t limit_milli;
   /*
-   * since it said so
+   * since it named the rate, or no longer did
    */
   uint32_t age_ms;
+  /*
+   * it is leaving, whatever the list says
+   */
+  protobuf_c_boolean leaving;
+  /*
+   * of the life that said so; 0: not known
+   */
+  int64_t born_ms;
 };
 #define ASH__ENDPOINT_TERMS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ash__endpoint_terms__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Ash__EndpointTermsList
--- a/test/router_terms.c
+++ b/test/router_terms.c
@@ -129,8 +129,8 @@
   world_stop (&world);
 }
 
-/* Each router may find out by itself; from then on the endpoint gets nothing from it, however little
- * work it has. */
+/* Each router may find out by itself; from then on the endpoint gets nothing from it, however
+ * little work it has. */
 static void
 test_rest_kept (void)
 {
@@ -140,10 +140,44 @@
   world_stop (&world);
 }
 
+/* The list still has it as ready, and an entry that is written again does not change that. */
+static void
+test_leaving (void)
+{
+  int before;
+
+  start_routers ();
+  call_all ("A=leave", 6);
+  wait_known (0, "source=");
+  before = arrived (0);
+  world_list (&world, 0, "ready");
+  CU_ASSERT_EQUAL (call_all ("A=leave", 30), 30 * ROUTERS);
+  CU_ASSERT_EQUAL (arrived (0), before);
+  world_stop (&world);
+}
+
+/* A router that it has not told hears it from a peer. */
+static void
+test_leaving_told_on (void)
+{
+  start ();
+  for (int i = 0; i < 10; i++)
+    world_call (&world, "c", "/safe/x", "A=leave", "", &answer);
+  world_start_router (&world, 1);
+  CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 1, true));
+  CU_ASSERT (world_wait_logged (&world, 1, "endpoint_leaving"));
+  for (int i = 0; i < 20; i++)
+    world_call_at (&world, 1, "late", "/safe/x", "A=leave", "", &answer);
+  CU_ASSERT_EQUAL (count_of (server_log (0), "late POST"), 0);
+  world_stop (&world);
+}
+
 const struct fault_test router_terms_tests[] = {
   { "a rate that an endpoint names is kept by all routers together", test_limit_kept },
   { "a rate that an endpoint names is told on", test_limit_told_on },
   { "a rate that an endpoint no longer names", test_limit_over },
   { "an endpoint that asks for rest gets it", test_rest_kept },
+  { "an endpoint that says in an answer that it leaves", test_leaving },
+  { "an endpoint that told another router that it leaves", test_leaving_told_on },
   { NULL, NULL },
 };
--- a/test/standin_server.c
+++ b/test/standin_server.c
@@ -5,11 +5,12 @@
  * between them; NAME is this server's, or * for all. Actions:
  *
  *     ok fail shed moved reset mute foreign noid unsigned encoded cut unframed extra
- *     stream streamcut streamhang slow slower end streamend limit rest
+ *     stream streamcut streamhang slow slower end streamend limit rest leave
  *
  * With "end" the process itself ends once it has begun to run the request, with "streamend" after
  * two events. With "limit" it answers and names a rate, of one request a second;
- * with "rest" it turns the request away and asks for half a minute of rest.
+ * with "leave" it answers and says that it is leaving; with "rest" it turns the request away and
+ * asks for half a minute of rest.
  *
  * GET /log tells each request that it got, a line each:
  *     ID METHOD TARGET body=BYTES deadline=MS expect=ID tenant=NAME last=ID urgency=N
@@ -212,6 +213,8 @@
     answer (conn, 200, "");
   else if (strcmp (action, "limit") == 0)
     answer (conn, 200, "Server-Limit: 1.0\r\n");
+  else if (strcmp (action, "leave") == 0)
+    answer (conn, 200, "Server-Leaving: 1\r\n");
   else if (strcmp (action, "rest") == 0)
     answer (conn, 503, "Ashspindle-Not-Executed: 1\r\nRetry-After: 30\r\n");
   else if (strcmp (action, "fail") == 0)
--- a/test/unit_platform.c
+++ b/test/unit_platform.c
@@ -206,6 +206,52 @@
   ash_http_reader_finish (&reader);
 }
 
+/* @return what an answer of that status says of how its endpoint wants to be used. */
+static struct ash_endpoint_terms
+read_terms (int status, const char *fields)
+{
+  struct ash_http_reader reader;
+  struct ash_answer_facts facts;
+  char text[256];
+  int length =
+      snprintf (text, sizeof text, "HTTP/1.1 %d X\r\nContent-Length: 0\r\n%s\r\n", status, fields);
+
+  ash_http_reader_init (&reader, ASH_HTTP_RESPONSE, &keeper, NULL);
+  kept_head = NULL;
+  ash_http_reader_feed (&reader, (const uint8_t *) text, (size_t) length);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (kept_head);
+  ash_platform_answer_read (kept_head, &facts);
+  ash_http_reader_finish (&reader);
+  return facts.terms;
+}
+
+static void
+test_terms_format (void)
+{
+  static const char *const no_numbers[] = { "", "none", "-1", "1.4x", "nan", "1,4" };
+  char fields[64];
+
+  CU_ASSERT_EQUAL (read_terms (200, "").limit_milli, 0);
+  CU_ASSERT_EQUAL (read_terms (200, "Server-Limit: 1.4\r\n").limit_milli, 1400);
+  CU_ASSERT_EQUAL (read_terms (503, "server-limit: 20\r\n").limit_milli, 20000);
+  /* Named, however small or large. */
+  CU_ASSERT_EQUAL (read_terms (200, "Server-Limit: 0\r\n").limit_milli, 1);
+  CU_ASSERT_EQUAL (read_terms (200, "Server-Limit: 1e300\r\n").limit_milli, UINT32_MAX);
+  for (size_t i = 0; i < sizeof no_numbers / sizeof no_numbers[0]; i++)
+    {
+      snprintf (fields, sizeof fields, "Server-Limit: %s\r\n", no_numbers[i]);
+      CU_ASSERT_EQUAL (read_terms (200, fields).limit_milli, 0);
+    }
+  CU_ASSERT_EQUAL (read_terms (503, "Retry-After: 3\r\n").rest_ms, 3000);
+  CU_ASSERT_EQUAL (read_terms (503, "Retry-After: 0.25\r\n").rest_ms, 250);
+  CU_ASSERT_EQUAL (read_terms (503, "Retry-After: Thu, 03 Dec 2026 10:00:00 GMT\r\n").rest_ms, 0);
+  /* Not for having turned a request away. */
+  CU_ASSERT_EQUAL (read_terms (200, "Retry-After: 3\r\n").rest_ms, 0);
+  CU_ASSERT (read_terms (500, "Server-Leaving: 1\r\n").leaving);
+  CU_ASSERT_FALSE (read_terms (200, "Server-Leaving: 0\r\n").leaving);
+  CU_ASSERT_FALSE (read_terms (200, "").leaving);
+}
+
 static void
 test_directory_format (void)
 {
@@ -412,6 +458,8 @@
   CU_add_test (suite, "platform: store", test_store_format);
   CU_add_test (suite, "platform: entries of other writers", test_server_entries);
   CU_add_test (suite, "platform: messages", test_message_format);
+  CU_add_test (suite, "platform: what endpoints say of how they want to be used",
+               test_terms_format);
   CU_add_test (suite, "platform: directory", test_directory_format);
   CU_add_test (suite, "HTTP: strict messages", test_strict_messages);
   CU_add_test (suite, "event stream: whole events", test_events);
--- a/test/unit_terms.c
+++ b/test/unit_terms.c
@@ -304,6 +304,33 @@
   ash_direct_finish (&set);
 }
 
+/* Whatever the list says of this life. */
+static void
+test_leaves (void)
+{
+  struct ash_resend_window window = { 0 };
+  struct ash_direct_facts facts;
+  struct ash_direct_endpoint *endpoint;
+  struct ash_direct_set set;
+
+  ash_direct_init (&set, 1);
+  endpoint = add_endpoint (&set, "a");
+  endpoint->said_leaving = true;
+  facts = endpoint->facts;
+  ash_direct_listed (&set, &facts);
+  CU_ASSERT (ask (&set, &window, 1).action == ASH_FORWARD_ANSWER);
+  CU_ASSERT_EQUAL (ash_direct_count (&set, "s"), 0);
+  /* A list that can't be trusted has lost it: it has left. */
+  CU_ASSERT (ash_direct_removed (&set, "a", false, at (5000)));
+  CU_ASSERT_EQUAL (endpoint->presence, ASH_DIRECT_GONE);
+  /* A later life. */
+  facts.born_ms = 7;
+  strcpy (facts.address, "1.2.3.4:9");
+  ash_direct_listed (&set, &facts);
+  CU_ASSERT (ask (&set, &window, 2).action == ASH_FORWARD_SEND);
+  ash_direct_finish (&set);
+}
+
 void
 add_terms_tests (CU_pSuite suite)
 {
@@ -312,4 +339,5 @@
   CU_add_test (suite, "rates: all endpoints at theirs, refused at once", test_all_at_their_rate);
   CU_add_test (suite, "rest: an endpoint that asks for it gets it", test_rest);
   CU_add_test (suite, "rest: all endpoints, refused until the first one is back", test_all_rest);
+  CU_add_test (suite, "leaving: by an endpoint's own answer", test_leaves);
 }
