direct: endpoints that turn requests away are passed over for longer each time

Callers saw refusals (two endpoints tried, the fleet's budget of resends spent) while most endpoints had room.

Change: from 120 ms up to 2 s, doubled with each request that is turned away, an answer takes one step back; what was sent before it was passed over does not count. They are still used where others have no room.

Test: "rest: endpoints that turn requests away" failed before (they got more than their share).

--- a/controllers/direct.c
+++ b/controllers/direct.c
@@ -18,8 +18,12 @@
 /* Nothing listens there: most likely it has ended, and the list will say so. */
 #define MISSING_MS 1500
 
-/* It is full: others may have room, and it will have room soon. */
-#define FULL_MS 60
+/* It is full: others may have room, and it will have room soon. One that turns requests away again
+ * and again has the least work of all, and would be sent the most: it is passed over for twice as
+ * long each time, up to the longest. */
+#define FULL_FIRST_MS 120
+#define FULL_LONGEST_MS 2000
+#define FULL_COUNT_MAX 5
 
 /* Part of the newest pause in the mean: a dozen of them, a pass or two of some streams. */
 #define PAUSE_NEWEST 0.1
@@ -136,6 +140,7 @@
 forget_evidence (struct ash_direct_endpoint *endpoint)
 {
   endpoint->failures = 0;
+  endpoint->fulls = 0;
   endpoint->passed_until = (struct ash_time){ 0 };
   endpoint->pause_ms = 0;
   endpoint->pace = 0;
@@ -240,6 +245,20 @@
   pass_over (endpoint, now, ms);
 }
 
+/* Those that were sent before it was passed over tell nothing more. */
+static void
+count_full (struct ash_direct_endpoint *endpoint, struct ash_time now)
+{
+  int64_t ms;
+
+  if (ash_time_before (now, endpoint->passed_until))
+    return;
+  ms = FULL_FIRST_MS << endpoint->fulls;
+  pass_over (endpoint, now, ms < FULL_LONGEST_MS ? ms : FULL_LONGEST_MS);
+  if (endpoint->fulls < FULL_COUNT_MAX)
+    endpoint->fulls++;
+}
+
 void
 ash_direct_sent (struct ash_direct_endpoint *endpoint, struct ash_time now)
 {
@@ -273,9 +292,10 @@
     {
     case ASH_DIRECT_ANSWERED:
       endpoint->failures = 0;
+      endpoint->fulls -= endpoint->fulls > 0;
       break;
     case ASH_DIRECT_FULL:
-      pass_over (endpoint, now, FULL_MS);
+      count_full (endpoint, now);
       break;
     case ASH_DIRECT_FAILED:
       count_failure (endpoint, now, FAILED_ALLOWED);
--- a/controllers/direct.h
+++ b/controllers/direct.h
@@ -54,6 +54,7 @@
   uint32_t told[ASH_DIRECT_AUDIENCES]; /**< of these, what each audience was last told */
   uint32_t elsewhere;                  /**< of its peers, as they last said */
   uint32_t failures;                   /**< in a row */
+  uint32_t fulls;                      /**< requests turned away, less answers */
   struct ash_time passed_until;        /**< others are taken until then */
   double pause_ms;            /**< between events of streams there, smoothed; 0: not known */
   struct ash_time pause_seen; /**< when a pause was last seen */
--- a/test/unit_terms.c
+++ b/test/unit_terms.c
@@ -304,6 +304,56 @@
   ash_direct_finish (&set);
 }
 
+#define ENDPOINTS 16
+#define TURNING_AWAY 5
+#define RUN_MS 1000
+
+/* Of ten requests these turn nine away, without a word about rest. They keep no work, and get no
+ * more than their share all the same. */
+static void
+test_turning_away (void)
+{
+  struct ash_resend_window window = { 0 };
+  struct ash_direct_endpoint *runs[RUN_MS / STEP_MS] = { NULL };
+  struct ash_direct_set set;
+  struct ash_random random;
+  uint32_t at_turning = 0;
+
+  ash_direct_init (&set, 1);
+  ash_random_init (&random, 1);
+  for (int i = 0; i < ENDPOINTS; i++)
+    add_endpoint (&set, (const char[]){ (char) ('a' + i), '\0' });
+  for (uint32_t n = 0; n < STEPS; n++)
+    {
+      struct ash_time now = at ((int64_t) (n + 1) * STEP_MS);
+      struct ash_direct_endpoint **run = &runs[n % (RUN_MS / STEP_MS)];
+      struct ash_forward_verdict verdict;
+      bool is_turning;
+
+      if (*run)
+        {
+          (*run)->in_flight--;
+          ash_direct_saw (*run, now, ASH_DIRECT_ANSWERED);
+          *run = NULL;
+        }
+      verdict = ask (&set, &window, now.ms);
+      CU_ASSERT_FATAL (verdict.action == ASH_FORWARD_SEND);
+      is_turning = verdict.endpoint->facts.id[0] < 'a' + TURNING_AWAY;
+      at_turning += is_turning;
+      if (is_turning && ash_random_below (&random, 10))
+        {
+          verdict.endpoint->in_flight--;
+          ash_direct_saw (verdict.endpoint, now, ASH_DIRECT_FULL);
+        }
+      else
+        *run = verdict.endpoint;
+    }
+  CU_ASSERT (at_turning <= STEPS * TURNING_AWAY / ENDPOINTS);
+  /* They are tried again: they may have recovered. */
+  CU_ASSERT (at_turning >= TURNING_AWAY * PLAY_MS / 10000);
+  ash_direct_finish (&set);
+}
+
 /* Whatever the list says of this life. */
 static void
 test_leaves (void)
@@ -339,5 +389,6 @@
   CU_add_test (suite, "rates: all endpoints at theirs, refused at once", test_all_at_their_rate);
   CU_add_test (suite, "rest: an endpoint that asks for it gets it", test_rest);
   CU_add_test (suite, "rest: all endpoints, refused until the first one is back", test_all_rest);
+  CU_add_test (suite, "rest: endpoints that turn requests away", test_turning_away);
   CU_add_test (suite, "leaving: by an endpoint's own answer", test_leaves);
 }
