groups: what a group takes of the leader's memory follows its size

Cause: a group's map and its change are kept in arrays for the largest group (512 ranks, 32 layers), and both were cleared whole when the group was first seen: 1 MB and 0.1 MB a group of 24 ranks. Now only what the group has is written; the rest of the arrays is never touched.

Test: unit "groups: memory follows the size" failed for the change before; the map's part was written by a function of the daemon, which is gone.

--- a/controllers/map_switch.c
+++ b/controllers/map_switch.c
@@ -91,11 +91,12 @@
                      uint32_t lag_ms,
                      uint32_t own_rank)
 {
-  *sw = (struct ash_map_switch){
-    .rank_count = rank_count,
-    .lag_ms = lag_ms,
-    .own_rank = own_rank % rank_count,
-  };
+  /* Of the ranks those of the group alone: there is room for many more. */
+  memset (sw, 0, offsetof (struct ash_map_switch, ranks));
+  memset (sw->ranks, 0, rank_count * sizeof sw->ranks[0]);
+  sw->rank_count = rank_count;
+  sw->lag_ms = lag_ms;
+  sw->own_rank = own_rank % rank_count;
 }
 
 /* ---- reports ---- */
--- a/controllers/rank_state.h
+++ b/controllers/rank_state.h
@@ -54,6 +54,24 @@
   uint16_t slots[ASH_LAYERS_MAX][ASH_LAYER_RANKS_MAX][ASH_LAYER_SLOTS_MAX];
 };
 
+/** An empty map: of its slots those of its layers and ranks alone are written, so that what it
+ * takes follows its size. */
+static inline void
+ash_layer_map_init (struct ash_layer_map *map,
+                    uint32_t layer_count,
+                    uint32_t rank_count,
+                    uint32_t slot_count,
+                    uint32_t expert_count)
+{
+  map->version = 0;
+  map->layer_count = layer_count;
+  map->rank_count = rank_count;
+  map->slot_count = slot_count;
+  map->expert_count = expert_count;
+  for (uint32_t layer = 0; layer < layer_count; layer++)
+    memset (map->slots[layer], 0, rank_count * sizeof map->slots[layer][0]);
+}
+
 /** Copies a map: of its slots those of its layers and ranks alone, a hundredth of all as a rule. */
 static inline void
 ash_layer_map_copy (struct ash_layer_map *to, const struct ash_layer_map *from)
--- a/daemon/rank_group.c
+++ b/daemon/rank_group.c
@@ -37,19 +37,6 @@
   return group->lists_epoch == group->sw.epoch;
 }
 
-static void
-init_map (const struct ash_route_service *service, struct ash_rank_group *group)
-{
-  const struct ash_engine_facts *engine = &service->engine;
-
-  group->map = (struct ash_layer_map){
-    .layer_count = engine->layers,
-    .rank_count = group->sw.rank_count,
-    .slot_count = engine->rank_slots,
-    .expert_count = engine->experts,
-  };
-}
-
 bool
 ash_rank_engine_fits (const struct ash_engine_facts *engine)
 {
@@ -90,7 +77,8 @@
   snprintf (group->name, sizeof group->name, "%s", report->group);
   ash_map_switch_init (&group->sw, report->rank_count, service->engine.report_lag_ms,
                        ash_fleet_index (&groups->router->fleet));
-  init_map (service, group);
+  ash_layer_map_init (&group->map, service->engine.layers, report->rank_count,
+                      service->engine.rank_slots, service->engine.experts);
   HASH_ADD_STR (groups->groups, name, group);
   return group;
 }
--- a/test/unit_experts.c
+++ b/test/unit_experts.c
@@ -15,6 +15,8 @@
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/mman.h>
+#include <unistd.h>
 
 static struct ash_time
 at (int64_t ms)
@@ -37,10 +39,7 @@
             uint32_t slot_count,
             uint32_t expert_count)
 {
-  *map = (struct ash_layer_map){ .layer_count = layer_count,
-                                 .rank_count = rank_count,
-                                 .slot_count = slot_count,
-                                 .expert_count = expert_count };
+  ash_layer_map_init (map, layer_count, rank_count, slot_count, expert_count);
   for (uint32_t layer = 0; layer < layer_count; layer++)
     for (uint32_t rank = 0; rank < rank_count; rank++)
       for (uint32_t slot = 0; slot < slot_count; slot++)
@@ -683,9 +682,50 @@
   CU_ASSERT (sw.finishing);
 }
 
+/* @return bytes of fresh memory that were written. */
+static size_t
+written_bytes (void *memory, size_t bytes)
+{
+  size_t page_bytes = (size_t) sysconf (_SC_PAGESIZE);
+  size_t count = (bytes + page_bytes - 1) / page_bytes;
+  unsigned char *pages = calloc (count, 1);
+  size_t written = 0;
+
+  CU_ASSERT_EQUAL_FATAL (mincore (memory, bytes, pages), 0);
+  for (size_t i = 0; i < count; i++)
+    written += (pages[i] & 1) * page_bytes;
+  free (pages);
+  return written;
+}
+
+#define SMALL_RANKS 24
+#define SMALL_LAYERS 12
+
+/* The router that leads keeps each group, and there may be hundreds of small ones. */
+static void
+test_memory_of_small_group (void)
+{
+  const int protection = PROT_READ | PROT_WRITE;
+  const int flags = MAP_PRIVATE | MAP_ANONYMOUS;
+  struct ash_layer_map *map = mmap (NULL, sizeof *map, protection, flags, -1, 0);
+  struct ash_map_switch *sw = mmap (NULL, sizeof *sw, protection, flags, -1, 0);
+
+  CU_ASSERT_FATAL (map != MAP_FAILED && sw != MAP_FAILED);
+  /* A huge page would count as written whole. */
+  madvise (map, sizeof *map, MADV_NOHUGEPAGE);
+  madvise (sw, sizeof *sw, MADV_NOHUGEPAGE);
+  ash_layer_map_init (map, SMALL_LAYERS, SMALL_RANKS, 12, 128);
+  CU_ASSERT (written_bytes (map, sizeof *map) < sizeof *map / 10);
+  ash_map_switch_init (sw, SMALL_RANKS, 100, 0);
+  CU_ASSERT (written_bytes (sw, sizeof *sw) < sizeof *sw / 5);
+  munmap (map, sizeof *map);
+  munmap (sw, sizeof *sw);
+}
+
 void
 add_expert_tests (CU_pSuite suite)
 {
+  CU_add_test (suite, "groups: memory follows the size", test_memory_of_small_group);
   CU_add_test (suite, "expert layers: moves, shifts", test_layers);
   CU_add_test (suite, "expert layers: groups of hundreds of ranks", test_large_groups);
   CU_add_test (suite, "expert layers: skew of many ranks", test_skew_of_many_ranks);
