--- a/net/peer.c
+++ b/net/peer.c
@@ -369,15 +369,6 @@
          ash_talk_silence_ms (settings->link_silence_ms, settings->heartbeat_ms, link->period_ms);
 }
 
-/* An opening packet to a box that is not up yet is lost, and the kernel sends it again only after a
- * second: dialled anew, the link is up as soon as the box is. */
-static bool
-is_unanswered (const struct ash_link *link, struct ash_time now)
-{
-  return link->state == LINK_CONNECTING &&
-         ash_time_diff (link->heard, now) >= link->peers->settings.dial_retry_ms;
-}
-
 /* @return whether the link is connected; if not, it is closed. */
 static bool
 finish_connect (struct ash_link *link)
@@ -577,13 +568,8 @@
   (void) events;
   DL_FOREACH_SAFE (peers->links, link, next)
     {
-      struct ash_dial *dial = is_unanswered (link, now) ? link->dial : NULL;
-
-      if (dial || is_silent (link, now))
-        close_link (link, dial ? "unanswered" : "silent");
-      /* It has waited its time. */
-      if (dial)
-        dial->next_try = now;
+      if (is_silent (link, now))
+        close_link (link, "silent");
     }
   check_dials (peers, now);
   beat_due (peers, now);
