map_switch: a step that was let go at a rank is not held there again after a later one

Cause: only the last step that was let go at a rank was looked at (`!=`). Steps only rise within an epoch: none at or below it is free.

--- a/controllers/map_switch.c
+++ b/controllers/map_switch.c
@@ -406,11 +406,12 @@
 
 /* Whether a hold at that rank is this router's alone to end. A hold that stands there takes no
  * other, and it may be one of this router's former life, whose order to go may still come. So may
- * one of this life, where it has let that step go before. */
+ * one of this life, or of whoever finished for it, where it has let that step go before: also if it
+ * has let a later one go since, the group not having moved. */
 static bool
 is_free (const struct ash_map_switch *sw, uint32_t rank, uint64_t step)
 {
-  return !sw->ranks[rank].report.held && sw->ranks[rank].let_go != step;
+  return !sw->ranks[rank].report.held && sw->ranks[rank].let_go < step;
 }
 
 /* Where this router can hold a step beside what is held. */
--- a/test/unit_experts.c
+++ b/test/unit_experts.c
@@ -682,6 +682,35 @@
   CU_ASSERT (sw.finishing);
 }
 
+/* A pass with two maps: a router let step 84 go at its rank, then 85, and held 84 there again as a
+ * finisher; another one's order to go for its first hold of 84 ended the second one while it
+ * disarmed. */
+static void
+test_let_go_before (void)
+{
+  static const uint32_t copy_ms[ASH_LAYER_RANKS_MAX];
+  static const uint64_t prepared[] = { 7, 7, 7, 7 };
+  static const uint64_t held[] = { 0, 0, 101, 0 };
+  struct ash_time now = { 65000000 };
+  struct ash_map_switch sw;
+
+  ash_map_switch_init (&sw, 4, 200, 0);
+  report_all (&sw, now, 100);
+  for (uint64_t step = 101; step <= 102; step++)
+    {
+      ash_map_switch_begin (&sw, now, ash_map_switch_version (&sw, step), copy_ms);
+      answer_all (&sw, now, ASH_RANK_PREPARE, 4, 0);
+      CU_ASSERT_EQUAL (sw.step, step);
+      answer_all (&sw, now, ASH_RANK_HOLD, 4, 0);
+      answer_all (&sw, now, ASH_RANK_ARM, 4, 0);
+      answer_all (&sw, now, ASH_RANK_GO, 4, 0);
+    }
+  now = report_held (&sw, now, prepared, held);
+  answer_all (&sw, now, ASH_RANK_HOLD, 4, 0);
+  CU_ASSERT_EQUAL (sw.step, 101);
+  CU_ASSERT_NOT_EQUAL (sw.holder, 0);
+}
+
 /* @return bytes of fresh memory that were written. */
 static size_t
 written_bytes (void *memory, size_t bytes)
@@ -725,6 +754,7 @@
 void
 add_expert_tests (CU_pSuite suite)
 {
+  CU_add_test (suite, "expert layers: a step that was let go before another", test_let_go_before);
   CU_add_test (suite, "groups: memory follows the size", test_memory_of_small_group);
   CU_add_test (suite, "expert layers: moves, shifts", test_layers);
   CU_add_test (suite, "expert layers: groups of hundreds of ranks", test_large_groups);
