map_switch: a finisher goes by what is armed, not by what was before the hold

Cause: prepared was read by the newest word, armed was not. Only what is prepared can be armed: a report's word that the newer lists contradict does not count. Besides, what was let go at a rank only rises.

--- a/controllers/map_switch.c
+++ b/controllers/map_switch.c
@@ -358,13 +358,27 @@
   sw->holds++;
 }
 
-/* What a rank has prepared, by its newest word: lists don't lag, reports do. */
+/* Whether a rank's lists are its newest word: they don't lag, reports do. */
+static bool
+lists_are_newer (const struct ash_map_switch *sw, const struct ash_map_rank *rank)
+{
+  return ash_time_before (ash_time_add (rank->reported, -(int64_t) sw->lag_ms), rank->lists_asked);
+}
+
 static uint64_t
 prepared_of (const struct ash_map_switch *sw, const struct ash_map_rank *rank)
 {
-  struct ash_time reported = ash_time_add (rank->reported, -(int64_t) sw->lag_ms);
+  return lists_are_newer (sw, rank) ? rank->prepared : rank->report.prepared;
+}
+
+/* Lists don't say what is armed, but only what is prepared can be: an older report's word may be of
+ * a change that was taken back since. */
+static uint64_t
+armed_of (const struct ash_map_switch *sw, const struct ash_map_rank *rank)
+{
+  bool is_over = lists_are_newer (sw, rank) && rank->prepared != rank->report.armed;
 
-  return ash_time_before (reported, rank->lists_asked) ? rank->prepared : rank->report.prepared;
+  return is_over ? 0 : rank->report.armed;
 }
 
 /* What all ranks are to take at a step that another router holds, or what none may; 0: there
@@ -376,7 +390,7 @@
   uint64_t lowest = 0;
 
   for (uint32_t i = 0; i < sw->rank_count; i++)
-    if (sw->ranks[i].report.armed > sw->ranks[i].report.map)
+    if (armed_of (sw, &sw->ranks[i]) > sw->ranks[i].report.map)
       return sw->ranks[i].report.armed;
   for (uint32_t i = 0; i < sw->rank_count; i++)
     {
@@ -767,7 +781,7 @@
         continue;
       rank->sent = now;
       if (sw->phase == ASH_MAP_GO)
-        rank->let_go = sw->step;
+        rank->let_go = sw->step > rank->let_go ? sw->step : rank->let_go;
       orders[count++] = order_due (sw, i);
     }
   return count;
--- a/test/unit_experts.c
+++ b/test/unit_experts.c
@@ -711,6 +711,40 @@
   CU_ASSERT_NOT_EQUAL (sw.holder, 0);
 }
 
+/* A pass with two maps: a finisher took back what a report from before the hold told to be armed,
+ * and let the step go under ranks that were armed with what their lists tell. */
+static void
+test_armed_before (void)
+{
+  struct ash_time now = { 65000000 };
+  struct ash_map_switch sw;
+
+  ash_map_switch_init (&sw, 4, 200, 0);
+  for (uint32_t rank = 0; rank < 4; rank++)
+    {
+      struct ash_rank_report report = { .group = "g",
+                                        .epoch = 1,
+                                        .rank = rank,
+                                        .rank_count = 4,
+                                        .step = 100,
+                                        .map = 3,
+                                        .prepared = 5,
+                                        .armed = rank ? 5 : 0,
+                                        .held = rank ? 0 : 101 };
+
+      ash_map_switch_report (&sw, now, &report);
+    }
+  now = ash_time_add (now, 130);
+  for (uint32_t rank = 0; rank < 4; rank++)
+    {
+      ash_map_switch_uses (&sw, rank, 1, 3);
+      ash_map_switch_prepared (&sw, rank, 1, 7, now);
+    }
+  answer_all (&sw, now, ASH_RANK_HOLD, 4, 0);
+  CU_ASSERT (sw.finishing);
+  CU_ASSERT_EQUAL (sw.version, 7);
+}
+
 /* @return bytes of fresh memory that were written. */
 static size_t
 written_bytes (void *memory, size_t bytes)
@@ -755,6 +789,7 @@
 add_expert_tests (CU_pSuite suite)
 {
   CU_add_test (suite, "expert layers: a step that was let go before another", test_let_go_before);
+  CU_add_test (suite, "expert layers: what was armed before the hold", test_armed_before);
   CU_add_test (suite, "groups: memory follows the size", test_memory_of_small_group);
   CU_add_test (suite, "expert layers: moves, shifts", test_layers);
   CU_add_test (suite, "expert layers: groups of hundreds of ranks", test_large_groups);
