fleet_terms: that an endpoint names no rate any more reaches routers that were away

Found by reading the diff: a router that holds no part sends the endpoint nothing, so only a peer can tell it that the rate is over; one whose link was down at that moment was never told, and a peer's older word could bring a rate back that had ended. Now peers are told of ended rates when a link comes up, and a word counts by its age in any state.

--- a/controllers/rate_limit.c
+++ b/controllers/rate_limit.c
@@ -39,8 +39,9 @@
 
   if (!before && !milli_per_s)
     return false;
-  if (before && (!ash_time_before (limit->heard, said) ||
-                 (!milli_per_s && ash_time_before (asked, limit->heard))))
+  if (!ash_time_before (limit->heard, said))
+    return false;
+  if (!milli_per_s && ash_time_before (asked, limit->heard))
     return false;
   limit->milli_per_s = milli_per_s;
   limit->heard = said;
--- a/daemon/fleet_terms.c
+++ b/daemon/fleet_terms.c
@@ -59,7 +59,8 @@
 
   for (struct ash_direct_endpoint *endpoint = fleet->router->endpoints.endpoints;
        endpoint && count < TERMS_MAX; endpoint = endpoint->hh.next)
-    if (endpoint->limit.milli_per_s || endpoint->said_leaving)
+    /* That it names no rate any more, too: the peer may know an older word. */
+    if (endpoint->limit.heard.ms || endpoint->said_leaving)
       messages[count++] = message_of (endpoint, now);
   tell (fleet, peer, messages, count);
 }
--- a/test/router_terms.c
+++ b/test/router_terms.c
@@ -5,6 +5,7 @@
 #include "test/router_tests.h"
 
 #include <CUnit/CUnit.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -129,6 +130,26 @@
   world_stop (&world);
 }
 
+/* It was away when the others heard, and sends the endpoint nothing that could tell it. */
+static void
+test_limit_over_meanwhile (void)
+{
+  start_routers ();
+  call_all ("A=limit", 6);
+  wait_known (0, "limit_milli=1000");
+  kill (world.routers[ROUTERS - 1].pid, SIGSTOP);
+  CU_ASSERT (world_wait_logged (&world, 0, " link_down "));
+  for (int i = 0; i < 400 && !world_logged (&world, 0, "limit_milli=0 before_milli=1000"); i++)
+    {
+      for (int r = 0; r < ROUTERS - 1; r++)
+        world_call_at (&world, r, "c", "/safe/x", NULL, "", &answer);
+      fleet_sleep (ROUTERS * CALL_PAUSE_MS);
+    }
+  kill (world.routers[ROUTERS - 1].pid, SIGCONT);
+  wait_known (0, "limit_milli=0 before_milli=1000");
+  world_stop (&world);
+}
+
 /* Each router may find out by itself; from then on the endpoint gets nothing from it, however
  * little work it has. */
 static void
@@ -176,6 +197,7 @@
   { "a rate that an endpoint names is kept by all routers together", test_limit_kept },
   { "a rate that an endpoint names is told on", test_limit_told_on },
   { "a rate that an endpoint no longer names", test_limit_over },
+  { "a rate that is no longer named while a router is away", test_limit_over_meanwhile },
   { "an endpoint that asks for rest gets it", test_rest_kept },
   { "an endpoint that says in an answer that it leaves", test_leaving },
   { "an endpoint that told another router that it leaves", test_leaving_told_on },
--- a/test/unit_terms.c
+++ b/test/unit_terms.c
@@ -179,6 +179,9 @@
   CU_ASSERT_EQUAL (limit.milli_per_s, 3000);
   CU_ASSERT (ash_rate_limit_heard (&limit, 0, at (70), at (50)));
   CU_ASSERT_EQUAL (ash_rate_limit_opens_ms (&limit, at (70)), 0);
+  /* A peer that has not heard that yet. */
+  CU_ASSERT_FALSE (ash_rate_limit_heard (&limit, 3000, at (60), at (60)));
+  CU_ASSERT_EQUAL (limit.milli_per_s, 0);
 }
 
 /* ---- requests ---- */
