--- a/controllers/map_switch.c
+++ b/controllers/map_switch.c
@@ -1,4 +1,5 @@
-#include "controllers/map_switch.h"
+#include "controllers/map_finish.h"
+#include "controllers/map_steps.h"
 
 /* An order without an answer is sent again after this: ten times a calm round trip between
  * halls, since the group may stand still meanwhile. A map is long and goes to all ranks at
@@ -6,9 +7,6 @@
 #define RESEND_MS 40
 #define PREPARE_RESEND_MS 120
 
-/* Reports may be so much older than their lag says: the time an answer takes, many times. */
-#define REPORT_MARGIN_MS 120
-
 /* Ranks that have not copied all by then won't: ten times what a full change takes. */
 #define PREPARE_MS 12000
 
@@ -18,17 +16,6 @@
 #define STEPS_AHEAD 1
 #define HOLDS_MAX 16
 
-/* Steps that ranks told so far apart tell how long a pass takes: one or two passes. */
-#define WORDS_APART_MS 80
-
-/* Of the passes that should have gone by since the last report, so many are counted on:
- * rather one hold too many than some passes too far. */
-#define GONE_PART 0.8
-
-/* A group whose steps were seen so short ago is at work: reports come every half second
- * and lag. */
-#define MOVING_MS 1000
-
 /* A prepare that is refused so often won't be taken. */
 #define PREPARES_MAX 6
 
@@ -101,15 +88,6 @@
 
 /* ---- reports ---- */
 
-static void
-note_step (struct ash_map_switch *sw, struct ash_time at, uint64_t step)
-{
-  if (step <= sw->last_step)
-    return;
-  sw->last_step = step;
-  sw->last_step_at = at;
-}
-
 static void
 form_anew (struct ash_map_switch *sw, struct ash_time now, uint64_t epoch)
 {
@@ -174,7 +152,7 @@
   rank->report.map = map;
   rank->reported = now;
   rank->known = true;
-  note_step (sw, ash_time_add (now, -(int64_t) sw->lag_ms), report->step);
+  ash_map_note_step (sw, ash_time_add (now, -(int64_t) sw->lag_ms), report->step);
   /* That a rank tells to be armed with the version does not do for an answer: it does not tell
    * for which step, and another router may have armed it for another one. */
   note_hold (sw, now, report);
@@ -213,35 +191,6 @@
   return sw->foreign_held != 0;
 }
 
-void
-ash_map_switch_pass (struct ash_map_switch *sw, double pass_ms)
-{
-  sw->pass_ms = pass_ms;
-}
-
-void
-ash_map_switch_step (struct ash_map_switch *sw, struct ash_time now, uint64_t step)
-{
-  int64_t since_ms = ash_time_diff (sw->told_at, now);
-
-  note_step (sw, now, step);
-  /* A pass may have begun between the words of two ranks that were asked at once. */
-  if (step <= sw->told_step || since_ms < WORDS_APART_MS)
-    return;
-  if (sw->told_step && since_ms < MOVING_MS)
-    sw->step_ms = (double) since_ms / (double) (step - sw->told_step);
-  sw->told_step = step;
-  sw->told_at = now;
-}
-
-/* Of the group's own passes. Where no stream of this router shows them, its ranks' steps do:
- * without either, up to nine steps were tried before one had not begun yet. */
-static double
-pass_ms_of (const struct ash_map_switch *sw)
-{
-  return sw->pass_ms > 1 ? sw->pass_ms : sw->step_ms;
-}
-
 static bool
 all_known (const struct ash_map_switch *sw)
 {
@@ -251,29 +200,11 @@
   return true;
 }
 
-/* Steps were seen lately: an idle group makes none, however long a pass took before. */
-static bool
-moves (const struct ash_map_switch *sw, struct ash_time now)
-{
-  return sw->last_step && ash_time_diff (sw->last_step_at, now) < MOVING_MS;
-}
-
-/* The step that surely runs by now. */
-static uint64_t
-step_now (const struct ash_map_switch *sw, struct ash_time now)
-{
-  int64_t gone_ms = ash_time_diff (sw->last_step_at, now);
-
-  if (!moves (sw, now) || pass_ms_of (sw) <= 1 || gone_ms <= 0)
-    return sw->last_step;
-  return sw->last_step + (uint64_t) (GONE_PART * (double) gone_ms / pass_ms_of (sw));
-}
-
 bool
 ash_map_switch_ready (const struct ash_map_switch *sw, struct ash_time now)
 {
   /* Ranks are armed until the step begins that was let go, and prepare nothing till then. */
-  bool settled = step_now (sw, now) >= sw->released;
+  bool settled = ash_map_step_now (sw, now) >= sw->released;
 
   return sw->phase == ASH_MAP_IDLE && !sw->foreign_held && settled && all_known (sw);
 }
@@ -348,7 +279,7 @@
 static void
 begin_hold (struct ash_map_switch *sw, struct ash_time now)
 {
-  uint64_t begun = step_now (sw, now);
+  uint64_t begun = ash_map_step_now (sw, now);
 
   enter (sw, now, ASH_MAP_HOLD);
   sw->holder = sw->own_rank;
@@ -358,104 +289,20 @@
   sw->holds++;
 }
 
-/* Whether a rank's lists are its newest word: they don't lag, reports do. */
-static bool
-lists_are_newer (const struct ash_map_switch *sw, const struct ash_map_rank *rank)
-{
-  return ash_time_before (ash_time_add (rank->reported, -(int64_t) sw->lag_ms), rank->lists_asked);
-}
-
-static uint64_t
-prepared_of (const struct ash_map_switch *sw, const struct ash_map_rank *rank)
-{
-  return lists_are_newer (sw, rank) ? rank->prepared : rank->report.prepared;
-}
-
-/* Lists don't say what is armed, but only what is prepared can be: an older report's word may be of
- * a change that was taken back since. */
-static uint64_t
-armed_of (const struct ash_map_switch *sw, const struct ash_map_rank *rank)
-{
-  bool is_over = lists_are_newer (sw, rank) && rank->prepared != rank->report.armed;
-
-  return is_over ? 0 : rank->report.armed;
-}
-
-/* What all ranks are to take at a step that another router holds, or what none may; 0: there
- * is nothing. What is prepared may have been armed by orders that are still under way. Of two
- * versions the lower one has got that far. An old report may tell of an arm that was taken. */
-static uint64_t
-version_to_finish (const struct ash_map_switch *sw)
-{
-  uint64_t lowest = 0;
-
-  for (uint32_t i = 0; i < sw->rank_count; i++)
-    if (armed_of (sw, &sw->ranks[i]) > sw->ranks[i].report.map)
-      return sw->ranks[i].report.armed;
-  for (uint32_t i = 0; i < sw->rank_count; i++)
-    {
-      uint64_t prepared = prepared_of (sw, &sw->ranks[i]);
-
-      if (prepared > sw->ranks[i].report.map && (!lowest || prepared < lowest))
-        lowest = prepared;
-    }
-  return lowest;
-}
-
-/* What tells what another router had done must be newer than its hold. */
-static bool
-told_since (const struct ash_map_switch *sw, struct ash_time since)
-{
-  for (uint32_t i = 0; i < sw->rank_count; i++)
-    {
-      const struct ash_map_rank *rank = &sw->ranks[i];
-      int64_t reported_ms = ash_time_diff (since, rank->reported);
-
-      if (ash_time_before (rank->lists_asked, since) &&
-          reported_ms < (int64_t) sw->lag_ms + REPORT_MARGIN_MS)
-        return false;
-    }
-  return true;
-}
-
-/* Whether a hold at that rank is this router's alone to end. A hold that stands there takes no
- * other, and it may be one of this router's former life, whose order to go may still come. So may
- * one of this life, or of whoever finished for it, where it has let that step go before: also if it
- * has let a later one go since, the group not having moved. */
-static bool
-is_free (const struct ash_map_switch *sw, uint32_t rank, uint64_t step)
-{
-  return !sw->ranks[rank].report.held && sw->ranks[rank].let_go < step;
-}
-
-/* Where this router can hold a step beside what is held. */
-static uint32_t
-free_rank (const struct ash_map_switch *sw, uint64_t step)
-{
-  uint32_t spare = (sw->own_rank + sw->rank_count / 2) % sw->rank_count;
-
-  if (is_free (sw, sw->own_rank, step))
-    return sw->own_rank;
-  for (uint32_t i = 0; i < sw->rank_count; i++)
-    if (is_free (sw, (spare + i) % sw->rank_count, step))
-      return (spare + i) % sw->rank_count;
-  return spare;
-}
-
 static void
 finish_foreign (struct ash_map_switch *sw, struct ash_time now)
 {
   if (!sw->foreign_held || ash_time_diff (sw->foreign_since, now) < FOREIGN_MS || !all_known (sw) ||
-      !told_since (sw, sw->foreign_since))
+      !ash_map_finish_is_told (sw, sw->foreign_since))
     return;
-  sw->version = version_to_finish (sw);
+  sw->version = ash_map_finish_version (sw);
   sw->step = sw->foreign_held;
   sw->foreign_held = 0;
   sw->finishing = true;
   sw->began = now;
   /* With nothing to arm the group is just let go. Else the step is held here as well: the
    * other router may live, and let go what it holds while ranks are being armed. */
-  sw->holder = sw->version ? free_rank (sw, sw->step) : sw->foreign_rank;
+  sw->holder = sw->version ? ash_map_finish_rank (sw, sw->step) : sw->foreign_rank;
   enter (sw, now, sw->version ? ASH_MAP_HOLD : ASH_MAP_GO);
 }
 
@@ -793,7 +640,7 @@
 {
   const struct ash_rank_report *first = &sw->ranks[0].report;
 
-  return first->active && !moves (sw, now);
+  return first->active && !ash_map_moves (sw, now);
 }
 
 bool
--- a/test/unit.h
+++ b/test/unit.h
@@ -25,9 +25,12 @@
 /** A store that comes back from an older copy. */
 void add_era_tests (CU_pSuite suite);
 
-/** Passes of groups, expert maps and their change. */
+/** Passes of groups and expert maps. */
 void add_expert_tests (CU_pSuite suite);
 
+/** Changes of maps. */
+void add_map_tests (CU_pSuite suite);
+
 /** The platform's formats, and HTTP. */
 void add_platform_tests (CU_pSuite suite);
 
