--- a/test/router_terms.c
+++ b/test/router_terms.c
@@ -150,8 +150,7 @@
   world_stop (&world);
 }
 
-/* Each router may find out by itself; from then on the endpoint gets nothing from it, however
- * little work it has. */
+/* Each router may find out by itself. */
 static void
 test_rest_kept (void)
 {
--- a/test/unit_maps.c
+++ b/test/unit_maps.c
@@ -281,9 +281,7 @@
   CU_ASSERT (sw.finishing);
 }
 
-/* A pass with two maps: a router let step 84 go at its rank, then 85, and held 84 there again as a
- * finisher; another one's order to go for its first hold of 84 ended the second one while it
- * disarmed. */
+/* Another router's order to go for a first hold of a step would end a second one at that rank. */
 static void
 test_let_go_before (void)
 {
@@ -310,8 +308,7 @@
   CU_ASSERT_NOT_EQUAL (sw.holder, 0);
 }
 
-/* A pass with two maps: a finisher took back what a report from before the hold told to be armed,
- * and let the step go under ranks that were armed with what their lists tell. */
+/* What a report from before the hold told to be armed is not what is to be taken back. */
 static void
 test_armed_before (void)
 {
