route_table, fleet_terms, tests: one way to grow an array, to start routers; no work where no rate is named

Read once more: routes and their parts grew by two copies of the same lines; two test files started routers by the same ones; each choice of an endpoint worked out a bucket, and each tick a digest of all routers, also while no endpoint names a rate. No change of behaviour, no assertion changed.

--- a/controllers/rate_limit.c
+++ b/controllers/rate_limit.c
@@ -109,9 +109,12 @@
 int64_t
 ash_rate_limit_opens_ms (const struct ash_rate_limit *limit, struct ash_time now)
 {
-  double lacks = 1 - saved (limit, now);
+  double lacks;
 
-  if (!limit->milli_per_s || lacks <= 0)
+  if (!limit->milli_per_s)
+    return 0;
+  lacks = 1 - saved (limit, now);
+  if (lacks <= 0)
     return 0;
   return limit->part_per_s > 0 ? (int64_t) (lacks / limit->part_per_s * MS_PER_S) + 1 : -1;
 }
--- a/controllers/route_table.c
+++ b/controllers/route_table.c
@@ -64,21 +64,31 @@
 
 /* ---- filling ---- */
 
+/* @return the items with room for one more; NULL without memory, they stay as they are then. */
+static void *
+with_room (void *items, uint32_t count, uint32_t *room, size_t item_bytes)
+{
+  uint32_t more = 2 * *room + 16;
+  void *grown;
+
+  if (count < *room)
+    return items;
+  grown = realloc (items, more * item_bytes);
+  if (grown)
+    *room = more;
+  return grown;
+}
+
 struct ash_route *
 ash_route_table_add_route (struct ash_route_table *table)
 {
+  struct ash_route *routes =
+      with_room (table->routes, table->route_count, &table->route_room, sizeof *routes);
   struct ash_route *route;
 
-  if (table->route_count == table->route_room)
-    {
-      uint32_t room = 2 * table->route_room + 16;
-      struct ash_route *routes = realloc (table->routes, room * sizeof *routes);
-
-      if (!routes)
-        return NULL;
-      table->routes = routes;
-      table->route_room = room;
-    }
+  if (!routes)
+    return NULL;
+  table->routes = routes;
   route = &table->routes[table->route_count++];
   *route = (struct ash_route){ 0 };
   return route;
@@ -87,16 +97,12 @@
 bool
 ash_route_table_add_part (struct ash_route_table *table, struct ash_route_part part)
 {
-  if (table->part_count == table->part_room)
-    {
-      uint32_t room = 2 * table->part_room + 16;
-      struct ash_route_part *parts = realloc (table->parts, room * sizeof *parts);
+  struct ash_route_part *parts =
+      with_room (table->parts, table->part_count, &table->part_room, sizeof *parts);
 
-      if (!parts)
-        return false;
-      table->parts = parts;
-      table->part_room = room;
-    }
+  if (!parts)
+    return false;
+  table->parts = parts;
   table->parts[table->part_count++] = part;
   return true;
 }
--- a/daemon/fleet_terms.c
+++ b/daemon/fleet_terms.c
@@ -216,15 +216,18 @@
 void
 ash_fleet_deal_rates (struct ash_fleet *fleet, struct ash_time now)
 {
-  uint64_t members = members_digest (fleet, now);
+  uint64_t members = 0; /* not needed while no endpoint names a rate */
 
   for (struct ash_direct_endpoint *endpoint = fleet->router->endpoints.endpoints; endpoint;
        endpoint = endpoint->hh.next)
-    if (!endpoint->limit.milli_per_s)
-      continue;
-    /* The others deal among themselves from the moment on at which they are told. */
-    else if (fleet->router->stopping)
-      ash_rate_limit_waive (&endpoint->limit);
-    else if (endpoint->limit.members != members)
-      deal (fleet, endpoint, now, members);
+    {
+      if (!endpoint->limit.milli_per_s)
+        continue;
+      members = members ? members : members_digest (fleet, now);
+      /* The others deal among themselves from the moment on at which they are told. */
+      if (fleet->router->stopping)
+        ash_rate_limit_waive (&endpoint->limit);
+      else if (endpoint->limit.members != members)
+        deal (fleet, endpoint, now, members);
+    }
 }
--- a/test/router_ends.c
+++ b/test/router_ends.c
@@ -25,14 +25,6 @@
 
 #define SUBMISSIONS 6
 
-static void
-start_two (void)
-{
-  start ();
-  world_start_router (&world, 1);
-  CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 1, true));
-}
-
 /* Starts what has ended anew, and waits until both routers have it. @return how many ended. */
 static int
 revive (void)
@@ -57,7 +49,7 @@
   int ends = 0;
   char id[16];
 
-  start_two ();
+  start_routers (2);
   for (int i = 0; i < SUBMISSIONS; i++)
     {
       bool proved = ends >= ENDS_MOST;
@@ -89,7 +81,7 @@
 static void
 test_newcomer (void)
 {
-  start_two ();
+  start_routers (2);
   for (int i = 0; i < 2; i++)
     {
       world_call_at (&world, 0, "end", "/once/ends", "*=end", "", &answer);
@@ -112,7 +104,7 @@
 static void
 test_reset_only (void)
 {
-  start_two ();
+  start_routers (2);
   for (int i = 0; i < 6; i++)
     {
       world_call_at (&world, i % 2, "reset", "/safe/x", "*=reset", "", &answer);
@@ -130,7 +122,7 @@
 static void
 test_cleared (void)
 {
-  start_two ();
+  start_routers (2);
   for (int i = 0; i < 4; i++)
     {
       world_call_at (&world, i % 2, "end", "/once/often", "*=end", "", &answer);
@@ -176,7 +168,7 @@
   int fd;
   int s;
 
-  start_two ();
+  start_routers (2);
   world_call_at (&world, 0, "end-1", "/once/ends", "*=end", "", &answer);
   CU_ASSERT_EQUAL (revive (), 1);
   fd = world_connect (&world, 0);
--- a/test/router_terms.c
+++ b/test/router_terms.c
@@ -22,17 +22,6 @@
 #define WINDOW_MS 4000
 #define CALL_PAUSE_MS 15
 
-static void
-start_routers (void)
-{
-  start ();
-  for (int r = 1; r < ROUTERS; r++)
-    {
-      world_start_router (&world, r);
-      CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, r, true));
-    }
-}
-
 static int
 arrived (int s)
 {
@@ -73,7 +62,7 @@
   int calls = 0;
   int served = 0;
 
-  start_routers ();
+  start_routers (ROUTERS);
   call_all ("A=limit", 6);
   wait_known (0, "limit_milli=1000");
   before = arrived (0);
@@ -97,9 +86,7 @@
 static void
 test_limit_told_on (void)
 {
-  start ();
-  world_start_router (&world, 1);
-  CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 1, true));
+  start_routers (2);
   CU_ASSERT_TRUE_FATAL (world_wait_logged (&world, 1, " link_up "));
   for (int i = 0; i < 10; i++)
     world_call (&world, "c", "/safe/x", "A=limit", "", &answer);
@@ -115,7 +102,7 @@
 {
   int before;
 
-  start_routers ();
+  start_routers (ROUTERS);
   call_all ("A=limit", 6);
   wait_known (0, "limit_milli=1000");
   for (int i = 0; i < 400 && !world_logged (&world, 0, "limit_milli=0 before_milli=1000"); i++)
@@ -134,7 +121,7 @@
 static void
 test_limit_over_meanwhile (void)
 {
-  start_routers ();
+  start_routers (ROUTERS);
   call_all ("A=limit", 6);
   wait_known (0, "limit_milli=1000");
   kill (world.routers[ROUTERS - 1].pid, SIGSTOP);
@@ -154,7 +141,7 @@
 static void
 test_rest_kept (void)
 {
-  start_routers ();
+  start_routers (ROUTERS);
   CU_ASSERT_EQUAL (call_all ("A=rest", 30), 30 * ROUTERS);
   CU_ASSERT (arrived (0) > 0 && arrived (0) <= ROUTERS);
   world_stop (&world);
@@ -166,7 +153,7 @@
 {
   int before;
 
-  start_routers ();
+  start_routers (ROUTERS);
   call_all ("A=leave", 6);
   wait_known (0, "source=");
   before = arrived (0);
--- a/test/router_tests.c
+++ b/test/router_tests.c
@@ -15,6 +15,17 @@
   CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, 0, true));
 }
 
+void
+start_routers (int count)
+{
+  start ();
+  for (int r = 1; r < count; r++)
+    {
+      world_start_router (&world, r);
+      CU_ASSERT_TRUE_FATAL (world_wait_ready (&world, r, true));
+    }
+}
+
 void
 restart (void)
 {
--- a/test/router_tests.h
+++ b/test/router_tests.h
@@ -44,6 +44,9 @@
 /** Starts the world, with a configuration; the first router is ready. */
 void start (void);
 
+/** The same with so many routers; all are ready. */
+void start_routers (int count);
+
 /** Ends the first router and starts it anew, with the world's settings; it is ready. */
 void restart (void);
 
--- a/test/unit_maps.c
+++ b/test/unit_maps.c
@@ -7,7 +7,6 @@
 #include "test/unit.h"
 
 #include <stdlib.h>
-#include <string.h>
 #include <sys/mman.h>
 #include <unistd.h>
 
