test: count the lines of the present process, and end no process by a late SIGCONT

SIGCONT cancels the pending SIGSTOP with which LeakSanitizer's process attaches at the exit.

Ruled out: the router itself; it had logged 103 and left main.

Change: a box has the size of its log at its process's start, and counts go from there; `configuration: replaced while the platform answers an older one` counts over all six processes of the entry, as it meant to, and says so. No SIGCONT without a signal to deliver; a process that has not ended after a minute is aborted, killed and counts as failed. silence.c's copy of the counter is gone.

--- a/test/fleet.c
+++ b/test/fleet.c
@@ -22,6 +22,12 @@
 #define DOCUMENT_BYTES 8192
 #define WAIT_LIVE_MS 10000
 
+/* How long a process may take to end: several times the longest planned stop of the tests. */
+#define END_MAX_MS 60000
+#define END_POLL_MS 5
+/* Time to print a stack before the process is killed. */
+#define END_ABORT_MS 3000
+
 /* Ports are allocated in blocks, below the system's ephemeral ports. */
 #define FIRST_PORT 10000
 #define BLOCK_PORTS 64
@@ -84,6 +90,59 @@
   return pid;
 }
 
+/* Opens a process's log. @return NULL if there is none yet. */
+static FILE *
+open_log (const char *folder, const char *log_name)
+{
+  char path[160];
+
+  snprintf (path, sizeof path, "%s/%s.log", folder, log_name);
+  return fopen (path, "r");
+}
+
+long
+fleet_log_bytes (const char *folder, const char *log_name)
+{
+  FILE *file = open_log (folder, log_name);
+  long bytes = 0;
+
+  if (file && fseek (file, 0, SEEK_END) == 0)
+    bytes = ftell (file);
+  if (file)
+    fclose (file);
+  return bytes;
+}
+
+int
+fleet_count_lines (const char *folder, const char *log_name, long start_bytes, const char *text)
+{
+  FILE *file = open_log (folder, log_name);
+  char line[2048];
+  int count = 0;
+
+  if (file && fseek (file, start_bytes, SEEK_SET) == 0)
+    while (fgets (line, sizeof line, file))
+      count += strstr (line, text) != NULL;
+  if (file)
+    fclose (file);
+  return count;
+}
+
+/* Waits until a process has ended. @return false if it still runs after END_MAX_MS. */
+static bool
+wait_end (pid_t pid, int *status)
+{
+  int64_t until = fleet_now_ms () + END_MAX_MS;
+
+  while (waitpid (pid, status, WNOHANG) == 0)
+    {
+      if (fleet_now_ms () > until)
+        return false;
+      fleet_sleep_ms (END_POLL_MS);
+    }
+  return true;
+}
+
 int
 fleet_end_process (pid_t *pid, int signal)
 {
@@ -91,11 +150,22 @@
 
   if (*pid <= 0)
     return 0;
-  kill (*pid, signal);
-  /* A paused process handles other signals than SIGKILL only after SIGCONT. */
-  if (signal != SIGKILL)
+  /* A paused process handles other signals than SIGKILL only after SIGCONT. That is not sent to a
+   * process that is already ending: it cancels the SIGSTOP with which LeakSanitizer's process
+   * attaches to this one at its exit, so that neither would ever end. */
+  if (signal)
+    kill (*pid, signal);
+  if (signal && signal != SIGKILL)
     kill (*pid, SIGCONT);
-  waitpid (*pid, &status, 0);
+  if (!wait_end (*pid, &status))
+    {
+      fprintf (stderr, "process %d did not end within %d ms\n", (int) *pid, END_MAX_MS);
+      /* Sanitizers print the stack on SIGABRT, if ASAN_OPTIONS has handle_abort=1. */
+      kill (*pid, SIGABRT);
+      fleet_sleep_ms (END_ABORT_MS);
+      kill (*pid, SIGKILL);
+      waitpid (*pid, &status, 0);
+    }
   *pid = 0;
   return WIFEXITED (status) ? WEXITSTATUS (status) : -1;
 }
@@ -203,10 +273,11 @@
 }
 
 static pid_t
-start_daemon (struct fleet *fleet, const struct fleet_box *box, const char *role)
+start_daemon (struct fleet *fleet, struct fleet_box *box, const char *role)
 {
   char path[128];
 
+  box->log_start = fleet_log_bytes (fleet->folder, box->name);
   write_settings (fleet, box, role);
   snprintf (path, sizeof path, "%s/%s.toml", fleet->folder, box->name);
   return fleet_spawn (fleet->folder, box->name, "ashspindled", path, (char *) NULL);
@@ -449,21 +520,23 @@
   return revision;
 }
 
+/* @return the size of the box's log when its present process was started. */
+static long
+log_start_of (const struct fleet *fleet, const char *box)
+{
+  for (int e = 0; e < FLEET_ENTRIES; e++)
+    if (strcmp (fleet->entries[e].name, box) == 0)
+      return fleet->entries[e].log_start;
+  for (int a = 0; a < FLEET_ENDPOINTS; a++)
+    if (strcmp (fleet->endpoints[a].name, box) == 0)
+      return fleet->endpoints[a].log_start;
+  return 0;
+}
+
 int
 fleet_count_log_lines (struct fleet *fleet, const char *box, const char *text)
 {
-  char path[160];
-  char line[2048];
-  int count = 0;
-  FILE *file;
-
-  snprintf (path, sizeof path, "%s/%s.log", fleet->folder, box);
-  file = fopen (path, "r");
-  while (file && fgets (line, sizeof line, file))
-    count += strstr (line, text) != NULL;
-  if (file)
-    fclose (file);
-  return count;
+  return fleet_count_lines (fleet->folder, box, log_start_of (fleet, box), text);
 }
 
 /* ---- calls ---- */
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -23,6 +23,7 @@
 {
   char name[32];
   pid_t pid;
+  long log_start; /**< size of the log, in bytes, when the present process was started */
   uint16_t peer_port;
   uint16_t http_port;     /**< an entry's own port, or the port of an endpoint's engine */
   uint16_t link_port;     /**< endpoints: port of the stand-in link to the agent */
@@ -69,7 +70,8 @@
 /** Waits until an entry has exactly that many live endpoints. @return false after 10 s. */
 bool fleet_wait_live (struct fleet *fleet, int e, int count);
 
-/** Sends a signal (0: none) to a process, waits until it ends and clears its id.
+/** Sends a signal (0: none) to a process, waits until it ends and clears its id. A process that
+ * does not end within a minute is killed.
  * @return its exit status, or -1 if a signal killed it */
 int fleet_end_process (pid_t *pid, int signal);
 
@@ -121,7 +123,14 @@
 /** Reserves free consecutive loopback ports, at most 64; exits if there are none. */
 void fleet_free_ports (uint16_t *ports, int count);
 
-/** @return how many lines of a daemon's log contain the text. */
+/** @return the present size of a process's log in bytes. */
+long fleet_log_bytes (const char *folder, const char *log_name);
+
+/** @return how many lines of a log contain the text, from the byte @p start_bytes on. */
+int
+fleet_count_lines (const char *folder, const char *log_name, long start_bytes, const char *text);
+
+/** @return how many lines that a daemon's present process has logged contain the text. */
 int fleet_count_log_lines (struct fleet *fleet, const char *box, const char *text);
 
 #endif
--- a/test/operators.c
+++ b/test/operators.c
@@ -69,12 +69,13 @@
       CU_ASSERT (fleet_wait_live (&fleet, 0, FLEET_ENDPOINTS));
       CU_ASSERT_EQUAL (fleet_revision (&fleet, 0), 2);
     }
-  CU_ASSERT_EQUAL (
-      fleet_count_log_lines (&fleet, "entry-1", " 101 ready box=entry-1 module=daemon revision=1 "),
-      1);
-  CU_ASSERT_EQUAL (
-      fleet_count_log_lines (&fleet, "entry-1", " 101 ready box=entry-1 module=daemon revision=2 "),
-      5);
+  /* Of the entry's six processes, only the first served with revision 1. */
+  CU_ASSERT_EQUAL (fleet_count_lines (fleet.folder, "entry-1", 0,
+                                      " 101 ready box=entry-1 module=daemon revision=1 "),
+                   1);
+  CU_ASSERT_EQUAL (fleet_count_lines (fleet.folder, "entry-1", 0,
+                                      " 101 ready box=entry-1 module=daemon revision=2 "),
+                   5);
   fleet_stop (&fleet);
 }
 
--- a/test/router_testbed.c
+++ b/test/router_testbed.c
@@ -422,6 +422,7 @@
   fclose (file);
   if (testbed->suspendable)
     set_clock (testbed);
+  router->log_start = fleet_log_bytes (testbed->folder, name);
   router->pid = fleet_spawn (testbed->folder, name, "ashspindle-router", path, (char *) NULL);
   unsetenv ("LD_PRELOAD");
   wait_port (router->readiness_port);
@@ -615,18 +616,10 @@
 int
 testbed_count_logged (struct testbed *testbed, int r, const char *text)
 {
-  char path[128];
-  char line[2048];
-  int found = 0;
-  FILE *file;
+  char name[16];
 
-  snprintf (path, sizeof path, "%s/router-%d.log", testbed->folder, r);
-  file = fopen (path, "r");
-  while (file && fgets (line, sizeof line, file))
-    found += strstr (line, text) != NULL;
-  if (file)
-    fclose (file);
-  return found;
+  snprintf (name, sizeof name, "router-%d", r);
+  return fleet_count_lines (testbed->folder, name, testbed->routers[r].log_start, text);
 }
 
 bool
--- a/test/router_testbed.h
+++ b/test/router_testbed.h
@@ -19,6 +19,7 @@
 struct testbed_router
 {
   pid_t pid;
+  long log_start; /**< size of the log, in bytes, when the present process was started */
   uint16_t frontend_port;
   uint16_t readiness_port;
   uint16_t directory_port;
@@ -183,13 +184,13 @@
 /** @return how many requests with that attempt id the servers have received. */
 int testbed_count_runs (struct testbed *testbed, const char *id);
 
-/** @return whether the router's log contains the text. */
+/** @return whether a line that the router's present process has logged contains the text. */
 bool testbed_logged (struct testbed *testbed, int r, const char *text);
 
-/** @return how many lines of the router's log contain the text. */
+/** @return how many lines that the router's present process has logged contain the text. */
 int testbed_count_logged (struct testbed *testbed, int r, const char *text);
 
-/** Waits until the router's log contains the text. @return false after 10 s. */
+/** Waits until the router's present process has logged the text. @return false after 10 s. */
 bool testbed_wait_logged (struct testbed *testbed, int r, const char *text);
 
 #endif
--- a/test/silence.c
+++ b/test/silence.c
@@ -385,29 +385,12 @@
 
 /* ---- connections between routers ---- */
 
-static int
-count_logged (int r, const char *text)
-{
-  char path[128];
-  char line[2048];
-  int count = 0;
-  FILE *file;
-
-  snprintf (path, sizeof path, "%s/router-%d.log", testbed.folder, r);
-  file = fopen (path, "r");
-  while (file && fgets (line, sizeof line, file))
-    count += strstr (line, text) != NULL;
-  if (file)
-    fclose (file);
-  return count;
-}
-
 static bool
 wait_counted (int r, const char *text, int count)
 {
   for (int i = 0; i < 400; i++)
     {
-      if (count_logged (r, text) >= count)
+      if (testbed_count_logged (&testbed, r, text) >= count)
         return true;
       fleet_sleep_ms (20);
     }
@@ -430,13 +413,15 @@
       CU_ASSERT (testbed_wait_ready (&testbed, 1, true));
       CU_ASSERT (wait_counted (1, "link_up", 1));
       fleet_sleep_ms (300);
-      ups = count_logged (1, "link_up");
+      ups = testbed_count_logged (&testbed, 1, "link_up");
       for (int r = 0; r < TESTBED_ROUTERS; r++)
         testbed_silence (&testbed, TESTBED_LINK_PEERS + r, (enum testbed_silence) silence);
       began_ms = fleet_now_ms ();
       CU_ASSERT (wait_counted (1, "link_up", ups + 1));
       print_elapsed ("peers, up again", silence, began_ms);
-      CU_ASSERT (count_logged (0, "why=\"silent\"") + count_logged (1, "why=\"silent\"") > 0);
+      CU_ASSERT (testbed_count_logged (&testbed, 0, "why=\"silent\"") +
+                     testbed_count_logged (&testbed, 1, "why=\"silent\"") >
+                 0);
       /* The first router can't reach the store, so that it gets the configuration from the other
        * one. */
       testbed_fetch (testbed.links[TESTBED_LINK_STORE].control, "POST", "/control?mode=1", "");
