evacuation: halls that the operator evacuates get no requests

Cause: `op/evacuate/HALL` came with the answers of the configuration's reader and was dropped, so that no router ever knew of an order.

Change: the adapter names it (ASH_STORE_ITEM_EVACUATION); controllers/ evacuations keeps the newest order of each hall by store position, whoever reports it and in whatever order; endpoints of such a hall are not usable, so that no new request, resend, resumed stream or new connection goes there. Requests that run are finished. What the store tells is sent to the own hall at once; heartbeats carry a digest, and who sees another one sends what it has, so routers that can't reach the store, that are born or were cut off learn it within a heartbeat. A complete listing that lacks an order withdraws it; one of a later era only after 2.3 s, in which the operator writes it again.

Groups that span halls: ranks of an evacuated hall still get orders for maps, because all ranks of a group take part in each pass; without them no map of the group could change. They get no requests of callers.

--- a/common/events.h
+++ b/common/events.h
@@ -36,6 +36,8 @@
   X (214, WARN, STORE_ERA,          "the store was restored from an older copy: everything is read again") \
   X (215, INFO, ENDPOINT_LIMITED,   "an endpoint announced a limit of requests per second, or withdrew it") \
   X (216, INFO, ENDPOINT_RESTS,     "an endpoint rejected a request and asked this router to send none for a while") \
+  X (217, INFO, HALL_EVACUATED,     "the operator ordered that the endpoints of a hall get no requests, or withdrew the order") \
+  X (218, INFO, HALLS_EMPTY,        "the evacuated halls have no more requests of this router") \
   X (300, INFO, LINK_UP,            "a peer link is up") \
   X (301, INFO, LINK_DOWN,          "a peer link is down") \
   X (302, WARN, PEER_REFUSED,       "a peer could not prove the fleet key, or broke the protocol") \
--- a/controllers/direct.c
+++ b/controllers/direct.c
@@ -178,6 +178,7 @@
             endpoint->facts.draining != facts->draining;
   endpoint->facts = *facts;
   endpoint->presence = ASH_DIRECT_LISTED;
+  endpoint->evacuated = ash_evacuations_include (&set->evacuations, facts->hall);
   if (is_new)
     remove_replaced (set);
   if (restarted)
@@ -351,10 +352,18 @@
   return endpoint->pace;
 }
 
+void
+ash_direct_apply_evacuations (struct ash_direct_set *set)
+{
+  for (struct ash_direct_endpoint *endpoint = set->endpoints; endpoint;
+       endpoint = endpoint->hh.next)
+    endpoint->evacuated = ash_evacuations_include (&set->evacuations, endpoint->facts.hall);
+}
+
 bool
 ash_direct_usable (const struct ash_direct_endpoint *endpoint)
 {
-  return endpoint->presence != ASH_DIRECT_REMOVED && !is_leaving (endpoint);
+  return endpoint->presence != ASH_DIRECT_REMOVED && !is_leaving (endpoint) && !endpoint->evacuated;
 }
 
 uint32_t
--- a/controllers/direct.h
+++ b/controllers/direct.h
@@ -10,6 +10,7 @@
 #include "common/clock.h"
 #include "common/random.h"
 #include "controllers/endpoint_terms.h"
+#include "controllers/evacuations.h"
 #include "controllers/rate_limit.h"
 
 #include <uthash.h>
@@ -62,7 +63,8 @@
   struct ash_time pause_measured_at; /**< when a pause was last measured */
   double pace; /**< processing time relative to normal; ignored some time after pace_reported_at */
   struct ash_time pace_reported_at; /**< when the pace was last reported */
-  bool announced_leaving;           /**< an answer announced its shutdown; reset when it restarts */
+  bool evacuated;                   /**< the operator evacuates the endpoint's hall */
+  bool announced_leaving; /**< an answer announced its shutdown; reset when it restarts */
   struct ash_rate_limit limit;
   struct ash_time
       backoff_until; /**< the endpoint requested that this router send it nothing until then */
@@ -78,6 +80,7 @@
   struct ash_direct_endpoint *by_hash;   /**< the same endpoints, by hash */
   struct ash_random random;
   uint64_t revision; /**< revision of the endpoint list */
+  struct ash_evacuations evacuations;
   /** Called before an endpoint is freed, so that its connections can be closed. May be NULL. */
   void (*before_free) (void *data, struct ash_direct_endpoint *endpoint);
   /** Called when an endpoint has restarted, maybe at another address. May be NULL. */
@@ -147,7 +150,11 @@
 /** @return the number of usable endpoints of a service. */
 uint32_t ash_direct_count (const struct ash_direct_set *set, const char *service);
 
-/** @return whether the endpoint may get new requests: listed or lapsed, and not leaving. */
+/** Applies the set's evacuations to its endpoints; to be called after each change of them. */
+void ash_direct_apply_evacuations (struct ash_direct_set *set);
+
+/** @return whether the endpoint may get new requests: listed or lapsed, not leaving, and not in an
+ * evacuated hall. */
 bool ash_direct_usable (const struct ash_direct_endpoint *endpoint);
 
 /** Result of ash_direct_choose(). */
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -2,6 +2,7 @@
 
 #include "common/id.h"
 #include "controllers/peer_period.h"
+#include "daemon/evacuation.h"
 #include "daemon/fleet_loads.h"
 #include "daemon/fleet_roles.h"
 #include "daemon/fleet_terms.h"
@@ -77,6 +78,7 @@
         ash_peers_dial (&fleet->links, heartbeat->known_boxes[i], heartbeat->known_addresses[i]);
     }
   ash_peer_sync_update_peer (&fleet->router->peer_sync, ash_clock_now (), peer);
+  ash_evacuation_compare (fleet->router, heartbeat->evacuations_digest, peer->box);
 }
 
 static void
@@ -152,6 +154,9 @@
     case ASH__EVENT__KIND_ENDPOINT_TERMS:
       ash_fleet_apply_terms (fleet, peer, event->endpoint_terms);
       break;
+    case ASH__EVENT__KIND_EVACUATIONS:
+      ash_evacuation_receive (router, event->evacuations, peer->box);
+      break;
     default:
       break; /* messages of the entry and endpoint roles of ashspindled, ignored by routers */
     }
@@ -237,6 +242,7 @@
   heartbeat->changes_map = ash_map_manager_is_changing (&router->map_manager);
   heartbeat->endpoints_revision = router->endpoints.revision;
   heartbeat->endpoints_digest = router->store.digest;
+  heartbeat->evacuations_digest = ash_evacuations_digest (&router->endpoints.evacuations);
   if (peer && should_name_peers (fleet, peer))
     add_known_peers (fleet, heartbeat, needs_peer_names ? UINT32_MAX : KNOWN_PEERS_MAX);
 }
--- a/daemon/router.c
+++ b/daemon/router.c
@@ -1,5 +1,7 @@
 #include "daemon/router.h"
 
+#include "daemon/evacuation.h"
+
 #include "platform/config.h"
 
 #include <errno.h>
@@ -272,6 +274,7 @@
   ash_fleet_tick (&router->fleet, now);
   ash_peer_sync_tick (&router->peer_sync, now);
   ash_store_tick (&router->store, now);
+  ash_evacuation_tick (router, now);
   ash_direct_tick (&router->endpoints, now);
   ash_suspects_tick (&router->suspects, now);
   router->capacity_freed = true;
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -63,9 +63,10 @@
   struct ash_http_listener metrics_page;
 
   struct ash_exchange *exchanges;
-  uint32_t waiting_count; /**< exchanges that wait for a free slot */
-  bool capacity_freed;    /**< an endpoint may have a free slot: waiting exchanges retry before the
-                             loop blocks */
+  bool evacuation_in_progress; /**< an evacuated hall still has requests of this router */
+  uint32_t waiting_count;      /**< exchanges that wait for a free slot */
+  bool capacity_freed; /**< an endpoint may have a free slot: waiting exchanges retry before the
+                          loop blocks */
 
   bool stopping;
   bool stop_expired; /**< the time to stop is over: requests are aborted, and none goes to an
--- a/daemon/router_pages.c
+++ b/daemon/router_pages.c
@@ -2,6 +2,7 @@
  * @file
  * The router's auxiliary HTTP pages: readiness, the addresses that callers may use, and metrics.
  */
+#include "daemon/evacuation.h"
 #include "daemon/router.h"
 #include "platform/directory.h"
 
@@ -87,6 +88,23 @@
 
 /* ---- metrics ---- */
 
+static void
+set_hall_gauges (struct ash_router *router)
+{
+  const struct ash_evacuations *evacuations = &router->endpoints.evacuations;
+  char labels[128];
+
+  for (uint32_t i = 0; i < evacuations->count; i++)
+    {
+      const struct ash_evacuation *evacuation = &evacuations->halls[i];
+
+      snprintf (labels, sizeof labels, "hall=\"%s\"", evacuation->hall);
+      ash_metrics_set (&router->metrics, "ash_hall_evacuated", labels, evacuation->ordered);
+      ash_metrics_set (&router->metrics, "ash_hall_in_flight", labels,
+                       ash_evacuation_in_flight (router, evacuation->hall));
+    }
+}
+
 static void
 set_gauges (struct ash_router *router)
 {
@@ -124,6 +142,7 @@
       ash_metrics_set (metrics, "ash_store_answer_age_ms", labels,
                        (uint64_t) ash_time_diff (reader->last_answer, now));
     }
+  set_hall_gauges (router);
   for (const struct ash_direct_endpoint *endpoint = router->endpoints.endpoints; endpoint;
        endpoint = endpoint->hh.next)
     {
--- a/daemon/store.c
+++ b/daemon/store.c
@@ -1,6 +1,7 @@
 #include "daemon/store.h"
 
 #include "controllers/store_position.h"
+#include "daemon/evacuation.h"
 #include "daemon/router.h"
 #include "daemon/store_list.h"
 
@@ -82,15 +83,19 @@
 {
   struct ash_store_reader *reader = data;
   struct ash_router *router = reader->router;
+  uint64_t position = ash_store_position (router->store.era, item->revision);
 
-  switch (reader->part)
+  switch (item->kind)
     {
-    case ASH_STORE_CONFIG:
+    case ASH_STORE_ITEM_CONFIG:
       if (!item->removed)
         ash_router_offer_config (router, (const char *) item->value, item->value_bytes, "store");
       break;
-    case ASH_STORE_SERVERS:
-      ash_store_list_item (reader, item, ash_store_position (router->store.era, item->revision));
+    case ASH_STORE_ITEM_EVACUATION:
+      ash_evacuation_item (router, item, position, reader->listing_id);
+      break;
+    case ASH_STORE_ITEM_SERVER:
+      ash_store_list_item (reader, item, position);
       break;
     }
 }
@@ -281,6 +286,22 @@
   return false;
 }
 
+/* What a complete listing lacks has been removed. @param position the store position of the
+ * listing's first page. */
+static void
+handle_listing_end (struct ash_store_reader *reader, uint64_t position)
+{
+  switch (reader->part)
+    {
+    case ASH_STORE_CONFIG:
+      ash_evacuation_listing_end (reader->router, position, reader->listing_id);
+      break;
+    case ASH_STORE_SERVERS:
+      ash_store_list_remove_unlisted (reader, position);
+      break;
+    }
+}
+
 static void
 handle_answer (struct ash_store_reader *reader)
 {
@@ -321,8 +342,8 @@
       send_request (reader);
       return;
     }
-  if (listing && reader->part == ASH_STORE_SERVERS)
-    ash_store_list_remove_unlisted (reader, reader->position ? reader->position : position);
+  if (listing)
+    handle_listing_end (reader, reader->position ? reader->position : position);
   *reader->page = '\0';
   if (!listing || !reader->position)
     reader->position = position > reader->position ? position : reader->position;
--- a/proto/ash.pb-c.c
+++ b/proto/ash.pb-c.c
@@ -142,6 +142,96 @@
   assert(message->base.descriptor == &ash__heartbeat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ash__evacuation__init
+                     (Ash__Evacuation         *message)
+{
+  static const Ash__Evacuation init_value = ASH__EVACUATION__INIT;
+  *message = init_value;
+}
+size_t ash__evacuation__get_packed_size
+                     (const Ash__Evacuation *message)
+{
+  assert(message->base.descriptor == &ash__evacuation__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ash__evacuation__pack
+                     (const Ash__Evacuation *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ash__evacuation__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ash__evacuation__pack_to_buffer
+                     (const Ash__Evacuation *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ash__evacuation__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ash__Evacuation *
+       ash__evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ash__Evacuation *)
+     protobuf_c_message_unpack (&ash__evacuation__descriptor,
+                                allocator, len, data);
+}
+void   ash__evacuation__free_unpacked
+                     (Ash__Evacuation *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ash__evacuation__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ash__evacuation_list__init
+                     (Ash__EvacuationList         *message)
+{
+  static const Ash__EvacuationList init_value = ASH__EVACUATION_LIST__INIT;
+  *message = init_value;
+}
+size_t ash__evacuation_list__get_packed_size
+                     (const Ash__EvacuationList *message)
+{
+  assert(message->base.descriptor == &ash__evacuation_list__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ash__evacuation_list__pack
+                     (const Ash__EvacuationList *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ash__evacuation_list__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ash__evacuation_list__pack_to_buffer
+                     (const Ash__EvacuationList *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ash__evacuation_list__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ash__EvacuationList *
+       ash__evacuation_list__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ash__EvacuationList *)
+     protobuf_c_message_unpack (&ash__evacuation_list__descriptor,
+                                allocator, len, data);
+}
+void   ash__evacuation_list__free_unpacked
+                     (Ash__EvacuationList *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ash__evacuation_list__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ash__endpoint_loads__init
                      (Ash__EndpointLoads         *message)
 {
@@ -2083,7 +2173,7 @@
   (ProtobufCMessageInit) ash__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__heartbeat__field_descriptors[19] =
+static const ProtobufCFieldDescriptor ash__heartbeat__field_descriptors[20] =
 {
   {
     "revision",
@@ -2313,11 +2403,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuations_digest",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__Heartbeat, evacuations_digest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ash__heartbeat__field_indices_by_name[] = {
   18,   /* field[18] = changes_map */
   15,   /* field[15] = endpoints_digest */
   12,   /* field[12] = endpoints_revision */
+  19,   /* field[19] = evacuations_digest */
   9,   /* field[9] = frontend */
   11,   /* field[11] = hall */
   2,   /* field[2] = in_flight */
@@ -2338,7 +2441,7 @@
 static const ProtobufCIntRange ash__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor ash__heartbeat__descriptor =
 {
@@ -2348,13 +2451,115 @@
   "Ash__Heartbeat",
   "ash",
   sizeof(Ash__Heartbeat),
-  19,
+  20,
   ash__heartbeat__field_descriptors,
   ash__heartbeat__field_indices_by_name,
   1,  ash__heartbeat__number_ranges,
   (ProtobufCMessageInit) ash__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ash__evacuation__field_descriptors[3] =
+{
+  {
+    "hall",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ash__Evacuation, hall),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "position",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__Evacuation, position),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ordered",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ash__Evacuation, ordered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ash__evacuation__field_indices_by_name[] = {
+  0,   /* field[0] = hall */
+  2,   /* field[2] = ordered */
+  1,   /* field[1] = position */
+};
+static const ProtobufCIntRange ash__evacuation__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ash__evacuation__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ash.Evacuation",
+  "Evacuation",
+  "Ash__Evacuation",
+  "ash",
+  sizeof(Ash__Evacuation),
+  3,
+  ash__evacuation__field_descriptors,
+  ash__evacuation__field_indices_by_name,
+  1,  ash__evacuation__number_ranges,
+  (ProtobufCMessageInit) ash__evacuation__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ash__evacuation_list__field_descriptors[1] =
+{
+  {
+    "evacuations",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ash__EvacuationList, n_evacuations),
+    offsetof(Ash__EvacuationList, evacuations),
+    &ash__evacuation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ash__evacuation_list__field_indices_by_name[] = {
+  0,   /* field[0] = evacuations */
+};
+static const ProtobufCIntRange ash__evacuation_list__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor ash__evacuation_list__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ash.EvacuationList",
+  "EvacuationList",
+  "Ash__EvacuationList",
+  "ash",
+  sizeof(Ash__EvacuationList),
+  1,
+  ash__evacuation_list__field_descriptors,
+  ash__evacuation_list__field_indices_by_name,
+  1,  ash__evacuation_list__number_ranges,
+  (ProtobufCMessageInit) ash__evacuation_list__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ash__endpoint_loads__field_descriptors[5] =
 {
   {
@@ -5951,7 +6156,7 @@
   (ProtobufCMessageInit) ash__engine_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__event__field_descriptors[42] =
+static const ProtobufCFieldDescriptor ash__event__field_descriptors[43] =
 {
   {
     "peer",
@@ -6277,6 +6482,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuations",
+    28,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ash__Event, kind_case),
+    offsetof(Ash__Event, evacuations),
+    &ash__evacuation_list__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "call",
     30,
@@ -6459,8 +6676,8 @@
   },
 };
 static const unsigned ash__event__field_indices_by_name[] = {
-  27,   /* field[27] = call */
-  28,   /* field[28] = caller_gone */
+  28,   /* field[28] = call */
+  29,   /* field[29] = caller_gone */
   5,   /* field[5] = cancel */
   12,   /* field[12] = challenge */
   19,   /* field[19] = config_delta */
@@ -6476,38 +6693,39 @@
   23,   /* field[23] = endpoint_list_want */
   21,   /* field[21] = endpoint_loads */
   26,   /* field[26] = endpoint_terms */
-  37,   /* field[37] = engine_cancel */
-  39,   /* field[39] = engine_data */
-  40,   /* field[40] = engine_end */
-  38,   /* field[38] = engine_head */
-  36,   /* field[36] = engine_start */
+  38,   /* field[38] = engine_cancel */
+  40,   /* field[40] = engine_data */
+  41,   /* field[41] = engine_end */
+  39,   /* field[39] = engine_head */
+  37,   /* field[37] = engine_start */
+  27,   /* field[27] = evacuations */
   7,   /* field[7] = head */
   1,   /* field[1] = heartbeat */
   13,   /* field[13] = hello */
-  33,   /* field[33] = link_down */
-  32,   /* field[32] = link_up */
+  34,   /* field[34] = link_down */
+  33,   /* field[33] = link_up */
   0,   /* field[0] = peer */
   16,   /* field[16] = query */
   17,   /* field[17] = query_answer */
   14,   /* field[14] = rank_order */
   15,   /* field[15] = rank_state */
   6,   /* field[6] = refused */
-  29,   /* field[29] = reply */
-  30,   /* field[30] = reply_data */
-  31,   /* field[31] = reply_end */
+  30,   /* field[30] = reply */
+  31,   /* field[31] = reply_data */
+  32,   /* field[32] = reply_end */
   4,   /* field[4] = resume */
-  41,   /* field[41] = sent_ms */
-  35,   /* field[35] = stop */
+  42,   /* field[42] = sent_ms */
+  36,   /* field[36] = stop */
   3,   /* field[3] = submit */
   25,   /* field[25] = suspect_runs */
-  34,   /* field[34] = tick */
+  35,   /* field[35] = tick */
 };
 static const ProtobufCIntRange ash__event__number_ranges[3 + 1] =
 {
   { 1, 0 },
-  { 30, 27 },
-  { 60, 41 },
-  { 0, 42 }
+  { 30, 28 },
+  { 60, 42 },
+  { 0, 43 }
 };
 const ProtobufCMessageDescriptor ash__event__descriptor =
 {
@@ -6517,7 +6735,7 @@
   "Ash__Event",
   "ash",
   sizeof(Ash__Event),
-  42,
+  43,
   ash__event__field_descriptors,
   ash__event__field_indices_by_name,
   3,  ash__event__number_ranges,
--- a/proto/ash.pb-c.h
+++ b/proto/ash.pb-c.h
@@ -18,6 +18,8 @@
 typedef struct Ash__Challenge Ash__Challenge;
 typedef struct Ash__Hello Ash__Hello;
 typedef struct Ash__Heartbeat Ash__Heartbeat;
+typedef struct Ash__Evacuation Ash__Evacuation;
+typedef struct Ash__EvacuationList Ash__EvacuationList;
 typedef struct Ash__EndpointLoads Ash__EndpointLoads;
 typedef struct Ash__EndpointTerms Ash__EndpointTerms;
 typedef struct Ash__EndpointTermsList Ash__EndpointTermsList;
@@ -329,10 +331,47 @@
    * it is changing a group's map; if it fails now, the change may stay incomplete
    */
   protobuf_c_boolean changes_map;
+  /*
+   * digest of the evacuations that it has recorded; 0: none
+   */
+  uint64_t evacuations_digest;
 };
 #define ASH__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ash__heartbeat__descriptor) \
-    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
+
+
+/*
+ * The operator's last order for a hall, sent to a peer whose digest differs; see
+ * controllers/evacuations.
+ */
+struct  Ash__Evacuation
+{
+  ProtobufCMessage base;
+  char *hall;
+  /*
+   * store position at which the order was given or withdrawn
+   */
+  uint64_t position;
+  /*
+   * false: withdrawn
+   */
+  protobuf_c_boolean ordered;
+};
+#define ASH__EVACUATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ash__evacuation__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Ash__EvacuationList
+{
+  ProtobufCMessage base;
+  size_t n_evacuations;
+  Ash__Evacuation **evacuations;
+};
+#define ASH__EVACUATION_LIST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ash__evacuation_list__descriptor) \
+    , 0,NULL }
 
 
 /*
@@ -1154,6 +1193,7 @@
   ASH__EVENT__KIND_ENDPOINT_CHANGES = 25,
   ASH__EVENT__KIND_SUSPECT_RUNS = 26,
   ASH__EVENT__KIND_ENDPOINT_TERMS = 27,
+  ASH__EVENT__KIND_EVACUATIONS = 28,
   ASH__EVENT__KIND_CALL = 30,
   ASH__EVENT__KIND_CALLER_GONE = 31,
   ASH__EVENT__KIND_REPLY = 32,
@@ -1216,6 +1256,7 @@
     Ash__EndpointList *endpoint_changes;
     Ash__SuspectRuns *suspect_runs;
     Ash__EndpointTermsList *endpoint_terms;
+    Ash__EvacuationList *evacuations;
     /*
      * 30 and above are never sent on a link
      */
@@ -1297,6 +1338,44 @@
 void   ash__heartbeat__free_unpacked
                      (Ash__Heartbeat *message,
                       ProtobufCAllocator *allocator);
+/* Ash__Evacuation methods */
+void   ash__evacuation__init
+                     (Ash__Evacuation         *message);
+size_t ash__evacuation__get_packed_size
+                     (const Ash__Evacuation   *message);
+size_t ash__evacuation__pack
+                     (const Ash__Evacuation   *message,
+                      uint8_t             *out);
+size_t ash__evacuation__pack_to_buffer
+                     (const Ash__Evacuation   *message,
+                      ProtobufCBuffer     *buffer);
+Ash__Evacuation *
+       ash__evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ash__evacuation__free_unpacked
+                     (Ash__Evacuation *message,
+                      ProtobufCAllocator *allocator);
+/* Ash__EvacuationList methods */
+void   ash__evacuation_list__init
+                     (Ash__EvacuationList         *message);
+size_t ash__evacuation_list__get_packed_size
+                     (const Ash__EvacuationList   *message);
+size_t ash__evacuation_list__pack
+                     (const Ash__EvacuationList   *message,
+                      uint8_t             *out);
+size_t ash__evacuation_list__pack_to_buffer
+                     (const Ash__EvacuationList   *message,
+                      ProtobufCBuffer     *buffer);
+Ash__EvacuationList *
+       ash__evacuation_list__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ash__evacuation_list__free_unpacked
+                     (Ash__EvacuationList *message,
+                      ProtobufCAllocator *allocator);
 /* Ash__EndpointLoads methods */
 void   ash__endpoint_loads__init
                      (Ash__EndpointLoads         *message);
@@ -2068,6 +2147,12 @@
 typedef void (*Ash__Heartbeat_Closure)
                  (const Ash__Heartbeat *message,
                   void *closure_data);
+typedef void (*Ash__Evacuation_Closure)
+                 (const Ash__Evacuation *message,
+                  void *closure_data);
+typedef void (*Ash__EvacuationList_Closure)
+                 (const Ash__EvacuationList *message,
+                  void *closure_data);
 typedef void (*Ash__EndpointLoads_Closure)
                  (const Ash__EndpointLoads *message,
                   void *closure_data);
@@ -2200,6 +2285,8 @@
 extern const ProtobufCMessageDescriptor ash__challenge__descriptor;
 extern const ProtobufCMessageDescriptor ash__hello__descriptor;
 extern const ProtobufCMessageDescriptor ash__heartbeat__descriptor;
+extern const ProtobufCMessageDescriptor ash__evacuation__descriptor;
+extern const ProtobufCMessageDescriptor ash__evacuation_list__descriptor;
 extern const ProtobufCMessageDescriptor ash__endpoint_loads__descriptor;
 extern const ProtobufCMessageDescriptor ash__endpoint_terms__descriptor;
 extern const ProtobufCMessageDescriptor ash__endpoint_terms_list__descriptor;
--- a/test/router.c
+++ b/test/router.c
@@ -711,7 +711,8 @@
   router_store_tests, router_quarantine_tests,
   router_era_tests,   router_suspended_tests,
   router_terms_tests, router_map_tests,
-  process_tests,      NULL,
+  process_tests,      router_evacuation_tests,
+  NULL,
 };
 
 int
--- a/test/router_tests.h
+++ b/test/router_tests.h
@@ -32,6 +32,9 @@
 /** Rate limits, back-off and shutdown that endpoints announce in answers. */
 extern const struct fault_test router_terms_tests[];
 
+/** Evacuated halls. */
+extern const struct fault_test router_evacuation_tests[];
+
 /** A store that is restored from an older copy. */
 extern const struct fault_test router_era_tests[];
 
--- a/test/unit.c
+++ b/test/unit.c
@@ -727,6 +727,7 @@
   add_rows_tests (suite);
   add_quarantine_tests (suite);
   add_terms_tests (suite);
+  add_evacuation_tests (suite);
   add_router_tests (suite);
   add_expert_tests (suite);
   add_map_tests (suite);
--- a/test/unit.h
+++ b/test/unit.h
@@ -25,6 +25,9 @@
 /** Terms that endpoints announce in their answers: rates, back-off times, and leaving. */
 void add_terms_tests (CU_pSuite suite);
 
+/** Evacuated halls. */
+void add_evacuation_tests (CU_pSuite suite);
+
 /** A store that is restored from an older copy. */
 void add_era_tests (CU_pSuite suite);
 
