cold start: all routers together send a cold endpoint no more than it bears

Cause: nothing read how long an endpoint stays cold, nor the rate that its service declares for that time; an endpoint that came back, or a hall after an evacuation, was the least loaded choice of every router at once.

Change: the entry's remaining cold time is believed when the entry's contents are new (the newest report counts, also a shorter one); after an evacuation the hall's endpoints count as just started until they say otherwise. The rate goes through the bucket of the announced rate limits (controllers/rate_limit, whose split is a parameter now): at most as many routers as the permitted excess has requests get a share, routers of the endpoint's hall first, and half of the excess stays unused for views that differ. A router that has just started, or reaches half of the fleet or less, gets no share, so that parts of the fleet which are cut from each other don't each use the whole. Others are chosen meanwhile; if there are none, the caller is told when the endpoint is warm. A cold time that is no number, negative or above a minute is logged (220) and does not make the endpoint unusable. daemon/fleet_rates takes the splitting out of fleet_terms.

Ruled out: health answers as a source. The routers make no health checks, which are priced and hold slots; entries are written again within 1.2 s while cold.

--- a/controllers/direct.c
+++ b/controllers/direct.c
@@ -152,6 +152,7 @@
   endpoint->pause_ms = 0;
   endpoint->pace = 0;
   endpoint->announced_leaving = false;
+  endpoint->cold = (struct ash_cold_start){ 0 };
   endpoint->limit = (struct ash_rate_limit){ 0 };
   endpoint->backoff_until = (struct ash_time){ 0 };
 }
@@ -272,6 +273,7 @@
 {
   endpoint->in_flight++;
   ash_rate_limit_spend (&endpoint->limit, now);
+  ash_cold_start_spend (&endpoint->cold, now);
 }
 
 void
@@ -465,15 +467,17 @@
   return load < effective_cap (endpoint, criteria, now);
 }
 
-/* @return ms until the endpoint's back-off and rate limit allow a request; below 0 if this router
- * has no share of the rate. */
+/* @return ms until the endpoint's back-off, cold start and rate limit allow a request; below 0 if
+ * this router has no share of the rate limit. */
 static int64_t
 throttle_ms (const struct ash_direct_endpoint *endpoint, struct ash_time now)
 {
   int64_t backoff_ms = ash_direct_backoff_ms (endpoint, now);
+  int64_t cold_ms = ash_cold_start_wait_ms (&endpoint->cold, now);
   int64_t rate_ms = ash_rate_limit_wait_ms (&endpoint->limit, now);
+  int64_t wait_ms = backoff_ms > cold_ms ? backoff_ms : cold_ms;
 
-  return rate_ms < 0 || rate_ms > backoff_ms ? rate_ms : backoff_ms;
+  return rate_ms < 0 || rate_ms > wait_ms ? rate_ms : wait_ms;
 }
 
 static struct sort_key
--- a/controllers/direct.h
+++ b/controllers/direct.h
@@ -9,6 +9,7 @@
 
 #include "common/clock.h"
 #include "common/random.h"
+#include "controllers/cold_start.h"
 #include "controllers/endpoint_terms.h"
 #include "controllers/evacuations.h"
 #include "controllers/rate_limit.h"
@@ -35,6 +36,7 @@
   char hall[ASH_DIRECT_NAME_BYTES];
   uint32_t slots; /**< requests processed concurrently */
   bool draining;
+  int64_t cold_ms; /**< remaining cold time when the entry was written; -1: it was not valid */
   int64_t born_ms; /**< start of this incarnation, by the endpoint's wall clock; 0: not published */
 };
 
@@ -63,7 +65,8 @@
   struct ash_time pause_measured_at; /**< when a pause was last measured */
   double pace; /**< processing time relative to normal; ignored some time after pace_reported_at */
   struct ash_time pace_reported_at; /**< when the pace was last reported */
-  bool evacuated;                   /**< the operator evacuates the endpoint's hall */
+  struct ash_cold_start cold;
+  bool evacuated;         /**< the operator evacuates the endpoint's hall */
   bool announced_leaving; /**< an answer announced its shutdown; reset when it restarts */
   struct ash_rate_limit limit;
   struct ash_time
--- a/controllers/rate_limit.c
+++ b/controllers/rate_limit.c
@@ -72,17 +72,28 @@
   return sum < limit->burst ? sum : limit->burst;
 }
 
+struct ash_rate_split
+ash_rate_limit_split (const struct ash_rate_limit *limit)
+{
+  double per_s = limit->milli_per_s / MILLI;
+
+  return (struct ash_rate_split){
+    .per_s = per_s < RATE_MIN_PER_S ? RATE_MIN_PER_S : per_s,
+    .burst = BURST_BASE + BURST_PER_S * per_s,
+    .holders = HOLDERS_BASE + HOLDERS_PER_S * per_s,
+  };
+}
+
 void
 ash_rate_limit_assign (struct ash_rate_limit *limit,
                        struct ash_time now,
+                       const struct ash_rate_split *split,
                        uint64_t routers_digest,
                        uint32_t count,
                        uint32_t before)
 {
-  double per_s = limit->milli_per_s / MILLI;
-  double holders = HOLDERS_BASE + HOLDERS_PER_S * per_s;
+  double holders = split->holders < count ? (uint32_t) split->holders : count;
 
-  holders = holders < count ? (uint32_t) holders : count;
   if (before >= holders)
     {
       ash_rate_limit_release (limit);
@@ -92,8 +103,8 @@
   limit->tokens = current_tokens (limit, now);
   limit->refilled = now;
   limit->routers_digest = routers_digest;
-  limit->share_per_s = (per_s < RATE_MIN_PER_S ? RATE_MIN_PER_S : per_s) / holders;
-  limit->burst = (BURST_BASE + BURST_PER_S * per_s) / holders;
+  limit->share_per_s = split->per_s / holders;
+  limit->burst = split->burst / holders;
   if (limit->burst < 1)
     limit->burst = 1;
 }
--- a/controllers/rate_limit.h
+++ b/controllers/rate_limit.h
@@ -46,6 +46,17 @@
  * routers with the lowest keys get a share. Both arguments are hashes of names. */
 uint64_t ash_rate_limit_order (uint64_t endpoint, uint64_t router);
 
+/** How a rate is split among routers. */
+struct ash_rate_split
+{
+  double per_s;   /**< rate in requests per second, over all routers */
+  double burst;   /**< requests that may be sent at once, over all routers */
+  double holders; /**< upper limit of routers that get a share */
+};
+
+/** @return how a rate limit that an endpoint has set is split. */
+struct ash_rate_split ash_rate_limit_split (const struct ash_rate_limit *limit);
+
 /**
  * Computes this router's share of the rate anew.
  * @param routers_digest digest of the candidate routers, not 0.
@@ -54,6 +65,7 @@
  */
 void ash_rate_limit_assign (struct ash_rate_limit *limit,
                             struct ash_time now,
+                            const struct ash_rate_split *split,
                             uint64_t routers_digest,
                             uint32_t count,
                             uint32_t before);
--- a/controllers/route_table.h
+++ b/controllers/route_table.h
@@ -47,7 +47,9 @@
 {
   char *name;
   char *health_path;
-  uint32_t conn_max; /**< connections that a server accepts in total */
+  uint32_t conn_max;      /**< connections that a server accepts in total */
+  uint32_t cold_start_ms; /**< how long a server is cold after a start */
+  double cold_per_s; /**< requests per second that a cold server accepts; 0: it is not limited */
   bool has_engine;
   struct ash_engine_facts engine;
 };
--- a/daemon/evacuation.c
+++ b/daemon/evacuation.c
@@ -1,5 +1,6 @@
 #include "daemon/evacuation.h"
 
+#include "daemon/fleet_rates.h"
 #include "daemon/router.h"
 #include "daemon/store_list.h"
 
@@ -45,6 +46,8 @@
                  evacuation->hall, evacuation->ordered, evacuation->position, source,
                  load.endpoints, load.in_flight);
   ash_direct_apply_evacuations (&router->endpoints);
+  if (!evacuation->ordered)
+    ash_fleet_expect_cold (&router->fleet, evacuation->hall);
   router->evacuation_in_progress = router->evacuation_in_progress || evacuation->ordered;
   router->capacity_freed = true;
 }
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -4,6 +4,7 @@
 #include "controllers/peer_period.h"
 #include "daemon/evacuation.h"
 #include "daemon/fleet_loads.h"
+#include "daemon/fleet_rates.h"
 #include "daemon/fleet_roles.h"
 #include "daemon/fleet_terms.h"
 #include "daemon/router.h"
@@ -287,6 +288,7 @@
   if (!ash_peers_init (links, router->loop))
     return false;
   fleet->opened = true;
+  fleet->opened_at = ash_clock_now ();
   fleet->polls_often = true;
   fleet->reads_store = true;
   fleet->first_of_hall = true;
--- a/daemon/fleet.h
+++ b/daemon/fleet.h
@@ -75,6 +75,7 @@
   bool reads_store;    /**< this router polls the store; otherwise it receives changes from the
                           routers of its hall that poll */
   bool opened;
+  struct ash_time opened_at;
 };
 
 /** Makes the next periodic load report include a changed number of requests at an endpoint. */
--- a/daemon/fleet_terms.c
+++ b/daemon/fleet_terms.c
@@ -7,11 +7,6 @@
 /* Upper limit of endpoints whose terms are sent in one message. */
 #define TERMS_MAX 64
 
-/* A router whose link has been down for this long no longer counts as a member. Links may break at
- * many routers at once: if each of them then used the whole rate limit, the endpoint would get a
- * multiple of it. */
-#define MEMBER_TIMEOUT_MS 5000
-
 /* ---- sending to peers ---- */
 
 static struct Ash__EndpointTerms
@@ -158,80 +153,3 @@
       update_leaving (fleet, endpoint, terms->leaving, peer->box);
     }
 }
-
-/* ---- splitting rate limits ---- */
-
-static bool
-is_member (const struct ash_fleet_peer *peer, struct ash_time now)
-{
-  return !peer->leaving &&
-         (peer->linked || ash_time_diff (peer->last_linked, now) <= MEMBER_TIMEOUT_MS);
-}
-
-/* @return a digest of the member routers, and of whether the hall of each is known; never 0. */
-static uint64_t
-members_digest (const struct ash_fleet *fleet, struct ash_time now)
-{
-  uint64_t digest = 1;
-
-  for (const struct ash_fleet_peer *peer = fleet->peers; peer; peer = peer->hh.next)
-    if (is_member (peer, now))
-      digest += peer->hash + (*peer->hall != '\0');
-  return digest ? digest : 1;
-}
-
-/* Whether a peer precedes this router when the endpoint's rate limit is split. Routers in the
- * endpoint's hall come first, as they send it the most requests. */
-static bool
-precedes_self (const struct ash_direct_endpoint *endpoint,
-               const struct ash_fleet_peer *peer,
-               const char *own_hall,
-               uint64_t own_order)
-{
-  bool is_near = strcmp (peer->hall, endpoint->facts.hall) == 0;
-  bool own_is_near = strcmp (own_hall, endpoint->facts.hall) == 0;
-
-  if (is_near != own_is_near)
-    return is_near;
-  return ash_rate_limit_order (endpoint->hash, peer->hash) < own_order;
-}
-
-static void
-split_rate (const struct ash_fleet *fleet,
-            struct ash_direct_endpoint *endpoint,
-            struct ash_time now,
-            uint64_t routers_digest)
-{
-  const struct ash_router_settings *settings = &fleet->router->settings;
-  uint64_t own_order = ash_rate_limit_order (endpoint->hash, ash_hash_text (settings->box));
-  uint32_t count = 1;
-  uint32_t before = 0;
-
-  for (const struct ash_fleet_peer *peer = fleet->peers; peer; peer = peer->hh.next)
-    if (is_member (peer, now))
-      {
-        count++;
-        before += precedes_self (endpoint, peer, settings->hall, own_order);
-      }
-  ash_rate_limit_assign (&endpoint->limit, now, routers_digest, count, before);
-}
-
-void
-ash_fleet_split_rates (struct ash_fleet *fleet, struct ash_time now)
-{
-  uint64_t routers_digest = 0; /* computed only if an endpoint has a rate limit */
-
-  for (struct ash_direct_endpoint *endpoint = fleet->router->endpoints.endpoints; endpoint;
-       endpoint = endpoint->hh.next)
-    {
-      if (!endpoint->limit.milli_per_s)
-        continue;
-      routers_digest = routers_digest ? routers_digest : members_digest (fleet, now);
-      /* A stopping router gets no part of the limit: the other routers split it without this router
-       * as soon as they know that it is stopping. */
-      if (fleet->router->stopping)
-        ash_rate_limit_release (&endpoint->limit);
-      else if (endpoint->limit.routers_digest != routers_digest)
-        split_rate (fleet, endpoint, now, routers_digest);
-    }
-}
--- a/daemon/fleet_terms.h
+++ b/daemon/fleet_terms.h
@@ -1,8 +1,8 @@
 /**
  * @file
  * The usage terms that endpoints send with their answers: a rate limit, a back-off time, and a
- * shutdown notice. Limits and shutdown notices are forwarded to all peers, and limits are split
- * among the routers.
+ * shutdown notice. Limits and shutdown notices are forwarded to all peers; fleet_rates.h splits the
+ * limits among the routers.
  */
 #ifndef ASH_FLEET_TERMS_H
 #define ASH_FLEET_TERMS_H
@@ -32,7 +32,4 @@
 /** Sends the known terms of all endpoints to a peer. */
 void ash_fleet_send_terms (struct ash_fleet *fleet, const struct ash_fleet_peer *peer);
 
-/** Runs the timers: splits rate limits again if the set of routers has changed. */
-void ash_fleet_split_rates (struct ash_fleet *fleet, struct ash_time now);
-
 #endif
--- a/daemon/router_pages.c
+++ b/daemon/router_pages.c
@@ -152,6 +152,8 @@
       ash_metrics_set (metrics, "ash_endpoint_failures", labels, endpoint->failures);
       ash_metrics_set (metrics, "ash_endpoint_rests_ms", labels,
                        (uint64_t) ash_direct_backoff_ms (endpoint, now));
+      ash_metrics_set (metrics, "ash_endpoint_cold_ms", labels,
+                       (uint64_t) ash_cold_start_left_ms (&endpoint->cold, now));
       ash_metrics_set (metrics, "ash_endpoint_limit_milli", labels, endpoint->limit.milli_per_s);
       ash_metrics_set (metrics, "ash_endpoint_pace_milli", labels,
                        (uint64_t) (1000 * ash_direct_pace (endpoint, now)));
--- a/daemon/store_list.c
+++ b/daemon/store_list.c
@@ -2,6 +2,7 @@
 
 #include "common/id.h"
 #include "controllers/store_position.h"
+#include "daemon/fleet_rates.h"
 #include "daemon/router.h"
 
 #include <inttypes.h>
@@ -57,7 +58,8 @@
   return entry && position < entry->position;
 }
 
-static void
+/* @return whether the entry's contents are new. */
+static bool
 put_entry (struct ash_store *store,
            const struct ash_store_item *item,
            uint64_t position,
@@ -65,15 +67,18 @@
 {
   struct ash_store_entry *entry = find_entry (store, item->name);
   uint8_t *value;
+  bool is_new;
 
   if (!entry)
     {
       entry = calloc (1, sizeof *entry);
       if (!entry)
-        return;
+        return true;
       snprintf (entry->id, sizeof entry->id, "%s", item->name);
       HASH_ADD_STR (store->entries, id, entry);
     }
+  is_new = !entry->value || entry->value_bytes != item->value_bytes ||
+           memcmp (entry->value, item->value, item->value_bytes) != 0;
   /* item->value may be the entry's own value, so it is copied before the entry's is freed. */
   value = malloc (item->value_bytes + 1);
   if (value)
@@ -85,6 +90,7 @@
   store->digest ^= entry->digest;
   entry->digest = digest_of (facts);
   store->digest ^= entry->digest;
+  return is_new;
 }
 
 static void
@@ -182,7 +188,10 @@
 {
   struct ash_router *router = store->router;
   struct ash_direct_facts facts;
+  struct ash_direct_endpoint *endpoint;
   const char *error;
+  bool is_new;
+  bool changed;
 
   if (is_outdated (find_entry (store, item->name), position))
     return;
@@ -192,9 +201,14 @@
       remove_unusable (store, item, error, source);
       return;
     }
-  put_entry (store, item, position, &facts);
+  is_new = put_entry (store, item, position, &facts);
   record_departure (store, &facts);
-  if (!ash_direct_update (&router->endpoints, &facts))
+  changed = ash_direct_update (&router->endpoints, &facts);
+  endpoint = ash_direct_find (&router->endpoints, facts.id);
+  /* An entry that was known does not tell how much of the cold time has passed since then. */
+  if (is_new && endpoint)
+    ash_fleet_report_cold (&router->fleet, endpoint, facts.cold_ms);
+  if (!changed)
     return;
   store->readers[ASH_STORE_SERVERS].list_changed = true;
   router->capacity_freed = true;
--- a/options/router_settings.h
+++ b/options/router_settings.h
@@ -50,6 +50,8 @@
   double resend_ratio;
   uint32_t resend_window_ms;
   double resend_slack;
+  double cold_overrun;
+  double cold_slack;
   double link_mbps;
   char seeds[ASH_ROUTER_SEEDS_MAX][ASH_OPTION_TEXT_BYTES];
   uint32_t seed_count;
--- a/test/router_evacuations.c
+++ b/test/router_evacuations.c
@@ -1,6 +1,6 @@
 /**
  * @file
- * Evacuated halls: the first server is in hall-a, the second in hall-b.
+ * Evacuated halls and cold endpoints: the first server is in hall-a, the second in hall-b.
  */
 #include "test/router_tests.h"
 
@@ -16,8 +16,12 @@
 /* Longest time for which a restored store may lack an order, see ASH_STORE_LAPSE_MS. */
 #define RESTORED_MS 3000
 
+/* The rate of a cold server, as testbed_publish() declares it, over one second. */
+#define COLD_PER_S 5
+#define COLD_MS 3000
+
 static void
-list_in (int s, const char *hall)
+list_in (int s, const char *hall, const char *cold_ms)
 {
   const struct testbed_server *server = &testbed.servers[s];
   char target[64];
@@ -26,8 +30,8 @@
   snprintf (target, sizeof target, "/put?servers/%s", server->id);
   snprintf (text, sizeof text,
             "{\"Service\":\"stock\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"%s\",\"Slots\":8,"
-            "\"State\":\"ready\"}",
-            server->port, hall);
+            "\"State\":\"ready\",\"ColdRemainingMs\":%s}",
+            server->port, hall, cold_ms);
   testbed_fetch (testbed.store_port, "PUT", target, text);
 }
 
@@ -48,7 +52,7 @@
 start_two_halls (int routers)
 {
   start_routers (routers);
-  list_in (1, "hall-b");
+  list_in (1, "hall-b", "0");
 }
 
 /* Calls each router in turn. @return how many requests reached the first server. */
@@ -185,7 +189,7 @@
 {
   start ();
   control_store ("/era?1");
-  list_in (1, "hall-b");
+  list_in (1, "hall-b", "0");
   control_store ("/put?op/evacuate/hall-a");
   CU_ASSERT (testbed_wait_logged (&testbed, 0, EVACUATED));
   /* Two servers, the configuration, and the second server's new entry come before the order. */
@@ -203,6 +207,44 @@
   testbed_stop (&testbed);
 }
 
+/* A cold server gets no more than it accepts, from all routers together; a warm one gets the
+ * rest. */
+static void
+test_cold (void)
+{
+  int64_t began_ms;
+  int arrived = 0;
+
+  start_two_halls (ROUTERS);
+  fleet_sleep_ms (COLD_MS);
+  list_in (0, "hall-a", "3000");
+  wait_all (ROUTERS, " endpoint_cold ");
+  began_ms = fleet_now_ms ();
+  while (fleet_now_ms () < began_ms + 2000)
+    arrived += arrived_in_hall (ROUTERS, 3 * ROUTERS);
+  CU_ASSERT (arrived > 0 && arrived <= 2 * COLD_PER_S + 2);
+  fleet_sleep_ms (COLD_MS - 1500);
+  CU_ASSERT (arrived_in_hall (ROUTERS, 24) > 0);
+  testbed_stop (&testbed);
+}
+
+/* A cold time that is not valid does not make the server unusable. */
+static void
+test_odd_cold_times (void)
+{
+  start_two_halls (1);
+  list_in (0, "hall-a", "\"soon\"");
+  CU_ASSERT (testbed_wait_logged (&testbed, 0, " cold_time_invalid "));
+  CU_ASSERT (arrived_in_hall (1, 8) > 0);
+  list_in (0, "hall-a", "-5");
+  list_in (0, "hall-a", "604800000");
+  CU_ASSERT (testbed_wait_logged (&testbed, 0, "cold_ms=604800000"));
+  testbed_call (&testbed, "ok", "/safe/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  CU_ASSERT_EQUAL (testbed_count_logged (&testbed, 0, " cold_time_invalid "), 3);
+  testbed_stop (&testbed);
+}
+
 const struct fault_test router_evacuation_tests[] = {
   { "a hall is evacuated and taken back", test_evacuated },
   { "all halls are evacuated", test_all_evacuated },
@@ -211,5 +253,7 @@
   { "a peer that lacks the end of an evacuation", test_outdated_peer },
   { "an evacuation that ends while the store is away", test_withdrawn_in_outage },
   { "an evacuation, and a restored store", test_store_restored },
+  { "a cold endpoint gets what it bears", test_cold },
+  { "odd cold times", test_odd_cold_times },
   { NULL, NULL },
 };
--- a/test/router_tests.h
+++ b/test/router_tests.h
@@ -32,7 +32,7 @@
 /** Rate limits, back-off and shutdown that endpoints announce in answers. */
 extern const struct fault_test router_terms_tests[];
 
-/** Evacuated halls. */
+/** Evacuated halls and cold endpoints. */
 extern const struct fault_test router_evacuation_tests[];
 
 /** A store that is restored from an older copy. */
--- a/test/unit_evacuations.c
+++ b/test/unit_evacuations.c
@@ -1,7 +1,8 @@
 /**
  * @file
- * Unit tests of evacuated halls.
+ * Unit tests of evacuated halls, and of cold endpoints.
  */
+#include "common/id.h"
 #include "controllers/direct.h"
 #include "controllers/store_position.h"
 #include "test/unit.h"
@@ -222,6 +223,147 @@
   ash_direct_finish (&set);
 }
 
+/* ---- cold endpoints ---- */
+
+#define ROUTERS_MAX 300
+#define STEP_MS 10
+#define WINDOW_STEPS 100
+#define COLD_STEPS 600
+
+static const struct ash_cold_rate cold_rate = { .per_s = 26, .overrun = 1.5, .slack = 5 };
+
+/* Most requests that a cold endpoint may get in one second. */
+#define COLD_MAX 44
+/* The fraction of the rate that must be used if there is enough demand. */
+#define COLD_MIN_UTILIZATION 0.8
+
+static uint64_t
+hash_of (uint32_t router)
+{
+  return ash_hash_bytes (&router, sizeof router);
+}
+
+/* Assigns the share of router @p own, which is linked to all others but @p unseen. */
+static void
+assign_share (struct ash_cold_start *cold, uint32_t own, uint32_t routers, uint32_t unseen)
+{
+  struct ash_rate_split split = ash_cold_start_split (&cold_rate);
+  uint32_t count = 0;
+  uint32_t before = 0;
+
+  for (uint32_t i = 0; i < routers; i++)
+    if (i == own || i != unseen)
+      {
+        count++;
+        before += ash_rate_limit_order (1, hash_of (i)) < ash_rate_limit_order (1, hash_of (own));
+      }
+  ash_rate_limit_assign (&cold->share, at (0), &split, 1, count, before);
+}
+
+/* Simulates routers that each have more demand than a cold endpoint accepts.
+ * @param sees_all false: each router knows all routers but one. */
+static void
+simulate_cold (uint32_t routers, bool sees_all)
+{
+  static struct ash_cold_start cold[ROUTERS_MAX];
+  uint32_t sent[COLD_STEPS] = { 0 };
+  uint32_t window = 0;
+  uint32_t total = 0;
+
+  for (uint32_t i = 0; i < routers; i++)
+    {
+      cold[i] = (struct ash_cold_start){ 0 };
+      CU_ASSERT (
+          ash_cold_start_report (&cold[i], at (0), (int64_t) COLD_STEPS * STEP_MS, &cold_rate));
+      assign_share (&cold[i], i, routers, sees_all ? UINT32_MAX : (i + 1) % routers);
+    }
+  for (uint32_t n = 0; n < COLD_STEPS; n++)
+    {
+      struct ash_time now = at ((int64_t) n * STEP_MS);
+
+      for (uint32_t i = 0; i < routers; i++)
+        if (!ash_cold_start_wait_ms (&cold[i], now))
+          {
+            ash_cold_start_spend (&cold[i], now);
+            sent[n]++;
+          }
+      total += sent[n];
+      window += sent[n] - (n >= WINDOW_STEPS ? sent[n - WINDOW_STEPS] : 0);
+      CU_ASSERT (window <= COLD_MAX);
+    }
+  CU_ASSERT (total >= COLD_MIN_UTILIZATION * cold_rate.per_s * COLD_STEPS * STEP_MS / 1000);
+}
+
+static void
+test_cold_fleets (void)
+{
+  static const uint32_t sizes[] = { 1, 2, 7, 38, ROUTERS_MAX };
+
+  for (uint32_t i = 0; i < sizeof sizes / sizeof sizes[0]; i++)
+    {
+      simulate_cold (sizes[i], true);
+      if (sizes[i] > 2)
+        simulate_cold (sizes[i], false);
+    }
+}
+
+/* Parts of a fleet that are cut off from each other must not each use the whole rate. */
+static void
+test_cold_isolated (void)
+{
+  CU_ASSERT_FALSE (ash_cold_start_may_share (100, 32, 32));
+  CU_ASSERT (ash_cold_start_may_share (10000, 32, 32));
+  CU_ASSERT (ash_cold_start_may_share (10000, 17, 32));
+  CU_ASSERT_FALSE (ash_cold_start_may_share (10000, 16, 32));
+  CU_ASSERT (ash_cold_start_may_share (10000, 1, 1));
+}
+
+static void
+test_cold_reports (void)
+{
+  static const struct ash_cold_rate unlimited = { 0 };
+  struct ash_cold_start cold = { 0 };
+
+  CU_ASSERT_EQUAL (ash_cold_start_wait_ms (&cold, at (0)), 0);
+  CU_ASSERT_FALSE (ash_cold_start_report (&cold, at (0), 3000, &unlimited));
+  CU_ASSERT_EQUAL (ash_cold_start_wait_ms (&cold, at (0)), 0);
+  CU_ASSERT (ash_cold_start_report (&cold, at (0), 3000, &cold_rate));
+  /* Nothing is sent before the rate has been split, at most until the endpoint is warm. */
+  CU_ASSERT_EQUAL (ash_cold_start_wait_ms (&cold, at (1000)), 2000);
+  CU_ASSERT_FALSE (ash_cold_start_report (&cold, at (1000), 500, &cold_rate));
+  CU_ASSERT_EQUAL (ash_cold_start_left_ms (&cold, at (1000)), 500);
+  CU_ASSERT_EQUAL (ash_cold_start_wait_ms (&cold, at (1500)), 0);
+  CU_ASSERT (ash_cold_start_report (&cold, at (2000), 3000, &cold_rate));
+  CU_ASSERT (ash_cold_start_report (&cold, at (2100), 0, &cold_rate));
+  CU_ASSERT_EQUAL (ash_cold_start_wait_ms (&cold, at (2100)), 0);
+}
+
+/* Requests for which no router has a share left go to warm endpoints; if there are none, the
+ * caller is told when one will be warm. */
+static void
+test_cold_endpoint_passed_over (void)
+{
+  struct ash_direct_endpoint *chosen;
+  struct ash_direct_endpoint *cold;
+  struct ash_direct_endpoint *warm;
+  struct ash_direct_set set;
+
+  ash_direct_init (&set, 1);
+  cold = add_endpoint (&set, "1", "a");
+  warm = add_endpoint (&set, "2", "a");
+  warm->in_flight = 6;
+  ash_cold_start_report (&cold->cold, at (0), 3000, &cold_rate);
+  CU_ASSERT_EQUAL (ash_direct_choose (&set, at (0), &criteria, &chosen), ASH_DIRECT_CHOSEN);
+  CU_ASSERT_PTR_EQUAL (chosen, warm);
+  warm->in_flight = criteria.cap;
+  CU_ASSERT_EQUAL (ash_direct_choose (&set, at (0), &criteria, &chosen), ASH_DIRECT_THROTTLED);
+  CU_ASSERT_EQUAL (ash_direct_wait_ms (&set, at (0), &criteria), 3000);
+  CU_ASSERT_EQUAL (ash_direct_choose (&set, at (3000), &criteria, &chosen), ASH_DIRECT_CHOSEN);
+  CU_ASSERT_PTR_EQUAL (chosen, cold);
+  warm->in_flight = 0;
+  ash_direct_finish (&set);
+}
+
 void
 add_evacuation_tests (CU_pSuite suite)
 {
@@ -231,4 +373,8 @@
   CU_add_test (suite, "evacuations: missing from a restored store", test_orders_restored);
   CU_add_test (suite, "evacuations: routers that were parted agree", test_orders_converge);
   CU_add_test (suite, "evacuations: endpoints of the hall get nothing", test_hall_gets_nothing);
+  CU_add_test (suite, "cold: a fleet of any size keeps to the rate, and uses it", test_cold_fleets);
+  CU_add_test (suite, "cold: isolated routers send nothing", test_cold_isolated);
+  CU_add_test (suite, "cold: the newest report counts", test_cold_reports);
+  CU_add_test (suite, "cold: other endpoints come first", test_cold_endpoint_passed_over);
 }
--- a/test/unit_terms.c
+++ b/test/unit_terms.c
@@ -53,6 +53,7 @@
 static void
 assign_share (struct fleet *fleet, uint32_t own, struct ash_time now, uint32_t unseen_router)
 {
+  struct ash_rate_split split;
   uint32_t count = 0;
   uint32_t before = 0;
 
@@ -62,7 +63,8 @@
         count++;
         before += ash_rate_limit_order (1, hash_of (i)) < ash_rate_limit_order (1, hash_of (own));
       }
-  ash_rate_limit_assign (&fleet->limits[own], now, 1, count, before);
+  split = ash_rate_limit_split (&fleet->limits[own]);
+  ash_rate_limit_assign (&fleet->limits[own], now, &split, 1, count, before);
 }
 
 static void
@@ -243,9 +245,11 @@
   for (int i = 0; i < 2; i++)
     {
       struct ash_direct_endpoint *endpoint = add_endpoint (&set, i ? "b" : "a");
+      struct ash_rate_split split;
 
       ash_rate_limit_update (&endpoint->limit, 500, at (1), at (0));
-      ash_rate_limit_assign (&endpoint->limit, at (1), 1, 1, 0);
+      split = ash_rate_limit_split (&endpoint->limit);
+      ash_rate_limit_assign (&endpoint->limit, at (1), &split, 1, 1, 0);
     }
   for (int64_t now_ms = 1; now_ms <= 2000; now_ms++)
     sent += forward_request (&set, &window, now_ms).action == ASH_FORWARD_SEND;
