slow readers: what is kept for them is bounded, and nobody else pays

Cause, found by a test with callers that read nothing: reading from the endpoint paused for such a caller, and 1.65 s later the endpoint's silence, which was the pause, counted as its fault: the endpoint was passed over and the stream sent to another one, which met the same caller. Besides, only the queue of one connection was bounded: 2,500 callers of 64 kB are more than a box of 112 MB has, and request bodies alone could take 48 MB.

Change: answers that wait for callers share a quarter of the box's memory (`memory_mb`, from the platform's settings); one may use an eighth of what is left, so that the fuller it is, the sooner reading from its endpoint stops (controllers/answer_memory). What is queued is counted where it is queued (net/stream). A paused answer says nothing about its endpoint. Bodies share an eighth; one that does not fit is refused with 503 and Retry-After, where 413 was final.

Failed first: progress told by the router's own queue alone: a slow reader's progress is in the kernel's buffer first, and it was cut off.

Not bounded here: the kernel's send buffers (4 MB a connection, bounded by the kernel for the whole box).

--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -49,6 +49,12 @@
   ev_timer_start (exchange->router->loop, &exchange->timer);
 }
 
+void
+ash_exchange_update_timer (struct ash_exchange *exchange)
+{
+  set_timer (exchange, ASH_TIME_NEVER);
+}
+
 static bool
 write_request (struct ash_exchange *exchange,
                const struct ash_direct_endpoint *endpoint,
@@ -80,7 +86,7 @@
   struct ash_buffer request = { 0 };
   bool started;
 
-  ash_exchange_answer_clear (&exchange->answer);
+  ash_exchange_answer_clear (exchange);
   ash_event_stream_finish (&exchange->event_stream);
   ash_log_event (
       &router->log, exchange->forward.sent ? ASH_EV_FORWARD_RESENT : ASH_EV_FORWARD_SENT,
@@ -98,6 +104,7 @@
   ash_forward_sent (&exchange->forward, endpoint);
   exchange->sent_at = ash_clock_now ();
   exchange->last_received = exchange->sent_at;
+  exchange->paused = false;
   if (!started)
     {
       ash_forward_not_run (&exchange->forward, false);
@@ -231,6 +238,11 @@
 
   (void) loop;
   (void) events;
+  if (ash_exchange_check_unread (exchange, now))
+    {
+      ash_exchange_end_unread (exchange);
+      return;
+    }
   if (exchange->endpoint && ash_time_before (now, exchange->forward.deadline))
     {
       bool connecting = ash_http_call_connecting (&exchange->call);
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -60,6 +60,9 @@
   bool has_event;
   int64_t last_event;            /**< id of the last event that was sent to the caller */
   struct ash_time event_sent_at; /**< when the last event was sent to the caller */
+  bool paused; /**< the answer is not read from the endpoint, because the caller reads too slowly */
+  struct ash_time caller_read_at; /**< when the caller was last seen to read, or the pause began */
+  size_t unread_bytes;            /**< bytes that its kernel had not acknowledged then */
   bool waiting;
   uint64_t awaited_probe; /**< hash of the endpoint whose probe must end before the request is
                              resent; 0: none */
@@ -86,6 +89,9 @@
  */
 void ash_exchange_step (struct ash_exchange *exchange);
 
+/** Starts the timer for the next check of the exchange anew. */
+void ash_exchange_update_timer (struct ash_exchange *exchange);
+
 /* ---- exchange_watch.c: monitoring the endpoint ---- */
 
 /** Records evidence about the endpoint's health, and logs if the endpoint is ejected for it. */
@@ -111,6 +117,12 @@
 /** After a long silence of the endpoint: closes idle connections to it, which may be broken too. */
 void ash_exchange_close_idle_connections (struct ash_exchange *exchange, struct ash_time now);
 
+/**
+ * @return whether the answer is paused, and the caller has read nothing of it for so long that it
+ * is cut off.
+ */
+bool ash_exchange_check_unread (struct ash_exchange *exchange, struct ash_time now);
+
 /** Records evidence about an endpoint that has not answered before the request's deadline. */
 void ash_exchange_record_timeout (struct ash_exchange *exchange, struct ash_time now);
 
@@ -176,13 +188,16 @@
 /** Ends the exchange after the last event of its stream. Frees the exchange. */
 void ash_exchange_end_stream (struct ash_exchange *exchange);
 
+/** Cuts off an answer that the caller does not read. Frees the exchange. */
+void ash_exchange_end_unread (struct ash_exchange *exchange);
+
 /** Ends the exchange after its caller has disconnected. Frees the exchange. */
 void ash_exchange_end_disconnected (struct ash_exchange *exchange);
 
 /* ---- exchange_answer.c: the endpoint's answer ---- */
 
-/** Frees the buffers of an answer and resets its state. */
-void ash_exchange_answer_clear (struct ash_exchange_answer *answer);
+/** Frees the buffers of the answer and resets its state. */
+void ash_exchange_answer_clear (struct ash_exchange *exchange);
 
 /**
  * Sends the status and header of the endpoint's answer to the caller; the body follows as it
@@ -193,6 +208,9 @@
 /** Handles the header of an answer. @return false: the answer belongs to another request. */
 bool ash_exchange_answer_head (struct ash_http_call *call, const struct ash_http_head *head);
 
+/** Continues to read the answer after the caller has read all that was queued. */
+void ash_exchange_answer_resume (struct ash_exchange *exchange);
+
 /** Handles a part of an answer's body: buffers it or passes it on. */
 void ash_exchange_answer_body (struct ash_http_call *call, const uint8_t *bytes, size_t length);
 
--- a/daemon/exchange_answer.c
+++ b/daemon/exchange_answer.c
@@ -8,19 +8,37 @@
 
 #include <string.h>
 
-/* Answers up to this size are buffered until they are complete, so that the request can be resent
- * if the connection breaks. */
+/* Answers up to this size, or less if memory is short, are buffered until they are complete, so
+ * that the request can be resent if the connection breaks. */
 #define BUFFER_MAX_BYTES (128 * 1024)
 
-/* Reading from the endpoint pauses while more than this waits to be sent to the caller. */
+/* Reading from the endpoint pauses while more than this, or less if memory is short, waits to be
+ * sent to the caller. */
 #define QUEUE_MAX_BYTES (64 * 1024)
 
+/* Appends to the buffered body. @return false if out of memory. */
+static bool
+hold_body (struct ash_exchange *exchange, const uint8_t *bytes, size_t length)
+{
+  if (!ash_buffer_append (&exchange->answer.body, bytes, length))
+    return false;
+  exchange->router->answer_memory.used_bytes += length;
+  return true;
+}
+
+static void
+release_body (struct ash_exchange *exchange)
+{
+  exchange->router->answer_memory.used_bytes -= exchange->answer.body.length;
+  ash_buffer_finish (&exchange->answer.body);
+}
+
 void
-ash_exchange_answer_clear (struct ash_exchange_answer *answer)
+ash_exchange_answer_clear (struct ash_exchange *exchange)
 {
-  ash_buffer_finish (&answer->fields);
-  ash_buffer_finish (&answer->body);
-  *answer = (struct ash_exchange_answer){ 0 };
+  ash_buffer_finish (&exchange->answer.fields);
+  release_body (exchange);
+  exchange->answer = (struct ash_exchange_answer){ 0 };
 }
 
 void
@@ -126,11 +144,33 @@
     }
 }
 
+/* Stops reading from the endpoint until the caller has read what is queued. */
+static void
+pause_answer (struct ash_exchange *exchange)
+{
+  if (exchange->paused)
+    return;
+  exchange->paused = true;
+  exchange->caller_read_at = ash_clock_now ();
+  exchange->unread_bytes = ash_stream_unacknowledged (&exchange->conn->stream);
+  ash_http_call_pause (&exchange->call, true);
+  ash_exchange_update_timer (exchange);
+}
+
+void
+ash_exchange_answer_resume (struct ash_exchange *exchange)
+{
+  exchange->paused = false;
+  exchange->last_received = ash_clock_now ();
+  ash_http_call_pause (&exchange->call, false);
+}
+
 void
 ash_exchange_answer_body (struct ash_http_call *call, const uint8_t *bytes, size_t length)
 {
   struct ash_exchange *exchange = call->owner;
   struct ash_exchange_answer *answer = &exchange->answer;
+  const struct ash_answer_memory *memory = &exchange->router->answer_memory;
 
   exchange->last_received = ash_clock_now ();
   if (answer->invalid)
@@ -144,16 +184,17 @@
     }
   else if (answer->passthrough)
     ash_http_conn_write (exchange->conn, bytes, length);
-  else if (!ash_buffer_append (&answer->body, bytes, length))
+  else if (!hold_body (exchange, bytes, length))
     answer->invalid = true;
-  else if (answer->body.length > BUFFER_MAX_BYTES && !exchange->forward.answer_started)
+  else if (answer->body.length > ash_answer_memory_share (memory, BUFFER_MAX_BYTES) &&
+           !exchange->forward.answer_started)
     {
       answer->passthrough = true;
       ash_exchange_answer_begin (exchange);
       ash_http_conn_write (exchange->conn, answer->body.bytes + answer->body.start,
                            answer->body.length);
-      ash_buffer_finish (&answer->body);
+      release_body (exchange);
     }
-  if (ash_http_conn_queued (exchange->conn) > QUEUE_MAX_BYTES)
-    ash_http_call_pause (call, true);
+  if (ash_http_conn_queued (exchange->conn) > ash_answer_memory_share (memory, QUEUE_MAX_BYTES))
+    pause_answer (exchange);
 }
--- a/daemon/exchange_end.c
+++ b/daemon/exchange_end.c
@@ -40,7 +40,7 @@
   ash_http_call_cancel (&exchange->call);
   ash_exchange_release_slot (exchange);
   ev_timer_stop (router->loop, &exchange->timer);
-  ash_exchange_answer_clear (&exchange->answer);
+  ash_exchange_answer_clear (exchange);
   ash_event_stream_finish (&exchange->event_stream);
   ash_route_table_unref (exchange->table);
   DL_DELETE (router->exchanges, exchange);
@@ -166,6 +166,24 @@
   free_exchange (exchange);
 }
 
+void
+ash_exchange_end_unread (struct ash_exchange *exchange)
+{
+  struct ash_http_conn *conn = exchange->conn;
+  const struct ash_answer_memory *memory = &exchange->router->answer_memory;
+
+  ash_log_event (&exchange->router->log, ASH_EV_FORWARD_UNREAD,
+                 "id=%s route=%s sent=%u age_ms=%lld unread_bytes=%zu all_answers_bytes=%llu "
+                 "max_bytes=%llu",
+                 ash_exchange_id (exchange), exchange->route->name, exchange->forward.sent,
+                 (long long) ash_exchange_age_ms (exchange), ash_http_conn_queued (conn),
+                 (unsigned long long) memory->used_bytes, (unsigned long long) memory->max_bytes);
+  count_end (exchange, "unread", false);
+  conn->request = NULL;
+  ash_http_conn_reset (conn);
+  free_exchange (exchange);
+}
+
 void
 ash_exchange_end_disconnected (struct ash_exchange *exchange)
 {
--- a/daemon/exchange_watch.c
+++ b/daemon/exchange_watch.c
@@ -20,6 +20,13 @@
  * after 2 s, and ranks that depend on a lost endpoint stall for 1.5 s. */
 #define EVENT_PAUSE_MAX_MS 1650
 
+/* A caller that reads nothing of a paused answer for this long is cut off. Endpoints cut off
+ * answers that nobody reads after some seconds, and would then count as broken. */
+#define UNREAD_MAX_MS 2000
+
+/* Period at which a caller with a paused answer is checked for progress. */
+#define UNREAD_CHECK_MS 500
+
 /* After a silence of the silence limit divided by this, the exchange checks whether the endpoint's
  * kernel has acknowledged the request. If it has not after 450 ms (half of SILENCE_MIN_MS), which
  * includes two retransmissions, the connection is dead rather than the endpoint slow. */
@@ -74,6 +81,8 @@
                          struct ash_time now,
                          struct ash_time until)
 {
+  if (exchange->paused)
+    return earlier (ash_time_add (now, UNREAD_CHECK_MS), exchange->forward.deadline);
   if (exchange->endpoint && may_resend (exchange))
     until = earlier (until, ash_time_add (exchange->last_received, silence_limit_ms (exchange)));
   if (exchange->endpoint && ash_http_call_connecting (&exchange->call))
@@ -104,11 +113,29 @@
                             exchange->idle_valid_since);
 }
 
+bool
+ash_exchange_check_unread (struct ash_exchange *exchange, struct ash_time now)
+{
+  size_t unread_bytes;
+
+  if (!exchange->paused)
+    return false;
+  unread_bytes = ash_stream_unacknowledged (&exchange->conn->stream);
+  if (unread_bytes < exchange->unread_bytes)
+    {
+      exchange->unread_bytes = unread_bytes;
+      exchange->caller_read_at = now;
+    }
+  return ash_time_diff (exchange->caller_read_at, now) >= UNREAD_MAX_MS;
+}
+
 bool
 ash_exchange_check_silence (struct ash_exchange *exchange, struct ash_time now)
 {
   int64_t silent_ms = ash_time_diff (exchange->last_received, now);
 
+  if (exchange->paused)
+    return false;
   if (silent_ms >= ack_check_ms (exchange) && ash_http_call_unacknowledged (&exchange->call))
     {
       ash_router_close_idle_connections (exchange->router, valid_since (exchange, now));
@@ -122,6 +149,8 @@
 {
   int64_t silent_ms = ash_time_diff (exchange->last_received, now);
 
+  if (exchange->paused)
+    return;
   if (silent_ms >= silence_limit_ms (exchange))
     ash_exchange_record_evidence (exchange, ASH_DIRECT_TIMED_OUT);
   if (silent_ms >= ack_check_ms (exchange))
--- a/daemon/requests.c
+++ b/daemon/requests.c
@@ -238,8 +238,8 @@
 {
   struct ash_exchange *exchange = conn->request;
 
-  if (exchange)
-    ash_http_call_pause (&exchange->call, false);
+  if (exchange && exchange->paused)
+    ash_exchange_answer_resume (exchange);
 }
 
 const struct ash_conn_handler ash_requests_handler = { on_request, on_caller_disconnected,
--- a/daemon/router.c
+++ b/daemon/router.c
@@ -37,6 +37,15 @@
  * resumption. */
 #define RESUME_READ_MS 50
 
+/* Fractions of the box's memory that request bodies and answers may use. A body is held twice while
+ * it is being sent. */
+#define BODIES_DIVISOR 8
+#define ANSWERS_DIVISOR 4
+
+/* Memory for answers if the box's memory is not known. */
+#define ANSWERS_MAX_BYTES (48 * BYTES_PER_MB)
+
+#define BYTES_PER_MB (UINT64_C (1024) * 1024)
 #define MS_PER_S 1000.0
 
 uint64_t
@@ -421,6 +430,12 @@
       !listen_at (router, &router->metrics_page, settings->metrics_listen, &ash_metrics_handler))
     return false;
   router->frontend.conn_max = settings->connections_max;
+  router->frontend.queued_total = &router->answer_memory.used_bytes;
+  if (settings->memory_mb)
+    router->frontend.bodies_max_bytes = settings->memory_mb * BYTES_PER_MB / BODIES_DIVISOR;
+  router->answer_memory.max_bytes = settings->memory_mb
+                                        ? settings->memory_mb * BYTES_PER_MB / ANSWERS_DIVISOR
+                                        : ANSWERS_MAX_BYTES;
   ash_peer_sync_open (&router->peer_sync, router);
   ash_suspects_open (&router->suspects, router, &ash_exchange_suspects_handler);
   if (!ash_fleet_open (&router->fleet, router))
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -8,6 +8,7 @@
 
 #include "common/log.h"
 #include "common/metrics.h"
+#include "controllers/answer_memory.h"
 #include "controllers/direct.h"
 #include "controllers/prompt_gate.h"
 #include "controllers/resend_window.h"
@@ -62,6 +63,7 @@
   struct ash_http_listener directory;
   struct ash_http_listener metrics_page;
 
+  struct ash_answer_memory answer_memory;
   struct ash_exchange *exchanges;
   bool evacuation_in_progress; /**< an evacuated hall still has requests of this router */
   uint32_t waiting_count;      /**< exchanges that wait for a free slot */
--- a/daemon/router_pages.c
+++ b/daemon/router_pages.c
@@ -133,6 +133,8 @@
   ash_metrics_set (metrics, "ash_quarantined_total", "", router->suspects.quarantined);
   ash_metrics_set (metrics, "ash_suspects", "", HASH_COUNT (router->suspects.quarantine.suspects));
   ash_metrics_set (metrics, "ash_body_bytes", "", router->frontend.body_bytes);
+  ash_metrics_set (metrics, "ash_answer_bytes", "", router->answer_memory.used_bytes);
+  ash_metrics_set (metrics, "ash_answer_max_bytes", "", router->answer_memory.max_bytes);
   for (int part = 0; part < ASH_STORE_PARTS; part++)
     {
       const struct ash_store_reader *reader = &router->store.readers[part];
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -25,9 +25,13 @@
 /* Bytes that a caller may send while its request is served, before reading is stopped. */
 #define PIPELINED_MAX_BYTES 16384
 
-/* Limit on all request bodies of a listener together: a quarter of a small box's memory. */
+/* Default limit on all request bodies of a listener together. */
 #define BODIES_MAX_BYTES (48 * 1024 * 1024)
 
+/* When a caller may send a request again whose body did not fit the memory: bodies are held until
+ * their requests are answered. */
+#define BODY_RETRY_AFTER_S "1"
+
 /* While a listener closes, how long a connection without a request may still send its first one,
  * which may be in transit: as long as callers wait for a connection to be established. */
 #define FIRST_REQUEST_WAIT_MS 1000
@@ -99,9 +103,9 @@
                      conn->keep_open ? "" : "Connection: close\r\n");
   conn->head_sent = true;
   /* Only queued: the head is sent in one system call together with the start of the body. */
-  ash_buffer_append (&conn->stream.out, line, (size_t) length);
-  ash_buffer_append (&conn->stream.out, fields, fields_bytes);
-  ash_buffer_append (&conn->stream.out, "\r\n", 2);
+  ash_stream_queue (&conn->stream, line, (size_t) length);
+  ash_stream_queue (&conn->stream, fields, fields_bytes);
+  ash_stream_queue (&conn->stream, "\r\n", 2);
 }
 
 static void feed (struct ash_http_conn *conn, const uint8_t *bytes, size_t length);
@@ -182,14 +186,23 @@
   if (conn->chunked)
     {
       snprintf (size, sizeof size, "%zx\r\n", length);
-      ash_buffer_append (&conn->stream.out, size, strlen (size));
-      ash_buffer_append (&conn->stream.out, bytes, length);
+      ash_stream_queue (&conn->stream, size, strlen (size));
+      ash_stream_queue (&conn->stream, bytes, length);
       ash_stream_write (&conn->stream, "\r\n", 2);
     }
   else
     ash_stream_write (&conn->stream, bytes, length);
 }
 
+void
+ash_http_conn_reset (struct ash_http_conn *conn)
+{
+  if (conn->is_closed)
+    return;
+  ash_stream_reset (&conn->stream);
+  close_caller (conn);
+}
+
 void
 ash_http_conn_end (struct ash_http_conn *conn, bool complete)
 {
@@ -203,8 +216,7 @@
       /* Without chunked coding, a regular close would mark the end of a complete response. */
       if (!conn->chunked)
         {
-          ash_stream_reset (&conn->stream);
-          close_caller (conn);
+          ash_http_conn_reset (conn);
           conn->request = NULL;
           return;
         }
@@ -221,11 +233,17 @@
 /* ---- requests ---- */
 
 static void
-respond_error (struct ash_http_conn *conn, uint16_t status, const char *text)
+respond_final (struct ash_http_conn *conn, uint16_t status, const char *fields, const char *text)
 {
   conn->reader.head.keep_alive = false;
   set_state (conn, ASH_CONN_SERVING);
-  ash_http_conn_respond (conn, status, "", 0, text, strlen (text));
+  ash_http_conn_respond (conn, status, fields, strlen (fields), text, strlen (text));
+}
+
+static void
+respond_error (struct ash_http_conn *conn, uint16_t status, const char *text)
+{
+  respond_final (conn, status, "", text);
 }
 
 static void
@@ -237,7 +255,11 @@
       respond_error (conn, 431, "the head of the request is too large\n");
       break;
     case ASH_HTTP_BODY_TOO_LARGE:
-      respond_error (conn, 413, "the body of the request is too large\n");
+      if (conn->body_refused)
+        respond_final (conn, 503, "Retry-After: " BODY_RETRY_AFTER_S "\r\n",
+                       "no memory for the body now: the request did not run\n");
+      else
+        respond_error (conn, 413, "the body of the request is too large\n");
       break;
     case ASH_HTTP_UNSUPPORTED_CODING:
       respond_error (conn, 501, "only the transfer coding chunked is known\n");
@@ -269,9 +291,10 @@
 {
   struct ash_http_conn *conn = data;
 
-  if (conn->listener->body_bytes + length > BODIES_MAX_BYTES ||
+  if (conn->listener->body_bytes + length > conn->listener->bodies_max_bytes ||
       !ash_buffer_append (&conn->body, bytes, length))
     {
+      conn->body_refused = true;
       conn->reader.error = ASH_HTTP_BODY_TOO_LARGE;
       return;
     }
@@ -361,6 +384,7 @@
     }
   conn->listener = listener;
   ash_stream_init (&conn->stream, listener->loop, fd, &stream_handler, conn);
+  conn->stream.queued_total = listener->queued_total;
   ash_stream_keep_alive (&conn->stream, CALLER_SILENCE_MS);
   ash_http_reader_init (&conn->reader, ASH_HTTP_REQUEST, &reader_handler, conn);
   conn->reader.head_max_bytes = listener->bounds.head_max_bytes;
@@ -483,6 +507,7 @@
     .owner = owner,
     .bounds = { HEAD_MAX_BYTES, BODY_MAX_BYTES, HEAD_TIMEOUT_MS, IDLE_TIMEOUT_MS },
     .conn_max = UINT32_MAX,
+    .bodies_max_bytes = BODIES_MAX_BYTES,
   };
   listener->fd = ash_stream_listen (address);
   if (listener->fd < 0)
--- a/net/http_conn.h
+++ b/net/http_conn.h
@@ -45,6 +45,7 @@
   struct ash_buffer body;      /**< body of the current request */
   struct ash_buffer pipelined; /**< bytes received while a request is served */
   bool continue_sent;          /**< `100 Continue` was sent for this request */
+  bool body_refused;           /**< the listener had no memory for the request's body */
   bool is_closed;              /**< the stream is closed; the sweep timer frees the struct */
   bool had_request;            /**< at least one request was answered */
   bool head_sent;
@@ -77,7 +78,10 @@
   struct ash_http_conn *conns;
   uint32_t conn_count;
   uint32_t conn_max;
-  uint64_t body_bytes; /**< total length of the request bodies held in memory */
+  uint64_t body_bytes;       /**< total length of the request bodies held in memory */
+  uint64_t bodies_max_bytes; /**< upper limit of body_bytes */
+  uint64_t
+      *queued_total; /**< sum of the send queues of connections accepted from now on, or NULL */
 };
 
 /** Starts listening at an `IP:PORT` address. @return false with errno set on failure. */
@@ -135,6 +139,9 @@
  */
 void ash_http_conn_end (struct ash_http_conn *conn, bool complete);
 
+/** Closes the connection with a reset; what is queued is lost. */
+void ash_http_conn_reset (struct ash_http_conn *conn);
+
 /** @return the bytes in the send queue. */
 size_t ash_http_conn_queued (const struct ash_http_conn *conn);
 
--- a/net/stream.c
+++ b/net/stream.c
@@ -17,6 +17,14 @@
  * the retransmission of a lost packet takes, shorter than most request deadlines. */
 #define USER_TIMEOUT_MS 3000
 
+static void
+dequeue (struct ash_stream *stream, size_t length)
+{
+  if (stream->queued_total)
+    *stream->queued_total -= length;
+  ash_buffer_consume (&stream->out, length);
+}
+
 static void
 flush (struct ash_stream *stream)
 {
@@ -32,7 +40,7 @@
           stream->write_failed = errno != EAGAIN;
           break;
         }
-      ash_buffer_consume (&stream->out, (size_t) sent);
+      dequeue (stream, (size_t) sent);
     }
   if (stream->out.length || stream->write_failed || stream->connecting)
     ev_io_start (stream->loop, &stream->write_io);
@@ -163,6 +171,7 @@
   ev_io_stop (stream->loop, &stream->write_io);
   close (stream->fd);
   stream->fd = -1;
+  dequeue (stream, stream->out.length);
   ash_buffer_finish (&stream->out);
 }
 
@@ -177,12 +186,22 @@
 }
 
 void
-ash_stream_write (struct ash_stream *stream, const void *bytes, size_t length)
+ash_stream_queue (struct ash_stream *stream, const void *bytes, size_t length)
 {
   if (stream->fd < 0 || stream->write_failed)
     return;
   if (!ash_buffer_append (&stream->out, bytes, length))
     stream->write_failed = true;
+  else if (stream->queued_total)
+    *stream->queued_total += length;
+}
+
+void
+ash_stream_write (struct ash_stream *stream, const void *bytes, size_t length)
+{
+  if (stream->fd < 0 || stream->write_failed)
+    return;
+  ash_stream_queue (stream, bytes, length);
   flush (stream);
 }
 
--- a/net/stream.h
+++ b/net/stream.h
@@ -43,6 +43,7 @@
   bool refused;      /**< connecting failed with ECONNREFUSED */
   bool write_failed; /**< a write failed; on_writable() reports it in the next loop iteration */
   bool paused;       /**< reading is stopped by ash_stream_pause() */
+  uint64_t *queued_total; /**< sum of the send queues of several streams, or NULL */
   ev_io read_io;
   ev_io write_io;
   struct ash_buffer out;
@@ -79,6 +80,9 @@
  * a complete one. */
 void ash_stream_reset (struct ash_stream *stream);
 
+/** Queues bytes that the next ash_stream_write() sends together with its own. */
+void ash_stream_queue (struct ash_stream *stream, const void *bytes, size_t length);
+
 /** Queues bytes and writes as many as the socket accepts now. */
 void ash_stream_write (struct ash_stream *stream, const void *bytes, size_t length);
 
--- a/options/router_settings.c
+++ b/options/router_settings.c
@@ -131,6 +131,13 @@
           100000,
           "requests",
           "that the fleet may resend in a window in addition to resend_ratio"),
+  COUNT (memory_mb,
+         "0",
+         0,
+         1000000,
+         "MB",
+         "memory of this box; answers that callers have not read may use a quarter of it, request "
+         "bodies an eighth; 0: unknown, 48 MB for either"),
   NUMBER (
       cold_overrun,
       "1",
--- a/options/router_settings.h
+++ b/options/router_settings.h
@@ -50,6 +50,7 @@
   double resend_ratio;
   uint32_t resend_window_ms;
   double resend_slack;
+  uint32_t memory_mb;
   double cold_overrun;
   double cold_slack;
   double link_mbps;
--- a/test/router_tests.h
+++ b/test/router_tests.h
@@ -35,6 +35,9 @@
 /** Evacuated halls and cold endpoints. */
 extern const struct fault_test router_evacuation_tests[];
 
+/** Callers that don't read their answers. */
+extern const struct fault_test router_slow_reader_tests[];
+
 /** A store that is restored from an older copy. */
 extern const struct fault_test router_era_tests[];
 
--- a/test/standin_server.c
+++ b/test/standin_server.c
@@ -23,7 +23,9 @@
  *     encoded     answers with a Content-Encoding
  *     cut         closes the connection before the end of the answer
  *     unframed    ends the answer by closing the connection
+ *     big         answers with a body of 8 MB
  *     stream      answers with a stream of six events
+ *     streambig   answers with a stream of 2,000 events of 4 kB each
  *     streamcut   closes the connection in the middle of the third event
  *     streamhang  sends nothing after the second event
  *     streamend   the process exits after the second event
@@ -43,7 +45,10 @@
 
 #define TICK_S 0.01
 #define BODY "whole answer"
+#define BIG_BYTES (8 * 1024 * 1024)
 #define STREAM_EVENTS 6
+#define BIG_STREAM_EVENTS 2000
+#define BIG_EVENT_BYTES 4096
 #define EVENT_MS 30
 #define SLOW_MS 300
 #define SLOWER_MS 800
@@ -134,6 +139,39 @@
   ash_http_conn_respond (conn, status, fields, strlen (fields), BODY, strlen (BODY));
 }
 
+static void
+answer_big (struct ash_http_conn *conn)
+{
+  char fields[512];
+  char *body = calloc (1, BIG_BYTES);
+
+  if (!body)
+    abort ();
+  memset (body, 'x', BIG_BYTES);
+  fields_of (conn, "", fields, sizeof fields);
+  ash_http_conn_respond (conn, 200, fields, strlen (fields), body, BIG_BYTES);
+  free (body);
+}
+
+/* Answers with all events at once. */
+static void
+stream_big (struct ash_http_conn *conn)
+{
+  char fields[512];
+  char event[BIG_EVENT_BYTES];
+
+  fields_of (conn, "Content-Type: text/event-stream\r\n", fields, sizeof fields);
+  ash_http_conn_begin (conn, 200, fields, strlen (fields));
+  for (int i = 1; i <= BIG_STREAM_EVENTS; i++)
+    {
+      memset (event, 'x', sizeof event);
+      event[snprintf (event, sizeof event, "id: %d\ndata: ", i)] = 'x';
+      memcpy (event + sizeof event - 2, "\n\n", 2);
+      ash_http_conn_write (conn, event, sizeof event);
+    }
+  ash_http_conn_end (conn, true);
+}
+
 static void
 write_raw (struct ash_http_conn *conn, const char *id, const char *framing, const char *body)
 {
@@ -229,6 +267,10 @@
 
   if (strcmp (action, "ok") == 0)
     answer (conn, 200, "");
+  else if (strcmp (action, "big") == 0)
+    answer_big (conn);
+  else if (strcmp (action, "streambig") == 0)
+    stream_big (conn);
   else if (strcmp (action, "limit") == 0)
     answer (conn, 200, "Server-Limit: 1.0\r\n");
   else if (strcmp (action, "leave") == 0)
--- a/test/unit_router.c
+++ b/test/unit_router.c
@@ -4,6 +4,7 @@
  * settings, messages between routers, the choice of pollers, and the log.
  */
 #include "common/log.h"
+#include "controllers/answer_memory.h"
 #include "controllers/pollers.h"
 #include "controllers/peer_version.h"
 #include "controllers/peer_period.h"
@@ -991,9 +992,42 @@
   close (ends[0]);
 }
 
+#define CALLERS 2870 /* all descriptors of a small box */
+#define READ_BYTES 16384
+#define QUEUE_BYTES (64 * 1024)
+#define ROUNDS 20
+
+/* Callers read nothing, and endpoints send as fast as they can. Each caller's queue stops growing
+ * at its share, and all stay within the limit but for one read each. */
+static void
+test_answer_memory (void)
+{
+  struct ash_answer_memory memory = { .max_bytes = 28 * 1024 * 1024 };
+  static size_t queued[CALLERS];
+  size_t first_bytes = 0;
+
+  CU_ASSERT_EQUAL (ash_answer_memory_share (&memory, QUEUE_BYTES), QUEUE_BYTES);
+  for (int round = 0; round < ROUNDS; round++)
+    for (int i = 0; i < CALLERS; i++)
+      if (queued[i] <= ash_answer_memory_share (&memory, QUEUE_BYTES) && (round || i < CALLERS / 2))
+        {
+          queued[i] += READ_BYTES;
+          memory.used_bytes += READ_BYTES;
+          first_bytes = queued[0];
+        }
+  CU_ASSERT (first_bytes <= QUEUE_BYTES + READ_BYTES);
+  CU_ASSERT (memory.used_bytes <= memory.max_bytes + (uint64_t) CALLERS * READ_BYTES);
+  CU_ASSERT_EQUAL (ash_answer_memory_share (&memory, QUEUE_BYTES), 0);
+  /* One of them has read everything: other answers have room again. */
+  memory.used_bytes = memory.max_bytes - QUEUE_BYTES;
+  CU_ASSERT (ash_answer_memory_share (&memory, QUEUE_BYTES) > 0);
+  CU_ASSERT (ash_answer_memory_share (&memory, QUEUE_BYTES) < QUEUE_BYTES / 2);
+}
+
 void
 add_router_tests (CU_pSuite suite)
 {
+  CU_add_test (suite, "answers: callers that read nothing", test_answer_memory);
   CU_add_test (suite, "routes: host, longest prefix, keys", test_routes);
   CU_add_test (suite, "routes: parts by weight", test_route_split);
   CU_add_test (suite, "routes: all findings of a bad table", test_bad_tables);
