map_switch: the version after an aborted change is above the former one

Cause: ash_map_switch_new_version() went by reports, which lag, and by the version of the present change, which is cleared when that ends.

Change: the highest version that this router has ordered is kept for the epoch.

Failed try: that version in place of the present one.

--- a/controllers/map_switch.c
+++ b/controllers/map_switch.c
@@ -217,7 +217,8 @@
 uint64_t
 ash_map_switch_new_version (const struct ash_map_switch *sw, uint64_t draw)
 {
-  uint64_t above = sw->version > sw->fence ? sw->version : sw->fence;
+  /* The version of a change that is taken over is another router's. */
+  uint64_t above = sw->ordered_version > sw->version ? sw->ordered_version : sw->version;
   uint64_t mask = (UINT64_C (1) << VERSION_RANDOM_BITS) - 1;
 
   for (uint32_t i = 0; i < sw->rank_count; i++)
@@ -242,6 +243,7 @@
   for (uint32_t i = 0; i < sw->rank_count; i++)
     sw->ranks[i].copy_ms = copy_ms[i];
   sw->version = version;
+  sw->ordered_version = version;
   sw->began = now;
   sw->holds = 0;
   sw->refused = 0;
@@ -357,6 +359,7 @@
 ash_map_switch_set_fence (struct ash_map_switch *sw, uint64_t version)
 {
   sw->fence = version;
+  sw->ordered_version = version;
   sw->fence_is_set = true;
 }
 
--- a/controllers/map_switch.h
+++ b/controllers/map_switch.h
@@ -87,13 +87,15 @@
   enum ash_map_result result;
   uint64_t version; /**< version of the new map; 0: none */
   uint64_t fence; /**< version number for the fence: a copy of the map in use that ranks prepare */
-  bool fence_is_set; /**< @ref fence was set for the present change */
-  uint64_t step;     /**< step that is being held */
-  uint32_t own_rank; /**< rank at which this router holds steps */
-  uint32_t holder;   /**< rank at which the present step is held */
-  bool taking_over;  /**< the present change was begun by another router */
-  uint32_t holds;    /**< number of steps that the present change tried to hold */
-  uint64_t refused;  /**< last step whose hold was refused, although it may not have begun */
+  uint64_t ordered_version; /**< highest version that this router has sent in orders; ranks may have
+                               had it although no report shows it yet */
+  bool fence_is_set;        /**< @ref fence was set for the present change */
+  uint64_t step;            /**< step that is being held */
+  uint32_t own_rank;        /**< rank at which this router holds steps */
+  uint32_t holder;          /**< rank at which the present step is held */
+  bool taking_over;         /**< the present change was begun by another router */
+  uint32_t holds;           /**< number of steps that the present change tried to hold */
+  uint64_t refused;         /**< last step whose hold was refused, although it may not have begun */
   struct ash_time began;
   struct ash_time phase_began;
   double pass_ms;        /**< duration of a pass, from streams of this router; 0: unknown */
--- a/test/unit_maps.c
+++ b/test/unit_maps.c
@@ -228,6 +228,28 @@
   CU_ASSERT_EQUAL (sw.step, 104);
 }
 
+/* A change is aborted after the ranks have prepared its version. Their reports lag, so the next
+ * version must be above the former one whether a report shows it or not: ranks refuse a version
+ * that is not above all they have had. */
+static void
+test_version_after_abort (void)
+{
+  static const uint32_t copy_ms[ASH_LAYER_RANKS_MAX];
+  struct ash_time now = { 65000000 };
+  struct ash_map_switch sw;
+  uint64_t version;
+
+  ash_map_switch_init (&sw, 4, 200, 0);
+  report_all (&sw, now, 100);
+  version = ash_map_switch_new_version (&sw, UINT64_MAX);
+  ash_map_switch_begin (&sw, now, version, copy_ms);
+  answer_all (&sw, now, ASH_RANK_PREPARE, 4, 0);
+  while (sw.phase == ASH_MAP_HOLD)
+    answer_all (&sw, now, ASH_RANK_HOLD, 0, 409);
+  CU_ASSERT_EQUAL (sw.result, ASH_MAP_ABORTED);
+  CU_ASSERT (ash_map_switch_new_version (&sw, 0) > version);
+}
+
 /* For a second four ranks, which wait before a step, report what they have prepared and hold.
  * @return the time afterwards. */
 static struct ash_time
@@ -411,4 +433,5 @@
   CU_add_test (suite, "expert layers: a report is no answer", test_report_does_not_confirm_arm);
   CU_add_test (suite, "expert layers: finishing what is prepared unevenly", test_finish_uneven);
   CU_add_test (suite, "expert layers: two holds", test_two_holds);
+  CU_add_test (suite, "expert layers: the version after an abort", test_version_after_abort);
 }
