fleet: all routers are told that a group is stalled

Cause: when a rank of a group is missing, all its ranks reject requests until the group forms again. Only the leading router saw that in their reports; every other one found out by its own requests, rank by rank (a rejection passes over one rank for 0.12 s and more), so mistakes grow as routers times ranks.

Change: the leading router sends all routers the endpoints of a group that its ranks report as broken, each 0.5 s while it lasts and once when it runs again (800 bytes a router); they get no requests until then, or for 1.5 s after the last word. If the first rank, which is asked for reports twice a second, is the one that is lost, the others are asked in turn; before, 4 s could pass.

What is left of that loss is the first second, before a report shows the state, and streams that were under way.

Failed first: `watched rank` as the first one that has reported of late: all others report each 4 s only, so that none had. Its unit test found it.

Tests: units, two mutants, `a stalled group gets no requests` with real processes; 80,000 schedules of maps clean.

--- a/controllers/direct.c
+++ b/controllers/direct.c
@@ -152,6 +152,7 @@
   endpoint->pause_ms = 0;
   endpoint->pace = 0;
   endpoint->announced_leaving = false;
+  endpoint->stalled_until = (struct ash_time){ 0 };
   endpoint->cold = (struct ash_cold_start){ 0 };
   endpoint->limit = (struct ash_rate_limit){ 0 };
   endpoint->backoff_until = (struct ash_time){ 0 };
@@ -293,6 +294,12 @@
   return ms > 0 ? ms : 0;
 }
 
+void
+ash_direct_set_stalled (struct ash_direct_endpoint *endpoint, struct ash_time now, int64_t ms)
+{
+  endpoint->stalled_until = ms ? ash_time_add (now, ms) : (struct ash_time){ 0 };
+}
+
 void
 ash_direct_note_result (struct ash_direct_endpoint *endpoint,
                         struct ash_time now,
@@ -467,17 +474,23 @@
   return load < effective_cap (endpoint, criteria, now);
 }
 
-/* @return ms until the endpoint's back-off, cold start and rate limit allow a request; below 0 if
- * this router has no share of the rate limit. */
+static int64_t
+later_of (int64_t a_ms, int64_t b_ms)
+{
+  return a_ms > b_ms ? a_ms : b_ms;
+}
+
+/* @return ms until the endpoint's group runs, and its back-off, cold start and rate limit allow a
+ * request; below 0 if this router has no share of the rate limit. */
 static int64_t
 throttle_ms (const struct ash_direct_endpoint *endpoint, struct ash_time now)
 {
-  int64_t backoff_ms = ash_direct_backoff_ms (endpoint, now);
-  int64_t cold_ms = ash_cold_start_wait_ms (&endpoint->cold, now);
   int64_t rate_ms = ash_rate_limit_wait_ms (&endpoint->limit, now);
-  int64_t wait_ms = backoff_ms > cold_ms ? backoff_ms : cold_ms;
+  int64_t wait_ms = ash_direct_backoff_ms (endpoint, now);
 
-  return rate_ms < 0 || rate_ms > wait_ms ? rate_ms : wait_ms;
+  wait_ms = later_of (wait_ms, ash_cold_start_wait_ms (&endpoint->cold, now));
+  wait_ms = later_of (wait_ms, ash_time_diff (now, endpoint->stalled_until));
+  return rate_ms < 0 ? rate_ms : later_of (rate_ms, wait_ms);
 }
 
 static struct sort_key
--- a/controllers/direct.h
+++ b/controllers/direct.h
@@ -66,8 +66,9 @@
   double pace; /**< processing time relative to normal; ignored some time after pace_reported_at */
   struct ash_time pace_reported_at; /**< when the pace was last reported */
   struct ash_cold_start cold;
-  bool evacuated;         /**< the operator evacuates the endpoint's hall */
-  bool announced_leaving; /**< an answer announced its shutdown; reset when it restarts */
+  struct ash_time stalled_until; /**< the endpoint's group is stalled until then */
+  bool evacuated;                /**< the operator evacuates the endpoint's hall */
+  bool announced_leaving;        /**< an answer announced its shutdown; reset when it restarts */
   struct ash_rate_limit limit;
   struct ash_time
       backoff_until; /**< the endpoint requested that this router send it nothing until then */
@@ -135,6 +136,9 @@
 /** @return remaining ms of the back-off; 0 if there is none. */
 int64_t ash_direct_backoff_ms (const struct ash_direct_endpoint *endpoint, struct ash_time now);
 
+/** Records that the endpoint's group is stalled for @p ms; 0: it runs again. */
+void ash_direct_set_stalled (struct ash_direct_endpoint *endpoint, struct ash_time now, int64_t ms);
+
 /** Updates the endpoint's ejection state with the result of a request. */
 void ash_direct_note_result (struct ash_direct_endpoint *endpoint,
                              struct ash_time now,
--- a/controllers/map_switch.c
+++ b/controllers/map_switch.c
@@ -45,6 +45,9 @@
 #define REPORT_FIRST_MS 500
 #define REPORT_SOON_MS 150
 
+/* If the first rank's reports are this late, it may have ended. */
+#define REPORT_MISSED_MS 700
+
 /* Number of low bits of a version that are random, so that versions of different routers differ. */
 #define VERSION_RANDOM_BITS 20
 
@@ -659,6 +662,25 @@
   return first->active && !ash_map_is_stepping (sw, now);
 }
 
+bool
+ash_map_switch_is_broken (const struct ash_map_switch *sw)
+{
+  for (uint32_t i = 0; i < sw->rank_count; i++)
+    if (sw->ranks[i].known && sw->ranks[i].report.epoch == sw->epoch && sw->ranks[i].report.broken)
+      return true;
+  return false;
+}
+
+/* @return the rank that is watched closely: the first one, or if its reports don't arrive, the
+ * others in turn. */
+static uint32_t
+watched_rank (const struct ash_map_switch *sw, struct ash_time now)
+{
+  int64_t age_ms = ash_time_diff (sw->ranks[0].reported, now);
+
+  return (uint32_t) (age_ms / REPORT_MISSED_MS) % sw->rank_count;
+}
+
 bool
 ash_map_switch_needs_report (const struct ash_map_switch *sw, struct ash_time now, uint32_t rank)
 {
@@ -671,5 +693,5 @@
     return age_ms >= REPORT_SOON_MS;
   if (sw->foreign_held || is_stalled (sw, now))
     return age_ms >= REPORT_SOON_MS;
-  return age_ms >= (rank == 0 ? REPORT_FIRST_MS : REPORT_ALL_MS);
+  return age_ms >= (rank == watched_rank (sw, now) ? REPORT_FIRST_MS : REPORT_ALL_MS);
 }
--- a/controllers/map_switch.h
+++ b/controllers/map_switch.h
@@ -192,6 +192,9 @@
                                 struct ash_time now,
                                 struct ash_rank_order orders[ASH_LAYER_RANKS_MAX]);
 
+/** @return whether a rank reports that another one is missing, so that the group is stalled. */
+bool ash_map_switch_is_broken (const struct ash_map_switch *sw);
+
 /** @return whether a report of that rank is due to be requested. */
 bool
 ash_map_switch_needs_report (const struct ash_map_switch *sw, struct ash_time now, uint32_t rank);
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -155,6 +155,9 @@
     case ASH__EVENT__KIND_ENDPOINT_TERMS:
       ash_fleet_apply_terms (fleet, peer, event->endpoint_terms);
       break;
+    case ASH__EVENT__KIND_STALLED_ENDPOINTS:
+      ash_fleet_apply_stalled (fleet, peer, event->stalled_endpoints);
+      break;
     case ASH__EVENT__KIND_EVACUATIONS:
       ash_evacuation_receive (router, event->evacuations, peer->box);
       break;
--- a/daemon/fleet_loads.c
+++ b/daemon/fleet_loads.c
@@ -162,6 +162,57 @@
   loads->n_in_flight = loads->n_endpoints;
 }
 
+/* ---- stalled groups ---- */
+
+static void
+apply_stalled (struct ash_fleet *fleet,
+               const struct Ash__StalledEndpoints *stalled,
+               const char *source)
+{
+  struct ash_router *router = fleet->router;
+  struct ash_time now = ash_clock_now ();
+  uint32_t changed = 0;
+
+  for (size_t i = 0; i < stalled->n_endpoints; i++)
+    {
+      struct ash_direct_endpoint *endpoint =
+          ash_direct_find_hash (&router->endpoints, stalled->endpoints[i]);
+
+      if (!endpoint)
+        continue;
+      changed += ash_time_before (now, endpoint->stalled_until) != (stalled->for_ms > 0);
+      ash_direct_set_stalled (endpoint, now, stalled->for_ms);
+    }
+  if (!changed)
+    return;
+  ash_log_event (&router->log, ASH_EV_GROUP_STALLED, "endpoints=%zu changed=%u for_ms=%u source=%s",
+                 stalled->n_endpoints, changed, stalled->for_ms, source);
+  router->capacity_freed = true;
+}
+
+void
+ash_fleet_send_stalled (struct ash_fleet *fleet, uint64_t *hashes, uint32_t count, uint32_t for_ms)
+{
+  struct Ash__StalledEndpoints stalled = ASH__STALLED_ENDPOINTS__INIT;
+  struct Ash__Event event = ash_event_wrap ("", ASH__EVENT__KIND_STALLED_ENDPOINTS, &stalled);
+
+  stalled.endpoints = hashes;
+  stalled.n_endpoints = count;
+  stalled.for_ms = for_ms;
+  apply_stalled (fleet, &stalled, "own");
+  ash_fleet_send_all (fleet, &event);
+}
+
+void
+ash_fleet_apply_stalled (struct ash_fleet *fleet,
+                         const struct ash_fleet_peer *peer,
+                         const struct Ash__StalledEndpoints *stalled)
+{
+  apply_stalled (fleet, stalled, peer->box);
+}
+
+/* ---- sending loads ---- */
+
 int
 ash_fleet_audience_of (const struct ash_fleet *fleet, const struct ash_fleet_peer *peer)
 {
--- a/daemon/fleet_loads.h
+++ b/daemon/fleet_loads.h
@@ -36,4 +36,18 @@
 /** Subtracts the loads that a peer last reported from those of the endpoints, and discards them. */
 void ash_fleet_clear_loads (struct ash_fleet *fleet, struct ash_fleet_peer *peer);
 
+/**
+ * Sends all linked peers the endpoints of a group that is stalled, or runs again, and applies this
+ * to the own endpoints.
+ * @param hashes hashes of the endpoints' ids.
+ * @param for_ms the endpoints get no requests for this time; 0: they run again.
+ */
+void
+ash_fleet_send_stalled (struct ash_fleet *fleet, uint64_t *hashes, uint32_t count, uint32_t for_ms);
+
+/** Applies what a peer has sent by ash_fleet_send_stalled(). */
+void ash_fleet_apply_stalled (struct ash_fleet *fleet,
+                              const struct ash_fleet_peer *peer,
+                              const struct Ash__StalledEndpoints *stalled);
+
 #endif
--- a/daemon/map_manager.c
+++ b/daemon/map_manager.c
@@ -1,6 +1,7 @@
 #include "daemon/map_manager.h"
 
 #include "controllers/pass_model.h"
+#include "daemon/fleet_loads.h"
 #include "daemon/rank_client.h"
 #include "daemon/router.h"
 
@@ -40,6 +41,11 @@
  * time after which they consider this router stuck. */
 #define CHANGING_RESEND_MS 60
 
+/* How long a group counts as stalled after it was reported so, and the interval at which the report
+ * is repeated: several times in that period. */
+#define STALLED_FOR_MS 1500
+#define STALLED_RESEND_MS 500
+
 /* Minimum fraction of a pass that the experts take for the slowness of a rank to be considered in
  * decisions. A change costs orders to all ranks; in a group with few streams, moving experts off a
  * slow rank hardly shortens the passes. */
@@ -78,6 +84,26 @@
   ash_fleet_notify_successors (&manager->router->fleet);
 }
 
+/* Tells all routers that a group is stalled, so that not each of them finds out by requests that
+ * its ranks reject; repeatedly, as this expires, and at once when the group runs again. */
+static void
+report_stalled (struct ash_rank_group *group, struct ash_map_manager *manager, struct ash_time now)
+{
+  bool stalled = ash_map_switch_is_broken (&group->sw);
+  uint64_t hashes[ASH_LAYER_RANKS_MAX];
+  uint32_t count = 0;
+
+  if (stalled == group->reported_stalled &&
+      (!stalled || ash_time_diff (group->stalled_sent_at, now) < STALLED_RESEND_MS))
+    return;
+  group->reported_stalled = stalled;
+  group->stalled_sent_at = now;
+  for (uint32_t rank = 0; rank < group->sw.rank_count; rank++)
+    if (group->endpoints[rank])
+      hashes[count++] = group->endpoints[rank]->hash;
+  ash_fleet_send_stalled (&manager->router->fleet, hashes, count, stalled ? STALLED_FOR_MS : 0);
+}
+
 /* ---- decisions ---- */
 
 /* Computes the time that each rank will take to copy the experts that are new to it. */
@@ -554,7 +580,10 @@
   HASH_ITER (hh, manager->endpoints, endpoint, next_endpoint)
     watch_endpoint (endpoint, now);
   HASH_ITER (hh, manager->groups, group, next_group)
-    ash_rank_group_send_orders (group, manager);
+    {
+      report_stalled (group, manager, now);
+      ash_rank_group_send_orders (group, manager);
+    }
   if (ash_time_diff (manager->leads_since, now) > LEAD_WAIT_MS && !manager->router->stopping)
     run_policy (manager, now);
 }
--- a/daemon/rank_client.h
+++ b/daemon/rank_client.h
@@ -66,9 +66,11 @@
   struct ash_rank_order encoded_order; /* order whose body is in order_body, for any rank */
   struct ash_buffer order_body;
   struct ash_pass_watch watch;
-  double skew;          /* estimated skew of the map in use */
-  double next_map_skew; /* estimated skew of the next map */
-  bool needs_decision;  /* the demand or a rank's pace was updated since the last decision */
+  double skew;                     /* estimated skew of the map in use */
+  double next_map_skew;            /* estimated skew of the next map */
+  bool reported_stalled;           /* whether peers were last told that the group is stalled */
+  struct ash_time stalled_sent_at; /* when they were told */
+  bool needs_decision; /* the demand or a rank's pace was updated since the last decision */
   UT_hash_handle hh;
 };
 
--- a/proto/ash.pb-c.c
+++ b/proto/ash.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &ash__evacuation_list__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ash__stalled_endpoints__init
+                     (Ash__StalledEndpoints         *message)
+{
+  static const Ash__StalledEndpoints init_value = ASH__STALLED_ENDPOINTS__INIT;
+  *message = init_value;
+}
+size_t ash__stalled_endpoints__get_packed_size
+                     (const Ash__StalledEndpoints *message)
+{
+  assert(message->base.descriptor == &ash__stalled_endpoints__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ash__stalled_endpoints__pack
+                     (const Ash__StalledEndpoints *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ash__stalled_endpoints__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ash__stalled_endpoints__pack_to_buffer
+                     (const Ash__StalledEndpoints *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ash__stalled_endpoints__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ash__StalledEndpoints *
+       ash__stalled_endpoints__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ash__StalledEndpoints *)
+     protobuf_c_message_unpack (&ash__stalled_endpoints__descriptor,
+                                allocator, len, data);
+}
+void   ash__stalled_endpoints__free_unpacked
+                     (Ash__StalledEndpoints *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ash__stalled_endpoints__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ash__endpoint_loads__init
                      (Ash__EndpointLoads         *message)
 {
@@ -2560,6 +2605,57 @@
   (ProtobufCMessageInit) ash__evacuation_list__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ash__stalled_endpoints__field_descriptors[2] =
+{
+  {
+    "endpoints",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ash__StalledEndpoints, n_endpoints),
+    offsetof(Ash__StalledEndpoints, endpoints),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "for_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ash__StalledEndpoints, for_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ash__stalled_endpoints__field_indices_by_name[] = {
+  0,   /* field[0] = endpoints */
+  1,   /* field[1] = for_ms */
+};
+static const ProtobufCIntRange ash__stalled_endpoints__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor ash__stalled_endpoints__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ash.StalledEndpoints",
+  "StalledEndpoints",
+  "Ash__StalledEndpoints",
+  "ash",
+  sizeof(Ash__StalledEndpoints),
+  2,
+  ash__stalled_endpoints__field_descriptors,
+  ash__stalled_endpoints__field_indices_by_name,
+  1,  ash__stalled_endpoints__number_ranges,
+  (ProtobufCMessageInit) ash__stalled_endpoints__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ash__endpoint_loads__field_descriptors[5] =
 {
   {
@@ -6156,7 +6252,7 @@
   (ProtobufCMessageInit) ash__engine_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__event__field_descriptors[43] =
+static const ProtobufCFieldDescriptor ash__event__field_descriptors[44] =
 {
   {
     "peer",
@@ -6494,6 +6590,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stalled_endpoints",
+    29,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ash__Event, kind_case),
+    offsetof(Ash__Event, stalled_endpoints),
+    &ash__stalled_endpoints__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "call",
     30,
@@ -6676,8 +6784,8 @@
   },
 };
 static const unsigned ash__event__field_indices_by_name[] = {
-  28,   /* field[28] = call */
-  29,   /* field[29] = caller_gone */
+  29,   /* field[29] = call */
+  30,   /* field[30] = caller_gone */
   5,   /* field[5] = cancel */
   12,   /* field[12] = challenge */
   19,   /* field[19] = config_delta */
@@ -6693,39 +6801,39 @@
   23,   /* field[23] = endpoint_list_want */
   21,   /* field[21] = endpoint_loads */
   26,   /* field[26] = endpoint_terms */
-  38,   /* field[38] = engine_cancel */
-  40,   /* field[40] = engine_data */
-  41,   /* field[41] = engine_end */
-  39,   /* field[39] = engine_head */
-  37,   /* field[37] = engine_start */
+  39,   /* field[39] = engine_cancel */
+  41,   /* field[41] = engine_data */
+  42,   /* field[42] = engine_end */
+  40,   /* field[40] = engine_head */
+  38,   /* field[38] = engine_start */
   27,   /* field[27] = evacuations */
   7,   /* field[7] = head */
   1,   /* field[1] = heartbeat */
   13,   /* field[13] = hello */
-  34,   /* field[34] = link_down */
-  33,   /* field[33] = link_up */
+  35,   /* field[35] = link_down */
+  34,   /* field[34] = link_up */
   0,   /* field[0] = peer */
   16,   /* field[16] = query */
   17,   /* field[17] = query_answer */
   14,   /* field[14] = rank_order */
   15,   /* field[15] = rank_state */
   6,   /* field[6] = refused */
-  30,   /* field[30] = reply */
-  31,   /* field[31] = reply_data */
-  32,   /* field[32] = reply_end */
+  31,   /* field[31] = reply */
+  32,   /* field[32] = reply_data */
+  33,   /* field[33] = reply_end */
   4,   /* field[4] = resume */
-  42,   /* field[42] = sent_ms */
-  36,   /* field[36] = stop */
+  43,   /* field[43] = sent_ms */
+  28,   /* field[28] = stalled_endpoints */
+  37,   /* field[37] = stop */
   3,   /* field[3] = submit */
   25,   /* field[25] = suspect_runs */
-  35,   /* field[35] = tick */
+  36,   /* field[36] = tick */
 };
-static const ProtobufCIntRange ash__event__number_ranges[3 + 1] =
+static const ProtobufCIntRange ash__event__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 30, 28 },
-  { 60, 42 },
-  { 0, 43 }
+  { 60, 43 },
+  { 0, 44 }
 };
 const ProtobufCMessageDescriptor ash__event__descriptor =
 {
@@ -6735,10 +6843,10 @@
   "Ash__Event",
   "ash",
   sizeof(Ash__Event),
-  43,
+  44,
   ash__event__field_descriptors,
   ash__event__field_indices_by_name,
-  3,  ash__event__number_ranges,
+  2,  ash__event__number_ranges,
   (ProtobufCMessageInit) ash__event__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/ash.pb-c.h
+++ b/proto/ash.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Ash__Heartbeat Ash__Heartbeat;
 typedef struct Ash__Evacuation Ash__Evacuation;
 typedef struct Ash__EvacuationList Ash__EvacuationList;
+typedef struct Ash__StalledEndpoints Ash__StalledEndpoints;
 typedef struct Ash__EndpointLoads Ash__EndpointLoads;
 typedef struct Ash__EndpointTerms Ash__EndpointTerms;
 typedef struct Ash__EndpointTermsList Ash__EndpointTermsList;
@@ -374,6 +375,28 @@
     , 0,NULL }
 
 
+/*
+ * From the router that observes the ranks: the endpoints of a group that is stalled because a rank
+ * is missing, or that runs again.
+ */
+struct  Ash__StalledEndpoints
+{
+  ProtobufCMessage base;
+  /*
+   * hashes of the endpoints' ids
+   */
+  size_t n_endpoints;
+  uint64_t *endpoints;
+  /*
+   * they get no requests for this time; 0: they run again
+   */
+  uint32_t for_ms;
+};
+#define ASH__STALLED_ENDPOINTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ash__stalled_endpoints__descriptor) \
+    , 0,NULL, 0 }
+
+
 /*
  * The load that an entry itself has at each endpoint; sent often.
  */
@@ -1194,6 +1217,7 @@
   ASH__EVENT__KIND_SUSPECT_RUNS = 26,
   ASH__EVENT__KIND_ENDPOINT_TERMS = 27,
   ASH__EVENT__KIND_EVACUATIONS = 28,
+  ASH__EVENT__KIND_STALLED_ENDPOINTS = 29,
   ASH__EVENT__KIND_CALL = 30,
   ASH__EVENT__KIND_CALLER_GONE = 31,
   ASH__EVENT__KIND_REPLY = 32,
@@ -1257,6 +1281,7 @@
     Ash__SuspectRuns *suspect_runs;
     Ash__EndpointTermsList *endpoint_terms;
     Ash__EvacuationList *evacuations;
+    Ash__StalledEndpoints *stalled_endpoints;
     /*
      * 30 and above are never sent on a link
      */
@@ -1376,6 +1401,25 @@
 void   ash__evacuation_list__free_unpacked
                      (Ash__EvacuationList *message,
                       ProtobufCAllocator *allocator);
+/* Ash__StalledEndpoints methods */
+void   ash__stalled_endpoints__init
+                     (Ash__StalledEndpoints         *message);
+size_t ash__stalled_endpoints__get_packed_size
+                     (const Ash__StalledEndpoints   *message);
+size_t ash__stalled_endpoints__pack
+                     (const Ash__StalledEndpoints   *message,
+                      uint8_t             *out);
+size_t ash__stalled_endpoints__pack_to_buffer
+                     (const Ash__StalledEndpoints   *message,
+                      ProtobufCBuffer     *buffer);
+Ash__StalledEndpoints *
+       ash__stalled_endpoints__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ash__stalled_endpoints__free_unpacked
+                     (Ash__StalledEndpoints *message,
+                      ProtobufCAllocator *allocator);
 /* Ash__EndpointLoads methods */
 void   ash__endpoint_loads__init
                      (Ash__EndpointLoads         *message);
@@ -2153,6 +2197,9 @@
 typedef void (*Ash__EvacuationList_Closure)
                  (const Ash__EvacuationList *message,
                   void *closure_data);
+typedef void (*Ash__StalledEndpoints_Closure)
+                 (const Ash__StalledEndpoints *message,
+                  void *closure_data);
 typedef void (*Ash__EndpointLoads_Closure)
                  (const Ash__EndpointLoads *message,
                   void *closure_data);
@@ -2287,6 +2334,7 @@
 extern const ProtobufCMessageDescriptor ash__heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor ash__evacuation__descriptor;
 extern const ProtobufCMessageDescriptor ash__evacuation_list__descriptor;
+extern const ProtobufCMessageDescriptor ash__stalled_endpoints__descriptor;
 extern const ProtobufCMessageDescriptor ash__endpoint_loads__descriptor;
 extern const ProtobufCMessageDescriptor ash__endpoint_terms__descriptor;
 extern const ProtobufCMessageDescriptor ash__endpoint_terms_list__descriptor;
--- a/test/standin_ranks.c
+++ b/test/standin_ranks.c
@@ -10,7 +10,8 @@
  *     step=N map=V changes=N held=0|1 broken=0|1 standing_ms=N
  *
  * where broken=1 means that a pass began while two ranks had different maps, and standing_ms is the
- * time since the last pass. GET /state?shift=N shifts the demand to other experts. GET
+ * time since the last pass. GET /state?stalled=1 makes the ranks report that one of them is
+ * missing, until /state?stalled=0. GET /state?shift=N shifts the demand to other experts. GET
  * /state?late=PERCENT makes that share of orders be executed late and never answered. GET
  * /state?deaf=1 makes ranks drop all orders to arm until /state?deaf=0, so that a held step stays
  * held.
@@ -83,6 +84,7 @@
   bool drops_arm_orders;
   uint32_t ticks;
   bool broken;
+  bool stalled; /* the ranks report that one is missing */
   struct ash_time last_pass_at;
   struct delayed_order *delayed_orders;
   ev_timer timer;
@@ -273,11 +275,12 @@
     active += conn->request != NULL;
   snprintf (rank->reports[group.ticks % HISTORY], sizeof rank->reports[0],
             "{\"Active\":%u,\"step\":%llu,\"Map\":%llu,\"Prepared\":%llu,\"Armed\":%llu,"
-            "\"held\":%llu,\"group\":{\"Name\":\"g\",\"epoch\":1,\"rank\":%u,\"State\":\"open\","
+            "\"held\":%llu,\"group\":{\"Name\":\"g\",\"epoch\":1,\"rank\":%u,\"State\":\"%s\","
             "\"size\":%u}}",
             active, (unsigned long long) group.step, (unsigned long long) rank->map.version,
             (unsigned long long) rank->prepared.version, (unsigned long long) rank->armed,
-            (unsigned long long) rank->held, rank->index, group.rank_count);
+            (unsigned long long) rank->held, rank->index, group.stalled ? "broken" : "open",
+            group.rank_count);
 }
 
 static void
@@ -326,6 +329,7 @@
   const char *shift = strstr (target, "shift=");
   const char *delayed = strstr (target, "late=");
   const char *drops_arm_orders = strstr (target, "deaf=");
+  const char *stalled = strstr (target, "stalled=");
   char text[256];
   bool held = false;
 
@@ -333,6 +337,8 @@
     group.shift = (uint32_t) strtoul (shift + strlen ("shift="), NULL, 10);
   if (delayed)
     group.delayed_percent = (uint32_t) strtoul (delayed + strlen ("late="), NULL, 10);
+  if (stalled)
+    group.stalled = stalled[strlen ("stalled=")] == '1';
   if (drops_arm_orders)
     group.drops_arm_orders = drops_arm_orders[strlen ("deaf=")] == '1';
   for (uint32_t i = 0; i < group.rank_count; i++)
--- a/test/unit.h
+++ b/test/unit.h
@@ -25,7 +25,7 @@
 /** Terms that endpoints announce in their answers: rates, back-off times, and leaving. */
 void add_terms_tests (CU_pSuite suite);
 
-/** Evacuated halls, and cold endpoints. */
+/** Evacuated halls, stalled groups and cold endpoints. */
 void add_evacuation_tests (CU_pSuite suite);
 
 /** A store that is restored from an older copy. */
--- a/test/unit_evacuations.c
+++ b/test/unit_evacuations.c
@@ -1,6 +1,6 @@
 /**
  * @file
- * Unit tests of evacuated halls, and of cold endpoints.
+ * Unit tests of evacuated halls, stalled groups and cold endpoints.
  */
 #include "common/id.h"
 #include "controllers/direct.h"
@@ -223,6 +223,33 @@
   ash_direct_finish (&set);
 }
 
+/* Endpoints of a stalled group are passed over; if there are no others, callers are told when the
+ * group may run again. */
+static void
+test_stalled_group (void)
+{
+  struct ash_direct_endpoint *chosen;
+  struct ash_direct_endpoint *stalled;
+  struct ash_direct_set set;
+
+  ash_direct_init (&set, 1);
+  stalled = add_endpoint (&set, "1", "a");
+  ash_direct_set_stalled (stalled, at (0), 1500);
+  CU_ASSERT_EQUAL (ash_direct_choose (&set, at (100), &criteria, &chosen), ASH_DIRECT_THROTTLED);
+  CU_ASSERT_EQUAL (ash_direct_wait_ms (&set, at (100), &criteria), 1400);
+  add_endpoint (&set, "2", "b");
+  CU_ASSERT_EQUAL (ash_direct_choose (&set, at (100), &criteria, &chosen), ASH_DIRECT_CHOSEN);
+  CU_ASSERT_STRING_EQUAL (chosen->facts.id, "2");
+  /* Nobody reports it as stalled any more. */
+  CU_ASSERT_EQUAL (ash_direct_choose (&set, at (1600), &criteria, &chosen), ASH_DIRECT_CHOSEN);
+  CU_ASSERT_STRING_EQUAL (chosen->facts.id, "1");
+  ash_direct_set_stalled (stalled, at (1600), 1500);
+  ash_direct_set_stalled (stalled, at (1700), 0);
+  CU_ASSERT_EQUAL (ash_direct_choose (&set, at (1700), &criteria, &chosen), ASH_DIRECT_CHOSEN);
+  CU_ASSERT_STRING_EQUAL (chosen->facts.id, "1");
+  ash_direct_finish (&set);
+}
+
 /* ---- cold endpoints ---- */
 
 #define ROUTERS_MAX 300
@@ -373,6 +400,7 @@
   CU_add_test (suite, "evacuations: missing from a restored store", test_orders_restored);
   CU_add_test (suite, "evacuations: routers that were parted agree", test_orders_converge);
   CU_add_test (suite, "evacuations: endpoints of the hall get nothing", test_hall_gets_nothing);
+  CU_add_test (suite, "stalled groups: other endpoints come first", test_stalled_group);
   CU_add_test (suite, "cold: a fleet of any size keeps to the rate, and uses it", test_cold_fleets);
   CU_add_test (suite, "cold: isolated routers send nothing", test_cold_isolated);
   CU_add_test (suite, "cold: the newest report counts", test_cold_reports);
--- a/test/unit_maps.c
+++ b/test/unit_maps.c
@@ -250,6 +250,31 @@
   CU_ASSERT (ash_map_switch_new_version (&sw, 0) > version);
 }
 
+/* The rank that is watched closely is lost: the next one shows within a second that the group is
+ * broken. */
+static void
+test_watched_rank_lost (void)
+{
+  struct ash_rank_report report = { .group = "g", .epoch = 1, .rank = 1, .rank_count = 4 };
+  struct ash_time lost_at = { 65000000 };
+  struct ash_time now = lost_at;
+  struct ash_map_switch sw;
+
+  ash_map_switch_init (&sw, 4, 200, 0);
+  report_all (&sw, now, 100);
+  while (!ash_map_switch_needs_report (&sw, now, 1))
+    now = ash_time_add (now, 20);
+  CU_ASSERT (ash_time_diff (lost_at, now) <= 1000);
+  CU_ASSERT_FALSE (ash_map_switch_is_broken (&sw));
+  report.broken = true;
+  ash_map_switch_report (&sw, now, &report);
+  CU_ASSERT (ash_map_switch_is_broken (&sw));
+  report.broken = false;
+  report.epoch = 2;
+  ash_map_switch_report (&sw, now, &report);
+  CU_ASSERT_FALSE (ash_map_switch_is_broken (&sw));
+}
+
 /* For a second four ranks, which wait before a step, report what they have prepared and hold.
  * @return the time afterwards. */
 static struct ash_time
@@ -433,5 +458,6 @@
   CU_add_test (suite, "expert layers: a report is no answer", test_report_does_not_confirm_arm);
   CU_add_test (suite, "expert layers: finishing what is prepared unevenly", test_finish_uneven);
   CU_add_test (suite, "expert layers: two holds", test_two_holds);
+  CU_add_test (suite, "expert layers: the watched rank is lost", test_watched_rank_lost);
   CU_add_test (suite, "expert layers: the version after an abort", test_version_after_abort);
 }
