--- a/common/events.h
+++ b/common/events.h
@@ -36,6 +36,10 @@
   X (214, WARN, STORE_ERA,          "the store was restored from an older copy: everything is read again") \
   X (215, INFO, ENDPOINT_LIMITED,   "an endpoint announced a limit of requests per second, or withdrew it") \
   X (216, INFO, ENDPOINT_RESTS,     "an endpoint rejected a request and asked this router to send none for a while") \
+  X (217, INFO, HALL_EVACUATED,     "the operator ordered that the endpoints of a hall get no requests, or withdrew the order") \
+  X (218, INFO, HALLS_EMPTY,        "the evacuated halls have no more requests of this router") \
+  X (219, INFO, ENDPOINT_COLD,      "an endpoint is cold and accepts few requests per second, or no longer") \
+  X (220, WARN, COLD_TIME_INVALID,  "an endpoint's cold time is no number, negative or too long") \
   X (300, INFO, LINK_UP,            "a peer link is up") \
   X (301, INFO, LINK_DOWN,          "a peer link is down") \
   X (302, WARN, PEER_REFUSED,       "a peer could not prove the fleet key, or broke the protocol") \
@@ -59,6 +63,7 @@
   X (413, WARN, QUARANTINED,        "a request is quarantined: endpoints ended while they ran it, so no other gets it for now") \
   X (414, INFO, QUARANTINE_CLEARED, "a suspected request got its complete answer: it is not the cause") \
   X (415, INFO, PROMPTS_KEPT,       "the engine's passes have become long: new prompts are held, or no longer held") \
+  X (416, WARN, FORWARD_UNREAD,     "a caller reads nothing of its answer: the answer was cut off") \
   X (500, DEBUG, RUN_STARTED,       "an endpoint started a request") \
   X (501, DEBUG, RUN_ENDED,         "an endpoint's engine ended a request") \
   X (502, INFO, RUN_REFUSED,        "an endpoint refused a request") \
@@ -74,7 +79,8 @@
   X (605, INFO, MAP_EPOCH,          "a group has formed again with a new epoch: it is back at its initial map") \
   X (606, INFO, MAP_ORDER_REFUSED,  "a rank refused an order")  \
   X (607, INFO, RANK_PACE,          "a rank has become slow, or has its usual speed again") \
-  X (608, WARN, GROUP_BEYOND_BOUNDS, "a group is above the supported size: its map is not changed")
+  X (608, WARN, GROUP_BEYOND_BOUNDS, "a group is above the supported size: its map is not changed") \
+  X (609, INFO, GROUP_STALLED,      "a group is stalled because a rank is missing: its endpoints get no requests; or it runs again")
 /* clang-format on */
 
 #define ASH_EVENT_ENUM(number, level, name, text) ASH_EV_##name = (number),
--- a/controllers/direct.h
+++ b/controllers/direct.h
@@ -9,7 +9,9 @@
 
 #include "common/clock.h"
 #include "common/random.h"
+#include "controllers/cold_start.h"
 #include "controllers/endpoint_terms.h"
+#include "controllers/evacuations.h"
 #include "controllers/rate_limit.h"
 
 #include <uthash.h>
@@ -34,6 +36,7 @@
   char hall[ASH_DIRECT_NAME_BYTES];
   uint32_t slots; /**< requests processed concurrently */
   bool draining;
+  int64_t cold_ms; /**< remaining cold time when the entry was written; -1: it was not valid */
   int64_t born_ms; /**< start of this incarnation, by the endpoint's wall clock; 0: not published */
 };
 
@@ -62,7 +65,10 @@
   struct ash_time pause_measured_at; /**< when a pause was last measured */
   double pace; /**< processing time relative to normal; ignored some time after pace_reported_at */
   struct ash_time pace_reported_at; /**< when the pace was last reported */
-  bool announced_leaving;           /**< an answer announced its shutdown; reset when it restarts */
+  struct ash_cold_start cold;
+  struct ash_time stalled_until; /**< the endpoint's group is stalled until then */
+  bool evacuated;                /**< the operator evacuates the endpoint's hall */
+  bool announced_leaving;        /**< an answer announced its shutdown; reset when it restarts */
   struct ash_rate_limit limit;
   struct ash_time
       backoff_until; /**< the endpoint requested that this router send it nothing until then */
@@ -78,6 +84,7 @@
   struct ash_direct_endpoint *by_hash;   /**< the same endpoints, by hash */
   struct ash_random random;
   uint64_t revision; /**< revision of the endpoint list */
+  struct ash_evacuations evacuations;
   /** Called before an endpoint is freed, so that its connections can be closed. May be NULL. */
   void (*before_free) (void *data, struct ash_direct_endpoint *endpoint);
   /** Called when an endpoint has restarted, maybe at another address. May be NULL. */
@@ -129,6 +136,9 @@
 /** @return remaining ms of the back-off; 0 if there is none. */
 int64_t ash_direct_backoff_ms (const struct ash_direct_endpoint *endpoint, struct ash_time now);
 
+/** Records that the endpoint's group is stalled for @p ms; 0: it runs again. */
+void ash_direct_set_stalled (struct ash_direct_endpoint *endpoint, struct ash_time now, int64_t ms);
+
 /** Updates the endpoint's ejection state with the result of a request. */
 void ash_direct_note_result (struct ash_direct_endpoint *endpoint,
                              struct ash_time now,
@@ -147,7 +157,11 @@
 /** @return the number of usable endpoints of a service. */
 uint32_t ash_direct_count (const struct ash_direct_set *set, const char *service);
 
-/** @return whether the endpoint may get new requests: listed or lapsed, and not leaving. */
+/** Applies the set's evacuations to its endpoints; to be called after each change of them. */
+void ash_direct_apply_evacuations (struct ash_direct_set *set);
+
+/** @return whether the endpoint may get new requests: listed or lapsed, not leaving, and not in an
+ * evacuated hall. */
 bool ash_direct_usable (const struct ash_direct_endpoint *endpoint);
 
 /** Result of ash_direct_choose(). */
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -2,7 +2,9 @@
 
 #include "common/id.h"
 #include "controllers/peer_period.h"
+#include "daemon/evacuation.h"
 #include "daemon/fleet_loads.h"
+#include "daemon/fleet_rates.h"
 #include "daemon/fleet_roles.h"
 #include "daemon/fleet_terms.h"
 #include "daemon/router.h"
@@ -77,6 +79,7 @@
         ash_peers_dial (&fleet->links, heartbeat->known_boxes[i], heartbeat->known_addresses[i]);
     }
   ash_peer_sync_update_peer (&fleet->router->peer_sync, ash_clock_now (), peer);
+  ash_evacuation_compare (fleet->router, heartbeat->evacuations_digest, peer->box);
 }
 
 static void
@@ -152,6 +155,12 @@
     case ASH__EVENT__KIND_ENDPOINT_TERMS:
       ash_fleet_apply_terms (fleet, peer, event->endpoint_terms);
       break;
+    case ASH__EVENT__KIND_STALLED_ENDPOINTS:
+      ash_fleet_apply_stalled (fleet, peer, event->stalled_endpoints);
+      break;
+    case ASH__EVENT__KIND_EVACUATIONS:
+      ash_evacuation_receive (router, event->evacuations, peer->box);
+      break;
     default:
       break; /* messages of the entry and endpoint roles of ashspindled, ignored by routers */
     }
@@ -237,6 +246,7 @@
   heartbeat->changes_map = ash_map_manager_is_changing (&router->map_manager);
   heartbeat->endpoints_revision = router->endpoints.revision;
   heartbeat->endpoints_digest = router->store.digest;
+  heartbeat->evacuations_digest = ash_evacuations_digest (&router->endpoints.evacuations);
   if (peer && should_name_peers (fleet, peer))
     add_known_peers (fleet, heartbeat, needs_peer_names ? UINT32_MAX : KNOWN_PEERS_MAX);
 }
@@ -281,6 +291,7 @@
   if (!ash_peers_init (links, router->loop))
     return false;
   fleet->opened = true;
+  fleet->opened_at = ash_clock_now ();
   fleet->polls_often = true;
   fleet->reads_store = true;
   fleet->first_of_hall = true;
--- a/daemon/router.c
+++ b/daemon/router.c
@@ -1,5 +1,7 @@
 #include "daemon/router.h"
 
+#include "daemon/evacuation.h"
+
 #include "platform/config.h"
 
 #include <errno.h>
@@ -35,6 +37,15 @@
  * resumption. */
 #define RESUME_READ_MS 50
 
+/* Fractions of the box's memory that request bodies and answers may use. A body is held twice while
+ * it is being sent. */
+#define BODIES_DIVISOR 8
+#define ANSWERS_DIVISOR 4
+
+/* Memory for answers if the box's memory is not known. */
+#define ANSWERS_MAX_BYTES (48 * BYTES_PER_MB)
+
+#define BYTES_PER_MB (UINT64_C (1024) * 1024)
 #define MS_PER_S 1000.0
 
 uint64_t
@@ -272,6 +283,7 @@
   ash_fleet_tick (&router->fleet, now);
   ash_peer_sync_tick (&router->peer_sync, now);
   ash_store_tick (&router->store, now);
+  ash_evacuation_tick (router, now);
   ash_direct_tick (&router->endpoints, now);
   ash_suspects_tick (&router->suspects, now);
   router->capacity_freed = true;
@@ -418,6 +430,12 @@
       !listen_at (router, &router->metrics_page, settings->metrics_listen, &ash_metrics_handler))
     return false;
   router->frontend.conn_max = settings->connections_max;
+  router->frontend.queued_total = &router->answer_memory.used_bytes;
+  if (settings->memory_mb)
+    router->frontend.bodies_max_bytes = settings->memory_mb * BYTES_PER_MB / BODIES_DIVISOR;
+  router->answer_memory.max_bytes = settings->memory_mb
+                                        ? settings->memory_mb * BYTES_PER_MB / ANSWERS_DIVISOR
+                                        : ANSWERS_MAX_BYTES;
   ash_peer_sync_open (&router->peer_sync, router);
   ash_suspects_open (&router->suspects, router, &ash_exchange_suspects_handler);
   if (!ash_fleet_open (&router->fleet, router))
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -8,6 +8,7 @@
 
 #include "common/log.h"
 #include "common/metrics.h"
+#include "controllers/answer_memory.h"
 #include "controllers/direct.h"
 #include "controllers/prompt_gate.h"
 #include "controllers/resend_window.h"
@@ -62,10 +63,12 @@
   struct ash_http_listener directory;
   struct ash_http_listener metrics_page;
 
+  struct ash_answer_memory answer_memory;
   struct ash_exchange *exchanges;
-  uint32_t waiting_count; /**< exchanges that wait for a free slot */
-  bool capacity_freed;    /**< an endpoint may have a free slot: waiting exchanges retry before the
-                             loop blocks */
+  bool evacuation_in_progress; /**< an evacuated hall still has requests of this router */
+  uint32_t waiting_count;      /**< exchanges that wait for a free slot */
+  bool capacity_freed; /**< an endpoint may have a free slot: waiting exchanges retry before the
+                          loop blocks */
 
   bool stopping;
   bool stop_expired; /**< the time to stop is over: requests are aborted, and none goes to an
--- a/daemon/router_pages.c
+++ b/daemon/router_pages.c
@@ -2,6 +2,7 @@
  * @file
  * The router's auxiliary HTTP pages: readiness, the addresses that callers may use, and metrics.
  */
+#include "daemon/evacuation.h"
 #include "daemon/router.h"
 #include "platform/directory.h"
 
@@ -87,6 +88,23 @@
 
 /* ---- metrics ---- */
 
+static void
+set_hall_gauges (struct ash_router *router)
+{
+  const struct ash_evacuations *evacuations = &router->endpoints.evacuations;
+  char labels[128];
+
+  for (uint32_t i = 0; i < evacuations->count; i++)
+    {
+      const struct ash_evacuation *evacuation = &evacuations->halls[i];
+
+      snprintf (labels, sizeof labels, "hall=\"%s\"", evacuation->hall);
+      ash_metrics_set (&router->metrics, "ash_hall_evacuated", labels, evacuation->ordered);
+      ash_metrics_set (&router->metrics, "ash_hall_in_flight", labels,
+                       ash_evacuation_in_flight (router, evacuation->hall));
+    }
+}
+
 static void
 set_gauges (struct ash_router *router)
 {
@@ -115,6 +133,8 @@
   ash_metrics_set (metrics, "ash_quarantined_total", "", router->suspects.quarantined);
   ash_metrics_set (metrics, "ash_suspects", "", HASH_COUNT (router->suspects.quarantine.suspects));
   ash_metrics_set (metrics, "ash_body_bytes", "", router->frontend.body_bytes);
+  ash_metrics_set (metrics, "ash_answer_bytes", "", router->answer_memory.used_bytes);
+  ash_metrics_set (metrics, "ash_answer_max_bytes", "", router->answer_memory.max_bytes);
   for (int part = 0; part < ASH_STORE_PARTS; part++)
     {
       const struct ash_store_reader *reader = &router->store.readers[part];
@@ -124,6 +144,7 @@
       ash_metrics_set (metrics, "ash_store_answer_age_ms", labels,
                        (uint64_t) ash_time_diff (reader->last_answer, now));
     }
+  set_hall_gauges (router);
   for (const struct ash_direct_endpoint *endpoint = router->endpoints.endpoints; endpoint;
        endpoint = endpoint->hh.next)
     {
@@ -133,6 +154,8 @@
       ash_metrics_set (metrics, "ash_endpoint_failures", labels, endpoint->failures);
       ash_metrics_set (metrics, "ash_endpoint_rests_ms", labels,
                        (uint64_t) ash_direct_backoff_ms (endpoint, now));
+      ash_metrics_set (metrics, "ash_endpoint_cold_ms", labels,
+                       (uint64_t) ash_cold_start_left_ms (&endpoint->cold, now));
       ash_metrics_set (metrics, "ash_endpoint_limit_milli", labels, endpoint->limit.milli_per_s);
       ash_metrics_set (metrics, "ash_endpoint_pace_milli", labels,
                        (uint64_t) (1000 * ash_direct_pace (endpoint, now)));
