--- a/common/events.h
+++ b/common/events.h
@@ -80,7 +80,7 @@
   X (606, INFO, MAP_ORDER_REFUSED,  "a rank refused an order")  \
   X (607, INFO, RANK_PACE,          "a rank has become slow, or has its usual speed again") \
   X (608, WARN, GROUP_BEYOND_BOUNDS, "a group is above the supported size: its map is not changed") \
-  X (609, INFO, GROUP_STALLED,      "a group is stalled because a rank is missing: its endpoints get no requests; or it runs again")
+  X (609, INFO, GROUP_STALLED,      "a group is stalled because a rank is missing: other endpoints are preferred; or it runs again")
 /* clang-format on */
 
 #define ASH_EVENT_ENUM(number, level, name, text) ASH_EV_##name = (number),
--- a/controllers/direct.c
+++ b/controllers/direct.c
@@ -422,15 +422,15 @@
 /* Sort key of a candidate: lower is better, members compared in this order. */
 struct sort_key
 {
-  bool ejected;
+  bool passed_over;
   double work; /* load with the next request, weighted by hall and speed */
 };
 
 static int
 compare_sort_keys (struct sort_key a, struct sort_key b)
 {
-  if (a.ejected != b.ejected)
-    return a.ejected ? 1 : -1;
+  if (a.passed_over != b.passed_over)
+    return a.passed_over ? 1 : -1;
   if (a.work != b.work)
     return a.work > b.work ? 1 : -1;
   return 0;
@@ -480,26 +480,34 @@
   return a_ms > b_ms ? a_ms : b_ms;
 }
 
-/* @return ms until the endpoint's group runs, and its back-off, cold start and rate limit allow a
- * request; below 0 if this router has no share of the rate limit. */
+/* @return ms until the endpoint's back-off, cold start and rate limit allow a request; below 0 if
+ * this router has no share of the rate limit. */
 static int64_t
 throttle_ms (const struct ash_direct_endpoint *endpoint, struct ash_time now)
 {
   int64_t rate_ms = ash_rate_limit_wait_ms (&endpoint->limit, now);
-  int64_t wait_ms = ash_direct_backoff_ms (endpoint, now);
+  int64_t wait_ms = later_of (ash_direct_backoff_ms (endpoint, now),
+                              ash_cold_start_wait_ms (&endpoint->cold, now));
 
-  wait_ms = later_of (wait_ms, ash_cold_start_wait_ms (&endpoint->cold, now));
-  wait_ms = later_of (wait_ms, ash_time_diff (now, endpoint->stalled_until));
   return rate_ms < 0 ? rate_ms : later_of (rate_ms, wait_ms);
 }
 
+/* Whether requests to the endpoint are likely to fail. Reports of stalled groups lag, so an
+ * endpoint is still tried if there is no other. */
+static bool
+is_passed_over (const struct ash_direct_endpoint *endpoint, struct ash_time now)
+{
+  return ash_time_before (now, endpoint->ejected_until) ||
+         ash_time_before (now, endpoint->stalled_until);
+}
+
 static struct sort_key
 sort_key_of (const struct ash_direct_endpoint *endpoint,
              const struct ash_direct_criteria *criteria,
              struct ash_time now)
 {
   uint32_t load = endpoint->in_flight + endpoint->peers_in_flight;
-  struct sort_key key = { ash_time_before (now, endpoint->ejected_until), load + 1.0 };
+  struct sort_key key = { is_passed_over (endpoint, now), load + 1.0 };
 
   if (is_remote (endpoint, criteria))
     key.work += OTHER_HALL_WORK;
--- a/controllers/direct.h
+++ b/controllers/direct.h
@@ -136,7 +136,8 @@
 /** @return remaining ms of the back-off; 0 if there is none. */
 int64_t ash_direct_backoff_ms (const struct ash_direct_endpoint *endpoint, struct ash_time now);
 
-/** Records that the endpoint's group is stalled for @p ms; 0: it runs again. */
+/** Records that the endpoint's group is stalled, so that other endpoints are preferred for @p ms;
+ * 0: it runs again. */
 void ash_direct_set_stalled (struct ash_direct_endpoint *endpoint, struct ash_time now, int64_t ms);
 
 /** Updates the endpoint's ejection state with the result of a request. */
--- a/daemon/fleet_loads.h
+++ b/daemon/fleet_loads.h
@@ -40,7 +40,7 @@
  * Sends all linked peers the endpoints of a group that is stalled, or runs again, and applies this
  * to the own endpoints.
  * @param hashes hashes of the endpoints' ids.
- * @param for_ms the endpoints get no requests for this time; 0: they run again.
+ * @param for_ms other endpoints are preferred for this time; 0: they run again.
  */
 void
 ash_fleet_send_stalled (struct ash_fleet *fleet, uint64_t *hashes, uint32_t count, uint32_t for_ms);
