test: which bodies fill the memory is not told beforehand; proto: comment of the generated header

Traced (2 of 24 side by side, the answer printed): 408. The router reads from its connections in any order, so the last caller may be one whose body fits, and then times out.

--- a/proto/ash.pb-c.h
+++ b/proto/ash.pb-c.h
@@ -388,7 +388,7 @@
   size_t n_endpoints;
   uint64_t *endpoints;
   /*
-   * they get no requests for this time; 0: they run again
+   * other endpoints are preferred for this time; 0: they run again
    */
   uint32_t for_ms;
 };
--- a/test/router_slow_readers.c
+++ b/test/router_slow_readers.c
@@ -132,13 +132,15 @@
   testbed_stop (&testbed);
 }
 
-/* Bodies that are sent slowly fill the memory for bodies: the next one is refused for now, which is
- * not the same as a body that is too large. */
+/* Bodies that are not sent completely fill the memory for bodies: the callers whose bodies don't
+ * fit are refused for now, which is not the same as a body that is too large. Which callers these
+ * are depends on the order in which the router reads from them; the others time out. */
 static void
 test_bodies (void)
 {
   static char body[BODY_BYTES + 1];
   int fds[IDLE_CALLERS];
+  int refused = 0;
 
   start_small ();
   memset (body, 'x', BODY_BYTES);
@@ -149,11 +151,14 @@
                     "POST /once/x HTTP/1.1\r\n" HEAD "body\r\nContent-Length: 99999\r\n\r\n");
       testbed_send (fds[i], body);
     }
-  testbed_read (fds[IDLE_CALLERS - 1], &answer);
-  CU_ASSERT_EQUAL (answer.status, 503);
-  CU_ASSERT (answer_has ("Retry-After: 1"));
   for (int i = 0; i < IDLE_CALLERS; i++)
-    close (fds[i]);
+    {
+      testbed_read (fds[i], &answer);
+      close (fds[i]);
+      refused += answer.status == 503;
+      CU_ASSERT (answer.status == 408 || (answer.status == 503 && answer_has ("Retry-After: 1")));
+    }
+  CU_ASSERT (refused > 0);
   CU_ASSERT_EQUAL (testbed_count_runs (&testbed, "body"), 0);
   testbed_stop (&testbed);
 }
