fleet_rates: what concerns the fleet is worked out once a tick

Counted once a tick now, and only while an endpoint has a rate. What is shared is as before; how much time it saved was not measured. fleet_loads.h says that stalled groups are told there too.

Run on it: unit tests 137 of 137, `cold` 2 and `a rate` 4 of test-router, format, clang-tidy of the file.

--- a/daemon/fleet_loads.h
+++ b/daemon/fleet_loads.h
@@ -1,7 +1,9 @@
 /**
  * @file
  * Reports between routers of how many requests each has at each endpoint: frequent within a hall,
- * and less frequent to other halls if these have many routers. Internal to the fleet modules.
+ * and less frequent to other halls if these have many routers. They also tell which endpoints the
+ * leading router has found to be slow, or in a stalled group. Internal to the fleet modules, but
+ * for ash_fleet_send_stalled().
  */
 #ifndef ASH_FLEET_LOADS_H
 #define ASH_FLEET_LOADS_H
--- a/daemon/fleet_rates.c
+++ b/daemon/fleet_rates.c
@@ -154,30 +154,38 @@
     split_rate (fleet, endpoint, now, routers_digest, &split, limit);
 }
 
-/* Splits the rate that the cold endpoint accepts. */
+/* Splits the rate that the cold endpoint accepts.
+ * @param may_share whether this router may have a share. */
 static void
 split_cold (const struct ash_fleet *fleet,
             struct ash_direct_endpoint *endpoint,
             struct ash_time now,
-            uint64_t routers_digest)
+            uint64_t routers_digest,
+            bool may_share)
 {
   const struct ash_router *router = fleet->router;
-  struct ash_cold_rate rate = cold_rate (router, service_of (router, endpoint));
-  struct ash_rate_split split = ash_cold_start_split (&rate);
   struct ash_rate_limit *share = &endpoint->cold.share;
-  bool may_share = ash_cold_start_may_share (ash_time_diff (fleet->opened_at, now),
-                                             ash_fleet_linked (fleet) + 1, ash_fleet_size (fleet));
+  struct ash_cold_rate rate;
+  struct ash_rate_split split;
 
   if (router->stopping || !may_share)
-    ash_rate_limit_release (share);
-  else if (share->routers_digest != routers_digest)
-    split_rate (fleet, endpoint, now, routers_digest, &split, share);
+    {
+      ash_rate_limit_release (share);
+      return;
+    }
+  if (share->routers_digest == routers_digest)
+    return;
+  rate = cold_rate (router, service_of (router, endpoint));
+  split = ash_cold_start_split (&rate);
+  split_rate (fleet, endpoint, now, routers_digest, &split, share);
 }
 
 void
 ash_fleet_split_rates (struct ash_fleet *fleet, struct ash_time now)
 {
-  uint64_t routers_digest = 0; /* computed only if an endpoint has a rate */
+  /* Computed only if an endpoint has a rate: both go through all peers. */
+  uint64_t routers_digest = 0;
+  bool may_share_cold = false;
 
   for (struct ash_direct_endpoint *endpoint = fleet->router->endpoints.endpoints; endpoint;
        endpoint = endpoint->hh.next)
@@ -186,10 +194,16 @@
 
       if (!endpoint->limit.milli_per_s && !is_cold)
         continue;
-      routers_digest = routers_digest ? routers_digest : members_digest (fleet, now);
+      if (!routers_digest)
+        {
+          routers_digest = members_digest (fleet, now);
+          may_share_cold =
+              ash_cold_start_may_share (ash_time_diff (fleet->opened_at, now),
+                                        ash_fleet_linked (fleet) + 1, ash_fleet_size (fleet));
+        }
       if (endpoint->limit.milli_per_s)
         split_limit (fleet, endpoint, now, routers_digest);
       if (is_cold)
-        split_cold (fleet, endpoint, now, routers_digest);
+        split_cold (fleet, endpoint, now, routers_digest, may_share_cold);
     }
 }
