--- a/controllers/evacuations.c
+++ b/controllers/evacuations.c
@@ -9,22 +9,31 @@
 /* Odd, so that each position gives another product. */
 #define POSITION_FACTOR UINT64_C (0x9e3779b97f4a7c15)
 
+/* @return the index of a hall's record; the number of records if there is none. */
+static uint32_t
+index_of (const struct ash_evacuations *evacuations, const char *hall)
+{
+  uint32_t i = 0;
+
+  while (i < evacuations->count && strcmp (evacuations->halls[i].hall, hall) != 0)
+    i++;
+  return i;
+}
+
 struct ash_evacuation *
 ash_evacuations_find (struct ash_evacuations *evacuations, const char *hall)
 {
-  for (uint32_t i = 0; i < evacuations->count; i++)
-    if (strcmp (evacuations->halls[i].hall, hall) == 0)
-      return &evacuations->halls[i];
-  return NULL;
+  uint32_t index = index_of (evacuations, hall);
+
+  return index < evacuations->count ? &evacuations->halls[index] : NULL;
 }
 
 bool
 ash_evacuations_include (const struct ash_evacuations *evacuations, const char *hall)
 {
-  for (uint32_t i = 0; i < evacuations->count; i++)
-    if (evacuations->halls[i].ordered && strcmp (evacuations->halls[i].hall, hall) == 0)
-      return true;
-  return false;
+  uint32_t index = index_of (evacuations, hall);
+
+  return index < evacuations->count && evacuations->halls[index].ordered;
 }
 
 static struct ash_evacuation *
