--- a/common/events.h
+++ b/common/events.h
@@ -64,6 +64,7 @@
   X (414, INFO, QUARANTINE_CLEARED, "a suspected request got its complete answer: it is not the cause") \
   X (415, INFO, PROMPTS_KEPT,       "the engine's passes have become long: new prompts are held, or no longer held") \
   X (416, WARN, FORWARD_UNREAD,     "a caller reads nothing of its answer: the answer was cut off") \
+  X (417, INFO, ENDPOINT_PROBED,    "after a connection ended under a request, its endpoint was probed; the result") \
   X (500, DEBUG, RUN_STARTED,       "an endpoint started a request") \
   X (501, DEBUG, RUN_ENDED,         "an endpoint's engine ended a request") \
   X (502, INFO, RUN_REFUSED,        "an endpoint refused a request") \
--- a/daemon/suspects.c
+++ b/daemon/suspects.c
@@ -22,6 +22,7 @@
 {
   struct ash_suspects *suspects;
   uint64_t endpoint;
+  struct ash_time started;
   bool open;
   bool refused;
   struct ash_stream stream;
@@ -212,14 +213,50 @@
   free (probe);
 }
 
+/* What a probe has shown of the endpoint. */
+enum probe_result
+{
+  PROBE_REFUSED,   /* nothing listens at its address */
+  PROBE_ACCEPTED,  /* something listens at its address */
+  PROBE_NO_RESULT, /* no reaction in time, or the connect attempt failed for another reason */
+};
+
+static const char *
+probe_result_name (enum probe_result result)
+{
+  switch (result)
+    {
+    case PROBE_REFUSED:
+      return "refused";
+    case PROBE_ACCEPTED:
+      return "accepted";
+    case PROBE_NO_RESULT:
+      return "none";
+    }
+  return "";
+}
+
+static void
+log_probe (const struct ash_suspect_probe *probe, enum probe_result result)
+{
+  const struct ash_router *router = probe->suspects->router;
+  const struct ash_direct_endpoint *endpoint =
+      ash_direct_find_hash (&router->endpoints, probe->endpoint);
+
+  ash_log_event (&router->log, ASH_EV_ENDPOINT_PROBED, "endpoint=%s result=%s after_ms=%lld",
+                 endpoint ? endpoint->facts.id : "-", probe_result_name (result),
+                 (long long) ash_time_diff (probe->started, ash_clock_now ()));
+}
+
 static void
-finish_probe (struct ash_suspect_probe *probe, bool refused)
+finish_probe (struct ash_suspect_probe *probe, enum probe_result result)
 {
   struct ash_suspects *suspects = probe->suspects;
   uint64_t endpoint = probe->endpoint;
 
+  log_probe (probe, result);
   free_probe (probe);
-  if (refused)
+  if (result == PROBE_REFUSED)
     handle_endpoint_end (suspects, endpoint, ASH_QUARANTINE_CONNECT_REFUSED);
   suspects->handler->probed (suspects->router, endpoint);
 }
@@ -229,20 +266,23 @@
 {
   (void) bytes;
   (void) length;
-  finish_probe (stream->owner, false);
+  finish_probe (stream->owner, PROBE_ACCEPTED);
 }
 
 static void
 on_probe_end (struct ash_stream *stream, enum ash_stream_end end)
 {
-  finish_probe (stream->owner, end == ASH_STREAM_CONNECT_FAILED && stream->refused);
+  if (end != ASH_STREAM_CONNECT_FAILED)
+    finish_probe (stream->owner, PROBE_ACCEPTED);
+  else
+    finish_probe (stream->owner, stream->refused ? PROBE_REFUSED : PROBE_NO_RESULT);
 }
 
 /* The connection has been established: the endpoint still runs. */
 static void
 on_probe_drained (struct ash_stream *stream)
 {
-  finish_probe (stream->owner, false);
+  finish_probe (stream->owner, PROBE_ACCEPTED);
 }
 
 static const struct ash_stream_handler probe_handler = { on_probe_data, on_probe_end,
@@ -255,7 +295,7 @@
 
   (void) loop;
   (void) events;
-  finish_probe (probe, probe->refused);
+  finish_probe (probe, probe->refused ? PROBE_REFUSED : PROBE_NO_RESULT);
 }
 
 static void
@@ -268,6 +308,7 @@
     return;
   probe->suspects = suspects;
   probe->endpoint = endpoint;
+  probe->started = ash_clock_now ();
   probe->open = ash_stream_connect (&probe->stream, loop, address, &probe_handler, probe);
   probe->refused = !probe->open && errno == ECONNREFUSED;
   /* A probe that failed to start ends in the next iteration of the event loop, since the function
