test: a server that is ending doesn't count as running

Cause of the failures of `a router that comes learns what is kept away` from router_quarantine.c:90 on: the test's own race. testbed_restart_servers() took a server whose port accepts connections for one that runs, because "a process that exits closes its listening sockets before its connections". The kernel promises no such order: 417 of the router's log shows probes that are accepted after the connection had ended, and the same port refuses a moment later.

Change: a server runs if it answers. Its caller sees the connection end only after the process has stopped answering, so this decides in every case; the checks are the same and no weaker.

--- a/test/router_testbed.c
+++ b/test/router_testbed.c
@@ -264,16 +264,13 @@
                              server->id, (char *) NULL);
 }
 
-/* A process that exits closes its listening sockets before its connections: a caller that has seen
- * one of its connections close also finds the port closed. */
+/* Whether the server's process still runs, that is, answers. That something accepts connections at
+ * its port does not show it: when a process exits, the kernel may close its connections before its
+ * listening socket. */
 static bool
-listens (uint16_t port)
+is_running (const struct testbed_server *server)
 {
-  int fd = connect_to (port);
-
-  if (fd >= 0)
-    close (fd);
-  return fd >= 0;
+  return *testbed_fetch (server->port, "GET", "/gone", "") != '\0';
 }
 
 int
@@ -286,7 +283,7 @@
       struct testbed_server *server = &testbed->servers[s];
       char target[64];
 
-      if (listens (server->port))
+      if (is_running (server))
         continue;
       waitpid (server->pid, NULL, 0);
       count++;
