suspects: a probe's connection is kept until it shows whether the endpoint ended

What callers saw: endpoints that a request had ended went unnoticed, so it was sent on to the next ones: lost servers, groups of ranks that stand for seconds.

Cause: a probe that was accepted counted as an endpoint that runs. When a process exits, the kernel closes its sockets one after the other; while the listening socket is still open, connections to it are established, and reset when it is closed.

Change: the connection of a probe is kept for 0.5 s. One that ends was no proof of either: another attempt, three at most, tells a closed port from an endpoint that closed this connection. A request that is already suspected waits 0.1 s at most, as before; other requests don't wait. A disconnect while the connection is kept gets a probe of its own.

Weighed: release the waiting request at the first accept (it would end one more endpoint in just this case); an HTTP request as the probe (costs the endpoint work, and one that stands still gives no answer either).

--- a/controllers/quarantine.c
+++ b/controllers/quarantine.c
@@ -20,7 +20,7 @@
 #define EXITS_WITHOUT_ANSWER 2
 
 /* How long before the evidence of an exit a connection may have broken because of that exit. A
- * connect attempt right after the break gives its result within 0.1 s; a restarted process is
+ * probe that starts right after the break gives its result within 0.5 s; a restarted process is
  * listed once it is up, some seconds later. */
 #define CONNECT_REFUSED_MS 1000
 #define RESTARTED_MS 8000
--- a/daemon/suspects.c
+++ b/daemon/suspects.c
@@ -6,10 +6,21 @@
 #include <stdlib.h>
 #include <utlist.h>
 
-/* Timeout of a probe. A machine whose process has ended refuses connections within a round trip: a
- * few milliseconds within a region, some 40 to another region. A probe that gets no reaction at all
- * shows nothing about the endpoint. */
-#define PROBE_TIMEOUT_MS 100
+/* Timeout of a probe's connect attempt, and how long requests wait for the probe's result. A
+ * machine whose process has ended refuses connections within a round trip: a few milliseconds
+ * within a region, some 40 to another region. A probe that gets no reaction at all shows nothing
+ * about the endpoint. */
+#define PROBE_WAIT_MS 100
+
+/* How long a probe's connection is kept open, counted from the probe's start. The kernel closes the
+ * sockets of a process that exits one after the other, and its listening socket may be among the
+ * last, so for some milliseconds, and longer on a busy machine, connections to it are still
+ * established. They are reset when the listening socket is closed. */
+#define PROBE_KEEP_MS 500
+
+/* Maximum number of connect attempts of a probe: an endpoint that closes every connection must not
+ * keep the router busy. */
+#define PROBE_ATTEMPTS_MAX 3
 
 #define MS_PER_S 1000.0
 
@@ -22,9 +33,13 @@
 {
   struct ash_suspects *suspects;
   uint64_t endpoint;
+  struct sockaddr_in address;
   struct ash_time started;
-  bool open;
-  bool refused;
+  uint32_t attempts;
+  bool open;      /* the stream is in use */
+  bool connected; /* the connection is established */
+  bool refused;   /* the last connect attempt was refused */
+  bool awaited;   /* requests may wait for the result */
   struct ash_stream stream;
   ev_timer timer;
   struct ash_suspect_probe *prev;
@@ -243,8 +258,9 @@
   const struct ash_direct_endpoint *endpoint =
       ash_direct_find_hash (&router->endpoints, probe->endpoint);
 
-  ash_log_event (&router->log, ASH_EV_ENDPOINT_PROBED, "endpoint=%s result=%s after_ms=%lld",
-                 endpoint ? endpoint->facts.id : "-", probe_result_name (result),
+  ash_log_event (&router->log, ASH_EV_ENDPOINT_PROBED,
+                 "endpoint=%s result=%s attempts=%u after_ms=%lld",
+                 endpoint ? endpoint->facts.id : "-", probe_result_name (result), probe->attempts,
                  (long long) ash_time_diff (probe->started, ash_clock_now ()));
 }
 
@@ -253,12 +269,14 @@
 {
   struct ash_suspects *suspects = probe->suspects;
   uint64_t endpoint = probe->endpoint;
+  bool awaited = probe->awaited;
 
   log_probe (probe, result);
   free_probe (probe);
   if (result == PROBE_REFUSED)
     handle_endpoint_end (suspects, endpoint, ASH_QUARANTINE_CONNECT_REFUSED);
-  suspects->handler->probed (suspects->router, endpoint);
+  if (awaited)
+    suspects->handler->probed (suspects->router, endpoint);
 }
 
 static void
@@ -269,25 +287,61 @@
   finish_probe (stream->owner, PROBE_ACCEPTED);
 }
 
+static void connect_probe (struct ash_suspect_probe *probe);
+
+/* A connection that ended after it was established shows nothing yet: either the endpoint's process
+ * has ended, or it keeps running and closed this connection. Another attempt tells which. */
 static void
 on_probe_end (struct ash_stream *stream, enum ash_stream_end end)
 {
-  if (end != ASH_STREAM_CONNECT_FAILED)
-    finish_probe (stream->owner, PROBE_ACCEPTED);
-  else
-    finish_probe (stream->owner, stream->refused ? PROBE_REFUSED : PROBE_NO_RESULT);
+  struct ash_suspect_probe *probe = stream->owner;
+  bool was_connected = probe->connected;
+
+  probe->refused = end == ASH_STREAM_CONNECT_FAILED && stream->refused;
+  ash_stream_finish (stream);
+  probe->open = false;
+  if (!probe->refused && probe->attempts < PROBE_ATTEMPTS_MAX)
+    connect_probe (probe);
+  if (probe->refused)
+    finish_probe (probe, PROBE_REFUSED);
+  else if (!probe->open)
+    finish_probe (probe, was_connected ? PROBE_ACCEPTED : PROBE_NO_RESULT);
 }
 
-/* The connection has been established: the endpoint still runs. */
 static void
 on_probe_drained (struct ash_stream *stream)
 {
-  finish_probe (stream->owner, PROBE_ACCEPTED);
+  struct ash_suspect_probe *probe = stream->owner;
+
+  probe->connected = true;
 }
 
 static const struct ash_stream_handler probe_handler = { on_probe_data, on_probe_end,
                                                          on_probe_drained };
 
+static void
+connect_probe (struct ash_suspect_probe *probe)
+{
+  probe->attempts++;
+  probe->connected = false;
+  probe->open = ash_stream_connect (&probe->stream, probe->suspects->router->loop, &probe->address,
+                                    &probe_handler, probe);
+  probe->refused = !probe->open && errno == ECONNREFUSED;
+}
+
+/* Lets the requests that wait for the result continue, and keeps the connection for some more
+ * time. */
+static void
+keep_probe (struct ash_suspect_probe *probe)
+{
+  struct ash_suspects *suspects = probe->suspects;
+
+  probe->awaited = false;
+  ev_timer_set (&probe->timer, (PROBE_KEEP_MS - PROBE_WAIT_MS) / MS_PER_S, 0);
+  ev_timer_start (suspects->router->loop, &probe->timer);
+  suspects->handler->probed (suspects->router, probe->endpoint);
+}
+
 static void
 on_probe_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -295,7 +349,12 @@
 
   (void) loop;
   (void) events;
-  finish_probe (probe, probe->refused ? PROBE_REFUSED : PROBE_NO_RESULT);
+  if (!probe->connected)
+    finish_probe (probe, probe->refused ? PROBE_REFUSED : PROBE_NO_RESULT);
+  else if (probe->awaited)
+    keep_probe (probe);
+  else
+    finish_probe (probe, PROBE_ACCEPTED);
 }
 
 static void
@@ -308,12 +367,11 @@
     return;
   probe->suspects = suspects;
   probe->endpoint = endpoint;
+  probe->address = *address;
   probe->started = ash_clock_now ();
-  probe->open = ash_stream_connect (&probe->stream, loop, address, &probe_handler, probe);
-  probe->refused = !probe->open && errno == ECONNREFUSED;
-  /* A probe that failed to start ends in the next iteration of the event loop, since the function
-   * that starts it is not ready for the result. */
-  ev_timer_init (&probe->timer, on_probe_timer, probe->open ? PROBE_TIMEOUT_MS / MS_PER_S : 0, 0);
+  probe->awaited = true;
+  connect_probe (probe);
+  ev_timer_init (&probe->timer, on_probe_timer, probe->open ? PROBE_WAIT_MS / MS_PER_S : 0, 0);
   probe->timer.data = probe;
   ev_timer_start (loop, &probe->timer);
   DL_APPEND (suspects->probes, probe);
@@ -328,7 +386,7 @@
 
   ash_quarantine_note_disconnect (&suspects->quarantine, run);
   DL_FOREACH (suspects->probes, probe)
-    if (probe->endpoint == run->endpoint)
+    if (probe->endpoint == run->endpoint && probe->awaited)
       return;
   start_probe (suspects, run->endpoint, address);
 }
--- a/test/router_quarantine.c
+++ b/test/router_quarantine.c
@@ -101,6 +101,26 @@
   testbed_stop (&testbed);
 }
 
+/* An endpoint that exits may accept connections for some time after it has closed the request's
+ * connection. A probe that was accepted then showed nothing, and the request went on to the next
+ * endpoint. */
+static void
+test_late_listener (void)
+{
+  start_routers (2);
+  for (int i = 0; i < 2; i++)
+    {
+      testbed_call_at (&testbed, 0, "end", "/once/ends", "*=endlate", "", &answer);
+      CU_ASSERT_EQUAL (answer.status, 502);
+      CU_ASSERT_EQUAL (restart_servers (), 1);
+    }
+  CU_ASSERT (testbed_wait_logged (&testbed, 1, " quarantined "));
+  testbed_call_at (&testbed, 1, "end-2", "/once/ends", "*=endlate", "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 503);
+  CU_ASSERT_EQUAL (testbed_count_runs (&testbed, "end-2"), 0);
+  testbed_stop (&testbed);
+}
+
 /* A connection reset by an endpoint that keeps running is no evidence against the request. */
 static void
 test_reset_only (void)
@@ -189,6 +209,7 @@
 const struct fault_test router_quarantine_tests[] = {
   { "requests that end endpoints are kept away", test_quarantined },
   { "a router that comes learns what is kept away", test_new_router },
+  { "endpoints that end accept connections for a while", test_late_listener },
   { "connections reset at endpoints that stand", test_reset_only },
   { "a request that is answered is not suspected", test_cleared },
   { "a copy of a request that is kept away is taken back", test_copy_aborted },
--- a/test/standin_server.c
+++ b/test/standin_server.c
@@ -16,6 +16,7 @@
  *     mute        never answers
  *     reset       closes the connection without an answer
  *     end         the process exits once it has begun to run the request
+ *     endlate     the same, but its listening socket stays open for 200 ms after the connection
  *     foreign     first sends an answer to another request
  *     extra       sends a second answer
  *     noid        answers without the attempt id
@@ -53,6 +54,7 @@
 #define SLOW_MS 300
 #define SLOWER_MS 800
 #define END_MS 40
+#define END_LISTENING_US 200000
 
 struct server
 {
@@ -210,7 +212,7 @@
     work->due = ash_time_add (work->due, SLOW_MS);
   if (strcmp (action, "slower") == 0)
     work->due = ash_time_add (work->due, SLOWER_MS);
-  if (strcmp (action, "end") == 0)
+  if (strncmp (action, "end", 3) == 0)
     work->due = ash_time_add (work->due, END_MS);
   conn->request = work;
   if (strncmp (action, "stream", 6) != 0)
@@ -219,6 +221,15 @@
   ash_http_conn_begin (conn, 200, fields, strlen (fields));
 }
 
+/* Exits as a process does whose listening socket the kernel closes after its connections. */
+static void
+end_late (struct ash_http_conn *conn)
+{
+  close_conn (conn);
+  usleep (END_LISTENING_US);
+  _exit (EXIT_FAILURE);
+}
+
 static void
 continue_work (struct ash_http_conn *conn, struct ash_time now)
 {
@@ -231,6 +242,8 @@
   if (strcmp (work->action, "end") == 0 ||
       (strcmp (work->action, "streamend") == 0 && work->next == 3))
     _exit (EXIT_FAILURE);
+  if (strcmp (work->action, "endlate") == 0)
+    end_late (conn);
   if (strncmp (work->action, "slow", 4) == 0)
     {
       conn->request = NULL;
