quarantine: another endpoint at the address shows that the former one ended

The same fault elsewhere: what a probe accepts says nothing if something else than the endpoint's process listens at its address: a link before it, its supervisor, or already its next process. The list shows the end only where the id stays (RESTARTED); a new id at the same address did not count, though two processes can't listen there.

--- a/controllers/direct.c
+++ b/controllers/direct.c
@@ -182,7 +182,11 @@
   endpoint->presence = ASH_DIRECT_LISTED;
   endpoint->evacuated = ash_evacuations_include (&set->evacuations, facts->hall);
   if (is_new)
-    remove_replaced (set);
+    {
+      remove_replaced (set);
+      if (set->added)
+        set->added (set->data, endpoint);
+    }
   if (restarted)
     {
       reset_state (endpoint);
--- a/controllers/direct.h
+++ b/controllers/direct.h
@@ -87,6 +87,8 @@
   struct ash_evacuations evacuations;
   /** Called before an endpoint is freed, so that its connections can be closed. May be NULL. */
   void (*before_free) (void *data, struct ash_direct_endpoint *endpoint);
+  /** Called when an endpoint is listed that was not known. May be NULL. */
+  void (*added) (void *data, struct ash_direct_endpoint *endpoint);
   /** Called when an endpoint has restarted, maybe at another address. May be NULL. */
   void (*restarted) (void *data, struct ash_direct_endpoint *endpoint);
   void *data;
--- a/controllers/quarantine.c
+++ b/controllers/quarantine.c
@@ -93,6 +93,29 @@
   quarantine->disconnects[quarantine->disconnect_count++ % ASH_QUARANTINE_DISCONNECTS] = *run;
 }
 
+static uint32_t
+kept_disconnects (const struct ash_quarantine *quarantine)
+{
+  return quarantine->disconnect_count < ASH_QUARANTINE_DISCONNECTS ? quarantine->disconnect_count
+                                                                   : ASH_QUARANTINE_DISCONNECTS;
+}
+
+/* Makes a run evidence if it ended recently enough. @return whether it is new evidence. */
+static bool
+take_disconnect (struct ash_quarantine *quarantine,
+                 struct ash_quarantine_run *run,
+                 struct ash_time since,
+                 struct ash_quarantine_run *found)
+{
+  if (ash_time_before (run->ended, since))
+    return false;
+  *found = *run;
+  /* Each disconnect is evidence once only. */
+  run->endpoint = 0;
+  run->address = 0;
+  return ash_quarantine_add_run (quarantine, found);
+}
+
 size_t
 ash_quarantine_note_exit (struct ash_quarantine *quarantine,
                           uint64_t endpoint,
@@ -102,21 +125,36 @@
 {
   struct ash_time since = ash_time_add (
       now, evidence == ASH_QUARANTINE_CONNECT_REFUSED ? -CONNECT_REFUSED_MS : -RESTARTED_MS);
-  uint32_t kept = quarantine->disconnect_count < ASH_QUARANTINE_DISCONNECTS
-                      ? quarantine->disconnect_count
-                      : ASH_QUARANTINE_DISCONNECTS;
+  uint32_t first = quarantine->disconnect_count - kept_disconnects (quarantine);
+  size_t count = 0;
+
+  for (uint32_t i = first; i != quarantine->disconnect_count; i++)
+    {
+      struct ash_quarantine_run *run = &quarantine->disconnects[i % ASH_QUARANTINE_DISCONNECTS];
+
+      if (run->endpoint == endpoint)
+        count += take_disconnect (quarantine, run, since, &found[count]);
+    }
+  return count;
+}
+
+size_t
+ash_quarantine_note_address_reused (struct ash_quarantine *quarantine,
+                                    uint64_t address,
+                                    uint64_t endpoint,
+                                    struct ash_time now,
+                                    struct ash_quarantine_run *found)
+{
+  struct ash_time since = ash_time_add (now, -RESTARTED_MS);
+  uint32_t first = quarantine->disconnect_count - kept_disconnects (quarantine);
   size_t count = 0;
 
-  for (uint32_t i = quarantine->disconnect_count - kept; i != quarantine->disconnect_count; i++)
+  for (uint32_t i = first; i != quarantine->disconnect_count; i++)
     {
       struct ash_quarantine_run *run = &quarantine->disconnects[i % ASH_QUARANTINE_DISCONNECTS];
 
-      if (run->endpoint != endpoint || ash_time_before (run->ended, since))
-        continue;
-      if (ash_quarantine_add_run (quarantine, run))
-        found[count++] = *run;
-      /* Each disconnect is returned once only. */
-      run->endpoint = 0;
+      if (run->address == address && run->endpoint != endpoint)
+        count += take_disconnect (quarantine, run, since, &found[count]);
     }
   return count;
 }
--- a/controllers/quarantine.h
+++ b/controllers/quarantine.h
@@ -32,6 +32,7 @@
 {
   ASH_QUARANTINE_CONNECT_REFUSED, /**< a connect attempt right after the break was refused */
   ASH_QUARANTINE_RESTARTED, /**< the endpoint list shows a newer incarnation under the same id */
+  ASH_QUARANTINE_ADDRESS_REUSED, /**< the endpoint list shows another endpoint at its address */
 };
 
 /** A run of a request that ended with a broken connection or the exit of the endpoint's process. */
@@ -41,7 +42,8 @@
   uint64_t endpoint;     /**< hash of the endpoint's id */
   struct ash_time sent;
   struct ash_time ended;
-  bool spoke; /**< a part of the answer had been received */
+  bool spoke;       /**< a part of the answer had been received */
+  uint64_t address; /**< hash of the endpoint's address; 0 in runs that a peer has reported */
 };
 
 /** A request during whose runs endpoint processes have exited. */
@@ -82,6 +84,17 @@
                                  struct ash_time now,
                                  struct ash_quarantine_run *found);
 
+/**
+ * Records that the endpoint list has a new endpoint at an address: the process of any other one
+ * there has exited. Otherwise as ash_quarantine_note_exit().
+ * @param endpoint hash of the new endpoint's id.
+ */
+size_t ash_quarantine_note_address_reused (struct ash_quarantine *quarantine,
+                                           uint64_t address,
+                                           uint64_t endpoint,
+                                           struct ash_time now,
+                                           struct ash_quarantine_run *found);
+
 /** Adds a run as evidence against its request. @return false if it overlaps the previous run, or
  * memory is short. */
 bool ash_quarantine_add_run (struct ash_quarantine *quarantine,
--- a/daemon/exchange_cut.c
+++ b/daemon/exchange_cut.c
@@ -56,6 +56,7 @@
     .sent = exchange->sent_at,
     .ended = ash_clock_now (),
     .spoke = has_answer_data (exchange),
+    .address = ash_hash_text (exchange->endpoint->facts.address),
   };
 
   log_disconnect (exchange, &run);
--- a/daemon/router.c
+++ b/daemon/router.c
@@ -126,6 +126,14 @@
   endpoint->owner = NULL;
 }
 
+static void
+on_endpoint_added (void *data, struct ash_direct_endpoint *endpoint)
+{
+  struct ash_router *router = data;
+
+  ash_suspects_record_new_endpoint (&router->suspects, endpoint);
+}
+
 /* Idle connections and requests to the endpoint's rank belong to the endpoint's former process, and
  * their connections may be broken. */
 static void
@@ -505,6 +513,7 @@
   ash_random_init (&router->random, router->incarnation);
   ash_direct_init (&router->endpoints, ash_random_next (&router->random));
   router->endpoints.before_free = on_endpoint_removed;
+  router->endpoints.added = on_endpoint_added;
   router->endpoints.restarted = on_endpoint_restarted;
   router->endpoints.data = router;
   ash_metrics_init (&router->metrics);
--- a/daemon/suspects.c
+++ b/daemon/suspects.c
@@ -133,24 +133,39 @@
   suspects->handler->quarantined (suspects->router, run->request);
 }
 
+static const char *
+evidence_name (enum ash_quarantine_evidence evidence)
+{
+  switch (evidence)
+    {
+    case ASH_QUARANTINE_CONNECT_REFUSED:
+      return "refuses";
+    case ASH_QUARANTINE_RESTARTED:
+      return "reborn";
+    case ASH_QUARANTINE_ADDRESS_REUSED:
+      return "address_reused";
+    }
+  return "";
+}
+
+/* Logs the end of an endpoint's process, and sends the runs that it ended to all peers.
+ * @param found runs at that endpoint that are new evidence. */
 static void
-handle_endpoint_end (struct ash_suspects *suspects,
-                     uint64_t endpoint,
-                     enum ash_quarantine_evidence proof)
+report_endpoint_end (struct ash_suspects *suspects,
+                     enum ash_quarantine_evidence evidence,
+                     struct ash_time now,
+                     const struct ash_quarantine_run found[],
+                     size_t count)
 {
-  struct ash_quarantine_run found[ASH_QUARANTINE_DISCONNECTS];
   struct Ash__SuspectRun messages[ASH_QUARANTINE_DISCONNECTS];
-  struct ash_time now = ash_clock_now ();
-  const struct ash_direct_endpoint *known =
-      ash_direct_find_hash (&suspects->router->endpoints, endpoint);
-  size_t count = ash_quarantine_note_exit (&suspects->quarantine, endpoint, proof, now, found);
+  const struct ash_direct_endpoint *known;
 
   if (!count)
     return;
+  known = ash_direct_find_hash (&suspects->router->endpoints, found[0].endpoint);
   suspects->ended++;
   ash_log_event (&suspects->router->log, ASH_EV_ENDPOINT_ENDED, "endpoint=%s requests=%zu proof=%s",
-                 known ? known->facts.id : "-", count,
-                 proof == ASH_QUARANTINE_CONNECT_REFUSED ? "refuses" : "reborn");
+                 known ? known->facts.id : "-", count, evidence_name (evidence));
   for (size_t i = 0; i < count; i++)
     messages[i] = message_of (&found[i], now);
   send_messages (suspects, NULL, messages, count);
@@ -158,12 +173,36 @@
     report_quarantine (suspects, &found[i], now, "own");
 }
 
+static void
+handle_endpoint_end (struct ash_suspects *suspects,
+                     uint64_t endpoint,
+                     enum ash_quarantine_evidence evidence)
+{
+  struct ash_quarantine_run found[ASH_QUARANTINE_DISCONNECTS];
+  struct ash_time now = ash_clock_now ();
+  size_t count = ash_quarantine_note_exit (&suspects->quarantine, endpoint, evidence, now, found);
+
+  report_endpoint_end (suspects, evidence, now, found, count);
+}
+
 void
 ash_suspects_record_restart (struct ash_suspects *suspects, uint64_t endpoint)
 {
   handle_endpoint_end (suspects, endpoint, ASH_QUARANTINE_RESTARTED);
 }
 
+void
+ash_suspects_record_new_endpoint (struct ash_suspects *suspects,
+                                  const struct ash_direct_endpoint *endpoint)
+{
+  struct ash_quarantine_run found[ASH_QUARANTINE_DISCONNECTS];
+  struct ash_time now = ash_clock_now ();
+  size_t count = ash_quarantine_note_address_reused (
+      &suspects->quarantine, ash_hash_text (endpoint->facts.address), endpoint->hash, now, found);
+
+  report_endpoint_end (suspects, ASH_QUARANTINE_ADDRESS_REUSED, now, found, count);
+}
+
 /* Clears a request of suspicion. @return whether it was suspected of terminating endpoints. */
 static bool
 clear_suspect (struct ash_suspects *suspects, struct ash_id request, const char *source)
--- a/daemon/suspects.h
+++ b/daemon/suspects.h
@@ -64,6 +64,11 @@
 /** The list of endpoints has a new incarnation of an endpoint: its previous process has ended. */
 void ash_suspects_record_restart (struct ash_suspects *suspects, uint64_t endpoint);
 
+/** The list of endpoints has a new endpoint: the process of a former one at its address has ended.
+ */
+void ash_suspects_record_new_endpoint (struct ash_suspects *suspects,
+                                       const struct ash_direct_endpoint *endpoint);
+
 /** The request got a complete answer: it is no longer suspected. */
 void ash_suspects_record_success (struct ash_suspects *suspects, struct ash_id request);
 
--- a/test/router_quarantine.c
+++ b/test/router_quarantine.c
@@ -121,6 +121,28 @@
   testbed_stop (&testbed);
 }
 
+/* An endpoint's address may accept connections also after its process has ended: a link in front of
+ * it does, or its next process. That the list then has another endpoint there shows the end. */
+static void
+test_address_reused (void)
+{
+  testbed_start_linked (&testbed);
+  testbed_publish (&testbed);
+  CU_ASSERT (testbed_wait_ready (&testbed, 0, true));
+  for (int i = 0; i < 2; i++)
+    {
+      testbed_call_at (&testbed, 0, "end", "/once/ends", "*=end", "", &answer);
+      CU_ASSERT_EQUAL (answer.status, 502);
+      CU_ASSERT_EQUAL (testbed_restart_servers (&testbed), 1);
+      CU_ASSERT (testbed_wait_logged (&testbed, 0, "proof=address_reused"));
+    }
+  CU_ASSERT (testbed_wait_logged (&testbed, 0, " quarantined "));
+  testbed_call_at (&testbed, 0, "end-2", "/once/ends", "*=end", "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 503);
+  CU_ASSERT_EQUAL (testbed_count_runs (&testbed, "end-2"), 0);
+  testbed_stop (&testbed);
+}
+
 /* A connection reset by an endpoint that keeps running is no evidence against the request. */
 static void
 test_reset_only (void)
@@ -210,6 +232,7 @@
   { "requests that end endpoints are kept away", test_quarantined },
   { "a router that comes learns what is kept away", test_new_router },
   { "endpoints that end accept connections for a while", test_late_listener },
+  { "endpoints that end, another one at their address", test_address_reused },
   { "connections reset at endpoints that stand", test_reset_only },
   { "a request that is answered is not suspected", test_cleared },
   { "a copy of a request that is kept away is taken back", test_copy_aborted },
--- a/test/unit_quarantine.c
+++ b/test/unit_quarantine.c
@@ -16,10 +16,17 @@
   return (struct ash_time){ ms };
 }
 
+static uint64_t
+address_of (uint64_t endpoint)
+{
+  return 100 + endpoint;
+}
+
 static struct ash_quarantine_run
 run_of (struct ash_id request, uint64_t endpoint, int64_t sent_ms, int64_t ended_ms)
 {
-  return (struct ash_quarantine_run){ request, endpoint, at (sent_ms), at (ended_ms), false };
+  return (struct ash_quarantine_run){ request,       endpoint, at (sent_ms),
+                                      at (ended_ms), false,    address_of (endpoint) };
 }
 
 static bool
@@ -139,6 +146,35 @@
   ash_quarantine_finish (&quarantine);
 }
 
+/* An endpoint that restarts under another id at the same address, before a probe could show that
+ * its former process had ended, left no evidence. */
+static void
+test_address_reused (void)
+{
+  struct ash_quarantine quarantine = { 0 };
+  struct ash_quarantine_run found[ASH_QUARANTINE_DISCONNECTS];
+  struct ash_quarantine_run run = run_of (request_id, 7, 0, 1000);
+
+  ash_quarantine_note_disconnect (&quarantine, &run);
+  CU_ASSERT_EQUAL (
+      ash_quarantine_note_address_reused (&quarantine, address_of (8), 9, at (2000), found), 0);
+  /* Endpoint 7 itself is listed again. */
+  CU_ASSERT_EQUAL (
+      ash_quarantine_note_address_reused (&quarantine, address_of (7), 7, at (2000), found), 0);
+  CU_ASSERT_EQUAL (
+      ash_quarantine_note_address_reused (&quarantine, address_of (7), 9, at (2000), found), 1);
+  CU_ASSERT_EQUAL (found[0].endpoint, 7);
+  CU_ASSERT_EQUAL (ash_quarantine_exits (&quarantine, request_id), 1);
+  CU_ASSERT_EQUAL (
+      ash_quarantine_note_address_reused (&quarantine, address_of (7), 9, at (2000), found), 0);
+  /* The address is taken over long after the connection broke. */
+  run = run_of ((struct ash_id){ 6, 6 }, 7, 0, 3000);
+  ash_quarantine_note_disconnect (&quarantine, &run);
+  CU_ASSERT_EQUAL (
+      ash_quarantine_note_address_reused (&quarantine, address_of (7), 9, at (12000), found), 0);
+  ash_quarantine_finish (&quarantine);
+}
+
 /* Tables are bounded: when they are full, quarantined requests stay, and suspects without enough
  * evidence are dropped. */
 static void
@@ -178,5 +214,6 @@
   CU_add_test (suite, "quarantine: cleared by an answer", test_cleared);
   CU_add_test (suite, "quarantine: time", test_expiry);
   CU_add_test (suite, "quarantine: ends of connections", test_disconnects);
+  CU_add_test (suite, "quarantine: an address taken over", test_address_reused);
   CU_add_test (suite, "quarantine: bounds", test_bounds);
 }
