test: a platform's stand-in accepts connections before an entry is started

Cause of `platform: a watch is silent, and peers know more` (operators.c:384): the count was 3. The test starts the entry without waiting for its platform. If that listens a moment later, the entry's first reads of both parts fail, which it logs, and so it logs 204 twice at its start; the third line is the one that the test means. So neither of the users' hypotheses (0: not a reader again, 2: lost again): in the logs of both failing runs of 96 (8 at once beside six test programs) the watch's new read is answered 2 ms after the old one was given up.

Change: fleet_start_platform() waits until the stand-in accepts connections; the four places that start one use it. fleet_wait_port() replaces the copy in router_testbed. The checks are as they were.

--- a/test/fleet.c
+++ b/test/fleet.c
@@ -7,6 +7,7 @@
 #include <fcntl.h>
 #include <jansson.h>
 #include <netinet/in.h>
+#include <sched.h>
 #include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -21,6 +22,7 @@
 #define BEARER "fleet-test-key"
 #define DOCUMENT_BYTES 8192
 #define WAIT_LIVE_MS 10000
+#define WAIT_PORT_MS 10000
 
 /* How long a process may take to end: several times the longest planned stop of the tests. */
 #define END_MAX_MS 60000
@@ -90,6 +92,47 @@
   return pid;
 }
 
+static bool
+accepts (uint16_t port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (port) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  bool connected;
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  connected = connect (fd, (struct sockaddr *) &address, sizeof address) == 0;
+  close (fd);
+  return connected;
+}
+
+bool
+fleet_wait_port (uint16_t port)
+{
+  int64_t until = fleet_now_ms () + WAIT_PORT_MS;
+
+  while (!accepts (port))
+    {
+      if (fleet_now_ms () > until)
+        return false;
+      sched_yield ();
+    }
+  return true;
+}
+
+pid_t
+fleet_start_platform (const char *folder, const char *log_name, uint16_t port)
+{
+  char text[8];
+  char path[128];
+  pid_t pid;
+
+  sprintf (text, "%u", port);
+  snprintf (path, sizeof path, "%s/published.toml", folder);
+  pid = fleet_spawn (folder, log_name, "standin", "platform", text, path, (char *) NULL);
+  fleet_wait_port (port);
+  return pid;
+}
+
 /* Opens a process's log. @return NULL if there is none yet. */
 static FILE *
 open_log (const char *folder, const char *log_name)
@@ -404,8 +447,6 @@
 fleet_start (struct fleet *fleet, const char *extra)
 {
   char text[DOCUMENT_BYTES];
-  char port[8];
-  char path[128];
   FILE *file;
 
   *fleet = (struct fleet){ .extra = extra };
@@ -417,10 +458,7 @@
   file = open_file (fleet, "published.toml");
   fputs (text, file);
   fclose (file);
-  sprintf (port, "%u", fleet->platform_port);
-  snprintf (path, sizeof path, "%s/published.toml", fleet->folder);
-  fleet->platform =
-      fleet_spawn (fleet->folder, "platform", "standin", "platform", port, path, (char *) NULL);
+  fleet->platform = fleet_start_platform (fleet->folder, "platform", fleet->platform_port);
   for (int a = 0; a < FLEET_ENDPOINTS; a++)
     {
       start_stand_ins (fleet, &fleet->endpoints[a]);
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -120,6 +120,13 @@
  * arguments follow the name, then NULL. */
 pid_t fleet_spawn (const char *folder, const char *log_name, const char *name, ...);
 
+/** Waits until a loopback port accepts connections. @return false after 10 s. */
+bool fleet_wait_port (uint16_t port);
+
+/** Starts a stand-in of the platform that serves the folder's published.toml, and waits until it
+ * accepts connections. */
+pid_t fleet_start_platform (const char *folder, const char *log_name, uint16_t port);
+
 /** Reserves free consecutive loopback ports, at most 64; exits if there are none. */
 void fleet_free_ports (uint16_t *ports, int count);
 
--- a/test/group_fleet.c
+++ b/test/group_fleet.c
@@ -149,7 +149,6 @@
 start_group (struct group_fleet *group, bool unfenced)
 {
   char port[8];
-  char path[128];
   char ranks[8];
   char settings[512];
   FILE *file;
@@ -161,10 +160,7 @@
   file = open_file (group, "published");
   write_document (group, file);
   fclose (file);
-  snprintf (path, sizeof path, "%s/published.toml", group->folder);
-  snprintf (port, sizeof port, "%u", group->ports[0]);
-  group->platform =
-      fleet_spawn (group->folder, "platform", "standin", "platform", port, path, (char *) NULL);
+  group->platform = fleet_start_platform (group->folder, "platform", group->ports[0]);
   snprintf (port, sizeof port, "%u", group->ports[1]);
   snprintf (ranks, sizeof ranks, "%d", GROUP_RANKS);
   group->engines = fleet_spawn (group->folder, "engines", "standin", "group", port, ranks, EXPERTS,
--- a/test/operators.c
+++ b/test/operators.c
@@ -289,8 +289,6 @@
 {
   struct fleet fleet;
   uint16_t late_port;
-  char port[8];
-  char path[128];
   json_t *plan;
   pid_t late;
   long status = 0;
@@ -301,9 +299,7 @@
   fleet.entries[1].platform_port = late_port;
   fleet_start_entry (&fleet, 1);
   CU_ASSERT (wait_revision (&fleet, 1, 1));
-  sprintf (port, "%u", late_port);
-  snprintf (path, sizeof path, "%s/published.toml", fleet.folder);
-  late = fleet_spawn (fleet.folder, "late", "standin", "platform", port, path, (char *) NULL);
+  late = fleet_start_platform (fleet.folder, "late", late_port);
   CU_ASSERT (fleet_wait_live (&fleet, 1, FLEET_ENDPOINTS));
   plan =
       post_operator_api (&fleet, 1, "/v1/plan", OPERATOR_KEY, "[[hall]]\nname = \"h2\"\n", &status);
@@ -356,16 +352,13 @@
 {
   struct fleet fleet;
   uint16_t second_port;
-  char port[8];
-  char path[128];
   pid_t second;
 
   fleet_start (&fleet, NO_GUARD_SETTINGS);
   fleet_free_ports (&second_port, 1);
-  sprintf (port, "%u", second_port);
-  snprintf (path, sizeof path, "%s/published.toml", fleet.folder);
-  second =
-      fleet_spawn (fleet.folder, "platform-2", "standin", "platform", port, path, (char *) NULL);
+  /* If the platform accepted connections only after the entry has started, the entry's first reads
+   * would fail, and it would log at its start, too, that the platform answers again. */
+  second = fleet_start_platform (fleet.folder, "platform-2", second_port);
   fleet_end_process (&fleet.entries[0].pid, SIGKILL);
   fleet.entries[0].platform_port = second_port;
   fleet_start_entry (&fleet, 0);
--- a/test/router_testbed.c
+++ b/test/router_testbed.c
@@ -4,7 +4,6 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
-#include <sched.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -250,8 +249,6 @@
   testbed_fetch (testbed->store_port, "PUT", target, text);
 }
 
-static void wait_port (uint16_t port);
-
 static void
 start_server (struct testbed *testbed, int s)
 {
@@ -290,7 +287,7 @@
       snprintf (target, sizeof target, "/remove?servers/%s", server->id);
       testbed_fetch (testbed->store_port, "PUT", target, "");
       start_server (testbed, s);
-      wait_port (server->port);
+      fleet_wait_port (server->port);
       testbed_list_server (testbed, s, "ready");
     }
   return count;
@@ -310,7 +307,7 @@
       char target[64];
       char value[256];
 
-      wait_port (testbed->ranks[i]);
+      fleet_wait_port (testbed->ranks[i]);
       snprintf (target, sizeof target, "/put?servers/i-rank%d", i);
       snprintf (value, sizeof value,
                 "{\"Service\":\"model\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"hall-a\","
@@ -329,24 +326,6 @@
   return found ? strtol (found + strlen (name) + 1, NULL, 10) : -1;
 }
 
-static void
-wait_port (uint16_t port)
-{
-  int64_t until = fleet_now_ms () + WAIT_MS;
-
-  while (fleet_now_ms () < until)
-    {
-      int fd = connect_to (port);
-
-      if (fd >= 0)
-        {
-          close (fd);
-          return;
-        }
-      sched_yield ();
-    }
-}
-
 static void
 clock_path (const struct testbed *testbed, char path[128])
 {
@@ -423,7 +402,7 @@
   router->log_start = fleet_log_bytes (testbed->folder, name);
   router->pid = fleet_spawn (testbed->folder, name, "ashspindle-router", path, (char *) NULL);
   unsetenv ("LD_PRELOAD");
-  wait_port (router->readiness_port);
+  fleet_wait_port (router->readiness_port);
 }
 
 bool
@@ -470,7 +449,7 @@
                                (char *) NULL);
     }
   for (int i = 0; i < TESTBED_LINKS; i++)
-    wait_port (testbed->links[i].control);
+    fleet_wait_port (testbed->links[i].control);
 }
 
 void
@@ -536,12 +515,12 @@
       testbed->links[i].port = *port++;
       testbed->links[i].control = *port++;
     }
-  wait_port (testbed->store_port);
+  fleet_wait_port (testbed->store_port);
   if (linked)
     start_links (testbed);
   for (int s = 0; s < TESTBED_SERVERS; s++)
     {
-      wait_port (testbed->servers[s].port);
+      fleet_wait_port (testbed->servers[s].port);
       testbed_list_server (testbed, s, "ready");
     }
   testbed_start_router (testbed, 0);
