explain: a query is sent again when the link to a box comes up

Cause, from the logs of both runs: the entry had no link to the other entry when it was asked (entries dial each other as they start, links replace one another, and the one of a seed's address is dropped with the first configuration; 0.1 s without one). A query to a box without a link was not sent, and one that was under way was lost with the link; nothing was sent again in the 0.8 s that the operator waits anyway.

Change: the pending query is kept whole, and sent to a box that has not answered whenever its link comes up. Queries only read.

--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -233,6 +233,8 @@
       return;
     }
   ash_entry_handle (&entry->core, ash_clock_now (), event);
+  if (event->kind_case == ASH__EVENT__KIND_LINK_UP)
+    ash_explain_link_up (&entry->explain, event->peer);
   if (event->kind_case == ASH__EVENT__KIND_STOP)
     ash_http_server_disable_keep_alive (&entry->api.server);
   if (event->kind_case == ASH__EVENT__KIND_HEARTBEAT)
--- a/daemon/explain.c
+++ b/daemon/explain.c
@@ -2,6 +2,7 @@
 
 #include "daemon/operator.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #define GROUP_PATH "/v1/explain/group/"
@@ -21,6 +22,7 @@
 {
   json_decref (pending->unanswered);
   json_decref (pending->answers);
+  free (pending->query.name);
   *pending = (struct ash_explain_pending){ 0 };
 }
 
@@ -55,7 +57,7 @@
 /* ---- queries ---- */
 
 static struct ash_explain_pending *
-add_query (struct ash_explain *explain, uint64_t request)
+add_query (struct ash_explain *explain, uint64_t request, const struct Ash__Query *query)
 {
   for (uint32_t i = 0; i < ASH_EXPLAIN_PENDING_MAX; i++)
     {
@@ -63,7 +65,12 @@
 
       if (pending->number)
         continue;
+      pending->query = *query;
+      pending->query.name = strdup (query->name);
+      if (!pending->query.name)
+        return NULL;
       pending->number = ++explain->last_number;
+      pending->query.number = pending->number;
       pending->request = request;
       pending->until = ash_time_add (ash_clock_now (), QUERY_TIMEOUT_MS);
       pending->unanswered = json_object ();
@@ -88,26 +95,29 @@
 }
 
 static void
-query_box (struct ash_explain *explain,
-           struct ash_explain_pending *pending,
-           const char *name,
-           const struct Ash__Query *query)
+send_query (struct ash_explain *explain, const struct ash_explain_pending *pending, const char *box)
+{
+  struct Ash__Event event = ash_event_wrap (box, ASH__EVENT__KIND_QUERY, &pending->query);
+
+  ash_daemon_send (explain->api->daemon, &event);
+}
+
+static void
+query_box (struct ash_explain *explain, struct ash_explain_pending *pending, const char *name)
 {
   const struct ash_box *box = ash_membership_find (&explain->api->entry->membership, name);
-  struct Ash__Event event = ash_event_wrap (name, ASH__EVENT__KIND_QUERY, query);
 
   json_object_set_new (pending->unanswered, name, json_true ());
   if (box && box->linked)
-    ash_daemon_send (explain->api->daemon, &event);
+    send_query (explain, pending, name);
 }
 
 static void
-query_boxes (struct ash_explain *explain,
-             struct ash_explain_pending *pending,
-             const struct Ash__Query *query)
+query_boxes (struct ash_explain *explain, struct ash_explain_pending *pending)
 {
   const struct ash_document *document = &explain->api->entry->config.document;
   const char *self = explain->api->daemon->settings->box;
+  const struct Ash__Query *query = &pending->query;
   bool is_group = query->kind == ASH__QUERY__KIND__GROUP;
   json_t *own = ash_explain_request (explain->api->entry, query);
 
@@ -115,10 +125,22 @@
     json_object_set_new (pending->answers, self, own);
   for (uint32_t i = 0; i < document->endpoint_count; i++)
     if (!is_group || strcmp (document->endpoints[i].group, query->name) == 0)
-      query_box (explain, pending, document->endpoints[i].name, query);
+      query_box (explain, pending, document->endpoints[i].name);
   for (uint32_t i = 0; !is_group && i < document->entry_count; i++)
     if (strcmp (document->entries[i].name, self) != 0)
-      query_box (explain, pending, document->entries[i].name, query);
+      query_box (explain, pending, document->entries[i].name);
+}
+
+void
+ash_explain_link_up (struct ash_explain *explain, const char *box)
+{
+  for (uint32_t i = 0; i < ASH_EXPLAIN_PENDING_MAX; i++)
+    {
+      const struct ash_explain_pending *pending = &explain->pending[i];
+
+      if (pending->number && json_object_get (pending->unanswered, box))
+        send_query (explain, pending, box);
+    }
 }
 
 /* Parses the path of a request into a query. @return an error message, or NULL. */
@@ -160,15 +182,14 @@
                            problem, NULL);
       return;
     }
-  pending = add_query (explain, request->number);
+  pending = add_query (explain, request->number, &query);
   if (!pending)
     {
       ash_operator_refuse (explain->api, request->number, MHD_HTTP_SERVICE_UNAVAILABLE, "busy",
                            "too many questions are open; ask again in a second", NULL);
       return;
     }
-  query.number = pending->number;
-  query_boxes (explain, pending, &query);
+  query_boxes (explain, pending);
   if (json_object_size (pending->unanswered) == 0)
     finish_query (explain, pending);
 }
--- a/daemon/explain.h
+++ b/daemon/explain.h
@@ -14,11 +14,12 @@
 /** A query that some boxes have not answered yet. */
 struct ash_explain_pending
 {
-  uint64_t number;       /**< id of the query in messages; 0: this slot is free */
-  uint64_t request;      /**< number of the operator's HTTP request */
-  struct ash_time until; /**< when the operator gets the answers so far */
-  json_t *unanswered;    /**< names of boxes that have not answered */
-  json_t *answers;       /**< answers by box name */
+  uint64_t number;         /**< id of the query in messages; 0: this slot is free */
+  uint64_t request;        /**< number of the operator's HTTP request */
+  struct ash_time until;   /**< when the operator gets the answers so far */
+  struct Ash__Query query; /**< its name, if any, is allocated */
+  json_t *unanswered;      /**< names of boxes that have not answered */
+  json_t *answers;         /**< answers by box name */
 };
 
 /** Pending queries of an entry. */
@@ -41,6 +42,10 @@
                                 const char *box,
                                 const struct Ash__QueryAnswer *answer);
 
+/** A link to a box is up: sends it the queries that it has not answered. They, or their answers,
+ * may have been lost with a former link. */
+void ash_explain_link_up (struct ash_explain *explain, const char *box);
+
 /** Drops the queries of an operator that disconnected.
  * @param request number of the operator's HTTP request. */
 void ash_explain_disconnected (struct ash_explain *explain, uint64_t request);
