peer: a link whose address is dropped reads nothing more

What operators saw: 302 peer_refused why="wrong proof of the fleet key" of a box that has the right key, in the log of a failed run of `explain: a request`.

Cause: ash_peers_drop_dials() takes the link from its dial and closes it in the next iteration. What had arrived before was still handled, and a link without a dial is one that the peer dialled: the hello of the accepting side was checked as one of the dialling side. Happens to a seed's address as the first configuration arrives.

Change: nothing more is read from such a link; and the reason that is logged is the true one ("not needed", not "can't send").

--- a/net/peer.c
+++ b/net/peer.c
@@ -54,7 +54,7 @@
   struct ash_frame_key in_key;
   struct ash_frame_key out_key;
   struct ash_frame_delay frame_delay; /* delay of received frames */
-  bool close_pending;                 /* the link is closed in the next loop iteration */
+  const char *close_reason;           /* set: the link is closed in the next loop iteration */
   struct ash_link *prev;
   struct ash_link *next;
 };
@@ -73,6 +73,8 @@
 
 /* ---- links ---- */
 
+static const char cannot_send[] = "can't send";
+
 static void
 emit_event (struct ash_link *link, Ash__Event__KindCase kind, const void *message)
 {
@@ -123,13 +125,13 @@
         {
           /* on_writable() closes the link: flush() may be called from an event handler. */
           if (errno != EAGAIN)
-            link->close_pending = true;
+            link->close_reason = cannot_send;
           break;
         }
       link->peers->bytes_out += (uint64_t) sent;
       ash_buffer_consume (&link->out, (size_t) sent);
     }
-  if (link->out.length || link->close_pending)
+  if (link->out.length || link->close_reason)
     ev_io_start (link->peers->loop, &link->write_io);
   else
     ev_io_stop (link->peers->loop, &link->write_io);
@@ -143,7 +145,7 @@
   stamped.sent_ms = (uint32_t) ash_clock_now ().ms;
   if (link->out.length > SEND_QUEUE_MAX_BYTES ||
       !ash_frame_write (&link->out, &link->out_key, &stamped))
-    link->close_pending = true;
+    link->close_reason = cannot_send;
   flush (link);
 }
 
@@ -355,8 +357,8 @@
           link->last_frame = ash_clock_now ();
           reason = handle_event (link, event);
           ash__event__free_unpacked (event, NULL);
-          if (!reason && link->close_pending)
-            reason = "can't send";
+          if (!reason)
+            reason = link->close_reason;
           break;
         }
     }
@@ -437,8 +439,8 @@
 
   (void) loop;
   (void) events;
-  if (link->close_pending)
-    close_link (link, "can't send");
+  if (link->close_reason)
+    close_link (link, link->close_reason);
   else if (link->state != LINK_CONNECTING || finish_connect (link))
     flush (link);
 }
@@ -678,11 +680,13 @@
         continue;
       DL_DELETE (peers->dials, dial);
       /* The link is closed by on_writable(), as this may be called while one of its frames is being
-       * handled. */
+       * handled. Until then it must read nothing: without its dial, a handshake would continue as
+       * on the accepting side. */
       if (dial->link)
         {
           dial->link->dial = NULL;
-          dial->link->close_pending = true;
+          dial->link->close_reason = "not needed";
+          ev_io_stop (peers->loop, &dial->link->read_io);
           ev_io_start (peers->loop, &dial->link->write_io);
         }
       free (dial);
@@ -695,7 +699,7 @@
   struct ash_link *link = find_link_up (peers, box);
   struct Ash__Event copy = *event;
 
-  if (!link || link->close_pending)
+  if (!link || link->close_reason)
     return false;
   /* Not sent: the receiver sets `peer` to the authenticated box. */
   copy.peer = ash_proto_text (protobuf_c_empty_string);
--- a/test/unit.c
+++ b/test/unit.c
@@ -723,6 +723,7 @@
   add_declared_tests (suite);
   add_config_tests (suite);
   add_era_tests (suite);
+  add_peer_tests (suite);
   add_prompt_tests (suite);
   add_rows_tests (suite);
   add_quarantine_tests (suite);
--- a/test/unit.h
+++ b/test/unit.h
@@ -19,6 +19,9 @@
 /** The router's components: routes, endpoints, forwarding, settings, peers, log. */
 void add_router_tests (CU_pSuite suite);
 
+/** Links between peers. */
+void add_peer_tests (CU_pSuite suite);
+
 /** Quarantine of requests that repeatedly make endpoints exit. */
 void add_quarantine_tests (CU_pSuite suite);
 
