net: one function opens listening sockets

ash_peers_init() left its socket open when listen() failed (docs/FINDINGS.md, seen by reading); net/stream had the same steps without that fault. They are ash_listen() in net/bind now, used by both. ash_event_name() had no caller and is gone.

--- a/common/log.c
+++ b/common/log.c
@@ -39,14 +39,6 @@
   return NULL;
 }
 
-const char *
-ash_event_name (enum ash_event event)
-{
-  const struct event_info *info = find_event (event);
-
-  return info ? info->name : NULL;
-}
-
 static void
 to_lower_case (char *out, size_t out_bytes, const char *name)
 {
--- a/common/log.h
+++ b/common/log.h
@@ -58,7 +58,4 @@
 void ash_log_event (const struct ash_log *log, enum ash_event event, const char *format, ...)
     __attribute__ ((format (printf, 3, 4)));
 
-/** @return the event's name in upper case, or NULL for an unknown number. */
-const char *ash_event_name (enum ash_event event);
-
 #endif
--- a/net/bind.c
+++ b/net/bind.c
@@ -7,6 +7,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#define LISTEN_BACKLOG 512
+
 bool
 ash_socket_address (const char *text, struct sockaddr_in *address)
 {
@@ -42,3 +44,17 @@
   errno = error;
   return -1;
 }
+
+int
+ash_listen (const char *text)
+{
+  int fd = ash_bind (text);
+  int error;
+
+  if (fd < 0 || listen (fd, LISTEN_BACKLOG) == 0)
+    return fd;
+  error = errno;
+  close (fd);
+  errno = error;
+  return -1;
+}
--- a/net/bind.h
+++ b/net/bind.h
@@ -19,4 +19,7 @@
  */
 int ash_bind (const char *text);
 
+/** Binds as ash_bind() does, and listens. @return the socket, or -1 with errno set. */
+int ash_listen (const char *text);
+
 #endif
--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -1,5 +1,7 @@
 #include "net/http_conn.h"
 
+#include "net/bind.h"
+
 #include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -509,7 +511,7 @@
     .conn_max = UINT32_MAX,
     .bodies_max_bytes = BODIES_MAX_BYTES,
   };
-  listener->fd = ash_stream_listen (address);
+  listener->fd = ash_listen (address);
   if (listener->fd < 0)
     return false;
   ev_io_init (&listener->io, on_acceptable, listener->fd, EV_READ);
--- a/net/peer.c
+++ b/net/peer.c
@@ -19,7 +19,6 @@
 #include <unistd.h>
 #include <utlist.h>
 
-#define LISTEN_BACKLOG 256
 #define READ_BYTES 65536
 #define MS_PER_S 1000.0
 #define ACCEPTED_LINKS_MAX 2048
@@ -608,8 +607,8 @@
   peers->loop = loop;
   peers->links = NULL;
   peers->dials = NULL;
-  peers->listen_fd = ash_bind (peers->settings.listen);
-  if (peers->listen_fd < 0 || listen (peers->listen_fd, LISTEN_BACKLOG) < 0)
+  peers->listen_fd = ash_listen (peers->settings.listen);
+  if (peers->listen_fd < 0)
     return false;
   ash_random_init (&peers->random, peers->identity.incarnation);
   ev_io_init (&peers->listen_io, on_acceptable, peers->listen_fd, EV_READ);
--- a/net/stream.c
+++ b/net/stream.c
@@ -1,6 +1,5 @@
 #include "net/stream.h"
 
-#include "net/bind.h"
 #include "net/keep_alive.h"
 
 #include <errno.h>
@@ -10,7 +9,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define LISTEN_BACKLOG 512
 #define READ_BYTES 16384
 
 /* A connection is closed when the peer has not acknowledged sent data for this long: longer than
@@ -216,17 +214,3 @@
   else
     ev_io_start (stream->loop, &stream->read_io);
 }
-
-int
-ash_stream_listen (const char *address)
-{
-  int fd = ash_bind (address);
-  int error;
-
-  if (fd < 0 || listen (fd, LISTEN_BACKLOG) == 0)
-    return fd;
-  error = errno;
-  close (fd);
-  errno = error;
-  return -1;
-}
--- a/net/stream.h
+++ b/net/stream.h
@@ -89,7 +89,4 @@
 /** Stops or resumes reading; while stopped, TCP flow control slows the peer down. */
 void ash_stream_pause (struct ash_stream *stream, bool paused);
 
-/** Opens a listening socket at an `IP:PORT` address. @return the socket, or -1 with errno set. */
-int ash_stream_listen (const char *address);
-
 #endif
