--- a/daemon/explain.h
+++ b/daemon/explain.h
@@ -17,7 +17,7 @@
   uint64_t number;         /**< id of the query in messages; 0: this slot is free */
   uint64_t request;        /**< number of the operator's HTTP request */
   struct ash_time until;   /**< when the operator gets the answers so far */
-  struct Ash__Query query; /**< its name, if any, is allocated */
+  struct Ash__Query query; /**< a copy, freed with its name */
   json_t *unanswered;      /**< names of boxes that have not answered */
   json_t *answers;         /**< answers by box name */
 };
