exchange: a broken connection's log line names the prompt's parts, and whether the answer had begun

The logs of the incident could not tell whether requests that end endpoints have a part of their prompt in common, and whether a head had come had to be worked out from silent_ms. 411 forward_cut now has head=, events= (complete events from this endpoint) and parts= (the first eight). platform/ reads the parts: at most 32, without the last one, each once; names that are no 64-bit hex numbers stand as their hash. Nothing decides by them yet.

--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -28,7 +28,8 @@
 /** State of the answer that is being received from an endpoint. */
 struct ash_exchange_answer
 {
-  uint16_t status;
+  uint16_t status; /**< 0: nothing has arrived yet */
+  uint32_t events; /**< complete events that have arrived */
   bool not_run;         /**< the endpoint guarantees that it did not run the request */
   bool invalid;         /**< the answer is malformed or unauthenticated and is discarded */
   bool is_event_stream; /**< the answer is a stream of events, which another endpoint can resume */
--- a/daemon/exchange_answer.c
+++ b/daemon/exchange_answer.c
@@ -131,6 +131,7 @@
       /* The caller already has events up to last_event from the previous endpoint. */
       bool is_repeat = event.has_id && exchange->has_event && event.id <= exchange->last_event;
 
+      exchange->answer.events++;
       if (!is_repeat)
         {
           if (!exchange->forward.answer_started)
--- a/daemon/exchange_cut.c
+++ b/daemon/exchange_cut.c
@@ -7,6 +7,10 @@
 
 #include <utlist.h>
 
+/* A log line names this many parts of a prompt. */
+#define PARTS_LOGGED_MAX 8
+#define PARTS_TEXT_BYTES (PARTS_LOGGED_MAX * 17 + 1)
+
 struct ash_id
 ash_exchange_digest (struct ash_exchange *exchange)
 {
@@ -30,20 +34,35 @@
   return has_event_data || exchange->answer.body.length || exchange->answer.passthrough;
 }
 
+/* Writes the first parts of the prompt as hex numbers with commas between them; "-" if it has none.
+ */
+static void
+format_parts (const struct ash_prompt_parts *parts, char text[PARTS_TEXT_BYTES])
+{
+  int length = snprintf (text, PARTS_TEXT_BYTES, "%s", parts->count ? "" : "-");
+
+  for (uint32_t i = 0; i < parts->count && i < PARTS_LOGGED_MAX; i++)
+    length += snprintf (text + length, PARTS_TEXT_BYTES - (size_t) length, "%s%llx", i ? "," : "",
+                        (unsigned long long) parts->ids[i]);
+}
+
 static void
 log_disconnect (struct ash_exchange *exchange, const struct ash_quarantine_run *run)
 {
   char digest[ASH_ID_TEXT_BYTES];
+  char parts[PARTS_TEXT_BYTES];
 
   ash_id_format (run->request, digest);
+  format_parts (&exchange->facts.parts, parts);
   ash_log_event (&exchange->router->log, ASH_EV_FORWARD_CUT,
                  "id=%s route=%s digest=%s endpoint=%s after_ms=%lld silent_ms=%lld sent=%u "
-                 "spoke=%d last_event=%lld",
+                 "spoke=%d last_event=%lld head=%d events=%u parts=%s",
                  ash_exchange_id (exchange), exchange->route->name, digest,
                  exchange->endpoint->facts.id, (long long) ash_time_diff (run->sent, run->ended),
                  (long long) ash_time_diff (exchange->last_received, run->ended),
                  exchange->forward.sent, run->spoke,
-                 exchange->has_event ? (long long) exchange->last_event : -1LL);
+                 exchange->has_event ? (long long) exchange->last_event : -1LL,
+                 exchange->answer.status != 0, exchange->answer.events, parts);
 }
 
 void
--- a/daemon/requests.c
+++ b/daemon/requests.c
@@ -154,6 +154,7 @@
     .pause_target_ms = service->has_engine ? route->pause_target_ms : 0,
     .arrived = ash_clock_now (),
   };
+  exchange->facts.parts.service = ash_hash_text (service->name);
   exchange->has_priorities =
       ash_route_service_has_priorities (service) && router->settings.priority_reserve > 0;
   if (exchange->has_priorities)
--- a/filters/request_fields.h
+++ b/filters/request_fields.h
@@ -8,6 +8,7 @@
 #define ASH_REQUEST_FIELDS_H
 
 #include "controllers/endpoint_terms.h"
+#include "controllers/prompt_parts.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -22,6 +23,7 @@
   uint32_t prompt_tokens;
   uint32_t answer_tokens_max;
   uint32_t answer_tokens_estimate; /**< estimated by the caller; often far off */
+  struct ash_prompt_parts parts;   /**< parts of the prompt; the service is not set */
 };
 
 /** Fields of an endpoint's answer. Strings belong to the message head. */
--- a/test/unit_platform.c
+++ b/test/unit_platform.c
@@ -209,6 +209,45 @@
   ash_http_reader_finish (&reader);
 }
 
+static struct ash_prompt_parts
+read_parts (const char *value)
+{
+  struct ash_http_reader reader;
+  struct ash_request_fields facts;
+  char text[1024];
+  int length =
+      snprintf (text, sizeof text, "GET / HTTP/1.1\r\nAshspindle-Prefix-Hash: %s\r\n\r\n", value);
+
+  ash_http_reader_init (&reader, ASH_HTTP_REQUEST, &keeper, NULL);
+  kept_head = NULL;
+  ash_http_reader_feed (&reader, (const uint8_t *) text, (size_t) length);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (kept_head);
+  ash_platform_request_read (kept_head, &facts);
+  ash_http_reader_finish (&reader);
+  return facts.parts;
+}
+
+/* The parts of a prompt, without the last one. Damaged names and sizes, repeated parts and any
+ * number of parts leave a bounded list. */
+static void
+test_prompt_parts (void)
+{
+  struct ash_prompt_parts parts = read_parts ("5c1e07a2:800, 91BD3F06:410,e4402b7d:250");
+  char text[1024] = "";
+
+  CU_ASSERT (parts.count == 2 && parts.ids[0] == 0x5c1e07a2 && parts.ids[1] == 0x91bd3f06);
+  CU_ASSERT_EQUAL (read_parts ("").count, 0);
+  CU_ASSERT_EQUAL (read_parts ("aa:1").count, 0);
+  CU_ASSERT_EQUAL (read_parts ("aa:1,").count, 1);
+  CU_ASSERT_EQUAL (read_parts (",:,:5,,").count, 0);
+  CU_ASSERT_EQUAL (read_parts ("aa:1,bb:2,aa:1,AA,cc:3").count, 2);
+  parts = read_parts ("no-hex:x,no-hex:y,11112222333344445:1,z");
+  CU_ASSERT (parts.count == 2 && parts.ids[0] != parts.ids[1]);
+  for (int i = 0; i < 100; i++)
+    snprintf (text + strlen (text), sizeof text - strlen (text), "%x:1,", i);
+  CU_ASSERT_EQUAL (read_parts (text).count, ASH_PROMPT_PARTS_MAX);
+}
+
 /* @return the endpoint's terms that an answer with that status and those header fields contains. */
 static struct ash_endpoint_terms
 read_terms (int status, const char *fields)
@@ -465,6 +504,7 @@
   CU_add_test (suite, "platform: store", test_store_format);
   CU_add_test (suite, "platform: entries of other writers", test_server_entries);
   CU_add_test (suite, "platform: messages", test_message_format);
+  CU_add_test (suite, "platform: parts of a prompt", test_prompt_parts);
   CU_add_test (suite, "platform: what endpoints say of how they want to be used",
                test_terms_format);
   CU_add_test (suite, "platform: directory", test_directory_format);
