test: a prompt part that ends endpoints, failing on the code as it is

Two routers; servers that exit once they have begun an answer on one part of the prompt. Ten requests in turn, none alike, beside sound ones with the same account and the other parts. The stand-in server learns to exit between head and first event.

--- a/test/router.c
+++ b/test/router.c
@@ -711,6 +711,7 @@
   router_stop_tests,
   router_store_tests,
   router_quarantine_tests,
+  router_prompt_parts_tests,
   router_era_tests,
   router_suspended_tests,
   router_terms_tests,
--- a/test/router_tests.h
+++ b/test/router_tests.h
@@ -30,6 +30,9 @@
 extern const struct fault_test router_quarantine_tests[];
 extern const struct fault_test router_outlier_tests[];
 
+/** Parts of prompts that crash endpoints. */
+extern const struct fault_test router_prompt_parts_tests[];
+
 /** Rate limits, back-off and shutdown that endpoints announce in answers. */
 extern const struct fault_test router_terms_tests[];
 
--- a/test/standin_server.c
+++ b/test/standin_server.c
@@ -30,6 +30,7 @@
  *     streamcut   closes the connection in the middle of the third event
  *     streamhang  sends nothing after the second event
  *     streamend   the process exits after the second event
+ *     streambegin the process exits after it has begun a stream, before the first event
  *
  * GET /log returns a line for each request received, "-" for a missing field:
  *     ID METHOD TARGET body=BYTES deadline=MS expect=ID tenant=NAME last=ID urgency=N
@@ -73,6 +74,7 @@
   int next;          /* the next event's number */
   int cut_before;    /* number of the event before which the stream is cut; 0: none */
   int silent_before; /* number of the event before which the stream becomes silent; 0: none */
+  int exit_before;   /* number of the event before which the process exits; 0: none */
   struct ash_time due;
 };
 
@@ -207,12 +209,15 @@
   work->next = last ? atoi (last) + 1 : 1;
   work->cut_before = strcmp (action, "streamcut") == 0 ? 3 : 0;
   work->silent_before = strcmp (action, "streamhang") == 0 ? 3 : 0;
+  work->exit_before = strcmp (action, "streamend") == 0     ? 3
+                      : strcmp (action, "streambegin") == 0 ? 1
+                                                            : 0;
   work->due = ash_clock_now ();
   if (strcmp (action, "slow") == 0)
     work->due = ash_time_add (work->due, SLOW_MS);
   if (strcmp (action, "slower") == 0)
     work->due = ash_time_add (work->due, SLOWER_MS);
-  if (strncmp (action, "end", 3) == 0)
+  if (strncmp (action, "end", 3) == 0 || work->exit_before == 1)
     work->due = ash_time_add (work->due, END_MS);
   conn->request = work;
   if (strncmp (action, "stream", 6) != 0)
@@ -239,8 +244,7 @@
   if (ash_time_before (now, work->due) || strcmp (work->action, "mute") == 0 ||
       (work->silent_before && work->next == work->silent_before))
     return;
-  if (strcmp (work->action, "end") == 0 ||
-      (strcmp (work->action, "streamend") == 0 && work->next == 3))
+  if (strcmp (work->action, "end") == 0 || (work->exit_before && work->next == work->exit_before))
     _exit (EXIT_FAILURE);
   if (strcmp (work->action, "endlate") == 0)
     end_late (conn);
