test: the stand-in server sends the head of a stream at once

The failing test's log showed head=0: the head was queued until the first event, so the server exited without having sent it.

--- a/test/standin_server.c
+++ b/test/standin_server.c
@@ -224,6 +224,8 @@
     return;
   fields_of (conn, "Content-Type: text/event-stream\r\n", fields, sizeof fields);
   ash_http_conn_begin (conn, 200, fields, strlen (fields));
+  /* Sends the head, which would otherwise wait for the first event. */
+  ash_stream_write (&conn->stream, "", 0);
 }
 
 /* Exits as a process does whose listening socket the kernel closes after its connections. */
