suspects: parts of prompts on which endpoints exit are quarantined

Cause: evidence was kept by a digest of account, target and body. Requests that differ in anything but end endpoints by a part of their prompt in common were each met as new. Evidence: 411 of each end has another digest, head=1 events=0, and one part in common (test and logs of the failing test).

Events 418 to 421, two figures.

Ruled out: evidence that comes late (told within 1 ms before as well); endpoints that end for another reason.

--- a/common/events.h
+++ b/common/events.h
@@ -66,6 +66,10 @@
   X (415, INFO, PROMPTS_KEPT,       "the engine's passes have become long: new prompts are held, or no longer held") \
   X (416, WARN, FORWARD_UNREAD,     "a caller reads nothing of its answer: the answer was cut off") \
   X (417, INFO, ENDPOINT_PROBED,    "after a connection ended under a request, its endpoint was probed; the result") \
+  X (418, WARN, PART_QUARANTINED,   "a part of prompts is quarantined: endpoints exited as they began to answer prompts with it") \
+  X (419, INFO, PART_CLEARED,       "a part of prompts is not suspected any more: an answer to a prompt with it got through") \
+  X (420, INFO, PART_TRIED,         "the quarantine of a part of prompts is over: this request tries whether endpoints still exit") \
+  X (421, WARN, PART_REPORT_REJECTED, "a peer's report about parts of prompts is impossible, and is ignored") \
   X (500, DEBUG, RUN_STARTED,       "an endpoint started a request") \
   X (501, DEBUG, RUN_ENDED,         "an endpoint's engine ended a request") \
   X (502, INFO, RUN_REFUSED,        "an endpoint refused a request") \
--- /dev/null
+++ b/controllers/part_quarantine.h
@@ -0,0 +1,162 @@
+/**
+ * @file
+ * Quarantine of parts of prompts on which endpoint processes exit: the process of each endpoint
+ * that begins an answer to a prompt with the part exits, whatever else the prompt holds. The
+ * requests differ, and sound requests share their other parts; so the part is inferred from all
+ * runs that were cut off when endpoints exited, and from the answers that got through.
+ *
+ * An exit is evidence against the parts of the runs that had just begun there. It counts as many
+ * bits as it is surprising that the part was among them by chance: none for a part that all
+ * requests share, several for a rare one. An answer that got through cancels all earlier evidence
+ * against its parts.
+ */
+#ifndef ASH_PART_QUARANTINE_H
+#define ASH_PART_QUARANTINE_H
+
+#include "common/id.h"
+#include "controllers/part_history.h"
+
+/** Runs that are kept as evidence. */
+#define ASH_PART_RUNS 128
+
+/** Maximum number of quarantined parts. */
+#define ASH_PART_QUARANTINED_MAX 32
+
+/** An answer has got through once this many of its events have arrived: its endpoint has survived
+ * the beginning. */
+#define ASH_PART_PASS_EVENTS 3
+
+/** A run that was cut off before its answer had got through. */
+struct ash_part_run
+{
+  struct ash_id request; /**< digest of the request's content */
+  uint64_t endpoint;     /**< hash of the endpoint's id */
+  struct ash_time sent;
+  struct ash_time ended;
+  bool begun; /**< the head of the answer had been received, and no event */
+  struct ash_prompt_parts parts;
+  uint32_t passed_parts;  /**< bit i: an answer on part i got through at some router lately */
+  bool reported;          /**< by another router */
+  bool proven;            /**< the endpoint's process exited */
+  bool settled;           /**< all routers have reported what they lost by the exit */
+  bool explained;         /**< a part of it is quarantined: its exit tells nothing about others */
+  uint32_t passes_before; /**< answers of the service that had got through at this router */
+};
+
+/** A quarantined part. */
+struct ash_quarantined_part
+{
+  struct ash_prompt_part part;
+  struct ash_time until;       /**< afterwards single requests are tried */
+  struct ash_time trial_until; /**< a request is being tried until then */
+  uint32_t level;              /**< number of trials that have failed */
+  UT_hash_handle hh;
+};
+
+/** Evidence against a part. */
+struct ash_part_evidence
+{
+  uint32_t exits;    /**< endpoints that exited */
+  uint32_t requests; /**< different requests during which they did */
+  double bits;       /**< how surprising that is by chance */
+  bool passed;       /**< answers on the part got through lately, before these exits */
+};
+
+/** All evidence, and what is quarantined. Valid when zeroed. */
+struct ash_part_quarantine
+{
+  struct ash_part_history history;
+  struct ash_part_run runs[ASH_PART_RUNS];
+  uint32_t run_count; /**< runs recorded since the start; the newest is at (run_count - 1) %
+                         ASH_PART_RUNS */
+  struct ash_time evidence_at;        /**< when a run was last proven */
+  struct ash_quarantined_part *parts; /**< in the order in which they were quarantined */
+};
+
+void ash_part_quarantine_finish (struct ash_part_quarantine *quarantine);
+
+/** Records a run of this router; whether the endpoint's process exited is not known yet. */
+void ash_part_quarantine_note_run (struct ash_part_quarantine *quarantine,
+                                   const struct ash_part_run *run,
+                                   struct ash_time now);
+
+/** The endpoint's process exited during a run that was recorded before.
+ * @return the run, as evidence; NULL: it is not kept. */
+const struct ash_part_run *ash_part_quarantine_prove_run (struct ash_part_quarantine *quarantine,
+                                                          struct ash_id request,
+                                                          uint64_t endpoint,
+                                                          struct ash_time now);
+
+/** Adds a run that another router has reported. @return it; NULL: it is known already, or old. */
+const struct ash_part_run *ash_part_quarantine_add_run (struct ash_part_quarantine *quarantine,
+                                                        const struct ash_part_run *run,
+                                                        struct ash_time now);
+
+/** @return the evidence against a part. */
+struct ash_part_evidence ash_part_quarantine_assess (const struct ash_part_quarantine *quarantine,
+                                                     struct ash_prompt_part part,
+                                                     struct ash_time now);
+
+/**
+ * Quarantines the part of a run against which the evidence is strongest, if it is strong enough.
+ * To be repeated until it returns NULL.
+ * @param run as returned by this module.
+ * @return the part.
+ */
+const struct ash_quarantined_part *ash_part_quarantine_judge (
+    struct ash_part_quarantine *quarantine, const struct ash_part_run *run, struct ash_time now);
+
+/** @return a run that has just settled and must be judged again; NULL: none is left. */
+const struct ash_part_run *ash_part_quarantine_next_settled (struct ash_part_quarantine *quarantine,
+                                                             struct ash_time now);
+
+/** Records that the answer to a request of this router got through.
+ * @param told set to those of its parts that other routers must be told of: they suspect them. */
+void ash_part_quarantine_note_pass (struct ash_part_quarantine *quarantine,
+                                    const struct ash_prompt_parts *parts,
+                                    struct ash_time now,
+                                    struct ash_prompt_parts *told);
+
+/** An answer on the part got through at another router. @return whether it was quarantined. */
+bool ash_part_quarantine_clear (struct ash_part_quarantine *quarantine,
+                                struct ash_prompt_part part,
+                                struct ash_time now);
+
+/**
+ * Takes a quarantine over from another router.
+ * @return the part; NULL: it is quarantined already, or answers on it got through here lately.
+ */
+const struct ash_quarantined_part *
+ash_part_quarantine_take_over (struct ash_part_quarantine *quarantine,
+                               struct ash_prompt_part part,
+                               int64_t left_ms,
+                               uint32_t level,
+                               struct ash_time now);
+
+/** @return whether these numbers can be those of a quarantined part. */
+bool ash_part_quarantine_is_valid (int64_t left_ms, uint32_t level);
+
+/**
+ * @param may_try whether this router may try requests with parts whose time is over.
+ * @return in how many ms a request with these parts may return; 0: it may be sent.
+ */
+int64_t ash_part_quarantine_left_ms (const struct ash_part_quarantine *quarantine,
+                                     const struct ash_prompt_parts *parts,
+                                     struct ash_time now,
+                                     bool may_try);
+
+/** A request is sent. @return whether it is a trial of a quarantined part. */
+bool ash_part_quarantine_note_sent (struct ash_part_quarantine *quarantine,
+                                    const struct ash_prompt_parts *parts,
+                                    struct ash_time now);
+
+/** @return the most endpoints that have exited on one of the parts, those left out that got through
+ * lately. */
+uint32_t ash_part_quarantine_suspicion (const struct ash_part_quarantine *quarantine,
+                                        const struct ash_prompt_parts *parts,
+                                        struct ash_time now);
+
+/** Runs the timers: forgets parts that were quarantined long ago. */
+void ash_part_quarantine_tick (struct ash_part_quarantine *quarantine, struct ash_time now);
+
+#endif
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -36,6 +36,7 @@
     .room = exchange->has_priorities ? &service->room : NULL,
     .reserve = router->settings.priority_reserve,
     .quarantined_ms = ash_exchange_quarantined_ms (exchange, ash_clock_now ()),
+    .suspected = ash_exchange_is_suspected (exchange),
   };
 }
 
@@ -116,6 +117,7 @@
     ash_prompt_gate_record_sent (&ash_router_service (router, exchange->forward.service)->gate);
   if (exchange->has_priorities && !exchange->forward.sent)
     count_taken (exchange);
+  ash_exchange_note_sent_parts (exchange);
   ash_forward_sent (&exchange->forward, endpoint);
   exchange->sent_at = ash_clock_now ();
   exchange->last_received = exchange->sent_at;
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -28,8 +28,8 @@
 /** State of the answer that is being received from an endpoint. */
 struct ash_exchange_answer
 {
-  uint16_t status; /**< 0: nothing has arrived yet */
-  uint32_t events; /**< complete events that have arrived */
+  uint16_t status;      /**< 0: nothing has arrived yet */
+  uint32_t events;      /**< complete events that have arrived */
   bool not_run;         /**< the endpoint guarantees that it did not run the request */
   bool invalid;         /**< the answer is malformed or unauthenticated and is discarded */
   bool is_event_stream; /**< the answer is a stream of events, which another endpoint can resume */
@@ -150,7 +150,17 @@
  */
 void ash_exchange_record_success (struct ash_exchange *exchange);
 
-/** @return how many ms the request stays quarantined; 0: it is not. */
+/** Records that the request's answer has got through: its endpoint has survived the beginning. */
+void ash_exchange_record_pass (struct ash_exchange *exchange);
+
+/** Counts the parts of the prompt of a request that is being sent. */
+void ash_exchange_note_sent_parts (struct ash_exchange *exchange);
+
+/** @return whether endpoints have exited on a part of the prompt of a request that was sent, so
+ * that it must not be sent to another one. */
+bool ash_exchange_is_suspected (const struct ash_exchange *exchange);
+
+/** @return how many ms the request, or a part of its prompt, stays quarantined; 0: it is not. */
 int64_t ash_exchange_quarantined_ms (struct ash_exchange *exchange, struct ash_time now);
 
 /* ---- exchange_end.c: ending an exchange ---- */
--- a/daemon/exchange_answer.c
+++ b/daemon/exchange_answer.c
@@ -131,7 +131,8 @@
       /* The caller already has events up to last_event from the previous endpoint. */
       bool is_repeat = event.has_id && exchange->has_event && event.id <= exchange->last_event;
 
-      exchange->answer.events++;
+      if (++exchange->answer.events == ASH_PART_PASS_EVENTS)
+        ash_exchange_record_pass (exchange);
       if (!is_repeat)
         {
           if (!exchange->forward.answer_started)
--- a/daemon/exchange_cut.c
+++ b/daemon/exchange_cut.c
@@ -1,7 +1,8 @@
 /**
  * @file
  * In the router process, handles connections to endpoints that close during an exchange, and
- * requests that are quarantined because endpoint processes ended while running them.
+ * requests that are quarantined, as such or by a part of their prompt, because endpoint processes
+ * ended while running them.
  */
 #include "daemon/exchange.h"
 
@@ -11,6 +12,9 @@
 #define PARTS_LOGGED_MAX 8
 #define PARTS_TEXT_BYTES (PARTS_LOGGED_MAX * 17 + 1)
 
+/* A request is not sent to a second endpoint once this many have exited on a part of its prompt. */
+#define SUSPECTED_AT_EXITS 2
+
 struct ash_id
 ash_exchange_digest (struct ash_exchange *exchange)
 {
@@ -65,6 +69,34 @@
                  exchange->answer.status != 0, exchange->answer.events, parts);
 }
 
+/* Keeps the run as possible evidence against the parts of its prompt, unless its answer had got
+ * through: an endpoint that exits on a part does so as it begins the answer. */
+static void
+note_part_run (struct ash_exchange *exchange, const struct ash_quarantine_run *run)
+{
+  const struct ash_exchange_answer *answer = &exchange->answer;
+  struct ash_part_run part_run = {
+    .request = run->request,
+    .endpoint = run->endpoint,
+    .sent = run->sent,
+    .ended = run->ended,
+    .begun = answer->status && !answer->events,
+    .parts = exchange->facts.parts,
+  };
+
+  if (answer->events < ASH_PART_PASS_EVENTS)
+    ash_part_quarantine_note_run (&exchange->router->suspects.parts.quarantine, &part_run,
+                                  run->ended);
+}
+
+/* @return the most endpoints that have exited on one of the prompt's parts. */
+static uint32_t
+exits_on_parts (const struct ash_exchange *exchange)
+{
+  return ash_part_quarantine_suspicion (&exchange->router->suspects.parts.quarantine,
+                                        &exchange->facts.parts, ash_clock_now ());
+}
+
 void
 ash_exchange_record_disconnect (struct ash_exchange *exchange)
 {
@@ -79,12 +111,13 @@
   };
 
   log_disconnect (exchange, &run);
+  note_part_run (exchange, &run);
   ash_suspects_record_disconnect (
       suspects, &ash_router_pool (exchange->router, exchange->endpoint)->address, &run);
   /* If an endpoint process exited during an earlier run of this request, the request may have
    * terminated this endpoint too. It is not resent until a probe has shown whether this endpoint
    * still runs. Other requests are resent at once. */
-  if (ash_quarantine_exits (&suspects->quarantine, run.request))
+  if (ash_quarantine_exits (&suspects->quarantine, run.request) || exits_on_parts (exchange))
     exchange->awaited_probe = run.endpoint;
 }
 
@@ -95,16 +128,49 @@
 
   if (suspects->quarantine.suspects)
     ash_suspects_record_success (suspects, ash_exchange_digest (exchange));
+  if (exchange->answer.events < ASH_PART_PASS_EVENTS)
+    ash_exchange_record_pass (exchange);
+}
+
+void
+ash_exchange_record_pass (struct ash_exchange *exchange)
+{
+  if (exchange->facts.parts.count)
+    ash_suspect_parts_record_pass (&exchange->router->suspects.parts, &exchange->facts.parts);
+}
+
+bool
+ash_exchange_is_suspected (const struct ash_exchange *exchange)
+{
+  return exchange->forward.sent && exits_on_parts (exchange) >= SUSPECTED_AT_EXITS;
 }
 
 int64_t
 ash_exchange_quarantined_ms (struct ash_exchange *exchange, struct ash_time now)
 {
   const struct ash_suspects *suspects = &exchange->router->suspects;
+  const struct ash_part_quarantine *parts = &suspects->parts.quarantine;
+  int64_t parts_ms = ash_part_quarantine_left_ms (parts, &exchange->facts.parts, now, false);
+  int64_t request_ms = 0;
 
-  if (!suspects->quarantine.suspects)
-    return 0;
-  return ash_suspects_left_ms (suspects, ash_exchange_digest (exchange), now);
+  if (parts_ms && ash_fleet_leads (&exchange->router->fleet))
+    parts_ms = ash_part_quarantine_left_ms (parts, &exchange->facts.parts, now, true);
+  if (suspects->quarantine.suspects)
+    request_ms = ash_suspects_left_ms (suspects, ash_exchange_digest (exchange), now);
+  return parts_ms > request_ms ? parts_ms : request_ms;
+}
+
+void
+ash_exchange_note_sent_parts (struct ash_exchange *exchange)
+{
+  struct ash_part_quarantine *quarantine = &exchange->router->suspects.parts.quarantine;
+  const struct ash_prompt_parts *parts = &exchange->facts.parts;
+
+  if (!exchange->forward.sent)
+    ash_part_history_note_request (&quarantine->history, parts);
+  if (ash_part_quarantine_note_sent (quarantine, parts, ash_clock_now ()))
+    ash_log_event (&exchange->router->log, ASH_EV_PART_TRIED, "id=%s route=%s",
+                   ash_exchange_id (exchange), exchange->route->name);
 }
 
 /* ---- notifications from suspects.c ---- */
@@ -120,8 +186,20 @@
       ash_exchange_step (exchange);
 }
 
-/* Cancels the copies of a request that has just been quarantined. An endpoint where the copy is
- * still queued or has just started may survive. */
+/* Takes a request that has just been quarantined back from its endpoint, which may survive if the
+ * request is still queued there or has just started. */
+static void
+take_back (struct ash_exchange *exchange)
+{
+  bool connecting = ash_http_call_connecting (&exchange->call);
+
+  ash_http_call_cancel (&exchange->call);
+  ash_exchange_release_slot (exchange);
+  if (connecting)
+    ash_forward_not_run (&exchange->forward, false);
+  ash_exchange_step (exchange);
+}
+
 static void
 on_quarantined (struct ash_router *router, struct ash_id request)
 {
@@ -130,15 +208,21 @@
 
   DL_FOREACH_SAFE (router->exchanges, exchange, next)
     if (exchange->endpoint && ash_id_equal (ash_exchange_digest (exchange), request))
-      {
-        bool connecting = ash_http_call_connecting (&exchange->call);
+      take_back (exchange);
+}
+
+/* Requests whose answers have events go on: endpoints that exit on a part do so before. */
+static void
+on_part_quarantined (struct ash_router *router, struct ash_prompt_part part)
+{
+  struct ash_exchange *exchange;
+  struct ash_exchange *next;
 
-        ash_http_call_cancel (&exchange->call);
-        ash_exchange_release_slot (exchange);
-        if (connecting)
-          ash_forward_not_run (&exchange->forward, false);
-        ash_exchange_step (exchange);
-      }
+  DL_FOREACH_SAFE (router->exchanges, exchange, next)
+    if (exchange->endpoint && !exchange->answer.events &&
+        ash_prompt_parts_has (&exchange->facts.parts, part))
+      take_back (exchange);
 }
 
-const struct ash_suspects_handler ash_exchange_suspects_handler = { on_probed, on_quarantined };
+const struct ash_suspects_handler ash_exchange_suspects_handler = { on_probed, on_quarantined,
+                                                                    on_part_quarantined };
--- a/daemon/router_pages.c
+++ b/daemon/router_pages.c
@@ -157,6 +157,10 @@
   ash_metrics_set (metrics, "ash_leads_maps", "", router->map_manager.leads);
   ash_metrics_set (metrics, "ash_endpoints_ended_total", "", router->suspects.ended);
   ash_metrics_set (metrics, "ash_quarantined_total", "", router->suspects.quarantined);
+  ash_metrics_set (metrics, "ash_quarantined_parts_total", "",
+                   router->suspects.parts.quarantined_total);
+  ash_metrics_set (metrics, "ash_quarantined_parts", "",
+                   HASH_COUNT (router->suspects.parts.quarantine.parts));
   ash_metrics_set (metrics, "ash_suspects", "", HASH_COUNT (router->suspects.quarantine.suspects));
   ash_metrics_set (metrics, "ash_body_bytes", "", router->frontend.body_bytes);
   ash_metrics_set (metrics, "ash_answer_bytes", "", router->answer_memory.used_bytes);
--- a/daemon/suspects.c
+++ b/daemon/suspects.c
@@ -99,6 +99,7 @@
       messages[count++] = message_of (&suspect->runs[i], now);
   if (count)
     send_messages (suspects, box, messages, count);
+  ash_suspect_parts_send (&suspects->parts, box);
 }
 
 /* ---- evidence ---- */
@@ -158,7 +159,9 @@
                      size_t count)
 {
   struct Ash__SuspectRun messages[ASH_QUARANTINE_DISCONNECTS];
+  const struct ash_part_run *part_runs[ASH_QUARANTINE_DISCONNECTS];
   const struct ash_direct_endpoint *known;
+  size_t part_count = 0;
 
   if (!count)
     return;
@@ -167,10 +170,20 @@
   ash_log_event (&suspects->router->log, ASH_EV_ENDPOINT_ENDED, "endpoint=%s requests=%zu proof=%s",
                  known ? known->facts.id : "-", count, evidence_name (evidence));
   for (size_t i = 0; i < count; i++)
-    messages[i] = message_of (&found[i], now);
+    {
+      const struct ash_part_run *run = ash_part_quarantine_prove_run (
+          &suspects->parts.quarantine, found[i].request, found[i].endpoint, now);
+
+      messages[i] = message_of (&found[i], now);
+      if (!run)
+        continue;
+      ash_suspect_parts_describe (run, &messages[i]);
+      part_runs[part_count++] = run;
+    }
   send_messages (suspects, NULL, messages, count);
   for (size_t i = 0; i < count; i++)
     report_quarantine (suspects, &found[i], now, "own");
+  ash_suspect_parts_judge (&suspects->parts, part_runs, part_count, "own");
 }
 
 static void
@@ -253,6 +266,7 @@
       else if (ash_quarantine_add_run (&suspects->quarantine, &run))
         report_quarantine (suspects, &run, now, peer);
     }
+  ash_suspect_parts_receive (&suspects->parts, peer, message);
 }
 
 /* ---- probes ---- */
@@ -439,6 +453,7 @@
 {
   suspects->router = router;
   suspects->handler = handler;
+  ash_suspect_parts_open (&suspects->parts, router, handler->part_quarantined);
 }
 
 void
@@ -447,10 +462,12 @@
   while (suspects->probes)
     free_probe (suspects->probes);
   ash_quarantine_finish (&suspects->quarantine);
+  ash_suspect_parts_close (&suspects->parts);
 }
 
 void
 ash_suspects_tick (struct ash_suspects *suspects, struct ash_time now)
 {
   ash_quarantine_tick (&suspects->quarantine, now);
+  ash_suspect_parts_tick (&suspects->parts, now);
 }
--- a/daemon/suspects.h
+++ b/daemon/suspects.h
@@ -10,6 +10,7 @@
 
 #include "controllers/direct.h"
 #include "controllers/quarantine.h"
+#include "daemon/suspect_parts.h"
 #include "proto/event.h"
 
 #include <ev.h>
@@ -25,6 +26,8 @@
   void (*probed) (struct ash_router *router, uint64_t endpoint);
   /** The request is quarantined from now on: no endpoint may get it. */
   void (*quarantined) (struct ash_router *router, struct ash_id request);
+  /** The part is quarantined from now on: no endpoint may get a request with it. */
+  void (*part_quarantined) (struct ash_router *router, struct ash_prompt_part part);
 };
 
 /** State of the search for requests that terminate endpoints. */
@@ -33,6 +36,7 @@
   struct ash_router *router;
   const struct ash_suspects_handler *handler;
   struct ash_quarantine quarantine;
+  struct ash_suspect_parts parts;
   struct ash_suspect_probe *probes;
   uint64_t ended; /**< endpoint processes that this router found to have ended during requests */
   uint64_t quarantined; /**< number of times that this router quarantined a request, on its own or a
--- a/filters/forward.c
+++ b/filters/forward.c
@@ -237,7 +237,7 @@
     return answer (forward, context, now, ASH_FORWARD_TIMEOUT);
   if (context->quarantined_ms > 0)
     return answer (forward, context, now, ASH_FORWARD_QUARANTINED);
-  if (forward->unconfirmed && forward->repeat == ASH_REPEAT_ONCE)
+  if (forward->unconfirmed && (context->suspected || forward->repeat == ASH_REPEAT_ONCE))
     return answer (forward, context, now, ASH_FORWARD_FAILED);
   if (forward->sent >= forward->servers_max)
     return answer (forward, context, now,
--- a/proto/ash.pb-c.c
+++ b/proto/ash.pb-c.c
@@ -457,6 +457,51 @@
   assert(message->base.descriptor == &ash__suspect_run__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ash__prompt_part__init
+                     (Ash__PromptPart         *message)
+{
+  static const Ash__PromptPart init_value = ASH__PROMPT_PART__INIT;
+  *message = init_value;
+}
+size_t ash__prompt_part__get_packed_size
+                     (const Ash__PromptPart *message)
+{
+  assert(message->base.descriptor == &ash__prompt_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ash__prompt_part__pack
+                     (const Ash__PromptPart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ash__prompt_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ash__prompt_part__pack_to_buffer
+                     (const Ash__PromptPart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ash__prompt_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ash__PromptPart *
+       ash__prompt_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ash__PromptPart *)
+     protobuf_c_message_unpack (&ash__prompt_part__descriptor,
+                                allocator, len, data);
+}
+void   ash__prompt_part__free_unpacked
+                     (Ash__PromptPart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ash__prompt_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ash__suspect_runs__init
                      (Ash__SuspectRuns         *message)
 {
@@ -2900,7 +2945,7 @@
   (ProtobufCMessageInit) ash__endpoint_terms_list__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__suspect_run__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ash__suspect_run__field_descriptors[11] =
 {
   {
     "request_hi",
@@ -2986,20 +3031,72 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "service",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__SuspectRun, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Ash__SuspectRun, n_parts),
+    offsetof(Ash__SuspectRun, parts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "passed_parts",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ash__SuspectRun, passed_parts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begun",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ash__SuspectRun, begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ash__suspect_run__field_indices_by_name[] = {
   4,   /* field[4] = age_ms */
+  10,   /* field[10] = begun */
   6,   /* field[6] = cleared */
   2,   /* field[2] = endpoint */
   3,   /* field[3] = lasted_ms */
+  8,   /* field[8] = parts */
+  9,   /* field[9] = passed_parts */
   0,   /* field[0] = request_hi */
   1,   /* field[1] = request_lo */
+  7,   /* field[7] = service */
   5,   /* field[5] = spoke */
 };
 static const ProtobufCIntRange ash__suspect_run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor ash__suspect_run__descriptor =
 {
@@ -3009,14 +3106,104 @@
   "Ash__SuspectRun",
   "ash",
   sizeof(Ash__SuspectRun),
-  7,
+  11,
   ash__suspect_run__field_descriptors,
   ash__suspect_run__field_indices_by_name,
   1,  ash__suspect_run__number_ranges,
   (ProtobufCMessageInit) ash__suspect_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__suspect_runs__field_descriptors[1] =
+static const ProtobufCFieldDescriptor ash__prompt_part__field_descriptors[5] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__PromptPart, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Ash__PromptPart, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "passed",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ash__PromptPart, passed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ash__PromptPart, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "level",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ash__PromptPart, level),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ash__prompt_part__field_indices_by_name[] = {
+  1,   /* field[1] = id */
+  3,   /* field[3] = left_ms */
+  4,   /* field[4] = level */
+  2,   /* field[2] = passed */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange ash__prompt_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor ash__prompt_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ash.PromptPart",
+  "PromptPart",
+  "Ash__PromptPart",
+  "ash",
+  sizeof(Ash__PromptPart),
+  5,
+  ash__prompt_part__field_descriptors,
+  ash__prompt_part__field_indices_by_name,
+  1,  ash__prompt_part__number_ranges,
+  (ProtobufCMessageInit) ash__prompt_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ash__suspect_runs__field_descriptors[2] =
 {
   {
     "runs",
@@ -3030,14 +3217,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "parts",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ash__SuspectRuns, n_parts),
+    offsetof(Ash__SuspectRuns, parts),
+    &ash__prompt_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ash__suspect_runs__field_indices_by_name[] = {
+  1,   /* field[1] = parts */
   0,   /* field[0] = runs */
 };
 static const ProtobufCIntRange ash__suspect_runs__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor ash__suspect_runs__descriptor =
 {
@@ -3047,7 +3247,7 @@
   "Ash__SuspectRuns",
   "ash",
   sizeof(Ash__SuspectRuns),
-  1,
+  2,
   ash__suspect_runs__field_descriptors,
   ash__suspect_runs__field_indices_by_name,
   1,  ash__suspect_runs__number_ranges,
--- a/proto/ash.pb-c.h
+++ b/proto/ash.pb-c.h
@@ -25,6 +25,7 @@
 typedef struct Ash__EndpointTerms Ash__EndpointTerms;
 typedef struct Ash__EndpointTermsList Ash__EndpointTermsList;
 typedef struct Ash__SuspectRun Ash__SuspectRun;
+typedef struct Ash__PromptPart Ash__PromptPart;
 typedef struct Ash__SuspectRuns Ash__SuspectRuns;
 typedef struct Ash__EndpointList Ash__EndpointList;
 typedef struct Ash__EndpointListWant Ash__EndpointListWant;
@@ -516,10 +517,56 @@
    * the request got a complete answer and is not suspected any more
    */
   protobuf_c_boolean cleared;
+  /*
+   * hash of the service's name
+   */
+  uint64_t service;
+  /*
+   * parts of the prompt, without the last one; none if the answer had got through
+   */
+  size_t n_parts;
+  uint64_t *parts;
+  /*
+   * bit i: an answer on part i got through at the sender lately
+   */
+  uint32_t passed_parts;
+  /*
+   * the head of the answer had been received, and no event
+   */
+  protobuf_c_boolean begun;
 };
 #define ASH__SUSPECT_RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ash__suspect_run__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
+
+
+/*
+ * A part of prompts on which endpoints exit, or did not exit.
+ */
+struct  Ash__PromptPart
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the service's name
+   */
+  uint64_t service;
+  uint64_t id;
+  /*
+   * an answer on it got through: it is not suspected any more
+   */
+  protobuf_c_boolean passed;
+  /*
+   * remaining time of its quarantine
+   */
+  uint32_t left_ms;
+  /*
+   * number of trials that have failed since it was quarantined
+   */
+  uint32_t level;
+};
+#define ASH__PROMPT_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ash__prompt_part__descriptor) \
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Ash__SuspectRuns
@@ -527,10 +574,12 @@
   ProtobufCMessage base;
   size_t n_runs;
   Ash__SuspectRun **runs;
+  size_t n_parts;
+  Ash__PromptPart **parts;
 };
 #define ASH__SUSPECT_RUNS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ash__suspect_runs__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0,NULL }
 
 
 /*
@@ -1506,6 +1555,25 @@
 void   ash__suspect_run__free_unpacked
                      (Ash__SuspectRun *message,
                       ProtobufCAllocator *allocator);
+/* Ash__PromptPart methods */
+void   ash__prompt_part__init
+                     (Ash__PromptPart         *message);
+size_t ash__prompt_part__get_packed_size
+                     (const Ash__PromptPart   *message);
+size_t ash__prompt_part__pack
+                     (const Ash__PromptPart   *message,
+                      uint8_t             *out);
+size_t ash__prompt_part__pack_to_buffer
+                     (const Ash__PromptPart   *message,
+                      ProtobufCBuffer     *buffer);
+Ash__PromptPart *
+       ash__prompt_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ash__prompt_part__free_unpacked
+                     (Ash__PromptPart *message,
+                      ProtobufCAllocator *allocator);
 /* Ash__SuspectRuns methods */
 void   ash__suspect_runs__init
                      (Ash__SuspectRuns         *message);
@@ -2222,6 +2290,9 @@
 typedef void (*Ash__SuspectRun_Closure)
                  (const Ash__SuspectRun *message,
                   void *closure_data);
+typedef void (*Ash__PromptPart_Closure)
+                 (const Ash__PromptPart *message,
+                  void *closure_data);
 typedef void (*Ash__SuspectRuns_Closure)
                  (const Ash__SuspectRuns *message,
                   void *closure_data);
@@ -2349,6 +2420,7 @@
 extern const ProtobufCMessageDescriptor ash__endpoint_terms__descriptor;
 extern const ProtobufCMessageDescriptor ash__endpoint_terms_list__descriptor;
 extern const ProtobufCMessageDescriptor ash__suspect_run__descriptor;
+extern const ProtobufCMessageDescriptor ash__prompt_part__descriptor;
 extern const ProtobufCMessageDescriptor ash__suspect_runs__descriptor;
 extern const ProtobufCMessageDescriptor ash__endpoint_list__descriptor;
 extern const ProtobufCMessageDescriptor ash__endpoint_list_want__descriptor;
