exchange: a stream that ends inside an event, or with its connection before any event, was broken off

What callers saw: an answer with neither length nor chunks whose endpoint closed before the first event was passed on as a complete stream without events; one that ended inside an event was continued, but its end was no evidence against the request and its parts, and the endpoint was not probed.

Cause: the end of the connection was taken for the end of the answer. The class: two ends that look alike on the wire are told apart in one place and not in the others. Looked for elsewhere: non-stream answers (a reset is no end already), pooled connections (never reused without framing), last_event (counts complete events only), towards callers of HTTP/1.0 (a broken-off stream is reset already; now tested).

Left: an open stream that is closed between two events looks complete, and nothing on the wire tells. An open stream that is resumed after its last event and has nothing left counts as broken off.

--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -206,6 +206,17 @@
     ash_exchange_end_with_answer (exchange);
 }
 
+/* Whether a stream was broken off although its message is complete: it ends inside an event, or
+ * with its connection and without any event. */
+static bool
+stream_was_broken_off (const struct ash_exchange *exchange)
+{
+  const struct ash_exchange_answer *answer = &exchange->answer;
+
+  return answer->is_event_stream && (!ash_event_stream_is_empty (&exchange->event_stream) ||
+                                     (!answer->framed && !answer->events));
+}
+
 static void
 on_end (struct ash_http_call *call, enum ash_call_end end)
 {
@@ -213,8 +224,9 @@
   struct ash_exchange_answer *answer = &exchange->answer;
 
   ev_timer_stop (exchange->router->loop, &exchange->timer);
-  if (end == ASH_CALL_COMPLETE && !answer->invalid &&
-      (!answer->is_event_stream || ash_event_stream_is_empty (&exchange->event_stream)))
+  if (end == ASH_CALL_COMPLETE && !answer->invalid && stream_was_broken_off (exchange))
+    end = ASH_CALL_TRUNCATED;
+  if (end == ASH_CALL_COMPLETE && !answer->invalid)
     {
       handle_complete_answer (exchange);
       return;
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -32,6 +32,7 @@
   uint32_t events;      /**< complete events that have arrived */
   bool not_run;         /**< the endpoint guarantees that it did not run the request */
   bool invalid;         /**< the answer is malformed or unauthenticated and is discarded */
+  bool framed;          /**< a length or chunks delimit it, not the end of the connection */
   bool is_event_stream; /**< the answer is a stream of events, which another endpoint can resume */
   uint64_t length;      /**< Content-Length of an answer to HEAD, which has no body */
   bool passthrough; /**< the answer is too large to buffer: its body is passed on as it arrives */
--- a/daemon/exchange_answer.c
+++ b/daemon/exchange_answer.c
@@ -68,6 +68,7 @@
   exchange->last_received = ash_clock_now ();
   answer->status = head->status;
   answer->not_run = facts.not_run;
+  answer->framed = head->framed;
   answer->length = head->length == UINT64_MAX ? 0 : head->length;
   answer->invalid = facts.encoded || (!facts.attempt_id && exchange->facts.attempt_id) ||
                     (head->status >= ASH_STATUS_OK && head->status < ASH_STATUS_MULTIPLE_CHOICES &&
--- a/test/router.c
+++ b/test/router.c
@@ -15,15 +15,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* @return whether the log of either server contains the text. */
-static bool
-server_logs_contain (const char *text)
-{
-  bool first = strstr (server_log (0), text) != NULL;
-
-  return first || strstr (server_log (1), text) != NULL;
-}
-
 /* ---- normal operation ---- */
 
 static void
@@ -402,23 +393,6 @@
 
 /* ---- streams ---- */
 
-/* Checks that the body has each event of the range exactly once. */
-static void
-expect_events (int first, int last)
-{
-  for (int id = first; id <= last; id++)
-    {
-      char text[16];
-      const char *found;
-
-      snprintf (text, sizeof text, "id: %d\n", id);
-      found = strstr (answer.body, text);
-      CU_ASSERT_PTR_NOT_NULL (found);
-      if (found)
-        CU_ASSERT_PTR_NULL (strstr (found + 1, text));
-    }
-}
-
 static void
 test_stream_resumed (void)
 {
@@ -712,6 +686,7 @@
   router_store_tests,
   router_quarantine_tests,
   router_prompt_parts_tests,
+  router_open_answer_tests,
   router_era_tests,
   router_suspended_tests,
   router_terms_tests,
--- a/test/router_tests.c
+++ b/test/router_tests.c
@@ -62,3 +62,27 @@
     count++;
   return count;
 }
+
+bool
+server_logs_contain (const char *text)
+{
+  bool first = strstr (server_log (0), text) != NULL;
+
+  return first || strstr (server_log (1), text) != NULL;
+}
+
+void
+expect_events (int first, int last)
+{
+  for (int id = first; id <= last; id++)
+    {
+      char text[16];
+      const char *found;
+
+      snprintf (text, sizeof text, "id: %d\n", id);
+      found = strstr (answer.body, text);
+      CU_ASSERT_PTR_NOT_NULL (found);
+      if (found)
+        CU_ASSERT_PTR_NULL (strstr (found + 1, text));
+    }
+}
--- a/test/router_tests.h
+++ b/test/router_tests.h
@@ -30,6 +30,9 @@
 extern const struct fault_test router_quarantine_tests[];
 extern const struct fault_test router_outlier_tests[];
 
+/** Answers that end with their connection. */
+extern const struct fault_test router_open_answer_tests[];
+
 /** Parts of prompts that crash endpoints. */
 extern const struct fault_test router_prompt_parts_tests[];
 
@@ -70,6 +73,12 @@
 /** @return the log of server @p s: a line for each request that it received. */
 const char *server_log (int s);
 
+/** @return whether the log of any server contains the text. */
+bool server_logs_contain (const char *text);
+
+/** Checks that the body of the last answer has each event of the range exactly once. */
+void expect_events (int first, int last);
+
 /** @return how often @p part occurs in @p text. */
 int count_of (const char *text, const char *part);
 
--- a/test/standin_server.c
+++ b/test/standin_server.c
@@ -28,6 +28,9 @@
  *     stream      answers with a stream of six events
  *     streambig   answers with a stream of 2,000 events of 4 kB each
  *     streamcut   closes the connection in the middle of the third event
+ *     streamopen  answers with a stream of six events that ends with the connection
+ *     streamopencut   the same, but closes the connection in the middle of the third event
+ *     streamopennone  the same, but closes the connection before the first event
  *     streamhang  sends nothing after the second event
  *     streamend   the process exits after the second event
  *     streambegin the process exits after it has begun a stream, before the first event
@@ -207,7 +210,9 @@
     abort ();
   snprintf (work->action, sizeof work->action, "%s", action);
   work->next = last ? atoi (last) + 1 : 1;
-  work->cut_before = strcmp (action, "streamcut") == 0 ? 3 : 0;
+  work->cut_before = strcmp (action, "streamcut") == 0 || strcmp (action, "streamopencut") == 0 ? 3
+                     : strcmp (action, "streamopennone") == 0                                   ? 1
+                                                                                                : 0;
   work->silent_before = strcmp (action, "streamhang") == 0 ? 3 : 0;
   work->exit_before = strcmp (action, "streamend") == 0     ? 3
                       : strcmp (action, "streambegin") == 0 ? 1
@@ -222,6 +227,8 @@
   conn->request = work;
   if (strncmp (action, "stream", 6) != 0)
     return;
+  if (strncmp (action, "streamopen", 10) == 0)
+    conn->reader.head.http_1_0 = true; /* the answer has no chunks, and ends with the connection */
   fields_of (conn, "Content-Type: text/event-stream\r\n", fields, sizeof fields);
   ash_http_conn_begin (conn, 200, fields, strlen (fields));
   /* Sends the head, which would otherwise wait for the first event. */
@@ -257,8 +264,9 @@
     }
   else if (work->next == work->cut_before)
     {
-      /* Cuts the stream in the middle of an event. */
-      ash_http_conn_write (conn, "id: 3\nda", 8);
+      /* Cuts the stream in the middle of an event, or before the first one. */
+      if (work->next > 1)
+        ash_http_conn_write (conn, "id: 3\nda", 8);
       close_conn (conn);
     }
   else if (work->next > STREAM_EVENTS)
