--- a/controllers/part_history.c
+++ b/controllers/part_history.c
@@ -156,6 +156,12 @@
   return ((record ? record->requests : 0) + 1.0) / ((service ? service->requests : 0) + 2.0);
 }
 
+uint32_t
+ash_part_history_parts (const struct ash_part_history *history)
+{
+  return HASH_COUNT (history->records);
+}
+
 uint32_t
 ash_part_history_passes (const struct ash_part_history *history, uint64_t service)
 {
--- a/controllers/part_history.h
+++ b/controllers/part_history.h
@@ -67,6 +67,9 @@
  * none was seen. */
 double ash_part_history_share (const struct ash_part_history *history, struct ash_prompt_part part);
 
+/** @return how many different parts are kept. */
+uint32_t ash_part_history_parts (const struct ash_part_history *history);
+
 /** @return how many answers of the service got through at this router since its start. */
 uint32_t ash_part_history_passes (const struct ash_part_history *history, uint64_t service);
 
--- a/controllers/part_quarantine.c
+++ b/controllers/part_quarantine.c
@@ -8,11 +8,11 @@
 #define EXITS_MIN 3
 #define REQUESTS_MIN 2
 
-/* Required evidence in bits: one in 128 that the exits have to do with the part by chance only. */
-#define BITS_MIN 7.0
+/* Required evidence in bits: one in 32 that some part is in the cut off runs by chance only. */
+#define BITS_MIN 5.0
 
 /* The same for a part on which answers got through lately: it must have become bad just now. */
-#define BITS_MIN_PASSED 16.0
+#define BITS_MIN_PASSED 10.0
 
 /* "Lately": a part that is used is used again within a minute. */
 #define PASSED_LATELY_MS (60 * 1000)
@@ -37,6 +37,9 @@
 /* An endpoint's process takes longer than this to start again and to begin an answer. */
 #define RESTART_MIN_MS 1000
 
+/* About this many routers tell the others of a quarantine. */
+#define TELLING_ROUTERS 8
+
 /* Exits that are counted at most: the evidence is beyond doubt. */
 #define EXITS_COUNTED_MAX 16
 
@@ -297,6 +300,55 @@
   return -log2 (1 - pow (1 - share, runs.begun ? runs.begun : runs.others));
 }
 
+/* Whether an exit that no quarantined part explains cut off this run, and no earlier one in the
+ * list. */
+static bool
+is_first_of_exit (const struct ash_part_quarantine *quarantine, uint32_t index)
+{
+  const struct ash_part_run *run = &quarantine->runs[index];
+
+  if (!run->proven || run->explained)
+    return false;
+  for (uint32_t i = 0; i < index; i++)
+    if (quarantine->runs[i].proven && is_same_exit (&quarantine->runs[i], run))
+      return false;
+  return true;
+}
+
+/* @return the number of unexplained exits from the first to the last one of the list. */
+static uint32_t
+count_exits_between (const struct ash_part_quarantine *quarantine,
+                     const struct ash_part_run *const runs[],
+                     uint32_t count)
+{
+  struct ash_time first = runs[0]->ended;
+  struct ash_time last = runs[0]->ended;
+  uint32_t exits = 0;
+
+  for (uint32_t i = 1; i < count; i++)
+    {
+      if (ash_time_before (runs[i]->ended, first))
+        first = runs[i]->ended;
+      if (ash_time_before (last, runs[i]->ended))
+        last = runs[i]->ended;
+    }
+  for (uint32_t i = 0; i < kept_runs (quarantine); i++)
+    exits += !ash_time_before (quarantine->runs[i].ended, first) &&
+             !ash_time_before (last, quarantine->runs[i].ended) && is_first_of_exit (quarantine, i);
+  return exits > count ? exits : count;
+}
+
+/* @return the binary logarithm of the number of ways to choose @p chosen of @p all. */
+static double
+choices_bits (uint32_t all, uint32_t chosen)
+{
+  double bits = 0;
+
+  for (uint32_t i = 0; i < chosen; i++)
+    bits += log2 ((double) (all - i) / (i + 1));
+  return bits;
+}
+
 struct ash_part_evidence
 ash_part_quarantine_assess (const struct ash_part_quarantine *quarantine,
                             struct ash_prompt_part part,
@@ -307,6 +359,7 @@
   double share = ash_part_history_share (&quarantine->history, part);
   uint32_t passes = ash_part_history_passes (&quarantine->history, part.service);
   uint32_t most_passes = 0;
+  double pass_bits;
   struct ash_part_evidence evidence = {
     .exits = count,
     .requests = count_requests (runs, count),
@@ -322,8 +375,15 @@
       evidence.passed = evidence.passed || (runs[i]->passed_parts >> index & 1);
       most_passes = passes_since > most_passes ? passes_since : most_passes;
     }
-  /* Since the first of these exits no answer on the part got through, but these others did. */
-  evidence.bits += -log2 (1 - share) * most_passes;
+  /* Any of the parts might be in any of these exits' runs by chance. */
+  if (count)
+    evidence.bits -= choices_bits (count_exits_between (quarantine, runs, count), count) +
+                     log2 (ash_part_history_parts (&quarantine->history) + 1);
+  /* Since the first of these exits no answer on the part got through, but these others did. It may
+   * just not have been asked for, so this counts at most as much as the exits. */
+  pass_bits = -log2 (1 - share) * most_passes;
+  if (evidence.bits > 0)
+    evidence.bits += pass_bits < evidence.bits ? pass_bits : evidence.bits;
   return evidence;
 }
 
@@ -385,7 +445,8 @@
 const struct ash_quarantined_part *
 ash_part_quarantine_judge (struct ash_part_quarantine *quarantine,
                            const struct ash_part_run *run,
-                           struct ash_time now)
+                           struct ash_time now,
+                           struct ash_part_evidence *evidence)
 {
   struct ash_prompt_part worst = { 0 };
   double worst_bits = -1;
@@ -393,22 +454,31 @@
   for (uint32_t i = 0; i < run->parts.count; i++)
     {
       struct ash_prompt_part part = ash_prompt_parts_get (&run->parts, i);
-      struct ash_part_evidence evidence;
+      struct ash_part_evidence against;
       double bits;
 
       if (find_part (quarantine, part))
         continue;
-      evidence = ash_part_quarantine_assess (quarantine, part, now);
-      bits = excess_bits (&evidence);
+      against = ash_part_quarantine_assess (quarantine, part, now);
+      bits = excess_bits (&against);
       if (bits <= worst_bits)
         continue;
       worst = part;
       worst_bits = bits;
+      *evidence = against;
     }
   return worst_bits < 0 ? NULL
                         : quarantine_part (quarantine, worst, ash_time_add (now, QUARANTINE_MS), 0);
 }
 
+bool
+ash_part_quarantine_is_told (const struct ash_part_run *run,
+                             uint32_t routers,
+                             struct ash_random *random)
+{
+  return !run->reported || ash_random_below (random, routers) < TELLING_ROUTERS;
+}
+
 const struct ash_part_run *
 ash_part_quarantine_next_settled (struct ash_part_quarantine *quarantine, struct ash_time now)
 {
--- a/controllers/part_quarantine.h
+++ b/controllers/part_quarantine.h
@@ -14,6 +14,7 @@
 #define ASH_PART_QUARANTINE_H
 
 #include "common/id.h"
+#include "common/random.h"
 #include "controllers/part_history.h"
 
 /** Runs that are kept as evidence. */
@@ -101,10 +102,23 @@
  * Quarantines the part of a run against which the evidence is strongest, if it is strong enough.
  * To be repeated until it returns NULL.
  * @param run as returned by this module.
- * @return the part.
+ * @param evidence set to the evidence against the part that is returned.
  */
-const struct ash_quarantined_part *ash_part_quarantine_judge (
-    struct ash_part_quarantine *quarantine, const struct ash_part_run *run, struct ash_time now);
+const struct ash_quarantined_part *
+ash_part_quarantine_judge (struct ash_part_quarantine *quarantine,
+                           const struct ash_part_run *run,
+                           struct ash_time now,
+                           struct ash_part_evidence *evidence);
+
+/**
+ * Several routers may come to the same conclusion, and one that is told needs no evidence.
+ * @param routers size of the fleet.
+ * @return whether this router tells the others that it has quarantined a part because of this run:
+ * always if it has lost the run, otherwise some of a large fleet.
+ */
+bool ash_part_quarantine_is_told (const struct ash_part_run *run,
+                                  uint32_t routers,
+                                  struct ash_random *random);
 
 /** @return a run that has just settled and must be judged again; NULL: none is left. */
 const struct ash_part_run *ash_part_quarantine_next_settled (struct ash_part_quarantine *quarantine,
--- a/daemon/suspect_parts.c
+++ b/daemon/suspect_parts.c
@@ -164,15 +164,15 @@
            const char *source,
            struct ash_time now)
 {
+  struct ash_router *router = suspects->router;
   const struct ash_quarantined_part *part;
+  struct ash_part_evidence evidence;
 
-  while ((part = ash_part_quarantine_judge (&suspects->quarantine, run, now)))
+  while ((part = ash_part_quarantine_judge (&suspects->quarantine, run, now, &evidence)))
     {
-      struct ash_part_evidence evidence =
-          ash_part_quarantine_assess (&suspects->quarantine, part->part, now);
       struct Ash__PromptPart message = quarantine_message (part, now);
 
-      if (!run->reported)
+      if (ash_part_quarantine_is_told (run, ash_fleet_size (&router->fleet), &router->random))
         send_parts (suspects, &message, 1);
       apply_quarantine (suspects, part, &evidence, source);
     }
@@ -219,7 +219,7 @@
 {
   struct ash_prompt_part part = { message->service, message->id };
   const struct ash_quarantined_part *taken;
-  struct ash_part_evidence evidence;
+  struct ash_part_evidence evidence = ash_part_quarantine_assess (&suspects->quarantine, part, now);
 
   if (message->passed)
     {
@@ -234,10 +234,8 @@
     }
   taken = ash_part_quarantine_take_over (&suspects->quarantine, part, message->left_ms,
                                          message->level, now);
-  if (!taken)
-    return;
-  evidence = ash_part_quarantine_assess (&suspects->quarantine, part, now);
-  apply_quarantine (suspects, taken, &evidence, peer);
+  if (taken)
+    apply_quarantine (suspects, taken, &evidence, peer);
 }
 
 /* @return the run as evidence; NULL: it has no parts, or they are not taken. */
--- a/daemon/suspect_parts.h
+++ b/daemon/suspect_parts.h
@@ -33,8 +33,7 @@
 void ash_suspect_parts_tick (struct ash_suspect_parts *suspects, struct ash_time now);
 
 /**
- * Judges runs that have become evidence of an endpoint's exit. If this router has lost such a run,
- * it tells the others what it quarantines because of it.
+ * Judges runs that have become evidence of an endpoint's exit.
  * @param source who reported them, for the log.
  */
 void ash_suspect_parts_judge (struct ash_suspect_parts *suspects,
--- a/test/unit.c
+++ b/test/unit.c
@@ -727,6 +727,7 @@
   add_prompt_tests (suite);
   add_rows_tests (suite);
   add_quarantine_tests (suite);
+  add_part_quarantine_tests (suite);
   add_terms_tests (suite);
   add_evacuation_tests (suite);
   add_router_tests (suite);
--- a/test/unit.h
+++ b/test/unit.h
@@ -24,6 +24,7 @@
 
 /** Quarantine of requests that repeatedly make endpoints exit. */
 void add_quarantine_tests (CU_pSuite suite);
+void add_part_quarantine_tests (CU_pSuite suite);
 
 /** Terms that endpoints announce in their answers: rates, back-off times, and leaving. */
 void add_terms_tests (CU_pSuite suite);
