part_quarantine: shares by what was seen, bits by request; thresholds 3 and 7 bits

Changed: each further run counts towards the share; a second run of the same request adds no bits; passes without the part count at most as much as the exits before corrections.

--- a/controllers/part_history.c
+++ b/controllers/part_history.c
@@ -147,13 +147,17 @@
 }
 
 double
-ash_part_history_share (const struct ash_part_history *history, struct ash_prompt_part part)
+ash_part_history_share (const struct ash_part_history *history,
+                        struct ash_prompt_part part,
+                        uint32_t more)
 {
   const struct ash_part_service *service = find_service (history, part.service);
   const struct ash_part_record *record = find_record (history, part);
+  uint32_t with_part = (record ? record->requests : 0) + more;
+  uint32_t all = (service ? service->requests : 0) + more;
 
   /* One request with the part and one without are added, so that a few requests prove little. */
-  return ((record ? record->requests : 0) + 1.0) / ((service ? service->requests : 0) + 2.0);
+  return (with_part + 1.0) / (all + 2.0);
 }
 
 uint32_t
--- a/controllers/part_history.h
+++ b/controllers/part_history.h
@@ -63,9 +63,14 @@
 struct ash_time ash_part_history_passed_at (const struct ash_part_history *history,
                                             struct ash_prompt_part part);
 
-/** @return the share of the service's requests that have the part, above 0 and below 1; a half if
- * none was seen. */
-double ash_part_history_share (const struct ash_part_history *history, struct ash_prompt_part part);
+/**
+ * @param more number of further requests, all of which had the part.
+ * @return the share of the service's requests that have the part, above 0 and below 1. If none was
+ * seen it is a half.
+ */
+double ash_part_history_share (const struct ash_part_history *history,
+                               struct ash_prompt_part part,
+                               uint32_t more);
 
 /** @return how many different parts are kept. */
 uint32_t ash_part_history_parts (const struct ash_part_history *history);
--- a/controllers/part_quarantine.c
+++ b/controllers/part_quarantine.c
@@ -8,11 +8,12 @@
 #define EXITS_MIN 3
 #define REQUESTS_MIN 2
 
-/* Required evidence in bits: one in 32 that some part is in the cut off runs by chance only. */
-#define BITS_MIN 5.0
+/* Required evidence in bits: one in 8 that, of all parts and exits, some come together by chance.
+ * That is little because exits are rare, and a sound part is soon cleared. */
+#define BITS_MIN 3.0
 
 /* The same for a part on which answers got through lately: it must have become bad just now. */
-#define BITS_MIN_PASSED 10.0
+#define BITS_MIN_PASSED 7.0
 
 /* "Lately": a part that is used is used again within a minute. */
 #define PASSED_LATELY_MS (60 * 1000)
@@ -247,20 +248,14 @@
   return false;
 }
 
-static uint32_t
-count_requests (const struct ash_part_run *const runs[], uint32_t count)
+/* Whether no earlier run of the list is of the same request. */
+static bool
+is_first_of_request (const struct ash_part_run *const runs[], uint32_t index)
 {
-  uint32_t different = 0;
-
-  for (uint32_t i = 0; i < count; i++)
-    {
-      uint32_t first = 0;
-
-      while (!ash_id_equal (runs[first]->request, runs[i]->request))
-        first++;
-      different += first == i;
-    }
-  return different;
+  for (uint32_t i = 0; i < index; i++)
+    if (ash_id_equal (runs[i]->request, runs[index]->request))
+      return false;
+  return true;
 }
 
 /* Finds the runs that count against a part, one of each endpoint. @return their number. */
@@ -357,36 +352,39 @@
                             struct ash_prompt_part part,
                             struct ash_time now)
 {
+  const struct ash_part_history *history = &quarantine->history;
   const struct ash_part_run *runs[EXITS_COUNTED_MAX];
-  uint32_t count = find_candidates (quarantine, part, now, runs);
-  double share = ash_part_history_share (&quarantine->history, part);
-  uint32_t passes = ash_part_history_passes (&quarantine->history, part.service);
+  uint32_t passes = ash_part_history_passes (history, part.service);
   uint32_t most_passes = 0;
   double pass_bits;
   struct ash_part_evidence evidence = {
-    .exits = count,
-    .requests = count_requests (runs, count),
+    .exits = find_candidates (quarantine, part, now, runs),
     .passed = passed_lately (quarantine, part, now),
   };
 
-  for (uint32_t i = 0; i < count; i++)
+  for (uint32_t i = 0; i < evidence.exits; i++)
     {
       uint32_t index = ash_prompt_parts_find (&runs[i]->parts, part);
       uint32_t passes_since = passes - runs[i]->passes_before;
 
-      evidence.bits += exit_bits (quarantine, runs[i], share, now);
       evidence.passed = evidence.passed || (runs[i]->passed_parts >> index & 1);
       most_passes = passes_since > most_passes ? passes_since : most_passes;
+      /* Another run of the same request has the same parts: it doesn't tell them apart. */
+      if (!is_first_of_request (runs, i))
+        continue;
+      evidence.bits += exit_bits (quarantine, runs[i],
+                                  ash_part_history_share (history, part, evidence.requests), now);
+      evidence.requests++;
     }
-  /* Any of the parts might be in any of these exits' runs by chance. */
-  if (count)
-    evidence.bits -= choices_bits (count_exits_between (quarantine, runs, count), count) +
-                     log2 (ash_part_history_parts (&quarantine->history) + 1);
   /* Since the first of these exits no answer on the part got through, but these others did. It may
    * just not have been asked for, so this counts at most as much as the exits. */
-  pass_bits = -log2 (1 - share) * most_passes;
-  if (evidence.bits > 0)
-    evidence.bits += pass_bits < evidence.bits ? pass_bits : evidence.bits;
+  pass_bits = -log2 (1 - ash_part_history_share (history, part, 0)) * most_passes;
+  evidence.bits += pass_bits < evidence.bits ? pass_bits : evidence.bits;
+  /* Any of the parts might be in any of these exits' runs by chance. */
+  if (evidence.exits)
+    evidence.bits -=
+        choices_bits (count_exits_between (quarantine, runs, evidence.exits), evidence.exits) +
+        log2 (ash_part_history_parts (history) + 1);
   return evidence;
 }
 
--- a/filters/forward.h
+++ b/filters/forward.h
@@ -96,7 +96,7 @@
       *room;              /**< demand for the service by priority; NULL: priorities don't matter */
   double reserve;         /**< see ash_priority_room_reserved() */
   int64_t quarantined_ms; /**< remaining quarantine of the request; 0: not quarantined */
-  bool suspected; /**< the request was sent, and endpoints may have ended because of it */
+  bool suspected;         /**< the request was sent, and endpoints may have ended because of it */
 };
 
 /** Decides what to do with the request at time @p now. */
--- a/test/unit_part_quarantine.c
+++ b/test/unit_part_quarantine.c
@@ -61,7 +61,7 @@
 init_busy (struct ash_part_quarantine *quarantine)
 {
   *quarantine = (struct ash_part_quarantine){ 0 };
-  for (uint32_t i = 0; i < 300; i++)
+  for (uint32_t i = 0; i < 3000; i++)
     {
       struct ash_prompt_parts parts = parts_of (FIRST, 1000 + i % 100);
       struct ash_prompt_parts told;
@@ -310,6 +310,7 @@
   check_known_everywhere ("a bad part at any place");
   check_known_everywhere ("a bad part in a burst");
   check_known_everywhere ("heads that come late");
+  check_known_everywhere ("a fleet of 300");
   check_bad_load ("two bad parts of two routes");
   check_bad_load ("a bad part with a companion");
   check_bad_load ("a part that becomes bad");
