--- a/bench/part_sim.c
+++ b/bench/part_sim.c
@@ -155,9 +155,9 @@
 judge (struct sim *sim, uint32_t router, const struct ash_part_run *run)
 {
   const struct ash_quarantined_part *part;
-  struct ash_part_evidence evidence;
+  struct ash_part_verdict verdict;
 
-  while ((part = ash_part_quarantine_judge (&sim->routers[router], run, now_of (sim), &evidence)))
+  while ((part = ash_part_quarantine_judge (&sim->routers[router], run, now_of (sim), &verdict)))
     {
       note_quarantine (sim, router, part->part);
       if (ash_part_quarantine_is_told (run, sim->setup->routers, &sim->random))
@@ -343,7 +343,7 @@
   if (request->endpoint == endpoint_count (sim))
     return;
   if (!request->attempts++)
-    ash_part_history_note_request (&quarantine->history, &request->parts);
+    ash_part_history_note_request (&quarantine->evidence.history, &request->parts);
   ash_part_quarantine_note_sent (quarantine, &request->parts, now_of (sim));
   request->active = true;
   request->events = 0;
@@ -552,7 +552,7 @@
     {
       const struct ash_part_run *run;
 
-      while ((run = ash_part_quarantine_next_settled (&sim->routers[r], now_of (sim))))
+      while ((run = ash_part_evidence_next_settled (&sim->routers[r].evidence, now_of (sim))))
         judge (sim, r, run);
       ash_part_quarantine_tick (&sim->routers[r], now_of (sim));
     }
--- a/bench/parts.c
+++ b/bench/parts.c
@@ -169,7 +169,7 @@
           struct ash_prompt_parts told;
 
           ash_part_quarantine_left_ms (quarantine, &parts, now, false);
-          ash_part_history_note_request (&quarantine->history, &parts);
+          ash_part_history_note_request (&quarantine->evidence.history, &parts);
           ash_part_quarantine_note_pass (quarantine, &parts, now, &told);
         }
       printf ("deciding, counting and a pass of three parts, %s evidence: %.0f ns\n",
--- a/controllers/part_quarantine.h
+++ b/controllers/part_quarantine.h
@@ -2,48 +2,19 @@
  * @file
  * Quarantine of parts of prompts on which endpoint processes exit: the process of each endpoint
  * that begins an answer to a prompt with the part exits, whatever else the prompt holds. The
- * requests differ, and sound requests share their other parts; so the part is inferred from all
- * runs that were cut off when endpoints exited, and from the answers that got through.
- *
- * An exit is evidence against the parts of the runs that had just begun there. It counts as many
- * bits as it is surprising that the part was among them by chance: none for a part that all
- * requests share, several for a rare one. An answer that got through cancels all earlier evidence
- * against its parts.
+ * requests differ, and sound requests share their other parts; so the part is inferred from
+ * evidence (controllers/part_evidence). After its quarantine, single requests show whether
+ * endpoints still exit.
  */
 #ifndef ASH_PART_QUARANTINE_H
 #define ASH_PART_QUARANTINE_H
 
-#include "common/id.h"
 #include "common/random.h"
-#include "controllers/part_history.h"
-
-/** Runs that are kept as evidence. */
-#define ASH_PART_RUNS 128
+#include "controllers/part_evidence.h"
 
 /** Maximum number of quarantined parts. */
 #define ASH_PART_QUARANTINED_MAX 32
 
-/** An answer has got through once this many of its events have arrived: its endpoint has survived
- * the beginning. */
-#define ASH_PART_PASS_EVENTS 3
-
-/** A run that was cut off before its answer had got through. */
-struct ash_part_run
-{
-  struct ash_id request; /**< digest of the request's content */
-  uint64_t endpoint;     /**< hash of the endpoint's id */
-  struct ash_time sent;
-  struct ash_time ended;
-  bool begun; /**< the head of the answer had been received, and no event */
-  struct ash_prompt_parts parts;
-  uint32_t passed_parts;  /**< bit i: an answer on part i got through at some router lately */
-  bool reported;          /**< by another router */
-  bool proven;            /**< the endpoint's process exited */
-  bool settled;           /**< all routers have reported what they lost by the exit */
-  bool explained;         /**< a part of it is quarantined: its exit tells nothing about others */
-  uint32_t passes_before; /**< answers of the service that had got through at this router */
-};
-
 /** A quarantined part. */
 struct ash_quarantined_part
 {
@@ -54,23 +25,10 @@
   UT_hash_handle hh;
 };
 
-/** Evidence against a part. */
-struct ash_part_evidence
-{
-  uint32_t exits;    /**< endpoints that exited */
-  uint32_t requests; /**< different requests during which they did */
-  double bits;       /**< how surprising that is by chance */
-  bool passed;       /**< answers on the part got through lately, before these exits */
-};
-
 /** All evidence, and what is quarantined. Valid when zeroed. */
 struct ash_part_quarantine
 {
-  struct ash_part_history history;
-  struct ash_part_run runs[ASH_PART_RUNS];
-  uint32_t run_count; /**< runs recorded since the start; the newest is at (run_count - 1) %
-                         ASH_PART_RUNS */
-  struct ash_time evidence_at;        /**< when a run was last proven */
+  struct ash_part_evidence evidence;
   struct ash_quarantined_part *parts; /**< in the order in which they were quarantined */
 };
 
@@ -93,22 +51,17 @@
                                                         const struct ash_part_run *run,
                                                         struct ash_time now);
 
-/** @return the evidence against a part. */
-struct ash_part_evidence ash_part_quarantine_assess (const struct ash_part_quarantine *quarantine,
-                                                     struct ash_prompt_part part,
-                                                     struct ash_time now);
-
 /**
  * Quarantines the part of a run against which the evidence is strongest, if it is strong enough.
  * To be repeated until it returns NULL.
  * @param run as returned by this module.
- * @param evidence set to the evidence against the part that is returned.
+ * @param verdict set to what the evidence says of the part that is returned.
  */
 const struct ash_quarantined_part *
 ash_part_quarantine_judge (struct ash_part_quarantine *quarantine,
                            const struct ash_part_run *run,
                            struct ash_time now,
-                           struct ash_part_evidence *evidence);
+                           struct ash_part_verdict *verdict);
 
 /**
  * Several routers may come to the same conclusion, and one that is told needs no evidence.
--- a/daemon/exchange_cut.c
+++ b/daemon/exchange_cut.c
@@ -167,7 +167,7 @@
   const struct ash_prompt_parts *parts = &exchange->facts.parts;
 
   if (!exchange->forward.sent)
-    ash_part_history_note_request (&quarantine->history, parts);
+    ash_part_history_note_request (&quarantine->evidence.history, parts);
   if (ash_part_quarantine_note_sent (quarantine, parts, ash_clock_now ()))
     ash_log_event (&exchange->router->log, ASH_EV_PART_TRIED, "id=%s route=%s",
                    ash_exchange_id (exchange), exchange->route->name);
--- a/daemon/suspect_parts.c
+++ b/daemon/suspect_parts.c
@@ -83,17 +83,16 @@
 
 /* @return how many of the newest runs that are evidence were described. */
 static size_t
-describe_runs (const struct ash_part_quarantine *quarantine,
+describe_runs (const struct ash_part_evidence *evidence,
                struct Ash__SuspectRun messages[SEND_RUNS_MAX],
                struct ash_time now)
 {
-  uint32_t kept = quarantine->run_count < ASH_PART_RUNS ? quarantine->run_count : ASH_PART_RUNS;
+  uint32_t kept = ash_part_evidence_kept (evidence);
   size_t count = 0;
 
   for (uint32_t i = 1; i <= kept && count < SEND_RUNS_MAX; i++)
     {
-      const struct ash_part_run *run =
-          &quarantine->runs[(quarantine->run_count - i) % ASH_PART_RUNS];
+      const struct ash_part_run *run = &evidence->runs[(evidence->run_count - i) % ASH_PART_RUNS];
       struct Ash__SuspectRun *message = &messages[count];
 
       if (!run->proven)
@@ -122,7 +121,7 @@
   struct Ash__Event event = ash_event_wrap ("", ASH__EVENT__KIND_SUSPECT_RUNS, &report);
   const struct ash_quarantined_part *part = suspects->quarantine.parts;
 
-  report.n_runs = describe_runs (&suspects->quarantine, runs, now);
+  report.n_runs = describe_runs (&suspects->quarantine.evidence, runs, now);
   for (size_t i = 0; i < report.n_runs; i++)
     run_list[i] = &runs[i];
   report.runs = run_list;
@@ -143,7 +142,7 @@
 static void
 apply_quarantine (struct ash_suspect_parts *suspects,
                   const struct ash_quarantined_part *part,
-                  const struct ash_part_evidence *evidence,
+                  const struct ash_part_verdict *verdict,
                   const char *source)
 {
   struct ash_router *router = suspects->router;
@@ -153,7 +152,7 @@
                  "service=%s part=%llx exits=%u requests=%u bits=%.1f passed=%d for_ms=%lld "
                  "level=%u source=%s",
                  service_name (router, part->part.service), (unsigned long long) part->part.id,
-                 evidence->exits, evidence->requests, evidence->bits, evidence->passed,
+                 verdict->exits, verdict->requests, verdict->bits, verdict->passed,
                  (long long) ash_time_diff (ash_clock_now (), part->until), part->level, source);
   suspects->quarantined (router, part->part);
 }
@@ -166,15 +165,15 @@
 {
   struct ash_router *router = suspects->router;
   const struct ash_quarantined_part *part;
-  struct ash_part_evidence evidence;
+  struct ash_part_verdict verdict;
 
-  while ((part = ash_part_quarantine_judge (&suspects->quarantine, run, now, &evidence)))
+  while ((part = ash_part_quarantine_judge (&suspects->quarantine, run, now, &verdict)))
     {
       struct Ash__PromptPart message = quarantine_message (part, now);
 
       if (ash_part_quarantine_is_told (run, ash_fleet_size (&router->fleet), &router->random))
         send_parts (suspects, &message, 1);
-      apply_quarantine (suspects, part, &evidence, source);
+      apply_quarantine (suspects, part, &verdict, source);
     }
 }
 
@@ -219,7 +218,8 @@
 {
   struct ash_prompt_part part = { message->service, message->id };
   const struct ash_quarantined_part *taken;
-  struct ash_part_evidence evidence = ash_part_quarantine_assess (&suspects->quarantine, part, now);
+  struct ash_part_verdict verdict =
+      ash_part_evidence_assess (&suspects->quarantine.evidence, part, now);
 
   if (message->passed)
     {
@@ -235,7 +235,7 @@
   taken = ash_part_quarantine_take_over (&suspects->quarantine, part, message->left_ms,
                                          message->level, now);
   if (taken)
-    apply_quarantine (suspects, taken, &evidence, peer);
+    apply_quarantine (suspects, taken, &verdict, peer);
 }
 
 /* @return the run as evidence; NULL: it has no parts, or they are not taken. */
@@ -310,7 +310,7 @@
 {
   const struct ash_part_run *run;
 
-  while ((run = ash_part_quarantine_next_settled (&suspects->quarantine, now)))
+  while ((run = ash_part_evidence_next_settled (&suspects->quarantine.evidence, now)))
     judge_run (suspects, run, "own", now);
   ash_part_quarantine_tick (&suspects->quarantine, now);
 }
--- a/test/unit_part_quarantine.c
+++ b/test/unit_part_quarantine.c
@@ -66,7 +66,7 @@
       struct ash_prompt_parts parts = parts_of (FIRST, 1000 + i % 100);
       struct ash_prompt_parts told;
 
-      ash_part_history_note_request (&quarantine->history, &parts);
+      ash_part_history_note_request (&quarantine->evidence.history, &parts);
       ash_part_quarantine_note_pass (quarantine, &parts, at (-1000), &told);
       CU_ASSERT_EQUAL (told.count, 0);
     }
@@ -77,10 +77,10 @@
 add_run (struct ash_part_quarantine *quarantine, struct ash_part_run run, struct ash_time now)
 {
   const struct ash_part_run *kept = ash_part_quarantine_add_run (quarantine, &run, now);
-  struct ash_part_evidence evidence;
+  struct ash_part_verdict verdict;
   uint32_t count = 0;
 
-  while (kept && ash_part_quarantine_judge (quarantine, kept, now, &evidence))
+  while (kept && ash_part_quarantine_judge (quarantine, kept, now, &verdict))
     count++;
   return count;
 }
@@ -149,7 +149,7 @@
 {
   struct ash_part_quarantine quarantine;
   const struct ash_part_run *settled;
-  struct ash_part_evidence evidence;
+  struct ash_part_verdict verdict;
   uint32_t count = 0;
 
   init_busy (&quarantine);
@@ -160,8 +160,8 @@
       run.begun = false;
       CU_ASSERT_EQUAL (add_run (&quarantine, run, at (10 * i)), 0);
     }
-  while ((settled = ash_part_quarantine_next_settled (&quarantine, at (300))))
-    while (ash_part_quarantine_judge (&quarantine, settled, at (300), &evidence))
+  while ((settled = ash_part_evidence_next_settled (&quarantine.evidence, at (300))))
+    while (ash_part_quarantine_judge (&quarantine, settled, at (300), &verdict))
       count++;
   CU_ASSERT_EQUAL (count, 1);
   CU_ASSERT (is_kept_away (&quarantine, BAD, at (300)));
@@ -175,8 +175,8 @@
       add_run (&quarantine, run, at (500 + 10 * i));
       add_run (&quarantine, begun, at (500 + 10 * i));
     }
-  while ((settled = ash_part_quarantine_next_settled (&quarantine, at (900))))
-    CU_ASSERT_PTR_NULL (ash_part_quarantine_judge (&quarantine, settled, at (900), &evidence));
+  while ((settled = ash_part_evidence_next_settled (&quarantine.evidence, at (900))))
+    CU_ASSERT_PTR_NULL (ash_part_quarantine_judge (&quarantine, settled, at (900), &verdict));
   ash_part_quarantine_finish (&quarantine);
 }
 
@@ -255,12 +255,12 @@
       struct ash_prompt_parts parts = parts_of (i, 10000 + i);
 
       parts.service = i % 300;
-      ash_part_history_note_request (&quarantine.history, &parts);
+      ash_part_history_note_request (&quarantine.evidence.history, &parts);
       ash_part_quarantine_take_over (&quarantine, part_of (i), 5000, 0, at (0));
       add_run (&quarantine, run_of (i, 0, parts), at (0));
     }
-  CU_ASSERT (ash_part_history_parts (&quarantine.history) <= ASH_PART_HISTORY_PARTS_MAX);
-  CU_ASSERT (HASH_COUNT (quarantine.history.services) <= ASH_PART_HISTORY_SERVICES_MAX);
+  CU_ASSERT (ash_part_history_parts (&quarantine.evidence.history) <= ASH_PART_HISTORY_PARTS_MAX);
+  CU_ASSERT (HASH_COUNT (quarantine.evidence.history.services) <= ASH_PART_HISTORY_SERVICES_MAX);
   CU_ASSERT (HASH_COUNT (quarantine.parts) <= ASH_PART_QUARANTINED_MAX);
   ash_part_quarantine_finish (&quarantine);
 }
