--- a/test/router_prompt_parts.c
+++ b/test/router_prompt_parts.c
@@ -19,24 +19,6 @@
 
 #define SUBMISSIONS 10
 
-/* Restarts the servers that crashed, and waits until both routers have listed them. @return how
- * many had crashed. */
-static int
-restart_servers (void)
-{
-  int count = testbed_restart_servers (&testbed);
-
-  for (int s = 0; count && s < TESTBED_SERVERS; s++)
-    for (int r = 0; r < 2; r++)
-      {
-        char text[48];
-
-        snprintf (text, sizeof text, "endpoint=%s ", testbed.servers[s].id);
-        CU_ASSERT (testbed_wait_logged (&testbed, r, text));
-      }
-  return count;
-}
-
 /* Sends a streaming request whose path and last part are its own.
  * @param shared_parts the parts before the last one. */
 static void
--- a/test/router_quarantine.c
+++ b/test/router_quarantine.c
@@ -25,24 +25,6 @@
 
 #define SUBMISSIONS 6
 
-/* Restarts the servers that crashed, and waits until both routers have listed them. @return how
- * many had crashed. */
-static int
-restart_servers (void)
-{
-  int count = testbed_restart_servers (&testbed);
-
-  for (int s = 0; count && s < TESTBED_SERVERS; s++)
-    for (int r = 0; r < 2; r++)
-      {
-        char text[48];
-
-        snprintf (text, sizeof text, "endpoint=%s ", testbed.servers[s].id);
-        CU_ASSERT (testbed_wait_logged (&testbed, r, text));
-      }
-  return count;
-}
-
 /* Repeats a request that crashes its endpoint, under new ids, at both routers in turn. */
 static void
 check_quarantined (const char *path, const char *action)
--- a/test/router_tests.c
+++ b/test/router_tests.c
@@ -34,6 +34,22 @@
   CU_ASSERT_TRUE_FATAL (testbed_wait_ready (&testbed, 0, true));
 }
 
+int
+restart_servers (void)
+{
+  int count = testbed_restart_servers (&testbed);
+
+  for (int s = 0; count && s < TESTBED_SERVERS; s++)
+    for (int r = 0; r < 2; r++)
+      {
+        char text[48];
+
+        snprintf (text, sizeof text, "endpoint=%s ", testbed.servers[s].id);
+        CU_ASSERT (testbed_wait_logged (&testbed, r, text));
+      }
+  return count;
+}
+
 void
 wait_arrived (const char *id)
 {
--- a/test/router_tests.h
+++ b/test/router_tests.h
@@ -64,6 +64,10 @@
  * is ready. */
 void restart_router (void);
 
+/** Restarts the servers that crashed, and waits until the first two routers have listed them.
+ * @return how many had crashed. */
+int restart_servers (void);
+
 /** Waits until a server has received the request, for about 1 s at most. */
 void wait_arrived (const char *id);
 
