--- a/controllers/part_evidence.c
+++ b/controllers/part_evidence.c
@@ -3,13 +3,13 @@
 #include <math.h>
 #include <stdlib.h>
 
-/* "Lately": a part that is used is used again within a minute. */
+/* How recent a pass is "lately": a part in use is used again within a minute. */
 #define PASSED_LATELY_MS (60 * 1000)
 
 /* Evidence is not older than this. */
 #define EVIDENCE_MS (10 * 60 * 1000)
 
-/* By then all routers have reported the runs that they lost by an exit. */
+/* All routers have reported the runs that they lost by an exit after this time. */
 #define SETTLE_MS 250
 
 /* An endpoint's process takes longer than this to start again and to begin an answer. */
--- a/filters/request_fields.h
+++ b/filters/request_fields.h
@@ -23,7 +23,7 @@
   uint32_t prompt_tokens;
   uint32_t answer_tokens_max;
   uint32_t answer_tokens_estimate; /**< estimated by the caller; often far off */
-  struct ash_prompt_parts parts;   /**< parts of the prompt; the service is not set */
+  struct ash_prompt_parts parts;   /**< the service is set once the route is known */
 };
 
 /** Fields of an endpoint's answer. Strings belong to the message head. */
