suspects: what a router is told of parts makes no cleared request suspected again

What callers would see: a sound request that had been cleared by a complete answer was suspected again at each router whose link came up, and one more end of an endpoint kept it away for ten minutes. Cause: runs that are kept as evidence of parts are sent to a new link, and the receiver took them as evidence of their requests too, whose clearance is not kept. Change: such runs travel in a list of their own, part_runs, which a router of before ignores. Test: 'a cleared request stays cleared at a router that comes', 3 of 3 fail before, 3 of 3 pass.

--- a/daemon/suspect_parts.c
+++ b/daemon/suspect_parts.c
@@ -121,10 +121,10 @@
   struct Ash__Event event = ash_event_wrap ("", ASH__EVENT__KIND_SUSPECT_RUNS, &report);
   const struct ash_quarantined_part *part = suspects->quarantine.parts;
 
-  report.n_runs = describe_runs (&suspects->quarantine.evidence, runs, now);
-  for (size_t i = 0; i < report.n_runs; i++)
+  report.n_part_runs = describe_runs (&suspects->quarantine.evidence, runs, now);
+  for (size_t i = 0; i < report.n_part_runs; i++)
     run_list[i] = &runs[i];
-  report.runs = run_list;
+  report.part_runs = run_list;
   for (; part; part = part->hh.next)
     {
       parts[report.n_parts] = quarantine_message (part, now);
@@ -132,7 +132,7 @@
       report.n_parts++;
     }
   report.parts = part_list;
-  if (report.n_runs || report.n_parts)
+  if (report.n_part_runs || report.n_parts)
     ash_peers_send (&suspects->router->fleet.links, box, &event);
 }
 
@@ -268,6 +268,25 @@
   return ash_part_quarantine_add_run (&suspects->quarantine, &run, now);
 }
 
+/* Adds runs to the evidence. @return how many of them are new, in @p added. */
+static size_t
+receive_runs (struct ash_suspect_parts *suspects,
+              const char *peer,
+              struct Ash__SuspectRun *const messages[],
+              size_t count,
+              const struct ash_part_run *added[ASH_PART_RUNS])
+{
+  struct ash_time now = ash_clock_now ();
+  size_t added_count = 0;
+
+  for (size_t i = 0; i < count && added_count < ASH_PART_RUNS; i++)
+    {
+      added[added_count] = receive_run (suspects, peer, messages[i], now);
+      added_count += added[added_count] != NULL;
+    }
+  return added_count;
+}
+
 void
 ash_suspect_parts_receive (struct ash_suspect_parts *suspects,
                            const char *peer,
@@ -275,16 +294,14 @@
 {
   const struct ash_part_run *runs[ASH_PART_RUNS];
   struct ash_time now = ash_clock_now ();
-  size_t run_count = 0;
+  size_t count;
 
-  for (size_t i = 0; i < message->n_runs && run_count < ASH_PART_RUNS; i++)
-    {
-      runs[run_count] = receive_run (suspects, peer, message->runs[i], now);
-      run_count += runs[run_count] != NULL;
-    }
   for (size_t i = 0; i < message->n_parts && i < ASH_PART_QUARANTINED_MAX; i++)
     receive_part (suspects, peer, message->parts[i], now);
-  ash_suspect_parts_judge (suspects, runs, run_count, peer);
+  count = receive_runs (suspects, peer, message->part_runs, message->n_part_runs, runs);
+  ash_suspect_parts_judge (suspects, runs, count, peer);
+  count = receive_runs (suspects, peer, message->runs, message->n_runs, runs);
+  ash_suspect_parts_judge (suspects, runs, count, peer);
 }
 
 /* ---- start and end ---- */
--- a/proto/ash.pb-c.c
+++ b/proto/ash.pb-c.c
@@ -3203,7 +3203,7 @@
   (ProtobufCMessageInit) ash__prompt_part__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ash__suspect_runs__field_descriptors[2] =
+static const ProtobufCFieldDescriptor ash__suspect_runs__field_descriptors[3] =
 {
   {
     "runs",
@@ -3229,15 +3229,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part_runs",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ash__SuspectRuns, n_part_runs),
+    offsetof(Ash__SuspectRuns, part_runs),
+    &ash__suspect_run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ash__suspect_runs__field_indices_by_name[] = {
+  2,   /* field[2] = part_runs */
   1,   /* field[1] = parts */
   0,   /* field[0] = runs */
 };
 static const ProtobufCIntRange ash__suspect_runs__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor ash__suspect_runs__descriptor =
 {
@@ -3247,7 +3260,7 @@
   "Ash__SuspectRuns",
   "ash",
   sizeof(Ash__SuspectRuns),
-  2,
+  3,
   ash__suspect_runs__field_descriptors,
   ash__suspect_runs__field_indices_by_name,
   1,  ash__suspect_runs__number_ranges,
--- a/proto/ash.pb-c.h
+++ b/proto/ash.pb-c.h
@@ -576,10 +576,15 @@
   Ash__SuspectRun **runs;
   size_t n_parts;
   Ash__PromptPart **parts;
+  /*
+   * evidence about parts only: their requests may have been cleared
+   */
+  size_t n_part_runs;
+  Ash__SuspectRun **part_runs;
 };
 #define ASH__SUSPECT_RUNS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ash__suspect_runs__descriptor) \
-    , 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/test/router_prompt_parts.c
+++ b/test/router_prompt_parts.c
@@ -138,6 +138,30 @@
   testbed_stop (&testbed);
 }
 
+/* What a router tells a peer about parts must not make the peer suspect a request again that has
+ * been cleared. */
+static void
+test_cleared_request (void)
+{
+  static const char parts[] = "Ashspindle-Prefix-Hash: aaa:40,ccc:30,eee:5\r\n";
+
+  start_routers (2);
+  testbed_call_at (&testbed, 0, "end", "/once/often", "*=end", parts, &answer);
+  CU_ASSERT_EQUAL (restart_servers (), 1);
+  testbed_call_at (&testbed, 1, "often", "/once/often", NULL, parts, &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  CU_ASSERT (testbed_wait_logged (&testbed, 0, " quarantine_cleared "));
+  fleet_end_process (&testbed.routers[1].pid, SIGKILL);
+  testbed_start_router (&testbed, 1);
+  CU_ASSERT (testbed_wait_ready (&testbed, 1, true));
+  CU_ASSERT (testbed_wait_logged (&testbed, 1, " link_up "));
+  fleet_sleep_ms (300);
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (testbed_fetch (testbed.routers[1].metrics_port, "GET", "/metrics", ""),
+              "\nash_suspects{} 0\n"));
+  testbed_stop (&testbed);
+}
+
 /* A copy that waits at an endpoint when the part is found out is taken back. */
 static void
 test_copy_taken_back (void)
@@ -166,6 +190,7 @@
   { "a prompt part that ends endpoints is kept away", test_part_quarantined },
   { "a router that comes learns which parts are kept away", test_new_router },
   { "a prompt part whose answers get through is not suspected", test_part_cleared },
+  { "a cleared request stays cleared at a router that comes", test_cleared_request },
   { "a copy with a prompt part that is kept away is taken back", test_copy_taken_back },
   { NULL, NULL },
 };
