test: the check of buffered answers reads the figure, not its type line

metric ("ash_answer_bytes ") found '# TYPE ash_answer_bytes gauge' and read 0 from it, so the bound on buffered answers was checked against 0.

--- a/test/router_slow_readers.c
+++ b/test/router_slow_readers.c
@@ -77,7 +77,7 @@
     fds[i] = begin_caller (i, path, action);
   while (cut_off < IDLE_CALLERS && fleet_now_ms () < began_ms + CUT_OFF_MS)
     {
-      CU_ASSERT (metric ("ash_answer_bytes ") <= ANSWERS_MAX_BYTES);
+      CU_ASSERT (metric ("\nash_answer_bytes{} ") <= ANSWERS_MAX_BYTES);
       testbed_call (&testbed, "other", "/once/x", NULL, "", &answer);
       CU_ASSERT_EQUAL (answer.status, 200);
       cut_off = testbed_count_logged (&testbed, 0, " forward_unread ");
@@ -92,7 +92,7 @@
       close (fds[i]);
       fds[i] = -1;
     }
-  CU_ASSERT_EQUAL (metric ("ash_answer_bytes "), 0);
+  CU_ASSERT_EQUAL (metric ("\nash_answer_bytes{} "), 0);
   testbed_stop (&testbed);
 }
 
