part_evidence: an exit's runs are counted once a weighing

find_candidates() counted the runs of each exit to choose the candidates, and exit_bits() counted them again: a scan of all kept runs each. A candidate now carries the count. A peer's word that a part passed no longer weighs the part first.

--- a/controllers/part_evidence.c
+++ b/controllers/part_evidence.c
@@ -158,31 +158,39 @@
   return !runs->explained && (run->begun || (!runs->begun && runs->settled));
 }
 
+/* A run that counts against a part. */
+struct candidate
+{
+  const struct ash_part_run *run;
+  uint32_t
+      among; /* runs that its exit cut off and that may be the cause as well, itself included */
+};
+
 static bool
-has_exit (const struct ash_part_run *const runs[], uint32_t count, const struct ash_part_run *run)
+has_exit (const struct candidate found[], uint32_t count, const struct ash_part_run *run)
 {
   for (uint32_t i = 0; i < count; i++)
-    if (is_same_exit (runs[i], run))
+    if (is_same_exit (found[i].run, run))
       return true;
   return false;
 }
 
 /* Whether no earlier run of the list is of the same request. */
 static bool
-is_first_of_request (const struct ash_part_run *const runs[], uint32_t index)
+is_first_of_request (const struct candidate found[], uint32_t index)
 {
   for (uint32_t i = 0; i < index; i++)
-    if (ash_id_equal (runs[i]->request, runs[index]->request))
+    if (ash_id_equal (found[i].run->request, found[index].run->request))
       return false;
   return true;
 }
 
-/* Finds the runs that count against a part, one of each endpoint. @return their number. */
+/* Finds the runs that count against a part, one of each exit. @return their number. */
 static uint32_t
 find_candidates (const struct ash_part_evidence *evidence,
                  struct ash_prompt_part part,
                  struct ash_time now,
-                 const struct ash_part_run *found[EXITS_COUNTED_MAX])
+                 struct candidate found[EXITS_COUNTED_MAX])
 {
   struct ash_time since = ash_time_add (now, -EVIDENCE_MS);
   struct ash_time passed_at = ash_part_history_passed_at (&evidence->history, part);
@@ -200,21 +208,16 @@
         continue;
       runs = runs_of_exit (evidence, run, now);
       if (is_candidate (run, &runs))
-        found[count++] = run;
+        found[count++] = (struct candidate){ run, runs.begun ? runs.begun : runs.others };
     }
   return count;
 }
 
-/* How surprising it is that a part with this share is in one of the runs that an exit cut off. */
+/* How surprising it is that a part with this share is in one of so many runs. */
 static double
-exit_bits (const struct ash_part_evidence *evidence,
-           const struct ash_part_run *run,
-           double share,
-           struct ash_time now)
+exit_bits (double share, uint32_t runs)
 {
-  struct exit_runs runs = runs_of_exit (evidence, run, now);
-
-  return -log2 (1 - pow (1 - share, runs.begun ? runs.begun : runs.others));
+  return -log2 (1 - pow (1 - share, runs));
 }
 
 /* Whether an exit that no quarantined part explains cut off this run, and no earlier one in the
@@ -235,19 +238,19 @@
 /* @return the number of unexplained exits from the first to the last one of the list. */
 static uint32_t
 count_exits_between (const struct ash_part_evidence *evidence,
-                     const struct ash_part_run *const runs[],
+                     const struct candidate found[],
                      uint32_t count)
 {
-  struct ash_time first = runs[0]->ended;
-  struct ash_time last = runs[0]->ended;
+  struct ash_time first = found[0].run->ended;
+  struct ash_time last = first;
   uint32_t exits = 0;
 
   for (uint32_t i = 1; i < count; i++)
     {
-      if (ash_time_before (runs[i]->ended, first))
-        first = runs[i]->ended;
-      if (ash_time_before (last, runs[i]->ended))
-        last = runs[i]->ended;
+      if (ash_time_before (found[i].run->ended, first))
+        first = found[i].run->ended;
+      if (ash_time_before (last, found[i].run->ended))
+        last = found[i].run->ended;
     }
   for (uint32_t i = 0; i < ash_part_evidence_kept (evidence); i++)
     exits += !ash_time_before (evidence->runs[i].ended, first) &&
@@ -272,27 +275,28 @@
                           struct ash_time now)
 {
   const struct ash_part_history *history = &evidence->history;
-  const struct ash_part_run *runs[EXITS_COUNTED_MAX];
+  struct candidate found[EXITS_COUNTED_MAX];
   uint32_t passes = ash_part_history_passes (history, part.service);
   uint32_t most_passes = 0;
   double pass_bits;
   struct ash_part_verdict verdict = {
-    .exits = find_candidates (evidence, part, now, runs),
+    .exits = find_candidates (evidence, part, now, found),
     .passed = ash_part_evidence_passed_lately (evidence, part, now),
   };
 
   for (uint32_t i = 0; i < verdict.exits; i++)
     {
-      uint32_t index = ash_prompt_parts_find (&runs[i]->parts, part);
-      uint32_t passes_since = passes - runs[i]->passes_before;
+      const struct ash_part_run *run = found[i].run;
+      uint32_t index = ash_prompt_parts_find (&run->parts, part);
+      uint32_t passes_since = passes - run->passes_before;
 
-      verdict.passed = verdict.passed || (runs[i]->passed_parts >> index & 1);
+      verdict.passed = verdict.passed || (run->passed_parts >> index & 1);
       most_passes = passes_since > most_passes ? passes_since : most_passes;
       /* Another run of the same request has the same parts: it doesn't tell them apart. */
-      if (!is_first_of_request (runs, i))
+      if (!is_first_of_request (found, i))
         continue;
-      verdict.bits += exit_bits (evidence, runs[i],
-                                 ash_part_history_share (history, part, verdict.requests), now);
+      verdict.bits +=
+          exit_bits (ash_part_history_share (history, part, verdict.requests), found[i].among);
       verdict.requests++;
     }
   /* Since the first of these exits no answer on the part got through, but these others did. It may
@@ -302,7 +306,7 @@
   /* Any of the parts might be in any of these exits' runs by chance. */
   if (verdict.exits)
     verdict.bits -=
-        choices_bits (count_exits_between (evidence, runs, verdict.exits), verdict.exits) +
+        choices_bits (count_exits_between (evidence, found, verdict.exits), verdict.exits) +
         log2 (ash_part_history_parts (history) + 1);
   return verdict;
 }
--- a/daemon/suspect_parts.c
+++ b/daemon/suspect_parts.c
@@ -218,8 +218,7 @@
 {
   struct ash_prompt_part part = { message->service, message->id };
   const struct ash_quarantined_part *taken;
-  struct ash_part_verdict verdict =
-      ash_part_evidence_assess (&suspects->quarantine.evidence, part, now);
+  struct ash_part_verdict verdict;
 
   if (message->passed)
     {
@@ -232,6 +231,7 @@
       log_rejected (suspects->router, peer, "impossible quarantine", message->left_ms);
       return;
     }
+  verdict = ash_part_evidence_assess (&suspects->quarantine.evidence, part, now);
   taken = ash_part_quarantine_take_over (&suspects->quarantine, part, message->left_ms,
                                          message->level, now);
   if (taken)
