part_quarantine: one threshold of suspicion, for daemon, simulation and told passes

That two exits make a part suspected stood in daemon/exchange_cut.c, as a bare 2 in the simulation, and as EXITS_MIN - 1 where passes are told; a change of one would have left the simulation playing another policy. It is ASH_PART_SUSPECTED_EXITS now. ash_part_quarantine_suspicion() no longer looks at what is quarantined: without evidence there is no exit to count. part_sim: whether a request is sound follows from its bad part; three copies of two conditions and of a router's reset are one function each.

--- a/bench/part_sim.c
+++ b/bench/part_sim.c
@@ -11,6 +11,9 @@
 #define REQUESTS_MAX 4096
 #define MESSAGES_MAX 8192
 
+/* Endpoints that a request may be sent to. */
+#define ATTEMPTS_MAX 2
+
 #define SERVICE 7
 #define FIRST_PART 1000
 #define BAD_PART 2000
@@ -41,7 +44,6 @@
 struct request
 {
   bool active;
-  bool sound;
   uint32_t bad; /* index of its bad part, or NO_BAD_PART */
   uint32_t router;
   uint32_t endpoint;
@@ -125,6 +127,19 @@
   return sim->now_ms >= sim->setup->bad_start_ms && sim->now_ms < sim->setup->bad_end_ms;
 }
 
+static bool
+is_sound (const struct request *request)
+{
+  return request->bad == NO_BAD_PART;
+}
+
+/* Whether the platform counts refused sound requests by now. */
+static bool
+is_late (const struct sim *sim)
+{
+  return sim->first_quarantine_ms >= 0 && sim->now_ms > sim->first_quarantine_ms + LATE_MS;
+}
+
 /* ---- messages ---- */
 
 static void
@@ -224,21 +239,24 @@
 }
 
 static void
-replace_router (struct sim *sim, uint32_t router)
+restart_router (struct sim *sim, uint32_t router)
 {
   ash_part_quarantine_finish (&sim->routers[router]);
   sim->routers[router] = (struct ash_part_quarantine){ 0 };
-  link_up (sim, 0, router);
 }
 
 static void
 restart_routers (struct sim *sim)
 {
   for (uint32_t r = 0; r < sim->setup->routers; r++)
-    {
-      ash_part_quarantine_finish (&sim->routers[r]);
-      sim->routers[r] = (struct ash_part_quarantine){ 0 };
-    }
+    restart_router (sim, r);
+}
+
+static void
+replace_router (struct sim *sim, uint32_t router)
+{
+  restart_router (sim, router);
+  link_up (sim, 0, router);
 }
 
 /* ---- requests ---- */
@@ -334,9 +352,8 @@
   request->active = false;
   if (ash_part_quarantine_left_ms (quarantine, &request->parts, now_of (sim), leads))
     {
-      sim->result->sound_refused += request->sound;
-      if (sim->first_quarantine_ms >= 0 && sim->now_ms > sim->first_quarantine_ms + LATE_MS)
-        sim->result->sound_late_refused += request->sound;
+      sim->result->sound_refused += is_sound (request);
+      sim->result->sound_late_refused += is_sound (request) && is_late (sim);
       return;
     }
   request->endpoint = pick_endpoint (sim, but);
@@ -350,9 +367,7 @@
   request->sent_ms = sim->now_ms;
   request->begun_ms = sim->now_ms + WAIT_MIN_MS + ash_random_below (&sim->random, WAIT_SPREAD_MS);
   request->exit_ms = INT64_MAX;
-  if (request->bad == NO_BAD_PART)
-    return;
-  if (!is_bad_now (sim))
+  if (is_sound (request) || !is_bad_now (sim))
     return;
   count_bad_sent (sim, request);
   request->exit_ms =
@@ -373,19 +388,17 @@
     sim->request_count++;
   request = &sim->requests[i];
   *request = (struct request){
-    .sound = bad == NO_BAD_PART,
     .bad = bad,
     .router = ash_random_below (&sim->random, sim->setup->routers),
     .id = { 1, sim->next_id++ },
     .parts.service = SERVICE,
   };
-  if (request->sound)
+  if (is_sound (request))
     set_sound_parts (sim, request);
   else
     set_bad_parts (sim, request);
-  sim->result->sound += request->sound;
-  if (sim->first_quarantine_ms >= 0 && sim->now_ms > sim->first_quarantine_ms + LATE_MS)
-    sim->result->sound_late += request->sound;
+  sim->result->sound += is_sound (request);
+  sim->result->sound_late += is_sound (request) && is_late (sim);
   send_request (sim, request, UINT32_MAX);
 }
 
@@ -444,7 +457,7 @@
   uint32_t suspicion =
       ash_part_quarantine_suspicion (&sim->routers[request->router], &request->parts, now_of (sim));
 
-  if (suspicion >= 2 || request->attempts >= 2)
+  if (suspicion >= ASH_PART_SUSPECTED_EXITS || request->attempts >= ATTEMPTS_MAX)
     request->active = false;
   else
     send_request (sim, request, request->endpoint);
--- a/controllers/part_quarantine.c
+++ b/controllers/part_quarantine.c
@@ -257,7 +257,8 @@
       struct ash_prompt_part part = ash_prompt_parts_get (parts, i);
       struct ash_part_verdict verdict = ash_part_evidence_assess (&quarantine->evidence, part, now);
 
-      if (ash_part_quarantine_clear (quarantine, part, now) || verdict.exits >= EXITS_MIN - 1)
+      if (ash_part_quarantine_clear (quarantine, part, now) ||
+          verdict.exits >= ASH_PART_SUSPECTED_EXITS)
         told->ids[told->count++] = part.id;
     }
   ash_part_history_note_pass (&quarantine->evidence.history, parts, now);
@@ -337,8 +338,7 @@
                                const struct ash_prompt_parts *parts,
                                struct ash_time now)
 {
-  bool may_be_suspected =
-      quarantine->parts || ash_part_evidence_exists (&quarantine->evidence, now);
+  bool may_be_suspected = ash_part_evidence_exists (&quarantine->evidence, now);
   uint32_t most = 0;
 
   for (uint32_t i = 0; may_be_suspected && i < parts->count; i++)
--- a/controllers/part_quarantine.h
+++ b/controllers/part_quarantine.h
@@ -15,6 +15,10 @@
 /** Maximum number of quarantined parts. */
 #define ASH_PART_QUARANTINED_MAX 32
 
+/** A part is suspected once this many endpoints have exited on it: requests with it are not sent
+ * to a second endpoint, and other routers are told if an answer on it gets through. */
+#define ASH_PART_SUSPECTED_EXITS 2
+
 /** A quarantined part. */
 struct ash_quarantined_part
 {
--- a/daemon/exchange_cut.c
+++ b/daemon/exchange_cut.c
@@ -12,9 +12,6 @@
 #define PARTS_LOGGED_MAX 8
 #define PARTS_TEXT_BYTES (PARTS_LOGGED_MAX * 17 + 1)
 
-/* A request is not sent to a second endpoint once this many have exited on a part of its prompt. */
-#define SUSPECTED_AT_EXITS 2
-
 struct ash_id
 ash_exchange_digest (struct ash_exchange *exchange)
 {
@@ -142,7 +139,7 @@
 bool
 ash_exchange_is_suspected (const struct ash_exchange *exchange)
 {
-  return exchange->forward.sent && exits_on_parts (exchange) >= SUSPECTED_AT_EXITS;
+  return exchange->forward.sent && exits_on_parts (exchange) >= ASH_PART_SUSPECTED_EXITS;
 }
 
 int64_t
