--- a/bench/part_sim.c
+++ b/bench/part_sim.c
@@ -225,7 +225,7 @@
     }
 }
 
-/* A link between two routers has come up: one tells the other what it has quarantined. */
+/* A link between two routers has come up: one sends the other its quarantined parts. */
 static void
 link_up (struct sim *sim, uint32_t from, uint32_t to)
 {
--- a/controllers/part_evidence.h
+++ b/controllers/part_evidence.h
@@ -28,11 +28,11 @@
   struct ash_time ended;
   bool begun; /**< the head of the answer had been received, and no event */
   struct ash_prompt_parts parts;
-  uint32_t passed_parts;  /**< bit i: an answer on part i got through at some router lately */
-  bool reported;          /**< by another router */
-  bool proven;            /**< the endpoint's process exited */
-  bool settled;           /**< all routers have reported what they lost by the exit */
-  bool explained;         /**< a part of it is quarantined: its exit tells nothing about others */
+  uint32_t passed_parts; /**< bit i: an answer on part i got through at some router lately */
+  bool reported;         /**< by another router */
+  bool proven;           /**< the endpoint's process exited */
+  bool settled;          /**< all routers have reported what they lost by the exit */
+  bool explained;        /**< a part of it is quarantined: its exit is no evidence against others */
   uint32_t passes_before; /**< answers of the service that had got through at this router */
 };
 
--- a/daemon/suspect_parts.h
+++ b/daemon/suspect_parts.h
@@ -41,8 +41,8 @@
                               size_t count,
                               const char *source);
 
-/** Records that the answer to a request got through, and tells the others if they may suspect its
- * parts. */
+/** Records that the answer to a request got through, and reports it to all peers if they may
+ * suspect its parts. */
 void ash_suspect_parts_record_pass (struct ash_suspect_parts *suspects,
                                     const struct ash_prompt_parts *parts);
 
--- a/test/router.c
+++ b/test/router.c
@@ -403,7 +403,7 @@
     {
       testbed_call (&testbed, "t1", "/stream/x", "A=streamcut B=stream", "", &answer);
       CU_ASSERT (answer.status == 200 && answer.complete);
-      expect_events (1, 6);
+      testbed_expect_events (&answer, 1, 6);
     }
   CU_ASSERT (server_logs_contain ("last=2"));
   /* Both servers cut the stream: the caller's stream ends without its last chunk. */
--- a/test/router_open_answers.c
+++ b/test/router_open_answers.c
@@ -18,7 +18,7 @@
     {
       testbed_call (&testbed, "open", "/stream/x", "*=streamopen", "", &answer);
       CU_ASSERT (answer.status == 200 && answer.complete);
-      expect_events (1, 6);
+      testbed_expect_events (&answer, 1, 6);
       testbed_call (&testbed, "next", "/safe/x", NULL, "", &answer);
       CU_ASSERT_EQUAL (answer.status, 200);
     }
@@ -37,7 +37,7 @@
     {
       testbed_call (&testbed, "open", "/stream/x", action, "", &answer);
       CU_ASSERT (answer.status == 200 && answer.complete);
-      expect_events (1, 6);
+      testbed_expect_events (&answer, 1, 6);
     }
   CU_ASSERT (testbed_logged (&testbed, 0, " forward_cut "));
   CU_ASSERT (server_logs_contain (resumed));
@@ -74,7 +74,7 @@
   return got;
 }
 
-/* To a caller that knows no chunks, only a reset tells that a stream was broken off. */
+/* For a caller without chunked coding, only a reset marks a stream that was broken off. */
 static void
 test_towards_callers (void)
 {
--- a/test/router_prompt_parts.c
+++ b/test/router_prompt_parts.c
@@ -138,8 +138,8 @@
   testbed_stop (&testbed);
 }
 
-/* What a router tells a peer about parts must not make the peer suspect a request again that has
- * been cleared. */
+/* Evidence about parts that a router sends to a peer must not make the peer suspect a request that
+ * has been cleared. */
 static void
 test_cleared_request (void)
 {
--- a/test/router_testbed.c
+++ b/test/router_testbed.c
@@ -3,6 +3,7 @@
 #include "test/fleet.h"
 #include "test/raw.h"
 
+#include <CUnit/CUnit.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -162,6 +163,22 @@
   close (fd);
 }
 
+void
+testbed_expect_events (const struct testbed_answer *answer, int first, int last)
+{
+  for (int id = first; id <= last; id++)
+    {
+      char text[16];
+      const char *found;
+
+      snprintf (text, sizeof text, "id: %d\n", id);
+      found = strstr (answer->body, text);
+      CU_ASSERT_PTR_NOT_NULL (found);
+      if (found)
+        CU_ASSERT_PTR_NULL (strstr (found + 1, text));
+    }
+}
+
 /* ---- processes ---- */
 
 void
--- a/test/router_testbed.h
+++ b/test/router_testbed.h
@@ -182,6 +182,9 @@
                       const char *more,
                       struct testbed_answer *answer);
 
+/** Checks that the answer's body has each event of the range exactly once. */
+void testbed_expect_events (const struct testbed_answer *answer, int first, int last);
+
 /** @return how many requests with that attempt id the servers have received. */
 int testbed_count_runs (struct testbed *testbed, const char *id);
 
--- a/test/router_tests.c
+++ b/test/router_tests.c
@@ -86,19 +86,3 @@
 
   return first || strstr (server_log (1), text) != NULL;
 }
-
-void
-expect_events (int first, int last)
-{
-  for (int id = first; id <= last; id++)
-    {
-      char text[16];
-      const char *found;
-
-      snprintf (text, sizeof text, "id: %d\n", id);
-      found = strstr (answer.body, text);
-      CU_ASSERT_PTR_NOT_NULL (found);
-      if (found)
-        CU_ASSERT_PTR_NULL (strstr (found + 1, text));
-    }
-}
--- a/test/router_tests.h
+++ b/test/router_tests.h
@@ -80,9 +80,6 @@
 /** @return whether the log of any server contains the text. */
 bool server_logs_contain (const char *text);
 
-/** Checks that the body of the last answer has each event of the range exactly once. */
-void expect_events (int first, int last);
-
 /** @return how often @p part occurs in @p text. */
 int count_of (const char *text, const char *part);
 
--- a/test/silence.c
+++ b/test/silence.c
@@ -230,17 +230,7 @@
       close (fd);
       print_elapsed ("midway", silence, began_ms);
       CU_ASSERT (answer.status == 200 && answer.complete);
-      for (int id = 1; id <= 6; id++)
-        {
-          char text[16];
-          const char *found;
-
-          snprintf (text, sizeof text, "id: %d\n", id);
-          found = strstr (answer.body, text);
-          CU_ASSERT_PTR_NOT_NULL (found);
-          if (found)
-            CU_ASSERT_PTR_NULL (strstr (found + 1, text));
-        }
+      testbed_expect_events (&answer, 1, 6);
       CU_ASSERT_EQUAL (testbed_count_runs (&testbed, "mid-1"), 2);
       CU_ASSERT (was_resumed ("mid-1"));
       testbed_stop (&testbed);
--- a/test/unit_part_quarantine.c
+++ b/test/unit_part_quarantine.c
@@ -180,7 +180,7 @@
   ash_part_quarantine_finish (&quarantine);
 }
 
-/* An answer that gets through cancels the evidence, and others are told of suspected parts only. */
+/* An answer that gets through cancels the evidence, and is reported for suspected parts only. */
 static void
 test_pass (void)
 {
