direct: an endpoint that changes its hall counts as changed

Cause: ash_direct_update() compared presence, incarnation and drain only. An endpoint listed in another hall, for instance out of an evacuated one, was not logged, and requests that wait were not tried again at once. Found while tracing a failed test of evacuations: no line of any router's log said which hall it believed the endpoint to be in.

One change: the hall is compared too (event 206).

--- a/common/events.h
+++ b/common/events.h
@@ -25,7 +25,7 @@
   X (203, WARN, PLATFORM_DOWN,      "the platform does not answer, or its answer is invalid or implausible") \
   X (204, INFO, PLATFORM_UP,        "the platform answers again") \
   X (205, DEBUG, CONFIG_SENT,       "the configuration was sent to a peer that has an older one, whole or as deltas") \
-  X (206, INFO, ENDPOINT_LISTED,    "an endpoint was added to the list, or is listed again") \
+  X (206, INFO, ENDPOINT_LISTED,    "an endpoint was added to the list, is listed again, or in another hall") \
   X (207, INFO, ENDPOINT_LEAVING,   "an endpoint announced that it is leaving and gets no new work") \
   X (208, INFO, ENDPOINT_MISSING,   "an endpoint is no longer listed") \
   X (209, WARN, ENDPOINT_PASSED,    "an endpoint is ejected: it gets no requests for a while because earlier ones failed") \
--- a/controllers/direct.c
+++ b/controllers/direct.c
@@ -181,7 +181,8 @@
       HASH_ADD (by_hash, set->by_hash, hash, sizeof endpoint->hash, endpoint);
     }
   changed = is_new || restarted || endpoint->presence != ASH_DIRECT_LISTED ||
-            endpoint->facts.draining != facts->draining;
+            endpoint->facts.draining != facts->draining ||
+            strcmp (endpoint->facts.hall, facts->hall) != 0;
   endpoint->facts = *facts;
   endpoint->presence = ASH_DIRECT_LISTED;
   endpoint->evacuated = ash_evacuations_include (&set->evacuations, facts->hall);
--- a/test/unit_evacuations.c
+++ b/test/unit_evacuations.c
@@ -224,6 +224,28 @@
   ash_direct_finish (&set);
 }
 
+/* An endpoint that is listed in another hall is usable again, and that counts as a change: requests
+ * that wait are tried at once. */
+static void
+test_endpoint_changes_hall (void)
+{
+  struct ash_direct_endpoint *endpoint;
+  struct ash_direct_facts facts;
+  struct ash_direct_set set;
+
+  ash_direct_init (&set, 1);
+  endpoint = add_endpoint (&set, "1", "a");
+  ash_evacuations_set (&set.evacuations, "a", 1, true);
+  ash_direct_apply_evacuations (&set);
+  facts = endpoint->facts;
+  CU_ASSERT_FALSE (ash_direct_update (&set, &facts));
+  CU_ASSERT_EQUAL (ash_direct_count (&set, "s"), 0);
+  snprintf (facts.hall, sizeof facts.hall, "b");
+  CU_ASSERT (ash_direct_update (&set, &facts));
+  CU_ASSERT_EQUAL (ash_direct_count (&set, "s"), 1);
+  ash_direct_finish (&set);
+}
+
 /* Callers of a service whose last endpoints stand in an evacuated hall would return in vain within
  * a second. Where endpoints are gone, new ones may be listed at any moment. */
 static void
@@ -428,6 +450,7 @@
   CU_add_test (suite, "evacuations: missing from a restored store", test_orders_restored);
   CU_add_test (suite, "evacuations: routers that were parted agree", test_orders_converge);
   CU_add_test (suite, "evacuations: endpoints of the hall get nothing", test_hall_gets_nothing);
+  CU_add_test (suite, "evacuations: an endpoint changes its hall", test_endpoint_changes_hall);
   CU_add_test (suite, "evacuations: when callers may return", test_return_after_evacuation);
   CU_add_test (suite, "stalled groups: other endpoints come first", test_stalled_group);
   CU_add_test (suite, "cold: a fleet of any size keeps to the rate, and uses it", test_cold_fleets);
