part_sim: how many sound requests begin at the first try

The simulation counts sound requests that get their first event from the first endpoint that they reach, and plays a quiet time, in which (the unit test checks) nothing is kept away.

--- a/bench/part_loads.c
+++ b/bench/part_loads.c
@@ -13,6 +13,7 @@
 #define BAD .bad_parts = 1, .bad_per_s = 3, .bad_start_ms = 8000, .bad_end_ms = 40000
 
 const struct part_load part_loads[] = {
+  { "a quiet time", { FLEET } },
   { "a bad part in the middle", { FLEET, BAD } },
   { "a bad first part", { FLEET, BAD, .bad_place = PART_SIM_FIRST } },
   { "a bad part at any place", { FLEET, BAD, .bad_place = PART_SIM_ANY } },
--- a/bench/part_sim.c
+++ b/bench/part_sim.c
@@ -526,7 +526,10 @@
       request->active = false;
       return;
     }
-  if (++request->events == ASH_PART_PASS_EVENTS)
+  request->events++;
+  if (request->events == 1 && request->attempts == 1)
+    sim->result->sound_begun += is_sound (request);
+  if (request->events == ASH_PART_PASS_EVENTS)
     report_pass (sim, request);
   if (request->events == EVENTS)
     request->active = false;
--- a/bench/part_sim.h
+++ b/bench/part_sim.h
@@ -67,6 +67,7 @@
   uint32_t sent_in_breach; /**< those that came more than 3 s after the fifth exit on it, from
                               routers that are linked */
   uint32_t sound;          /**< sound requests */
+  uint32_t sound_begun;    /**< those answered by the first endpoint that they reached */
   uint32_t sound_refused;  /**< because of a quarantined part */
   uint32_t sound_late;     /**< sound requests later than 6 s after the first quarantine */
   uint32_t sound_late_refused;
--- a/bench/parts.c
+++ b/bench/parts.c
@@ -26,6 +26,7 @@
   uint32_t sent_after_5;
   uint32_t breach_max;
   uint32_t sound;
+  uint32_t sound_begun;
   uint32_t sound_refused;
   uint32_t late;
   uint32_t late_refused;
@@ -51,6 +52,7 @@
   totals->sent_after_5 += result->sent_after_5;
   totals->breach_max = larger (totals->breach_max, result->sent_in_breach);
   totals->sound += result->sound;
+  totals->sound_begun += result->sound_begun;
   totals->sound_refused += result->sound_refused;
   totals->late += result->sound_late;
   totals->late_refused += result->sound_late_refused;
@@ -61,15 +63,22 @@
   totals->messages += result->messages;
 }
 
+static double
+part_of (uint32_t some, uint32_t all)
+{
+  return all ? (double) some / all : 0;
+}
+
 static void
 print_totals (const char *name, uint32_t seeds, const struct totals *totals)
 {
-  printf ("%-38s %5.1f %4u %6.1f %6.1f %6.1f %6u %8.4f %8.4f %6u %6d %4u %9llu\n", name,
+  printf ("%-38s %5.1f %4u %6.1f %6.1f %6.1f %6u %6.4f %8.4f %8.4f %6u %6d %4u %9llu\n", name,
           (double) totals->exits / seeds, totals->exits_max, (double) totals->sent_after_3 / seeds,
           (double) totals->sent_after_4 / seeds, (double) totals->sent_after_5 / seeds,
-          totals->breach_max, totals->sound ? (double) totals->sound_refused / totals->sound : 0,
-          totals->late ? (double) totals->late_refused / totals->late : 0, totals->wrong,
-          totals->known_ms_max, totals->unknown, (unsigned long long) totals->messages / seeds);
+          totals->breach_max, part_of (totals->sound_begun, totals->sound),
+          part_of (totals->sound_refused, totals->sound),
+          part_of (totals->late_refused, totals->late), totals->wrong, totals->known_ms_max,
+          totals->unknown, (unsigned long long) totals->messages / seeds);
 }
 
 /* @return the parts of a request, the middle one of which is one of 400. */
@@ -203,9 +212,9 @@
       fprintf (stderr, "usage: bench-parts [SEEDS]\n");
       return EXIT_FAILURE;
     }
-  printf ("%-38s %5s %4s %6s %6s %6s %6s %8s %8s %6s %6s %4s %9s\n", "load", "exits", "most",
-          "past 3", "past 4", "past 5", "breach", "refused", "later", "wrong", "known", "not",
-          "messages");
+  printf ("%-38s %5s %4s %6s %6s %6s %6s %6s %8s %8s %6s %6s %4s %9s\n", "load", "exits", "most",
+          "past 3", "past 4", "past 5", "breach", "begun", "refused", "later", "wrong", "known",
+          "not", "messages");
   for (const struct part_load *load = part_loads; load->name; load++)
     {
       struct totals totals = { 0 };
--- a/test/unit_part_quarantine.c
+++ b/test/unit_part_quarantine.c
@@ -336,7 +336,7 @@
 static void
 test_kills (void)
 {
-  static const char *const loads[] = { "kills of one endpoint after the other",
+  static const char *const loads[] = { "a quiet time", "kills of one endpoint after the other",
                                        "kills of a whole hall", "kills right after a start" };
 
   for (size_t i = 0; i < sizeof loads / sizeof loads[0]; i++)
