--- a/bench/parts.c
+++ b/bench/parts.c
@@ -1,8 +1,8 @@
 /**
  * @file
  * Measures the quarantine of parts of prompts: endpoints that exit before it, requests with a bad
- * part that still reach endpoints, and sound requests that it refuses, for each load and several
- * seeds; then what it costs a request. usage: bench-parts [SEEDS]
+ * part that still reach endpoints, sound requests that begin at the first try or are refused, for
+ * each load and several seeds; then what it costs a request. usage: bench-parts [SEEDS]
  */
 #include "bench/part_loads.h"
 #include "controllers/part_quarantine.h"
@@ -64,7 +64,7 @@
 }
 
 static double
-part_of (uint32_t some, uint32_t all)
+share_of (uint32_t some, uint32_t all)
 {
   return all ? (double) some / all : 0;
 }
@@ -75,9 +75,9 @@
   printf ("%-38s %5.1f %4u %6.1f %6.1f %6.1f %6u %6.4f %8.4f %8.4f %6u %6d %4u %9llu\n", name,
           (double) totals->exits / seeds, totals->exits_max, (double) totals->sent_after_3 / seeds,
           (double) totals->sent_after_4 / seeds, (double) totals->sent_after_5 / seeds,
-          totals->breach_max, part_of (totals->sound_begun, totals->sound),
-          part_of (totals->sound_refused, totals->sound),
-          part_of (totals->late_refused, totals->late), totals->wrong, totals->known_ms_max,
+          totals->breach_max, share_of (totals->sound_begun, totals->sound),
+          share_of (totals->sound_refused, totals->sound),
+          share_of (totals->late_refused, totals->late), totals->wrong, totals->known_ms_max,
           totals->unknown, (unsigned long long) totals->messages / seeds);
 }
 
