--- a/review/common.sh
+++ b/review/common.sh
@@ -1,5 +1,5 @@
 # Functions of the scripts in review/: a router as deploy/system.toml starts it, the project's
-# stand-in of the store, and servers of review/standin.c. Sourced by run.sh, which sets `folder`.
+# stand-ins, and those of review/standin.c. Sourced by run.sh, which sets `folder`.
 
 record=$folder/record.txt
 out=$(mktemp -d)
@@ -42,44 +42,49 @@
 
 put() { http "$store" PUT "/put?$1" "$2" >/dev/null; }
 
-# Starts the store, three servers and a router, and waits until the router is ready. The settings
-# are those of deploy/router.toml.in, with the bounds of the sheet of the radar tiles.
-start_all() { # cut|whole MAX_ATTEMPTS
-  local i seeds
+# Builds what is missing, starts the store and chooses free ports.
+start_store() {
   cd "$folder/../.." || exit 2
   : >"$record"
   if ! [ -x target/ashspindle-router ] || ! [ -x build/standin-store ] ||
     ! [ -x build/review-standin ]; then
     review/build.sh >"$out/build.log" 2>&1 || fail_to_run "the build failed"
   fi
-  read -r -a port <<<"$(build/standin ports 9)"
+  read -r -a port <<<"$(build/standin ports 30)"
   store=${port[0]}
-  frontend=${port[4]}
   start store build/standin-store "$store"
-  for i in 1 2 3; do
-    start "server-$i" build/review-standin server "${port[$i]}" "i-$i" "$record" "$1"
-  done
-  sleep 0.5
-  for i in 1 2 3; do
-    put "servers/i-$i" "{\"Service\":\"tile-api\",\"Address\":\"127.0.0.1:${port[$i]}\",\"Zone\":\"hall-a\",\"Version\":\"1\",\"Slots\":6,\"State\":\"ready\",\"Sequence\":1}"
-  done
-  put op/config "{\"Version\":1,\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},\"Routes\":[{\"Name\":\"big\",\"Host\":\"shop.example\",\"PathPrefix\":\"/big/\",\"RouteKind\":\"unsafe\",\"TimeoutMs\":8000,\"SloMs\":400,\"Service\":\"tile-api\",\"MaxAttempts\":1},{\"Name\":\"brief\",\"Host\":\"shop.example\",\"PathPrefix\":\"/brief/\",\"RouteKind\":\"streaming\",\"Resumable\":true,\"TimeoutMs\":8000,\"SloMs\":400,\"GapTargetMs\":120,\"Service\":\"tile-api\",\"MaxAttempts\":$2}],\"Services\":[{\"Name\":\"tile-api\",\"HealthPath\":\"/healthz\",\"MaxConns\":100}],\"Tenants\":[{\"Name\":\"pilots\",\"ApiKeys\":[\"pilots-key\"]}]}"
-  seeds="\"127.0.0.1:${port[7]}\""
+}
+
+# Publishes a server's entry.
+list_server() { # ID SERVICE PORT SLOTS
+  put "servers/$1" "{\"Service\":\"$2\",\"Address\":\"127.0.0.1:$3\",\"Zone\":\"hall-a\",\"Version\":\"1\",\"Slots\":$4,\"State\":\"ready\",\"Sequence\":1}"
+}
+
+# Publishes a configuration with these routes and services.
+publish() { # ROUTES SERVICES
+  put op/config "{\"Version\":1,\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},\"Routes\":[$1],\"Services\":[$2],\"Tenants\":[{\"Name\":\"pilots\",\"ApiKeys\":[\"pilots-key\"]}]}"
+}
+
+# Starts a router as deploy/system.toml does and waits until it is ready. The settings are those of
+# deploy/router.toml.in, with the bounds of the sheet of the radar tiles.
+start_router() {
+  local i
+  frontend=${port[1]}
   sed -e 's/{{NodeName}}/edge-hall-a-1/' -e 's/{{Zone}}/hall-a/' \
     -e "s/{{Listen.Frontend}}/127.0.0.1:$frontend/" \
-    -e "s/{{Listen.Readiness}}/127.0.0.1:${port[5]}/" \
-    -e "s/{{Listen.Directory}}/127.0.0.1:${port[6]}/" \
-    -e "s/{{Listen.Control}}/127.0.0.1:${port[7]}/" \
-    -e "s/{{Ip}}:9464/127.0.0.1:${port[8]}/" -e "s/{{Platform.Address}}/127.0.0.1:$store/" \
-    -e "s/^seeds = .*/seeds = [$seeds]/" -e 's/{{Bounds.GraceS}}/8/' \
+    -e "s/{{Listen.Readiness}}/127.0.0.1:${port[2]}/" \
+    -e "s/{{Listen.Directory}}/127.0.0.1:${port[3]}/" \
+    -e "s/{{Listen.Control}}/127.0.0.1:${port[4]}/" \
+    -e "s/{{Ip}}:9464/127.0.0.1:${port[5]}/" -e "s/{{Platform.Address}}/127.0.0.1:$store/" \
+    -e "s/^seeds = .*/seeds = [\"127.0.0.1:${port[4]}\"]/" -e 's/{{Bounds.GraceS}}/8/' \
     -e 's/{{Bounds.RetryBudgetRatio}}/0.2/' -e 's/{{Bounds.RetryWindowS}}/10/' \
     -e 's/{{Bounds.RetrySlack}}/90/' -e 's/{{\/Bounds.ColdSlack}}//' -e '/{{#Bounds.Cold/d' \
     -e 's/{{Limits.LinkMbps}}/1000.0/' -e 's/{{Limits.MemoryMb}}/260/' \
     deploy/router.toml.in >"$out/router.toml"
   start router env ASHSPINDLE_CONFIG="$out/router.toml" target/ashspindle-router
   for i in $(seq 100); do
-    [[ $(http "${port[5]}" GET /readyz "" 2>/dev/null) == *" 200 OK"* ]] && break
-    [ "$i" = 100 ] && fail_to_run "the router is not ready: $(tail -n 3 "$out/router.log")"
+    [[ $(http "${port[2]}" GET /readyz "" 2>/dev/null) == *" 200 OK"* ]] && return
     sleep 0.1
   done
+  fail_to_run "the router is not ready: $(tail -n 3 "$out/router.log")"
 }
