--- a/review/common.sh
+++ b/review/common.sh
@@ -65,9 +65,16 @@
   put op/config "{\"Version\":1,\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},\"Routes\":[$1],\"Services\":[$2],\"Tenants\":[{\"Name\":\"pilots\",\"ApiKeys\":[\"pilots-key\"]}]}"
 }
 
+# Runs a command with a limit on descriptors, as the platform sets it for a process.
+limited() { # DESCRIPTORS COMMAND...
+  [ -z "$1" ] || ulimit -n "$1"
+  shift
+  exec "$@"
+}
+
 # Starts a router as deploy/system.toml does and waits until it is ready. The settings are those of
 # deploy/router.toml.in, with the bounds of the sheet of the radar tiles.
-start_router() {
+start_router() { # [DESCRIPTORS]
   local i
   frontend=${port[1]}
   sed -e 's/{{NodeName}}/edge-hall-a-1/' -e 's/{{Zone}}/hall-a/' \
@@ -81,7 +88,7 @@
     -e 's/{{Bounds.RetrySlack}}/90/' -e 's/{{\/Bounds.ColdSlack}}//' -e '/{{#Bounds.Cold/d' \
     -e 's/{{Limits.LinkMbps}}/1000.0/' -e 's/{{Limits.MemoryMb}}/260/' \
     deploy/router.toml.in >"$out/router.toml"
-  start router env ASHSPINDLE_CONFIG="$out/router.toml" target/ashspindle-router
+  start router limited "${1:-}" env ASHSPINDLE_CONFIG="$out/router.toml" target/ashspindle-router
   for i in $(seq 100); do
     [[ $(http "${port[2]}" GET /readyz "" 2>/dev/null) == *" 200 OK"* ]] && return
     sleep 0.1
--- a/review/standin.c
+++ b/review/standin.c
@@ -1,17 +1,18 @@
 /**
  * @file
- * Stand-ins for the scripts in review/: a server of the users' platform, callers that read slowly,
- * and a relay that makes a rank's server faulty. They append what they see to a record file, one
- * line per fact.
+ * Stand-ins for the scripts in review/: servers of the users' platform, a crowd of callers, and a
+ * relay that makes a rank's server faulty. They append what they see to a record file, one line per
+ * fact.
  *
- *     standin server PORT ID RECORD
- *     standin readers PORT RECORD
+ *     standin servers RECORD PORT...
+ *     standin crowd PORT RECORD COUNT at-once|spread
  *     standin relay PORT TARGET_PORT RECORD EVERY
  *
- * The server answers POST /big/BYTES with a body of that length. The relay passes on requests and
- * answers unchanged, but sends the answer to one order in EVERY (of all connections together) a
- * second time: late, when the answer to the next request on that connection is due.
- * EVERY 0: never.
+ * The servers answer POST /desk/MS after that time; the id of one is i-PORT. Each caller of a crowd
+ * connects, sends one short request and keeps its connection; then all send a request of 1 s at
+ * once, or one after the other within 10 s. The relay passes on requests and answers unchanged, but
+ * sends the answer to one order in EVERY (of all connections together) a second time: late, when
+ * the answer to the next request on that connection is due. EVERY 0: never.
  */
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -36,24 +37,19 @@
 #define MS_PER_S 1000
 #define NS_PER_MS 1000000L
 
-/* Size of a segment on an ordinary network. On the loopback interface it would be 64 KiB. */
-#define SEGMENT_BYTES 1448
+/* Spreads the requests of a crowd over this time, unless all come at once. */
+#define SPREAD_MS 10000
 
-/* Receive buffer and speed of a slow reader: it needs 5 to 7 s for its answer. */
-#define READER_BUFFER_BYTES 49152
-#define READER_BYTES_PER_S 250000
-#define READ_MS 50
+/* How long a crowd waits for its last answers. */
+#define ANSWERS_MAX_MS 8000
 
-/* Readers, their answers, and the time that a reader waits for the whole answer. The lengths
- * differ, as it depends on the kernel's buffers how much of an answer waits in the router. */
-#define READERS 24
-#define ANSWER_MIN_BYTES 1300000
-#define ANSWER_STEP_BYTES 17000
-#define READER_MAX_MS 20000
+#define CALLERS_MAX 4000
 
+/* A server, one of several in the process. */
 struct server
 {
-  const char *id;
+  char id[32];
+  uint16_t port;
   const char *record;
 };
 
@@ -73,12 +69,12 @@
   size_t length;
 };
 
-struct reader
+/* A caller with a connection that it keeps. */
+struct caller
 {
-  pthread_t thread;
-  uint16_t port;
-  int number;
-  char result[160];
+  int fd;
+  bool asked;
+  bool ended; /* its answer has come, or the connection has ended */
 };
 
 static int64_t
@@ -186,23 +182,8 @@
       }
 }
 
-static bool
-answer_big (const struct connection *connection, size_t length)
-{
-  char framing[64];
-  char *body = malloc (length + 1);
-  bool sent;
-
-  if (!body)
-    return false;
-  memset (body, 'x', length);
-  snprintf (framing, sizeof framing, "Content-Length: %zu\r\n\r\n", length);
-  sent = send_text (connection->fd, framing) && send_all (connection->fd, body, length);
-  free (body);
-  return sent;
-}
-
-/* Answers the request in `head`. @return whether the connection may serve further requests. */
+/* Answers the request in `head` after the number of milliseconds that its path names. @return
+ * whether the connection may serve further requests. */
 static bool
 answer_request (const struct connection *connection)
 {
@@ -211,7 +192,7 @@
   char attempt[64];
   char expected[64];
   char path[64] = "";
-  char fields[256];
+  char answer[512];
   bool misdirected;
 
   read_field (head, "Ashspindle-Attempt-Id", attempt, sizeof attempt);
@@ -219,16 +200,15 @@
   if (sscanf (head, "%*s %63s", path) != 1)
     return false;
   misdirected = *expected && strcmp (expected, server->id) != 0;
-  record_line (server->record, "%s %s request %s path %s\n", server->id,
-               misdirected ? "rejects" : "runs", attempt, path);
-  snprintf (fields, sizeof fields,
-            "HTTP/1.1 %s\r\nAshspindle-Attempt-Id: %s\r\nAshspindle-Server-Seal: seal-%s\r\n",
+  record_line (server->record, "%s request %s at %s\n", misdirected ? "rejected" : "run", attempt,
+               server->id);
+  if (!misdirected && strncmp (path, "/desk/", 6) == 0)
+    sleep_ms ((int) strtol (path + 6, NULL, 10));
+  snprintf (answer, sizeof answer,
+            "HTTP/1.1 %s\r\nAshspindle-Attempt-Id: %s\r\nAshspindle-Server-Seal: seal-%s\r\n"
+            "Content-Length: 2\r\n\r\nok",
             misdirected ? "421 Misdirected Request" : "200 OK", attempt, server->id);
-  if (!send_text (connection->fd, fields))
-    return false;
-  if (misdirected)
-    return send_text (connection->fd, "Content-Length: 0\r\n\r\n");
-  return answer_big (connection, (size_t) strtoul (path + 5, NULL, 10));
+  return send_text (connection->fd, answer);
 }
 
 /* Reads a message with its body, which has a length if it is not empty. @return the message's
@@ -413,91 +393,129 @@
   return NULL;
 }
 
-/* ---- slow readers ---- */
+/* ---- many servers, many callers ---- */
 
-static int
-connect_reader (uint16_t port)
+static void *
+run_server (void *data)
 {
-  struct sockaddr_in address = loopback (port);
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  setsockopt (fd, IPPROTO_TCP, TCP_MAXSEG, &(int){ SEGMENT_BYTES }, sizeof (int));
-  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &(int){ READER_BUFFER_BYTES }, sizeof (int));
-  if (connect (fd, (struct sockaddr *) &address, sizeof address) == 0)
-    return fd;
-  close (fd);
-  return -1;
+  const struct server *server = data;
+
+  accept_connections (server->port, server, serve_connection);
+  return NULL;
 }
 
-/* @return whether the answer is complete. It has a length, or consists of chunks. */
-static bool
-is_complete (const char *answer, size_t length)
+static int
+run_servers (const char *record, int count, char **ports)
 {
-  static const char last_chunk[] = "\r\n0\r\n\r\n";
-  const size_t last_bytes = sizeof last_chunk - 1;
-  const char *body = strstr (answer, "\r\n\r\n");
-  char text[32];
+  struct server *servers = calloc ((size_t) count, sizeof *servers);
+  pthread_t thread;
 
-  if (!body)
-    return false;
-  read_field (answer, "Content-Length", text, sizeof text);
-  if (*text)
-    return length - (size_t) (body + 4 - answer) >= strtoul (text, NULL, 10);
-  return length > last_bytes && memcmp (answer + length - last_bytes, last_chunk, last_bytes) == 0;
+  if (!servers)
+    return EXIT_FAILURE;
+  for (int i = 0; i < count; i++)
+    {
+      servers[i].port = (uint16_t) strtoul (ports[i], NULL, 10);
+      servers[i].record = record;
+      snprintf (servers[i].id, sizeof servers[i].id, "i-%u", servers[i].port);
+      if (pthread_create (&thread, NULL, run_server, &servers[i]) != 0)
+        return EXIT_FAILURE;
+    }
+  pause ();
+  return EXIT_SUCCESS;
 }
 
-static void *
-read_slowly (void *data)
+static bool
+ask (struct caller *caller, const char *id, int number, int work_ms)
 {
-  struct reader *reader = data;
-  size_t wanted = ANSWER_MIN_BYTES + (size_t) reader->number * ANSWER_STEP_BYTES;
-  char *answer = calloc (1, 2 * wanted);
-  int fd = connect_reader (reader->port);
-  int64_t began = now_ms ();
   char request[256];
-  size_t length = 0;
-  ssize_t got = 1;
 
   snprintf (request, sizeof request,
-            "POST /big/%zu HTTP/1.1\r\nHost: shop.example\r\nAshspindle-Attempt-Id: big-%d\r\n"
-            "Ashspindle-Deadline-Ms: 8000\r\nAuthorization: Bearer pilots-key\r\n"
+            "POST /desk/%d HTTP/1.1\r\nHost: shop.example\r\nAshspindle-Attempt-Id: %s-%d\r\n"
+            "Ashspindle-Deadline-Ms: 6000\r\nAuthorization: Bearer pilots-key\r\n"
             "Content-Length: 0\r\n\r\n",
-            wanted, reader->number);
-  if (!answer || fd < 0 || !send_text (fd, request))
-    snprintf (reader->result, sizeof reader->result, "not sent");
+            work_ms, id, number);
+  caller->asked = send_text (caller->fd, request);
+  return caller->asked;
+}
+
+/* Reads the answer of a caller, which is short, and records its status. */
+static void
+read_answer (struct caller *caller, const char *record, const char *id, int number)
+{
+  char answer[1024];
+  ssize_t got = recv (caller->fd, answer, sizeof answer - 1, 0);
+
+  caller->ended = true;
+  if (got > 0)
+    record_line (record, "answered request %s-%d %.3s\n", id, number, answer + 9);
   else
-    {
-      while (got > 0 && !is_complete (answer, length) && now_ms () - began < READER_MAX_MS)
-        {
-          got = recv (fd, answer + length, READER_BYTES_PER_S / MS_PER_S * READ_MS, 0);
-          length += got > 0 ? (size_t) got : 0;
-          sleep_ms (READ_MS);
-        }
-      snprintf (reader->result, sizeof reader->result, "%s: %.12s, %zu bytes read in %lld ms",
-                is_complete (answer, length) ? "complete" : "cut", answer, length,
-                (long long) (now_ms () - began));
-    }
-  if (fd >= 0)
-    close (fd);
-  free (answer);
-  return NULL;
+    record_line (record, "closed request %s-%d\n", id, number);
 }
 
+/* Connects the callers. Each sends one short request and keeps its connection. */
 static int
-run_readers (uint16_t port, const char *record)
+connect_callers (struct caller *callers, int count, uint16_t port, const char *record)
 {
-  static struct reader readers[READERS];
+  struct sockaddr_in address = loopback (port);
+  int connected = 0;
 
-  for (int i = 0; i < READERS; i++)
+  for (int i = 0; i < count; i++)
     {
-      readers[i] = (struct reader){ .port = port, .number = i };
-      pthread_create (&readers[i].thread, NULL, read_slowly, &readers[i]);
+      struct caller *caller = &callers[i];
+
+      caller->fd = socket (AF_INET, SOCK_STREAM, 0);
+      if (connect (caller->fd, (struct sockaddr *) &address, sizeof address) < 0 ||
+          !ask (caller, "first", i, 0))
+        continue;
+      read_answer (caller, record, "first", i);
+      *caller = (struct caller){ .fd = caller->fd };
+      connected++;
     }
-  for (int i = 0; i < READERS; i++)
+  return connected;
+}
+
+/* Sends the requests that are due and reads the answers that have come. @return how many callers
+ * have had their answer, or lost their connection. */
+static int
+serve_callers (struct caller *callers, int count, int due, int work_ms, const char *record)
+{
+  static struct pollfd fds[CALLERS_MAX];
+  int ended = 0;
+
+  for (int i = 0; i < due && i < count; i++)
+    if (!callers[i].asked && !callers[i].ended && !ask (&callers[i], "call", i, work_ms))
+      callers[i].ended = true;
+  for (int i = 0; i < count; i++)
+    fds[i] = (struct pollfd){ callers[i].ended ? -1 : callers[i].fd, POLLIN, 0 };
+  poll (fds, (nfds_t) count, 10);
+  for (int i = 0; i < count; i++)
     {
-      pthread_join (readers[i].thread, NULL);
-      record_line (record, "caller of request big-%d %s\n", i, readers[i].result);
+      if (fds[i].fd >= 0 && fds[i].revents)
+        read_answer (&callers[i], record, "call", i);
+      ended += callers[i].ended;
     }
+  return ended;
+}
+
+static int
+run_crowd (uint16_t port, const char *record, int count, bool at_once)
+{
+  static struct caller callers[CALLERS_MAX];
+  int connected = count <= CALLERS_MAX ? connect_callers (callers, count, port, record) : 0;
+  int64_t began = now_ms ();
+  int64_t spread_ms = at_once ? 1 : SPREAD_MS;
+  int64_t age_ms;
+
+  record_line (record, "%d of %d callers keep a connection; their calls follow\n", connected,
+               count);
+  if (connected < count)
+    return EXIT_FAILURE;
+  do
+    age_ms = now_ms () - began;
+  while (serve_callers (callers, count,
+                        age_ms >= spread_ms ? count : (int) (count * age_ms / spread_ms), 1000,
+                        record) < count &&
+         age_ms < spread_ms + ANSWERS_MAX_MS);
   return EXIT_SUCCESS;
 }
 
@@ -506,14 +524,11 @@
 {
   uint16_t port = argc > 2 ? (uint16_t) strtoul (argv[2], NULL, 10) : 0;
 
-  if (argc == 5 && strcmp (argv[1], "server") == 0)
-    {
-      struct server server = { argv[3], argv[4] };
-
-      return accept_connections (port, &server, serve_connection);
-    }
-  if (argc == 4 && strcmp (argv[1], "readers") == 0)
-    return run_readers (port, argv[3]);
+  if (argc > 3 && strcmp (argv[1], "servers") == 0)
+    return run_servers (argv[2], argc - 3, argv + 3);
+  if (argc == 6 && strcmp (argv[1], "crowd") == 0)
+    return run_crowd (port, argv[3], (int) strtol (argv[4], NULL, 10),
+                      strcmp (argv[5], "at-once") == 0);
   if (argc == 6 && strcmp (argv[1], "relay") == 0)
     {
       struct relay relay = { (uint16_t) strtoul (argv[3], NULL, 10), argv[4],
@@ -521,8 +536,8 @@
 
       return accept_connections (port, &relay, relay_connection);
     }
-  fprintf (stderr, "usage: standin server PORT ID RECORD\n"
-                   "       standin readers PORT RECORD\n"
+  fprintf (stderr, "usage: standin servers RECORD PORT...\n"
+                   "       standin crowd PORT RECORD COUNT at-once|spread\n"
                    "       standin relay PORT TARGET_PORT RECORD EVERY\n");
   return EXIT_FAILURE;
 }
