--- a/review/common.sh
+++ b/review/common.sh
@@ -93,8 +93,8 @@
     -e "s/{{Platform.Address}}/127.0.0.1:$store/" \
     -e "s/^seeds = .*/seeds = [$seeds]/" -e 's/{{Bounds.GraceS}}/8/' \
     -e 's/{{Bounds.RetryBudgetRatio}}/0.2/' -e 's/{{Bounds.RetryWindowS}}/10/' \
-    -e 's/{{Bounds.RetrySlack}}/90/' -e 's/{{\/Bounds.ColdSlack}}//' -e '/{{#Bounds.Cold/d' \
-    -e 's/{{Limits.LinkMbps}}/1000.0/' -e 's/{{Limits.MemoryMb}}/260/' \
+    -e "s/{{Bounds.RetrySlack}}/${RETRY_SLACK:-90}/" -e 's/{{\/Bounds.ColdSlack}}//' -e '/{{#Bounds.Cold/d' \
+    -e "s/{{Limits.LinkMbps}}/${LINK_MBPS:-1000.0}/" -e "s/{{Limits.MemoryMb}}/${MEMORY_MB:-260}/" \
     deploy/router.toml.in >"$out/$name.toml"
   start "$name" limited "${4:-}" env ASHSPINDLE_CONFIG="$out/$name.toml" target/ashspindle-router
 }
--- a/review/standin.c
+++ b/review/standin.c
@@ -6,13 +6,14 @@
  *
  *     standin servers RECORD PORT...
  *     standin crowd PORT RECORD COUNT at-once|spread
- *     standin relay PORT TARGET_PORT RECORD EVERY
+ *     standin relay PORT TARGET_PORT RECORD EVERY LATE
  *
  * The servers answer POST /desk/MS after that time; the id of one is i-PORT. Each caller of a crowd
  * connects, sends one short request and keeps its connection; then all send a request of 1 s at
  * once, or one after the other within 10 s. The relay passes on requests and answers unchanged, but
  * sends the answer to one order in EVERY (of all connections together) a second time: late, when
  * the answer to the next request on that connection is due. EVERY 0: never.
+ * LATE percent of the orders get no answer and are carried out 2 to 12 s later.
  */
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -45,6 +46,10 @@
 
 #define CALLERS_MAX 4000
 
+/* When an order that gets no answer is carried out. */
+#define LATE_MIN_MS 2000
+#define LATE_RANGE_MS 10000
+
 /* A server, one of several in the process. */
 struct server
 {
@@ -59,6 +64,7 @@
   uint16_t target_port;
   const char *record;
   int every;
+  int late; /* percent */
 };
 
 struct connection
@@ -309,6 +315,16 @@
       }
 }
 
+/* Whether this order gets no answer and is carried out late. */
+static bool
+is_late (const struct relay *relay)
+{
+  static atomic_uint state = 1;
+  unsigned drawn = atomic_fetch_add (&state, 1) * 2654435761U + relay->target_port * 40503U;
+
+  return (int) ((drawn >> 8) % 100) < relay->late;
+}
+
 /* The operation of an order; empty for another request. */
 static void
 read_operation (const char *request, char operation[32])
@@ -333,6 +349,7 @@
   size_t request_length = read_message (caller);
   char operation[32];
   size_t answer_length;
+  bool late;
 
   if (!request_length)
     return false;
@@ -344,11 +361,18 @@
     record_line (relay->record, "port %u sends an extra answer, \"%.12s\", before that to %s\n",
                  relay->target_port, extra, *operation ? operation : "a question");
   *extra = '\0';
+  late = *operation && is_late (relay);
+  if (late)
+    {
+      record_line (relay->record, "port %u carries out late and does not answer: %s\n",
+                   relay->target_port, operation);
+      sleep_ms (LATE_MIN_MS + rand () % LATE_RANGE_MS);
+    }
   if (!send_all (server->fd, caller->head, request_length))
     return false;
   drop_message (caller, request_length);
   answer_length = read_message (server);
-  if (!answer_length || !send_all (caller->fd, server->head, answer_length))
+  if (!answer_length || late || !send_all (caller->fd, server->head, answer_length))
     return false;
   if (*operation && relay->every && atomic_fetch_add (&orders, 1) % relay->every == 0)
     snprintf (extra, MESSAGE_MAX_BYTES + 1, "%.*s", (int) answer_length, server->head);
@@ -529,15 +553,15 @@
   if (argc == 6 && strcmp (argv[1], "crowd") == 0)
     return run_crowd (port, argv[3], (int) strtol (argv[4], NULL, 10),
                       strcmp (argv[5], "at-once") == 0);
-  if (argc == 6 && strcmp (argv[1], "relay") == 0)
+  if (argc == 7 && strcmp (argv[1], "relay") == 0)
     {
       struct relay relay = { (uint16_t) strtoul (argv[3], NULL, 10), argv[4],
-                             (int) strtol (argv[5], NULL, 10) };
+                             (int) strtol (argv[5], NULL, 10), (int) strtol (argv[6], NULL, 10) };
 
       return accept_connections (port, &relay, relay_connection);
     }
   fprintf (stderr, "usage: standin servers RECORD PORT...\n"
                    "       standin crowd PORT RECORD COUNT at-once|spread\n"
-                   "       standin relay PORT TARGET_PORT RECORD EVERY\n");
+                   "       standin relay PORT TARGET_PORT RECORD EVERY LATE\n");
   return EXIT_FAILURE;
 }
