--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,12 +1,14 @@
-"""A server pauses in the middle of a large answer to a safe request, during a planned stop.
+"""Two servers break off the same resumable stream, one after the other.
 
-The router gets SIGTERM while the first half of the answer is with the client. The server pauses for
-1.9 s and then sends the rest. Broken: the connection ends without the complete answer, though neither
-the request's deadline nor its route's timeout nor the grace was over.
+The first breaks off in the last bytes of an event. The second one's events are shorter; it goes on after
+Last-Event-Id and breaks off in the middle of an event as well. The third one ends the stream. Broken
+(ORDER): a piece of the stream is missing or comes twice at the client.
 """
 
 import os
+import re
 import socket
+import struct
 import sys
 import threading
 import time
@@ -14,56 +16,79 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 import lab2  # pylint: disable=wrong-import-position
 
-BODY_BYTES = 400000
-PAUSE_S = 1.9 if lab2.TROUBLE else 0.5
-STOP_AFTER_S = 0.3
+STREAMS = 5
+EVENTS = 12
+EVENT_S = 0.05
+# By run of a request: the event in which the server breaks off, the bytes of that event which it still
+# sends (None: all but the last), and the bytes of data in each event.
+LONG_BYTES = 90
+SHORT_BYTES = 20
+RUNS = [(4, None, LONG_BYTES), (6, 5, SHORT_BYTES), (None, None, SHORT_BYTES)]
 CLIENT_S = 8.0
-CLIENTS = 3
 
+lock = threading.Lock()
 
-def answer(server, connection, line, fields, _body):
-    half = b"x" * (BODY_BYTES // 2)
-    connection.sendall(server.head(fields, f"Content-Length: {BODY_BYTES}\r\n") + half)
-    time.sleep(PAUSE_S)
-    connection.sendall(half)
-    server.record.write(f"server {server.name_} has written the whole answer to "
-                        f"{fields['Ashspindle-Attempt-Id']}")
+
+def piece(connection, data):
+    connection.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+
+
+def answer(servers, server, connection, fields):
+    attempt = fields["Ashspindle-Attempt-Id"]
+    with lock:
+        run = sum(other.runs.count(attempt) for other in servers) - 1
+    break_in, part_bytes, data_bytes = RUNS[run] if lab2.TROUBLE else RUNS[2]
+    after = int(fields.get("Last-Event-Id", "0"))
+    server.record.write(f"server {server.name_}: run {run + 1} of {attempt} after event {after}")
+    connection.sendall(server.head(fields, "Content-Type: text/event-stream\r\n"
+                                           "Transfer-Encoding: chunked\r\n"))
+    for number in range(after + 1, EVENTS + 1):
+        data = f"{server.name_} ".ljust(data_bytes, "x")
+        event = f"id: {number}\ndata: {data}\n\n".encode()
+        if number == break_in:
+            piece(connection, event[:-1] if part_bytes is None else event[:part_bytes])
+            time.sleep(EVENT_S)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            server.record.write(f"server {server.name_} resets {attempt} in event {number}")
+            raise OSError("the server broke off")
+        piece(connection, event)
+        time.sleep(EVENT_S)
+    connection.sendall(b"0\r\n\r\n")
 
 
 def client(lab, record, attempt, results):
     connection = socket.create_connection(lab.frontend())
-    connection.sendall(lab2.request("GET", "/list/1", attempt))
-    record.write(f"client sent {attempt}: GET /list/1")
-    results[attempt] = lab2.read_answer(connection, record, CLIENT_S)
-    record.write(f"client of {attempt}: {results[attempt].text()}")
+    connection.sendall(lab2.request("POST", "/draft/1", attempt))
+    record.write(f"client sent {attempt}: POST /draft/1")
+    result = lab2.read_answer(connection, record, CLIENT_S)
+    results[attempt] = [int(number) for number in re.findall(rb"\nid: (\d+)\n", result.bytes)]
+    record.write(f"client of {attempt}: {result.text()}, events {results[attempt]}")
     connection.close()
 
 
 def play(record):
-    servers = [lab2.Server(record, f"i-stock-{i}", answer) for i in (1, 2)]
+    servers = []
+    for i in range(3):
+        servers.append(lab2.Server(record, f"i-model-{i}",
+                                   lambda server, connection, _line, fields, _body:
+                                   answer(servers, server, connection, fields)))
     results = {}
     with lab2.Lab(record) as lab:
         for server in servers:
             lab.list_server(server, "stock-api")
-        lab.put("op/config", lab2.config(1, [lab2.route("list", "safe")]))
+        lab.put("op/config", lab2.config(1, [
+            lab2.route("draft", "streaming", Resumable=True, MaxAttempts=3, SloMs=400,
+                       GapTargetMs=120)]))
         lab.start_router(0)
         time.sleep(3.5)  # ContactMs after the start
-        clients = [threading.Thread(target=client, args=(lab, record, f"list-{i}", results))
-                   for i in range(CLIENTS)]
-        for thread in clients:
-            thread.start()
-        time.sleep(STOP_AFTER_S)
-        stopped_at = record.now()
-        lab.signal("router-0", lab2.signal.SIGTERM)
-        for thread in clients:
-            thread.join()
-    runs = servers[0].runs + servers[1].runs
-    lost = [attempt for attempt, result in results.items()
-            if attempt in runs and not result.whole() and
-            result.ended != "the client has given up" and
-            result.ended_at < stopped_at + lab2.GRACE_S]
-    record.write(f"ran and got no complete answer in the planned stop: {lost}")
-    return bool(lost)
+        for i in range(STREAMS):
+            client(lab, record, f"draft-{i}", results)
+            time.sleep(1)
+    # A stream that ends early, and not as complete, breaks nothing.
+    wrong = [attempt for attempt, events in results.items()
+             if events != list(range(1, len(events) + 1))]
+    record.write(f"streams with a piece missing or twice: {wrong}")
+    return bool(wrong)
 
 
 if __name__ == "__main__":
