--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,10 +1,12 @@
-"""Two servers break off the same resumable stream, one after the other.
+"""Some servers break off some of their resumable streams; two meet in the same stream.
 
+Three of five servers (share 0.6) reset 0.4 of the requests that they ran, at most.
 The first breaks off in the last bytes of an event. The second one's events are shorter; it goes on after
 Last-Event-Id and breaks off in the middle of an event as well. The third one ends the stream. Broken
 (ORDER): a piece of the stream is missing or comes twice at the client.
 """
 
+import collections
 import os
 import re
 import socket
@@ -16,17 +18,24 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 import lab2  # pylint: disable=wrong-import-position
 
-STREAMS = 5
+CLIENTS = 16
+STREAMS = 6  # of each client, one after the other
 EVENTS = 12
 EVENT_S = 0.05
-# By run of a request: the event in which the server breaks off, the bytes of that event which it still
-# sends (None: all but the last), and the bytes of data in each event.
+SERVERS = 5
+AFFECTED = 3  # share 0.6 of the servers
+RESET_FOR_S = 4.0
+RESET_SHARE = 0.4  # the largest part of its requests that an affected server resets
+# By run of a request: the event in which an affected server breaks off, the bytes of that event which it
+# still sends (None: all but the last), and the bytes of data in each event.
 LONG_BYTES = 90
 SHORT_BYTES = 20
 RUNS = [(4, None, LONG_BYTES), (6, 5, SHORT_BYTES), (None, None, SHORT_BYTES)]
 CLIENT_S = 8.0
 
 lock = threading.Lock()
+resets = collections.Counter()  # by server
+resets_end = [0.0]
 
 
 def piece(connection, data):
@@ -37,7 +46,14 @@
     attempt = fields["Ashspindle-Attempt-Id"]
     with lock:
         run = sum(other.runs.count(attempt) for other in servers) - 1
-    break_in, part_bytes, data_bytes = RUNS[run] if lab2.TROUBLE else RUNS[2]
+        break_in, part_bytes, data_bytes = RUNS[run]
+        may_reset = (server in servers[:AFFECTED] and lab2.TROUBLE and
+                     server.record.now() < resets_end[0] and
+                     resets[server.name_] + 1 <= RESET_SHARE * len(server.runs))
+        if not may_reset:
+            break_in = None
+        if break_in:
+            resets[server.name_] += 1
     after = int(fields.get("Last-Event-Id", "0"))
     server.record.write(f"server {server.name_}: run {run + 1} of {attempt} after event {after}")
     connection.sendall(server.head(fields, "Content-Type: text/event-stream\r\n"
@@ -56,7 +72,12 @@
     connection.sendall(b"0\r\n\r\n")
 
 
-def client(lab, record, attempt, results):
+def client(lab, record, number, results):
+    for i in range(STREAMS):
+        stream(lab, record, f"draft-{number}-{i}", results)
+
+
+def stream(lab, record, attempt, results):
     connection = socket.create_connection(lab.frontend())
     connection.sendall(lab2.request("POST", "/draft/1", attempt))
     record.write(f"client sent {attempt}: POST /draft/1")
@@ -68,7 +89,7 @@
 
 def play(record):
     servers = []
-    for i in range(3):
+    for i in range(SERVERS):
         servers.append(lab2.Server(record, f"i-model-{i}",
                                    lambda server, connection, _line, fields, _body:
                                    answer(servers, server, connection, fields)))
@@ -81,9 +102,16 @@
                        GapTargetMs=120)]))
         lab.start_router(0)
         time.sleep(3.5)  # ContactMs after the start
-        for i in range(STREAMS):
-            client(lab, record, f"draft-{i}", results)
-            time.sleep(1)
+        clients = [threading.Thread(target=client, args=(lab, record, i, results))
+                   for i in range(CLIENTS)]
+        resets_end[0] = record.now() + RESET_FOR_S
+        for thread in clients:
+            thread.start()
+            time.sleep(EVENT_S)
+        for thread in clients:
+            thread.join()
+    for server in servers:
+        record.write(f"server {server.name_} reset {resets[server.name_]} of {len(server.runs)} runs")
     # A stream that ends early, and not as complete, breaks nothing.
     wrong = [attempt for attempt, events in results.items()
              if events != list(range(1, len(events) + 1))]
