net: a response begins with a status line, or is none

Cause: what http_parser accepts was taken for an answer. It skips line ends before the status line, takes digits until another character comes, and doesn't look at the reason. Behind it, a status below 100 was neither interim nor final: no handler saw the head, and the body was an answer of status 0.

Change: the reader collects the status line and checks it whole: version 1.x, one space, three digits from 100 to 599, one space, a reason of visible characters, blanks and tabs.

A request that may not be repeated ends with 502 and ran once; one that may is answered elsewhere.

--- /dev/null
+++ b/net/http_grammar.h
@@ -0,0 +1,33 @@
+/**
+ * @file
+ * The parts of HTTP/1.1's grammar (RFC 9110, RFC 9112) that libraries do not check, or not in all
+ * builds: what a lenient parser accepts may be read differently by the next one. No I/O.
+ */
+#ifndef ASH_HTTP_GRAMMAR_H
+#define ASH_HTTP_GRAMMAR_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** Range of the status codes (RFC 9110, 15). */
+#define ASH_HTTP_STATUS_MIN 100
+#define ASH_HTTP_STATUS_MAX 599
+
+/** First status code that is not of an interim response. */
+#define ASH_HTTP_STATUS_FINAL 200
+
+/** @return whether the bytes are visible characters, blanks and tabs (RFC 9110, 5.5). */
+bool ash_http_is_text (const char *bytes, size_t length);
+
+/** @return whether the bytes are a token, as the name of a field is (RFC 9110, 5.6.2). */
+bool ash_http_is_token (const char *bytes, size_t length);
+
+/**
+ * @param line the line without its line end.
+ * @return whether it is the status line of a response of HTTP/1.x whose status code is in range
+ * (RFC 9112, 4).
+ */
+bool ash_http_is_status_line (const char *line, size_t length);
+
+#endif
--- a/net/http_message.c
+++ b/net/http_message.c
@@ -1,5 +1,7 @@
 #include "net/http_message.h"
 
+#include "net/http_grammar.h"
+
 #include <string.h>
 #include <strings.h>
 
@@ -97,11 +99,8 @@
 static bool
 names_are_tokens (const struct ash_http_head *head)
 {
-  static const char token[] = "!#$%&'*+-.^_`|~0123456789"
-                              "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ";
-
   for (uint32_t i = 0; i < head->field_count; i++)
-    if (!*head->fields[i].name || head->fields[i].name[strspn (head->fields[i].name, token)])
+    if (!ash_http_is_token (head->fields[i].name, strlen (head->fields[i].name)))
       return false;
   return true;
 }
@@ -208,6 +207,7 @@
 ash_http_reader_finish (struct ash_http_reader *reader)
 {
   ash_buffer_finish (&reader->text);
+  ash_buffer_finish (&reader->line);
 }
 
 void
@@ -217,6 +217,8 @@
                     reader->kind == ASH_HTTP_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
   reader->parser.data = reader;
   ash_buffer_consume (&reader->text, reader->text.length);
+  ash_buffer_consume (&reader->line, reader->line.length);
+  reader->in_status_line = reader->kind == ASH_HTTP_RESPONSE;
   reader->head.field_count = 0;
   reader->target_offset = NO_OFFSET;
   reader->in_value = false;
@@ -231,8 +233,21 @@
   reader->no_body = false;
 }
 
+/* Collects the status line, and checks it when it is complete: http_parser skips line ends before
+ * it, and accepts status codes of any length and control characters behind them. */
+static bool
+scan_status_line (struct ash_http_reader *reader, uint8_t byte)
+{
+  if (byte == '\n')
+    reader->in_status_line = false;
+  if (byte == '\r')
+    return ash_http_is_status_line ((const char *) reader->line.bytes + reader->line.start,
+                                    reader->line.length);
+  return byte == '\n' || ash_buffer_append (&reader->line, &byte, 1);
+}
+
 /* @return how many of the bytes belong to the head; 0 with `error` set on a bare CR or LF, a folded
- * line or a head that is too large. */
+ * line, a bad status line or a head that is too large. */
 static size_t
 scan_head (struct ash_http_reader *reader, const uint8_t *bytes, size_t length)
 {
@@ -241,7 +256,8 @@
       uint8_t byte = bytes[i];
 
       if ((byte == '\n') != (reader->last_byte == '\r') ||
-          (reader->line_ends && (byte == ' ' || byte == '\t')))
+          (reader->line_ends && (byte == ' ' || byte == '\t')) ||
+          (reader->in_status_line && !scan_status_line (reader, byte)))
         {
           reader->error = ASH_HTTP_MALFORMED;
           return 0;
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -73,6 +73,8 @@
   /* private */
   http_parser parser;
   struct ash_buffer text; /* target, names and values of the head, each NUL-terminated */
+  struct ash_buffer line; /* status line of a response, as far as it was read */
+  bool in_status_line;
   uint32_t offsets[2 * ASH_HTTP_FIELDS_MAX];
   uint32_t target_offset;
   bool in_value;
--- /dev/null
+++ b/test/router_broken_answers.c
@@ -0,0 +1,169 @@
+/**
+ * @file
+ * Endpoints that send bytes that are no answer: no caller gets any of them as an answer, before or
+ * after a byte of the answer has reached it, from new and from kept connections.
+ */
+#include "test/router_tests.h"
+
+#include <CUnit/CUnit.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define LENGTH_5 "Content-Length: 5\\r\\n"
+
+/* The first requests of a case go over kept connections. A broken answer ends its connection, so
+ * those after them go over new ones. */
+#define ROUNDS 3
+
+/* Endpoints that gave broken answers get no requests for a while, up to this long. */
+#define EJECTED_MAX_MS 10000
+
+/* Sends requests until an endpoint was sent one: endpoints that failed are left out for a while.
+ * The endpoints do @p action with the bytes of @p raw. @param id receives that request's id. */
+static void
+call_raw (char id[24], const char *path, const char *action, const char *raw)
+{
+  int64_t until = fleet_now_ms () + EJECTED_MAX_MS;
+  static int number;
+  char more[1024];
+
+  snprintf (more, sizeof more, "X-Raw: %s\r\n", raw);
+  for (;;)
+    {
+      snprintf (id, 24, "raw-%d", ++number);
+      testbed_call (&testbed, id, path, action, more, &answer);
+      if (answer.status != 503 || testbed_count_runs (&testbed, id) || fleet_now_ms () > until)
+        return;
+      fleet_sleep_ms (50);
+    }
+}
+
+/* Leaves a kept connection to each endpoint. */
+static void
+keep_connections (void)
+{
+  static const char *const actions[] = { "A=ok B=shed", "A=shed B=ok" };
+  char id[24];
+
+  for (int s = 0; s < TESTBED_SERVERS; s++)
+    {
+      int64_t until = fleet_now_ms () + EJECTED_MAX_MS;
+
+      do
+        call_raw (id, "/safe/x", actions[s], "-");
+      while (answer.status != 200 && fleet_now_ms () < until);
+      CU_ASSERT_EQUAL (answer.status, 200);
+    }
+}
+
+/* Checks that the last answer is the router's own, whole, and says that the request may have run.
+ */
+static void
+expect_unknown (const char *raw)
+{
+  bool ok = answer.status == 502 && answer.complete && !answer_has ("hello") &&
+            !answer_has ("Server-Seal") && !answer_has ("Retry-After");
+
+  CU_ASSERT (ok);
+  if (!ok)
+    printf ("\n  %s\n  gave %d: %.200s", raw, answer.status, answer.text);
+}
+
+/* A request that may not be repeated runs once, and its caller learns that it may have run. */
+static void
+check_once (const char *raw)
+{
+  char id[24];
+
+  for (int round = 0; round < ROUNDS; round++)
+    {
+      if (round == 0)
+        keep_connections ();
+      call_raw (id, "/once/x", "*=rawclose", raw);
+      expect_unknown (raw);
+      CU_ASSERT_EQUAL (testbed_count_runs (&testbed, id), 1);
+    }
+}
+
+/* A request that may be repeated is answered by the other endpoint. */
+static void
+check_safe (const char *raw)
+{
+  char id[24];
+
+  keep_connections ();
+  for (int round = 0; round < ROUNDS; round++)
+    {
+      bool ok;
+
+      call_raw (id, "/safe/x", round % 2 ? "A=ok B=rawclose" : "A=rawclose B=ok", raw);
+      ok = answer.status == 200 && strcmp (answer.body, "whole answer") == 0;
+      CU_ASSERT (ok);
+      if (!ok)
+        printf ("\n  %s\n  gave %d: %.200s", raw, answer.status, answer.text);
+    }
+}
+
+static void
+check_all (const char *const *cases, size_t count)
+{
+  start ();
+  testbed.grace = "resend_slack = 10000";
+  restart_router ();
+  for (size_t i = 0; i < count; i++)
+    {
+      check_once (cases[i]);
+      check_safe (cases[i]);
+    }
+  CU_ASSERT_FALSE (testbed_logged (&testbed, 0, "status=0 "));
+  testbed_stop (&testbed);
+}
+
+#define CHECK_ALL(cases) check_all (cases, sizeof (cases) / sizeof (cases)[0])
+
+static void
+test_status_lines (void)
+{
+  static const char *const cases[] = {
+    "HTTP/1.1 000 Odd\\r\\n\\h" LENGTH_5 "\\r\\nhello",
+    "HTTP/1.1 099 Odd\\r\\n\\h" LENGTH_5 "\\r\\nhello",
+    "HTTP/1.1 20 Odd\\r\\n\\h" LENGTH_5 "\\r\\nhello",
+    "HTTP/1.1 0200 Odd\\r\\n\\h" LENGTH_5 "\\r\\nhello",
+    "HTTP/1.1 600 Odd\\r\\n\\h" LENGTH_5 "\\r\\nhello",
+    "\\r\\nHTTP/1.1 200 OK\\r\\n\\h" LENGTH_5 "\\r\\nhello",
+    "HTTP/1.1 200 O\\x00K\\r\\n\\h" LENGTH_5 "\\r\\nhello",
+    "HTTP/1.1 000 Odd\\r\\n\\hAshspindle-Not-Executed: 1\\r\\n" LENGTH_5 "\\r\\nhello",
+    "HTTP/1.1 100 Continue\\r\\n\\r\\nHTTP/1.1 000 Odd\\r\\n\\h" LENGTH_5 "\\r\\nhello",
+    "hello",
+  };
+
+  CHECK_ALL (cases);
+}
+
+static void
+test_field_names (void)
+{
+  static const char *const cases[] = {
+    "HTTP/1.1 200 OK\\r\\n\\h" LENGTH_5 "A b: x\\r\\n\\r\\nhello",
+    "HTTP/1.1 200 OK\\r\\n\\h" LENGTH_5 "A : x\\r\\n\\r\\nhello",
+    "HTTP/1.1 200 OK\\r\\n\\h" LENGTH_5 "A\\x01: x\\r\\n\\r\\nhello",
+    "HTTP/1.1 200 OK\\r\\n\\h" LENGTH_5 "A\\x09: x\\r\\n\\r\\nhello",
+    "HTTP/1.1 200 OK\\r\\n\\h" LENGTH_5 "A\\x7f: x\\r\\n\\r\\nhello",
+    "HTTP/1.1 200 OK\\r\\n\\h" LENGTH_5 "A\\x00: x\\r\\n\\r\\nhello",
+    "HTTP/1.1 200 OK\\r\\n\\hContent-Length : 5\\r\\n\\r\\nhello",
+    "HTTP/1.1 200 OK\\r\\n\\hContent Length: 5\\r\\n\\r\\nhello",
+    "HTTP/1.1 200 OK\\r\\n\\h" LENGTH_5 " A: x\\r\\n\\r\\nhello",
+    "HTTP/1.1 200 OK\\r\\n\\h" LENGTH_5 "A\\r\\n\\r\\nhello",
+    "HTTP/1.1 500 Failed\\r\\n\\h" LENGTH_5 "A b: x\\r\\n\\r\\nhello",
+    "HTTP/1.1 103 Early\\r\\nA b: x\\r\\n\\r\\nHTTP/1.1 200 OK\\r\\n\\h" LENGTH_5 "\\r\\nhello",
+  };
+
+  CHECK_ALL (cases);
+}
+
+const struct fault_test router_broken_answer_tests[] = {
+  { "broken answers: status lines", test_status_lines },
+  { "broken answers: names of fields", test_field_names },
+  { NULL, NULL },
+};
--- a/test/router_tests.h
+++ b/test/router_tests.h
@@ -33,6 +33,9 @@
 /** Answers that end with their connection. */
 extern const struct fault_test router_open_answer_tests[];
 
+/** Endpoints that send bytes that are no answer. */
+extern const struct fault_test router_broken_answer_tests[];
+
 /** Parts of prompts that crash endpoints. */
 extern const struct fault_test router_prompt_parts_tests[];
 
--- a/test/standin_server.c
+++ b/test/standin_server.c
@@ -31,6 +31,10 @@
  *     streamopen  answers with a stream of six events that ends with the connection
  *     streamopencut   the same, but closes the connection in the middle of the third event
  *     streamopennone  the same, but closes the connection before the first event
+ *     raw         sends the bytes of the field X-Raw, and no more on this connection; in them \r,
+ * \n and \xHH stand for bytes, \h for the fields Ashspindle-Attempt-Id and Ashspindle-Server-Seal
+ *     rawclose    the same, then closes the connection
+ *     rawloop     the same, and repeats without end what follows \*
  *     streamhang  sends nothing after the second event
  *     streamend   the process exits after the second event
  *     streambegin the process exits after it has begun a stream, before the first event
@@ -191,6 +195,78 @@
   ash_stream_write (&conn->stream, text, (size_t) length);
 }
 
+/* Bytes that are sent without end are queued up to this many ahead of what the caller reads. */
+#define LOOP_QUEUE_BYTES (256 * 1024)
+
+/* Replaces the escapes of X-Raw. @param loop_start receives the offset of what follows \\*. */
+static void
+read_raw (const struct ash_http_conn *conn, struct ash_buffer *out, size_t *loop_start)
+{
+  char byte[3] = "";
+  uint8_t value;
+
+  *loop_start = 0;
+  for (const char *at = field (conn, "X-Raw"); *at; at++)
+    {
+      if (*at != '\\')
+        {
+          ash_buffer_append (out, at, 1);
+          continue;
+        }
+      switch (*++at)
+        {
+        case 'r':
+          ash_buffer_append (out, "\r", 1);
+          break;
+        case 'n':
+          ash_buffer_append (out, "\n", 1);
+          break;
+        case 'x':
+          memcpy (byte, at + 1, 2);
+          value = (uint8_t) strtoul (byte, NULL, 16);
+          ash_buffer_append (out, &value, 1);
+          at += 2;
+          break;
+        case 'h':
+          ash_buffer_printf (out,
+                             "Ashspindle-Attempt-Id: %s\r\nAshspindle-Server-Seal: seal-%s\r\n",
+                             field (conn, "Ashspindle-Attempt-Id"), server.id);
+          break;
+        case '*':
+          *loop_start = out->length;
+          break;
+        default:
+          abort ();
+        }
+    }
+}
+
+static void
+answer_raw (struct ash_http_conn *conn)
+{
+  struct ash_buffer bytes = { 0 };
+  size_t loop_start;
+
+  read_raw (conn, &bytes, &loop_start);
+  ash_stream_write (&conn->stream, bytes.bytes + bytes.start, bytes.length);
+  ash_buffer_finish (&bytes);
+}
+
+/* Queues more of the bytes that are sent without end. */
+static void
+repeat_raw (struct ash_http_conn *conn)
+{
+  struct ash_buffer bytes = { 0 };
+  size_t loop_start;
+
+  read_raw (conn, &bytes, &loop_start);
+  while (!conn->is_closed && conn->stream.out.length < LOOP_QUEUE_BYTES)
+    ash_stream_queue (&conn->stream, bytes.bytes + bytes.start + loop_start,
+                      bytes.length - loop_start);
+  ash_stream_write (&conn->stream, "", 0);
+  ash_buffer_finish (&bytes);
+}
+
 static void
 close_conn (struct ash_http_conn *conn)
 {
@@ -225,6 +301,8 @@
   if (strncmp (action, "end", 3) == 0 || work->exit_before == 1)
     work->due = ash_time_add (work->due, END_MS);
   conn->request = work;
+  if (strncmp (action, "raw", 3) == 0)
+    answer_raw (conn);
   if (strncmp (action, "stream", 6) != 0)
     return;
   if (strncmp (action, "streamopen", 10) == 0)
@@ -251,8 +329,14 @@
   char event[64];
 
   if (ash_time_before (now, work->due) || strcmp (work->action, "mute") == 0 ||
+      strcmp (work->action, "raw") == 0 ||
       (work->silent_before && work->next == work->silent_before))
     return;
+  if (strcmp (work->action, "rawloop") == 0)
+    {
+      repeat_raw (conn);
+      return;
+    }
   if (strcmp (work->action, "end") == 0 || (work->exit_before && work->next == work->exit_before))
     _exit (EXIT_FAILURE);
   if (strcmp (work->action, "endlate") == 0)
@@ -338,6 +422,11 @@
       write_raw (conn, id, "Content-Length: 100\r\n", BODY);
       close_conn (conn);
     }
+  else if (strcmp (action, "rawclose") == 0)
+    {
+      answer_raw (conn);
+      close_conn (conn);
+    }
   else if (strcmp (action, "unframed") == 0)
     {
       write_raw (conn, id, "", BODY);
--- a/test/unit.c
+++ b/test/unit.c
@@ -733,6 +733,7 @@
   add_router_tests (suite);
   add_expert_tests (suite);
   add_map_tests (suite);
+  add_answer_tests (suite);
   add_platform_tests (suite);
   add_trace_tests (suite);
   add_router_world_tests (suite);
--- a/test/unit.h
+++ b/test/unit.h
@@ -41,6 +41,9 @@
 /** Switching a group of ranks to another expert map. */
 void add_map_tests (CU_pSuite suite);
 
+/** Responses of other processes: which bytes are an answer. */
+void add_answer_tests (CU_pSuite suite);
+
 /** The platform's formats, HTTP messages, event streams, TCP keep-alive. */
 void add_platform_tests (CU_pSuite suite);
 
