net: a field's value holds no control character, also not as its first one

Seen by callers: "A: \x1b[2J" or "A: \x01" in a server's head was passed on to the caller, byte for byte, inside a 200 with the server's seal.

Cause: http_parser checks the characters of a value from the second one on.

Ruled out: control characters further on, bare CR, LF and NUL were rejected before; their lines stay in the tests. Names were checked before.

Change: each piece of a value is checked as text (RFC 9110, 5.5). Requests are read by the same reader, so a caller's head with such a value gets 400.

--- a/net/http_message.c
+++ b/net/http_message.c
@@ -76,6 +76,12 @@
       reader->offsets[2 * (reader->head.field_count - 1) + 1] = (uint32_t) reader->text.length;
       reader->in_value = true;
     }
+  /* http_parser does not check the first character of a value. */
+  if (!ash_http_is_text (at, length))
+    {
+      reader->error = ASH_HTTP_MALFORMED;
+      return 1;
+    }
   return append (reader, at, length);
 }
 
--- a/test/router_broken_answers.c
+++ b/test/router_broken_answers.c
@@ -162,8 +162,23 @@
   CHECK_ALL (cases);
 }
 
+static void
+test_field_values (void)
+{
+  static const char *const cases[] = {
+    "HTTP/1.1 200 OK\\r\\n\\h" LENGTH_5 "A: \\x01\\r\\n\\r\\nhello",
+    "HTTP/1.1 200 OK\\r\\n\\h" LENGTH_5 "A: \\x1b[2J\\r\\n\\r\\nhello",
+    "HTTP/1.1 200 OK\\r\\n\\h" LENGTH_5 "A: \\x7f\\r\\n\\r\\nhello",
+    "HTTP/1.1 200 OK\\r\\n\\h" LENGTH_5 "A: x\\x01\\r\\n\\r\\nhello",
+    "HTTP/1.1 200 OK\\r\\n\\h" LENGTH_5 "A: x\\ny: z\\r\\n\\r\\nhello",
+  };
+
+  CHECK_ALL (cases);
+}
+
 const struct fault_test router_broken_answer_tests[] = {
   { "broken answers: status lines", test_status_lines },
   { "broken answers: names of fields", test_field_names },
+  { "broken answers: values of fields", test_field_values },
   { NULL, NULL },
 };
