net: chunked bodies are decoded by their grammar

Seen by callers: a server's chunked body with any two bytes in place of a chunk's line end, a size line like "5 x", extensions with control characters, or a trailer line whose name held a blank came to the caller as a whole 200.

Cause: Debian's http_parser is built without its strict checks: after a size line's CR and around a chunk's data any byte counts as the line end, what follows a size is skipped unread, and names in trailers are not looked at. The scan for bare CR and LF covered the head only.

Ruled out: sizes that overflow or aren't hexadecimal, a missing last chunk and bytes after it were rejected before. The names of a trailer with control bytes, too.

Change: net/http_chunks decodes chunked bodies in place of http_parser, which still reads heads and bodies of a length. Requests are read the same way.

--- a/net/http_grammar.h
+++ b/net/http_grammar.h
@@ -30,4 +30,18 @@
  */
 bool ash_http_is_status_line (const char *line, size_t length);
 
+/**
+ * @param line the line without its line end.
+ * @return whether it is a field line, in a head or a trailer (RFC 9112, 5).
+ */
+bool ash_http_is_field_line (const char *line, size_t length);
+
+/**
+ * Reads the line before a chunk's data (RFC 9112, 7.1): its size, and extensions, which are checked
+ * and ignored.
+ * @param line the line without its line end.
+ * @return false if the line is malformed, or the size is 2^60 or more.
+ */
+bool ash_http_chunk_size_read (const char *line, size_t length, uint64_t *size_bytes);
+
 #endif
--- a/net/http_message.c
+++ b/net/http_message.c
@@ -45,8 +45,6 @@
   struct ash_http_reader *reader = parser->data;
   struct ash_http_head *head = &reader->head;
 
-  if (!reader->in_head)
-    return 0; /* trailer fields are ignored */
   if (reader->in_value || !head->field_count)
     {
       if (head->field_count == ASH_HTTP_FIELDS_MAX)
@@ -68,8 +66,6 @@
 {
   struct ash_http_reader *reader = parser->data;
 
-  if (!reader->in_head)
-    return 0;
   if (!reader->in_value)
     {
       end_text (reader);
@@ -154,22 +150,30 @@
   if (reader->error)
     return -1;
   reader->handler->head (reader->data, head);
-  return reader->no_body ? 1 : 0;
+  reader->is_chunked = (parser->flags & F_CHUNKED) && !reader->no_body;
+  /* 1: http_parser reads no body. */
+  return reader->no_body || reader->is_chunked ? 1 : 0;
 }
 
-static int
-on_body (http_parser *parser, const char *at, size_t length)
+static bool
+handle_body (struct ash_http_reader *reader, const uint8_t *bytes, size_t length)
 {
-  struct ash_http_reader *reader = parser->data;
-
   reader->body_bytes += length;
   if (reader->body_bytes > reader->body_max_bytes)
     {
       reader->error = ASH_HTTP_BODY_TOO_LARGE;
-      return 1;
+      return false;
     }
-  reader->handler->body (reader->data, (const uint8_t *) at, length);
-  return 0;
+  reader->handler->body (reader->data, bytes, length);
+  return true;
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t length)
+{
+  struct ash_http_reader *reader = parser->data;
+
+  return handle_body (reader, (const uint8_t *) at, length) ? 0 : 1;
 }
 
 static int
@@ -177,7 +181,7 @@
 {
   struct ash_http_reader *reader = parser->data;
 
-  reader->done = true;
+  reader->done = !reader->is_chunked;
   http_parser_pause (parser, 1);
   return 0;
 }
@@ -214,6 +218,7 @@
 {
   ash_buffer_finish (&reader->text);
   ash_buffer_finish (&reader->line);
+  ash_http_chunks_finish (&reader->chunks);
 }
 
 void
@@ -237,6 +242,9 @@
   reader->head_bytes = 0;
   reader->body_bytes = 0;
   reader->no_body = false;
+  reader->is_chunked = false;
+  ash_http_chunks_finish (&reader->chunks);
+  ash_http_chunks_init (&reader->chunks);
 }
 
 /* Collects the status line, and checks it when it is complete: http_parser skips line ends before
@@ -292,8 +300,23 @@
 
   if (reader->error)
     return consumed;
-  if (!reader->done && HTTP_PARSER_ERRNO (&reader->parser) != HPE_OK)
+  if (!reader->done && !reader->is_chunked && HTTP_PARSER_ERRNO (&reader->parser) != HPE_OK)
+    reader->error = ASH_HTTP_MALFORMED;
+  return consumed;
+}
+
+/* Decodes a part of a chunked body. @return the number of bytes consumed. */
+static size_t
+feed_chunks (struct ash_http_reader *reader, const uint8_t *bytes, size_t length)
+{
+  struct ash_http_chunk_data data;
+  size_t consumed = ash_http_chunks_feed (&reader->chunks, bytes, length, &data);
+
+  if (data.length && !handle_body (reader, data.bytes, data.length))
+    return consumed;
+  if (reader->chunks.state == ASH_CHUNKS_MALFORMED)
     reader->error = ASH_HTTP_MALFORMED;
+  reader->done = reader->chunks.state == ASH_CHUNKS_DONE;
   return consumed;
 }
 
@@ -319,7 +342,10 @@
             break;
           part = head_part;
         }
-      consumed += execute (reader, bytes + consumed, part);
+      if (reader->is_chunked)
+        consumed += feed_chunks (reader, bytes + consumed, part);
+      else
+        consumed += execute (reader, bytes + consumed, part);
     }
   return consumed;
 }
@@ -329,7 +355,7 @@
 {
   if (!reader->started || reader->in_head || reader->error)
     return false;
-  if (!reader->done)
+  if (!reader->done && !reader->is_chunked)
     execute (reader, NULL, 0);
   return reader->done && !reader->error;
 }
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -7,7 +7,7 @@
 #ifndef ASH_HTTP_MESSAGE_H
 #define ASH_HTTP_MESSAGE_H
 
-#include "net/buffer.h"
+#include "net/http_chunks.h"
 
 #include <http_parser.h>
 
@@ -75,6 +75,8 @@
   struct ash_buffer text; /* target, names and values of the head, each NUL-terminated */
   struct ash_buffer line; /* status line of a response, as far as it was read */
   bool in_status_line;
+  bool is_chunked; /* the body is decoded by `chunks`; http_parser has finished the head */
+  struct ash_http_chunks chunks;
   uint32_t offsets[2 * ASH_HTTP_FIELDS_MAX];
   uint32_t target_offset;
   bool in_value;
--- a/test/router_broken_answers.c
+++ b/test/router_broken_answers.c
@@ -176,9 +176,65 @@
   CHECK_ALL (cases);
 }
 
+#define CHUNKS "HTTP/1.1 200 OK\\r\\n\\hTransfer-Encoding: chunked\\r\\n\\r\\n"
+
+/* Chunked bodies that are broken before a byte of the answer has reached the caller. */
+static void
+test_chunks (void)
+{
+  static const char *const cases[] = {
+    CHUNKS "5\\r\\nhelloXX0\\r\\n\\r\\n",
+    CHUNKS "5\\rXhello\\r\\n0\\r\\n\\r\\n",
+    CHUNKS "5 x\\r\\nhello\\r\\n0\\r\\n\\r\\n",
+    CHUNKS "5;a\\x00b\\r\\nhello\\r\\n0\\r\\n\\r\\n",
+    CHUNKS "5\\r\\nhello\\r\\n0\\r\\nA b: x\\r\\n\\r\\n",
+    CHUNKS "5\\r\\nhello\\r\\n0\\r\\n\\rX",
+    CHUNKS "5\\r\\nhello\\r\\n0\\r\\n",
+    CHUNKS "5\\r\\nhello\\r\\nhello",
+  };
+
+  CHECK_ALL (cases);
+}
+
+#define EVENT_1 "F\\r\\nid: 1\\ndata: a\\n\\n"
+
+/* Streams whose framing breaks after an event has reached the caller: another endpoint goes on, and
+ * what came after the first event is not passed on. */
+static void
+test_chunks_midway (void)
+{
+  static const char *const rests[] = {
+    "XX0\\r\\n\\r\\n",
+    "\\r\\n13 x\\r\\nid: 2\\ndata: hello\\n\\n",
+    "\\r\\n0\\r\\nA b: x\\r\\n\\r\\n",
+    "\\r\\n0\\r\\n\\rX",
+    "\\r\\n-1\\r\\n",
+    "\\r\\nhello",
+  };
+
+  start ();
+  testbed.grace = "resend_slack = 10000";
+  restart_router ();
+  for (size_t i = 0; i < sizeof rests / sizeof rests[0]; i++)
+    for (int round = 0; round < ROUNDS; round++)
+      {
+        char raw[512];
+        char id[24];
+
+        snprintf (raw, sizeof raw, "%s" EVENT_1 "%s", CHUNKS, rests[i]);
+        call_raw (id, "/stream/x", round % 2 ? "A=stream B=rawclose" : "A=rawclose B=stream", raw);
+        CU_ASSERT (answer.status == 200 && answer.complete);
+        CU_ASSERT_FALSE (answer_has ("hello"));
+        testbed_expect_events (&answer, 1, 6);
+      }
+  testbed_stop (&testbed);
+}
+
 const struct fault_test router_broken_answer_tests[] = {
   { "broken answers: status lines", test_status_lines },
   { "broken answers: names of fields", test_field_names },
   { "broken answers: values of fields", test_field_values },
+  { "broken answers: chunks", test_chunks },
+  { "broken answers: chunks after the first event", test_chunks_midway },
   { NULL, NULL },
 };
--- a/test/unit_answers.c
+++ b/test/unit_answers.c
@@ -72,6 +72,7 @@
 enum expected
 {
   COMPLETE,
+  BROKEN_BODY,
   BROKEN_HEAD, /* the head is not passed on */
 };
 
@@ -202,6 +203,61 @@
   CHECK (broken, BROKEN_HEAD);
 }
 
+/* Bodies that are broken behind a head that is not. */
+static void
+test_bodies (void)
+{
+  static const struct answer_case broken[] = {
+    { TEXT (OK_LINE "Content-Length: 6\r\n\r\nhello") },
+    { TEXT (OK_LINE "Content-Length: 4\r\n\r\nhello") },
+    { TEXT (CHUNKED "5\r\nhello\r\n") },
+    { TEXT (CHUNKED "5\r\nhello\r\n0\r\n") },
+    { TEXT (CHUNKED "5\r\nhelloXX0\r\n\r\n") },
+    { TEXT (CHUNKED "5\r\nhello\n0\r\n\r\n") },
+    { TEXT (CHUNKED "5\r\nhello0\r\n\r\n") },
+    { TEXT (CHUNKED "5\r\nhello\rX0\r\n\r\n") },
+    { TEXT (CHUNKED "5\r\nhello!\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED "5\nhello\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED "5\rXhello\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED "5\r\nhello\r\n0\n\r\n") },
+    { TEXT (CHUNKED "5\r\nhello\r\n0\r\n\n") },
+    { TEXT (CHUNKED "5\r\nhello\r\n0\r\n\rX") },
+    { TEXT (CHUNKED " 5\r\nhello\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED "\r\n5\r\nhello\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED "\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED ";a\r\nhello\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED "5x\r\nhello\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED "5 x\r\nhello\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED "0x5\r\nhello\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED "+5\r\nhello\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED "-5\r\nhello\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED "g\r\nhello\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED "10000000000000005\r\nhello\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED "ffffffffffffffff\r\nhello\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED "5;\r\nhello\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED "5;a b\r\nhello\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED "5;a=\r\nhello\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED "5;=b\r\nhello\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED "5;a=\"b\r\nhello\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED "5;a=\001\r\nhello\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED "5;a\nb\r\nhello\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED "5;a\0b\r\nhello\r\n0\r\n\r\n") },
+    { TEXT (CHUNKED "5\r\nhello\r\n0\r\nA b: x\r\n\r\n") },
+    { TEXT (CHUNKED "5\r\nhello\r\n0\r\nA : x\r\n\r\n") },
+    { TEXT (CHUNKED "5\r\nhello\r\n0\r\nA\001: x\r\n\r\n") },
+    { TEXT (CHUNKED "5\r\nhello\r\n0\r\nA: x\001\r\n\r\n") },
+    { TEXT (CHUNKED "5\r\nhello\r\n0\r\nA: x\0\r\n\r\n") },
+    { TEXT (CHUNKED "5\r\nhello\r\n0\r\n: x\r\n\r\n") },
+    { TEXT (CHUNKED "5\r\nhello\r\n0\r\nA\r\n\r\n") },
+    { TEXT (CHUNKED "5\r\nhello\r\n0\r\nA: x\r\n y\r\n\r\n") },
+    { TEXT (CHUNKED "5\r\nhello\r\n0\r\n A: x\r\n\r\n") },
+    { TEXT (CHUNKED "5\r\nhello\r\n0\r\nA: x\n\r\n") },
+    { TEXT (CHUNKED "5\r\nhello\r\n0\r\n\r\nmore") },
+  };
+
+  CHECK (broken, BROKEN_BODY);
+}
+
 static void
 test_valid (void)
 {
@@ -286,6 +342,7 @@
 {
   CU_add_test (suite, "answers: status lines", test_status_lines);
   CU_add_test (suite, "answers: field lines", test_field_lines);
+  CU_add_test (suite, "answers: bodies", test_bodies);
   CU_add_test (suite, "answers: valid ones", test_valid);
   CU_add_test (suite, "answers: bytes without end", test_endless);
 }
