net: a status that has no body has none, whatever its fields say

Seen by callers: a server's 204 with a length or chunks came with a body; a 304 that names the length of its 200, as it may, waited for that body until the time-out, and the next bytes of that connection would have been its body. After a 101 the connection's further bytes were read as the answer. The router's own line for a 204 or 304 carried Content-Length: 0.

Cause: http_parser reads the body that the fields announce; RFC 9112, 6.3 lets the status decide first. 101 counted as any other interim answer.

Ruled out: empty, repeated, listed and contradictory lengths, and transfer codings other than chunked, were rejected before; their lines stay in the tests.

Change: 1xx, 204 and 304 end with their head. One that announces a body all the same is malformed, except 304, whose length is that of another response, and Content-Length: 0. A 101 is malformed: no request asks for it. The router writes no length for a 204 or 304.

--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -150,12 +150,15 @@
                        const void *body,
                        size_t body_bytes)
 {
-  bool head_only = conn->reader.head.method && strcmp (conn->reader.head.method, "HEAD") == 0;
-  char framing[64];
+  bool has_body = ash_http_status_has_body (status);
+  bool is_head = conn->reader.head.method && strcmp (conn->reader.head.method, "HEAD") == 0;
+  bool head_only = is_head || !has_body;
+  char framing[64] = "";
 
   if (conn->is_closed)
     return;
-  snprintf (framing, sizeof framing, "Content-Length: %zu\r\n", body_bytes);
+  if (has_body)
+    snprintf (framing, sizeof framing, "Content-Length: %zu\r\n", body_bytes);
   write_head (conn, status, fields, fields_bytes, framing);
   ash_stream_write (&conn->stream, body, head_only ? 0 : body_bytes);
   if (!body_bytes || head_only)
--- a/net/http_message.c
+++ b/net/http_message.c
@@ -9,6 +9,10 @@
 #define HEAD_DEFAULT_BYTES 16384
 #define NO_OFFSET UINT32_MAX
 
+#define STATUS_SWITCHING_PROTOCOLS 101
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
+
 /* ---- the parser's callbacks ---- */
 
 static int
@@ -107,6 +111,17 @@
   return true;
 }
 
+/* Whether the body that a response's fields announce is one that its status can have. The length of
+ * a 304 is that of another response. */
+static bool
+body_fits_status (const http_parser *parser, uint16_t status)
+{
+  bool announced = (parser->flags & F_CHUNKED) ||
+                   (parser->content_length != UINT64_MAX && parser->content_length > 0);
+
+  return !announced || ash_http_status_has_body (status) || status == STATUS_NOT_MODIFIED;
+}
+
 static void
 set_pointers (struct ash_http_reader *reader)
 {
@@ -128,6 +143,7 @@
 {
   struct ash_http_reader *reader = parser->data;
   struct ash_http_head *head = &reader->head;
+  bool is_response = reader->kind == ASH_HTTP_RESPONSE;
 
   end_text (reader);
   if (reader->error)
@@ -145,10 +161,19 @@
     reader->error = ASH_HTTP_UNSUPPORTED_CODING;
   else if (parser->http_major != 1 || !names_are_tokens (head))
     reader->error = ASH_HTTP_MALFORMED;
+  /* No request asks for another protocol: what follows a 101 can't be read. */
+  else if (is_response &&
+           (head->status == STATUS_SWITCHING_PROTOCOLS || !body_fits_status (parser, head->status)))
+    reader->error = ASH_HTTP_MALFORMED;
   else if (parser->content_length != UINT64_MAX && parser->content_length > reader->body_max_bytes)
     reader->error = ASH_HTTP_BODY_TOO_LARGE;
   if (reader->error)
     return -1;
+  if (is_response && !ash_http_status_has_body (head->status))
+    {
+      reader->no_body = true;
+      head->framed = true;
+    }
   reader->handler->head (reader->data, head);
   reader->is_chunked = (parser->flags & F_CHUNKED) && !reader->no_body;
   /* 1: http_parser reads no body. */
@@ -371,6 +396,13 @@
   return NULL;
 }
 
+bool
+ash_http_status_has_body (uint16_t status)
+{
+  return status >= ASH_HTTP_STATUS_FINAL && status != STATUS_NO_CONTENT &&
+         status != STATUS_NOT_MODIFIED;
+}
+
 bool
 ash_http_list_has (const char *list, const char *word)
 {
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -36,7 +36,8 @@
   bool http_1_0;
   bool keep_alive;
   uint64_t length; /**< value of Content-Length; UINT64_MAX: none */
-  bool framed; /**< the body is delimited by its length or chunks, not by the connection's close */
+  bool framed;     /**< the body is delimited by its status, its length or chunks, not by the
+                        connection's close */
   uint32_t field_count;
   struct ash_http_field fields[ASH_HTTP_FIELDS_MAX];
 };
@@ -110,6 +111,9 @@
 /** @return the value of the first field of that name, or NULL. */
 const char *ash_http_field (const struct ash_http_head *head, const char *name);
 
+/** @return whether a response with that status can have a body (RFC 9112, 6.3). */
+bool ash_http_status_has_body (uint16_t status);
+
 /** @return whether a comma-separated list holds the word. */
 bool ash_http_list_has (const char *list, const char *word);
 
--- a/test/router_broken_answers.c
+++ b/test/router_broken_answers.c
@@ -3,6 +3,7 @@
  * Endpoints that send bytes that are no answer: no caller gets any of them as an answer, before or
  * after a byte of the answer has reached it, from new and from kept connections.
  */
+#include "test/raw.h"
 #include "test/router_tests.h"
 
 #include <CUnit/CUnit.h>
@@ -230,11 +231,74 @@
   testbed_stop (&testbed);
 }
 
+/* Fields that delimit the body: contradictory ones, and a body that its status can't have. */
+static void
+test_framing (void)
+{
+  static const char *const cases[] = {
+    "HTTP/1.1 204 None\\r\\n\\h" LENGTH_5 "\\r\\nhello",
+    "HTTP/1.1 204 None\\r\\n\\hTransfer-Encoding: "
+    "chunked\\r\\n\\r\\n5\\r\\nhello\\r\\n0\\r\\n\\r\\n",
+    "HTTP/1.1 101 Other\\r\\n\\r\\nHTTP/1.1 200 OK\\r\\n\\h" LENGTH_5 "\\r\\nhello",
+    "HTTP/1.1 103 Early\\r\\n" LENGTH_5 "\\r\\nhelloHTTP/1.1 200 OK\\r\\n\\h" LENGTH_5
+    "\\r\\nhello",
+    "HTTP/1.1 200 OK\\r\\n\\hContent-Length:\\r\\n\\r\\nhello",
+    "HTTP/1.1 200 OK\\r\\n\\hContent-Length: 5, 5\\r\\n\\r\\nhello",
+    "HTTP/1.1 200 OK\\r\\n\\hContent-Length: 5\\r\\nContent-Length: 6\\r\\n\\r\\nhello!",
+    "HTTP/1.1 200 OK\\r\\n\\h" LENGTH_5 "Transfer-Encoding: "
+    "chunked\\r\\n\\r\\n5\\r\\nhello\\r\\n0\\r\\n\\r\\n",
+  };
+
+  CHECK_ALL (cases);
+}
+
+/* Sends two requests over one connection, whose endpoints do @p action with @p raw for the first
+ * one. Checks that the first answer has @p status and no body, and the second one follows it. */
+static void
+check_no_body (const char *raw, const char *status)
+{
+  int fd = testbed_connect (&testbed, 0);
+  char text[2048];
+  char *body;
+
+  snprintf (text, sizeof text,
+            "POST /safe/x HTTP/1.1\r\n" HEAD "n1\r\nX-Do: *=rawclose\r\nX-Raw: %s\r\n"
+            "Content-Length: 0\r\n\r\nPOST /safe/x HTTP/1.1\r\n" HEAD
+            "n2\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+            raw);
+  testbed_send (fd, text);
+  raw_read_until_closed (fd, text, sizeof text);
+  body = strstr (text, "\r\n\r\n");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (body);
+  CU_ASSERT_EQUAL (strncmp (body + 4, "HTTP/1.1 200 OK\r\n", 17), 0);
+  CU_ASSERT_PTR_NOT_NULL (strstr (body, "whole answer"));
+  *body = '\0';
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, status));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "Ashspindle-Server-Seal"));
+  CU_ASSERT_PTR_NULL (strstr (text, "Content-Length"));
+  CU_ASSERT_PTR_NULL (strstr (text, "Transfer-Encoding"));
+}
+
+/* An answer whose status can have no body ends with its head, whatever its fields say, and so does
+ * what the caller gets. */
+static void
+test_no_body (void)
+{
+  start ();
+  check_no_body ("HTTP/1.1 204 None\\r\\n\\h\\r\\n", "HTTP/1.1 204 ");
+  check_no_body ("HTTP/1.1 204 None\\r\\n\\hContent-Length: 0\\r\\n\\r\\n", "HTTP/1.1 204 ");
+  check_no_body ("HTTP/1.1 304 Same\\r\\n\\hContent-Length: 500\\r\\n\\r\\n", "HTTP/1.1 304 ");
+  check_no_body ("HTTP/1.1 304 Same\\r\\n\\h\\r\\n", "HTTP/1.1 304 ");
+  testbed_stop (&testbed);
+}
+
 const struct fault_test router_broken_answer_tests[] = {
   { "broken answers: status lines", test_status_lines },
   { "broken answers: names of fields", test_field_names },
   { "broken answers: values of fields", test_field_values },
   { "broken answers: chunks", test_chunks },
   { "broken answers: chunks after the first event", test_chunks_midway },
+  { "broken answers: framing", test_framing },
+  { "answers without a body", test_no_body },
   { NULL, NULL },
 };
--- a/test/unit_answers.c
+++ b/test/unit_answers.c
@@ -203,6 +203,50 @@
   CHECK (broken, BROKEN_HEAD);
 }
 
+/* Fields that delimit the body, and bodies that their status can't have. */
+static void
+test_framing_fields (void)
+{
+  static const struct answer_case broken[] = {
+    { TEXT (OK_LINE "Content-Length : 5\r\n\r\nhello") },
+    { TEXT (OK_LINE "Content-Length: \r\n\r\nhello") },
+    { TEXT (OK_LINE "Content-Length:\r\n\r\nhello") },
+    { TEXT (OK_LINE "Content-Length: 5x\r\n\r\nhello") },
+    { TEXT (OK_LINE "Content-Length: 0x5\r\n\r\nhello") },
+    { TEXT (OK_LINE "Content-Length: +5\r\n\r\nhello") },
+    { TEXT (OK_LINE "Content-Length: -5\r\n\r\nhello") },
+    { TEXT (OK_LINE "Content-Length: 5 5\r\n\r\nhello") },
+    { TEXT (OK_LINE "Content-Length: 5, 5\r\n\r\nhello") },
+    { TEXT (OK_LINE "Content-Length: 5,6\r\n\r\nhello") },
+    { TEXT (OK_LINE "Content-Length: 5.0\r\n\r\nhello") },
+    { TEXT (OK_LINE "Content-Length: five\r\n\r\nhello") },
+    { TEXT (OK_LINE LENGTH_5 "Content-Length: 6\r\n\r\nhello!") },
+    { TEXT (OK_LINE LENGTH_5 "Content-Length:\r\n\r\nhello") },
+    { TEXT (OK_LINE "Content-Length:\r\n" LENGTH_5 "\r\nhello") },
+    { TEXT (OK_LINE "Content-Length: 18446744073709551616\r\n\r\n") },
+    { TEXT (OK_LINE "Content-Length: 18446744073709551621\r\n\r\nhello") },
+    { TEXT (OK_LINE LENGTH_5 "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n") },
+    { TEXT (OK_LINE "Transfer-Encoding: chunked\r\n" LENGTH_5 "\r\n5\r\nhello\r\n0\r\n\r\n") },
+    { TEXT (OK_LINE "Transfer-Encoding: gzip\r\n\r\nhello") },
+    { TEXT (OK_LINE "Transfer-Encoding:\r\n\r\nhello") },
+    { TEXT (OK_LINE "Transfer-Encoding:\r\n" LENGTH_5 "\r\nhello") },
+    { TEXT (OK_LINE "Transfer-Encoding: identity\r\n\r\nhello") },
+    { TEXT (OK_LINE "Transfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n") },
+    { TEXT (OK_LINE "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n") },
+    { TEXT (OK_LINE "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n") },
+    { TEXT (OK_LINE "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") },
+    { TEXT ("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") },
+    { TEXT ("HTTP/1.1 204 None\r\n" LENGTH_5 "\r\nhello") },
+    { TEXT ("HTTP/1.1 204 None\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") },
+    { TEXT ("HTTP/1.1 103 Early\r\n" LENGTH_5 "\r\nhello") },
+    { TEXT ("HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") },
+    { TEXT ("HTTP/1.1 101 Switching\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n") },
+    { TEXT ("HTTP/1.1 101 Switching\r\n\r\n") },
+  };
+
+  CHECK (broken, BROKEN_HEAD);
+}
+
 /* Bodies that are broken behind a head that is not. */
 static void
 test_bodies (void)
@@ -210,6 +254,7 @@
   static const struct answer_case broken[] = {
     { TEXT (OK_LINE "Content-Length: 6\r\n\r\nhello") },
     { TEXT (OK_LINE "Content-Length: 4\r\n\r\nhello") },
+    { TEXT ("HTTP/1.1 304 Same\r\nContent-Length: 5\r\n\r\nhello") },
     { TEXT (CHUNKED "5\r\nhello\r\n") },
     { TEXT (CHUNKED "5\r\nhello\r\n0\r\n") },
     { TEXT (CHUNKED "5\r\nhelloXX0\r\n\r\n") },
@@ -275,6 +320,8 @@
     { TEXT ("HTTP/1.1 103 Early\r\nLink: x\r\n\r\n") },
     { TEXT ("HTTP/1.1 204 None\r\n\r\n") },
     { TEXT ("HTTP/1.1 204 None\r\nContent-Length: 0\r\n\r\n") },
+    { TEXT ("HTTP/1.1 304 Same\r\nContent-Length: 5\r\n\r\n") },
+    { TEXT ("HTTP/1.1 304 Same\r\nTransfer-Encoding: chunked\r\n\r\n") },
     { TEXT (OK_LINE "content-length:5\r\n\r\nhello") },
     { TEXT (OK_LINE "Content-Length: 0005\r\n\r\nhello") },
     { TEXT (OK_LINE "Content-Length: 0\r\n\r\n") },
@@ -342,6 +389,7 @@
 {
   CU_add_test (suite, "answers: status lines", test_status_lines);
   CU_add_test (suite, "answers: field lines", test_field_lines);
+  CU_add_test (suite, "answers: framing fields", test_framing_fields);
   CU_add_test (suite, "answers: bodies", test_bodies);
   CU_add_test (suite, "answers: valid ones", test_valid);
   CU_add_test (suite, "answers: bytes without end", test_endless);
