store, ranks: an answer without end is given up

Seen: a store that answers with a body without end held that reader for good, as the time-out started anew with each part: the router followed neither the configuration nor the list, and its memory grew with what came (not noticed within 30 s, fast or slow). A rank's body was bounded by the time-out of its call only.

Cause: bodies of the store and of ranks had no bound on their size, the store's none on its duration.

Ruled out: heads without end, interim answers without end (no part of a body restarts the time-out), and answers of the store with a broken status line, field, length, chunk or JSON: nothing is taken from them, with the reader mended before; their tests stay. Orders that ranks answer with broken bytes count as unanswered, and the ranks keep one map: handled before, their test stays. Peers: frames are bounded and carry a MAC.

Change: a pool of connections has a bound on bodies: 32 MiB for the store, 1 MiB for ranks; an answer of the store must be whole 6 s after its head. The log names a malformed answer as such.

Test: test-router "broken answers: the store's without end" failed before (2 of 3 kinds not noticed); test-unit "calls: bodies over the bound". New and passing before: "broken answers: the store", "broken answers: ranks".

--- a/daemon/map_manager.c
+++ b/daemon/map_manager.c
@@ -492,6 +492,7 @@
           free (endpoint);
           continue;
         }
+      endpoint->pool.body_max_bytes = ASH_RANK_ANSWER_MAX_BYTES;
       endpoint->manager = manager;
       endpoint->hash = direct->hash;
       memcpy (endpoint->address, direct->facts.address, sizeof endpoint->address);
--- a/daemon/rank_client.h
+++ b/daemon/rank_client.h
@@ -78,6 +78,9 @@
  * a round trip, a few milliseconds. */
 #define ASH_RANK_CALL_TIMEOUT_MS 400
 
+/** Largest answer of a rank: the counts of ASH_LAYERS_MAX * ASH_LAYER_EXPERTS_MAX experts. */
+#define ASH_RANK_ANSWER_MAX_BYTES (1024 * 1024)
+
 /** @return the first service whose engine has experts, or NULL if there is none. */
 const struct ash_route_service *ash_rank_service (const struct ash_map_manager *manager);
 
--- a/daemon/store.c
+++ b/daemon/store.c
@@ -15,6 +15,13 @@
  * milliseconds, so that a slow store does not get every request twice. */
 #define ANSWER_TIMEOUT_MS 1500
 
+/* An answer must be complete this long after its first part, so that one that comes slowly and
+ * without end does not keep the router from reading others. */
+#define ANSWER_MAX_MS 6000
+
+/* Largest answer: the changes of the store's history, with values of up to a megabyte. */
+#define ANSWER_MAX_BYTES (32 * 1024 * 1024)
+
 /* Added to the waiting time of a watch to get its timeout. The answer to a watch is a single event
  * or none. With the waiting time of routers that poll often (1.5 s), a change whose answer was lost
  * is active 2.3 s later. */
@@ -370,6 +377,7 @@
   struct ash_store_reader *reader = call->owner;
 
   reader->status = head->status;
+  reader->answer_began = ash_clock_now ();
   reader->era_status = ash_platform_store_era (head, &reader->era);
   return ASH_CALL_ACCEPT;
 }
@@ -378,13 +386,33 @@
 on_body (struct ash_http_call *call, const uint8_t *bytes, size_t length)
 {
   struct ash_store_reader *reader = call->owner;
+  int64_t left_ms = ANSWER_MAX_MS - ash_time_diff (reader->answer_began, ash_clock_now ());
 
   /* The timeout restarts with each part of the answer: repeating a request over a slow link would
    * not be faster. */
-  set_timer (reader, ANSWER_TIMEOUT_MS);
+  if (left_ms > 0)
+    set_timer (reader, left_ms < ANSWER_TIMEOUT_MS ? left_ms : ANSWER_TIMEOUT_MS);
   return ash_buffer_append (&reader->answer, bytes, length);
 }
 
+/* @return why a call failed, for the log. */
+static const char *
+failure_text (enum ash_call_end end)
+{
+  switch (end)
+    {
+    case ASH_CALL_NOT_SENT:
+      return "can't connect";
+    case ASH_CALL_TRUNCATED:
+      return "cut off";
+    case ASH_CALL_MALFORMED:
+      return "malformed answer";
+    case ASH_CALL_COMPLETE:
+      break;
+    }
+  return "";
+}
+
 static void
 on_end (struct ash_http_call *call, enum ash_call_end end)
 {
@@ -396,7 +424,7 @@
   if (end == ASH_CALL_COMPLETE)
     handle_answer (reader);
   else
-    handle_failure (reader, end == ASH_CALL_NOT_SENT ? "can't connect" : "cut off");
+    handle_failure (reader, failure_text (end));
 }
 
 static const struct ash_call_handler call_handler = { on_head, on_body, on_end };
@@ -568,6 +596,7 @@
   if (!ash_http_pool_init (&store->pool, router->loop, router->settings.store_address))
     return false;
   store->pool.silence_ms = CONNECTION_SILENCE_MS;
+  store->pool.body_max_bytes = ANSWER_MAX_BYTES;
   ash_store_list_init (store);
   for (int part = 0; part < ASH_STORE_PARTS; part++)
     {
--- a/daemon/store.h
+++ b/daemon/store.h
@@ -47,6 +47,7 @@
   uint32_t listing_id; /**< number of the current listing; entries with another number are missing
                           from it */
   struct ash_time requested_at; /**< when the current request was sent */
+  struct ash_time answer_began; /**< when the head of the current answer arrived */
   uint32_t wait_ms;             /**< how long the store may wait with its answer */
   struct ash_time overdue_at; /**< an answer after this time shows that the store was unavailable */
   struct ash_time last_answer; /**< when the last valid answer came */
--- a/net/http_call.c
+++ b/net/http_call.c
@@ -223,7 +223,9 @@
 bool
 ash_http_pool_init (struct ash_http_pool *pool, struct ev_loop *loop, const char *address)
 {
-  *pool = (struct ash_http_pool){ .loop = loop, .idle_max = IDLE_CONNS_MAX };
+  *pool = (struct ash_http_pool){ .loop = loop,
+                                  .idle_max = IDLE_CONNS_MAX,
+                                  .body_max_bytes = ASH_HTTP_BODY_UNBOUNDED };
   return ash_socket_address (address, &pool->address);
 }
 
@@ -293,6 +295,7 @@
   if (pool->silence_ms)
     ash_stream_keep_alive (&conn->stream, pool->silence_ms);
   ash_http_reader_init (&conn->reader, ASH_HTTP_RESPONSE, &reader_handler, conn);
+  conn->reader.body_max_bytes = pool->body_max_bytes;
   pool->open_count++;
   DL_PREPEND (pool->conns, conn);
   return conn;
--- a/net/http_call.h
+++ b/net/http_call.h
@@ -62,7 +62,8 @@
   struct ash_pool_conn *conns; /**< all connections, most recently used first */
   uint32_t open_count;
   uint32_t idle_max;
-  uint32_t silence_ms; /**< keep-alive timeout, see ash_stream_keep_alive(); 0: no probes */
+  uint64_t body_max_bytes; /**< a call with a larger body ends with ASH_CALL_MALFORMED */
+  uint32_t silence_ms;     /**< keep-alive timeout, see ash_stream_keep_alive(); 0: no probes */
 };
 
 /** @param address as `IP:PORT`. @return false if it can't be parsed. */
--- a/net/http_message.c
+++ b/net/http_message.c
@@ -246,7 +246,7 @@
   *reader = (struct ash_http_reader){
     .kind = kind,
     .head_max_bytes = HEAD_DEFAULT_BYTES,
-    .body_max_bytes = UINT64_MAX - 1,
+    .body_max_bytes = ASH_HTTP_BODY_UNBOUNDED,
     .handler = handler,
     .data = data,
   };
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -14,6 +14,9 @@
 /** Maximum number of header fields; more is an error. */
 #define ASH_HTTP_FIELDS_MAX 64
 
+/** No limit on the size of a body. */
+#define ASH_HTTP_BODY_UNBOUNDED (UINT64_MAX - 1)
+
 enum ash_http_kind
 {
   ASH_HTTP_REQUEST,
--- a/test/router_broken_answers.c
+++ b/test/router_broken_answers.c
@@ -414,6 +414,87 @@
   testbed_stop (&testbed);
 }
 
+/* The store's answer: both servers have left. */
+#define REMOVED                                                                                    \
+  "{\"events\":[{\"PrivateKey\":\"servers/i-A1\",\"Revision\":900,\"Removed\":true},"              \
+  "{\"PrivateKey\":\"servers/i-B1\",\"Revision\":901,\"Removed\":true}],\"StoreRevision\":901}"
+
+/* Waits until the router has logged @p text more than @p count times. */
+static bool
+wait_logged_again (const char *text, int count)
+{
+  for (int i = 0; i < 1500 && testbed_count_logged (&testbed, 0, text) <= count; i++)
+    fleet_sleep_ms (20);
+  return testbed_count_logged (&testbed, 0, text) > count;
+}
+
+/* The store answers with @p raw for a while: the router takes nothing from it, knows that the store
+ * doesn't answer, and goes on with what it knows. */
+static void
+check_store (const char *raw)
+{
+  int down = testbed_count_logged (&testbed, 0, "platform_down");
+  int up = testbed_count_logged (&testbed, 0, "platform_up");
+  bool noticed;
+
+  testbed_fetch (testbed.store_port, "PUT", "/raw", raw);
+  noticed = wait_logged_again ("platform_down", down);
+  CU_ASSERT (noticed);
+  if (!noticed)
+    printf ("\n  not noticed: %s", raw);
+  testbed_fetch (testbed.store_port, "PUT", "/raw", "");
+  testbed_fetch (testbed.store_port, "PUT", "/mode?ok", "");
+  CU_ASSERT (wait_logged_again ("platform_up", up));
+  keep_connections ();
+}
+
+static void
+test_store (void)
+{
+  static const char *const cases[] = {
+    "HTTP/1.1 000 Odd\\r\\n\\r\\n" REMOVED,
+    "HTTP/1.1 0200 OK\\r\\n\\r\\n" REMOVED,
+    "\\r\\nHTTP/1.1 200 OK\\r\\n\\r\\n" REMOVED,
+    "HTTP/1.1 200 OK\\r\\nA b: x\\r\\n\\r\\n" REMOVED,
+    "HTTP/1.1 200 OK\\r\\nA: \\x01\\r\\n\\r\\n" REMOVED,
+    "HTTP/1.1 200 OK\\r\\nContent-Length : 5\\r\\n\\r\\n" REMOVED,
+    "HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n98 x\\r\\n" REMOVED
+    "\\r\\n0\\r\\n\\r\\n",
+    "HTTP/1.1 200 OK\\r\\nContent-Length: 1000\\r\\n\\r\\n" REMOVED,
+    "HTTP/1.1 200 OK\\r\\n\\r\\n" REMOVED "}",
+    "hello",
+  };
+
+  start ();
+  testbed.grace = "resend_slack = 10000";
+  restart_router ();
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    check_store (cases[i]);
+  testbed_stop (&testbed);
+}
+
+/* The store's answer comes without end, fast or slowly. */
+static void
+test_store_endless (void)
+{
+  static const char *const cases[] = {
+    "HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n\\*5\\r\\nhello\\r\\n",
+    "HTTP/1.1 200 OK\\r\\n\\r\\n\\*{\"events\":[],",
+    "\\*HTTP/1.1 100 Continue\\r\\n\\r\\n",
+  };
+
+  start ();
+  testbed.grace = "resend_slack = 10000";
+  restart_router ();
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      check_store (cases[i]);
+      testbed_fetch (testbed.store_port, "PUT", "/mode?trickle", "");
+      check_store (cases[i]);
+    }
+  testbed_stop (&testbed);
+}
+
 const struct fault_test router_broken_answer_tests[] = {
   { "broken answers: status lines", test_status_lines },
   { "broken answers: names of fields", test_field_names },
@@ -424,6 +505,8 @@
   { "broken answers: without end", test_endless },
   { "broken answers: an event without end", test_endless_event },
   { "an answer without end", test_endless_answer },
+  { "broken answers: the store", test_store },
+  { "broken answers: the store's without end", test_store_endless },
   { "answers without a body", test_no_body },
   { "answers whose fields have blanks around their values", test_blanks },
   { NULL, NULL },
--- a/test/router_maps.c
+++ b/test/router_maps.c
@@ -242,11 +242,54 @@
   testbed_stop (&testbed);
 }
 
+/* Ranks drop orders and answer them with bytes that are no answer, which says nothing of whether an
+ * order was taken: the group goes on with one map, and follows the demand once its ranks answer. */
+static void
+test_broken_answers (void)
+{
+  static const char *const answers[] = {
+    "HTTP/1.1 000 Odd\\r\\nContent-Length: 0\\r\\n\\r\\n",
+    "HTTP/1.1 0202 Begun\\r\\nContent-Length: 0\\r\\n\\r\\n",
+    "HTTP/1.1 202 Begun\\r\\nA b: x\\r\\nContent-Length: 0\\r\\n\\r\\n",
+    "HTTP/1.1 202 Begun\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n0\\r\\n\\rX",
+  };
+  struct caller callers[CALLERS];
+
+  testbed_start (&testbed);
+  testbed_start_group (&testbed);
+  testbed_publish (&testbed);
+  CU_ASSERT_TRUE_FATAL (testbed_wait_ready (&testbed, 0, true));
+  start_callers (callers, 0);
+  for (size_t i = 0; i < sizeof answers / sizeof answers[0]; i++)
+    {
+      long raw_answers = testbed_group_state (&testbed, "raw_answers");
+      long changes;
+      char shift[32];
+
+      testbed_fetch (testbed.ranks[0], "PUT", "/raw", answers[i]);
+      snprintf (shift, sizeof shift, "/state?shift=%zu", 5 * i + 3);
+      testbed_fetch (testbed.ranks[0], "GET", shift, "");
+      for (int wait = 0; wait < 400 && testbed_group_state (&testbed, "raw_answers") == raw_answers;
+           wait++)
+        fleet_sleep_ms (25);
+      CU_ASSERT (testbed_group_state (&testbed, "raw_answers") > raw_answers);
+      testbed_fetch (testbed.ranks[0], "PUT", "/raw", "");
+      changes = testbed_group_state (&testbed, "changes");
+      snprintf (shift, sizeof shift, "/state?shift=%zu", 5 * i + 5);
+      testbed_fetch (testbed.ranks[0], "GET", shift, "");
+      CU_ASSERT (wait_changes (changes + 1));
+    }
+  CU_ASSERT (stop_callers (callers) > 0);
+  CU_ASSERT_EQUAL (testbed_group_state (&testbed, "broken"), 0);
+  testbed_stop (&testbed);
+}
+
 const struct fault_test router_map_tests[] = {
   { "a stalled group is told to all routers", test_group_stalled },
   { "expert maps follow what is asked for", test_maps },
   { "expert maps in trouble", test_maps_with_faults },
   { "suspended: the router that leads", test_leader_suspended },
   { "the router that leads stops while it holds a step", test_leader_stalled },
+  { "broken answers: ranks", test_broken_answers },
   { NULL, NULL },
 };
--- a/test/standin_ranks.c
+++ b/test/standin_ranks.c
@@ -7,17 +7,19 @@
  * It checks that all ranks always change their maps in the same pass. GET /state at any rank
  * returns
  *
- *     step=N map=V changes=N held=0|1 broken=0|1 standing_ms=N
+ *     step=N map=V changes=N held=0|1 broken=0|1 standing_ms=N raw_answers=N
  *
  * where broken=1 means that a pass began while two ranks had different maps, and standing_ms is the
  * time since the last pass. GET /state?stalled=1 makes the ranks report that one of them is
  * missing, until /state?stalled=0. GET /state?shift=N shifts the demand to other experts. GET
  * /state?late=PERCENT makes that share of orders be executed late and never answered. GET
  * /state?deaf=1 makes ranks drop all orders to arm until /state?deaf=0, so that a held step stays
- * held.
+ * held. PUT /raw makes the ranks drop all orders and answer them with the bytes of the body
+ * (test/standin_raw.h), until its body is empty.
  */
 #include "common/random.h"
 #include "net/http_conn.h"
+#include "test/standin_raw.h"
 
 #include <jansson.h>
 #include <stdio.h>
@@ -82,6 +84,8 @@
   uint32_t shift; /* by which the popular expert's number is shifted */
   uint32_t delayed_percent;
   bool drops_arm_orders;
+  uint32_t raw_answers;
+  char *raw_answer; /* to orders, which are dropped; NULL: proper answers */
   uint32_t ticks;
   bool broken;
   bool stalled; /* the ranks report that one is missing */
@@ -343,10 +347,12 @@
     group.drops_arm_orders = drops_arm_orders[strlen ("deaf=")] == '1';
   for (uint32_t i = 0; i < group.rank_count; i++)
     held = held || group.ranks[i].held;
-  snprintf (text, sizeof text, "step=%llu map=%llu changes=%llu held=%d broken=%d standing_ms=%lld",
+  snprintf (text, sizeof text,
+            "step=%llu map=%llu changes=%llu held=%d broken=%d standing_ms=%lld"
+            " raw_answers=%u",
             (unsigned long long) group.step, (unsigned long long) group.ranks[0].map.version,
             (unsigned long long) group.changes, held, group.broken,
-            (long long) ash_time_diff (group.last_pass_at, ash_clock_now ()));
+            (long long) ash_time_diff (group.last_pass_at, ash_clock_now ()), group.raw_answers);
   answer_text (conn, text);
 }
 
@@ -394,6 +400,17 @@
   ash_http_conn_write (conn, event, (size_t) length);
 }
 
+static void
+set_raw_answer (struct ash_http_conn *conn)
+{
+  const char *bytes = (const char *) conn->body.bytes;
+
+  free (group.raw_answer);
+  group.raw_answer =
+      conn->body.length ? strndup (bytes + conn->body.start, conn->body.length) : NULL;
+  ash_http_conn_respond (conn, 200, "", 0, "", 0);
+}
+
 static void
 on_request (struct ash_http_conn *conn)
 {
@@ -404,6 +421,13 @@
     answer_text (conn, rank->reports[(group.ticks + HISTORY - REPORT_LAG_MS / 30) % HISTORY]);
   else if (strncmp (target, "/picked", 7) == 0)
     answer_experts (conn, rank, strstr (target, "Lists") != NULL);
+  else if (strcmp (target, "/raw") == 0)
+    set_raw_answer (conn);
+  else if (strcmp (target, "/order") == 0 && group.raw_answer)
+    {
+      group.raw_answers++;
+      standin_raw_send (conn, group.raw_answer, "");
+    }
   else if (strcmp (target, "/order") == 0)
     receive_order (conn, rank);
   else if (strncmp (target, "/state", 6) == 0)
--- /dev/null
+++ b/test/standin_raw.c
@@ -0,0 +1,75 @@
+#include "test/standin_raw.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Appends the byte that follows \x, given by two hexadecimal digits. */
+static void
+append_hex (struct ash_buffer *out, const char *digits)
+{
+  char text[3] = { digits[0], digits[1], '\0' };
+  uint8_t byte = (uint8_t) strtoul (text, NULL, 16);
+
+  ash_buffer_append (out, &byte, 1);
+}
+
+/* Replaces the escapes. @return the offset of what follows \*; 0 if there is none. */
+static size_t
+read_text (const char *text, const char *fields, struct ash_buffer *out)
+{
+  size_t repeated = 0;
+
+  for (const char *at = text; *at; at++)
+    {
+      if (*at != '\\')
+        {
+          ash_buffer_append (out, at, 1);
+          continue;
+        }
+      switch (*++at)
+        {
+        case 'r':
+          ash_buffer_append (out, "\r", 1);
+          break;
+        case 'n':
+          ash_buffer_append (out, "\n", 1);
+          break;
+        case 'x':
+          append_hex (out, at + 1);
+          at += 2;
+          break;
+        case 'h':
+          ash_buffer_append (out, fields, strlen (fields));
+          break;
+        case '*':
+          repeated = out->length;
+          break;
+        default:
+          abort ();
+        }
+    }
+  return repeated;
+}
+
+void
+standin_raw_send (struct ash_http_conn *conn, const char *text, const char *fields)
+{
+  struct ash_buffer bytes = { 0 };
+
+  read_text (text, fields, &bytes);
+  ash_stream_write (&conn->stream, bytes.bytes + bytes.start, bytes.length);
+  ash_buffer_finish (&bytes);
+}
+
+void
+standin_raw_repeat (struct ash_http_conn *conn, const char *text, size_t queue_bytes)
+{
+  struct ash_buffer bytes = { 0 };
+  size_t repeated = read_text (text, "", &bytes);
+
+  while (repeated < bytes.length && !conn->is_closed && !conn->stream.write_failed &&
+         conn->stream.out.length < queue_bytes)
+    ash_stream_queue (&conn->stream, bytes.bytes + bytes.start + repeated, bytes.length - repeated);
+  ash_stream_write (&conn->stream, "", 0);
+  ash_buffer_finish (&bytes);
+}
--- a/test/standin_server.c
+++ b/test/standin_server.c
@@ -31,11 +31,9 @@
  *     streamopen  answers with a stream of six events that ends with the connection
  *     streamopencut   the same, but closes the connection in the middle of the third event
  *     streamopennone  the same, but closes the connection before the first event
- *     raw         sends the bytes of the field X-Raw, and no more on this connection; in them \r,
- * \n and \xHH stand for bytes, \h for the fields Ashspindle-Attempt-Id and Ashspindle-Server-Seal
- *     rawclose    the same, then closes the connection
- *     rawloop     the same, and repeats without end what follows \*
- *     streamhang  sends nothing after the second event
+ *     raw         sends the bytes of the field X-Raw (test/standin_raw.h; \h: attempt id and seal),
+ * and no more on this connection rawclose    the same, then closes the connection rawloop     the
+ * same, and repeats without end what follows \* streamhang  sends nothing after the second event
  *     streamend   the process exits after the second event
  *     streambegin the process exits after it has begun a stream, before the first event
  *
@@ -45,6 +43,7 @@
  * GET /gone returns how many callers disconnected before their answer.
  */
 #include "net/http_conn.h"
+#include "test/standin_raw.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -195,76 +194,15 @@
   ash_stream_write (&conn->stream, text, (size_t) length);
 }
 
-/* Bytes that are sent without end are queued up to this many ahead of what the caller reads. */
-#define LOOP_QUEUE_BYTES (256 * 1024)
-
-/* Replaces the escapes of X-Raw. @param loop_start receives the offset of what follows \\*. */
-static void
-read_raw (const struct ash_http_conn *conn, struct ash_buffer *out, size_t *loop_start)
-{
-  char byte[3] = "";
-  uint8_t value;
-
-  *loop_start = 0;
-  for (const char *at = field (conn, "X-Raw"); *at; at++)
-    {
-      if (*at != '\\')
-        {
-          ash_buffer_append (out, at, 1);
-          continue;
-        }
-      switch (*++at)
-        {
-        case 'r':
-          ash_buffer_append (out, "\r", 1);
-          break;
-        case 'n':
-          ash_buffer_append (out, "\n", 1);
-          break;
-        case 'x':
-          memcpy (byte, at + 1, 2);
-          value = (uint8_t) strtoul (byte, NULL, 16);
-          ash_buffer_append (out, &value, 1);
-          at += 2;
-          break;
-        case 'h':
-          ash_buffer_printf (out,
-                             "Ashspindle-Attempt-Id: %s\r\nAshspindle-Server-Seal: seal-%s\r\n",
-                             field (conn, "Ashspindle-Attempt-Id"), server.id);
-          break;
-        case '*':
-          *loop_start = out->length;
-          break;
-        default:
-          abort ();
-        }
-    }
-}
-
 static void
 answer_raw (struct ash_http_conn *conn)
 {
-  struct ash_buffer bytes = { 0 };
-  size_t loop_start;
-
-  read_raw (conn, &bytes, &loop_start);
-  ash_stream_write (&conn->stream, bytes.bytes + bytes.start, bytes.length);
-  ash_buffer_finish (&bytes);
-}
+  char fields[256];
 
-/* Queues more of the bytes that are sent without end. */
-static void
-repeat_raw (struct ash_http_conn *conn)
-{
-  struct ash_buffer bytes = { 0 };
-  size_t loop_start;
-
-  read_raw (conn, &bytes, &loop_start);
-  while (!conn->is_closed && conn->stream.out.length < LOOP_QUEUE_BYTES)
-    ash_stream_queue (&conn->stream, bytes.bytes + bytes.start + loop_start,
-                      bytes.length - loop_start);
-  ash_stream_write (&conn->stream, "", 0);
-  ash_buffer_finish (&bytes);
+  snprintf (fields, sizeof fields,
+            "Ashspindle-Attempt-Id: %s\r\nAshspindle-Server-Seal: seal-%s\r\n",
+            field (conn, "Ashspindle-Attempt-Id"), server.id);
+  standin_raw_send (conn, field (conn, "X-Raw"), fields);
 }
 
 static void
@@ -334,7 +272,7 @@
     return;
   if (strcmp (work->action, "rawloop") == 0)
     {
-      repeat_raw (conn);
+      standin_raw_repeat (conn, field (conn, "X-Raw"), STANDIN_RAW_QUEUE_BYTES);
       return;
     }
   if (strcmp (work->action, "end") == 0 || (work->exit_before && work->next == work->exit_before))
--- a/test/standin_store.c
+++ b/test/standin_store.c
@@ -6,12 +6,16 @@
  *     PUT /put?KEY (body: the value)      PUT /remove?KEY
  *     PUT /mode?ok | busy (answers 503) | silent (no answers) | forget (drops the history)
  *     PUT /mode?slowMS (delays each answer by MS ms)
+ *     PUT /mode?trickle (what is repeated without end comes slowly)
+ *     PUT /raw (body: the bytes of all answers from now on, see test/standin_raw.h; what follows \*
+ *     is repeated without end; empty: no longer)
  *     PUT /era?TEXT (sets the header Store-Era of all answers; empty: no such header)
  *     PUT /restore?REVISION (restores a copy of that revision: later writes are lost, revision
  *     numbers are reused, the era increases by one, pending requests are cut)
  *     PUT /deafen (pending requests are never answered nor cut; new ones are answered)
  */
 #include "net/http_conn.h"
+#include "test/standin_raw.h"
 
 #include <jansson.h>
 #include <sodium.h>
@@ -42,6 +46,7 @@
   uint64_t oldest_watch_revision; /* a watch from an older revision gets 410 */
   char mode[16];
   char era[64];
+  char *raw; /* bytes of all answers; NULL: proper answers */
   ev_timer tick;
 };
 
@@ -53,6 +58,9 @@
 /* A connection's request member points here while its request's answer is delayed. */
 static char delayed_request;
 
+/* A connection's request member points here while its answer is repeated without end. */
+static char endless_answer;
+
 /* ---- items ---- */
 
 static void
@@ -248,6 +256,19 @@
       }
 }
 
+/* Answers with the bytes that the test has set. */
+static void
+answer_raw (struct ash_http_conn *conn)
+{
+  standin_raw_send (conn, store.raw, "");
+  conn->request = &endless_answer;
+  if (strstr (store.raw, "\\*"))
+    return;
+  conn->request = NULL;
+  ash_stream_finish (&conn->stream);
+  conn->is_closed = true;
+}
+
 /* @return the request's body as a string, to be freed. */
 static char *
 copy_body (const struct ash_http_conn *conn)
@@ -266,6 +287,11 @@
   argument = argument ? argument + 1 : "";
   if (strncmp (target, "/put", 4) == 0)
     add_item (argument, body);
+  else if (strncmp (target, "/raw", 4) == 0)
+    {
+      free (store.raw);
+      store.raw = *body ? strdup (body) : NULL;
+    }
   else if (strncmp (target, "/remove", 7) == 0)
     add_item (argument, NULL);
   else if (strncmp (target, "/deafen", 7) == 0)
@@ -309,6 +335,8 @@
 {
   if (strcmp (conn->reader.head.method, "PUT") == 0)
     control (conn, conn->reader.head.target);
+  else if (store.raw)
+    answer_raw (conn);
   else if (strcmp (store.mode, "busy") == 0)
     ash_http_conn_respond (conn, 503, "", 0, "", 0);
   else if (strcmp (store.mode, "silent") == 0)
@@ -343,6 +371,12 @@
 
       if (!conn->request || conn->request == &never_answered || conn->is_closed)
         continue;
+      if (conn->request == &endless_answer)
+        {
+          standin_raw_repeat (conn, store.raw ? store.raw : "",
+                              strcmp (store.mode, "trickle") ? STANDIN_RAW_QUEUE_BYTES : 1);
+          continue;
+        }
       wait_ms = strtoll (parameter (conn, "WaitMs"), NULL, 10);
       if (strcmp (store.mode, "silent") == 0)
         continue; /* neither answered nor cut */
--- /dev/null
+++ b/test/unit_calls.c
@@ -0,0 +1,169 @@
+/**
+ * @file
+ * Calls over a pool of connections, to a server in the same event loop that answers with any bytes.
+ */
+#include "test/unit.h"
+
+#include "net/http_call.h"
+#include "net/http_conn.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define TIMEOUT_S 10.0
+
+/* A server, and the call that is made to it. */
+struct world
+{
+  struct ev_loop *loop;
+  struct ash_http_listener listener;
+  struct ash_http_pool pool;
+  struct ash_http_call call;
+  ev_timer timeout;
+  const char *answer;   /* bytes of the next answer */
+  uint32_t requests;    /* received by the server */
+  uint32_t connections; /* that the server has served requests on */
+  bool ended;
+  enum ash_call_end end;
+  char body[64];
+};
+
+static struct world world;
+
+/* ---- the server ---- */
+
+static void
+on_request (struct ash_http_conn *conn)
+{
+  world.requests++;
+  world.connections += !conn->had_request;
+  conn->had_request = true;
+  ash_stream_write (&conn->stream, world.answer, strlen (world.answer));
+  conn->state = ASH_CONN_IDLE;
+  ash_http_reader_next (&conn->reader);
+}
+
+static void
+on_disconnected (struct ash_http_conn *conn)
+{
+  (void) conn;
+}
+
+static const struct ash_conn_handler server_handler = { on_request, on_disconnected, NULL };
+
+/* ---- the call ---- */
+
+static enum ash_call_choice
+on_head (struct ash_http_call *call, const struct ash_http_head *head)
+{
+  (void) call;
+  (void) head;
+  return ASH_CALL_ACCEPT;
+}
+
+static bool
+on_body (struct ash_http_call *call, const uint8_t *bytes, size_t length)
+{
+  size_t held = strlen (world.body);
+
+  (void) call;
+  snprintf (world.body + held, sizeof world.body - held, "%.*s", (int) length,
+            (const char *) bytes);
+  return true;
+}
+
+static void
+on_end (struct ash_http_call *call, enum ash_call_end end)
+{
+  (void) call;
+  world.ended = true;
+  world.end = end;
+  ev_break (world.loop, EVBREAK_ALL);
+}
+
+static const struct ash_call_handler call_handler = { on_head, on_body, on_end };
+
+static void
+on_timeout (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void) timer;
+  (void) events;
+  ev_break (loop, EVBREAK_ALL);
+}
+
+/* Runs the loop until the call ends, or for @p seconds. */
+static void
+run_loop (double seconds)
+{
+  ev_now_update (world.loop);
+  ev_timer_init (&world.timeout, on_timeout, seconds, 0);
+  ev_timer_start (world.loop, &world.timeout);
+  ev_run (world.loop, 0);
+  ev_timer_stop (world.loop, &world.timeout);
+}
+
+/* Makes a call that is answered with the bytes. @return how it ended. */
+static enum ash_call_end
+call (const char *text)
+{
+  static const char request[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
+  world.answer = text;
+  world.ended = false;
+  *world.body = '\0';
+  world.call = (struct ash_http_call){ .handler = &call_handler };
+  CU_ASSERT_TRUE_FATAL (ash_http_call_start (&world.call, &world.pool, request, sizeof request - 1,
+                                             (struct ash_time){ 0 }));
+  run_loop (TIMEOUT_S);
+  CU_ASSERT_TRUE_FATAL (world.ended);
+  return world.end;
+}
+
+static void
+start (void)
+{
+  struct sockaddr_in address;
+  socklen_t address_bytes = sizeof address;
+  char text[32];
+
+  memset (&world, 0, sizeof world);
+  world.loop = ev_loop_new (EVFLAG_AUTO);
+  CU_ASSERT_TRUE_FATAL (
+      ash_http_listen (&world.listener, world.loop, "127.0.0.1:0", &server_handler, NULL));
+  getsockname (world.listener.fd, (struct sockaddr *) &address, &address_bytes);
+  snprintf (text, sizeof text, "127.0.0.1:%u", ntohs (address.sin_port));
+  CU_ASSERT_TRUE_FATAL (ash_http_pool_init (&world.pool, world.loop, text));
+}
+
+static void
+finish (void)
+{
+  ash_http_pool_finish (&world.pool);
+  ash_http_listener_finish (&world.listener);
+  ev_loop_destroy (world.loop);
+}
+
+/* A body over the pool's bound ends the call, however the body is delimited. */
+static void
+test_body_bound (void)
+{
+  start ();
+  world.pool.body_max_bytes = 10;
+  CU_ASSERT_EQUAL (call ("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n0123456789"),
+                   ASH_CALL_COMPLETE);
+  CU_ASSERT_STRING_EQUAL (world.body, "0123456789");
+  CU_ASSERT_EQUAL (call ("HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n"), ASH_CALL_MALFORMED);
+  CU_ASSERT_EQUAL (call ("HTTP/1.1 200 OK\r\n\r\n01234567890"), ASH_CALL_MALFORMED);
+  CU_ASSERT_EQUAL (call ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                         "6\r\n012345\r\n6\r\n67890"),
+                   ASH_CALL_MALFORMED);
+  finish ();
+}
+
+void
+add_call_tests (CU_pSuite suite)
+{
+  CU_add_test (suite, "calls: bodies over the bound", test_body_bound);
+}
