net: bytes that arrived before a request are not its answer

Seen: bytes that a server sends after a whole answer, while the connection rests and before the event loop has read them, were read as the answer to the next request on it. What is no answer failed that request, which may not be repeated; what looks like one was taken, where no attempt id tells it (store, ranks, requests without an id, the same id sent once more). A connection that the server had closed was written to.

Cause: an idle connection was used again without a look at its socket.

Change: one with bytes, an end or an error waiting is closed, and the next one taken, or a new one. It costs one system call a reused connection.

Test: test-unit "calls: bytes before the request" and "calls: a connection that was closed" failed before (the stale body was the answer; the call was cut).

--- a/net/http_call.c
+++ b/net/http_call.c
@@ -266,16 +266,23 @@
 }
 
 /* Returns the most recently used idle connection: it is the least likely to have been closed by the
- * server. */
+ * server. One on which bytes have arrived meanwhile is closed: they answer no request, but would
+ * be read as the answer to the next one. */
 static struct ash_pool_conn *
 find_idle (struct ash_http_pool *pool, struct ash_time read_since)
 {
   struct ash_pool_conn *conn;
+  struct ash_pool_conn *next;
 
   ash_http_pool_sweep (pool, ash_clock_now ());
-  DL_FOREACH (pool->conns, conn)
-    if (!conn->call && !conn->reader_running && !ash_time_before (conn->last_read, read_since))
-      return conn;
+  DL_FOREACH_SAFE (pool->conns, conn, next)
+    {
+      if (conn->call || conn->reader_running || ash_time_before (conn->last_read, read_since))
+        continue;
+      if (ash_stream_is_quiet (&conn->stream))
+        return conn;
+      free_pool_conn (conn);
+    }
   return NULL;
 }
 
--- a/net/stream.c
+++ b/net/stream.c
@@ -160,6 +160,15 @@
   return stream->out.length + (size_t) queued;
 }
 
+bool
+ash_stream_is_quiet (const struct ash_stream *stream)
+{
+  uint8_t byte;
+
+  return stream->fd >= 0 && recv (stream->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         errno == EAGAIN;
+}
+
 void
 ash_stream_finish (struct ash_stream *stream)
 {
--- a/net/stream.h
+++ b/net/stream.h
@@ -73,6 +73,10 @@
 /** @return the bytes queued or sent that the peer's kernel has not acknowledged. */
 size_t ash_stream_unacknowledged (const struct ash_stream *stream);
 
+/** @return whether the connection is open and nothing waits to be read: no bytes, no end, no error.
+ */
+bool ash_stream_is_quiet (const struct ash_stream *stream);
+
 /** Closes the connection and frees the send queue. A second call does nothing. */
 void ash_stream_finish (struct ash_stream *stream);
 
--- a/test/unit_calls.c
+++ b/test/unit_calls.c
@@ -162,8 +162,59 @@
   finish ();
 }
 
+/* What arrived on a connection before a request was sent on it answers no request: the connection
+ * is not used again, although the bytes look like an answer. */
+static void
+test_stale_bytes (void)
+{
+  static const char valid[] = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown";
+  static const char *const stale[] = {
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale",
+    "\r\n",
+    "x",
+  };
+
+  start ();
+  for (size_t i = 0; i < sizeof stale / sizeof stale[0]; i++)
+    {
+      struct ash_http_conn *conn;
+      uint32_t connections;
+
+      CU_ASSERT_EQUAL (call (valid), ASH_CALL_COMPLETE);
+      connections = world.connections;
+      CU_ASSERT_EQUAL (call (valid), ASH_CALL_COMPLETE);
+      CU_ASSERT_EQUAL (world.connections, connections);
+      /* The loop doesn't run before the next call, so these bytes are in the socket's buffer. */
+      conn = world.listener.conns;
+      while (conn->next)
+        conn = conn->next;
+      ash_stream_write (&conn->stream, stale[i], strlen (stale[i]));
+      CU_ASSERT_EQUAL (call (valid), ASH_CALL_COMPLETE);
+      CU_ASSERT_STRING_EQUAL (world.body, "own");
+      CU_ASSERT_EQUAL (world.connections, connections + 1);
+    }
+  finish ();
+}
+
+/* A connection that the server has closed is not used again either. */
+static void
+test_closed_connection (void)
+{
+  static const char valid[] = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown";
+
+  start ();
+  CU_ASSERT_EQUAL (call (valid), ASH_CALL_COMPLETE);
+  ash_stream_finish (&world.listener.conns->stream);
+  world.listener.conns->is_closed = true;
+  CU_ASSERT_EQUAL (call (valid), ASH_CALL_COMPLETE);
+  CU_ASSERT_EQUAL (world.requests, 2);
+  finish ();
+}
+
 void
 add_call_tests (CU_pSuite suite)
 {
   CU_add_test (suite, "calls: bodies over the bound", test_body_bound);
+  CU_add_test (suite, "calls: bytes before the request", test_stale_bytes);
+  CU_add_test (suite, "calls: a connection that was closed", test_closed_connection);
 }
