http_client: answers of engines and the platform are read by the strict reader

Seen: what libcurl takes for an answer reached the callers of the older daemon and its configuration: "Content-Length : 5" (a blank in the name) gave a body up to the connection's end, with whatever came; names with blanks or control bytes, folded lines, status lines like "http/1.1 200OK" or "HTTP/1.1 999", lengths like "5x", "5, 6" or two different ones, unknown transfer codings, and chunks with bare line ends or garbage behind their size were accepted.

Cause: the same as in the router, in another parser: libcurl is lenient on purpose.

Ruled out: status 000 and other codes below 100, HTTP/0.9, bytes before the status line and names without a colon: libcurl refuses them.

Change: libcurl keeps connections and time-outs; the lines of heads and the body, whose chunks it passes on as they are (CURLOPT_HTTP_TRANSFER_DECODING), go through the reader that the router uses. A fetch is complete only if both say so. Interim answers are bounded to 1 MiB.

The cases moved to test/answer_cases.c; three valid answers with bytes behind them have a list of their own, for they are broken only as a whole.

--- a/net/http_call.c
+++ b/net/http_call.c
@@ -15,10 +15,6 @@
  * no request is sent while the server closes the connection. */
 #define IDLE_MARGIN_MS 700
 
-/* A call ends if it has received this many bytes before its response: interim responses, and late
- * responses to other requests, which may come without end. */
-#define SKIPPED_MAX_BYTES (1024 * 1024)
-
 /* Idle connections kept per address: enough for a second of low load. */
 #define IDLE_CONNS_MAX 8
 
@@ -182,7 +178,7 @@
           return;
         }
       conn->skipped_bytes += conn->accepted ? 0 : part;
-      if (conn->reader.error || conn->skipped_bytes > SKIPPED_MAX_BYTES)
+      if (conn->reader.error || conn->skipped_bytes > ASH_HTTP_SKIPPED_MAX_BYTES)
         {
           fail (conn, ASH_CALL_MALFORMED);
           return;
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -1,5 +1,7 @@
 #include "net/http_client.h"
 
+#include "net/http_grammar.h"
+#include "net/http_message.h"
 #include "net/keep_alive.h"
 
 #include <stdlib.h>
@@ -8,7 +10,7 @@
 
 #define MS_PER_S 1000.0
 #define CONNECT_TIMEOUT_MS 1000
-#define REVISION_HEADER "Ash-Revision:"
+#define REVISION_FIELD "Ash-Revision"
 
 struct ash_fetch
 {
@@ -16,10 +18,12 @@
   struct ash_fetch_handler handler;
   CURL *easy;
   struct curl_slist *headers;
+  struct ash_http_reader reader; /* reads the answer: libcurl accepts much that is none */
+  size_t skipped_bytes;          /* size of the interim answers */
+  bool is_head;
   bool head_reported;
   bool cancelled;
   uint32_t silence_ms;
-  uint64_t revision;
   struct ash_fetch *prev;
   struct ash_fetch *next;
 };
@@ -37,6 +41,7 @@
   curl_multi_remove_handle (fetch->client->multi, fetch->easy);
   curl_easy_cleanup (fetch->easy);
   curl_slist_free_all (fetch->headers);
+  ash_http_reader_finish (&fetch->reader);
   free (fetch);
 }
 
@@ -74,16 +79,65 @@
 static void
 report_head (struct ash_fetch *fetch)
 {
-  const char *content_type = NULL;
-  long status = 0;
+  const struct ash_http_head *head = &fetch->reader.head;
+  const char *content_type = ash_http_field (head, "Content-Type");
+  const char *revision = ash_http_field (head, REVISION_FIELD);
 
   if (fetch->head_reported)
     return;
   fetch->head_reported = true;
-  curl_easy_getinfo (fetch->easy, CURLINFO_RESPONSE_CODE, &status);
-  curl_easy_getinfo (fetch->easy, CURLINFO_CONTENT_TYPE, &content_type);
-  fetch->handler.head (fetch->handler.data, (uint32_t) status, content_type ? content_type : "",
-                       fetch->revision);
+  fetch->handler.head (fetch->handler.data, head->status, content_type ? content_type : "",
+                       revision ? strtoull (revision, NULL, 10) : 0);
+}
+
+/* ---- the answer ---- */
+
+static void
+on_answer_head (void *data, const struct ash_http_head *head)
+{
+  (void) data;
+  (void) head;
+}
+
+static void
+on_answer_body (void *data, const uint8_t *bytes, size_t length)
+{
+  struct ash_fetch *fetch = data;
+
+  report_head (fetch);
+  if (!fetch->cancelled)
+    fetch->handler.bytes (fetch->handler.data, bytes, length);
+}
+
+static const struct ash_http_handler answer_handler = { on_answer_head, on_answer_body };
+
+/* Reads a part of the answer as it came from the connection; what follows its end is ignored.
+ * @return false if it is malformed, or preceded by too many interim answers. */
+static bool
+read_answer (struct ash_fetch *fetch, const char *bytes, size_t length)
+{
+  struct ash_http_reader *reader = &fetch->reader;
+  size_t at = 0;
+
+  while (at < length && !reader->done && !reader->error)
+    {
+      size_t part = ash_http_reader_feed (reader, (const uint8_t *) bytes + at, length - at);
+
+      at += part;
+      if (!reader->done || reader->head.status >= ASH_HTTP_STATUS_FINAL)
+        continue;
+      fetch->skipped_bytes += reader->head_bytes;
+      ash_http_reader_next (reader);
+      reader->no_body = fetch->is_head;
+    }
+  return !reader->error && fetch->skipped_bytes <= ASH_HTTP_SKIPPED_MAX_BYTES;
+}
+
+/* @return whether the answer is complete, at the end of a transfer that libcurl counts as such. */
+static bool
+is_complete (struct ash_fetch *fetch)
+{
+  return !fetch->reader.error && (fetch->reader.done || ash_http_reader_eof (&fetch->reader));
 }
 
 static void
@@ -106,6 +160,8 @@
           free_fetch (fetch);
           continue;
         }
+      if (code == CURLE_OK && !is_complete (fetch))
+        code = CURLE_WEIRD_SERVER_REPLY;
       if (code == CURLE_OK)
         report_head (fetch);
       handler = fetch->handler;
@@ -219,37 +275,17 @@
   curl_global_cleanup ();
 }
 
+/* Receives the lines of heads, with their line ends, and the body, as they came. */
 static size_t
-on_body (char *bytes, size_t size, size_t count, void *data)
+on_bytes (char *bytes, size_t size, size_t count, void *data)
 {
   struct ash_fetch *fetch = data;
 
-  if (fetch->cancelled)
-    return 0;
-  report_head (fetch);
-  if (fetch->cancelled)
+  if (fetch->cancelled || !read_answer (fetch, bytes, size * count) || fetch->cancelled)
     return 0;
-  fetch->handler.bytes (fetch->handler.data, (const uint8_t *) bytes, size * count);
   return size * count;
 }
 
-static size_t
-on_header (char *line, size_t size, size_t count, void *data)
-{
-  struct ash_fetch *fetch = data;
-  char text[64];
-  size_t length = size * count;
-
-  if (length < sizeof text && length > strlen (REVISION_HEADER) &&
-      strncasecmp (line, REVISION_HEADER, strlen (REVISION_HEADER)) == 0)
-    {
-      memcpy (text, line, length);
-      text[length] = '\0';
-      fetch->revision = strtoull (text + strlen (REVISION_HEADER), NULL, 10);
-    }
-  return length;
-}
-
 static int
 on_new_socket (void *data, curl_socket_t fd, curlsocktype purpose)
 {
@@ -278,10 +314,12 @@
   curl_easy_setopt (easy, CURLOPT_PRIVATE, fetch);
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_bytes);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, fetch);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_bytes);
   curl_easy_setopt (easy, CURLOPT_HEADERDATA, fetch);
+  /* Chunks are passed on as they are: on_bytes() decodes them. */
+  curl_easy_setopt (easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, on_new_socket);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTDATA, fetch);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long) CONNECT_TIMEOUT_MS);
@@ -325,6 +363,9 @@
       free (fetch);
       return NULL;
     }
+  fetch->is_head = strcmp (request->method, "HEAD") == 0;
+  ash_http_reader_init (&fetch->reader, ASH_HTTP_RESPONSE, &answer_handler, fetch);
+  fetch->reader.no_body = fetch->is_head;
   set_options (fetch, request);
   DL_APPEND (client->fetches, fetch);
   curl_multi_add_handle (client->multi, fetch->easy);
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -17,6 +17,10 @@
 /** No limit on the size of a body. */
 #define ASH_HTTP_BODY_UNBOUNDED (UINT64_MAX - 1)
 
+/** A client gives up when it has received this many bytes before its response: interim responses,
+ * and late responses to other requests, which may come without end. */
+#define ASH_HTTP_SKIPPED_MAX_BYTES (1024 * 1024)
+
 enum ash_http_kind
 {
   ASH_HTTP_REQUEST,
--- a/test/unit.h
+++ b/test/unit.h
@@ -47,6 +47,9 @@
 /** Calls over a pool of connections. */
 void add_call_tests (CU_pSuite suite);
 
+/** Fetches with libcurl. */
+void add_fetch_tests (CU_pSuite suite);
+
 /** The platform's formats, HTTP messages, event streams, TCP keep-alive. */
 void add_platform_tests (CU_pSuite suite);
 
--- a/test/unit_answers.c
+++ b/test/unit_answers.c
@@ -6,20 +6,10 @@
 #include "test/unit.h"
 
 #include "net/http_message.h"
+#include "test/answer_cases.h"
 
 #include <string.h>
 
-#define TEXT(text) text, sizeof (text) - 1
-#define OK_LINE "HTTP/1.1 200 OK\r\n"
-#define LENGTH_5 "Content-Length: 5\r\n"
-#define CHUNKED OK_LINE "Transfer-Encoding: chunked\r\n\r\n"
-
-struct answer_case
-{
-  const char *text;
-  size_t length;
-};
-
 /* What a reader has received. */
 struct received
 {
@@ -69,6 +59,9 @@
   return done && !reader.error && at == c->length;
 }
 
+#define OK_LINE "HTTP/1.1 200 OK\r\n"
+#define CHUNKED OK_LINE "Transfer-Encoding: chunked\r\n\r\n"
+
 enum expected
 {
   COMPLETE,
@@ -88,13 +81,13 @@
 
 /* Reads each case in pieces of several sizes. */
 static void
-check (const struct answer_case *cases, size_t count, enum expected expected)
+check (struct answer_list list, enum expected expected)
 {
-  for (size_t i = 0; i < count; i++)
+  for (size_t i = 0; i < list.count; i++)
     for (size_t step = 1; step <= 4096; step *= 16)
       {
         struct received received;
-        bool accepted = is_answer (&cases[i], step, &received);
+        bool accepted = is_answer (&list.cases[i], step, &received);
         bool ok =
             accepted == (expected == COMPLETE) && !(expected == BROKEN_HEAD && received.heads);
 
@@ -103,243 +96,42 @@
           continue;
         printf ("\n  %s, %u heads, %zu bytes at a time: ", accepted ? "accepted" : "rejected",
                 received.heads, step);
-        print_escaped (&cases[i]);
+        print_escaped (&list.cases[i]);
         break;
       }
 }
 
-#define CHECK(cases, expected) check (cases, sizeof (cases) / sizeof (cases)[0], expected)
-
 static void
 test_status_lines (void)
 {
-  static const struct answer_case broken[] = {
-    { TEXT ("HTTP/1.1 000 Odd\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 000\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 001 Odd\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 099 Odd\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 600 Odd\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 999 Odd\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 2 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 20 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 0200 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 2000 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 65736 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 +20 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 -200 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 2x0 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 200OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 200\tOK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1  200 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1\t200 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 200\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 \r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/2.0 200 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/0.9 200 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/01.1 200 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.01 200 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1 200 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("http/1.1 200 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("ICY 200 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT (" HTTP/1.1 200 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("\r\nHTTP/1.1 200 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("\r\n\r\nHTTP/1.1 200 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("\nHTTP/1.1 200 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("xHTTP/1.1 200 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 200 O\001K\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 200 O\0K\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 200 O\177K\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 200 O\033[31mK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 200 O\rK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 200 OK\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("GET / HTTP/1.1\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("hello\r\n\r\n") },
-    { TEXT ("\0\0\0\0\r\n\r\n") },
-    { TEXT ("HTTP/1.1 200 OK") },
-    { TEXT ("HTTP/1.1 200 OK\r\n" LENGTH_5) },
-  };
-
-  CHECK (broken, BROKEN_HEAD);
+  check (answer_cases.broken_status_lines, BROKEN_HEAD);
 }
 
 static void
 test_field_lines (void)
 {
-  static const struct answer_case broken[] = {
-    { TEXT (OK_LINE LENGTH_5 "A b: x\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A : x\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 " A: x\r\n\r\nhello") },
-    { TEXT (OK_LINE " A: x\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A\t: x\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A\001b: x\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A\0b: x\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A\177b: x\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A\200b: x\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A(b): x\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "\"A\": x\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 ": x\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A b\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A: x\001y\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A: \001\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A:\001\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A:\0\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A: \177x\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A: \033[2Jy\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A: x\0y\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A: x\177y\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A: x\033[2Jy\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A: x\013y\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A: x\ry\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A: x\ny: z\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A: x\r\n y\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A: x\r\n\ty\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A: x\r\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "\n\r\nhello") },
-  };
-
-  CHECK (broken, BROKEN_HEAD);
+  check (answer_cases.broken_field_lines, BROKEN_HEAD);
 }
 
 /* Fields that delimit the body, and bodies that their status can't have. */
 static void
 test_framing_fields (void)
 {
-  static const struct answer_case broken[] = {
-    { TEXT (OK_LINE "Content-Length : 5\r\n\r\nhello") },
-    { TEXT (OK_LINE "Content-Length: \r\n\r\nhello") },
-    { TEXT (OK_LINE "Content-Length:\r\n\r\nhello") },
-    { TEXT (OK_LINE "Content-Length: 5x\r\n\r\nhello") },
-    { TEXT (OK_LINE "Content-Length: 0x5\r\n\r\nhello") },
-    { TEXT (OK_LINE "Content-Length: +5\r\n\r\nhello") },
-    { TEXT (OK_LINE "Content-Length: -5\r\n\r\nhello") },
-    { TEXT (OK_LINE "Content-Length: 5 5\r\n\r\nhello") },
-    { TEXT (OK_LINE "Content-Length: 5, 5\r\n\r\nhello") },
-    { TEXT (OK_LINE "Content-Length: 5,6\r\n\r\nhello") },
-    { TEXT (OK_LINE "Content-Length: 5.0\r\n\r\nhello") },
-    { TEXT (OK_LINE "Content-Length: five\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "Content-Length: 6\r\n\r\nhello!") },
-    { TEXT (OK_LINE LENGTH_5 "Content-Length:\r\n\r\nhello") },
-    { TEXT (OK_LINE "Content-Length:\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT (OK_LINE "Content-Length: 18446744073709551616\r\n\r\n") },
-    { TEXT (OK_LINE "Content-Length: 18446744073709551621\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (OK_LINE "Transfer-Encoding: chunked\r\n" LENGTH_5 "\r\n5\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (OK_LINE "Transfer-Encoding: gzip\r\n\r\nhello") },
-    { TEXT (OK_LINE "Transfer-Encoding:\r\n\r\nhello") },
-    { TEXT (OK_LINE "Transfer-Encoding:\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT (OK_LINE "Transfer-Encoding: identity\r\n\r\nhello") },
-    { TEXT (OK_LINE "Transfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n") },
-    { TEXT (OK_LINE "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n") },
-    { TEXT (OK_LINE "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n") },
-    { TEXT (OK_LINE "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") },
-    { TEXT ("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") },
-    { TEXT ("HTTP/1.1 204 None\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 204 None\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") },
-    { TEXT ("HTTP/1.1 103 Early\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n") },
-    { TEXT ("HTTP/1.1 101 Switching\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n") },
-    { TEXT ("HTTP/1.1 101 Switching\r\n\r\n") },
-  };
-
-  CHECK (broken, BROKEN_HEAD);
+  check (answer_cases.broken_framing_fields, BROKEN_HEAD);
 }
 
 /* Bodies that are broken behind a head that is not. */
 static void
 test_bodies (void)
 {
-  static const struct answer_case broken[] = {
-    { TEXT (OK_LINE "Content-Length: 6\r\n\r\nhello") },
-    { TEXT (OK_LINE "Content-Length: 4\r\n\r\nhello") },
-    { TEXT ("HTTP/1.1 304 Same\r\nContent-Length: 5\r\n\r\nhello") },
-    { TEXT (CHUNKED "5\r\nhello\r\n") },
-    { TEXT (CHUNKED "5\r\nhello\r\n0\r\n") },
-    { TEXT (CHUNKED "5\r\nhelloXX0\r\n\r\n") },
-    { TEXT (CHUNKED "5\r\nhello\n0\r\n\r\n") },
-    { TEXT (CHUNKED "5\r\nhello0\r\n\r\n") },
-    { TEXT (CHUNKED "5\r\nhello\rX0\r\n\r\n") },
-    { TEXT (CHUNKED "5\r\nhello!\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "5\nhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "5\rXhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "5\r\nhello\r\n0\n\r\n") },
-    { TEXT (CHUNKED "5\r\nhello\r\n0\r\n\n") },
-    { TEXT (CHUNKED "5\r\nhello\r\n0\r\n\rX") },
-    { TEXT (CHUNKED " 5\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "\r\n5\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED ";a\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "5x\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "5 x\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "0x5\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "+5\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "-5\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "g\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "10000000000000005\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "ffffffffffffffff\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "5;\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "5;a b\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "5;a=\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "5;=b\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "5;a=\"b\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "5;a=\001\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "5;a\nb\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "5;a\0b\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "5\r\nhello\r\n0\r\nA b: x\r\n\r\n") },
-    { TEXT (CHUNKED "5\r\nhello\r\n0\r\nA : x\r\n\r\n") },
-    { TEXT (CHUNKED "5\r\nhello\r\n0\r\nA\001: x\r\n\r\n") },
-    { TEXT (CHUNKED "5\r\nhello\r\n0\r\nA: x\001\r\n\r\n") },
-    { TEXT (CHUNKED "5\r\nhello\r\n0\r\nA: x\0\r\n\r\n") },
-    { TEXT (CHUNKED "5\r\nhello\r\n0\r\n: x\r\n\r\n") },
-    { TEXT (CHUNKED "5\r\nhello\r\n0\r\nA\r\n\r\n") },
-    { TEXT (CHUNKED "5\r\nhello\r\n0\r\nA: x\r\n y\r\n\r\n") },
-    { TEXT (CHUNKED "5\r\nhello\r\n0\r\n A: x\r\n\r\n") },
-    { TEXT (CHUNKED "5\r\nhello\r\n0\r\nA: x\n\r\n") },
-    { TEXT (CHUNKED "5\r\nhello\r\n0\r\n\r\nmore") },
-  };
-
-  CHECK (broken, BROKEN_BODY);
+  check (answer_cases.broken_bodies, BROKEN_BODY);
+  check (answer_cases.followed_answers, BROKEN_BODY);
 }
 
 static void
 test_valid (void)
 {
-  static const struct answer_case valid[] = {
-    { TEXT (OK_LINE LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 200 \r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 200 \tOdd  \303\251t\351 \r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.9 200 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.0 200 OK\r\n\r\nhello") },
-    { TEXT ("HTTP/1.0 200 OK\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT (OK_LINE "\r\nhello") },
-    { TEXT ("HTTP/1.1 599 Odd\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 299 Odd\r\n" LENGTH_5 "\r\nhello") },
-    { TEXT ("HTTP/1.1 100 Continue\r\n\r\n") },
-    { TEXT ("HTTP/1.1 103 Early\r\nLink: x\r\n\r\n") },
-    { TEXT ("HTTP/1.1 204 None\r\n\r\n") },
-    { TEXT ("HTTP/1.1 204 None\r\nContent-Length: 0\r\n\r\n") },
-    { TEXT ("HTTP/1.1 304 Same\r\nContent-Length: 5\r\n\r\n") },
-    { TEXT ("HTTP/1.1 304 Same\r\nTransfer-Encoding: chunked\r\n\r\n") },
-    { TEXT (OK_LINE "content-length:5\r\n\r\nhello") },
-    { TEXT (OK_LINE "Content-Length: \t 5  \r\n\r\nhello") },
-    { TEXT (OK_LINE "Transfer-Encoding: Chunked \r\n\r\n5\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (OK_LINE "Content-Length: 0005\r\n\r\nhello") },
-    { TEXT (OK_LINE "Content-Length: 0\r\n\r\n") },
-    { TEXT (OK_LINE LENGTH_5 "A!#$%&'*+-.^_`|~9z: x\r\n\r\nhello") },
-    { TEXT (OK_LINE LENGTH_5 "A:\r\nB: \r\nC: x\ty  z\t\r\nD: \200\377\"(:;\r\n\r\nhello") },
-    { TEXT (CHUNKED "0\r\n\r\n") },
-    { TEXT (CHUNKED "5\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "0005\r\nhello\r\n1\r\n!\r\n00\r\n\r\n") },
-    { TEXT (CHUNKED "A\r\n0123456789\r\nb\r\n0123456789a\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "5;a\r\nhello\r\n0;b\r\n\r\n") },
-    { TEXT (CHUNKED "5 ; a = b;c=\"d \\\" ; e\";f\r\nhello\r\n0\r\n\r\n") },
-    { TEXT (CHUNKED "5\r\nhello\r\n0\r\nA: x\r\nB:\r\nC: \ty z \r\n\r\n") },
-    { TEXT (CHUNKED "4\r\n\r\n\r\n\r\n0\r\n\r\n") },
-  };
-
-  CHECK (valid, COMPLETE);
+  check (answer_cases.valid_answers, COMPLETE);
 }
 
 /* Bytes that are no answer may come without end: each part of the framing is bounded. */
--- /dev/null
+++ b/test/unit_fetches.c
@@ -0,0 +1,243 @@
+/**
+ * @file
+ * Fetches with libcurl, from a server in the same event loop that answers with any bytes.
+ */
+#include "test/unit.h"
+
+#include "net/http_client.h"
+#include "net/http_conn.h"
+#include "test/answer_cases.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define TIMEOUT_S 10.0
+
+static struct
+{
+  struct ev_loop *loop;
+  struct ash_http_listener listener;
+  struct ash_http_client client;
+  ev_timer timeout;
+  char url[64];
+  struct answer_case answer;
+  bool ended;
+  enum ash_fetch_result result;
+  uint32_t status; /* 0: no head was reported */
+} world;
+
+/* ---- the server ---- */
+
+/* The answer ends with its connection. */
+static void
+on_drained (struct ash_http_conn *conn)
+{
+  ash_stream_finish (&conn->stream);
+  conn->is_closed = true;
+}
+
+static void
+on_request (struct ash_http_conn *conn)
+{
+  ash_stream_write (&conn->stream, world.answer.text, world.answer.length);
+  if (!conn->stream.out.length)
+    on_drained (conn);
+}
+
+static void
+on_disconnected (struct ash_http_conn *conn)
+{
+  (void) conn;
+}
+
+static const struct ash_conn_handler server_handler = { on_request, on_disconnected, on_drained };
+
+/* ---- fetches ---- */
+
+static void
+on_head (void *data, uint32_t status, const char *content_type, uint64_t revision)
+{
+  (void) data;
+  (void) content_type;
+  (void) revision;
+  world.status = status;
+}
+
+static void
+on_bytes (void *data, const uint8_t *bytes, size_t length)
+{
+  (void) data;
+  (void) bytes;
+  (void) length;
+}
+
+static void
+on_end (void *data, enum ash_fetch_result result)
+{
+  (void) data;
+  world.ended = true;
+  world.result = result;
+  ev_break (world.loop, EVBREAK_ALL);
+}
+
+static void
+on_timeout (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void) timer;
+  (void) events;
+  ev_break (loop, EVBREAK_ALL);
+}
+
+/* @return how a fetch ends that is answered with the bytes. */
+static enum ash_fetch_result
+fetch (const struct answer_case *answer)
+{
+  struct ash_fetch_request request = { .url = world.url, .method = "GET" };
+  struct ash_fetch_handler handler = { on_head, on_bytes, on_end, NULL };
+
+  world.answer = *answer;
+  world.ended = false;
+  world.status = 0;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (ash_http_client_start (&world.client, &request, &handler));
+  ev_now_update (world.loop);
+  ev_timer_init (&world.timeout, on_timeout, TIMEOUT_S, 0);
+  ev_timer_start (world.loop, &world.timeout);
+  ev_run (world.loop, 0);
+  ev_timer_stop (world.loop, &world.timeout);
+  CU_ASSERT_TRUE_FATAL (world.ended);
+  return world.result;
+}
+
+static void
+start (void)
+{
+  struct sockaddr_in address;
+  socklen_t address_bytes = sizeof address;
+
+  memset (&world, 0, sizeof world);
+  world.loop = ev_loop_new (EVFLAG_AUTO);
+  CU_ASSERT_TRUE_FATAL (
+      ash_http_listen (&world.listener, world.loop, "127.0.0.1:0", &server_handler, NULL));
+  getsockname (world.listener.fd, (struct sockaddr *) &address, &address_bytes);
+  snprintf (world.url, sizeof world.url, "http://127.0.0.1:%u/", ntohs (address.sin_port));
+  CU_ASSERT_TRUE_FATAL (ash_http_client_init (&world.client, world.loop));
+}
+
+static void
+finish (void)
+{
+  ash_http_client_finish (&world.client);
+  ash_http_listener_finish (&world.listener);
+  ev_loop_destroy (world.loop);
+}
+
+/* Whether the last fetch ended as it should. */
+static void
+check (const struct answer_case *c, bool ok)
+{
+  CU_ASSERT (ok);
+  if (ok)
+    return;
+  printf ("\n  result %d, status %u: ", (int) world.result, world.status);
+  for (size_t i = 0; i < c->length; i++)
+    printf (c->text[i] >= ' ' && c->text[i] < '\177' ? "%c" : "\\x%02x",
+            (unsigned char) c->text[i]);
+}
+
+static void
+check_broken (struct answer_list list, bool head_is_valid)
+{
+  start ();
+  for (size_t i = 0; i < list.count; i++)
+    {
+      enum ash_fetch_result result = fetch (&list.cases[i]);
+
+      check (&list.cases[i], result == ASH_FETCH_FAILED && (head_is_valid || world.status == 0));
+    }
+  finish ();
+}
+
+static void
+test_status_lines (void)
+{
+  check_broken (answer_cases.broken_status_lines, false);
+}
+
+static void
+test_field_lines (void)
+{
+  check_broken (answer_cases.broken_field_lines, false);
+}
+
+static void
+test_framing_fields (void)
+{
+  check_broken (answer_cases.broken_framing_fields, false);
+}
+
+static void
+test_bodies (void)
+{
+  check_broken (answer_cases.broken_bodies, true);
+}
+
+static void
+check_valid (struct answer_list list)
+{
+  start ();
+  for (size_t i = 0; i < list.count; i++)
+    /* Interim answers alone are no answer. libcurl knows no later HTTP/1.x. */
+    if (strncmp (list.cases[i].text, "HTTP/1.1 1", 10) != 0 &&
+        strncmp (list.cases[i].text, "HTTP/1.9", 8) != 0)
+      {
+        enum ash_fetch_result result = fetch (&list.cases[i]);
+
+        check (&list.cases[i], result == ASH_FETCH_COMPLETE && world.status >= 200);
+      }
+  finish ();
+}
+
+static void
+test_valid (void)
+{
+  check_valid (answer_cases.valid_answers);
+  check_valid (answer_cases.followed_answers);
+}
+
+/* Answers without end before the one that is awaited. */
+static void
+test_interim_answers (void)
+{
+  static const char interim[] = "HTTP/1.1 103 Early\r\nLink: x\r\n\r\n";
+  static const char final[] = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+  struct ash_buffer text = { 0 };
+
+  start ();
+  for (int i = 0; i < 3; i++)
+    ash_buffer_append (&text, interim, sizeof interim - 1);
+  ash_buffer_append (&text, final, sizeof final - 1);
+  CU_ASSERT_EQUAL (fetch (&(struct answer_case){ (char *) text.bytes, text.length }),
+                   ASH_FETCH_COMPLETE);
+  CU_ASSERT_EQUAL (world.status, 200);
+  ash_buffer_consume (&text, text.length);
+  while (text.length < 2 * ASH_HTTP_SKIPPED_MAX_BYTES)
+    ash_buffer_append (&text, interim, sizeof interim - 1);
+  ash_buffer_append (&text, final, sizeof final - 1);
+  CU_ASSERT_EQUAL (fetch (&(struct answer_case){ (char *) text.bytes + text.start, text.length }),
+                   ASH_FETCH_FAILED);
+  ash_buffer_finish (&text);
+  finish ();
+}
+
+void
+add_fetch_tests (CU_pSuite suite)
+{
+  CU_add_test (suite, "fetches: status lines", test_status_lines);
+  CU_add_test (suite, "fetches: field lines", test_field_lines);
+  CU_add_test (suite, "fetches: framing fields", test_framing_fields);
+  CU_add_test (suite, "fetches: bodies", test_bodies);
+  CU_add_test (suite, "fetches: valid answers", test_valid);
+  CU_add_test (suite, "fetches: interim answers", test_interim_answers);
+}
