platform: an entry whose address can't be connected to is unusable

Seen by callers: one entry of another writer with the port 65536, 0 or -1, or an address that is none, among those of a service: requests that may not be repeated got 502 "may have run", those that may be repeated were sent once more, and after some of them all requests of the same contents were refused as quarantined.

Cause: any text was an address. Its pool was made with an address of no family, and connect() to that succeeds at once on Linux; the request then failed as on a connection that was cut, and the probe's refusal showed an endpoint that had ended under the request.

Change: an address is IP:PORT with a port from 1 to 65535, or the entry is logged as unusable ("Address") and left out, like others that can't be read.

--- a/test/unit_platform.c
+++ b/test/unit_platform.c
@@ -110,6 +110,10 @@
 static void
 test_server_entries (void)
 {
+  static const char *const odd_addresses[] = { "1.2.3.4:65536", "1.2.3.4:0",   "1.2.3.4:-1",
+                                               "1.2.3.4:",      "1.2.3.4",     "1.2.3.4:80x",
+                                               "1.2.3.256:80",  "host:80",     ":80",
+                                               "1.2.3.4:1e3",   "1.2.3.4: 80", "[::1]:80" };
   struct ash_direct_facts facts;
 
   CU_ASSERT_STRING_EQUAL (
@@ -142,6 +146,16 @@
           "{\"Service\":\"s\",\"Address\":5,\"Zone\":\"z\",\"Slots\":6,\"State\":\"ready\"}",
           &facts),
       "Address");
+  for (size_t i = 0; i < sizeof odd_addresses / sizeof odd_addresses[0]; i++)
+    {
+      char text[160];
+
+      snprintf (text, sizeof text,
+                "{\"Service\":\"s\",\"Address\":\"%s\",\"Zone\":\"z\",\"Slots\":6,"
+                "\"State\":\"ready\"}",
+                odd_addresses[i]);
+      CU_ASSERT_STRING_EQUAL (read_entry (text, &facts), "Address");
+    }
   CU_ASSERT_STRING_EQUAL (read_entry ("{}", &facts), "Service");
   CU_ASSERT_STRING_EQUAL (read_entry ("[1]", &facts), "not a JSON object");
   CU_ASSERT_STRING_EQUAL (read_entry ("\xff\xfe", &facts), "not a JSON object");
