--- a/test/router_odd_entries.c
+++ b/test/router_odd_entries.c
@@ -87,6 +87,31 @@
 
 #define CHECK_ALL(values) check_all (values, sizeof (values) / sizeof (values)[0])
 
+static void
+test_numbers (void)
+{
+  static const char *const values[] = {
+    "{" STOCK "," ADDRESS ",\"Slots\":1e999}",
+    "{" STOCK "," ADDRESS ",\"Slots\":99999999999999999999999999}",
+    "{" STOCK "," ADDRESS ",\"Slots\":18446744073709551616}",
+    "{" STOCK "," ADDRESS ",\"Slots\":9223372036854775807}",
+    "{" STOCK "," ADDRESS ",\"Slots\":4294967296}",
+    "{" STOCK "," ADDRESS ",\"Slots\":4294967295}",
+    "{" STOCK "," ADDRESS ",\"Slots\":4294967290}",
+    "{" STOCK "," ADDRESS ",\"Slots\":4294967288}",
+    "{" STOCK "," ADDRESS ",\"Slots\":2147483648}",
+    "{" STOCK "," ADDRESS ",\"Slots\":0}",
+    "{" STOCK "," ADDRESS ",\"Slots\":8,\"ColdRemainingMs\":9223372036854775807}",
+    "{" STOCK "," ADDRESS ",\"Slots\":8,\"ColdRemainingMs\":-9223372036854775808}",
+    "{" STOCK "," ADDRESS ",\"Slots\":8,\"ColdRemainingMs\":1e300}",
+    "{" STOCK "," ADDRESS ",\"Slots\":8,\"born\":9223372036854775807}",
+    "{" STOCK "," ADDRESS ",\"Slots\":8,\"born\":-9223372036854775808}",
+    "{" STOCK "," ADDRESS ",\"Slots\":8,\"Sequence\":1e400}",
+  };
+
+  CHECK_ALL (values);
+}
+
 static void
 test_ports (void)
 {
@@ -136,6 +161,7 @@
 }
 
 const struct fault_test router_odd_entry_tests[] = {
+  { "odd entries: numbers too large", test_numbers },
   { "odd entries: ports out of range", test_ports },
   { "odd entries: deeply nested", test_nesting },
   { NULL, NULL },
--- a/test/unit_platform.c
+++ b/test/unit_platform.c
@@ -131,6 +131,10 @@
                           "Slots");
   CU_ASSERT_STRING_EQUAL (read_entry ("{" ENTRY ",\"Slots\":-1,\"State\":\"ready\"}", &facts),
                           "Slots");
+  CU_ASSERT_STRING_EQUAL (read_entry ("{" ENTRY ",\"Slots\":0,\"State\":\"ready\"}", &facts),
+                          "Slots");
+  CU_ASSERT_STRING_EQUAL (
+      read_entry ("{" ENTRY ",\"Slots\":4294967290,\"State\":\"ready\"}", &facts), "Slots");
   CU_ASSERT_STRING_EQUAL (
       read_entry ("{" ENTRY ",\"Slots\":6,\"State\":\"ready\",\"born\":\"7\"}", &facts), "born");
   CU_ASSERT_STRING_EQUAL (
