--- a/test/router_stop.c
+++ b/test/router_stop.c
@@ -8,8 +8,10 @@
 #include <CUnit/CUnit.h>
 #include <errno.h>
 #include <netinet/in.h>
+#include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -125,6 +127,12 @@
   check_late_in_stop ("/safe/x", NULL);
 }
 
+static void
+test_once_late_in_stop (void)
+{
+  check_late_in_stop ("/once/x", NULL);
+}
+
 /* Starts the testbed and restarts the first router with other settings. */
 static void
 start_with_settings (const char *grace, uint32_t wait_ms)
@@ -562,11 +570,99 @@
   testbed_stop (&testbed);
 }
 
+/* ---- requests from the signal to the process's end ---- */
+
+#define STOP_CALLERS 8
+#define STOP_CALLS_MAX 400
+
+/* A caller that sends one request after the other, each on a new connection, until none is accepted
+ * any more. */
+struct stop_caller
+{
+  pthread_t thread;
+  int number;
+  const char *path;
+  const char *action;
+  int count;
+  int refused;
+  int cut[STOP_CALLS_MAX]; /* numbers of the requests whose answers are not complete */
+  int cut_count;
+};
+
+static void *
+call_until_closed (void *data)
+{
+  struct stop_caller *caller = data;
+  struct testbed_answer *own = calloc (1, sizeof *own);
+  char text[512];
+  int fd;
+
+  while (own && caller->count < STOP_CALLS_MAX && (fd = testbed_connect (&testbed, 0)) >= 0)
+    {
+      snprintf (text, sizeof text,
+                "POST %s HTTP/1.1\r\n" HEAD "u%d-%d\r\nX-Do: *=%s\r\nContent-Length: 0\r\n\r\n",
+                caller->path, caller->number, caller->count, caller->action);
+      testbed_send (fd, text);
+      testbed_read (fd, own);
+      close (fd);
+      if (!own->complete)
+        caller->cut[caller->cut_count++] = caller->count;
+      else if (own->status == 503)
+        caller->refused++;
+      else
+        CU_ASSERT (own->status == 200 || own->status == 504);
+      caller->count++;
+      fleet_sleep_ms (10);
+    }
+  free (own);
+  return NULL;
+}
+
+/* Callers go on from before the signal until the router is gone: each request that has run gets a
+ * complete answer, those that come too late are refused, and none of these runs. */
+static void
+test_stop_under_load (void)
+{
+  static const char *const paths[] = { "/once/x", "/safe/x", "/stream/x", "/once/x" };
+  static const char *const actions[] = { "slower", "slow", "stream", "mute" };
+  struct stop_caller callers[STOP_CALLERS] = { 0 };
+  int refused = 0;
+
+  start ();
+  for (int i = 0; i < STOP_CALLERS; i++)
+    {
+      callers[i].number = i;
+      callers[i].path = paths[i % 4];
+      callers[i].action = actions[i % 4];
+      pthread_create (&callers[i].thread, NULL, call_until_closed, &callers[i]);
+    }
+  fleet_sleep_ms (300);
+  kill (testbed.routers[0].pid, SIGTERM);
+  for (int i = 0; i < STOP_CALLERS; i++)
+    pthread_join (callers[i].thread, NULL);
+  CU_ASSERT_EQUAL (fleet_end_process (&testbed.routers[0].pid, 0), 0);
+  for (int i = 0; i < STOP_CALLERS; i++)
+    {
+      refused += callers[i].refused;
+      for (int k = 0; k < callers[i].cut_count; k++)
+        {
+          char id[24];
+
+          snprintf (id, sizeof id, "u%d-%d", i, callers[i].cut[k]);
+          CU_ASSERT_EQUAL (testbed_count_runs (&testbed, id), 0);
+        }
+    }
+  CU_ASSERT (refused > 0);
+  testbed_stop (&testbed);
+}
+
 const struct fault_test router_stop_tests[] = {
   { "planned stop and start", test_planned_stop },
   { "early in a planned stop", test_early_in_stop },
   { "late in a planned stop", test_late_in_stop },
   { "late in a planned stop: plain requests", test_plain_late_in_stop },
+  { "late in a planned stop: requests that may not be repeated", test_once_late_in_stop },
+  { "planned stop under load", test_stop_under_load },
   { "stop cut short by a second signal", test_second_signal },
   { "stop whose time is over", test_stop_time_expired },
   { "stop while a connection comes up", test_stop_while_connecting },
