platform: an answer of the store whose revisions are none is not used

Seen: an answer of the store with "StoreRevision":-1 or moved the router to a position behind which no later answer counts: it noticed nothing, and followed neither list nor configuration any more.

Cause: any JSON with a list was an answer; a missing or negative revision, one of another type and one that reaches into the era's digits were cast.

Ruled out: what the writers of entries control (values) was read apart from this before.

Test: unit "platform: revisions of the store" and two more answers in test-router "broken answers: the store" failed before.

--- a/test/router_broken_answers.c
+++ b/test/router_broken_answers.c
@@ -462,6 +462,8 @@
     "\\r\\n0\\r\\n\\r\\n",
     "HTTP/1.1 200 OK\\r\\nContent-Length: 1000\\r\\n\\r\\n" REMOVED,
     "HTTP/1.1 200 OK\\r\\n\\r\\n" REMOVED "}",
+    "HTTP/1.1 200 OK\\r\\n\\r\\n{\"events\":[],\"StoreRevision\":-1}",
+    "HTTP/1.1 200 OK\\r\\n\\r\\n{\"events\":[],\"StoreRevision\":9223372036854775807}",
     "hello",
   };
 
--- a/test/unit_platform.c
+++ b/test/unit_platform.c
@@ -94,6 +94,43 @@
   CU_ASSERT_FALSE (ash_platform_store_read ("{}", 2, &taker, &answer));
 }
 
+/* An answer whose revisions are none would move the router's position to where no later answer
+ * counts: nothing of it is used. */
+static void
+test_store_revisions (void)
+{
+  static const char *const odd[] = {
+    "-1", "1.5", "\"9\"", "null", "1e3", "1000000000000", "9223372036854775807", "[9]",
+  };
+  uint32_t seen[4] = { 0 };
+  struct ash_store_item_handler taker = { count_item, seen };
+  struct ash_store_answer answer;
+  char text[256];
+  int length;
+
+  for (size_t i = 0; i < sizeof odd / sizeof odd[0]; i++)
+    {
+      length =
+          snprintf (text, sizeof text,
+                    "{\"Items\":[{\"PrivateKey\":\"servers/i-1\",\"Revision\":3,\"Value\":\"\"}],"
+                    "\"StoreRevision\":%s}",
+                    odd[i]);
+      CU_ASSERT_FALSE (ash_platform_store_read (text, (size_t) length, &taker, &answer));
+      length =
+          snprintf (text, sizeof text,
+                    "{\"events\":[{\"PrivateKey\":\"servers/i-1\",\"Revision\":3,\"Value\":\"\"},"
+                    "{\"PrivateKey\":\"servers/i-2\",\"Revision\":%s,\"Value\":\"\"}],"
+                    "\"StoreRevision\":9}",
+                    odd[i]);
+      CU_ASSERT_FALSE (ash_platform_store_read (text, (size_t) length, &taker, &answer));
+    }
+  length = snprintf (text, sizeof text, "{\"Items\":[7],\"StoreRevision\":9}");
+  CU_ASSERT_FALSE (ash_platform_store_read (text, (size_t) length, &taker, &answer));
+  length = snprintf (text, sizeof text, "{\"Items\":[]}");
+  CU_ASSERT_FALSE (ash_platform_store_read (text, (size_t) length, &taker, &answer));
+  CU_ASSERT_EQUAL (seen[0], 0);
+}
+
 /* @return the member of the entry that is invalid, or an empty text. */
 static const char *
 read_entry (const char *text, struct ash_direct_facts *facts)
@@ -520,6 +557,7 @@
 {
   CU_add_test (suite, "platform: ranks", test_rank_formats);
   CU_add_test (suite, "platform: store", test_store_format);
+  CU_add_test (suite, "platform: revisions of the store", test_store_revisions);
   CU_add_test (suite, "platform: entries of other writers", test_server_entries);
   CU_add_test (suite, "platform: messages", test_message_format);
   CU_add_test (suite, "platform: parts of a prompt", test_prompt_parts);
