net: a time-out that a server announces can be computed with

Change: negative ones count as 0, those above an hour as an hour.

Test: test-unit "calls: time-outs that servers announce" failed before (1 of 6 values) and passes now.

--- a/net/http_call.c
+++ b/net/http_call.c
@@ -11,6 +11,9 @@
 /* How long an idle connection is kept if the server sends no Keep-Alive timeout. */
 #define IDLE_TIMEOUT_DEFAULT_MS 4000
 
+/* A longer Keep-Alive timeout of a server counts as this one. */
+#define IDLE_TIMEOUT_MAX_S INT64_C (3600)
+
 /* An idle connection is closed here this long before the Keep-Alive timeout of the server, so that
  * no request is sent while the server closes the connection. */
 #define IDLE_MARGIN_MS 700
@@ -69,10 +72,14 @@
 {
   const char *keep_alive = ash_http_field (head, "Keep-Alive");
   const char *timeout = keep_alive ? strstr (keep_alive, "timeout=") : NULL;
+  long timeout_s;
 
   if (!timeout)
     return IDLE_TIMEOUT_DEFAULT_MS;
-  return strtol (timeout + strlen ("timeout="), NULL, 10) * 1000;
+  timeout_s = strtol (timeout + strlen ("timeout="), NULL, 10);
+  if (timeout_s < 0)
+    return 0;
+  return timeout_s > IDLE_TIMEOUT_MAX_S ? IDLE_TIMEOUT_MAX_S * 1000 : timeout_s * 1000;
 }
 
 static uint32_t
--- a/test/unit_calls.c
+++ b/test/unit_calls.c
@@ -211,10 +211,38 @@
   finish ();
 }
 
+/* A time-out of any size that a server announces is one that can be computed with. */
+static void
+test_keep_alive_numbers (void)
+{
+  static const struct
+  {
+    const char *answer;
+    bool kept;
+  } cases[] = {
+    { "HTTP/1.1 204 X\r\nKeep-Alive: timeout=5\r\n\r\n", true },
+    { "HTTP/1.1 204 X\r\nKeep-Alive: timeout=99999999999999999999\r\n\r\n", true },
+    { "HTTP/1.1 204 X\r\nKeep-Alive: timeout=9223372036854775\r\n\r\n", true },
+    { "HTTP/1.1 204 X\r\nKeep-Alive: timeout=0\r\n\r\n", false },
+    { "HTTP/1.1 204 X\r\nKeep-Alive: timeout=-99999999999999999999\r\n\r\n", false },
+    { "HTTP/1.1 204 X\r\nKeep-Alive: timeout=x\r\n\r\n", false },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      start ();
+      CU_ASSERT_EQUAL (call (cases[i].answer), ASH_CALL_COMPLETE);
+      CU_ASSERT_EQUAL (call (cases[i].answer), ASH_CALL_COMPLETE);
+      CU_ASSERT_EQUAL (world.connections, cases[i].kept ? 1 : 2);
+      finish ();
+    }
+}
+
 void
 add_call_tests (CU_pSuite suite)
 {
   CU_add_test (suite, "calls: bodies over the bound", test_body_bound);
   CU_add_test (suite, "calls: bytes before the request", test_stale_bytes);
   CU_add_test (suite, "calls: a connection that was closed", test_closed_connection);
+  CU_add_test (suite, "calls: time-outs that servers announce", test_keep_alive_numbers);
 }
