exchange: bytes that are no answer are logged (422)

Cause: a broken answer left a line only where its endpoint was ejected for it (209), so that a 502 could not be followed to it. 411 tells of connections that ended, not of these.

--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -217,6 +217,19 @@
                                      (!answer->framed && !answer->events));
 }
 
+/* Status 0: the head was malformed or rejected. */
+static void
+log_malformed (const struct ash_exchange *exchange)
+{
+  ash_log_event (&exchange->router->log, ASH_EV_FORWARD_MALFORMED,
+                 "id=%s route=%s endpoint=%s status=%u events=%u body_bytes=%zu after_ms=%lld "
+                 "answer_started=%d",
+                 ash_exchange_id (exchange), exchange->route->name, exchange->endpoint->facts.id,
+                 exchange->answer.status, exchange->answer.events, exchange->answer.body.length,
+                 (long long) ash_time_diff (exchange->sent_at, ash_clock_now ()),
+                 exchange->forward.answer_started);
+}
+
 static void
 on_end (struct ash_http_call *call, enum ash_call_end end)
 {
@@ -233,6 +246,8 @@
     }
   if (end == ASH_CALL_TRUNCATED)
     ash_exchange_record_disconnect (exchange);
+  if (end == ASH_CALL_MALFORMED)
+    log_malformed (exchange);
   ash_exchange_record_evidence (exchange, end == ASH_CALL_NOT_SENT ? ASH_DIRECT_UNREACHABLE
                                                                    : ASH_DIRECT_BROKEN);
   ash_exchange_release_slot (exchange);
