test: another process at a peer's address

Bytes without end at the address of a peer (an HTTP answer, text, small frames): the router closes the link each time, serves its callers, and a router that comes to that address is a peer at once.

--- a/test/router_broken_answers.c
+++ b/test/router_broken_answers.c
@@ -7,6 +7,8 @@
 #include "test/router_tests.h"
 
 #include <CUnit/CUnit.h>
+#include <netinet/in.h>
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -500,6 +502,84 @@
   testbed_stop (&testbed);
 }
 
+/* ---- another process at a peer's address ---- */
+
+struct impostor
+{
+  pthread_t thread;
+  int listener;
+  const char *text; /* sent again and again on each connection */
+  volatile bool stop;
+  volatile int connections;
+  volatile int closed; /* connections that the router has closed */
+};
+
+static void *
+send_without_end (void *data)
+{
+  struct impostor *impostor = data;
+
+  while (!impostor->stop)
+    {
+      int fd = accept (impostor->listener, NULL, NULL);
+
+      if (fd < 0)
+        break;
+      impostor->connections++;
+      while (!impostor->stop &&
+             send (fd, impostor->text, strlen (impostor->text), MSG_NOSIGNAL) > 0)
+        continue;
+      impostor->closed += !impostor->stop;
+      close (fd);
+    }
+  return NULL;
+}
+
+/* The router dials the address of its second seed, where @p text comes without end. */
+static void
+check_impostor (const char *text)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  struct impostor impostor = { .text = text };
+  int on = 1;
+
+  impostor.listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  setsockopt (impostor.listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_port = htons (testbed.routers[1].peer_port);
+  CU_ASSERT_EQUAL_FATAL (bind (impostor.listener, (struct sockaddr *) &address, sizeof address), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (impostor.listener, 8), 0);
+  pthread_create (&impostor.thread, NULL, send_without_end, &impostor);
+  for (int i = 0; i < 500 && impostor.closed < 3; i++)
+    fleet_sleep_ms (20);
+  CU_ASSERT (impostor.closed >= 3);
+  testbed_call (&testbed, "peer", "/once/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  impostor.stop = true;
+  shutdown (impostor.listener, SHUT_RDWR);
+  pthread_join (impostor.thread, NULL);
+  close (impostor.listener);
+}
+
+static void
+test_peers (void)
+{
+  static const char *const texts[] = {
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+    "hello",
+    "\001\001\001\001",
+  };
+
+  start ();
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    check_impostor (texts[i]);
+  CU_ASSERT_FALSE (testbed_logged (&testbed, 0, " link_up "));
+  /* A router that comes to that address is a peer at once. */
+  testbed_start_router (&testbed, 1);
+  CU_ASSERT (testbed_wait_logged (&testbed, 0, " link_up "));
+  testbed_stop (&testbed);
+}
+
 const struct fault_test router_broken_answer_tests[] = {
   { "broken answers: status lines", test_status_lines },
   { "broken answers: names of fields", test_field_names },
@@ -511,6 +591,7 @@
   { "broken answers: an event without end", test_endless_event },
   { "an answer without end", test_endless_answer },
   { "broken answers: the store", test_store },
+  { "broken answers: peers", test_peers },
   { "broken answers: the store's without end", test_store_endless },
   { "answers without a body", test_no_body },
   { "answers whose fields have blanks around their values", test_blanks },
