--- a/net/http_call.c
+++ b/net/http_call.c
@@ -279,13 +279,12 @@
 
   ash_http_pool_sweep (pool, ash_clock_now ());
   DL_FOREACH_SAFE (pool->conns, conn, next)
-    {
-      if (conn->call || conn->reader_running || ash_time_before (conn->last_read, read_since))
-        continue;
-      if (ash_stream_is_quiet (&conn->stream))
-        return conn;
-      free_pool_conn (conn);
-    }
+    if (!conn->call && !conn->reader_running && !ash_time_before (conn->last_read, read_since))
+      {
+        if (ash_stream_is_quiet (&conn->stream))
+          return conn;
+        free_pool_conn (conn);
+      }
   return NULL;
 }
 
--- a/test/standin_server.c
+++ b/test/standin_server.c
@@ -241,6 +241,11 @@
   conn->request = work;
   if (strncmp (action, "raw", 3) == 0)
     answer_raw (conn);
+  if (strcmp (action, "rawclose") == 0)
+    {
+      close_conn (conn);
+      free (work);
+    }
   if (strncmp (action, "stream", 6) != 0)
     return;
   if (strncmp (action, "streamopen", 10) == 0)
@@ -360,11 +365,6 @@
       write_raw (conn, id, "Content-Length: 100\r\n", BODY);
       close_conn (conn);
     }
-  else if (strcmp (action, "rawclose") == 0)
-    {
-      answer_raw (conn);
-      close_conn (conn);
-    }
   else if (strcmp (action, "unframed") == 0)
     {
       write_raw (conn, id, "", BODY);
