--- a/test/router_broken_answers.c
+++ b/test/router_broken_answers.c
@@ -276,7 +276,9 @@
   testbed_send (fd, text);
   raw_read_until_closed (fd, text, sizeof text);
   body = strstr (text, "\r\n\r\n");
-  CU_ASSERT_PTR_NOT_NULL_FATAL (body);
+  CU_ASSERT_PTR_NOT_NULL (body);
+  if (!body)
+    return;
   CU_ASSERT_EQUAL (strncmp (body + 4, "HTTP/1.1 200 OK\r\n", 17), 0);
   CU_ASSERT_PTR_NOT_NULL (strstr (body, "whole answer"));
   *body = '\0';
@@ -391,30 +393,42 @@
   testbed_stop (&testbed);
 }
 
-/* A valid answer without end goes on until the route's time-out, and doesn't look complete then. */
+/* Sends a request whose answer's beginning reaches the caller. Checks that it gets more than
+ * @p bytes, and then a connection that ends without the end of the answer. */
 static void
-test_endless_answer (void)
+check_cut (const char *raw, size_t bytes)
 {
   char text[65536];
   char last[16] = "";
   ssize_t got;
   size_t total = 0;
-  int fd;
+  int fd = testbed_connect (&testbed, 0);
 
-  start ();
-  fd = testbed_connect (&testbed, 0);
-  testbed_send (fd, "POST /once/x HTTP/1.1\r\n" HEAD "e1\r\nX-Do: *=rawloop\r\nX-Raw: " CHUNKS
-                    "\\*5\\r\\nhello\\r\\n\r\nContent-Length: 0\r\n\r\n");
+  snprintf (text, sizeof text,
+            "POST /once/x HTTP/1.1\r\n" HEAD "cut\r\nX-Do: *=rawloop\r\nX-Raw: %s\r\n"
+            "Content-Length: 0\r\n\r\n",
+            raw);
+  testbed_send (fd, text);
   while ((got = recv (fd, text, sizeof text, 0)) > 0)
     {
       total += (size_t) got;
       snprintf (last, sizeof last, "%.*s", got < 5 ? (int) got : 5, text + (got < 5 ? 0 : got - 5));
     }
-  CU_ASSERT (total > 200000);
+  CU_ASSERT (total > bytes);
   CU_ASSERT_EQUAL (got, 0);
   CU_ASSERT_STRING_NOT_EQUAL (last, "0\r\n\r\n");
   close (fd);
-  testbed_call (&testbed, "e2", "/safe/x", NULL, "", &answer);
+}
+
+/* A valid answer without end goes on until the route's time-out, and one whose framing breaks ends
+ * there: neither looks complete. */
+static void
+test_endless_answer (void)
+{
+  start ();
+  check_cut (CHUNKS "\\*5\\r\\nhello\\r\\n", 200000);
+  check_cut (CHUNKS "30000\\r\\n\\*hello", 150000);
+  testbed_call (&testbed, "after", "/safe/x", NULL, "", &answer);
   CU_ASSERT_EQUAL (answer.status, 200);
   testbed_stop (&testbed);
 }
