test: one start for the tests of broken answers

The same three lines stood five times: start the testbed, allow many resends, start the router again.

--- a/test/router_broken_answers.c
+++ b/test/router_broken_answers.c
@@ -24,6 +24,15 @@
 /* Endpoints that gave broken answers get no requests for a while, up to this long. */
 #define EJECTED_MAX_MS 10000
 
+/* Starts the testbed with a router that may resend as often as the cases of a test take. */
+static void
+start_with_resends (void)
+{
+  start ();
+  testbed.grace = "resend_slack = 10000";
+  restart_router ();
+}
+
 /* Sends requests until an endpoint was sent one: endpoints that failed are left out for a while.
  * The endpoints do @p action with the bytes of @p raw. @param id receives that request's id. */
 static void
@@ -113,9 +122,7 @@
 static void
 check_all (const char *const *cases, size_t count)
 {
-  start ();
-  testbed.grace = "resend_slack = 10000";
-  restart_router ();
+  start_with_resends ();
   for (size_t i = 0; i < count; i++)
     {
       check_once (cases[i]);
@@ -220,9 +227,7 @@
     "\\r\\nhello",
   };
 
-  start ();
-  testbed.grace = "resend_slack = 10000";
-  restart_router ();
+  start_with_resends ();
   for (size_t i = 0; i < sizeof rests / sizeof rests[0]; i++)
     for (int round = 0; round < ROUNDS; round++)
       {
@@ -365,9 +370,7 @@
     CHUNKS "5\\r\\nhello\\r\\n0\\r\\n\\*A: hello\\r\\n",
   };
 
-  start ();
-  testbed.grace = "resend_slack = 10000";
-  restart_router ();
+  start_with_resends ();
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     check_endless ("/longonce/x", cases[i]);
   testbed_stop (&testbed);
@@ -486,9 +489,7 @@
     "hello",
   };
 
-  start ();
-  testbed.grace = "resend_slack = 10000";
-  restart_router ();
+  start_with_resends ();
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     check_store (cases[i]);
   testbed_stop (&testbed);
@@ -504,9 +505,7 @@
     "\\*HTTP/1.1 100 Continue\\r\\n\\r\\n",
   };
 
-  start ();
-  testbed.grace = "resend_slack = 10000";
-  restart_router ();
+  start_with_resends ();
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     {
       check_store (cases[i]);
