net: what is known of a broken event is forgotten with its bytes

With the routes of today, which have two attempts: an event missing after one that the endpoint repeats, and a stream cut although its last event had come.

Cause: ash_event_stream_finish() dropped the bytes of the event at which an endpoint broke off and left `scanned`, how many of them were searched for the event's end. So many bytes of the next endpoint's answer were not searched, and two events passed for one, with the id of the first.

Ruled out: an id that is not kept. Elsewhere: each ash_buffer_finish() and ash_buffer_consume() of net/ and daemon/ was read; no other state about bytes outlives them.

Change: finish() sets `scanned` to 0.

Tests, failing before: test-unit "event stream: events after a broken one"; test-router "resumed streams: the last event was broken" (answer incomplete) and "resumed streams: an event is repeated after a broken one" (event 4 missing).

--- a/net/event_stream.c
+++ b/net/event_stream.c
@@ -14,6 +14,7 @@
 ash_event_stream_finish (struct ash_event_stream *stream)
 {
   ash_buffer_finish (&stream->pending);
+  stream->scanned = 0;
 }
 
 bool
--- a/net/event_stream.h
+++ b/net/event_stream.h
@@ -28,6 +28,8 @@
 };
 
 void ash_event_stream_init (struct ash_event_stream *stream);
+
+/** Frees the pending bytes. The stream may be fed again, with the events of another answer. */
 void ash_event_stream_finish (struct ash_event_stream *stream);
 
 /**
--- a/test/router.c
+++ b/test/router.c
@@ -688,6 +688,7 @@
   router_prompt_parts_tests,
   router_open_answer_tests,
   router_broken_answer_tests,
+  router_resumed_stream_tests,
   router_odd_entry_tests,
   router_era_tests,
   router_suspended_tests,
--- a/test/router_tests.h
+++ b/test/router_tests.h
@@ -36,6 +36,9 @@
 /** Endpoints that send bytes that are no answer. */
 extern const struct fault_test router_broken_answer_tests[];
 
+/** Streams that another endpoint resumes. */
+extern const struct fault_test router_resumed_stream_tests[];
+
 /** Odd entries in the list of endpoints. */
 extern const struct fault_test router_odd_entry_tests[];
 
--- a/test/standin_server.c
+++ b/test/standin_server.c
@@ -26,6 +26,7 @@
  *     unframed    ends the answer by closing the connection
  *     big         answers with a body of 8 MB
  *     stream      answers with a stream of six events
+ *     streamagain the same, but a resumed stream begins with the caller's last event
  *     streambig   answers with a stream of 2,000 events of 4 kB each
  *     streamcut   closes the connection in the middle of the third event
  *     streamopen  answers with a stream of six events that ends with the connection
@@ -224,6 +225,8 @@
     abort ();
   snprintf (work->action, sizeof work->action, "%s", action);
   work->next = last ? atoi (last) + 1 : 1;
+  if (last && strcmp (action, "streamagain") == 0)
+    work->next--;
   work->cut_before = strcmp (action, "streamcut") == 0 || strcmp (action, "streamopencut") == 0 ? 3
                      : strcmp (action, "streamopennone") == 0                                   ? 1
                                                                                                 : 0;
--- a/test/unit_platform.c
+++ b/test/unit_platform.c
@@ -457,6 +457,32 @@
   ash_event_stream_finish (&stream);
 }
 
+/* Guards against events of a resumed stream that pass for one, so that one of them comes twice or
+ * not at all: what is known of a broken event is forgotten with its bytes. */
+static void
+test_events_after_broken_one (void)
+{
+  static const char broken[] = "id: 4\ndata: more bytes than the next two events have\n";
+  static const char *const next[] = { "id: 4\ndata: a\n\n", "id: 5\ndata: b\n\n" };
+  struct ash_event_stream stream;
+  struct ash_stream_event event;
+
+  ash_event_stream_init (&stream);
+  CU_ASSERT (ash_event_stream_feed (&stream, (const uint8_t *) broken, sizeof broken - 1));
+  CU_ASSERT_FALSE (ash_event_stream_next (&stream, &event));
+  ash_event_stream_finish (&stream);
+  CU_ASSERT (ash_event_stream_is_empty (&stream));
+  for (int i = 0; i < 2; i++)
+    {
+      CU_ASSERT (ash_event_stream_feed (&stream, (const uint8_t *) next[i], strlen (next[i])));
+      CU_ASSERT_FATAL (ash_event_stream_next (&stream, &event));
+      CU_ASSERT_EQUAL (event.length, strlen (next[i]));
+      CU_ASSERT_EQUAL (event.id, 4 + i);
+      ash_event_stream_drop (&stream, &event);
+    }
+  ash_event_stream_finish (&stream);
+}
+
 /* ---- connections ---- */
 
 static int
@@ -566,6 +592,7 @@
   CU_add_test (suite, "platform: directory", test_directory_format);
   CU_add_test (suite, "HTTP: strict messages", test_strict_messages);
   CU_add_test (suite, "event stream: whole events", test_events);
+  CU_add_test (suite, "event stream: events after a broken one", test_events_after_broken_one);
   CU_add_test (suite, "connections: silence is noticed", test_keep_alive);
   CU_add_test (suite, "connections: silence is noticed, of fetches", test_keep_alive_of_fetches);
 }
