--- a/test/unit_calls.c
+++ b/test/unit_calls.c
@@ -5,12 +5,11 @@
 #include "test/unit.h"
 
 #include "net/http_call.h"
-#include "net/http_conn.h"
+#include "test/answer_cases.h"
+#include "test/unit_server.h"
 
-#include <arpa/inet.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #define TIMEOUT_S 10.0
 
@@ -18,41 +17,17 @@
 struct world
 {
   struct ev_loop *loop;
-  struct ash_http_listener listener;
+  struct unit_server server;
   struct ash_http_pool pool;
   struct ash_http_call call;
-  ev_timer timeout;
-  const char *answer;   /* bytes of the next answer */
-  uint32_t requests;    /* received by the server */
-  uint32_t connections; /* that the server has served requests on */
   bool ended;
   enum ash_call_end end;
+  uint32_t heads; /* received by the call */
   char body[64];
 };
 
 static struct world world;
 
-/* ---- the server ---- */
-
-static void
-on_request (struct ash_http_conn *conn)
-{
-  world.requests++;
-  world.connections += !conn->had_request;
-  conn->had_request = true;
-  ash_stream_write (&conn->stream, world.answer, strlen (world.answer));
-  conn->state = ASH_CONN_IDLE;
-  ash_http_reader_next (&conn->reader);
-}
-
-static void
-on_disconnected (struct ash_http_conn *conn)
-{
-  (void) conn;
-}
-
-static const struct ash_conn_handler server_handler = { on_request, on_disconnected, NULL };
-
 /* ---- the call ---- */
 
 static enum ash_call_choice
@@ -60,6 +35,7 @@
 {
   (void) call;
   (void) head;
+  world.heads++;
   return ASH_CALL_ACCEPT;
 }
 
@@ -85,63 +61,44 @@
 
 static const struct ash_call_handler call_handler = { on_head, on_body, on_end };
 
-static void
-on_timeout (struct ev_loop *loop, ev_timer *timer, int events)
-{
-  (void) timer;
-  (void) events;
-  ev_break (loop, EVBREAK_ALL);
-}
-
-/* Runs the loop until the call ends, or for @p seconds. */
-static void
-run_loop (double seconds)
-{
-  ev_now_update (world.loop);
-  ev_timer_init (&world.timeout, on_timeout, seconds, 0);
-  ev_timer_start (world.loop, &world.timeout);
-  ev_run (world.loop, 0);
-  ev_timer_stop (world.loop, &world.timeout);
-}
-
 /* Makes a call that is answered with the bytes. @return how it ended. */
 static enum ash_call_end
-call (const char *text)
+call_answered (const struct answer_case *answer, bool no_body)
 {
   static const char request[] = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
 
-  world.answer = text;
+  world.server.answer = *answer;
   world.ended = false;
+  world.heads = 0;
   *world.body = '\0';
-  world.call = (struct ash_http_call){ .handler = &call_handler };
+  world.call = (struct ash_http_call){ .handler = &call_handler, .no_body = no_body };
   CU_ASSERT_TRUE_FATAL (ash_http_call_start (&world.call, &world.pool, request, sizeof request - 1,
                                              (struct ash_time){ 0 }));
-  run_loop (TIMEOUT_S);
+  unit_run_loop (world.loop, TIMEOUT_S);
   CU_ASSERT_TRUE_FATAL (world.ended);
   return world.end;
 }
 
+static enum ash_call_end
+call (const char *text)
+{
+  return call_answered (&(struct answer_case){ text, strlen (text) }, false);
+}
+
 static void
 start (void)
 {
-  struct sockaddr_in address;
-  socklen_t address_bytes = sizeof address;
-  char text[32];
-
   memset (&world, 0, sizeof world);
   world.loop = ev_loop_new (EVFLAG_AUTO);
-  CU_ASSERT_TRUE_FATAL (
-      ash_http_listen (&world.listener, world.loop, "127.0.0.1:0", &server_handler, NULL));
-  getsockname (world.listener.fd, (struct sockaddr *) &address, &address_bytes);
-  snprintf (text, sizeof text, "127.0.0.1:%u", ntohs (address.sin_port));
-  CU_ASSERT_TRUE_FATAL (ash_http_pool_init (&world.pool, world.loop, text));
+  CU_ASSERT_TRUE_FATAL (unit_server_start (&world.server, world.loop));
+  CU_ASSERT_TRUE_FATAL (ash_http_pool_init (&world.pool, world.loop, world.server.address));
 }
 
 static void
 finish (void)
 {
   ash_http_pool_finish (&world.pool);
-  ash_http_listener_finish (&world.listener);
+  unit_server_finish (&world.server);
   ev_loop_destroy (world.loop);
 }
 
@@ -181,17 +138,17 @@
       uint32_t connections;
 
       CU_ASSERT_EQUAL (call (valid), ASH_CALL_COMPLETE);
-      connections = world.connections;
+      connections = world.server.connections;
       CU_ASSERT_EQUAL (call (valid), ASH_CALL_COMPLETE);
-      CU_ASSERT_EQUAL (world.connections, connections);
+      CU_ASSERT_EQUAL (world.server.connections, connections);
       /* The loop doesn't run before the next call, so these bytes are in the socket's buffer. */
-      conn = world.listener.conns;
+      conn = world.server.listener.conns;
       while (conn->next)
         conn = conn->next;
       ash_stream_write (&conn->stream, stale[i], strlen (stale[i]));
       CU_ASSERT_EQUAL (call (valid), ASH_CALL_COMPLETE);
       CU_ASSERT_STRING_EQUAL (world.body, "own");
-      CU_ASSERT_EQUAL (world.connections, connections + 1);
+      CU_ASSERT_EQUAL (world.server.connections, connections + 1);
     }
   finish ();
 }
@@ -204,10 +161,10 @@
 
   start ();
   CU_ASSERT_EQUAL (call (valid), ASH_CALL_COMPLETE);
-  ash_stream_finish (&world.listener.conns->stream);
-  world.listener.conns->is_closed = true;
+  ash_stream_finish (&world.server.listener.conns->stream);
+  world.server.listener.conns->is_closed = true;
   CU_ASSERT_EQUAL (call (valid), ASH_CALL_COMPLETE);
-  CU_ASSERT_EQUAL (world.requests, 2);
+  CU_ASSERT_EQUAL (world.server.requests, 2);
   finish ();
 }
 
@@ -233,7 +190,7 @@
       start ();
       CU_ASSERT_EQUAL (call (cases[i].answer), ASH_CALL_COMPLETE);
       CU_ASSERT_EQUAL (call (cases[i].answer), ASH_CALL_COMPLETE);
-      CU_ASSERT_EQUAL (world.connections, cases[i].kept ? 1 : 2);
+      CU_ASSERT_EQUAL (world.server.connections, cases[i].kept ? 1 : 2);
       finish ();
     }
 }
--- a/test/unit_fetches.c
+++ b/test/unit_fetches.c
@@ -5,55 +5,25 @@
 #include "test/unit.h"
 
 #include "net/http_client.h"
-#include "net/http_conn.h"
 #include "test/answer_cases.h"
+#include "test/unit_server.h"
 
-#include <arpa/inet.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #define TIMEOUT_S 10.0
 
 static struct
 {
   struct ev_loop *loop;
-  struct ash_http_listener listener;
+  struct unit_server server;
   struct ash_http_client client;
-  ev_timer timeout;
   char url[64];
-  struct answer_case answer;
   bool ended;
   enum ash_fetch_result result;
   uint32_t status; /* 0: no head was reported */
 } world;
 
-/* ---- the server ---- */
-
-/* The answer ends with its connection. */
-static void
-on_drained (struct ash_http_conn *conn)
-{
-  ash_stream_finish (&conn->stream);
-  conn->is_closed = true;
-}
-
-static void
-on_request (struct ash_http_conn *conn)
-{
-  ash_stream_write (&conn->stream, world.answer.text, world.answer.length);
-  if (!conn->stream.out.length)
-    on_drained (conn);
-}
-
-static void
-on_disconnected (struct ash_http_conn *conn)
-{
-  (void) conn;
-}
-
-static const struct ash_conn_handler server_handler = { on_request, on_disconnected, on_drained };
-
 /* ---- fetches ---- */
 
 static void
@@ -82,14 +52,6 @@
   ev_break (world.loop, EVBREAK_ALL);
 }
 
-static void
-on_timeout (struct ev_loop *loop, ev_timer *timer, int events)
-{
-  (void) timer;
-  (void) events;
-  ev_break (loop, EVBREAK_ALL);
-}
-
 /* @return how a fetch ends that is answered with the bytes. */
 static enum ash_fetch_result
 fetch (const struct answer_case *answer)
@@ -97,15 +59,11 @@
   struct ash_fetch_request request = { .url = world.url, .method = "GET" };
   struct ash_fetch_handler handler = { on_head, on_bytes, on_end, NULL };
 
-  world.answer = *answer;
+  world.server.answer = *answer;
   world.ended = false;
   world.status = 0;
   CU_ASSERT_PTR_NOT_NULL_FATAL (ash_http_client_start (&world.client, &request, &handler));
-  ev_now_update (world.loop);
-  ev_timer_init (&world.timeout, on_timeout, TIMEOUT_S, 0);
-  ev_timer_start (world.loop, &world.timeout);
-  ev_run (world.loop, 0);
-  ev_timer_stop (world.loop, &world.timeout);
+  unit_run_loop (world.loop, TIMEOUT_S);
   CU_ASSERT_TRUE_FATAL (world.ended);
   return world.result;
 }
@@ -113,15 +71,11 @@
 static void
 start (void)
 {
-  struct sockaddr_in address;
-  socklen_t address_bytes = sizeof address;
-
   memset (&world, 0, sizeof world);
   world.loop = ev_loop_new (EVFLAG_AUTO);
-  CU_ASSERT_TRUE_FATAL (
-      ash_http_listen (&world.listener, world.loop, "127.0.0.1:0", &server_handler, NULL));
-  getsockname (world.listener.fd, (struct sockaddr *) &address, &address_bytes);
-  snprintf (world.url, sizeof world.url, "http://127.0.0.1:%u/", ntohs (address.sin_port));
+  CU_ASSERT_TRUE_FATAL (unit_server_start (&world.server, world.loop));
+  world.server.end = UNIT_SERVER_CLOSES;
+  snprintf (world.url, sizeof world.url, "http://%s/", world.server.address);
   CU_ASSERT_TRUE_FATAL (ash_http_client_init (&world.client, world.loop));
 }
 
@@ -129,7 +83,7 @@
 finish (void)
 {
   ash_http_client_finish (&world.client);
-  ash_http_listener_finish (&world.listener);
+  unit_server_finish (&world.server);
   ev_loop_destroy (world.loop);
 }
 
