test: answers cut within their heads, at both readers of answers

From other operators: a server stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body.

Ten heads (lengths, chunks, neither, no body, an interim one before, a rejection), cut after each byte, by a close and by a reset, on new and on kept connections; the router's also for HEAD. A reset taken for a close is not seen: within a head neither completes an answer.

Found: libcurl sends a request again by itself where a kept connection ends within the status line, not only where it was closed. Requests that may not be repeated don't go over kept connections; http_client.h says so now.

--- a/net/http_client.h
+++ b/net/http_client.h
@@ -48,7 +48,8 @@
                               probes. As connections are reused, all fetches to an address must
                               pass the same value */
   bool fresh_connection; /**< for requests that must not be repeated: libcurl resends a request
-                              by itself if a reused connection turns out to be closed */
+                              by itself if a reused connection ends before the
+                              answer's status line */
 };
 
 /** Callbacks of a fetch, called from the event loop only. */
--- a/test/answer_cases.c
+++ b/test/answer_cases.c
@@ -208,12 +208,31 @@
   { TEXT (CHUNKED "5\r\nhello\r\n0\r\n\r\nmore") },
 };
 
+/* A part of a length or of a chunk's size is a length as well: it must not be used for one. */
+static const struct answer_case heads[] = {
+  { TEXT (OK_LINE "A: x\r\nContent-Length: 12\r\n\r\n") },
+  { TEXT (OK_LINE "Content-Length: 120\r\nKeep-Alive: timeout=5\r\n\r\n") },
+  { TEXT (OK_LINE "Content-Length: 0\r\nA: x\r\n\r\n") },
+  { TEXT (CHUNKED) },
+  { TEXT (OK_LINE "Connection: close\r\nA: x\r\n\r\n") },
+  { TEXT ("HTTP/1.0 200 OK\r\nA: x\r\n\r\n") },
+  { TEXT ("HTTP/1.1 204 None\r\nA: x\r\n\r\n") },
+  { TEXT ("HTTP/1.1 304 Same\r\nContent-Length: 12\r\n\r\n") },
+  { TEXT ("HTTP/1.1 103 Early\r\nA: x\r\n\r\n" OK_LINE "Content-Length: 0\r\n\r\n") },
+  { TEXT ("HTTP/1.1 503 Full\r\nAshspindle-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n") },
+};
+
 #define LIST(cases)                                                                                \
   {                                                                                                \
     cases, sizeof (cases) / sizeof (cases)[0]                                                      \
   }
 
 const struct answer_cases answer_cases = {
-  LIST (broken_status_lines), LIST (broken_field_lines), LIST (broken_framing_fields),
-  LIST (broken_bodies),       LIST (valid_answers),      LIST (followed_answers),
+  LIST (broken_status_lines),
+  LIST (broken_field_lines),
+  LIST (broken_framing_fields),
+  LIST (broken_bodies),
+  LIST (valid_answers),
+  LIST (followed_answers),
+  LIST (heads),
 };
--- a/test/answer_cases.h
+++ b/test/answer_cases.h
@@ -30,7 +30,8 @@
   struct answer_list broken_bodies;
   struct answer_list valid_answers;
   struct answer_list
-      followed_answers; /**< valid, with bytes behind them that belong to no request */
+      followed_answers;     /**< valid, with bytes behind them that belong to no request */
+  struct answer_list heads; /**< whole heads, by what delimits the body */
 } answer_cases;
 
 #endif
--- a/test/unit_calls.c
+++ b/test/unit_calls.c
@@ -168,6 +168,53 @@
   finish ();
 }
 
+/* Cuts a head after @p length bytes, and checks that the call ends with a lost connection and
+ * nothing of an answer. */
+static void
+check_cut_head (const struct answer_case *head, size_t length, bool kept, bool no_body)
+{
+  static const char valid[] = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown";
+  const struct answer_case cut = { head->text, length };
+  enum unit_server_end end = world.server.end;
+  uint32_t connections;
+  uint32_t requests;
+  enum ash_call_end result;
+
+  if (kept)
+    {
+      world.server.end = UNIT_SERVER_KEEPS;
+      CU_ASSERT_EQUAL (call (valid), ASH_CALL_COMPLETE);
+      world.server.end = end;
+    }
+  connections = world.server.connections;
+  requests = world.server.requests;
+  result = call_answered (&cut, no_body);
+  CU_ASSERT (result == ASH_CALL_TRUNCATED && !world.heads && !*world.body);
+  if (result != ASH_CALL_TRUNCATED || world.heads)
+    printf ("\n  end %d, %u heads: %.*s", (int) result, world.heads, (int) length, head->text);
+  CU_ASSERT_EQUAL (world.server.requests, requests + 1);
+  CU_ASSERT_EQUAL (world.server.connections, connections + !kept);
+}
+
+/* Guards against an answer that is cut within its head and passes for a whole one: after each byte,
+ * by a close and by a reset, on a new and on a kept connection, also where no body is awaited. */
+static void
+test_cut_heads (void)
+{
+  for (int end = UNIT_SERVER_CLOSES; end <= UNIT_SERVER_RESETS; end++)
+    for (size_t i = 0; i < answer_cases.heads.count; i++)
+      {
+        const struct answer_case *head = &answer_cases.heads.cases[i];
+
+        start ();
+        world.server.end = (enum unit_server_end) end;
+        for (size_t length = 0; length < head->length; length++)
+          for (int variant = 0; variant < 4; variant++)
+            check_cut_head (head, length, variant & 1, variant & 2);
+        finish ();
+      }
+}
+
 /* A time-out of any size that a server announces is one that can be computed with. */
 static void
 test_keep_alive_numbers (void)
@@ -201,5 +248,6 @@
   CU_add_test (suite, "calls: bodies over the bound", test_body_bound);
   CU_add_test (suite, "calls: bytes before the request", test_stale_bytes);
   CU_add_test (suite, "calls: a connection that was closed", test_closed_connection);
+  CU_add_test (suite, "calls: answers cut within their heads", test_cut_heads);
   CU_add_test (suite, "calls: time-outs that servers announce", test_keep_alive_numbers);
 }
--- a/test/unit_fetches.c
+++ b/test/unit_fetches.c
@@ -19,6 +19,7 @@
   struct unit_server server;
   struct ash_http_client client;
   char url[64];
+  bool fresh_connection; /* of the next fetch */
   bool ended;
   enum ash_fetch_result result;
   uint32_t status; /* 0: no head was reported */
@@ -56,7 +57,11 @@
 static enum ash_fetch_result
 fetch (const struct answer_case *answer)
 {
-  struct ash_fetch_request request = { .url = world.url, .method = "GET" };
+  struct ash_fetch_request request = {
+    .url = world.url,
+    .method = "GET",
+    .fresh_connection = world.fresh_connection,
+  };
   struct ash_fetch_handler handler = { on_head, on_bytes, on_end, NULL };
 
   world.server.answer = *answer;
@@ -185,6 +190,64 @@
   finish ();
 }
 
+/* Which connection a request goes over. */
+enum connection
+{
+  NEW_CONNECTION,
+  KEPT_CONNECTION,
+  FRESH_CONNECTION, /* a new one on purpose, although another one is kept */
+};
+
+/* Cuts a head after @p length bytes, and checks that the fetch fails with nothing of an answer. */
+static void
+check_cut_head (const struct answer_case *head, size_t length, enum connection connection)
+{
+  static const char valid[] = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown";
+  const struct answer_case first = { valid, sizeof valid - 1 };
+  const struct answer_case cut = { head->text, length };
+  enum unit_server_end end = world.server.end;
+  uint32_t requests;
+
+  world.fresh_connection = false;
+  if (connection != NEW_CONNECTION)
+    {
+      world.server.end = UNIT_SERVER_KEEPS;
+      CU_ASSERT_EQUAL (fetch (&first), ASH_FETCH_COMPLETE);
+      world.server.end = end;
+    }
+  world.fresh_connection = connection == FRESH_CONNECTION;
+  requests = world.server.requests;
+  check (&cut, fetch (&cut) == ASH_FETCH_FAILED && world.status == 0);
+  /* What may be repeated is sent again by libcurl, if not even a status line has come. */
+  CU_ASSERT (world.server.requests == requests + 1 ||
+             (connection == KEPT_CONNECTION && world.server.requests == requests + 2));
+}
+
+static void
+check_cut_heads (enum unit_server_end end, enum connection connection)
+{
+  for (size_t i = 0; i < answer_cases.heads.count; i++)
+    {
+      const struct answer_case *head = &answer_cases.heads.cases[i];
+
+      start ();
+      world.server.end = end;
+      for (size_t length = 0; length < head->length; length++)
+        check_cut_head (head, length, connection);
+      finish ();
+    }
+}
+
+/* Guards against an answer that is cut within its head and passes for a whole one: after each byte,
+ * by a close and by a reset; and against a second run of what may not be repeated. */
+static void
+test_cut_heads (void)
+{
+  for (int end = UNIT_SERVER_CLOSES; end <= UNIT_SERVER_RESETS; end++)
+    for (int connection = NEW_CONNECTION; connection <= FRESH_CONNECTION; connection++)
+      check_cut_heads ((enum unit_server_end) end, (enum connection) connection);
+}
+
 void
 add_fetch_tests (CU_pSuite suite)
 {
@@ -194,4 +257,5 @@
   CU_add_test (suite, "fetches: bodies", test_bodies);
   CU_add_test (suite, "fetches: valid answers", test_valid);
   CU_add_test (suite, "fetches: interim answers", test_interim_answers);
+  CU_add_test (suite, "fetches: answers cut within their heads", test_cut_heads);
 }
