cli, net: an answer cut within its head is no answer for ashctl either

Seen by callers of ashctl: an entry whose answer ends within its head (its process ends, its connection is cut) gave status 200, "whole", outcome "ran" and no body; ashctl printed nothing and exited as for success. A rejection cut so was reported as "not-run".

Cause: cli/fetch.c asked libcurl alone whether an answer is complete. libcurl reports success for an answer that ends within its head, as long as a byte of it came, and hands out the lines that did come as fields.

Ruled out: both daemons. A reset instead of a close was reported as a failure, but with the status and the outcome of the cut head.

Change: the strict reader behind libcurl is a module, net/curl_answer, which the older daemon's client and ashctl use; what stood in http_client.c moved there. Fields and status of an answer are taken from a whole head only.

--- a/cli/fetch.c
+++ b/cli/fetch.c
@@ -1,6 +1,7 @@
 #include "cli/fetch.h"
 
-#include <curl/curl.h>
+#include "net/curl_answer.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -14,19 +15,52 @@
 struct transfer
 {
   const struct ash_cli_request *request;
+  struct ash_curl_answer reader;
   struct ash_cli_answer *answer;
 };
 
-static size_t
-on_body (char *bytes, size_t size, size_t count, void *data)
+static void
+copy_field (const struct ash_http_head *head, const char *name, char *value, size_t value_bytes)
+{
+  const char *text = ash_http_field (head, name);
+
+  snprintf (value, value_bytes, "%s", text ? text : "");
+}
+
+static long
+number_field (const struct ash_http_head *head, const char *name)
+{
+  const char *text = ash_http_field (head, name);
+
+  return text ? atol (text) : 0;
+}
+
+static void
+on_head (void *data, const struct ash_http_head *head)
+{
+  struct ash_cli_answer *answer = ((struct transfer *) data)->answer;
+
+  answer->status = head->status;
+  copy_field (head, "Ash-Outcome", answer->outcome, sizeof answer->outcome);
+  copy_field (head, "Ash-Endpoint", answer->endpoint, sizeof answer->endpoint);
+  copy_field (head, "Ash-Entry", answer->entry, sizeof answer->entry);
+  copy_field (head, "Ash-Request-Id", answer->request_id, sizeof answer->request_id);
+  answer->wait_ms = number_field (head, "Ash-Wait-Ms");
+  answer->retry_ms = number_field (head, "Ash-Retry-After-Ms");
+}
+
+static void
+on_body (void *data, const uint8_t *bytes, size_t length)
 {
   struct transfer *transfer = data;
   struct ash_cli_answer *answer = transfer->answer;
-  size_t length = size * count;
   char *grown = realloc (answer->body, answer->body_bytes + length + 1);
 
   if (!grown)
-    return 0;
+    {
+      transfer->reader.reader.error = ASH_HTTP_BODY_TOO_LARGE;
+      return;
+    }
   answer->body = grown;
   memcpy (answer->body + answer->body_bytes, bytes, length);
   answer->body_bytes += length;
@@ -36,40 +70,16 @@
       fwrite (bytes, 1, length, transfer->request->echo);
       fflush (transfer->request->echo);
     }
-  return length;
 }
 
-static bool
-header_value (const char *line, const char *name, char *value, size_t value_bytes)
-{
-  size_t name_length = strlen (name);
-
-  if (strncasecmp (line, name, name_length) != 0 || line[name_length] != ':')
-    return false;
-  line += name_length + 1;
-  line += strspn (line, " ");
-  snprintf (value, value_bytes, "%.*s", (int) strcspn (line, "\r\n"), line);
-  return true;
-}
+static const struct ash_http_handler answer_handler = { on_head, on_body };
 
 static size_t
-on_header (char *line, size_t size, size_t count, void *data)
+on_bytes (char *bytes, size_t size, size_t count, void *data)
 {
-  struct ash_cli_answer *answer = ((struct transfer *) data)->answer;
-  size_t length = size * count;
-  char text[512];
-  char number[32];
-
-  snprintf (text, sizeof text, "%.*s", (int) length, line);
-  header_value (text, "Ash-Outcome", answer->outcome, sizeof answer->outcome);
-  header_value (text, "Ash-Endpoint", answer->endpoint, sizeof answer->endpoint);
-  header_value (text, "Ash-Entry", answer->entry, sizeof answer->entry);
-  header_value (text, "Ash-Request-Id", answer->request_id, sizeof answer->request_id);
-  if (header_value (text, "Ash-Wait-Ms", number, sizeof number))
-    answer->wait_ms = atol (number);
-  if (header_value (text, "Ash-Retry-After-Ms", number, sizeof number))
-    answer->retry_ms = atol (number);
-  return length;
+  struct transfer *transfer = data;
+
+  return ash_curl_answer_read (&transfer->reader, bytes, size * count) ? size * count : 0;
 }
 
 /* Adds a header field unless @p value is NULL. @return the new list. */
@@ -108,25 +118,36 @@
   return add_header (headers, "Ash-No-Repeat", request->no_repeat ? "1" : NULL);
 }
 
+/* @return why the answer is not whole; NULL: it is. */
+static const char *
+describe_failure (struct transfer *transfer, CURLcode code)
+{
+  if (transfer->reader.reader.error)
+    return "the answer is not valid HTTP, or too large";
+  if (code != CURLE_OK)
+    return curl_easy_strerror (code);
+  if (!ash_curl_answer_is_complete (&transfer->reader))
+    return "the connection ended before the answer was complete";
+  return NULL;
+}
+
 void
 ash_cli_fetch (const struct ash_cli_request *request, struct ash_cli_answer *answer)
 {
-  struct transfer transfer = { request, answer };
+  struct transfer transfer = { .request = request, .answer = answer };
   struct curl_slist *headers = make_headers (request);
   CURL *easy = curl_easy_init ();
   long timeout_ms = (request->deadline_ms ? (long) request->deadline_ms : DEADLINE_DEFAULT_MS) +
                     TIMEOUT_MARGIN_MS;
   curl_off_t connect_us = 0;
-  CURLcode code;
+  const char *failure;
 
   *answer = (struct ash_cli_answer){ 0 };
+  ash_curl_answer_init (&transfer.reader, false, &answer_handler, &transfer);
   curl_easy_setopt (easy, CURLOPT_URL, request->url);
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, &transfer);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
-  curl_easy_setopt (easy, CURLOPT_HEADERDATA, &transfer);
+  ash_curl_answer_set_options (easy, on_bytes, &transfer);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, timeout_ms);
   if (request->body)
@@ -134,14 +155,14 @@
   else if (strcmp (request->method, "POST") == 0)
     curl_easy_setopt (easy, CURLOPT_POSTFIELDS, "");
   curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, request->method);
-  code = curl_easy_perform (easy);
-  curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &answer->status);
+  failure = describe_failure (&transfer, curl_easy_perform (easy));
   curl_easy_getinfo (easy, CURLINFO_CONNECT_TIME_T, &connect_us);
   answer->connected = connect_us > 0;
-  answer->whole = code == CURLE_OK;
-  if (code != CURLE_OK)
-    snprintf (answer->error, sizeof answer->error, "%s", curl_easy_strerror (code));
+  answer->whole = !failure;
+  if (failure)
+    snprintf (answer->error, sizeof answer->error, "%s", failure);
   curl_easy_cleanup (easy);
+  ash_curl_answer_finish (&transfer.reader);
   curl_slist_free_all (headers);
 }
 
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -1,7 +1,6 @@
 #include "net/http_client.h"
 
-#include "net/http_grammar.h"
-#include "net/http_message.h"
+#include "net/curl_answer.h"
 #include "net/keep_alive.h"
 
 #include <stdlib.h>
@@ -18,9 +17,7 @@
   struct ash_fetch_handler handler;
   CURL *easy;
   struct curl_slist *headers;
-  struct ash_http_reader reader; /* reads the answer: libcurl accepts much that is none */
-  size_t skipped_bytes;          /* size of the interim answers */
-  bool is_head;
+  struct ash_curl_answer answer;
   bool head_reported;
   bool cancelled;
   uint32_t silence_ms;
@@ -41,7 +38,7 @@
   curl_multi_remove_handle (fetch->client->multi, fetch->easy);
   curl_easy_cleanup (fetch->easy);
   curl_slist_free_all (fetch->headers);
-  ash_http_reader_finish (&fetch->reader);
+  ash_curl_answer_finish (&fetch->answer);
   free (fetch);
 }
 
@@ -79,7 +76,7 @@
 static void
 report_head (struct ash_fetch *fetch)
 {
-  const struct ash_http_head *head = &fetch->reader.head;
+  const struct ash_http_head *head = &fetch->answer.reader.head;
   const char *content_type = ash_http_field (head, "Content-Type");
   const char *revision = ash_http_field (head, REVISION_FIELD);
 
@@ -111,35 +108,6 @@
 
 static const struct ash_http_handler answer_handler = { on_answer_head, on_answer_body };
 
-/* Reads a part of the answer as it came from the connection; what follows its end is ignored.
- * @return false if it is malformed, or preceded by too many interim answers. */
-static bool
-read_answer (struct ash_fetch *fetch, const char *bytes, size_t length)
-{
-  struct ash_http_reader *reader = &fetch->reader;
-  size_t at = 0;
-
-  while (at < length && !reader->done && !reader->error)
-    {
-      size_t part = ash_http_reader_feed (reader, (const uint8_t *) bytes + at, length - at);
-
-      at += part;
-      if (!reader->done || reader->head.status >= ASH_HTTP_STATUS_FINAL)
-        continue;
-      fetch->skipped_bytes += reader->head_bytes;
-      ash_http_reader_next (reader);
-      reader->no_body = fetch->is_head;
-    }
-  return !reader->error && fetch->skipped_bytes <= ASH_HTTP_SKIPPED_MAX_BYTES;
-}
-
-/* @return whether the answer is complete, at the end of a transfer that libcurl counts as such. */
-static bool
-is_complete (struct ash_fetch *fetch)
-{
-  return !fetch->reader.error && (fetch->reader.done || ash_http_reader_eof (&fetch->reader));
-}
-
 static void
 finish_transfers (struct ash_http_client *client)
 {
@@ -160,7 +128,7 @@
           free_fetch (fetch);
           continue;
         }
-      if (code == CURLE_OK && !is_complete (fetch))
+      if (code == CURLE_OK && !ash_curl_answer_is_complete (&fetch->answer))
         code = CURLE_WEIRD_SERVER_REPLY;
       if (code == CURLE_OK)
         report_head (fetch);
@@ -281,7 +249,8 @@
 {
   struct ash_fetch *fetch = data;
 
-  if (fetch->cancelled || !read_answer (fetch, bytes, size * count) || fetch->cancelled)
+  if (fetch->cancelled || !ash_curl_answer_read (&fetch->answer, bytes, size * count) ||
+      fetch->cancelled)
     return 0;
   return size * count;
 }
@@ -314,12 +283,7 @@
   curl_easy_setopt (easy, CURLOPT_PRIVATE, fetch);
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_bytes);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, fetch);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_bytes);
-  curl_easy_setopt (easy, CURLOPT_HEADERDATA, fetch);
-  /* Chunks are passed on as they are: on_bytes() decodes them. */
-  curl_easy_setopt (easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
+  ash_curl_answer_set_options (easy, on_bytes, fetch);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, on_new_socket);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTDATA, fetch);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long) CONNECT_TIMEOUT_MS);
@@ -363,9 +327,8 @@
       free (fetch);
       return NULL;
     }
-  fetch->is_head = strcmp (request->method, "HEAD") == 0;
-  ash_http_reader_init (&fetch->reader, ASH_HTTP_RESPONSE, &answer_handler, fetch);
-  fetch->reader.no_body = fetch->is_head;
+  ash_curl_answer_init (&fetch->answer, strcmp (request->method, "HEAD") == 0, &answer_handler,
+                        fetch);
   set_options (fetch, request);
   DL_APPEND (client->fetches, fetch);
   curl_multi_add_handle (client->multi, fetch->easy);
--- a/test/unit.c
+++ b/test/unit.c
@@ -736,6 +736,7 @@
   add_answer_tests (suite);
   add_call_tests (suite);
   add_fetch_tests (suite);
+  add_cli_tests (suite);
   add_platform_tests (suite);
   add_trace_tests (suite);
   add_router_world_tests (suite);
--- a/test/unit.h
+++ b/test/unit.h
@@ -50,6 +50,9 @@
 /** Fetches with libcurl. */
 void add_fetch_tests (CU_pSuite suite);
 
+/** Answers that the command-line tool reads. */
+void add_cli_tests (CU_pSuite suite);
+
 /** The platform's formats, HTTP messages, event streams, TCP keep-alive. */
 void add_platform_tests (CU_pSuite suite);
 
--- /dev/null
+++ b/test/unit_cli.c
@@ -0,0 +1,138 @@
+/**
+ * @file
+ * Answers that the command-line tool reads, from a server in a thread that answers with any bytes.
+ */
+#include "test/unit.h"
+
+#include "cli/fetch.h"
+#include "test/unit_server.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+
+#define TEXT(text) text, sizeof (text) - 1
+#define RAN "HTTP/1.1 200 OK\r\nAsh-Outcome: ran\r\n"
+
+static const struct answer_case heads[] = {
+  { TEXT (RAN "Content-Length: 12\r\n\r\n") },
+  { TEXT (RAN "Content-Length: 0\r\n\r\n") },
+  { TEXT (RAN "Transfer-Encoding: chunked\r\n\r\n") },
+  { TEXT (RAN "Connection: close\r\n\r\n") },
+  { TEXT ("HTTP/1.0 200 OK\r\nAsh-Outcome: ran\r\n\r\n") },
+  { TEXT ("HTTP/1.1 100 Continue\r\n\r\n" RAN "Content-Length: 0\r\n\r\n") },
+  { TEXT ("HTTP/1.1 503 Full\r\nAsh-Outcome: not-run\r\nContent-Length: 0\r\n\r\n") },
+};
+
+static struct
+{
+  struct ev_loop *loop;
+  ev_async stop;
+  pthread_t thread;
+  struct unit_server server;
+  char url[64];
+  struct ash_cli_answer answer;
+} world;
+
+static void
+on_stop (struct ev_loop *loop, ev_async *stop, int events)
+{
+  (void) stop;
+  (void) events;
+  ev_break (loop, EVBREAK_ALL);
+}
+
+static void *
+serve (void *data)
+{
+  (void) data;
+  ev_run (world.loop, 0);
+  return NULL;
+}
+
+static void
+start (void)
+{
+  memset (&world, 0, sizeof world);
+  world.loop = ev_loop_new (EVFLAG_AUTO);
+  CU_ASSERT_TRUE_FATAL (unit_server_start (&world.server, world.loop));
+  snprintf (world.url, sizeof world.url, "http://%s/", world.server.address);
+  ev_async_init (&world.stop, on_stop);
+  ev_async_start (world.loop, &world.stop);
+  pthread_create (&world.thread, NULL, serve, NULL);
+}
+
+static void
+finish (void)
+{
+  ev_async_send (world.loop, &world.stop);
+  pthread_join (world.thread, NULL);
+  unit_server_finish (&world.server);
+  ev_loop_destroy (world.loop);
+}
+
+static void
+fetch (const char *text, size_t length, enum unit_server_end end)
+{
+  struct ash_cli_request request = { .url = world.url, .method = "POST" };
+
+  world.server.answer = (struct answer_case){ text, length };
+  world.server.end = end;
+  ash_cli_fetch (&request, &world.answer);
+}
+
+/* Guards against an answer that is cut within its head, after each byte, by a close or a reset, and
+ * that ashctl reports as complete, with an outcome. */
+static void
+test_cut_heads (void)
+{
+  start ();
+  for (int end = UNIT_SERVER_CLOSES; end <= UNIT_SERVER_RESETS; end++)
+    for (size_t i = 0; i < sizeof heads / sizeof heads[0]; i++)
+      for (size_t length = 0; length < heads[i].length; length++)
+        {
+          const struct ash_cli_answer *answer = &world.answer;
+          bool ok;
+
+          fetch (heads[i].text, length, (enum unit_server_end) end);
+          ok = !answer->whole && !answer->status && answer->connected && !*answer->outcome &&
+               !answer->body && *answer->error;
+          CU_ASSERT (ok);
+          if (!ok)
+            printf ("\n  status %ld, whole %d, outcome %s: %.*s", answer->status, answer->whole,
+                    answer->outcome, (int) length, heads[i].text);
+          ash_cli_answer_finish (&world.answer);
+        }
+  finish ();
+}
+
+/* Whole answers, however their bodies are delimited. */
+static void
+test_whole (void)
+{
+  static const char *const texts[] = {
+    RAN "Content-Length: 5\r\n\r\nhello",
+    RAN "Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+    RAN "\r\nhello",
+    "HTTP/1.1 100 Continue\r\n\r\n" RAN "Content-Length: 5\r\n\r\nhello",
+  };
+
+  start ();
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    {
+      fetch (texts[i], strlen (texts[i]), UNIT_SERVER_CLOSES);
+      CU_ASSERT (world.answer.whole && world.answer.status == 200 && !*world.answer.error);
+      CU_ASSERT_STRING_EQUAL (world.answer.outcome, "ran");
+      CU_ASSERT_PTR_NOT_NULL_FATAL (world.answer.body);
+      CU_ASSERT_STRING_EQUAL (world.answer.body, "hello");
+      ash_cli_answer_finish (&world.answer);
+    }
+  finish ();
+}
+
+void
+add_cli_tests (CU_pSuite suite)
+{
+  CU_add_test (suite, "ashctl: answers cut within their heads", test_cut_heads);
+  CU_add_test (suite, "ashctl: whole answers", test_whole);
+}
