--- a/test/unit_cli.c
+++ b/test/unit_cli.c
@@ -120,11 +120,13 @@
   start ();
   for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
     {
+      const char *body;
+
       fetch (texts[i], strlen (texts[i]), UNIT_SERVER_CLOSES);
+      body = world.answer.body ? world.answer.body : "";
       CU_ASSERT (world.answer.whole && world.answer.status == 200 && !*world.answer.error);
       CU_ASSERT_STRING_EQUAL (world.answer.outcome, "ran");
-      CU_ASSERT_PTR_NOT_NULL_FATAL (world.answer.body);
-      CU_ASSERT_STRING_EQUAL (world.answer.body, "hello");
+      CU_ASSERT_STRING_EQUAL (body, "hello");
       ash_cli_answer_finish (&world.answer);
     }
   finish ();
