test: answers cut within their heads, on each route of the router

The requests to endpoints that send a test's bytes, and what callers may get of them, stand in test/router_raw.c, from test/router_broken_answers.c; a request that may be repeated must get an answer that is complete there. Stand-ins: a reset after raw bytes, and raw answers of ranks for any path.

--- a/test/router.c
+++ b/test/router.c
@@ -689,6 +689,7 @@
   router_open_answer_tests,
   router_broken_answer_tests,
   router_resumed_stream_tests,
+  router_cut_head_tests,
   router_odd_entry_tests,
   router_era_tests,
   router_suspended_tests,
--- a/test/router_broken_answers.c
+++ b/test/router_broken_answers.c
@@ -4,7 +4,7 @@
  * after a byte of the answer has reached it, from new and from kept connections.
  */
 #include "test/raw.h"
-#include "test/router_tests.h"
+#include "test/router_raw.h"
 
 #include <CUnit/CUnit.h>
 #include <netinet/in.h>
@@ -17,116 +17,14 @@
 
 #define LENGTH_5 "Content-Length: 5\\r\\n"
 
-/* The first requests of a case go over kept connections. A broken answer ends its connection, so
- * those after them go over new ones. */
-#define ROUNDS 3
-
-/* Endpoints that gave broken answers get no requests for a while, up to this long. */
-#define EJECTED_MAX_MS 10000
-
-/* Starts the testbed with a router that may resend as often as the cases of a test take. */
-static void
-start_with_resends (void)
-{
-  start ();
-  testbed.grace = "resend_slack = 10000";
-  restart_router ();
-}
-
-/* Sends requests until an endpoint was sent one: endpoints that failed are left out for a while.
- * The endpoints do @p action with the bytes of @p raw. @param id receives that request's id. */
-static void
-call_raw (char id[24], const char *path, const char *action, const char *raw)
-{
-  int64_t until = fleet_now_ms () + EJECTED_MAX_MS;
-  static int number;
-  char more[1024];
-
-  snprintf (more, sizeof more, "X-Raw: %s\r\n", raw);
-  for (;;)
-    {
-      snprintf (id, 24, "raw-%d", ++number);
-      testbed_call (&testbed, id, path, action, more, &answer);
-      if (answer.status != 503 || testbed_count_runs (&testbed, id) || fleet_now_ms () > until)
-        return;
-      fleet_sleep_ms (50);
-    }
-}
-
-/* Leaves a kept connection to each endpoint. */
-static void
-keep_connections (void)
-{
-  static const char *const actions[] = { "A=ok B=shed", "A=shed B=ok" };
-  char id[24];
-
-  for (int s = 0; s < TESTBED_SERVERS; s++)
-    {
-      int64_t until = fleet_now_ms () + EJECTED_MAX_MS;
-
-      do
-        call_raw (id, "/safe/x", actions[s], "-");
-      while (answer.status != 200 && fleet_now_ms () < until);
-      CU_ASSERT_EQUAL (answer.status, 200);
-    }
-}
-
-/* Checks that the last answer is the router's own, whole, and says that the request may have run.
- */
-static void
-expect_unknown (const char *raw)
-{
-  bool ok = answer.status == 502 && answer.complete && !answer_has ("hello") &&
-            !answer_has ("Server-Seal") && !answer_has ("Retry-After");
-
-  CU_ASSERT (ok);
-  if (!ok)
-    printf ("\n  %s\n  gave %d: %.200s", raw, answer.status, answer.text);
-}
-
-/* A request that may not be repeated runs once, and its caller learns that it may have run. */
-static void
-check_once (const char *raw)
-{
-  char id[24];
-
-  for (int round = 0; round < ROUNDS; round++)
-    {
-      if (round == 0)
-        keep_connections ();
-      call_raw (id, "/once/x", "*=rawclose", raw);
-      expect_unknown (raw);
-      CU_ASSERT_EQUAL (testbed_count_runs (&testbed, id), 1);
-    }
-}
-
-/* A request that may be repeated is answered by the other endpoint. */
-static void
-check_safe (const char *raw)
-{
-  char id[24];
-
-  keep_connections ();
-  for (int round = 0; round < ROUNDS; round++)
-    {
-      bool ok;
-
-      call_raw (id, "/safe/x", round % 2 ? "A=ok B=rawclose" : "A=rawclose B=ok", raw);
-      ok = answer.status == 200 && strcmp (answer.body, "whole answer") == 0;
-      CU_ASSERT (ok);
-      if (!ok)
-        printf ("\n  %s\n  gave %d: %.200s", raw, answer.status, answer.text);
-    }
-}
-
 static void
 check_all (const char *const *cases, size_t count)
 {
-  start_with_resends ();
+  raw_start ();
   for (size_t i = 0; i < count; i++)
     {
-      check_once (cases[i]);
-      check_safe (cases[i]);
+      raw_check_once ("/once/x", "rawclose", cases[i]);
+      raw_check_safe ("/safe/x", "rawclose", cases[i]);
     }
   CU_ASSERT (testbed_logged (&testbed, 0, " forward_malformed "));
   /* No answer of status 0 was served. */
@@ -227,15 +125,15 @@
     "\\r\\nhello",
   };
 
-  start_with_resends ();
+  raw_start ();
   for (size_t i = 0; i < sizeof rests / sizeof rests[0]; i++)
-    for (int round = 0; round < ROUNDS; round++)
+    for (int round = 0; round < RAW_ROUNDS; round++)
       {
         char raw[512];
         char id[24];
 
         snprintf (raw, sizeof raw, "%s" EVENT_1 "%s", CHUNKS, rests[i]);
-        call_raw (id, "/stream/x", round % 2 ? "A=stream B=rawclose" : "A=rawclose B=stream", raw);
+        raw_call (id, "/stream/x", round % 2 ? "A=stream B=rawclose" : "A=rawclose B=stream", raw);
         CU_ASSERT (answer.status == 200 && answer.complete);
         CU_ASSERT_FALSE (answer_has ("hello"));
         testbed_expect_events (&answer, 1, 6);
@@ -341,12 +239,12 @@
   int gone = count_gone ();
   char id[24];
 
-  call_raw (id, path, "*=rawloop", raw);
-  expect_unknown (raw);
+  raw_call (id, path, "*=rawloop", raw);
+  raw_expect_unknown (raw);
   for (int i = 0; i < 100 && count_gone () == gone; i++)
     fleet_sleep_ms (20);
   CU_ASSERT (count_gone () > gone);
-  call_raw (id, "/any/x", "A=rawloop B=ok", raw);
+  raw_call (id, "/any/x", "A=rawloop B=ok", raw);
   CU_ASSERT (answer.status == 200 && strcmp (answer.body, "whole answer") == 0);
 }
 
@@ -370,7 +268,7 @@
     CHUNKS "5\\r\\nhello\\r\\n0\\r\\n\\*A: hello\\r\\n",
   };
 
-  start_with_resends ();
+  raw_start ();
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     check_endless ("/longonce/x", cases[i]);
   testbed_stop (&testbed);
@@ -388,7 +286,7 @@
   start ();
   for (int i = 0; i < 2; i++)
     {
-      call_raw (id, "/long/x", i ? "A=stream B=rawloop" : "A=rawloop B=stream", raw);
+      raw_call (id, "/long/x", i ? "A=stream B=rawloop" : "A=rawloop B=stream", raw);
       CU_ASSERT (answer.status == 200 && answer.complete);
       CU_ASSERT_FALSE (answer_has ("hello"));
       testbed_expect_events (&answer, 1, 6);
@@ -436,62 +334,28 @@
   testbed_stop (&testbed);
 }
 
-/* The store's answer: both servers have left. */
-#define REMOVED                                                                                    \
-  "{\"events\":[{\"PrivateKey\":\"servers/i-A1\",\"Revision\":900,\"Removed\":true},"              \
-  "{\"PrivateKey\":\"servers/i-B1\",\"Revision\":901,\"Removed\":true}],\"StoreRevision\":901}"
-
-/* Waits until the router has logged @p text more than @p count times. */
-static bool
-wait_logged_again (const char *text, int count)
-{
-  for (int i = 0; i < 1500 && testbed_count_logged (&testbed, 0, text) <= count; i++)
-    fleet_sleep_ms (20);
-  return testbed_count_logged (&testbed, 0, text) > count;
-}
-
-/* The store answers with @p raw for a while: the router takes nothing from it, knows that the store
- * doesn't answer, and goes on with what it knows. */
-static void
-check_store (const char *raw)
-{
-  int down = testbed_count_logged (&testbed, 0, "platform_down");
-  int up = testbed_count_logged (&testbed, 0, "platform_up");
-  bool noticed;
-
-  testbed_fetch (testbed.store_port, "PUT", "/raw", raw);
-  noticed = wait_logged_again ("platform_down", down);
-  CU_ASSERT (noticed);
-  if (!noticed)
-    printf ("\n  not noticed: %s", raw);
-  testbed_fetch (testbed.store_port, "PUT", "/raw", "");
-  testbed_fetch (testbed.store_port, "PUT", "/mode?ok", "");
-  CU_ASSERT (wait_logged_again ("platform_up", up));
-  keep_connections ();
-}
-
 static void
 test_store (void)
 {
   static const char *const cases[] = {
-    "HTTP/1.1 000 Odd\\r\\n\\r\\n" REMOVED,
-    "HTTP/1.1 0200 OK\\r\\n\\r\\n" REMOVED,
-    "\\r\\nHTTP/1.1 200 OK\\r\\n\\r\\n" REMOVED,
-    "HTTP/1.1 200 OK\\r\\nA b: x\\r\\n\\r\\n" REMOVED,
-    "HTTP/1.1 200 OK\\r\\nA: \\x01\\r\\n\\r\\n" REMOVED,
-    "HTTP/1.1 200 OK\\r\\nContent-Length : 5\\r\\n\\r\\n" REMOVED,
-    "HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n98 x\\r\\n" REMOVED
+    "HTTP/1.1 000 Odd\\r\\n\\r\\n" RAW_REMOVED,
+    "HTTP/1.1 0200 OK\\r\\n\\r\\n" RAW_REMOVED,
+    "\\r\\nHTTP/1.1 200 OK\\r\\n\\r\\n" RAW_REMOVED,
+    "HTTP/1.1 200 OK\\r\\nA b: x\\r\\n\\r\\n" RAW_REMOVED,
+    "HTTP/1.1 200 OK\\r\\nA: \\x01\\r\\n\\r\\n" RAW_REMOVED,
+    "HTTP/1.1 200 OK\\r\\nContent-Length : 5\\r\\n\\r\\n" RAW_REMOVED,
+    "HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n98 x\\r\\n" RAW_REMOVED
     "\\r\\n0\\r\\n\\r\\n",
-    "HTTP/1.1 200 OK\\r\\nContent-Length: 1000\\r\\n\\r\\n" REMOVED,
-    "HTTP/1.1 200 OK\\r\\n\\r\\n" REMOVED "}",
+    "HTTP/1.1 200 OK\\r\\nContent-Length: 1000\\r\\n\\r\\n" RAW_REMOVED,
+    "HTTP/1.1 200 OK\\r\\n\\r\\n" RAW_REMOVED "}",
     "HTTP/1.1 200 OK\\r\\n\\r\\n{\"events\":[],\"StoreRevision\":-1}",
     "HTTP/1.1 200 OK\\r\\n\\r\\n{\"events\":[],\"StoreRevision\":9223372036854775807}",
     "hello",
   };
 
-  start_with_resends ();
+  raw_start ();
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
-    check_store (cases[i]);
+    raw_check_store (cases[i]);
   testbed_stop (&testbed);
 }
 
@@ -505,12 +369,12 @@
     "\\*HTTP/1.1 100 Continue\\r\\n\\r\\n",
   };
 
-  start_with_resends ();
+  raw_start ();
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     {
-      check_store (cases[i]);
+      raw_check_store (cases[i]);
       testbed_fetch (testbed.store_port, "PUT", "/mode?trickle", "");
-      check_store (cases[i]);
+      raw_check_store (cases[i]);
     }
   testbed_stop (&testbed);
 }
--- a/test/router_maps.c
+++ b/test/router_maps.c
@@ -242,8 +242,41 @@
   testbed_stop (&testbed);
 }
 
-/* Ranks drop orders and answer them with bytes that are no answer, which says nothing of whether an
- * order was taken: the group goes on with one map, and follows the demand once its ranks answer. */
+/* Ranks answer with @p bytes, at @p target of their stand-in: this says nothing of whether an order
+ * was taken. The group goes on with one map, and follows the demand once its ranks answer. */
+static void
+check_raw_answer (const char *target, const char *bytes)
+{
+  static int shift_by = 3;
+  long raw_answers = testbed_group_state (&testbed, "raw_answers");
+  long changes;
+  char shift[32];
+
+  testbed_fetch (testbed.ranks[0], "PUT", target, bytes);
+  snprintf (shift, sizeof shift, "/state?shift=%d", shift_by);
+  testbed_fetch (testbed.ranks[0], "GET", shift, "");
+  for (int wait = 0; wait < 400 && testbed_group_state (&testbed, "raw_answers") == raw_answers;
+       wait++)
+    fleet_sleep_ms (25);
+  CU_ASSERT (testbed_group_state (&testbed, "raw_answers") > raw_answers);
+  testbed_fetch (testbed.ranks[0], "PUT", target, "");
+  changes = testbed_group_state (&testbed, "changes");
+  snprintf (shift, sizeof shift, "/state?shift=%d", shift_by + 2);
+  testbed_fetch (testbed.ranks[0], "GET", shift, "");
+  CU_ASSERT (wait_changes (changes + 1));
+  shift_by += 5;
+}
+
+static void
+start_with_group (void)
+{
+  testbed_start (&testbed);
+  testbed_start_group (&testbed);
+  testbed_publish (&testbed);
+  CU_ASSERT_TRUE_FATAL (testbed_wait_ready (&testbed, 0, true));
+}
+
+/* Ranks drop orders and answer them with bytes that are no answer. */
 static void
 test_broken_answers (void)
 {
@@ -255,30 +288,39 @@
   };
   struct caller callers[CALLERS];
 
-  testbed_start (&testbed);
-  testbed_start_group (&testbed);
-  testbed_publish (&testbed);
-  CU_ASSERT_TRUE_FATAL (testbed_wait_ready (&testbed, 0, true));
+  start_with_group ();
   start_callers (callers, 0);
   for (size_t i = 0; i < sizeof answers / sizeof answers[0]; i++)
-    {
-      long raw_answers = testbed_group_state (&testbed, "raw_answers");
-      long changes;
-      char shift[32];
-
-      testbed_fetch (testbed.ranks[0], "PUT", "/raw", answers[i]);
-      snprintf (shift, sizeof shift, "/state?shift=%zu", 5 * i + 3);
-      testbed_fetch (testbed.ranks[0], "GET", shift, "");
-      for (int wait = 0; wait < 400 && testbed_group_state (&testbed, "raw_answers") == raw_answers;
-           wait++)
-        fleet_sleep_ms (25);
-      CU_ASSERT (testbed_group_state (&testbed, "raw_answers") > raw_answers);
-      testbed_fetch (testbed.ranks[0], "PUT", "/raw", "");
-      changes = testbed_group_state (&testbed, "changes");
-      snprintf (shift, sizeof shift, "/state?shift=%zu", 5 * i + 5);
-      testbed_fetch (testbed.ranks[0], "GET", shift, "");
-      CU_ASSERT (wait_changes (changes + 1));
-    }
+    check_raw_answer ("/raw", answers[i]);
+  CU_ASSERT (stop_callers (callers) > 0);
+  CU_ASSERT_EQUAL (testbed_group_state (&testbed, "broken"), 0);
+  testbed_stop (&testbed);
+}
+
+/* Guards against an answer of a rank that is cut within its head and counts as one: to an order, a
+ * report, or the counts and lists of experts. */
+static void
+test_cut_heads (void)
+{
+  static const struct
+  {
+    const char *target;
+    const char *bytes;
+  } cases[] = {
+    { "/raw?/order&close", "HTTP/1.1 202 Begun\\r\\nContent-Length: 0\\r\\n" },
+    { "/raw?/order&reset", "HTTP/1.1 200 Done\\r\\nTransfer-Encoding: chunked\\r\\n\\r" },
+    { "/raw?/order&close", "HTTP/1.1 409 No\\r\\n" },
+    { "/raw?/report&close", "HTTP/1.1 200 OK\\r\\nContent-Length: 1" },
+    { "/raw?/report&reset", "HTTP/1.1 200 OK\\r\\n" },
+    { "/raw?/picked&close", "HTTP/1.1 200 OK\\r\\n" },
+    { "/raw?/picked&reset", "HTTP/1.0 200 OK\\r\\n" },
+  };
+  struct caller callers[CALLERS];
+
+  start_with_group ();
+  start_callers (callers, 0);
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    check_raw_answer (cases[i].target, cases[i].bytes);
   CU_ASSERT (stop_callers (callers) > 0);
   CU_ASSERT_EQUAL (testbed_group_state (&testbed, "broken"), 0);
   testbed_stop (&testbed);
@@ -291,5 +333,6 @@
   { "suspended: the router that leads", test_leader_suspended },
   { "the router that leads stops while it holds a step", test_leader_stalled },
   { "broken answers: ranks", test_broken_answers },
+  { "cut heads: ranks", test_cut_heads },
   { NULL, NULL },
 };
--- a/test/router_tests.h
+++ b/test/router_tests.h
@@ -36,6 +36,9 @@
 /** Endpoints that send bytes that are no answer. */
 extern const struct fault_test router_broken_answer_tests[];
 
+/** Answers that are cut within their heads. */
+extern const struct fault_test router_cut_head_tests[];
+
 /** Streams that another endpoint resumes. */
 extern const struct fault_test router_resumed_stream_tests[];
 
--- a/test/standin_ranks.c
+++ b/test/standin_ranks.c
@@ -14,8 +14,9 @@
  * missing, until /state?stalled=0. GET /state?shift=N shifts the demand to other experts. GET
  * /state?late=PERCENT makes that share of orders be executed late and never answered. GET
  * /state?deaf=1 makes ranks drop all orders to arm until /state?deaf=0, so that a held step stays
- * held. PUT /raw makes the ranks drop all orders and answer them with the bytes of the body
- * (test/standin_raw.h), until its body is empty.
+ * held. PUT /raw?PATH makes the ranks answer requests for this path, /order without one, with the
+ * bytes of the body (test/standin_raw.h) until its body is empty; orders are dropped then. With
+ * /raw?PATH&close they close the connection after that, with /raw?PATH&reset they reset it.
  */
 #include "common/random.h"
 #include "net/http_conn.h"
@@ -64,6 +65,14 @@
   char reports[HISTORY][256]; /* a ring with a report per timer tick */
 };
 
+/* What happens to a connection after a raw answer. */
+enum raw_end
+{
+  RAW_KEEPS,
+  RAW_CLOSES,
+  RAW_RESETS,
+};
+
 /* An order that is executed later. */
 struct delayed_order
 {
@@ -85,7 +94,9 @@
   uint32_t delayed_percent;
   bool drops_arm_orders;
   uint32_t raw_answers;
-  char *raw_answer; /* to orders, which are dropped; NULL: proper answers */
+  char *raw_answer; /* to requests for raw_path; NULL: proper answers */
+  char raw_path[16];
+  enum raw_end raw_end;
   uint32_t ticks;
   bool broken;
   bool stalled; /* the ranks report that one is missing */
@@ -404,30 +415,53 @@
 set_raw_answer (struct ash_http_conn *conn)
 {
   const char *bytes = (const char *) conn->body.bytes;
-
+  const char *query = strchr (conn->reader.head.target, '?');
+  size_t path_bytes = query ? strcspn (query + 1, "&") : 0;
+
+  snprintf (group.raw_path, sizeof group.raw_path, "%.*s", path_bytes ? (int) path_bytes : 6,
+            path_bytes ? query + 1 : "/order");
+  group.raw_end = query && strstr (query, "&close")   ? RAW_CLOSES
+                  : query && strstr (query, "&reset") ? RAW_RESETS
+                                                      : RAW_KEEPS;
   free (group.raw_answer);
   group.raw_answer =
       conn->body.length ? strndup (bytes + conn->body.start, conn->body.length) : NULL;
   ash_http_conn_respond (conn, 200, "", 0, "", 0);
 }
 
+static void
+answer_raw (struct ash_http_conn *conn)
+{
+  char fields[160];
+  const char *id = ash_http_field (&conn->reader.head, "Ashspindle-Attempt-Id");
+
+  group.raw_answers++;
+  snprintf (fields, sizeof fields, "Ashspindle-Attempt-Id: %s\r\nAshspindle-Server-Seal: seal\r\n",
+            id ? id : "-");
+  standin_raw_send (conn, group.raw_answer, fields);
+  if (group.raw_end == RAW_KEEPS)
+    return;
+  if (group.raw_end == RAW_RESETS)
+    ash_stream_reset (&conn->stream);
+  else
+    ash_stream_finish (&conn->stream);
+  conn->is_closed = true;
+}
+
 static void
 on_request (struct ash_http_conn *conn)
 {
   struct rank *rank = conn->listener->owner;
   const char *target = conn->reader.head.target;
 
-  if (strcmp (target, "/report") == 0)
+  if (strncmp (target, "/raw", 4) == 0)
+    set_raw_answer (conn);
+  else if (group.raw_answer && strncmp (target, group.raw_path, strlen (group.raw_path)) == 0)
+    answer_raw (conn);
+  else if (strcmp (target, "/report") == 0)
     answer_text (conn, rank->reports[(group.ticks + HISTORY - REPORT_LAG_MS / 30) % HISTORY]);
   else if (strncmp (target, "/picked", 7) == 0)
     answer_experts (conn, rank, strstr (target, "Lists") != NULL);
-  else if (strcmp (target, "/raw") == 0)
-    set_raw_answer (conn);
-  else if (strcmp (target, "/order") == 0 && group.raw_answer)
-    {
-      group.raw_answers++;
-      standin_raw_send (conn, group.raw_answer, "");
-    }
   else if (strcmp (target, "/order") == 0)
     receive_order (conn, rank);
   else if (strncmp (target, "/state", 6) == 0)
--- a/test/standin_server.c
+++ b/test/standin_server.c
@@ -33,8 +33,11 @@
  *     streamopencut   the same, but closes the connection in the middle of the third event
  *     streamopennone  the same, but closes the connection before the first event
  *     raw         sends the bytes of the field X-Raw (test/standin_raw.h; \h: attempt id and seal),
- * and no more on this connection rawclose    the same, then closes the connection rawloop     the
- * same, and repeats without end what follows \* streamhang  sends nothing after the second event
+ *                 and no more on this connection
+ *     rawclose    the same, then closes the connection
+ *     rawreset    the same, and resets the connection a little later
+ *     rawloop     the same, and repeats without end what follows \*
+ *     streamhang  sends nothing after the second event
  *     streamend   the process exits after the second event
  *     streambegin the process exits after it has begun a stream, before the first event
  *
@@ -61,6 +64,7 @@
 #define EVENT_MS 30
 #define SLOW_MS 300
 #define SLOWER_MS 800
+#define RESET_MS 10
 #define END_MS 40
 #define END_LISTENING_US 200000
 
@@ -235,6 +239,9 @@
                       : strcmp (action, "streambegin") == 0 ? 1
                                                             : 0;
   work->due = ash_clock_now ();
+  /* Later, so that the bytes have been read by then. */
+  if (strcmp (action, "rawreset") == 0)
+    work->due = ash_time_add (work->due, RESET_MS);
   if (strcmp (action, "slow") == 0)
     work->due = ash_time_add (work->due, SLOW_MS);
   if (strcmp (action, "slower") == 0)
@@ -278,6 +285,14 @@
       strcmp (work->action, "raw") == 0 ||
       (work->silent_before && work->next == work->silent_before))
     return;
+  if (strcmp (work->action, "rawreset") == 0)
+    {
+      conn->request = NULL;
+      ash_stream_reset (&conn->stream);
+      conn->is_closed = true;
+      free (work);
+      return;
+    }
   if (strcmp (work->action, "rawloop") == 0)
     {
       standin_raw_repeat (conn, field (conn, "X-Raw"), STANDIN_RAW_QUEUE_BYTES);
--- a/test/standin_store.c
+++ b/test/standin_store.c
@@ -7,6 +7,7 @@
  *     PUT /mode?ok | busy (answers 503) | silent (no answers) | forget (drops the history)
  *     PUT /mode?slowMS (delays each answer by MS ms)
  *     PUT /mode?trickle (what is repeated without end comes slowly)
+ *     PUT /mode?reset (connections are reset after the bytes of /raw, not closed)
  *     PUT /raw (body: the bytes of all answers from now on, see test/standin_raw.h; what follows \*
  *     is repeated without end; empty: no longer)
  *     PUT /era?TEXT (sets the header Store-Era of all answers; empty: no such header)
@@ -265,7 +266,10 @@
   if (strstr (store.raw, "\\*"))
     return;
   conn->request = NULL;
-  ash_stream_finish (&conn->stream);
+  if (strcmp (store.mode, "reset") == 0)
+    ash_stream_reset (&conn->stream);
+  else
+    ash_stream_finish (&conn->stream);
   conn->is_closed = true;
 }
 
