test: answers to the older daemon that are cut within their heads

An order runs once and its caller learns that it may have run; no revision of a cut head is taken for one of the platform; a group has one map a step.

Stand-ins on libmicrohttpd can send bytes past that library and close, or reset, the connection (POST /control/cut). The reset was looked at: a client gets the bytes, then ECONNRESET.

--- a/test/fault_tests.h
+++ b/test/fault_tests.h
@@ -38,6 +38,9 @@
 /** Like run_fault_tests(), with an array of lists of tests; NULL ends the array. */
 int run_fault_tables (const char *suite, const struct fault_test *const *tables, const char *part);
 
+/** Answers that are cut within their heads. */
+extern const struct fault_test cut_head_tests[];
+
 /** Number of concurrent streams in the load that some tests run. */
 #define LOAD_STREAMS 24
 
--- a/test/faults.c
+++ b/test/faults.c
@@ -943,5 +943,7 @@
 int
 main (int argc, char **argv)
 {
-  return run_fault_tests ("faults", tests, argc > 1 ? argv[1] : "");
+  static const struct fault_test *const tables[] = { tests, cut_head_tests, NULL };
+
+  return run_fault_tables ("faults", tables, argc > 1 ? argv[1] : "");
 }
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -394,6 +394,33 @@
   ash_cli_answer_finish (&answer);
 }
 
+void
+fleet_cut_answers (uint16_t port, const char *path, const char *bytes, bool reset)
+{
+  char url[128];
+  struct ash_cli_request request = { .url = url, .method = "POST", .body = bytes };
+  struct ash_cli_answer answer = { 0 };
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/control/cut?path=%s&reset=%d", port, path, reset);
+  ash_cli_fetch (&request, &answer);
+  ash_cli_answer_finish (&answer);
+}
+
+int
+fleet_count_cut_answers (uint16_t port)
+{
+  char url[64];
+  struct ash_cli_request request = { .url = url, .method = "GET" };
+  struct ash_cli_answer answer = { 0 };
+  int count;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/control/cut", port);
+  ash_cli_fetch (&request, &answer);
+  count = answer.body ? atoi (answer.body) : -1;
+  ash_cli_answer_finish (&answer);
+  return count;
+}
+
 /* ---- start and stop ---- */
 
 static void
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -104,6 +104,13 @@
 /** Posts a control call, such as "/control?mode=1", to a stand-in. */
 void fleet_control (uint16_t port, const char *path_and_query);
 
+/** Makes a stand-in answer requests whose path contains @p path with @p bytes and then close, or
+ * reset, the connection; see standin_serve(). @param bytes NULL: proper answers again */
+void fleet_cut_answers (uint16_t port, const char *path, const char *bytes, bool reset);
+
+/** @return how many requests a stand-in has answered so. */
+int fleet_count_cut_answers (uint16_t port);
+
 /** Publishes the fleet's document with text appended, as the given revision. */
 void fleet_publish (struct fleet *fleet, const char *more, uint64_t revision);
 
--- a/test/standin.c
+++ b/test/standin.c
@@ -2,10 +2,12 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -13,6 +15,16 @@
 #define NS_PER_MS 1000000
 #define BODY_MAX_BYTES (2 * 1024 * 1024)
 
+/* Answers that are cut off. */
+static struct
+{
+  pthread_mutex_t lock;
+  char path[64];
+  char *bytes; /* NULL: proper answers */
+  bool reset;
+  int count;
+} cut = { .lock = PTHREAD_MUTEX_INITIALIZER };
+
 int64_t
 standin_now_ms (void)
 {
@@ -56,6 +68,59 @@
   return result;
 }
 
+static void
+set_cut (struct standin_request *request)
+{
+  const char *path =
+      MHD_lookup_connection_value (request->connection, MHD_GET_ARGUMENT_KIND, "path");
+
+  pthread_mutex_lock (&cut.lock);
+  free (cut.bytes);
+  cut.bytes = request->body_bytes ? strdup (request->body) : NULL;
+  snprintf (cut.path, sizeof cut.path, "%s", path ? path : "");
+  cut.reset = standin_query_number (request, "reset", 0) != 0;
+  pthread_mutex_unlock (&cut.lock);
+}
+
+static enum MHD_Result
+handle_cut_control (struct standin_request *request)
+{
+  char text[16];
+  int length;
+
+  if (strcmp (request->method, "POST") == 0)
+    set_cut (request);
+  pthread_mutex_lock (&cut.lock);
+  length = snprintf (text, sizeof text, "%d\n", cut.count);
+  pthread_mutex_unlock (&cut.lock);
+  return standin_reply (request, MHD_HTTP_OK, "text/plain", text, (size_t) length);
+}
+
+/* Sends the bytes of an answer that is cut off, past the library, if the request is to get one.
+ * @return whether it is: the connection must be closed then. */
+static bool
+send_cut_answer (const struct standin_request *request)
+{
+  const union MHD_ConnectionInfo *info =
+      MHD_get_connection_info (request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  struct sockaddr none = { .sa_family = AF_UNSPEC };
+  bool is_cut;
+
+  pthread_mutex_lock (&cut.lock);
+  is_cut = info && cut.bytes && strstr (request->path, cut.path);
+  if (is_cut)
+    {
+      cut.count++;
+      /* Disconnecting resets the connection at once; the library would close it in an orderly way.
+       */
+      if (send (info->connect_fd, cut.bytes, strlen (cut.bytes), MSG_NOSIGNAL) < 0 ||
+          (cut.reset && connect (info->connect_fd, &none, sizeof none) < 0))
+        perror ("stand-in: cut answer");
+    }
+  pthread_mutex_unlock (&cut.lock);
+  return is_cut;
+}
+
 static enum MHD_Result
 on_request (void *data,
             struct MHD_Connection *connection,
@@ -91,6 +156,10 @@
     }
   request->method = method;
   request->path = path;
+  if (strcmp (path, "/control/cut") == 0)
+    return handle_cut_control (request);
+  if (send_cut_answer (request))
+    return MHD_NO;
   return handle (request);
 }
 
--- a/test/standin.h
+++ b/test/standin.h
@@ -24,8 +24,14 @@
 
 typedef enum MHD_Result standin_handler (struct standin_request *request);
 
-/** Serves HTTP on a port of 127.0.0.1 until SIGTERM or SIGINT, then exits the process.
- * @return EXIT_FAILURE if the port can't be opened */
+/**
+ * Serves HTTP on a port of 127.0.0.1 until SIGTERM or SIGINT, then exits the process.
+ *
+ * POST /control/cut?path=TEXT makes it answer requests whose path contains the text with the bytes
+ * of the body, and close the connection; with &reset=1 it resets it. An empty body ends this. GET
+ * /control/cut returns how many requests were answered so.
+ * @return EXIT_FAILURE if the port can't be opened
+ */
 int standin_serve (uint16_t port, standin_handler *handle);
 
 /** Queues an answer with a copy of the text. */
