ranks: an order is answered on a connection of its own

An extra answer, which a rank had sent for an earlier order or question, counted as the answer to an order to arm that the rank had not taken; the step was let go.

Ruled out: a report that counts for an answer (only an answer counts for an arm).

Change: a call may have a connection of its own, new and closed after it; calls to ranks have.

--- a/daemon/rank_client.c
+++ b/daemon/rank_client.c
@@ -378,7 +378,13 @@
 
   if (!call)
     return NULL;
-  call->call = (struct ash_http_call){ .handler = &call_handler, .owner = call };
+  /* Ranks' answers carry no id that would tie them to an order or query. An answer that was taken
+   * for another one could release a step of which a rank has not taken the order to arm. */
+  call->call = (struct ash_http_call){
+    .handler = &call_handler,
+    .owner = call,
+    .own_connection = true,
+  };
   call->endpoint = endpoint;
   call->sent_at = ash_clock_now ();
   if (!ash_http_call_start (&call->call, &endpoint->pool, request->bytes + request->start,
--- a/net/http_call.c
+++ b/net/http_call.c
@@ -317,13 +317,14 @@
                      size_t request_bytes,
                      struct ash_time read_since)
 {
-  struct ash_pool_conn *conn = find_idle (pool, read_since);
+  struct ash_pool_conn *conn = call->own_connection ? NULL : find_idle (pool, read_since);
 
   if (!conn)
     conn = connect_conn (pool);
   if (!conn)
     return false;
   conn->call = call;
+  conn->closing = call->own_connection;
   conn->accepted = false;
   conn->skipped_bytes = 0;
   conn->discarding = false;
--- a/net/http_call.h
+++ b/net/http_call.h
@@ -45,12 +45,14 @@
   void (*end) (struct ash_http_call *call, enum ash_call_end end);
 };
 
-/** A call, allocated by its owner, who sets `handler`, `owner` and `no_body`. */
+/** A call, allocated by its owner, who sets `handler`, `owner`, `no_body` and `own_connection`. */
 struct ash_http_call
 {
   const struct ash_call_handler *handler;
   void *owner;
   bool no_body;               /**< a HEAD request: its response has a length but no body */
+  bool own_connection;        /**< a new connection that serves this call alone: what a server sends
+                                   behind an earlier response can't be taken for this one */
   struct ash_pool_conn *conn; /**< NULL: the call has not started, or has ended */
 };
 
--- a/test/router_maps.c
+++ b/test/router_maps.c
@@ -326,6 +326,40 @@
   testbed_stop (&testbed);
 }
 
+/* Shifts of the demand, each of which leads to a change of the map. */
+#define EXTRA_SHIFTS 8
+
+/* Guards against an answer of a rank that belongs to no order and counts as the answer to one: a
+ * step was let go though a rank had not taken its order to arm. */
+static void
+test_extra_answers (void)
+{
+  struct caller callers[CALLERS];
+  long changes;
+
+  start_with_group ();
+  start_callers (callers, 0);
+  CU_ASSERT (wait_changes (1));
+  testbed_fetch (testbed.ranks[0], "GET", "/state?extra=1&deafrank=2", "");
+  for (int i = 0; i < EXTRA_SHIFTS; i++)
+    {
+      char shift[32];
+
+      snprintf (shift, sizeof shift, "/state?shift=%d", 5 * i + 3);
+      testbed_fetch (testbed.ranks[0], "GET", shift, "");
+      fleet_sleep_ms (1000);
+    }
+  CU_ASSERT_EQUAL (testbed_group_state (&testbed, "broken"), 0);
+  /* Extra answers still come, but each order is taken: the maps follow the demand. */
+  testbed_fetch (testbed.ranks[0], "GET", "/state?deafrank=-", "");
+  changes = testbed_group_state (&testbed, "changes");
+  testbed_fetch (testbed.ranks[0], "GET", "/state?shift=9", "");
+  CU_ASSERT (wait_changes (changes + 1));
+  CU_ASSERT (stop_callers (callers) > 0);
+  CU_ASSERT_EQUAL (testbed_group_state (&testbed, "broken"), 0);
+  testbed_stop (&testbed);
+}
+
 const struct fault_test router_map_tests[] = {
   { "a stalled group is told to all routers", test_group_stalled },
   { "expert maps follow what is asked for", test_maps },
@@ -334,5 +368,6 @@
   { "the router that leads stops while it holds a step", test_leader_stalled },
   { "broken answers: ranks", test_broken_answers },
   { "cut heads: ranks", test_cut_heads },
+  { "ranks that send extra answers", test_extra_answers },
   { NULL, NULL },
 };
--- a/test/standin_ranks.c
+++ b/test/standin_ranks.c
@@ -14,9 +14,12 @@
  * missing, until /state?stalled=0. GET /state?shift=N shifts the demand to other experts. GET
  * /state?late=PERCENT makes that share of orders be executed late and never answered. GET
  * /state?deaf=1 makes ranks drop all orders to arm until /state?deaf=0, so that a held step stays
- * held. PUT /raw?PATH makes the ranks answer requests for this path, /order without one, with the
- * bytes of the body (test/standin_raw.h) until its body is empty; orders are dropped then. With
- * /raw?PATH&close they close the connection after that, with /raw?PATH&reset they reset it.
+ * held; /state?deafrank=N does the same with rank N alone (none: /state?deafrank=-). GET
+ * /state?extra=1 makes the ranks send an extra answer before that to an order or for a report, on
+ * connections that have had an answer, until /state?extra=0. PUT /raw?PATH makes the ranks answer
+ * requests for this path, /order without one, with the bytes of the body (test/standin_raw.h) until
+ * its body is empty; orders are dropped then. With /raw?PATH&close they close the connection after
+ * that, with /raw?PATH&reset they reset it.
  */
 #include "common/random.h"
 #include "net/http_conn.h"
@@ -93,6 +96,8 @@
   uint32_t shift; /* by which the popular expert's number is shifted */
   uint32_t delayed_percent;
   bool drops_arm_orders;
+  char deaf_rank; /* digit of the rank that drops orders to arm */
+  bool sends_extra_answers;
   uint32_t raw_answers;
   char *raw_answer; /* to requests for raw_path; NULL: proper answers */
   char raw_path[16];
@@ -251,12 +256,29 @@
   return conn->body.length ? strndup (bytes + conn->body.start, conn->body.length) : strdup ("");
 }
 
+/* Sends an answer that belongs to no request, in the place of the answer to this one, where the
+ * connection has had an answer before. */
+static void
+send_extra_answer (struct ash_http_conn *conn)
+{
+  static const char text[] = "HTTP/1.1 200 Extra\r\nContent-Length: 0\r\n\r\n";
+
+  if (group.sends_extra_answers && conn->had_request)
+    ash_stream_write (&conn->stream, text, sizeof text - 1);
+}
+
+static bool
+drops_arm_order (const struct rank *rank)
+{
+  return group.drops_arm_orders || group.deaf_rank == (char) ('0' + rank->index);
+}
+
 static void
 receive_order (struct ash_http_conn *conn, struct rank *rank)
 {
   char *body = copy_body (conn);
 
-  if (group.drops_arm_orders && strstr (body, "\"arm\""))
+  if (drops_arm_order (rank) && strstr (body, "\"arm\""))
     {
       free (body);
       return; /* never answered */
@@ -344,6 +366,8 @@
   const char *shift = strstr (target, "shift=");
   const char *delayed = strstr (target, "late=");
   const char *drops_arm_orders = strstr (target, "deaf=");
+  const char *deaf_rank = strstr (target, "deafrank=");
+  const char *sends_extra_answers = strstr (target, "extra=");
   const char *stalled = strstr (target, "stalled=");
   char text[256];
   bool held = false;
@@ -356,6 +380,10 @@
     group.stalled = stalled[strlen ("stalled=")] == '1';
   if (drops_arm_orders)
     group.drops_arm_orders = drops_arm_orders[strlen ("deaf=")] == '1';
+  if (deaf_rank)
+    group.deaf_rank = deaf_rank[strlen ("deafrank=")];
+  if (sends_extra_answers)
+    group.sends_extra_answers = sends_extra_answers[strlen ("extra=")] == '1';
   for (uint32_t i = 0; i < group.rank_count; i++)
     held = held || group.ranks[i].held;
   snprintf (text, sizeof text,
@@ -454,6 +482,8 @@
   struct rank *rank = conn->listener->owner;
   const char *target = conn->reader.head.target;
 
+  if (strncmp (target, "/order", 6) == 0 || strncmp (target, "/report", 7) == 0)
+    send_extra_answer (conn);
   if (strncmp (target, "/raw", 4) == 0)
     set_raw_answer (conn);
   else if (group.raw_answer && strncmp (target, group.raw_path, strlen (group.raw_path)) == 0)
--- a/test/unit_calls.c
+++ b/test/unit_calls.c
@@ -20,6 +20,7 @@
   struct unit_server server;
   struct ash_http_pool pool;
   struct ash_http_call call;
+  bool own_connection; /* of the next call */
   bool ended;
   enum ash_call_end end;
   uint32_t heads; /* received by the call */
@@ -71,7 +72,11 @@
   world.ended = false;
   world.heads = 0;
   *world.body = '\0';
-  world.call = (struct ash_http_call){ .handler = &call_handler, .no_body = no_body };
+  world.call = (struct ash_http_call){
+    .handler = &call_handler,
+    .no_body = no_body,
+    .own_connection = world.own_connection,
+  };
   CU_ASSERT_TRUE_FATAL (ash_http_call_start (&world.call, &world.pool, request, sizeof request - 1,
                                              (struct ash_time){ 0 }));
   unit_run_loop (world.loop, TIMEOUT_S);
@@ -168,6 +173,28 @@
   finish ();
 }
 
+/* Guards against an answer to an earlier request that is taken for the answer to this one: the call
+ * gets a connection that no other call uses, before or after it. */
+static void
+test_own_connection (void)
+{
+  static const char valid[] = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown";
+  const struct answer_case answer = { valid, sizeof valid - 1 };
+
+  start ();
+  CU_ASSERT_EQUAL (call (valid), ASH_CALL_COMPLETE);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      world.own_connection = true;
+      CU_ASSERT_EQUAL (call_answered (&answer, false), ASH_CALL_COMPLETE);
+      CU_ASSERT_EQUAL (world.server.connections, i + 2);
+    }
+  world.own_connection = false;
+  CU_ASSERT_EQUAL (call (valid), ASH_CALL_COMPLETE);
+  CU_ASSERT_EQUAL (world.server.connections, 4);
+  finish ();
+}
+
 /* Cuts a head after @p length bytes, and checks that the call ends with a lost connection and
  * nothing of an answer. */
 static void
@@ -248,6 +275,7 @@
   CU_add_test (suite, "calls: bodies over the bound", test_body_bound);
   CU_add_test (suite, "calls: bytes before the request", test_stale_bytes);
   CU_add_test (suite, "calls: a connection that was closed", test_closed_connection);
+  CU_add_test (suite, "calls: a connection of its own", test_own_connection);
   CU_add_test (suite, "calls: answers cut within their heads", test_cut_heads);
   CU_add_test (suite, "calls: time-outs that servers announce", test_keep_alive_numbers);
 }
