net: a connection whose response is being read is not closed

Cause: a response counted as sent when it was queued. Its connection was idle from then on, or closed 3 s later, and what was queued was dropped; the planned stop did not wait for it.

Ruled out: the end of the stop's time (8 s; cut 0.5 s after SIGTERM); the kernel (without a stop the answers arrive).

Change: as long as a connection's queue shrinks, it is not closed; without progress for 3 s it is, as before. It is idle from the time on at which the queue was empty, and busy to the planned stop until then. The stop's end bounds all of it, as before.

--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -38,7 +38,8 @@
  * which may be in transit: as long as callers wait for a connection to be established. */
 #define FIRST_REQUEST_WAIT_MS 1000
 
-/* How long a caller may take to read the rest of a response on a connection that is closing. */
+/* How long a caller may take to close a connection after its last response, and how long it may
+ * read nothing of a response. */
 #define CLOSING_TIMEOUT_MS 3000
 
 static void
@@ -443,11 +444,32 @@
   return recv (conn->stream.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+/* Whether a part of a response waits to be written, and the caller goes on reading: the connection
+ * must not be closed, whatever its state. */
+static bool
+is_being_read (struct ash_http_conn *conn, struct ash_time now)
+{
+  if (!conn->stream.out.length)
+    return false;
+  if (conn->stream.out.length != conn->unwritten_bytes)
+    {
+      conn->unwritten_bytes = conn->stream.out.length;
+      conn->written_at = now;
+    }
+  return ash_time_diff (conn->written_at, now) <= CLOSING_TIMEOUT_MS;
+}
+
 static void
 sweep_idle (struct ash_http_conn *conn, struct ash_time now)
 {
   int64_t idle_ms = conn->listener->bounds.idle_timeout_ms;
 
+  /* A connection is idle from the time on at which its last response was written. */
+  if (is_being_read (conn, now))
+    {
+      conn->since = now;
+      return;
+    }
   if (conn->listener->closing)
     idle_ms = conn->had_request ? -1 : FIRST_REQUEST_WAIT_MS;
   if (ash_time_diff (conn->since, now) > idle_ms && !has_unread (conn))
@@ -476,7 +498,9 @@
         respond_error (conn, 408, "the request did not arrive in time\n");
       break;
     case ASH_CONN_CLOSING:
-      if (age_ms > CLOSING_TIMEOUT_MS)
+      if (is_being_read (conn, now))
+        conn->since = now;
+      else if (age_ms > CLOSING_TIMEOUT_MS)
         close_caller (conn);
       break;
     case ASH_CONN_SERVING:
@@ -588,6 +612,6 @@
   uint32_t busy = 0;
 
   DL_FOREACH (listener->conns, conn)
-    busy += !conn->is_closed && conn->state != ASH_CONN_IDLE;
+    busy += !conn->is_closed && (conn->state != ASH_CONN_IDLE || conn->stream.out.length);
   return busy;
 }
--- a/net/http_conn.h
+++ b/net/http_conn.h
@@ -42,6 +42,8 @@
   struct ash_http_reader reader;
   enum ash_conn_state state;
   struct ash_time since;       /**< start of the current state */
+  size_t unwritten_bytes;      /**< size of the send queue when it was last seen to change */
+  struct ash_time written_at;  /**< when that was */
   struct ash_buffer body;      /**< body of the current request */
   struct ash_buffer pipelined; /**< bytes received while a request is served */
   bool continue_sent;          /**< `100 Continue` was sent for this request */
@@ -110,7 +112,8 @@
 /** @return whether any connection is open. */
 bool ash_http_listener_has_callers (const struct ash_http_listener *listener);
 
-/** @return how many requests are being read or served. */
+/** @return how many connections have a request that is being read or served, or a response that is
+ * not written completely. */
 uint32_t ash_http_listener_busy (const struct ash_http_listener *listener);
 
 /**
--- a/test/router_slow_readers.c
+++ b/test/router_slow_readers.c
@@ -6,6 +6,10 @@
 #include "test/router_tests.h"
 
 #include <CUnit/CUnit.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -132,6 +136,134 @@
   testbed_stop (&testbed);
 }
 
+/* ---- callers that read at the pace of a slow link ---- */
+
+/* A segment and a window that are small keep the kernel's buffers small, so that a part of the
+ * answer stays with the router. */
+#define LINK_SEGMENT_BYTES 1400
+#define LINK_WINDOW_BYTES 4096
+#define LINK_READ_BYTES 600
+#define LINK_READ_MS 20
+#define LARGE_BYTES 120000
+
+struct link_caller
+{
+  pthread_t thread;
+  const char *action;
+  size_t body_bytes;
+  bool is_whole;
+};
+
+static int
+connect_link (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_port = htons (testbed.routers[0].frontend_port);
+  setsockopt (fd, IPPROTO_TCP, TCP_MAXSEG, &(int){ LINK_SEGMENT_BYTES }, sizeof (int));
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &(int){ LINK_WINDOW_BYTES }, sizeof (int));
+  CU_ASSERT_EQUAL_FATAL (connect (fd, (struct sockaddr *) &address, sizeof address), 0);
+  return fd;
+}
+
+static void *
+read_slowly (void *data)
+{
+  struct link_caller *caller = data;
+  static const char request[] = "POST /longonce/x HTTP/1.1\r\n" HEAD "link\r\nX-Do: *=%s\r\n"
+                                "Content-Length: 0\r\n\r\n";
+  char text[512];
+  char *body = NULL;
+  size_t total = 0;
+  ssize_t got;
+  int fd = connect_link ();
+
+  snprintf (text, sizeof text, request, caller->action);
+  testbed_send (fd, text);
+  do
+    {
+      got = recv (fd, text, body ? LINK_READ_BYTES - 100 : sizeof text - 1, 0);
+      if (got > 0 && !body)
+        {
+          text[got] = '\0';
+          body = strstr (text, "\r\n\r\n");
+          total = body ? (size_t) got - (size_t) (body + 4 - text) : 0;
+        }
+      else if (got > 0)
+        total += (size_t) got;
+      fleet_sleep_ms (LINK_READ_MS);
+    }
+  while (got > 0 && total < caller->body_bytes);
+  close (fd);
+  caller->is_whole = total == caller->body_bytes;
+  return NULL;
+}
+
+/* Begins callers, one that is answered at once and one later. */
+static void
+begin_link_callers (struct link_caller callers[2])
+{
+  for (int i = 0; i < 2; i++)
+    {
+      callers[i] =
+          (struct link_caller){ .action = i ? "slowlarge" : "large", .body_bytes = LARGE_BYTES };
+      pthread_create (&callers[i].thread, NULL, read_slowly, &callers[i]);
+    }
+}
+
+static void
+end_link_callers (struct link_caller callers[2])
+{
+  for (int i = 0; i < 2; i++)
+    {
+      pthread_join (callers[i].thread, NULL);
+      CU_ASSERT (callers[i].is_whole);
+    }
+}
+
+/* Guards against a planned stop that cuts answers which callers are reading: one that was complete
+ * before the stop, on a connection that stays open, and one that came during it. */
+static void
+test_stop_while_reading (void)
+{
+  struct link_caller callers[2];
+  int status;
+
+  start ();
+  testbed.grace = "grace_s = 12";
+  restart_router ();
+  begin_link_callers (callers);
+  fleet_sleep_ms (300);
+  kill (testbed.routers[0].pid, SIGTERM);
+  end_link_callers (callers);
+  /* The router ends once the answers have been read, before its time is over. */
+  status = fleet_end_process (&testbed.routers[0].pid, 0);
+  CU_ASSERT_EQUAL (status, 0);
+  CU_ASSERT_FALSE (testbed_logged (&testbed, 0, " cut_short "));
+  testbed_stop (&testbed);
+}
+
+/* Guards against an idle time-out that cuts an answer which its caller is reading. */
+static void
+test_idle_timeout_while_reading (void)
+{
+  struct link_caller callers[2];
+
+  start ();
+  testbed_publish_text (
+      &testbed,
+      "{\"Version\":90,\"Routes\":[{\"Name\":\"r\",\"Host\":\"shop.example\",\"PathPrefix\":"
+      "\"/longonce/\",\"RouteKind\":\"unsafe\",\"TimeoutMs\":6000,\"Service\":\"stock\"}],"
+      "\"Services\":[{\"Name\":\"stock\",\"MaxConns\":100}],\"Limits\":{\"IdleTimeoutMs\":200},"
+      "\"Tenants\":[{\"Name\":\"shop\",\"ApiKeys\":[\"key-1\"]}]}");
+  CU_ASSERT (testbed_wait_logged (&testbed, 0, "version=90"));
+  begin_link_callers (callers);
+  end_link_callers (callers);
+  testbed_stop (&testbed);
+}
+
 /* Bodies that are not sent completely fill the memory for bodies: the callers whose bodies don't
  * fit are refused for now, which is not the same as a body that is too large. Which callers these
  * are depends on the order in which the router reads from them; the others time out. */
@@ -166,6 +298,8 @@
 const struct fault_test router_slow_reader_tests[] = {
   { "callers that read nothing", test_idle_callers },
   { "a caller that reads slowly", test_slow_caller },
+  { "a planned stop while answers are read", test_stop_while_reading },
+  { "the idle time-out while answers are read", test_idle_timeout_while_reading },
   { "bodies that fill the memory", test_bodies },
   { NULL, NULL },
 };
--- a/test/standin_server.c
+++ b/test/standin_server.c
@@ -13,6 +13,7 @@
  *     leave       answers and announces that it is shutting down
  *     slow        answers after 300 ms
  *     slower      answers after 800 ms
+ *     slowlarge   answers after 800 ms with a body of 120 kB
  *     mute        never answers
  *     reset       closes the connection without an answer
  *     end         the process exits once it has begun to run the request
@@ -25,6 +26,7 @@
  *     cut         closes the connection before the end of the answer
  *     unframed    ends the answer by closing the connection
  *     big         answers with a body of 8 MB
+ *     large       answers with a body of 120 kB, which a router buffers
  *     stream      answers with a stream of six events
  *     streamagain the same, but a resumed stream begins with the caller's last event
  *     streambig   answers with a stream of 2,000 events of 4 kB each
@@ -58,6 +60,7 @@
 #define TICK_S 0.01
 #define BODY "whole answer"
 #define BIG_BYTES (8 * 1024 * 1024)
+#define LARGE_BYTES 120000
 #define STREAM_EVENTS 6
 #define BIG_STREAM_EVENTS 2000
 #define BIG_EVENT_BYTES 4096
@@ -155,16 +158,16 @@
 }
 
 static void
-answer_big (struct ash_http_conn *conn)
+answer_big (struct ash_http_conn *conn, size_t body_bytes)
 {
   char fields[512];
-  char *body = calloc (1, BIG_BYTES);
+  char *body = calloc (1, body_bytes);
 
   if (!body)
     abort ();
-  memset (body, 'x', BIG_BYTES);
+  memset (body, 'x', body_bytes);
   fields_of (conn, "", fields, sizeof fields);
-  ash_http_conn_respond (conn, 200, fields, strlen (fields), body, BIG_BYTES);
+  ash_http_conn_respond (conn, 200, fields, strlen (fields), body, body_bytes);
   free (body);
 }
 
@@ -244,7 +247,7 @@
     work->due = ash_time_add (work->due, RESET_MS);
   if (strcmp (action, "slow") == 0)
     work->due = ash_time_add (work->due, SLOW_MS);
-  if (strcmp (action, "slower") == 0)
+  if (strcmp (action, "slower") == 0 || strcmp (action, "slowlarge") == 0)
     work->due = ash_time_add (work->due, SLOWER_MS);
   if (strncmp (action, "end", 3) == 0 || work->exit_before == 1)
     work->due = ash_time_add (work->due, END_MS);
@@ -305,7 +308,10 @@
   if (strncmp (work->action, "slow", 4) == 0)
     {
       conn->request = NULL;
-      answer (conn, 200, "");
+      if (strcmp (work->action, "slowlarge") == 0)
+        answer_big (conn, LARGE_BYTES);
+      else
+        answer (conn, 200, "");
     }
   else if (work->next == work->cut_before)
     {
@@ -340,7 +346,9 @@
   if (strcmp (action, "ok") == 0)
     answer (conn, 200, "");
   else if (strcmp (action, "big") == 0)
-    answer_big (conn);
+    answer_big (conn, BIG_BYTES);
+  else if (strcmp (action, "large") == 0)
+    answer_big (conn, LARGE_BYTES);
   else if (strcmp (action, "streambig") == 0)
     stream_big (conn);
   else if (strcmp (action, "limit") == 0)
