ranks: only what decides a release goes over a connection of its own

A new connection costs a server time and may hold a slot for a moment.

Ruled out as the place to save: orders to hold, arm, disarm and go, fences and lists, and what is asked while a step is held: these answers decide whether a step is released. An order to prepare doesn't: a rank without that map refuses to be armed. Reports in between don't either, and one that was requested before a step was held does not count while it is.

Tests: "ranks that send extra answers" 0 of 32 failed, 16 at once; unit 192 of 192; ranks 3 of 3, maps 2 of 2, leader 2 of 2.

--- a/controllers/map_switch.c
+++ b/controllers/map_switch.c
@@ -199,6 +199,12 @@
   return sw->foreign_held != 0;
 }
 
+bool
+ash_map_switch_is_deciding (const struct ash_map_switch *sw)
+{
+  return sw->foreign_held || (sw->phase != ASH_MAP_IDLE && sw->phase != ASH_MAP_PREPARE);
+}
+
 static bool
 all_known (const struct ash_map_switch *sw)
 {
--- a/controllers/map_switch.h
+++ b/controllers/map_switch.h
@@ -172,6 +172,10 @@
 /** @return whether a rank's lists of experts are needed to take over another router's change. */
 bool ash_map_switch_needs_lists (const struct ash_map_switch *sw, uint32_t rank);
 
+/** @return whether a step is held, by this router or another one, so that what ranks answer decides
+ * whether and with which maps it is released. */
+bool ash_map_switch_is_deciding (const struct ash_map_switch *sw);
+
 /** @return whether another router is known to hold a step. */
 bool ash_map_switch_has_foreign_hold (const struct ash_map_switch *sw);
 
--- a/daemon/rank_client.c
+++ b/daemon/rank_client.c
@@ -285,6 +285,13 @@
                                call->sent_at);
 }
 
+/* Whether the answers of the endpoint's group decide whether a step is released. */
+static bool
+is_deciding (const struct ash_rank_endpoint *endpoint)
+{
+  return endpoint->group && ash_map_switch_is_deciding (&endpoint->group->sw);
+}
+
 static void
 handle_answer (struct ash_rank_call *call)
 {
@@ -294,6 +301,9 @@
   switch (call->query_type)
     {
     case ASH_RANK_REPORT:
+      /* Requested before a decision began, on a connection that other calls use. */
+      if (is_deciding (endpoint) && !call->call.own_connection)
+        break;
       if (ash_platform_report_read ((const char *) call->answer.bytes + call->answer.start,
                                     call->answer.length, &report))
         handle_report (endpoint, &report);
@@ -371,22 +381,35 @@
 
 /* ---- queries and orders ---- */
 
+/* Ranks' answers carry no id that would tie them to an order or query, and a faulty rank may send
+ * one that belongs to neither. What decides whether a step is released is therefore asked and
+ * ordered on connections of its own. The rest may be wrong: a rank that has prepared nothing
+ * refuses to be armed. */
+static bool
+needs_own_connection (const struct ash_rank_call *call)
+{
+  if (is_deciding (call->endpoint))
+    return true;
+  return call->is_order ? call->order.kind != ASH_RANK_PREPARE : call->query_type == ASH_RANK_LISTS;
+}
+
 static struct ash_rank_call *
-start_call (struct ash_rank_endpoint *endpoint, const struct ash_buffer *request)
+start_call (struct ash_rank_endpoint *endpoint,
+            const struct ash_buffer *request,
+            const struct ash_rank_call *what)
 {
   struct ash_rank_call *call = calloc (1, sizeof *call);
 
   if (!call)
     return NULL;
-  /* Ranks' answers carry no id that would tie them to an order or query. An answer that was taken
-   * for another one could release a step of which a rank has not taken the order to arm. */
+  *call = *what;
+  call->endpoint = endpoint;
+  call->sent_at = ash_clock_now ();
   call->call = (struct ash_http_call){
     .handler = &call_handler,
     .owner = call,
-    .own_connection = true,
+    .own_connection = needs_own_connection (call),
   };
-  call->endpoint = endpoint;
-  call->sent_at = ash_clock_now ();
   if (!ash_http_call_start (&call->call, &endpoint->pool, request->bytes + request->start,
                             request->length, (struct ash_time){ 0 }))
     {
@@ -400,14 +423,12 @@
 void
 ash_rank_query (struct ash_rank_endpoint *endpoint, enum ash_rank_query_type query_type)
 {
+  const struct ash_rank_call query = { .query_type = query_type };
   struct ash_buffer request = { 0 };
-  struct ash_rank_call *call;
 
   endpoint->queried_at[query_type] = ash_clock_now ();
   ash_platform_rank_query (&request, endpoint->address, query_type);
-  call = start_call (endpoint, &request);
-  if (call)
-    call->query_type = query_type;
+  start_call (endpoint, &request, &query);
   ash_buffer_finish (&request);
 }
 
@@ -435,19 +456,14 @@
             const struct ash_rank_order *order)
 {
   struct ash_rank_endpoint *endpoint = group->endpoints[order->rank];
+  const struct ash_rank_call ordered = { .is_order = true, .order = *order };
   struct ash_buffer request = { 0 };
-  struct ash_rank_call *call;
 
   if (!endpoint)
     return;
   manager->orders_sent++;
   ash_platform_rank_order (&request, endpoint->address, order_body (group, order));
-  call = start_call (endpoint, &request);
-  if (call)
-    {
-      call->is_order = true;
-      call->order = *order;
-    }
+  start_call (endpoint, &request, &ordered);
   ash_buffer_finish (&request);
 }
 
