--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -47,6 +47,8 @@
 {
   conn->state = state;
   conn->since = ash_clock_now ();
+  /* What was seen of the send queue before belongs to an earlier response. */
+  conn->unwritten_bytes = 0;
 }
 
 static void
