ranks: start_call() returns nothing

Since what is asked or ordered is set before the call starts, and nobody uses the call that was returned.

--- a/daemon/rank_client.c
+++ b/daemon/rank_client.c
@@ -393,7 +393,7 @@
   return call->is_order ? call->order.kind != ASH_RANK_PREPARE : call->query_type == ASH_RANK_LISTS;
 }
 
-static struct ash_rank_call *
+static void
 start_call (struct ash_rank_endpoint *endpoint,
             const struct ash_buffer *request,
             const struct ash_rank_call *what)
@@ -401,7 +401,7 @@
   struct ash_rank_call *call = calloc (1, sizeof *call);
 
   if (!call)
-    return NULL;
+    return;
   *call = *what;
   call->endpoint = endpoint;
   call->sent_at = ash_clock_now ();
@@ -414,10 +414,9 @@
                             request->length, (struct ash_time){ 0 }))
     {
       free (call);
-      return NULL;
+      return;
     }
   DL_APPEND (endpoint->calls, call);
-  return call;
 }
 
 void
