test: one call by turns, one end of a raw answer

That one endpoint does one thing and the other another, by turns, stood four times (raw_call_by_turns() now); closing or resetting a connection after raw bytes stood in three stand-ins (standin_raw_end() now).

--- a/test/router_broken_answers.c
+++ b/test/router_broken_answers.c
@@ -133,7 +133,7 @@
         char id[24];
 
         snprintf (raw, sizeof raw, "%s" EVENT_1 "%s", CHUNKS, rests[i]);
-        raw_call (id, "/stream/x", round % 2 ? "A=stream B=rawclose" : "A=rawclose B=stream", raw);
+        raw_call_by_turns (id, "/stream/x", round, "rawclose", "stream", raw);
         CU_ASSERT (answer.status == 200 && answer.complete);
         CU_ASSERT_FALSE (answer_has ("hello"));
         testbed_expect_events (&answer, 1, 6);
@@ -286,7 +286,7 @@
   start ();
   for (int i = 0; i < 2; i++)
     {
-      raw_call (id, "/long/x", i ? "A=stream B=rawloop" : "A=rawloop B=stream", raw);
+      raw_call_by_turns (id, "/long/x", i, "rawloop", "stream", raw);
       CU_ASSERT (answer.status == 200 && answer.complete);
       CU_ASSERT_FALSE (answer_has ("hello"));
       testbed_expect_events (&answer, 1, 6);
--- a/test/router_cut_heads.c
+++ b/test/router_cut_heads.c
@@ -60,14 +60,12 @@
 static void
 check_begun_elsewhere (const char *path, const char *end, const char *head)
 {
-  char one[48];
   char id[RAW_ID_BYTES];
 
   raw_keep_connections ();
   for (int round = 0; round < RAW_ROUNDS; round++)
     {
-      snprintf (one, sizeof one, round % 2 ? "A=stream B=%s" : "A=%s B=stream", end);
-      raw_call (id, path, one, head);
+      raw_call_by_turns (id, path, round, end, "stream", head);
       CU_ASSERT (answer.status == 200 && answer.complete);
       testbed_expect_events (&answer, 1, 6);
     }
--- a/test/router_raw.c
+++ b/test/router_raw.c
@@ -33,6 +33,21 @@
     }
 }
 
+void
+raw_call_by_turns (char id[RAW_ID_BYTES],
+                   const char *path,
+                   int round,
+                   const char *action,
+                   const char *other,
+                   const char *raw)
+{
+  char actions[64];
+
+  snprintf (actions, sizeof actions, "A=%s B=%s", round % 2 ? other : action,
+            round % 2 ? action : other);
+  raw_call (id, path, actions, raw);
+}
+
 void
 raw_keep_connections (void)
 {
@@ -87,14 +102,12 @@
 void
 raw_check_safe (const char *path, const char *action, const char *raw)
 {
-  char one[48];
   char id[RAW_ID_BYTES];
 
   raw_keep_connections ();
   for (int round = 0; round < RAW_ROUNDS; round++)
     {
-      snprintf (one, sizeof one, round % 2 ? "A=ok B=%s" : "A=%s B=ok", action);
-      raw_call (id, path, one, raw);
+      raw_call_by_turns (id, path, round, action, "ok", raw);
       check_answer (answer.status == 200 && answer.complete &&
                         strcmp (answer.body, "whole answer") == 0,
                     raw);
--- a/test/router_raw.h
+++ b/test/router_raw.h
@@ -23,6 +23,15 @@
  */
 void raw_call (char id[RAW_ID_BYTES], const char *path, const char *action, const char *raw);
 
+/** Like raw_call(): one endpoint does @p action and the other one @p other, by turns of the rounds.
+ */
+void raw_call_by_turns (char id[RAW_ID_BYTES],
+                        const char *path,
+                        int round,
+                        const char *action,
+                        const char *other,
+                        const char *raw);
+
 /** Leaves a kept connection to each endpoint. */
 void raw_keep_connections (void);
 
--- a/test/standin_ranks.c
+++ b/test/standin_ranks.c
@@ -467,13 +467,8 @@
   snprintf (fields, sizeof fields, "Ashspindle-Attempt-Id: %s\r\nAshspindle-Server-Seal: seal\r\n",
             id ? id : "-");
   standin_raw_send (conn, group.raw_answer, fields);
-  if (group.raw_end == RAW_KEEPS)
-    return;
-  if (group.raw_end == RAW_RESETS)
-    ash_stream_reset (&conn->stream);
-  else
-    ash_stream_finish (&conn->stream);
-  conn->is_closed = true;
+  if (group.raw_end != RAW_KEEPS)
+    standin_raw_end (conn, group.raw_end == RAW_RESETS);
 }
 
 static void
--- a/test/standin_raw.h
+++ b/test/standin_raw.h
@@ -75,6 +75,18 @@
   ash_buffer_finish (&bytes);
 }
 
+/** Closes or resets the connection, on which no request is served any more. */
+static inline void
+standin_raw_end (struct ash_http_conn *conn, bool reset)
+{
+  conn->request = NULL;
+  if (reset)
+    ash_stream_reset (&conn->stream);
+  else
+    ash_stream_finish (&conn->stream);
+  conn->is_closed = true;
+}
+
 /** Queues what follows \* again, as often as it takes to have @p queue_bytes queued. */
 static inline void
 standin_raw_repeat (struct ash_http_conn *conn, const char *text, size_t queue_bytes)
--- a/test/standin_server.c
+++ b/test/standin_server.c
@@ -213,14 +213,6 @@
   standin_raw_send (conn, field (conn, "X-Raw"), fields);
 }
 
-static void
-close_conn (struct ash_http_conn *conn)
-{
-  conn->request = NULL;
-  ash_stream_finish (&conn->stream);
-  conn->is_closed = true;
-}
-
 static void
 begin_work (struct ash_http_conn *conn, const char *action)
 {
@@ -256,7 +248,7 @@
     answer_raw (conn);
   if (strcmp (action, "rawclose") == 0)
     {
-      close_conn (conn);
+      standin_raw_end (conn, false);
       free (work);
     }
   if (strncmp (action, "stream", 6) != 0)
@@ -273,7 +265,7 @@
 static void
 end_late (struct ash_http_conn *conn)
 {
-  close_conn (conn);
+  standin_raw_end (conn, false);
   usleep (END_LISTENING_US);
   _exit (EXIT_FAILURE);
 }
@@ -290,9 +282,7 @@
     return;
   if (strcmp (work->action, "rawreset") == 0)
     {
-      conn->request = NULL;
-      ash_stream_reset (&conn->stream);
-      conn->is_closed = true;
+      standin_raw_end (conn, true);
       free (work);
       return;
     }
@@ -318,7 +308,7 @@
       /* Cuts the stream in the middle of an event, or before the first one. */
       if (work->next > 1)
         ash_http_conn_write (conn, "id: 3\nda", 8);
-      close_conn (conn);
+      standin_raw_end (conn, false);
     }
   else if (work->next > STREAM_EVENTS)
     {
@@ -366,7 +356,7 @@
   else if (strcmp (action, "encoded") == 0)
     answer (conn, 200, "Content-Encoding: gzip\r\n");
   else if (strcmp (action, "reset") == 0)
-    close_conn (conn);
+    standin_raw_end (conn, false);
   else if (strcmp (action, "foreign") == 0)
     {
       write_raw (conn, "another-request", "Content-Length: 5\r\n", "wrong");
@@ -389,12 +379,12 @@
   else if (strcmp (action, "cut") == 0)
     {
       write_raw (conn, id, "Content-Length: 100\r\n", BODY);
-      close_conn (conn);
+      standin_raw_end (conn, false);
     }
   else if (strcmp (action, "unframed") == 0)
     {
       write_raw (conn, id, "", BODY);
-      close_conn (conn);
+      standin_raw_end (conn, false);
     }
   else
     begin_work (conn, action);
--- a/test/standin_store.c
+++ b/test/standin_store.c
@@ -265,12 +265,7 @@
   conn->request = &endless_answer;
   if (strstr (store.raw, "\\*"))
     return;
-  conn->request = NULL;
-  if (strcmp (store.mode, "reset") == 0)
-    ash_stream_reset (&conn->stream);
-  else
-    ash_stream_finish (&conn->stream);
-  conn->is_closed = true;
+  standin_raw_end (conn, strcmp (store.mode, "reset") == 0);
 }
 
 /* @return the request's body as a string, to be freed. */
