test: names of entries that are not escaped; the stand-in store reads queries as servers do

What callers saw: after all processes were restarted, almost no request was served while an entry of another writer, with &, +, #, % or a blank in its name, stood in a list of several pages. The stand-in store compared queries as they came, so that no test could show it: now it decodes %XX and +, and answers a target that can't be one with 400; the size of its pages can be set.

--- a/test/router.c
+++ b/test/router.c
@@ -691,6 +691,7 @@
   router_resumed_stream_tests,
   router_cut_head_tests,
   router_odd_entry_tests,
+  router_listed_name_tests,
   router_era_tests,
   router_suspended_tests,
   router_terms_tests,
--- /dev/null
+++ b/test/router_listed_names.c
@@ -0,0 +1,133 @@
+/**
+ * @file
+ * Names in the list of endpoints that another writer has chosen: none of them keeps a router from
+ * reading the other entries, or names an endpoint itself.
+ */
+#include "test/router_tests.h"
+
+#include <CUnit/CUnit.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#define ROUTERS 2
+#define REQUESTS 8
+
+/* Characters that mean something in a query, in a request line or in an escape, each in a name.
+ * Written as in a query. */
+static const char *const names[] = {
+  "a%26x",          "a%2Bx",      "a%23x",         "a%25x",
+  "a%20x",          "a%2541",     "a%3Dx",         "a%3Bx",
+  "a%3Fx",          "a%2Fx",      "a%22x",         "a%5Cx",
+  "a%7Bx%7D",       "a%25zz",     "%26a",          "%2Ba",
+  "%23a",           "%25a",       "%20a",          "a%26",
+  "a%2B",           "a%23",       "a%25",          "a%20",
+  "a%C3%A4",        "a%E2%82%AC", "a%F0%9F%98%80", "a%26SinceRevision%3Dservers%2F",
+  "a%20HTTP%2F1.1",
+};
+
+#define NAMES (sizeof names / sizeof names[0])
+
+static void
+set_page_items (int count)
+{
+  char target[32];
+
+  snprintf (target, sizeof target, "/pages?%d", count);
+  testbed_fetch (testbed.store_port, "PUT", target, "");
+}
+
+static void
+put_foreign (const char *name, const char *value)
+{
+  char target[128];
+
+  snprintf (target, sizeof target, "/put?servers/%s", name);
+  testbed_fetch (testbed.store_port, "PUT", target, value);
+}
+
+static void
+remove_foreign (const char *name)
+{
+  char target[128];
+
+  snprintf (target, sizeof target, "/remove?servers/%s", name);
+  testbed_fetch (testbed.store_port, "PUT", target, "");
+}
+
+/* Ends all routers, so that none has a list, and starts them again. @return whether all are
+ * ready. */
+static bool
+restart_all (void)
+{
+  bool ready = true;
+
+  for (int r = 0; r < ROUTERS; r++)
+    fleet_end_process (&testbed.routers[r].pid, SIGKILL);
+  for (int r = 0; r < ROUTERS; r++)
+    testbed_start_router (&testbed, r);
+  for (int r = 0; r < ROUTERS; r++)
+    ready = testbed_wait_ready (&testbed, r, true) && ready;
+  return ready;
+}
+
+/* @return how many of the requests to all routers are served. */
+static int
+count_served (void)
+{
+  static int number;
+  char id[24];
+  int served = 0;
+
+  for (int r = 0; r < ROUTERS; r++)
+    for (int i = 0; i < REQUESTS; i++)
+      {
+        snprintf (id, sizeof id, "name-%d", ++number);
+        testbed_call_at (&testbed, r, id, i % 2 ? "/once/x" : "/safe/x", NULL, "", &answer);
+        served += answer.status == 200;
+      }
+  return served;
+}
+
+/* With each of the names in the list, before those of the servers, all routers restart and serve.
+ * @param page_items up to 2: the name is the last of its page */
+static void
+check_restarts (int page_items, const char *value)
+{
+  start_routers (ROUTERS);
+  set_page_items (page_items);
+  put_foreign ("0", value);
+  for (size_t i = 0; i < NAMES; i++)
+    {
+      bool ready;
+      int served;
+
+      put_foreign (names[i], value);
+      ready = restart_all ();
+      served = ready ? count_served () : 0;
+      CU_ASSERT_EQUAL (served, ROUTERS * REQUESTS);
+      if (served != ROUTERS * REQUESTS)
+        printf ("\n  servers/%s, pages of %d: ready %d, served %d of %d", names[i], page_items,
+                ready, served, ROUTERS * REQUESTS);
+      remove_foreign (names[i]);
+    }
+  testbed_stop (&testbed);
+}
+
+static void
+test_restart_pages_of_one (void)
+{
+  check_restarts (1, "{\"owner\":\"another writer\"}");
+}
+
+static void
+test_restart_pages_of_two (void)
+{
+  check_restarts (2, "{\"owner\":\"another writer\"}");
+}
+
+const struct fault_test router_listed_name_tests[] = {
+  { "odd names: all routers restart, pages of one entry", test_restart_pages_of_one },
+  { "odd names: all routers restart, pages of two entries", test_restart_pages_of_two },
+  { NULL, NULL },
+};
--- a/test/router_tests.h
+++ b/test/router_tests.h
@@ -45,6 +45,9 @@
 /** Odd entries in the list of endpoints. */
 extern const struct fault_test router_odd_entry_tests[];
 
+/** Names in the list of endpoints that another writer has chosen. */
+extern const struct fault_test router_listed_name_tests[];
+
 /** Parts of prompts that crash endpoints. */
 extern const struct fault_test router_prompt_parts_tests[];
 
--- a/test/standin_store.c
+++ b/test/standin_store.c
@@ -4,6 +4,7 @@
  * by page and watched. Tests set items and faults over HTTP:
  *
  *     PUT /put?KEY (body: the value)      PUT /remove?KEY
+ *     PUT /pages?COUNT (items of a page)
  *     PUT /mode?ok | busy (answers 503) | silent (no answers) | forget (drops the history)
  *     PUT /mode?slowMS (delays each answer by MS ms)
  *     PUT /mode?trickle (what is repeated without end comes slowly)
@@ -14,6 +15,9 @@
  *     PUT /restore?REVISION (restores a copy of that revision: later writes are lost, revision
  *     numbers are reused, the era increases by one, pending requests are cut)
  *     PUT /deafen (pending requests are never answered nor cut; new ones are answered)
+ *
+ * Keys and queries are decoded as servers do: %XX is a byte, + a blank. A request whose target
+ * holds characters that a target can't hold, or a % without two digits, is answered with 400.
  */
 #include "net/http_conn.h"
 #include "test/standin_raw.h"
@@ -27,12 +31,26 @@
 
 /* Small, so that every list takes several pages. */
 #define PAGE_ITEMS 3
+
+/* Longest key in bytes. */
+#define KEY_MAX_BYTES 200
+
+/* What a request target may consist of besides %XX (RFC 3986). */
+#define TARGET_CHARACTERS                                                                          \
+  "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~:/?@!$&'()*+,;="
 #define WATCH_TICK_S 0.01
 #define JSON_FIELDS "Content-Type: application/json\r\n"
 
+/* A key, or another text of a query; the empty text is less than all others. */
+struct text
+{
+  uint8_t bytes[KEY_MAX_BYTES];
+  size_t length;
+};
+
 struct item
 {
-  char key[128];
+  struct text key;
   char *value; /* NULL: removed */
   uint64_t revision;
   struct item *prev;
@@ -44,6 +62,7 @@
   struct ash_http_listener listener;
   struct item *items; /* all writes, the oldest first, as the history */
   uint64_t revision;
+  size_t page_items;
   uint64_t oldest_watch_revision; /* a watch from an older revision gets 410 */
   char mode[16];
   char era[64];
@@ -62,16 +81,80 @@
 /* A connection's request member points here while its answer is repeated without end. */
 static char endless_answer;
 
+/* ---- texts ---- */
+
+static int
+compare (const struct text *a, const struct text *b)
+{
+  size_t shorter = a->length < b->length ? a->length : b->length;
+  int order = memcmp (a->bytes, b->bytes, shorter);
+
+  return order ? order : (a->length > b->length) - (a->length < b->length);
+}
+
+static bool
+has_prefix (const struct text *text, const struct text *prefix)
+{
+  return text->length >= prefix->length && memcmp (text->bytes, prefix->bytes, prefix->length) == 0;
+}
+
+static int
+digit_of (char c)
+{
+  const char *digits = "0123456789abcdef0123456789ABCDEF";
+  const char *found = c ? strchr (digits, c) : NULL;
+
+  return found ? (int) ((found - digits) % 16) : -1;
+}
+
+/* Decodes a part of a query. @return false if a % lacks its digits, or the text is too long. */
+static bool
+decode (const char *part, size_t length, struct text *text)
+{
+  text->length = 0;
+  for (size_t i = 0; i < length; i++)
+    {
+      int byte = part[i] == '+' ? ' ' : (uint8_t) part[i];
+
+      if (part[i] == '%')
+        {
+          if (i + 2 >= length || digit_of (part[i + 1]) < 0 || digit_of (part[i + 2]) < 0)
+            return false;
+          byte = 16 * digit_of (part[i + 1]) + digit_of (part[i + 2]);
+          i += 2;
+        }
+      if (text->length == sizeof text->bytes)
+        return false;
+      text->bytes[text->length++] = (uint8_t) byte;
+    }
+  return true;
+}
+
+/* Whether the target holds only what a request line can hold. */
+static bool
+is_target (const char *target)
+{
+  while (*target)
+    {
+      target += strspn (target, TARGET_CHARACTERS);
+      if (*target == '%' && digit_of (target[1]) >= 0 && digit_of (target[2]) >= 0)
+        target += 3;
+      else if (*target)
+        return false;
+    }
+  return true;
+}
+
 /* ---- items ---- */
 
 static void
-add_item (const char *key, const char *value)
+add_item (const struct text *key, const char *value)
 {
   struct item *item = calloc (1, sizeof *item);
 
   if (!item)
     abort ();
-  snprintf (item->key, sizeof item->key, "%s", key);
+  item->key = *key;
   item->value = value ? strdup (value) : NULL;
   item->revision = ++store.revision;
   DL_APPEND (store.items, item);
@@ -82,7 +165,7 @@
 is_newest (const struct item *item)
 {
   for (const struct item *later = item->next; later; later = later->next)
-    if (strcmp (later->key, item->key) == 0)
+    if (compare (&later->key, &item->key) == 0)
       return false;
   return true;
 }
@@ -93,8 +176,9 @@
   size_t value_bytes = item->value ? strlen (item->value) : 0;
   size_t text_bytes = sodium_base64_ENCODED_LEN (value_bytes, sodium_base64_VARIANT_ORIGINAL);
   char *text = malloc (text_bytes);
-  json_t *object =
-      json_pack ("{s:s, s:I}", "PrivateKey", item->key, "Revision", (json_int_t) item->revision);
+  json_t *object = json_pack ("{s:o, s:I}", "PrivateKey",
+                              json_stringn ((const char *) item->key.bytes, item->key.length),
+                              "Revision", (json_int_t) item->revision);
 
   if (!text || !object)
     abort ();
@@ -132,58 +216,64 @@
   json_decref (object);
 }
 
-/* @return a parameter of the query, or an empty string; valid until the next call. */
-static const char *
+/* @return a parameter of the query, or an empty text. */
+static struct text
 parameter (const struct ash_http_conn *conn, const char *name)
 {
-  static char value[256];
-  const char *query = strchr (conn->reader.head.target, '?');
+  struct text value = { .length = 0 };
   size_t length = strlen (name);
 
-  *value = '\0';
-  for (const char *at = query; at; at = strchr (at + 1, '&'))
+  for (const char *at = strchr (conn->reader.head.target, '?'); at; at = strchr (at + 1, '&'))
     if (strncmp (at + 1, name, length) == 0 && at[1 + length] == '=')
       {
-        snprintf (value, sizeof value, "%s", at + 2 + length);
-        value[strcspn (value, "&")] = '\0';
+        const char *start = at + 2 + length;
+
+        if (!decode (start, strcspn (start, "&"), &value))
+          value.length = 0;
         break;
       }
   return value;
 }
 
+static uint64_t
+number_of (const struct ash_http_conn *conn, const char *name)
+{
+  struct text value = parameter (conn, name);
+  char digits[24];
+
+  snprintf (digits, sizeof digits, "%.*s", (int) value.length, (const char *) value.bytes);
+  return strtoull (digits, NULL, 10);
+}
+
+/* @return the item with the lowest key from @p from on, or above @p above; NULL: none. */
+static const struct item *
+find_next (const struct text *prefix, const struct text *from, const struct text *above)
+{
+  const struct item *item;
+  const struct item *next = NULL;
+
+  DL_FOREACH (store.items, item)
+    if (item->value && has_prefix (&item->key, prefix) && compare (&item->key, from) >= 0 &&
+        (!above || compare (&item->key, above) > 0) &&
+        (!next || compare (&item->key, &next->key) < 0) && is_newest (item))
+      next = item;
+  return next;
+}
+
 static void
 answer_range (struct ash_http_conn *conn)
 {
-  char prefix[128];
-  char from[256];
+  struct text prefix = parameter (conn, "PathPrefix");
+  struct text from = parameter (conn, "SinceRevision");
   json_t *items = json_array ();
-  const char *last = "";
-  bool more = false;
+  const struct item *item = find_next (&prefix, &from, NULL);
 
-  snprintf (prefix, sizeof prefix, "%s", parameter (conn, "PathPrefix"));
-  snprintf (from, sizeof from, "%s", parameter (conn, "SinceRevision"));
-  /* Sorts by key: repeatedly finds the smallest key above the last one. */
-  for (;;)
+  while (item && json_array_size (items) < store.page_items)
     {
-      const struct item *item;
-      const struct item *next = NULL;
-
-      DL_FOREACH (store.items, item)
-        if (item->value && is_newest (item) && strncmp (item->key, prefix, strlen (prefix)) == 0 &&
-            strcmp (item->key, from) >= 0 && strcmp (item->key, last) > 0 &&
-            (!next || strcmp (item->key, next->key) < 0))
-          next = item;
-      if (!next)
-        break;
-      if (json_array_size (items) == PAGE_ITEMS)
-        {
-          more = true;
-          break;
-        }
-      json_array_append_new (items, to_json (next));
-      last = next->key;
+      json_array_append_new (items, to_json (item));
+      item = find_next (&prefix, &from, &item->key);
     }
-  answer_json (conn, json_pack ("{s:o, s:b, s:I}", "Items", items, "MorePages", more,
+  answer_json (conn, json_pack ("{s:o, s:b, s:I}", "Items", items, "MorePages", item != NULL,
                                 "StoreRevision", (json_int_t) store.revision));
 }
 
@@ -192,14 +282,13 @@
 static bool
 answer_watch (struct ash_http_conn *conn, bool due)
 {
-  char prefix[128];
-  uint64_t since = strtoull (parameter (conn, "SinceRevision"), NULL, 10);
+  struct text prefix = parameter (conn, "PathPrefix");
+  uint64_t since = number_of (conn, "SinceRevision");
   json_t *events = json_array ();
   const struct item *item;
 
-  snprintf (prefix, sizeof prefix, "%s", parameter (conn, "PathPrefix"));
   DL_FOREACH (store.items, item)
-    if (item->revision > since && strncmp (item->key, prefix, strlen (prefix)) == 0)
+    if (item->revision > since && has_prefix (&item->key, &prefix))
       json_array_append_new (events, to_json (item));
   if (!json_array_size (events) && !due)
     {
@@ -214,7 +303,7 @@
 static void
 begin_watch (struct ash_http_conn *conn)
 {
-  uint64_t since = strtoull (parameter (conn, "SinceRevision"), NULL, 10);
+  uint64_t since = number_of (conn, "SinceRevision");
 
   if (since < store.oldest_watch_revision || since > store.revision)
     answer_text (conn, 410, "");
@@ -282,17 +371,22 @@
 {
   const char *argument = strchr (target, '?');
   char *body = copy_body (conn);
+  struct text key;
 
   argument = argument ? argument + 1 : "";
+  if (!decode (argument, strlen (argument), &key))
+    key.length = 0;
   if (strncmp (target, "/put", 4) == 0)
-    add_item (argument, body);
+    add_item (&key, body);
   else if (strncmp (target, "/raw", 4) == 0)
     {
       free (store.raw);
       store.raw = *body ? strdup (body) : NULL;
     }
   else if (strncmp (target, "/remove", 7) == 0)
-    add_item (argument, NULL);
+    add_item (&key, NULL);
+  else if (strncmp (target, "/pages", 6) == 0)
+    store.page_items = strtoul (argument, NULL, 10);
   else if (strncmp (target, "/deafen", 7) == 0)
     drop_pending ();
   else if (strncmp (target, "/era", 4) == 0)
@@ -321,7 +415,9 @@
 {
   const char *target = conn->reader.head.target;
 
-  if (strncmp (target, "/kv-range", 9) == 0)
+  if (!is_target (target))
+    ash_http_conn_respond (conn, 400, "", 0, "", 0);
+  else if (strncmp (target, "/kv-range", 9) == 0)
     answer_range (conn);
   else if (strncmp (target, "/kv-watch", 9) == 0)
     begin_watch (conn);
@@ -376,7 +472,7 @@
                               strcmp (store.mode, "trickle") ? STANDIN_RAW_QUEUE_BYTES : 1);
           continue;
         }
-      wait_ms = strtoll (parameter (conn, "WaitMs"), NULL, 10);
+      wait_ms = (int64_t) number_of (conn, "WaitMs");
       if (strcmp (store.mode, "silent") == 0)
         continue; /* neither answered nor cut */
       if (conn->request == &delayed_request)
@@ -408,6 +504,7 @@
       fprintf (stderr, "usage: standin-store PORT\n");
       return EXIT_FAILURE;
     }
+  store.page_items = PAGE_ITEMS;
   snprintf (store.mode, sizeof store.mode, "ok");
   snprintf (address, sizeof address, "127.0.0.1:%s", argv[1]);
   if (!ash_http_listen (&store.listener, loop, address, &handler, NULL))
