--- a/test/unit_platform.c
+++ b/test/unit_platform.c
@@ -7,12 +7,14 @@
 #include "net/http_client.h"
 #include "net/http_message.h"
 #include "net/stream.h"
+#include "net/url.h"
 #include "platform/directory.h"
 #include "platform/message.h"
 #include "platform/rank.h"
 #include "platform/store.h"
 #include "test/unit.h"
 
+#include <ctype.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -94,6 +96,28 @@
   CU_ASSERT_FALSE (ash_platform_store_read ("{}", 2, &taker, &answer));
 }
 
+static void
+test_url_escape (void)
+{
+  char text[32];
+  char byte[2] = "";
+
+  CU_ASSERT (ash_url_escape (text, sizeof text, "servers/a-b_c.d~9"));
+  CU_ASSERT_STRING_EQUAL (text, "servers/a-b_c.d~9");
+  CU_ASSERT (ash_url_escape (text, sizeof text, "&+#% \xc3\xa4"));
+  CU_ASSERT_STRING_EQUAL (text, "%26%2B%23%25%20%C3%A4");
+  /* No byte other than those of RFC 3986's unreserved set and the slash stays as it is. */
+  for (int i = 1; i < 256; i++)
+    {
+      byte[0] = (char) i;
+      CU_ASSERT (ash_url_escape (text, sizeof text, byte));
+      CU_ASSERT_EQUAL (strlen (text) == 1, (i < 128 && isalnum (i)) || strchr ("-._~/", i) != NULL);
+    }
+  CU_ASSERT (ash_url_escape (text, 4, "&"));
+  CU_ASSERT_FALSE (ash_url_escape (text, 3, "&"));
+  CU_ASSERT_FALSE (ash_url_escape (text, 0, ""));
+}
+
 /* An answer whose revisions are none would move the router's position to where no later answer
  * counts: nothing of it is used. */
 static void
@@ -583,6 +607,7 @@
 {
   CU_add_test (suite, "platform: ranks", test_rank_formats);
   CU_add_test (suite, "platform: store", test_store_format);
+  CU_add_test (suite, "platform: texts in a request target", test_url_escape);
   CU_add_test (suite, "platform: revisions of the store", test_store_revisions);
   CU_add_test (suite, "platform: entries of other writers", test_server_entries);
   CU_add_test (suite, "platform: messages", test_message_format);
