platform: an entry under a name that no server has describes no server

What callers saw: an entry of another writer that would be valid under a server's name took requests, whatever its name: with 29 names at the address of a server, requests of all routers failed (the server is not the instance that was expected), and their names went into request heads as they were. Cause: any text of up to 63 bytes was a server's id.

Tests, failing before and passing now: odd names: entries that would be valid under a server's name; an unusable entry is reported once.

--- a/daemon/router_pages.c
+++ b/daemon/router_pages.c
@@ -144,6 +144,7 @@
   ash_metrics_set (metrics, "ash_endpoints_revision", "", router->endpoints.revision);
   ash_metrics_set (metrics, "ash_store_era", "", router->store.era);
   ash_metrics_set (metrics, "ash_store_calls_total", "", router->store.calls);
+  ash_metrics_set (metrics, "ash_entries_unusable_total", "", router->store.unusable_total);
   ash_metrics_set (metrics, "ash_reads_store", "", ash_fleet_reads_store (&router->fleet));
   ash_metrics_set (metrics, "ash_entries", "", ash_fleet_size (&router->fleet));
   ash_metrics_set (metrics, "ash_callers_connected", "", router->frontend.conn_count);
--- a/daemon/store.c
+++ b/daemon/store.c
@@ -104,6 +104,9 @@
     case ASH_STORE_ITEM_SERVER:
       ash_store_list_item (reader, item, position);
       break;
+    case ASH_STORE_ITEM_FOREIGN:
+      ash_store_list_foreign (&router->store, item);
+      break;
     }
 }
 
--- a/daemon/store.h
+++ b/daemon/store.h
@@ -8,6 +8,7 @@
 #define ASH_STORE_H
 
 #include "common/clock.h"
+#include "controllers/seen_changes.h"
 #include "controllers/tombstones.h"
 #include "net/http_call.h"
 #include "platform/store.h"
@@ -101,9 +102,11 @@
   uint64_t era;    /**< the store's era, increased when it is restored from an older copy */
   struct ash_tombstones tombstones;
   struct ash_store_changes changes;
-  uint64_t calls;                  /**< number of requests sent to the store */
-  struct ash_time uncertain_until; /**< until then entries may be missing only because they expired
-                                      while the store was unavailable */
+  struct ash_seen_changes unusable; /**< entries that can't be used, so that each is logged once */
+  uint64_t unusable_total;          /**< changes that left an entry unusable */
+  uint64_t calls;                   /**< number of requests sent to the store */
+  struct ash_time uncertain_until;  /**< until then entries may be missing only because they expired
+                                       while the store was unavailable */
 };
 
 /** Starts reading. @return false: the store's address is invalid. */
--- a/daemon/store_list.c
+++ b/daemon/store_list.c
@@ -141,6 +141,24 @@
     remove_entry (store, entry);
 }
 
+/* Counts an entry that can't be used, and logs it. A listing repeats entries that have not changed:
+ * these are not reported again. */
+static void
+report_unusable (struct ash_store *store,
+                 const struct ash_store_item *item,
+                 const char *error,
+                 bool used_before,
+                 const char *source)
+{
+  if (!ash_seen_changes_add (&store->unusable, item->name, item->value, item->value_bytes) &&
+      !used_before)
+    return;
+  store->unusable_total++;
+  ash_log_event (&store->router->log, ASH_EV_ENTRY_UNUSABLE,
+                 "endpoint=%s wrong=\"%s\" bytes=%zu used_before=%d source=%s", item->name, error,
+                 item->value_bytes, used_before, source);
+}
+
 /* Removes an entry that can't be read, since another program wrote it or it is corrupt. The
  * endpoint that had the id gets no new requests; other endpoints are not affected. */
 static void
@@ -153,15 +171,22 @@
   struct ash_direct_endpoint *endpoint = ash_direct_find (&router->endpoints, item->name);
   struct ash_store_entry *entry = find_entry (store, item->name);
 
-  ash_log_event (&router->log, ASH_EV_ENTRY_UNUSABLE,
-                 "endpoint=%.63s wrong=\"%s\" bytes=%zu used_before=%d source=%s", item->name,
-                 error, item->value_bytes, endpoint && ash_direct_usable (endpoint), source);
+  report_unusable (store, item, error, endpoint && ash_direct_usable (endpoint), source);
   if (endpoint && ash_direct_remove (&router->endpoints, item->name, true, (struct ash_time){ 0 }))
     store->readers[ASH_STORE_SERVERS].list_changed = true;
   if (entry)
     remove_entry (store, entry);
 }
 
+void
+ash_store_list_foreign (struct ash_store *store, const struct ash_store_item *item)
+{
+  if (item->removed)
+    ash_seen_changes_remove (&store->unusable, item->name);
+  else
+    report_unusable (store, item, "name", false, "store");
+}
+
 /* Remembers endpoints that report to be leaving. A store that is restored from an older copy lists
  * these, and endpoints that have been removed, as ready. A ready entry of such an endpoint is
  * treated as draining for now. */
@@ -320,7 +345,10 @@
   if (!item->removed)
     apply_endpoint (store, item, position, "store");
   else if (!is_outdated (find_entry (store, item->name), position))
-    remove_endpoint (store, item->name, "store");
+    {
+      ash_seen_changes_remove (&store->unusable, item->name);
+      remove_endpoint (store, item->name, "store");
+    }
   mark_listed (reader, item->name);
   if (reader->state == ASH_STORE_WATCHING)
     record_change (&store->changes, item->name);
--- a/daemon/store_list.h
+++ b/daemon/store_list.h
@@ -24,6 +24,10 @@
                           const struct ash_store_item *item,
                           uint64_t position);
 
+/** Logs and counts an item that stands among the endpoints' entries under a name that is not one of
+ * an endpoint. It changes nothing else. */
+void ash_store_list_foreign (struct ash_store *store, const struct ash_store_item *item);
+
 /**
  * Removes the entries that a complete listing lacked, unless a peer has reported them at a later
  * position.
--- a/test/router_listed_names.c
+++ b/test/router_listed_names.c
@@ -55,6 +55,15 @@
   testbed_fetch (testbed.store_port, "PUT", target, "");
 }
 
+/* Waits until router @p r has logged @p count lines with that text. */
+static void
+wait_logged (int r, const char *text, int count)
+{
+  for (int i = 0; i < 500 && testbed_count_logged (&testbed, r, text) < count; i++)
+    fleet_sleep_ms (20);
+  CU_ASSERT_EQUAL (testbed_count_logged (&testbed, r, text), count);
+}
+
 /* Ends all routers, so that none has a list, and starts them again. @return whether all are
  * ready. */
 static bool
@@ -126,8 +135,64 @@
   check_restarts (2, "{\"owner\":\"another writer\"}");
 }
 
+/* Entries that would be valid under a server's name, at the address of server A. */
+static void
+test_names_of_no_server (void)
+{
+  char value[160];
+
+  start_routers (ROUTERS);
+  snprintf (value, sizeof value,
+            "{\"Service\":\"stock\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"hall-a\","
+            "\"Slots\":8,\"State\":\"ready\"}",
+            testbed.servers[0].port);
+  for (size_t i = 0; i < NAMES; i++)
+    put_foreign (names[i], value);
+  for (int r = 0; r < ROUTERS; r++)
+    wait_logged (r, "entry_unusable", (int) NAMES);
+  CU_ASSERT_EQUAL (count_served (), ROUTERS * REQUESTS);
+  CU_ASSERT (restart_all ());
+  CU_ASSERT_EQUAL (count_served (), ROUTERS * REQUESTS);
+  for (int r = 0; r < ROUTERS; r++)
+    {
+      CU_ASSERT_EQUAL (testbed_count_logged (&testbed, r, "endpoint_listed"), TESTBED_SERVERS);
+      CU_ASSERT_EQUAL (testbed_count_logged (&testbed, r, "entry_unusable"), (int) NAMES);
+    }
+  CU_ASSERT_FALSE (server_logs_contain ("expect=a"));
+  testbed_stop (&testbed);
+}
+
+/* Listings that repeat an entry, and writes that don't change it, report it once. */
+static void
+test_reported_once (void)
+{
+  start ();
+  put_foreign ("a%26x", "{}");
+  put_foreign ("b", "{}");
+  wait_logged (0, "entry_unusable", 2);
+  for (int i = 0; i < 4; i++)
+    {
+      put_foreign ("a%26x", "{}");
+      put_foreign ("b", "{}");
+      testbed_fetch (testbed.store_port, "PUT", "/mode?busy", "");
+      fleet_sleep_ms (200);
+      testbed_fetch (testbed.store_port, "PUT", "/mode?forget", "");
+      testbed_fetch (testbed.store_port, "PUT", "/mode?ok", "");
+      fleet_sleep_ms (600);
+    }
+  CU_ASSERT_EQUAL (testbed_count_logged (&testbed, 0, "entry_unusable"), 2);
+  put_foreign ("a%26x", "{\"changed\":1}");
+  wait_logged (0, "entry_unusable", 3);
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (testbed_fetch (testbed.routers[0].metrics_port, "GET", "/metrics", ""),
+              "\nash_entries_unusable_total{} 3\n"));
+  testbed_stop (&testbed);
+}
+
 const struct fault_test router_listed_name_tests[] = {
   { "odd names: all routers restart, pages of one entry", test_restart_pages_of_one },
   { "odd names: all routers restart, pages of two entries", test_restart_pages_of_two },
+  { "odd names: entries that would be valid under a server's name", test_names_of_no_server },
+  { "odd names: an unusable entry is reported once", test_reported_once },
   { NULL, NULL },
 };
