log: texts from outside are escaped where a line is formatted

What operators saw: a line feed in a service's or a hall's name of the list, in a route's name, in an evacuation's key or in the model that a caller named cut a line of the log in two, a blank or a quote forged further fields, and escape sequences went to terminals.

--- a/common/log.c
+++ b/common/log.c
@@ -1,5 +1,7 @@
 #include "common/log.h"
 
+#include "common/escape.h"
+
 #include <ctype.h>
 #include <fcntl.h>
 #include <jansson.h>
@@ -209,7 +211,7 @@
       return;
     }
   va_start (args, format);
-  vsnprintf (fields, sizeof fields, format, args);
+  ash_escape_vformat (fields, sizeof fields, ASH_ESCAPE_LOG, format, args);
   va_end (args);
   format_line (log, info, fields, line);
   if (!sink->bound)
--- a/common/log.h
+++ b/common/log.h
@@ -53,7 +53,8 @@
 
 /**
  * Writes an event. @p format produces the fields as `key=value`, separated by blanks; a value
- * that contains blanks must be in double quotes.
+ * that may contain blanks must be in double quotes. Texts are inserted with `%s`, which escapes
+ * them (common/escape.h).
  */
 void ash_log_event (const struct ash_log *log, enum ash_event event, const char *format, ...)
     __attribute__ ((format (printf, 3, 4)));
--- a/test/unit.c
+++ b/test/unit.c
@@ -3,6 +3,7 @@
  * Unit tests of settings, documents, configuration, limits, membership, expert placement, keys,
  * frames, handshakes, log events and metrics, and the main function of test-unit.
  */
+#include "common/escape.h"
 #include "common/log.h"
 #include "common/metrics.h"
 #include "common/random.h"
@@ -635,6 +636,57 @@
   CU_ASSERT_EQUAL (rows, sizeof catalogue / sizeof catalogue[0]);
 }
 
+static void
+format_escaped (char *out, size_t out_bytes, enum ash_escape escape, const char *format, ...)
+{
+  va_list args;
+
+  va_start (args, format);
+  ash_escape_vformat (out, out_bytes, escape, format, args);
+  va_end (args);
+}
+
+/* Texts from outside ended log lines and labels, and began others. */
+static void
+test_escape (void)
+{
+  char text[600];
+  char plain[600];
+  char name[2] = "";
+  char long_name[500];
+
+  format_escaped (text, sizeof text, ASH_ESCAPE_LOG, "a=%s b=\"%s\" c=%s", "x y\r\nz\"\\",
+                  "x y\"\n", "\x1b[2J\xc3\xa4");
+  CU_ASSERT_STRING_EQUAL (
+      text, "a=x\\x20y\\x0D\\x0Az\\x22\\x5C b=\"x y\\x22\\x0A\" c=\\x1B[2J\\xC3\\xA4");
+  format_escaped (text, sizeof text, ASH_ESCAPE_LABEL, "a=\"%s\",b=\"%s\"", "x y\"\\", "\n\t");
+  CU_ASSERT_STRING_EQUAL (text, "a=\"x y\\\"\\\\\",b=\"\\\\x0A\\\\x09\"");
+  for (int i = 1; i < 256; i++)
+    {
+      name[0] = (char) i;
+      format_escaped (text, sizeof text, ASH_ESCAPE_LOG, "%s", name);
+      CU_ASSERT_EQUAL (strlen (text) == 1, i > ' ' && i < 0x7f && i != '"' && i != '\\');
+      CU_ASSERT_EQUAL (strcspn (text, " \"\r\n\x1b"), strlen (text));
+    }
+  /* Numbers and plain texts are formatted as by snprintf(). */
+  format_escaped (text, sizeof text, ASH_ESCAPE_LOG, "%d %u %5d|%-4u|%016llx %lld %llu %zu %.3f",
+                  -7, 4000000000U, 42, 7U, 0xabcULL, -5LL, (unsigned long long) UINT64_MAX,
+                  (size_t) 99, 1.0005);
+  snprintf (plain, sizeof plain, "%d %u %5d|%-4u|%016llx %lld %llu %zu %.3f", -7, 4000000000U, 42,
+            7U, 0xabcULL, -5LL, (unsigned long long) UINT64_MAX, (size_t) 99, 1.0005);
+  CU_ASSERT_STRING_EQUAL (text, plain);
+  format_escaped (text, sizeof text, ASH_ESCAPE_LOG, "%.3s|%s|%.1f", "abcdef", "plain", -2.25);
+  CU_ASSERT_STRING_EQUAL (text, "abc|plain|-2.2");
+  /* Long texts end in a mark, and leave room for what follows. */
+  memset (long_name, 'a', sizeof long_name - 1);
+  long_name[sizeof long_name - 1] = '\0';
+  format_escaped (text, sizeof text, ASH_ESCAPE_LOG, "a=%s b=1", long_name);
+  CU_ASSERT_EQUAL (strlen (text), strlen ("a= b=1") + ASH_ESCAPE_LOG_MAX_BYTES);
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "aaa... b=1"));
+  format_escaped (text, 8, ASH_ESCAPE_LOG, "a=%s b=1", long_name);
+  CU_ASSERT_STRING_EQUAL (text, "a=aaaaa");
+}
+
 static void
 test_log_forms (void)
 {
@@ -719,6 +771,7 @@
   CU_add_test (suite, "texts: events", test_events_as_text);
   CU_add_test (suite, "texts: the catalogue of events", test_event_catalogue);
   CU_add_test (suite, "texts: log", test_log_forms);
+  CU_add_test (suite, "texts: from outside in logs and metrics", test_escape);
   CU_add_test (suite, "texts: metrics", test_metrics);
   add_declared_tests (suite);
   add_config_tests (suite);
