metrics: texts from outside are escaped where labels are formatted

What operators saw: a quote or a line feed in a name (of a route, a service, an evacuated hall) cut the page of metrics, so that a collector rejects it whole. Cause: labels were formatted with snprintf().

--- a/common/metrics.c
+++ b/common/metrics.c
@@ -1,5 +1,7 @@
 #include "common/metrics.h"
 
+#include "common/escape.h"
+
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
@@ -66,6 +68,16 @@
   return series;
 }
 
+void
+ash_metrics_labels (char *out, size_t out_bytes, const char *format, ...)
+{
+  va_list args;
+
+  va_start (args, format);
+  ash_escape_vformat (out, out_bytes, ASH_ESCAPE_LABEL, format, args);
+  va_end (args);
+}
+
 void
 ash_metrics_add (struct ash_metrics *metrics, const char *name, const char *labels, uint64_t amount)
 {
--- a/common/metrics.h
+++ b/common/metrics.h
@@ -9,12 +9,16 @@
 #ifndef ASH_METRICS_H
 #define ASH_METRICS_H
 
+#include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
 
 #define ASH_METRICS_SERIES_MAX 2048
 #define ASH_METRICS_BUCKETS 14
 
+/** Size of a text of labels: two names of the greatest length, and two words. */
+#define ASH_METRICS_LABELS_BYTES 224
+
 struct ash_series;
 
 /** All metric series of a process. */
@@ -27,7 +31,12 @@
 void ash_metrics_init (struct ash_metrics *metrics);
 void ash_metrics_finish (struct ash_metrics *metrics);
 
-/** Adds to a counter. @param labels `a="b",c="d"`, or empty. */
+/** Formats labels as `a="b",c="d"`. Texts are inserted with `%s`, which escapes them
+ * (common/escape.h). */
+void ash_metrics_labels (char *out, size_t out_bytes, const char *format, ...)
+    __attribute__ ((format (printf, 3, 4)));
+
+/** Adds to a counter. @param labels from ash_metrics_labels(), or empty. */
 void ash_metrics_add (struct ash_metrics *metrics,
                       const char *name,
                       const char *labels,
--- a/daemon/exchange_end.c
+++ b/daemon/exchange_end.c
@@ -87,13 +87,13 @@
 {
   const struct ash_route_account *account = exchange->account;
   const char *outcome = served && is_late (exchange) ? "late" : served ? "in_time" : "not_served";
-  char labels[160];
+  char labels[ASH_METRICS_LABELS_BYTES];
 
-  snprintf (labels, sizeof labels,
-            "service=\"%s\",account_priority=\"%d\",priority=\"%u\",outcome=\"%s\"",
-            exchange->forward.service,
-            account && account->has_priority ? (int) account->priority : -1,
-            exchange->route->priority, outcome);
+  ash_metrics_labels (labels, sizeof labels,
+                      "service=\"%s\",account_priority=\"%d\",priority=\"%u\",outcome=\"%s\"",
+                      exchange->forward.service,
+                      account && account->has_priority ? (int) account->priority : -1,
+                      exchange->route->priority, outcome);
   ash_metrics_add (&exchange->router->metrics, "ash_requests_by_priority_total", labels, 1);
 }
 
@@ -101,16 +101,17 @@
 count_end (struct ash_exchange *exchange, const char *outcome, bool served)
 {
   struct ash_metrics *metrics = &exchange->router->metrics;
-  char labels[160];
+  char labels[ASH_METRICS_LABELS_BYTES];
 
   count_by_priority (exchange, served);
 
-  snprintf (labels, sizeof labels, "route=\"%s\",outcome=\"%s\"", exchange->route->name, outcome);
+  ash_metrics_labels (labels, sizeof labels, "route=\"%s\",outcome=\"%s\"", exchange->route->name,
+                      outcome);
   ash_metrics_add (metrics, "ash_requests_total", labels, 1);
   if (!served)
     return;
-  snprintf (labels, sizeof labels, "account=\"%s\"",
-            exchange->account ? exchange->account->name : "");
+  ash_metrics_labels (labels, sizeof labels, "account=\"%s\"",
+                      exchange->account ? exchange->account->name : "");
   ash_metrics_observe (metrics, "ash_answer_ms", labels, (uint64_t) ash_exchange_age_ms (exchange));
 }
 
--- a/daemon/router_pages.c
+++ b/daemon/router_pages.c
@@ -93,13 +93,13 @@
 set_hall_gauges (struct ash_router *router)
 {
   const struct ash_evacuations *evacuations = &router->endpoints.evacuations;
-  char labels[128];
+  char labels[ASH_METRICS_LABELS_BYTES];
 
   for (uint32_t i = 0; i < evacuations->count; i++)
     {
       const struct ash_evacuation *evacuation = &evacuations->halls[i];
 
-      snprintf (labels, sizeof labels, "hall=\"%s\"", evacuation->hall);
+      ash_metrics_labels (labels, sizeof labels, "hall=\"%s\"", evacuation->hall);
       ash_metrics_set (&router->metrics, "ash_hall_evacuated", labels, evacuation->ordered);
       ash_metrics_set (&router->metrics, "ash_hall_in_flight", labels,
                        ash_evacuation_in_flight (router, evacuation->hall));
@@ -112,7 +112,7 @@
 {
   const struct ash_priority_room *room = &service->room;
   double limit = ash_fair_share_limit (&service->shares);
-  char labels[160];
+  char labels[ASH_METRICS_LABELS_BYTES];
 
   for (uint32_t i = 0; i < room->count; i++)
     {
@@ -120,13 +120,14 @@
       double reserved = ash_priority_room_reserved (
           room, priority, router->settings.priority_reserve, ash_clock_now ());
 
-      snprintf (labels, sizeof labels, "service=\"%s\",priority=\"%u\"", service->name, priority);
+      ash_metrics_labels (labels, sizeof labels, "service=\"%s\",priority=\"%u\"", service->name,
+                          priority);
       ash_metrics_set (&router->metrics, "ash_priority_urgent_milli", labels,
                        (uint64_t) (1000 * ash_priority_room_urgent_share (room, priority)));
       ash_metrics_set (&router->metrics, "ash_priority_reserved_milli", labels,
                        (uint64_t) (1000 * reserved));
     }
-  snprintf (labels, sizeof labels, "service=\"%s\"", service->name);
+  ash_metrics_labels (labels, sizeof labels, "service=\"%s\"", service->name);
   ash_metrics_set (&router->metrics, "ash_fair_share_milli", labels,
                    isinf (limit) ? 0 : (uint64_t) (1000 * limit));
 }
@@ -136,7 +137,7 @@
 {
   struct ash_metrics *metrics = &router->metrics;
   struct ash_time now = ash_clock_now ();
-  char labels[128];
+  char labels[ASH_METRICS_LABELS_BYTES];
 
   ash_metrics_set (metrics, "ash_config_version", "", ash_router_version (router));
   ash_metrics_set (metrics, "ash_config_newest_told", "",
@@ -170,8 +171,8 @@
     {
       const struct ash_store_reader *reader = &router->store.readers[part];
 
-      snprintf (labels, sizeof labels, "part=\"%s\"",
-                part == ASH_STORE_CONFIG ? "config" : "endpoints");
+      ash_metrics_labels (labels, sizeof labels, "part=\"%s\"",
+                          part == ASH_STORE_CONFIG ? "config" : "endpoints");
       ash_metrics_set (metrics, "ash_store_answer_age_ms", labels,
                        (uint64_t) ash_time_diff (reader->last_answer, now));
     }
@@ -182,7 +183,7 @@
   for (const struct ash_direct_endpoint *endpoint = router->endpoints.endpoints; endpoint;
        endpoint = endpoint->hh.next)
     {
-      snprintf (labels, sizeof labels, "endpoint=\"%s\"", endpoint->facts.id);
+      ash_metrics_labels (labels, sizeof labels, "endpoint=\"%s\"", endpoint->facts.id);
       ash_metrics_set (metrics, "ash_endpoint_in_flight", labels, endpoint->in_flight);
       ash_metrics_set (metrics, "ash_endpoint_elsewhere", labels, endpoint->peers_in_flight);
       ash_metrics_set (metrics, "ash_endpoint_failures", labels, endpoint->failures);
--- a/filters/request_end.c
+++ b/filters/request_end.c
@@ -22,7 +22,7 @@
                         const struct ash_request *request,
                         int outcome)
 {
-  char labels[192];
+  char labels[ASH_METRICS_LABELS_BYTES];
   char id[ASH_ID_TEXT_BYTES];
   int64_t took_ms = request->arrived.ms ? ash_time_diff (request->arrived, now) : 0;
   const char *service = request->submit ? request->submit->service : "";
@@ -39,13 +39,14 @@
     return;
   /* Label values are names from the configuration, never text from callers, so that callers can't
    * create any number of time series. */
-  snprintf (labels, sizeof labels, "class=\"%s\",service=\"%s\"", request->class_name,
-            *request->class_name && request->reason != ASH__REASON__NO_SERVICE ? service : "");
+  ash_metrics_labels (labels, sizeof labels, "class=\"%s\",service=\"%s\"", request->class_name,
+                      *request->class_name && request->reason != ASH__REASON__NO_SERVICE ? service
+                                                                                         : "");
   ash_metrics_observe (entry->metrics, "ash_request_duration_ms", labels, (uint64_t) took_ms);
   ash_metrics_observe (entry->metrics, "ash_endpoint_wait_ms", labels, request->wait_ms);
-  snprintf (labels + strlen (labels), sizeof labels - strlen (labels),
-            ",outcome=\"%s\",reason=\"%s\"", ash_entry_outcome_name (outcome),
-            ash_entry_reason_name (request->reason));
+  ash_metrics_labels (labels + strlen (labels), sizeof labels - strlen (labels),
+                      ",outcome=\"%s\",reason=\"%s\"", ash_entry_outcome_name (outcome),
+                      ash_entry_reason_name (request->reason));
   ash_metrics_add (entry->metrics, "ash_requests_total", labels, 1);
 }
 
--- a/test/router_listed_names.c
+++ b/test/router_listed_names.c
@@ -189,10 +189,77 @@
   testbed_stop (&testbed);
 }
 
+/* Checks each line of router 0's log and metrics: whole, and without characters that a terminal
+ * interprets. */
+static void
+check_lines (void)
+{
+  char path[128];
+  char line[4096];
+  const char *metrics;
+  FILE *log;
+
+  snprintf (path, sizeof path, "%s/router-0.log", testbed.folder);
+  log = fopen (path, "r");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (log);
+  while (fgets (line, sizeof line, log))
+    {
+      CU_ASSERT (strncmp (line, "20", 2) == 0 && strstr (line, " box=router-0 module="));
+      CU_ASSERT_EQUAL (strcspn (line, "\r\x1b\x7f"), strlen (line));
+      CU_ASSERT_PTR_NULL (strstr (line, " forged=1"));
+    }
+  fclose (log);
+  metrics = testbed_fetch (testbed.routers[0].metrics_port, "GET", "/metrics", "");
+  for (const char *at = metrics; *at; at = strchr (at, '\n') + 1)
+    {
+      int length = (int) strcspn (at, "\n");
+      char last[24] = "";
+
+      CU_ASSERT (strncmp (at, "# TYPE ash_", 11) == 0 || strncmp (at, "ash_", 4) == 0);
+      snprintf (line, sizeof line, "%.*s", length, at);
+      if (*at == 'a')
+        CU_ASSERT (strrchr (line, '}') && sscanf (strrchr (line, '}'), "} %20[0-9]", last) == 1);
+      CU_ASSERT_EQUAL (strcspn (line, "\r\x1b\x7f"), strlen (line));
+    }
+}
+
+/* Texts of the store end a log line or a label, and forge a field. */
+#define ODD_TEXT "x\\r\\n2026 \\u001b[2J\\\" forged=1 y"
+
+static void
+test_lines (void)
+{
+  char config[2048];
+
+  start ();
+  put_foreign ("a%0D%0AX-Evil%3A1", "{}");
+  put_foreign ("a%0A%20forged%3D1", "{}");
+  put_foreign ("a%1B%5B2J%22", "{}");
+  put_foreign ("b", "{\"Service\":\"" ODD_TEXT "\",\"Address\":\"127.0.0.1:9\",\"Zone\":\"" ODD_TEXT
+                    "\",\"Slots\":8,\"State\":\"ready\"}");
+  testbed_fetch (testbed.store_port, "PUT", "/put?op/evacuate/x%0D%0A%22%20forged%3D1", "1");
+  snprintf (config, sizeof config,
+            "{\"Version\":900,\"Routes\":[{\"Name\":\"" ODD_TEXT
+            "\",\"Host\":\"shop.example\",\"PathPrefix\":\"/safe/\",\"RouteKind\":\"safe\","
+            "\"TimeoutMs\":1500,\"SloMs\":300,\"Service\":\"stock\",\"MaxAttempts\":2}],"
+            "\"Services\":[{\"Name\":\"stock\",\"MaxConns\":100},{\"Name\":\"" ODD_TEXT "\"}],"
+            "\"Tenants\":[{\"Name\":\"shop\",\"ApiKeys\":[\"key-1\"]}]}");
+  testbed_publish_text (&testbed, config);
+  wait_logged (0, "entry_unusable", 3);
+  CU_ASSERT (testbed_wait_logged (&testbed, 0, "endpoint=b "));
+  CU_ASSERT (testbed_wait_logged (&testbed, 0, "hall_evacuated"));
+  CU_ASSERT (testbed_wait_logged (&testbed, 0, "version=900 "));
+  testbed_call (&testbed, "line-1", "/safe/x", NULL, "", &answer);
+  CU_ASSERT_EQUAL (answer.status, 200);
+  check_lines ();
+  testbed_stop (&testbed);
+}
+
 const struct fault_test router_listed_name_tests[] = {
   { "odd names: all routers restart, pages of one entry", test_restart_pages_of_one },
   { "odd names: all routers restart, pages of two entries", test_restart_pages_of_two },
   { "odd names: entries that would be valid under a server's name", test_names_of_no_server },
   { "odd names: an unusable entry is reported once", test_reported_once },
+  { "odd names: lines of the log and metrics stay whole", test_lines },
   { NULL, NULL },
 };
