platform: an account's name is one that a header field can carry

What servers saw: a line feed in the name of an account in the configuration ended the field that tells the account, and began another one. Cause: the name went into the head of each request as it was.

--- a/net/http_grammar.c
+++ b/net/http_grammar.c
@@ -38,6 +38,21 @@
   return true;
 }
 
+static bool
+is_blank (char c)
+{
+  return c == ' ' || c == '\t';
+}
+
+bool
+ash_http_is_field_value (const char *text)
+{
+  size_t length = strlen (text);
+
+  return length && ash_http_is_text (text, length) && !is_blank (text[0]) &&
+         !is_blank (text[length - 1]);
+}
+
 bool
 ash_http_is_token (const char *bytes, size_t length)
 {
--- a/net/http_grammar.h
+++ b/net/http_grammar.h
@@ -20,6 +20,10 @@
 /** @return whether the bytes are visible characters, blanks and tabs (RFC 9110, 5.5). */
 bool ash_http_is_text (const char *bytes, size_t length);
 
+/** @return whether a field can carry the text whole: it is not empty, consists of visible
+ * characters, blanks and tabs, and has none of the latter two at its ends (RFC 9110, 5.5). */
+bool ash_http_is_field_value (const char *text);
+
 /** @return whether the bytes are a token, as the name of a field is (RFC 9110, 5.6.2). */
 bool ash_http_is_token (const char *bytes, size_t length);
 
--- a/test/unit_router.c
+++ b/test/unit_router.c
@@ -87,7 +87,11 @@
 static void
 test_bad_tables (void)
 {
+  static const char *const odd_accounts[] = {
+    "", " a", "a\\t", "a\\r\\nX-Evil: 1", "a\\n", "a\\u007f", "\\u0001",
+  };
   struct ash_route_table table;
+  char text[256];
 
   /* All errors of a configuration are reported at once. */
   read_table (&table, "{\"Services\":[{}],\"Routes\":[{}],\"Tenants\":[{}]}", 6);
@@ -99,6 +103,20 @@
               "{\"Service\":\"b\"}]}]}",
               1);
   ash_route_table_finish (&table);
+  /* An account's name is sent in a field of its own. */
+  for (size_t i = 0; i < sizeof odd_accounts / sizeof odd_accounts[0]; i++)
+    {
+      snprintf (text, sizeof text,
+                "{\"Version\":4," SERVICES ",\"Routes\":[],\"Tenants\":[{\"Name\":\"%s\"}]}",
+                odd_accounts[i]);
+      read_table (&table, text, 1);
+      ash_route_table_finish (&table);
+    }
+  read_table (&table,
+              "{\"Version\":4," SERVICES
+              ",\"Routes\":[],\"Tenants\":[{\"Name\":\"G\u00fcnther & S\u00f6hne \\\"1\\\"\"}]}",
+              0);
+  ash_route_table_finish (&table);
   read_table (&table, "[1,", 1);
   ash_route_table_finish (&table);
   read_table (&table, "7", 1);
