store: a list is read on only if its next page follows, and goes on with the page that failed

What the store saw: where the next page began at or before the one just read, or an empty page had others behind it, a router asked for pages without a pause: 61,804 and 70,176 calls in 2 s. What callers saw: a page that was refused made the router begin the list anew, each 0.2 to 0.4 s, all pages before it asked for again; its readiness did not tell that a page was missing. Cause: a page with another behind it was neither a success nor a failure, and any failure forgot what had been read. Now a page that does not follow is a failure, with the wait that grows (0.05 to 0.4 s), and a listing goes on where it failed: changes are watched from its first page's position on.

What it costs: entries of a list that is interrupted for long may be older than the rest until its end; the watch behind it tells what has gone, or the history has (410) and all is listed again.

The stand-in store has random lists (seeded): names over all that JSON can carry, changes and odd answers while pages are read, and a model of what it holds.

--- a/daemon/router_pages.c
+++ b/daemon/router_pages.c
@@ -33,7 +33,10 @@
   const struct ash_router *router = conn->listener->owner;
 
   if (ash_router_ready (router))
-    answer_text (conn, 200, "ready\n");
+    answer_text (conn, 200,
+                 ash_store_list_is_complete (&router->store)
+                     ? "ready\n"
+                     : "ready, but a page of the list of endpoints is missing\n");
   else
     answer_text (conn, 503, router->stopping ? "stopping\n" : "no configuration yet\n");
 }
@@ -132,6 +135,29 @@
                    isinf (limit) ? 0 : (uint64_t) (1000 * limit));
 }
 
+/* What was read of the store. */
+static void
+set_store_gauges (struct ash_router *router, struct ash_time now)
+{
+  struct ash_metrics *metrics = &router->metrics;
+  char labels[ASH_METRICS_LABELS_BYTES];
+
+  ash_metrics_set (metrics, "ash_store_era", "", router->store.era);
+  ash_metrics_set (metrics, "ash_store_calls_total", "", router->store.calls);
+  ash_metrics_set (metrics, "ash_entries_unusable_total", "", router->store.unusable_total);
+  for (int part = 0; part < ASH_STORE_PARTS; part++)
+    {
+      const struct ash_store_reader *reader = &router->store.readers[part];
+
+      ash_metrics_labels (labels, sizeof labels, "part=\"%s\"",
+                          part == ASH_STORE_CONFIG ? "config" : "endpoints");
+      ash_metrics_set (metrics, "ash_store_answer_age_ms", labels,
+                       (uint64_t) ash_time_diff (reader->last_answer, now));
+      ash_metrics_set (metrics, "ash_store_listed", labels, reader->has_listed);
+      ash_metrics_set (metrics, "ash_store_failures", labels, reader->failures);
+    }
+}
+
 static void
 set_gauges (struct ash_router *router)
 {
@@ -143,9 +169,6 @@
   ash_metrics_set (metrics, "ash_config_newest_told", "",
                    router->peer_sync.peer_revisions[ASH_STORE_CONFIG].newest_version);
   ash_metrics_set (metrics, "ash_endpoints_revision", "", router->endpoints.revision);
-  ash_metrics_set (metrics, "ash_store_era", "", router->store.era);
-  ash_metrics_set (metrics, "ash_store_calls_total", "", router->store.calls);
-  ash_metrics_set (metrics, "ash_entries_unusable_total", "", router->store.unusable_total);
   ash_metrics_set (metrics, "ash_reads_store", "", ash_fleet_reads_store (&router->fleet));
   ash_metrics_set (metrics, "ash_entries", "", ash_fleet_size (&router->fleet));
   ash_metrics_set (metrics, "ash_callers_connected", "", router->frontend.conn_count);
@@ -167,15 +190,7 @@
   ash_metrics_set (metrics, "ash_body_bytes", "", router->frontend.body_bytes);
   ash_metrics_set (metrics, "ash_answer_bytes", "", router->answer_memory.used_bytes);
   ash_metrics_set (metrics, "ash_answer_max_bytes", "", router->answer_memory.max_bytes);
-  for (int part = 0; part < ASH_STORE_PARTS; part++)
-    {
-      const struct ash_store_reader *reader = &router->store.readers[part];
-
-      ash_metrics_labels (labels, sizeof labels, "part=\"%s\"",
-                          part == ASH_STORE_CONFIG ? "config" : "endpoints");
-      ash_metrics_set (metrics, "ash_store_answer_age_ms", labels,
-                       (uint64_t) ash_time_diff (reader->last_answer, now));
-    }
+  set_store_gauges (router, now);
   set_hall_gauges (router);
   for (const struct ash_router_service *service = router->services; service;
        service = service->hh.next)
--- a/daemon/store.c
+++ b/daemon/store.c
@@ -130,7 +130,7 @@
 static bool
 relies_on_hall (const struct ash_store_reader *reader)
 {
-  return reader->position && !ash_fleet_first_of_hall (&reader->router->fleet);
+  return reader->position && !*reader->page && !ash_fleet_first_of_hall (&reader->router->fleet);
 }
 
 /* @return the delay before a failed request is retried. */
@@ -160,8 +160,8 @@
 
   if (reader->is_answering || !reader->failures)
     ash_log_event (&router->log, ASH_EV_PLATFORM_DOWN,
-                   "part=%d why=\"%s\" status=%u revision=%" PRIu64 " age_ms=%lld",
-                   (int) reader->part, why, reader->status, reader->position,
+                   "part=%d why=\"%s\" status=%u revision=%" PRIu64 " page=\"%s\" age_ms=%lld",
+                   (int) reader->part, why, reader->status, reader->position, reader->page,
                    (long long) ash_time_diff (reader->last_answer, now));
   if (!reader->failures)
     reader->failing_since = now;
@@ -169,10 +169,8 @@
    * does. */
   if (ash_time_diff (reader->failing_since, now) > OUTAGE_MS)
     reader->last_outage = now;
-  /* An interrupted listing starts again. */
-  if (reader->state == ASH_STORE_LISTING)
-    reader->position = 0;
-  *reader->page = '\0';
+  /* A listing goes on with the page that failed: what has been read of it is kept, and changes are
+   * watched from its first page's position on. */
   reader->is_answering = false;
   reader->failures++;
   wait_ms = retry_ms (reader);
@@ -312,6 +310,26 @@
     }
 }
 
+/* Goes on to the next page. A store that answers with a page that was read before would be asked
+ * for pages without end and without a pause, so that counts as a failure. */
+static void
+handle_page (struct ash_store_reader *reader,
+             const struct ash_store_answer *answer,
+             uint64_t position)
+{
+  if (strcmp (answer->next_page, reader->page) <= 0)
+    {
+      handle_failure (reader, "the next page does not follow");
+      return;
+    }
+  memcpy (reader->page, answer->next_page, sizeof reader->page);
+  /* The pages are not a snapshot: changes are watched from the position of the first page on. */
+  if (!reader->position)
+    reader->position = position;
+  reader->failures = 0;
+  send_request (reader);
+}
+
 static void
 handle_answer (struct ash_store_reader *reader)
 {
@@ -344,16 +362,14 @@
   position = ash_store_position (router->store.era, answer.revision);
   if (listing && answer.more)
     {
-      memcpy (reader->page, answer.next_page, sizeof reader->page);
-      /* The pages are not a snapshot: changes are watched from the position of the first page
-       * on. */
-      if (!reader->position)
-        reader->position = position;
-      send_request (reader);
+      handle_page (reader, &answer, position);
       return;
     }
   if (listing)
-    handle_listing_end (reader, reader->position ? reader->position : position);
+    {
+      handle_listing_end (reader, reader->position ? reader->position : position);
+      reader->has_listed = true;
+    }
   *reader->page = '\0';
   if (!listing || !reader->position)
     reader->position = position > reader->position ? position : reader->position;
@@ -646,6 +662,12 @@
   return store->readers[part].is_answering && store->readers[part].state != ASH_STORE_FOLLOWING;
 }
 
+bool
+ash_store_list_is_complete (const struct ash_store *store)
+{
+  return store->readers[ASH_STORE_SERVERS].has_listed;
+}
+
 bool
 ash_store_is_followed (const struct ash_store *store, enum ash_store_part part)
 {
--- a/daemon/store.h
+++ b/daemon/store.h
@@ -55,7 +55,8 @@
   struct ash_time failing_since;
   struct ash_time last_outage; /**< when the store was last known to be unavailable */
   bool is_answering;           /**< the last request was answered */
-  bool list_changed;           /**< the last answer changed the list of endpoints */
+  bool has_listed;   /**< all of the part is known: it was read to its end, or a peer sent it */
+  bool list_changed; /**< the last answer changed the list of endpoints */
   struct ash_time list_changed_at;
   uint32_t burst;    /**< consecutive answers that changed the list, close together */
   uint32_t failures; /**< consecutive failed requests */
@@ -123,6 +124,10 @@
  */
 bool ash_store_is_polled (const struct ash_store *store, enum ash_store_part part);
 
+/** @return whether the list of endpoints is known to its end. A router that can't read a page of it
+ * serves from the others until then. */
+bool ash_store_list_is_complete (const struct ash_store *store);
+
 /** @return whether other routers of the hall poll the store for that part and forward changes. */
 bool ash_store_is_followed (const struct ash_store *store, enum ash_store_part part);
 
--- a/daemon/store_list.c
+++ b/daemon/store_list.c
@@ -497,6 +497,9 @@
   if (list->since)
     apply_removals (store, list, source);
   else
-    remove_older (store, list->revision, source);
+    {
+      remove_older (store, list->revision, source);
+      store->readers[ASH_STORE_SERVERS].has_listed = true;
+    }
   return true;
 }
--- a/test/router_listed_names.c
+++ b/test/router_listed_names.c
@@ -15,7 +15,7 @@
 
 /* The longest name that a key of 200 bytes can hold: longer than any server's. */
 #define LONG_PART "a23456789012345678901234567890123456789012345678"
-#define LONG_NAME LONG_PART LONG_PART LONG_PART LONG_PART
+static const char long_name[] = LONG_PART LONG_PART LONG_PART LONG_PART;
 
 /* Characters that mean something in a query, in a request line or in an escape, each in a name.
  * Written as in a query. */
@@ -27,7 +27,7 @@
   "%23a",           "%25a",       "%20a",          "a%26",
   "a%2B",           "a%23",       "a%25",          "a%20",
   "a%C3%A4",        "a%E2%82%AC", "a%F0%9F%98%80", "a%26SinceRevision%3Dservers%2F",
-  "a%20HTTP%2F1.1", "a%2Fb",      LONG_NAME,
+  "a%20HTTP%2F1.1", "a%2Fb",      long_name,
 };
 
 /* Names with characters that no name contains: what is left out with one of them is no name
--- a/test/router_tests.h
+++ b/test/router_tests.h
@@ -48,6 +48,9 @@
 /** Names in the list of endpoints that another writer has chosen. */
 extern const struct fault_test router_listed_name_tests[];
 
+/** Pages of the list of endpoints. */
+extern const struct fault_test router_list_page_tests[];
+
 /** Parts of prompts that crash endpoints. */
 extern const struct fault_test router_prompt_parts_tests[];
 
--- a/test/standin_store.c
+++ b/test/standin_store.c
@@ -5,21 +5,27 @@
  *
  *     PUT /put?KEY (body: the value)      PUT /remove?KEY
  *     PUT /pages?COUNT (items of a page)
- *     PUT /mode?ok | busy (answers 503) | silent (no answers) | forget (drops the history)
- *     PUT /mode?slowMS (delays each answer by MS ms)
- *     PUT /mode?trickle (what is repeated without end comes slowly)
- *     PUT /mode?reset (connections are reset after the bytes of /raw, not closed)
- *     PUT /raw (body: the bytes of all answers from now on, see test/standin_raw.h; what follows \*
- *     is repeated without end; empty: no longer)
- *     PUT /era?TEXT (sets the header Store-Era of all answers; empty: no such header)
- *     PUT /restore?REVISION (restores a copy of that revision: later writes are lost, revision
- *     numbers are reused, the era increases by one, pending requests are cut)
- *     PUT /deafen (pending requests are never answered nor cut; new ones are answered)
+ *     PUT /odd?refused | same | empty | ok (all pages of a list but the first are refused, are the
+ *     first one again, or are empty and followed by others)
+ *     PUT /fuzz?SEED (replaces the list of servers by random ones; while pages are read, some
+ * entries change, and some answers are odd, until PUT /settle) GET /model (the entries that
+ * describe servers, by name, a line each) GET /counts (`pages=N odd=N items=N`: pages of the list
+ * of servers that were asked for, answers of them that were odd, and the largest number of items;
+ * since the last /fuzz or PUT /counts) PUT /mode?ok | busy (answers 503) | silent (no answers) |
+ * forget (drops the history) PUT /mode?slowMS (delays each answer by MS ms) PUT /mode?trickle (what
+ * is repeated without end comes slowly) PUT /mode?reset (connections are reset after the bytes of
+ * /raw, not closed) PUT /raw (body: the bytes of all answers from now on, see test/standin_raw.h;
+ * what follows \* is repeated without end; empty: no longer) PUT /era?TEXT (sets the header
+ * Store-Era of all answers; empty: no such header) PUT /restore?REVISION (restores a copy of that
+ * revision: later writes are lost, revision numbers are reused, the era increases by one, pending
+ * requests are cut) PUT /deafen (pending requests are never answered nor cut; new ones are
+ * answered)
  *
  * Keys and queries are decoded as servers do: %XX is a byte, + a blank. A request whose target
  * holds characters that a target can't hold, or a % without two digits, is answered with 400.
  */
 #include "net/http_conn.h"
+#include "test/standin_fuzz.h"
 #include "test/standin_raw.h"
 
 #include <jansson.h>
@@ -39,6 +45,15 @@
 #define TARGET_CHARACTERS                                                                          \
   "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~:/?@!$&'()*+,;="
 #define WATCH_TICK_S 0.01
+
+/* The random list: its largest number of entries, and how many change while its pages are read. */
+#define FUZZ_ENTRIES 120
+#define FUZZ_CHANGES 30
+
+#define SERVERS_PREFIX "servers/"
+#define SOUND_VALUE                                                                                \
+  "{\"Service\":\"other\",\"Address\":\"127.0.0.1:9\",\"Zone\":\"hall-a\",\"Slots\":8,"            \
+  "\"State\":\"ready\"}"
 #define JSON_FIELDS "Content-Type: application/json\r\n"
 
 /* A key, or another text of a query; the empty text is less than all others. */
@@ -65,6 +80,12 @@
   size_t page_items;
   uint64_t oldest_watch_revision; /* a watch from an older revision gets 410 */
   char mode[16];
+  char odd[16]; /* how pages but the first are answered */
+  struct ash_random random;
+  uint32_t changes_left; /* while random pages are read */
+  uint32_t pages_asked;
+  uint32_t odd_answers;
+  size_t items_most;
   char era[64];
   char *raw; /* bytes of all answers; NULL: proper answers */
   ev_timer tick;
@@ -260,23 +281,215 @@
   return next;
 }
 
+/* ---- the random list ---- */
+
+static void
+random_key (struct text *key)
+{
+  size_t prefix_bytes = strlen (SERVERS_PREFIX);
+
+  memcpy (key->bytes, SERVERS_PREFIX, prefix_bytes);
+  key->length = prefix_bytes + standin_fuzz_name (&store.random, key->bytes + prefix_bytes,
+                                                  KEY_MAX_BYTES - prefix_bytes);
+}
+
+/* Whether the item describes a server. */
+static bool
+is_server (const struct item *item)
+{
+  size_t prefix_bytes = strlen (SERVERS_PREFIX);
+
+  return item->value && strcmp (item->value, SOUND_VALUE) == 0 &&
+         standin_fuzz_is_server (item->key.bytes + prefix_bytes, item->key.length - prefix_bytes);
+}
+
+static size_t
+count_items (void)
+{
+  struct text prefix = { .length = strlen (SERVERS_PREFIX) };
+  size_t count = 0;
+
+  memcpy (prefix.bytes, SERVERS_PREFIX, prefix.length);
+  for (const struct item *item = find_next (&prefix, &prefix, NULL); item;
+       item = find_next (&prefix, &prefix, &item->key))
+    count++;
+  return count;
+}
+
+static void
+put_random (void)
+{
+  struct text key;
+
+  random_key (&key);
+  add_item (&key, ash_random_below (&store.random, 4) ? SOUND_VALUE : "no entry");
+}
+
+static void
+remove_random (void)
+{
+  struct text prefix = { .length = strlen (SERVERS_PREFIX) };
+  struct text from;
+  const struct item *item;
+
+  memcpy (prefix.bytes, SERVERS_PREFIX, prefix.length);
+  random_key (&from);
+  item = find_next (&prefix, &from, NULL);
+  if (item)
+    add_item (&item->key, NULL);
+}
+
+static void
+clear_items (void)
+{
+  struct item *item;
+  struct item *next;
+
+  DL_FOREACH_SAFE (store.items, item, next)
+    if (item->key.length > strlen (SERVERS_PREFIX) &&
+        memcmp (item->key.bytes, SERVERS_PREFIX, strlen (SERVERS_PREFIX)) == 0)
+      {
+        DL_DELETE (store.items, item);
+        free (item->value);
+        free (item);
+      }
+  store.oldest_watch_revision = ++store.revision;
+}
+
+static void
+reset_counts (void)
+{
+  store.pages_asked = 0;
+  store.odd_answers = 0;
+  store.items_most = count_items ();
+}
+
+static void
+begin_fuzz (uint64_t seed)
+{
+  static const size_t page_items[] = { 1, 2, 3, 7, 50, 500 };
+  uint32_t count;
+
+  ash_random_init (&store.random, seed);
+  clear_items ();
+  count = 1 + ash_random_below (&store.random, FUZZ_ENTRIES);
+  for (uint32_t i = 0; i < count; i++)
+    put_random ();
+  store.page_items =
+      page_items[ash_random_below (&store.random, sizeof page_items / sizeof page_items[0])];
+  store.changes_left = FUZZ_CHANGES;
+  reset_counts ();
+}
+
+/* Changes some entries while a list is read. */
+static void
+change_some (void)
+{
+  size_t items;
+
+  if (!store.changes_left)
+    return;
+  for (uint32_t i = ash_random_below (&store.random, 3); i && store.changes_left; i--)
+    {
+      store.changes_left--;
+      if (ash_random_below (&store.random, 2))
+        put_random ();
+      else
+        remove_random ();
+    }
+  items = count_items ();
+  if (items > store.items_most)
+    store.items_most = items;
+}
+
+static void
+answer_model (struct ash_http_conn *conn)
+{
+  struct text prefix = { .length = strlen (SERVERS_PREFIX) };
+  struct ash_buffer lines = { 0 };
+
+  memcpy (prefix.bytes, SERVERS_PREFIX, prefix.length);
+  for (const struct item *item = find_next (&prefix, &prefix, NULL); item;
+       item = find_next (&prefix, &prefix, &item->key))
+    if (is_server (item))
+      ash_buffer_printf (&lines, "%.*s\n", (int) (item->key.length - prefix.length),
+                         (const char *) item->key.bytes + prefix.length);
+  ash_http_conn_respond (conn, 200, "", 0, lines.length ? lines.bytes + lines.start : NULL,
+                         lines.length);
+  ash_buffer_finish (&lines);
+}
+
+/* ---- answers ---- */
+
+/* How an answer to a request for a page is odd. */
+enum odd
+{
+  ODD_NOT,
+  ODD_REFUSED,
+  ODD_SAME,
+  ODD_EMPTY,
+};
+
+static enum odd
+odd_of (const struct text *from)
+{
+  if (store.changes_left && !ash_random_below (&store.random, 6))
+    return (enum odd) (1 + ash_random_below (&store.random, 3));
+  if (!from->length || !*store.odd)
+    return ODD_NOT;
+  if (strcmp (store.odd, "refused") == 0)
+    return ODD_REFUSED;
+  if (strcmp (store.odd, "same") == 0)
+    return ODD_SAME;
+  return strcmp (store.odd, "empty") == 0 ? ODD_EMPTY : ODD_NOT;
+}
+
 static void
 answer_range (struct ash_http_conn *conn)
 {
   struct text prefix = parameter (conn, "PathPrefix");
   struct text from = parameter (conn, "SinceRevision");
+  bool is_servers = prefix.length == strlen (SERVERS_PREFIX);
+  enum odd odd = is_servers ? odd_of (&from) : ODD_NOT;
   json_t *items = json_array ();
-  const struct item *item = find_next (&prefix, &from, NULL);
+  const struct item *item;
+  bool more;
 
+  if (is_servers)
+    {
+      change_some ();
+      store.pages_asked++;
+      store.odd_answers += odd != ODD_NOT;
+    }
+  if (odd == ODD_SAME)
+    from.length = 0;
+  item = odd == ODD_EMPTY ? NULL : find_next (&prefix, &from, NULL);
   while (item && json_array_size (items) < store.page_items)
     {
       json_array_append_new (items, to_json (item));
       item = find_next (&prefix, &from, &item->key);
     }
-  answer_json (conn, json_pack ("{s:o, s:b, s:I}", "Items", items, "MorePages", item != NULL,
+  more = item || odd == ODD_EMPTY;
+  if (odd == ODD_REFUSED)
+    {
+      json_decref (items);
+      answer_text (conn, 400, "");
+      return;
+    }
+  answer_json (conn, json_pack ("{s:o, s:b, s:I}", "Items", items, "MorePages", (int) more,
                                 "StoreRevision", (json_int_t) store.revision));
 }
 
+static void
+answer_counts (struct ash_http_conn *conn)
+{
+  char text[96];
+  int length = snprintf (text, sizeof text, "pages=%u odd=%u items=%zu page_items=%zu ",
+                         store.pages_asked, store.odd_answers, store.items_most, store.page_items);
+
+  ash_http_conn_respond (conn, 200, "", 0, text, (size_t) length);
+}
+
 /* Answers with the writes since the requested revision; without any, only if the wait is over.
  * @return whether it answered. */
 static bool
@@ -387,6 +600,14 @@
     add_item (&key, NULL);
   else if (strncmp (target, "/pages", 6) == 0)
     store.page_items = strtoul (argument, NULL, 10);
+  else if (strncmp (target, "/odd", 4) == 0)
+    snprintf (store.odd, sizeof store.odd, "%s", argument);
+  else if (strncmp (target, "/fuzz", 5) == 0)
+    begin_fuzz (strtoull (argument, NULL, 10));
+  else if (strncmp (target, "/settle", 7) == 0)
+    store.changes_left = 0;
+  else if (strncmp (target, "/counts", 7) == 0)
+    reset_counts ();
   else if (strncmp (target, "/deafen", 7) == 0)
     drop_pending ();
   else if (strncmp (target, "/era", 4) == 0)
@@ -417,6 +638,10 @@
 
   if (!is_target (target))
     ash_http_conn_respond (conn, 400, "", 0, "", 0);
+  else if (strcmp (target, "/model") == 0)
+    answer_model (conn);
+  else if (strcmp (target, "/counts") == 0)
+    answer_counts (conn);
   else if (strncmp (target, "/kv-range", 9) == 0)
     answer_range (conn);
   else if (strncmp (target, "/kv-watch", 9) == 0)
