ashctl, entry: names in targets are escaped; a terminal gets no escape sequences

What operators saw: 'ashctl -a "R&D +1%" addresses ...' and 'ashctl drain "m x&y"' said that no entry answers (the URL is malformed), and a name with & asked for another account or service. They pass net/url now, and one that is too long is an error. The entry decodes the name of a service in a path; a NUL in it ends no name. What ashctl prints of answers, documents and logs shows control characters as \xNN on a terminal (a file gets them as they are).

Unit: ashctl: names in targets; ashctl: texts on a terminal. test-faults: escapes in a path (the request with an escaped name failed before).

--- a/cli/ashctl.c
+++ b/cli/ashctl.c
@@ -2,6 +2,7 @@
  * @file
  * ashctl, the command-line client for operators and testers.
  */
+#include "cli/print.h"
 #include "cli/send.h"
 #include "cli/trace.h"
 #include "common/id.h"
@@ -13,9 +14,13 @@
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #define FILE_MAX_BYTES (2 * 1024 * 1024)
 
+#define TARGET_BYTES 2048
+#define URL_BYTES (256 + TARGET_BYTES)
+
 /* Most arguments, including the command; `trace` takes the log files of a whole fleet. */
 #define POSITIONAL_MAX 512
 
@@ -166,6 +171,15 @@
 
 /* ---- output ---- */
 
+/* Prints a text from outside, and a line end if it lacks one. */
+static void
+print_text (const char *text, size_t length)
+{
+  ash_cli_print (stdout, isatty (STDOUT_FILENO), text, length);
+  if (!length || text[length - 1] != '\n')
+    putchar ('\n');
+}
+
 static enum exit_code
 exit_code_of (const struct ash_cli_answer *answer)
 {
@@ -209,20 +223,31 @@
       return exit_code_of (answer);
     }
   if (!answer->connected)
-    fprintf (stderr, "ashctl: no entry answers: %s\n", answer->error);
+    ash_cli_error ("ashctl: no entry answers: %s\n", answer->error);
   else if (answer->body && !arguments->stream)
-    printf ("%s%s", answer->body, answer->body[answer->body_bytes - 1] == '\n' ? "" : "\n");
+    print_text (answer->body, answer->body_bytes);
   if (*answer->outcome)
-    fprintf (stderr, "ashctl: %s, status %ld, entry %s, endpoint %s, waited %ld ms, submitted %u\n",
-             answer->outcome, answer->status, answer->entry,
-             *answer->endpoint ? answer->endpoint : "-", answer->wait_ms, submissions);
+    ash_cli_error ("ashctl: %s, status %ld, entry %s, endpoint %s, waited %ld ms, submitted %u\n",
+                   answer->outcome, answer->status, answer->entry,
+                   *answer->endpoint ? answer->endpoint : "-", answer->wait_ms, submissions);
   if (answer->connected && !answer->whole)
-    fprintf (stderr, "ashctl: the answer is incomplete: %s\n", answer->error);
+    ash_cli_error ("ashctl: the answer is incomplete: %s\n", answer->error);
   return exit_code_of (answer);
 }
 
 /* ---- commands ---- */
 
+/* Appends a part of a request target and a name, which is escaped. @return false after printing an
+ * error. */
+static bool
+append_name (char target[TARGET_BYTES], const char *part, const char *name)
+{
+  if (ash_cli_append_name (target, TARGET_BYTES, part, name))
+    return true;
+  ash_cli_error ("ashctl: a name is too long\n");
+  return false;
+}
+
 static void
 fill_request (const struct arguments *arguments, struct ash_cli_request *request)
 {
@@ -274,12 +299,20 @@
 static enum exit_code
 run_call (const struct arguments *arguments)
 {
-  char path[2048];
+  char path[TARGET_BYTES] = "";
   struct ash_cli_send send = { .service = arguments->positional[1], .path = path };
   const char *rest = arguments->positional[2];
+  size_t used;
 
-  snprintf (path, sizeof path, "/v1/services/%s%s%s", arguments->positional[1],
-            *rest == '/' ? "" : "/", rest);
+  if (!append_name (path, "/v1/services/", arguments->positional[1]))
+    return EXIT_USAGE;
+  used = strlen (path);
+  if ((size_t) snprintf (path + used, sizeof path - used, "%s%s", *rest == '/' ? "" : "/", rest) >=
+      sizeof path - used)
+    {
+      ash_cli_error ("ashctl: the path is too long\n");
+      return EXIT_USAGE;
+    }
   send.request.method = arguments->data ? "POST" : "GET";
   if (arguments->method)
     send.request.method = arguments->method;
@@ -290,12 +323,16 @@
 static enum exit_code
 run_get (const struct arguments *arguments, const char *method, const char *path)
 {
-  char url[512];
+  char url[URL_BYTES];
   struct ash_cli_request request = { .url = url, .method = method, .key = arguments->key };
   struct ash_cli_answer answer = { 0 };
   enum exit_code code;
 
-  snprintf (url, sizeof url, "%s%s", arguments->entry, path);
+  if ((size_t) snprintf (url, sizeof url, "%s%s", arguments->entry, path) >= sizeof url)
+    {
+      ash_cli_error ("ashctl: the entry's URL is too long\n");
+      return EXIT_USAGE;
+    }
   ash_cli_fetch (&request, &answer);
   code = print_answer (arguments, &answer, 1);
   ash_cli_answer_finish (&answer);
@@ -305,19 +342,21 @@
 static enum exit_code
 run_addresses (const struct arguments *arguments)
 {
-  char path[256];
+  char path[TARGET_BYTES] = "";
 
-  snprintf (path, sizeof path, "/v1/addresses?account=%s&service=%s", arguments->account,
-            arguments->positional[1]);
+  if (!append_name (path, "/v1/addresses?account=", arguments->account) ||
+      !append_name (path, "&service=", arguments->positional[1]))
+    return EXIT_USAGE;
   return run_get (arguments, "GET", path);
 }
 
 static enum exit_code
 run_mint (const struct arguments *arguments)
 {
-  char path[256];
+  char path[TARGET_BYTES] = "";
 
-  snprintf (path, sizeof path, "/v1/keys?service=%s", arguments->positional[1]);
+  if (!append_name (path, "/v1/keys?service=", arguments->positional[1]))
+    return EXIT_USAGE;
   return run_get (arguments, "POST", path);
 }
 
@@ -344,7 +383,7 @@
 
   if (!file)
     {
-      fprintf (stderr, "ashctl: %s: %s\n", path, strerror (errno));
+      ash_cli_error ("ashctl: %s: %s\n", path, strerror (errno));
       return NULL;
     }
   text = malloc (FILE_MAX_BYTES + 1);
@@ -352,7 +391,7 @@
   fclose (file);
   if (length > FILE_MAX_BYTES)
     {
-      fprintf (stderr, "ashctl: %s: larger than %d bytes\n", path, FILE_MAX_BYTES);
+      ash_cli_error ("ashctl: %s: larger than %d bytes\n", path, FILE_MAX_BYTES);
       free (text);
       return NULL;
     }
@@ -365,7 +404,7 @@
 static void
 post_file (const struct arguments *arguments, const char *path, struct ash_cli_answer *answer)
 {
-  char url[512];
+  char url[URL_BYTES];
   char *text = read_file (arguments->positional[1]);
   struct ash_cli_request request = {
     .url = url, .method = "POST", .key = arguments->key, .body = text
@@ -383,9 +422,9 @@
 {
   char *keys = json_dumps (json_object_get (row, "keys"), JSON_COMPACT);
 
-  fprintf (stderr, "  %s %s '%s' %s\n", json_string_value (json_object_get (row, "change")),
-           json_string_value (json_object_get (row, "kind")),
-           json_string_value (json_object_get (row, "name")), keys);
+  ash_cli_error ("  %s %s '%s' %s\n", json_string_value (json_object_get (row, "change")),
+                 json_string_value (json_object_get (row, "kind")),
+                 json_string_value (json_object_get (row, "name")), keys);
   free (keys);
 }
 
@@ -396,17 +435,17 @@
   const json_t *not_met = json_object_get (plan, "not_met");
   char *effects = json_dumps (json_object_get (plan, "effects"), JSON_ENCODE_ANY);
 
-  fprintf (stderr, "base revision %lld, would be %lld, digest %s\n",
-           (long long) json_integer_value (json_object_get (plan, "base_revision")),
-           (long long) json_integer_value (json_object_get (plan, "revision")),
-           json_string_value (json_object_get (plan, "digest")));
+  ash_cli_error ("base revision %lld, would be %lld, digest %s\n",
+                 (long long) json_integer_value (json_object_get (plan, "base_revision")),
+                 (long long) json_integer_value (json_object_get (plan, "revision")),
+                 json_string_value (json_object_get (plan, "digest")));
   for (size_t i = 0; i < json_array_size (changes); i++)
     print_change (json_array_get (changes, i));
-  fprintf (stderr, "effects: %s\n", effects ? effects : "");
+  ash_cli_error ("effects: %s\n", effects ? effects : "");
   for (size_t i = 0; i < json_array_size (not_met); i++)
-    fprintf (stderr, "  can't be met: %s: %s\n",
-             json_string_value (json_object_get (json_array_get (not_met, i), "place")),
-             json_string_value (json_object_get (json_array_get (not_met, i), "text")));
+    ash_cli_error ("  can't be met: %s: %s\n",
+                   json_string_value (json_object_get (json_array_get (not_met, i), "place")),
+                   json_string_value (json_object_get (json_array_get (not_met, i), "text")));
   free (effects);
 }
 
@@ -422,7 +461,7 @@
   root = json_loadb (answer.body ? answer.body : "", answer.body_bytes, 0, NULL);
   if (answer.status != 200)
     {
-      fprintf (stderr, "ashctl: %s: %s\n", failure, answer.body ? answer.body : answer.error);
+      ash_cli_error ("ashctl: %s: %s\n", failure, answer.body ? answer.body : answer.error);
       json_decref (root);
       root = NULL;
     }
@@ -452,14 +491,17 @@
 run_confirm (const struct arguments *arguments)
 {
   json_t *confirmed = post_file_for_json (arguments, "/v1/confirm", "not confirmed");
+  const char *document;
 
   if (!confirmed)
     return EXIT_NOT_RUN;
-  fprintf (stderr,
-           "confirmed: publish this as revision %lld; it is active when 'ashctl "
-           "status' shows that revision for every box\n",
-           (long long) json_integer_value (json_object_get (confirmed, "revision")));
-  printf ("%s\n", json_string_value (json_object_get (confirmed, "document")));
+  ash_cli_error ("confirmed: publish this as revision %lld; it is active when 'ashctl "
+                 "status' shows that revision for every box\n",
+                 (long long) json_integer_value (json_object_get (confirmed, "revision")));
+  document = json_string_value (json_object_get (confirmed, "document"));
+  if (document)
+    ash_cli_print (stdout, isatty (STDOUT_FILENO), document, strlen (document));
+  putchar ('\n');
   json_decref (confirmed);
   return EXIT_OK;
 }
@@ -483,10 +525,11 @@
 static enum exit_code
 run_explain (const struct arguments *arguments)
 {
-  char path[256];
+  char path[TARGET_BYTES] = "";
 
-  snprintf (path, sizeof path, "/v1/explain/%s/%s", arguments->positional[1],
-            arguments->positional[2]);
+  if (!append_name (path, "/v1/explain/", arguments->positional[1]) ||
+      !append_name (path, "/", arguments->positional[2]))
+    return EXIT_USAGE;
   return run_get (arguments, "GET", path);
 }
 
@@ -498,7 +541,7 @@
   bool ok = log && ash_trace_read (trace, log);
 
   if (!ok)
-    fprintf (stderr, "ashctl: %s: %s\n", path, strerror (errno));
+    ash_cli_error ("ashctl: %s: %s\n", path, strerror (errno));
   if (log)
     fclose (log);
   return ok;
@@ -519,8 +562,8 @@
     ok = trace_file (&trace, arguments->positional[i]) && ok;
   ash_trace_explain (&trace, end, sizeof end);
   for (uint32_t i = 0; i < trace.count; i++)
-    fputs (trace.lines[i].text, stdout);
-  printf ("%s\n", end);
+    print_text (trace.lines[i].text, strlen (trace.lines[i].text));
+  print_text (end, strlen (end));
   ok = ok && trace.count;
   ash_trace_finish (&trace);
   return ok ? EXIT_OK : EXIT_USAGE;
@@ -529,9 +572,10 @@
 static enum exit_code
 run_drain (const struct arguments *arguments)
 {
-  char path[256];
+  char path[TARGET_BYTES] = "";
 
-  snprintf (path, sizeof path, "/v1/drain?box=%s", arguments->positional[1]);
+  if (!append_name (path, "/v1/drain?box=", arguments->positional[1]))
+    return EXIT_USAGE;
   return run_get (arguments, "POST", path);
 }
 
@@ -595,13 +639,13 @@
         continue;
       if (arguments.positional_count < commands[i].positional_min ||
           (arguments.positional_count > commands[i].positional_min && !commands[i].variadic))
-        fprintf (stderr, "ashctl: '%s' requires %u argument%s\n", commands[i].name,
-                 commands[i].positional_min - 1, commands[i].positional_min == 2 ? "" : "s");
+        ash_cli_error ("ashctl: '%s' requires %u argument%s\n", commands[i].name,
+                       commands[i].positional_min - 1, commands[i].positional_min == 2 ? "" : "s");
       else
         code = commands[i].run (&arguments);
       curl_global_cleanup ();
       return code;
     }
-  fprintf (stderr, "ashctl: unknown command '%s'; see ashctl --help\n", arguments.positional[0]);
+  ash_cli_error ("ashctl: unknown command '%s'; see ashctl --help\n", arguments.positional[0]);
   return EXIT_USAGE;
 }
--- a/cli/fetch.c
+++ b/cli/fetch.c
@@ -1,9 +1,11 @@
 #include "cli/fetch.h"
 
+#include "cli/print.h"
 #include "net/curl_answer.h"
 
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #define CONNECT_TIMEOUT_MS 1000L
 
@@ -67,7 +69,8 @@
   answer->body[answer->body_bytes] = '\0';
   if (transfer->request->echo)
     {
-      fwrite (bytes, 1, length, transfer->request->echo);
+      ash_cli_print (transfer->request->echo, isatty (fileno (transfer->request->echo)),
+                     (const char *) bytes, length);
       fflush (transfer->request->echo);
     }
 }
--- a/cli/send.c
+++ b/cli/send.c
@@ -1,5 +1,7 @@
 #include "cli/send.h"
 
+#include "net/url.h"
+
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
@@ -16,6 +18,18 @@
   unsigned count;
 };
 
+bool
+ash_cli_append_name (char *target, size_t target_bytes, const char *part, const char *name)
+{
+  size_t used = strlen (target);
+  int length = snprintf (target + used, target_bytes - used, "%s", part);
+
+  if (length < 0 || (size_t) length >= target_bytes - used)
+    return false;
+  used += (size_t) length;
+  return ash_url_escape (target + used, target_bytes - used, name);
+}
+
 static void
 query_addresses (const struct ash_cli_send *send, struct addresses *addresses)
 {
@@ -26,9 +40,10 @@
   json_t *row;
   size_t i;
 
-  snprintf (url, sizeof url, "%s/v1/addresses?account=%s&service=%s", send->entry, send->account,
-            send->service);
-  ash_cli_fetch (&request, &answer);
+  snprintf (url, sizeof url, "%s", send->entry);
+  if (ash_cli_append_name (url, sizeof url, "/v1/addresses?account=", send->account) &&
+      ash_cli_append_name (url, sizeof url, "&service=", send->service))
+    ash_cli_fetch (&request, &answer);
   root = json_loadb (answer.body ? answer.body : "", answer.body_bytes, 0, NULL);
   addresses->count = 0;
   json_array_foreach (json_object_get (root, "addresses"), i, row)
--- a/cli/send.h
+++ b/cli/send.h
@@ -22,6 +22,12 @@
       request; /**< ash_cli_send() sets the url and, if there is a key, the attempt */
 };
 
+/**
+ * Appends a literal part and a name to a request target. The name is any text: it is escaped.
+ * @return false if it does not fit.
+ */
+bool ash_cli_append_name (char *target, size_t target_bytes, const char *part, const char *name);
+
 /** Sends a request, with retries. @param answer answer to the last submission.
  * @return the number of submissions. */
 unsigned ash_cli_send (const struct ash_cli_send *send, struct ash_cli_answer *answer);
--- a/daemon/api.c
+++ b/daemon/api.c
@@ -273,8 +273,9 @@
   json_decref (body);
 }
 
-/* Submits a call at SERVICES_PATH. The service's name in the path ends at a slash, a question mark
- * or the end of the target. The rest of the target is passed to the endpoint unchanged. */
+/* Submits a call at SERVICES_PATH. The service's name in the path is escaped, and ends at a slash,
+ * a question mark or the end of the target. The rest of the target is passed to the endpoint
+ * unchanged. */
 static void
 handle_service (struct ash_api *api, const struct ash_http_request *request)
 {
@@ -298,6 +299,12 @@
     }
   memcpy (service, name, length);
   service[length] = '\0';
+  /* A NUL in it would end the name early. */
+  if (MHD_http_unescape (service) != strlen (service))
+    {
+      reply_bad (api, request->number, ASH__REASON__NO_SERVICE, "no such service");
+      return;
+    }
   call.service = service;
   call.path = path;
   submit_call (api, request, &call);
--- a/net/url.c
+++ b/net/url.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #define HEX_DIGITS "0123456789ABCDEF"
-#define PLAIN "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~/"
+#define PLAIN "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~"
 
 bool
 ash_url_escape (char *out, size_t out_bytes, const char *text)
--- a/net/url.h
+++ b/net/url.h
@@ -12,8 +12,8 @@
 #define ASH_URL_ESCAPED_BYTES(length) (3 * (length) + 1)
 
 /**
- * Escapes a text as a part of a path or a query: each byte other than a letter, a digit and `-._~`
- * becomes `%XX`. A slash stays: it has no meaning in a query, and separates the segments of a path.
+ * Escapes a text as a segment of a path or a value of a query: each byte other than a letter, a
+ * digit and `-._~` becomes `%XX`.
  * @param out receives a string; what it holds after a failure is not to be used.
  * @return false if the text does not fit.
  */
--- a/test/faults.c
+++ b/test/faults.c
@@ -888,6 +888,13 @@
 static void
 test_escaped_path (void)
 {
+  static const struct
+  {
+    const char *name;
+    long status;
+  } services[] = {
+    { "st%6Fck", 200 }, { "stock%00", 404 }, { "stock%00x", 404 }, { "st%2Fock", 404 }
+  };
   struct fleet fleet;
   struct fleet_call call;
   const char *body;
@@ -904,6 +911,15 @@
   body = call.answer.body ? call.answer.body : "";
   CU_ASSERT_PTR_NOT_NULL (strstr (body, "\"path\":\"/a b?c/d\""));
   ash_cli_answer_finish (&call.answer);
+  /* The service's name may be escaped, too; a NUL does not end it. */
+  for (size_t i = 0; i < sizeof services / sizeof services[0]; i++)
+    {
+      snprintf (call.url, sizeof call.url, "http://127.0.0.1:%u/v1/services/%s/orders?work_ms=0",
+                fleet.entries[0].http_port, services[i].name);
+      ash_cli_fetch (&call.request, &call.answer);
+      CU_ASSERT_EQUAL (call.answer.status, services[i].status);
+      ash_cli_answer_finish (&call.answer);
+    }
   fleet_stop (&fleet);
 }
 
--- a/test/unit_cli.c
+++ b/test/unit_cli.c
@@ -4,7 +4,8 @@
  */
 #include "test/unit.h"
 
-#include "cli/fetch.h"
+#include "cli/print.h"
+#include "cli/send.h"
 #include "test/unit_server.h"
 
 #include <pthread.h>
@@ -132,9 +133,56 @@
   finish ();
 }
 
+/* Names that mean something in a query reached the entry as other names. */
+static void
+test_names_in_targets (void)
+{
+  struct ash_cli_send send = { .account = "R&D +1%", .service = "a=b#c?/d", .path = "/x" };
+  char target[32] = "";
+
+  start ();
+  world.url[strlen (world.url) - 1] = '\0'; /* without its slash */
+  send.entry = world.url;
+  send.request.method = "GET";
+  /* The addresses are asked for, and name no other entry: the request goes to the same one. */
+  world.server.answer = (struct answer_case){ TEXT (RAN "Content-Length: 0\r\n\r\n") };
+  world.server.end = UNIT_SERVER_CLOSES;
+  ash_cli_send (&send, &world.answer);
+  CU_ASSERT_STRING_EQUAL (world.server.targets,
+                          "/v1/addresses?account=R%26D%20%2B1%25&service=a%3Db%23c%3F%2Fd\n/x\n");
+  ash_cli_answer_finish (&world.answer);
+  finish ();
+  CU_ASSERT (ash_cli_append_name (target, sizeof target, "/v1/x/", "a/b"));
+  CU_ASSERT_STRING_EQUAL (target, "/v1/x/a%2Fb");
+  CU_ASSERT_FALSE (ash_cli_append_name (target, sizeof target, "/", "&&&&&&&&&&"));
+  target[0] = '\0';
+  CU_ASSERT_FALSE (ash_cli_append_name (target, 4, "/v1/x/", "a"));
+}
+
+/* Escape sequences of answers and logs reached the terminal. */
+static void
+test_print (void)
+{
+  static const char text[] = "a\tb\n\x1b[2J\r\x7f\xc2\x9b\xc3\xa4";
+  char out[64] = "";
+
+  for (int is_terminal = 0; is_terminal < 2; is_terminal++)
+    {
+      FILE *file = fmemopen (out, sizeof out, "w");
+
+      CU_ASSERT_PTR_NOT_NULL_FATAL (file);
+      ash_cli_print (file, is_terminal, text, sizeof text - 1);
+      fclose (file);
+      CU_ASSERT_STRING_EQUAL (out,
+                              is_terminal ? "a\tb\n\\x1B[2J\\x0D\\x7F\\xC2\\x9B\xc3\xa4" : text);
+    }
+}
+
 void
 add_cli_tests (CU_pSuite suite)
 {
+  CU_add_test (suite, "ashctl: names in targets", test_names_in_targets);
+  CU_add_test (suite, "ashctl: texts on a terminal", test_print);
   CU_add_test (suite, "ashctl: answers cut within their heads", test_cut_heads);
   CU_add_test (suite, "ashctl: whole answers", test_whole);
 }
--- a/test/unit_server.c
+++ b/test/unit_server.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <stdio.h>
+#include <string.h>
 #include <sys/socket.h>
 
 static void
@@ -31,6 +32,8 @@
   struct unit_server *server = conn->listener->owner;
 
   server->requests++;
+  snprintf (server->targets + strlen (server->targets),
+            sizeof server->targets - strlen (server->targets), "%s\n", conn->reader.head.target);
   server->connections += !conn->had_request;
   conn->had_request = true;
   ash_stream_write (&conn->stream, server->answer.text, server->answer.length);
--- a/test/unit_server.h
+++ b/test/unit_server.h
@@ -23,6 +23,7 @@
   char address[32];          /**< IP:PORT */
   struct answer_case answer; /**< bytes of the next answer */
   enum unit_server_end end;  /**< how it ends */
+  char targets[1024];        /**< of the requests, a line each */
   uint32_t requests;         /**< received so far */
   uint32_t connections;      /**< on which requests were received */
 };
