--- a/test/router_listed_names.c
+++ b/test/router_listed_names.c
@@ -275,11 +275,39 @@
   testbed_stop (&testbed);
 }
 
+/* The configuration and the evacuations are read page by page, too. */
+static void
+test_beside_configuration (void)
+{
+  char target[256];
+
+  start_routers (ROUTERS);
+  set_page_items (1);
+  for (size_t i = 0; i < NAMES; i++)
+    {
+      snprintf (target, sizeof target, "/put?op/a%.180s", names[i]);
+      testbed_fetch (testbed.store_port, "PUT", target, UNREADABLE);
+    }
+  testbed_fetch (testbed.store_port, "PUT", "/put?op/evacuate/hall%20%26%20b", "1");
+  testbed_fetch (testbed.store_port, "PUT", "/put?op/evacuate/hall%00a", "1");
+  testbed_fetch (testbed.store_port, "PUT", "/put?op/evacuate/hall-z", "1");
+  CU_ASSERT (restart_all ());
+  CU_ASSERT_EQUAL (count_served (), ROUTERS * REQUESTS);
+  for (int r = 0; r < ROUTERS; r++)
+    {
+      CU_ASSERT (testbed_wait_logged (&testbed, r, "hall=hall\\x20&\\x20b evacuated=1"));
+      CU_ASSERT (testbed_wait_logged (&testbed, r, "hall=hall-z evacuated=1"));
+      CU_ASSERT_EQUAL (testbed_count_logged (&testbed, r, "evacuated=1"), 2);
+    }
+  testbed_stop (&testbed);
+}
+
 const struct fault_test router_listed_name_tests[] = {
   { "odd names: all routers restart, pages of one entry", test_restart_pages_of_one },
   { "odd names: all routers restart, pages of two entries", test_restart_pages_of_two },
   { "odd names: entries that would be valid under a server's name", test_names_of_no_server },
   { "odd names: an unusable entry is reported once", test_reported_once },
+  { "odd names: beside the configuration and evacuations", test_beside_configuration },
   { "odd names: lines of the log and metrics stay whole", test_lines },
   { NULL, NULL },
 };
