exchange: a request without a socket waits, instead of trying each endpoint in turn from within itself

Cause: send_to() decided anew by calling ash_exchange_step(), which chose another endpoint and called send_to() again; an attempt that is not sent does not count, and a request remembers eight endpoints as tried, so with more of them there was no end. Now a lack of descriptors or memory is told from an endpoint that can't be reached: the request waits as if all endpoints were full, no other one tries for 20 ms, and what can't be sent within wait_ms gets 503 with Retry-After; nothing of it was sent. An endpoint that refuses at once is noted as unreachable, as one that refuses later, and the decision is made from the event loop in both cases. 423 and ash_no_socket_total tell it.

--- a/common/events.h
+++ b/common/events.h
@@ -71,6 +71,7 @@
   X (420, INFO, PART_TRIED,         "the quarantine of a part of prompts is over: this request tries whether endpoints still exit") \
   X (421, WARN, PART_REPORT_REJECTED, "a peer's report about parts of prompts is impossible, and is ignored") \
   X (422, WARN, FORWARD_MALFORMED,  "an endpoint sent bytes that are no answer to the request; the connection was closed") \
+  X (423, INFO, NO_SOCKET,          "a request can't be sent for lack of a socket: it waits or is refused") \
   X (500, DEBUG, RUN_STARTED,       "an endpoint started a request") \
   X (501, DEBUG, RUN_ENDED,         "an endpoint's engine ended a request") \
   X (502, INFO, RUN_REFUSED,        "an endpoint refused a request") \
--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -6,10 +6,15 @@
  */
 #include "daemon/exchange.h"
 
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
 
+/* How long no request tries to get a socket after one could not be had: that takes a system call
+ * for each waiting request. Sockets become free as requests end. */
+#define SOCKET_RETRY_MS 20
+
 #define MS_PER_S 1000.0
 
 /* How long a request whose endpoint failed may wait for a slot at another endpoint. */
@@ -37,6 +42,7 @@
     .reserve = router->settings.priority_reserve,
     .quarantined_ms = ash_exchange_quarantined_ms (exchange, ash_clock_now ()),
     .suspected = ash_exchange_is_suspected (exchange),
+    .no_socket = ash_time_before (ash_clock_now (), router->no_socket_until),
   };
 }
 
@@ -93,26 +99,87 @@
   ash_priority_room_take (&service->room, exchange->forward.priority, now);
 }
 
+/* Whether this process has run out of what a connection needs, so that no endpoint can be reached.
+ */
+static bool
+is_exhausted (int error)
+{
+  return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM ||
+         error == EAGAIN;
+}
+
+/* The request could not be sent. It is decided anew from the event loop, not here: each endpoint in
+ * turn may fail as this one did. */
 static void
-send_to (struct ash_exchange *exchange, struct ash_direct_endpoint *endpoint)
+step_later (struct ash_exchange *exchange)
+{
+  ash_exchange_set_waiting (exchange, true);
+  set_timer (exchange, ash_clock_now ());
+}
+
+static void
+handle_no_socket (struct ash_exchange *exchange, int error)
 {
   struct ash_router *router = exchange->router;
+
+  router->no_socket_until = ash_time_add (ash_clock_now (), SOCKET_RETRY_MS);
+  router->no_socket_total++;
+  ash_log_event (
+      &router->log, ASH_EV_NO_SOCKET, "id=%s route=%s why=\"%s\" sent=%u age_ms=%lld callers=%u",
+      ash_exchange_id (exchange), exchange->route->name, strerror (error), exchange->forward.sent,
+      (long long) ash_exchange_age_ms (exchange), router->frontend.conn_count);
+  step_later (exchange);
+}
+
+/* The endpoint refused the connection at once. */
+static void
+handle_unreachable (struct ash_exchange *exchange)
+{
+  ash_exchange_record_evidence (exchange, ASH_DIRECT_UNREACHABLE);
+  ash_exchange_release_slot (exchange);
+  ash_forward_not_run (&exchange->forward, false);
+  exchange->forward.wait_until = ash_time_add (ash_clock_now (), RESUME_WAIT_MS);
+  step_later (exchange);
+}
+
+/* Starts to send the request. @return 0, or the reason of the failure as an errno value. */
+static int
+start_call (struct ash_exchange *exchange, struct ash_direct_endpoint *endpoint)
+{
+  struct ash_http_pool *pool = ash_router_pool (exchange->router, endpoint);
   struct ash_buffer request = { 0 };
-  bool started;
+  int error = 0;
+
+  if (!pool || !write_request (exchange, endpoint, &request))
+    error = ENOMEM;
+  else if (!ash_http_call_start (&exchange->call, pool, request.bytes + request.start,
+                                 request.length, exchange->idle_valid_since))
+    error = errno;
+  ash_buffer_finish (&request);
+  return error;
+}
+
+static void
+send_to (struct ash_exchange *exchange, struct ash_direct_endpoint *endpoint)
+{
+  struct ash_router *router = exchange->router;
+  int error;
 
   ash_exchange_answer_clear (exchange);
   ash_event_stream_finish (&exchange->event_stream);
+  exchange->paused = false;
+  error = start_call (exchange, endpoint);
+  if (is_exhausted (error))
+    {
+      handle_no_socket (exchange, error);
+      return;
+    }
   ash_log_event (
       &router->log, exchange->forward.sent ? ASH_EV_FORWARD_RESENT : ASH_EV_FORWARD_SENT,
       "id=%s route=%s endpoint=%s load=%u elsewhere=%u sent=%u age_ms=%lld last_event=%lld",
       ash_exchange_id (exchange), exchange->route->name, endpoint->facts.id, endpoint->in_flight,
       endpoint->peers_in_flight, exchange->forward.sent, (long long) ash_exchange_age_ms (exchange),
       exchange->has_event ? (long long) exchange->last_event : -1LL);
-  started = write_request (exchange, endpoint, &request) &&
-            ash_http_call_start (&exchange->call, ash_router_pool (router, endpoint),
-                                 request.bytes + request.start, request.length,
-                                 exchange->idle_valid_since);
-  ash_buffer_finish (&request);
   if (exchange->forward.pause_target_ms)
     ash_prompt_gate_record_sent (&ash_router_service (router, exchange->forward.service)->gate);
   if (exchange->has_priorities && !exchange->forward.sent)
@@ -121,17 +188,13 @@
   ash_forward_sent (&exchange->forward, endpoint);
   exchange->sent_at = ash_clock_now ();
   exchange->last_received = exchange->sent_at;
-  exchange->paused = false;
-  if (!started)
-    {
-      ash_forward_not_run (&exchange->forward, false);
-      ash_exchange_step (exchange);
-      return;
-    }
   ash_direct_note_sent (endpoint, exchange->sent_at);
   exchange->endpoint = endpoint;
   ash_fleet_loads_changed (&router->fleet);
-  set_timer (exchange, ASH_TIME_NEVER);
+  if (error)
+    handle_unreachable (exchange);
+  else
+    set_timer (exchange, ASH_TIME_NEVER);
 }
 
 void
--- a/daemon/router.h
+++ b/daemon/router.h
@@ -69,8 +69,10 @@
 
   struct ash_answer_memory answer_memory;
   struct ash_exchange *exchanges;
-  bool evacuation_in_progress; /**< an evacuated hall still has requests of this router */
-  uint32_t waiting_count;      /**< exchanges that wait for a free slot */
+  bool evacuation_in_progress;     /**< an evacuated hall still has requests of this router */
+  struct ash_time no_socket_until; /**< no socket could be had: no exchange tries again before */
+  uint64_t no_socket_total;        /**< requests that could not be sent for lack of a socket */
+  uint32_t waiting_count;          /**< exchanges that wait for a free slot */
   bool capacity_freed; /**< an endpoint may have a free slot: waiting exchanges retry before the
                           loop blocks */
 
--- a/daemon/router_pages.c
+++ b/daemon/router_pages.c
@@ -172,6 +172,7 @@
   ash_metrics_set (metrics, "ash_reads_store", "", ash_fleet_reads_store (&router->fleet));
   ash_metrics_set (metrics, "ash_entries", "", ash_fleet_size (&router->fleet));
   ash_metrics_set (metrics, "ash_callers_connected", "", router->frontend.conn_count);
+  ash_metrics_set (metrics, "ash_no_socket_total", "", router->no_socket_total);
   ash_metrics_set (metrics, "ash_requests_waiting", "", router->waiting_count);
   ash_metrics_set (metrics, "ash_log_lines_left_out_total", "", router->log_bound.dropped_total);
   ash_metrics_set (metrics, "ash_map_orders_total", "", router->map_manager.orders_sent);
--- a/filters/forward.c
+++ b/filters/forward.c
@@ -244,6 +244,8 @@
                    forward->unconfirmed ? ASH_FORWARD_FAILED : ASH_FORWARD_REJECTED);
   if (ash_time_before (now, hold_until))
     return (struct ash_forward_decision){ .action = ASH_FORWARD_WAIT, .until = hold_until };
+  if (context->no_socket)
+    return wait_or_refuse (forward, context, now, ASH_FORWARD_NO_ROOM);
   switch (choose (forward, context, now, &endpoint))
     {
     case ASH_DIRECT_NONE:
--- a/filters/forward.h
+++ b/filters/forward.h
@@ -97,6 +97,7 @@
   double reserve;         /**< see ash_priority_room_reserved() */
   int64_t quarantined_ms; /**< remaining quarantine of the request; 0: not quarantined */
   bool suspected;         /**< the request was sent, and endpoints may have ended because of it */
+  bool no_socket; /**< this process can't open connections now: as if all endpoints were full */
 };
 
 /** Decides what to do with the request at time @p now. */
--- a/test/router.c
+++ b/test/router.c
@@ -692,6 +692,7 @@
   router_cut_head_tests,
   router_odd_entry_tests,
   router_listed_name_tests,
+  router_descriptor_tests,
   router_list_page_tests,
   router_era_tests,
   router_suspended_tests,
--- a/test/router_tests.h
+++ b/test/router_tests.h
@@ -48,6 +48,9 @@
 /** Names in the list of endpoints that another writer has chosen. */
 extern const struct fault_test router_listed_name_tests[];
 
+/** A router that has no descriptors left. */
+extern const struct fault_test router_descriptor_tests[];
+
 /** Pages of the list of endpoints. */
 extern const struct fault_test router_list_page_tests[];
 
