--- a/test/router_descriptors.c
+++ b/test/router_descriptors.c
@@ -30,7 +30,8 @@
 
   snprintf (path, sizeof path, "/proc/%d/fd", (int) pid);
   folder = opendir (path);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (folder);
+  if (!folder)
+    abort ();
   for (const struct dirent *entry = readdir (folder); entry; entry = readdir (folder))
     count += entry->d_name[0] != '.';
   closedir (folder);
