--- a/test/router_slow_readers.c
+++ b/test/router_slow_readers.c
@@ -34,6 +34,9 @@
 #define SLOW_MS 2800
 #define SLOW_READ_BYTES 8192
 
+/* Body of the answer that pauses, see test/standin_server.c. */
+#define PAUSED_BODY_BYTES 400000
+
 static void
 start_small (void)
 {
@@ -295,11 +298,43 @@
   testbed_stop (&testbed);
 }
 
+/* Reads until the connection is closed. @return the number of bytes that are of the body 'x'. */
+static size_t
+read_body (int fd)
+{
+  char bytes[16384];
+  size_t body = 0;
+  ssize_t got;
+
+  while ((got = recv (fd, bytes, sizeof bytes, 0)) > 0)
+    for (ssize_t i = 0; i < got; i++)
+      body += bytes[i] == 'x';
+  return body;
+}
+
+/* A large answer that may be repeated paused longer than an endpoint may be silent: it was cut, as
+ * another endpoint can't go on with it. */
+static void
+test_large_answer_pauses (void)
+{
+  int fd;
+
+  start ();
+  fd = testbed_connect (&testbed, 0);
+  testbed_send (fd, "POST /any/x HTTP/1.1\r\n" HEAD "pause-1\r\nX-Do: *=pauselarge\r\n"
+                    "Connection: close\r\nContent-Length: 5\r\n\r\nhello");
+  CU_ASSERT (read_body (fd) >= PAUSED_BODY_BYTES);
+  close (fd);
+  CU_ASSERT_EQUAL (testbed_count_runs (&testbed, "pause-1"), 1);
+  testbed_stop (&testbed);
+}
+
 const struct fault_test router_slow_reader_tests[] = {
   { "callers that read nothing", test_idle_callers },
   { "a caller that reads slowly", test_slow_caller },
   { "a planned stop while answers are read", test_stop_while_reading },
   { "the idle time-out while answers are read", test_idle_timeout_while_reading },
   { "bodies that fill the memory", test_bodies },
+  { "a large answer that pauses", test_large_answer_pauses },
   { NULL, NULL },
 };
--- a/test/standin_server.c
+++ b/test/standin_server.c
@@ -27,6 +27,7 @@
  *     unframed    ends the answer by closing the connection
  *     big         answers with a body of 8 MB
  *     large       answers with a body of 120 kB, which a router buffers
+ *     pauselarge  answers with a body of 400 kB, and pauses for 1.9 s in its middle
  *     stream      answers with a stream of six events
  *     streamagain the same, but a resumed stream begins with the caller's last event
  *     streambig   answers with a stream of 2,000 events of 4 kB each
@@ -61,6 +62,10 @@
 #define BODY "whole answer"
 #define BIG_BYTES (8 * 1024 * 1024)
 #define LARGE_BYTES 120000
+
+/* An answer in two halves, larger than what a router buffers. */
+#define HALF_BYTES 200000
+#define PAUSE_MS 1900
 #define STREAM_EVENTS 6
 #define BIG_STREAM_EVENTS 2000
 #define BIG_EVENT_BYTES 4096
@@ -171,6 +176,16 @@
   free (body);
 }
 
+/* Sends one half of a body, of 'x'. */
+static void
+write_half (struct ash_http_conn *conn)
+{
+  static char half[HALF_BYTES];
+
+  memset (half, 'x', sizeof half);
+  ash_http_conn_write (conn, half, sizeof half);
+}
+
 /* Answers with all events at once. */
 static void
 stream_big (struct ash_http_conn *conn)
@@ -251,6 +266,13 @@
       standin_raw_end (conn, false);
       free (work);
     }
+  if (strcmp (action, "pauselarge") == 0)
+    {
+      fields_of (conn, "", fields, sizeof fields);
+      ash_http_conn_begin (conn, 200, fields, strlen (fields));
+      write_half (conn);
+      work->due = ash_time_add (work->due, PAUSE_MS);
+    }
   if (strncmp (action, "stream", 6) != 0)
     return;
   if (strncmp (action, "streamopen", 10) == 0)
@@ -303,6 +325,12 @@
       else
         answer (conn, 200, "");
     }
+  else if (strcmp (work->action, "pauselarge") == 0)
+    {
+      conn->request = NULL;
+      write_half (conn);
+      ash_http_conn_end (conn, true);
+    }
   else if (work->next == work->cut_before)
     {
       /* Cuts the stream in the middle of an event, or before the first one. */
