--- a/test/standin_store.c
+++ b/test/standin_store.c
@@ -5,21 +5,25 @@
  *
  *     PUT /put?KEY (body: the value)      PUT /remove?KEY
  *     PUT /pages?COUNT (items of a page)
- *     PUT /odd?refused | same | empty | ok (all pages of a list but the first are refused, are the
- *     first one again, or are empty and followed by others)
- *     PUT /fuzz?SEED (replaces the list of servers by random ones; while pages are read, some
- * entries change, and some answers are odd, until PUT /settle) GET /model (the entries that
- * describe servers, by name, a line each) GET /counts (`pages=N odd=N items=N`: pages of the list
- * of servers that were asked for, answers of them that were odd, and the largest number of items;
- * since the last /fuzz or PUT /counts) PUT /mode?ok | busy (answers 503) | silent (no answers) |
- * forget (drops the history) PUT /mode?slowMS (delays each answer by MS ms) PUT /mode?trickle (what
- * is repeated without end comes slowly) PUT /mode?reset (connections are reset after the bytes of
- * /raw, not closed) PUT /raw (body: the bytes of all answers from now on, see test/standin_raw.h;
- * what follows \* is repeated without end; empty: no longer) PUT /era?TEXT (sets the header
- * Store-Era of all answers; empty: no such header) PUT /restore?REVISION (restores a copy of that
- * revision: later writes are lost, revision numbers are reused, the era increases by one, pending
- * requests are cut) PUT /deafen (pending requests are never answered nor cut; new ones are
- * answered)
+ *     PUT /odd?refused | same | empty | ok (how all pages of a list but the first are answered:
+ *     not at all, with the first one again, or with an empty one that others follow)
+ *     PUT /fuzz?SEED (replaces the list of servers by a random one; while its pages are read, some
+ *     entries change, and some answers are odd)
+ *     PUT /settle (ends these changes and odd answers)
+ *     GET /model (the names of the entries that describe servers, a line each)
+ *     GET /counts (`pages=N odd=N items=N page_items=N`: requests for pages of the list of servers,
+ *     how many had an odd answer, the most items at any time, and those of a page)
+ *     PUT /counts (counts from 0 again, as /fuzz does)
+ *     PUT /mode?ok | busy (answers 503) | silent (no answers) | forget (drops the history)
+ *     PUT /mode?slowMS (delays each answer by MS ms)
+ *     PUT /mode?trickle (what is repeated without end comes slowly)
+ *     PUT /mode?reset (connections are reset after the bytes of /raw, not closed)
+ *     PUT /raw (body: the bytes of all answers from now on, see test/standin_raw.h; what follows \*
+ *     is repeated without end; empty: no longer)
+ *     PUT /era?TEXT (sets the header Store-Era of all answers; empty: no such header)
+ *     PUT /restore?REVISION (restores a copy of that revision: later writes are lost, revision
+ *     numbers are reused, the era increases by one, pending requests are cut)
+ *     PUT /deafen (pending requests are never answered nor cut; new ones are answered)
  *
  * Keys and queries are decoded as servers do: %XX is a byte, + a blank. A request whose target
  * holds characters that a target can't hold, or a % without two digits, is answered with 400.
