--- a/daemon/exchange_watch.c
+++ b/daemon/exchange_watch.c
@@ -75,8 +75,8 @@
   return silence_limit_ms (exchange) / ACK_CHECK_DIVISOR;
 }
 
-/* Whether another endpoint may take the request over. None can go on with an answer that is passed on
- * as it arrives: its endpoint has until the deadline. */
+/* Whether another endpoint may take the request over. None can go on with an answer that is passed
+ * on as it arrives: its endpoint has until the deadline. */
 static bool
 may_resend (const struct ash_exchange *exchange)
 {
