exchange: a silent stream that no other endpoint may go on with goes on waiting

Cause: on_timer() cancelled the call first; only the step after it found that the budget of resends was used up, or that no other endpoint had room.

Ruled out: the deadline and the grace (neither was over); a server that had ended (it goes on).

Change: the decision comes first. A stream's call is cancelled only if another endpoint takes the stream over at once; else the endpoint has until the deadline, and another one is sought each 100 ms. The silence counts once as evidence against the endpoint. Requests whose answer has not begun are handled as before: a caller gets a true 502 sooner and may repeat them.

--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -337,6 +337,70 @@
 
 /* ---- timer ---- */
 
+/* Ends the call to the endpoint, which is silent or can't be reached. */
+static void
+abandon_call (struct ash_exchange *exchange, struct ash_time now)
+{
+  bool connecting = ash_http_call_connecting (&exchange->call);
+
+  ash_http_call_cancel (&exchange->call);
+  ash_exchange_release_slot (exchange);
+  if (connecting)
+    ash_forward_not_run (&exchange->forward, false);
+  exchange->forward.wait_until = ash_time_add (now, RESUME_WAIT_MS);
+}
+
+/* Another endpoint goes on with a stream whose endpoint is silent, if one may; else the stream goes
+ * on waiting, as its endpoint may still end it. */
+static void
+seek_for_stream (struct ash_exchange *exchange, struct ash_time now)
+{
+  struct ash_forward_context context = forward_context (exchange);
+  struct ash_forward_decision decision = ash_forward_next (&exchange->forward, &context, now);
+
+  exchange->sought_at = now;
+  if (decision.action != ASH_FORWARD_SEND)
+    {
+      set_timer (exchange, ASH_TIME_NEVER);
+      return;
+    }
+  abandon_call (exchange, now);
+  send_to (exchange, decision.endpoint);
+}
+
+static void
+handle_silence (struct ash_exchange *exchange, struct ash_time now)
+{
+  if (!ash_exchange_was_sought (exchange))
+    {
+      ash_exchange_record_evidence (exchange, ASH_DIRECT_TIMED_OUT);
+      ash_exchange_close_idle_connections (exchange, now);
+    }
+  if (exchange->forward.answer_started)
+    {
+      seek_for_stream (exchange, now);
+      return;
+    }
+  abandon_call (exchange, now);
+  ash_exchange_step (exchange);
+}
+
+/* Checks the endpoint while the request has time left. */
+static void
+check_endpoint (struct ash_exchange *exchange, struct ash_time now)
+{
+  if (ash_http_call_connecting (&exchange->call))
+    {
+      ash_exchange_record_evidence (exchange, ASH_DIRECT_UNREACHABLE);
+      abandon_call (exchange, now);
+      ash_exchange_step (exchange);
+    }
+  else if (ash_exchange_check_silence (exchange, now))
+    handle_silence (exchange, now);
+  else
+    set_timer (exchange, ASH_TIME_NEVER);
+}
+
 static void
 on_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
@@ -352,24 +416,10 @@
     }
   if (exchange->endpoint && ash_time_before (now, exchange->forward.deadline))
     {
-      bool connecting = ash_http_call_connecting (&exchange->call);
-
-      if (!connecting && !ash_exchange_check_silence (exchange, now))
-        {
-          set_timer (exchange, ASH_TIME_NEVER);
-          return;
-        }
-      ash_exchange_record_evidence (exchange,
-                                    connecting ? ASH_DIRECT_UNREACHABLE : ASH_DIRECT_TIMED_OUT);
-      if (!connecting)
-        ash_exchange_close_idle_connections (exchange, now);
-      ash_http_call_cancel (&exchange->call);
-      ash_exchange_release_slot (exchange);
-      if (connecting)
-        ash_forward_not_run (&exchange->forward, false);
-      exchange->forward.wait_until = ash_time_add (now, RESUME_WAIT_MS);
+      check_endpoint (exchange, now);
+      return;
     }
-  else if (exchange->endpoint && ash_http_call_connecting (&exchange->call))
+  if (exchange->endpoint && ash_http_call_connecting (&exchange->call))
     ash_forward_not_run (&exchange->forward, false);
   else if (exchange->endpoint)
     ash_exchange_record_timeout (exchange, now);
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -55,6 +55,8 @@
       *endpoint;                 /**< the endpoint at which the request is in flight; NULL: none */
   struct ash_time sent_at;       /**< when the request was last sent to an endpoint */
   struct ash_time last_received; /**< when data last came from the endpoint; initially sent_at */
+  struct ash_time sought_at; /**< when another endpoint was last sought for a silent stream; before
+                                last_received: not in the endpoint's present silence */
   struct ash_time
       idle_valid_since; /**< only idle connections that have received data since then are reused */
   struct ash_exchange_answer answer;
@@ -110,6 +112,9 @@
                                          struct ash_time now,
                                          struct ash_time until);
 
+/** @return whether another endpoint has been sought in the endpoint's present silence. */
+bool ash_exchange_was_sought (const struct ash_exchange *exchange);
+
 /**
  * Closes idle connections to all endpoints if the endpoint's kernel has not acknowledged the
  * request.
--- a/daemon/exchange_watch.c
+++ b/daemon/exchange_watch.c
@@ -21,6 +21,9 @@
  * after 2 s, and ranks that depend on a lost endpoint stall for 1.5 s. */
 #define EVENT_PAUSE_MAX_MS 1650
 
+/* How often another endpoint is sought for a silent stream that none could take over. */
+#define SEEK_PERIOD_MS 100
+
 /* A caller that reads nothing of a paused answer for this long is cut off. Endpoints cut off
  * answers that nobody reads after some seconds, and would then count as broken. */
 #define UNREAD_MAX_MS 2000
@@ -84,6 +87,21 @@
          exchange->forward.sent < exchange->forward.servers_max;
 }
 
+bool
+ash_exchange_was_sought (const struct ash_exchange *exchange)
+{
+  return !ash_time_before (exchange->sought_at, exchange->last_received);
+}
+
+/* @return when the endpoint has been silent for too long, or when another one is sought again. */
+static struct ash_time
+silence_check (const struct ash_exchange *exchange)
+{
+  if (ash_exchange_was_sought (exchange))
+    return ash_time_add (exchange->sought_at, SEEK_PERIOD_MS);
+  return ash_time_add (exchange->last_received, silence_limit_ms (exchange));
+}
+
 struct ash_time
 ash_exchange_next_check (const struct ash_exchange *exchange,
                          struct ash_time now,
@@ -92,7 +110,7 @@
   if (exchange->paused)
     return earlier (ash_time_add (now, UNREAD_CHECK_MS), exchange->forward.deadline);
   if (exchange->endpoint && may_resend (exchange))
-    until = earlier (until, ash_time_add (exchange->last_received, silence_limit_ms (exchange)));
+    until = earlier (until, silence_check (exchange));
   if (exchange->endpoint && ash_http_call_connecting (&exchange->call))
     until = earlier (until, ash_time_add (exchange->sent_at, CONNECT_TIMEOUT_MS));
   else if (exchange->endpoint &&
@@ -146,7 +164,8 @@
     return false;
   if (silent_ms >= ack_check_ms (exchange) && ash_http_call_unacknowledged (&exchange->call))
     {
-      ash_router_close_idle_connections (exchange->router, valid_since (exchange, now));
+      if (!ash_exchange_was_sought (exchange))
+        ash_router_close_idle_connections (exchange->router, valid_since (exchange, now));
       return may_resend (exchange);
     }
   return may_resend (exchange) && silent_ms >= silence_limit_ms (exchange);
@@ -157,7 +176,7 @@
 {
   int64_t silent_ms = ash_time_diff (exchange->last_received, now);
 
-  if (exchange->paused)
+  if (exchange->paused || ash_exchange_was_sought (exchange))
     return;
   if (silent_ms >= silence_limit_ms (exchange))
     ash_exchange_record_evidence (exchange, ASH_DIRECT_TIMED_OUT);
--- a/test/standin_server.c
+++ b/test/standin_server.c
@@ -41,6 +41,7 @@
  *     rawreset    the same, and resets the connection a little later
  *     rawloop     the same, and repeats without end what follows \*
  *     streamhang  sends nothing after the second event
+ *     streampause the same, but for 1.9 s only
  *     streamend   the process exits after the second event
  *     streambegin the process exits after it has begun a stream, before the first event
  *
@@ -292,6 +293,13 @@
   _exit (EXIT_FAILURE);
 }
 
+/* Whether nothing is sent for a while before the next event. */
+static bool
+is_pause (const struct work *work)
+{
+  return strcmp (work->action, "streampause") == 0 && work->next == 3;
+}
+
 static void
 continue_work (struct ash_http_conn *conn, struct ash_time now)
 {
@@ -349,7 +357,7 @@
           snprintf (event, sizeof event, "id: %d\ndata: from %s\n\n", work->next, server.name);
 
       work->next++;
-      work->due = ash_time_add (now, EVENT_MS);
+      work->due = ash_time_add (now, is_pause (work) ? PAUSE_MS : EVENT_MS);
       ash_http_conn_write (conn, event, (size_t) length);
       return;
     }
