net: limits of sizes count from the next request on a kept connection

What callers saw: 413 (or 431) for requests that the configuration in force allows, on every connection that was opened under an older one, for as long as it was kept; and the reverse, requests above the limits were taken.

Cause: the reader took the sizes once, when the connection was accepted.

Ruled out: that the configuration was not in force (a new connection was served).

Change: a connection takes the sizes in force when a request begins on it. A request that is being read while they change keeps those it began with.

--- a/net/http_conn.c
+++ b/net/http_conn.c
@@ -311,13 +311,22 @@
 
 static const struct ash_http_handler reader_handler = { on_head, on_body };
 
+/* The bounds may have changed since the last request on the connection. */
+static void
+begin_request (struct ash_http_conn *conn)
+{
+  conn->reader.head_max_bytes = conn->listener->bounds.head_max_bytes;
+  conn->reader.body_max_bytes = conn->listener->bounds.body_max_bytes;
+  set_state (conn, ASH_CONN_READING);
+}
+
 static void
 feed (struct ash_http_conn *conn, const uint8_t *bytes, size_t length)
 {
   size_t consumed;
 
   if (conn->state == ASH_CONN_IDLE)
-    set_state (conn, ASH_CONN_READING);
+    begin_request (conn);
   consumed = ash_http_reader_feed (&conn->reader, bytes, length);
   if (!conn->reader.started)
     set_state (conn, ASH_CONN_IDLE);
@@ -395,8 +404,6 @@
   conn->stream.queued_total = listener->queued_total;
   ash_stream_keep_alive (&conn->stream, CALLER_SILENCE_MS);
   ash_http_reader_init (&conn->reader, ASH_HTTP_REQUEST, &reader_handler, conn);
-  conn->reader.head_max_bytes = listener->bounds.head_max_bytes;
-  conn->reader.body_max_bytes = listener->bounds.body_max_bytes;
   set_state (conn, ASH_CONN_IDLE);
   DL_APPEND (listener->conns, conn);
   listener->conn_count++;
--- a/test/router.c
+++ b/test/router.c
@@ -689,6 +689,7 @@
   router_open_answer_tests,
   router_broken_answer_tests,
   router_resumed_stream_tests,
+  router_kept_connection_tests,
   router_cut_head_tests,
   router_odd_entry_tests,
   router_listed_name_tests,
--- a/test/router_tests.h
+++ b/test/router_tests.h
@@ -41,6 +41,7 @@
 
 /** Streams that another endpoint resumes. */
 extern const struct fault_test router_resumed_stream_tests[];
+extern const struct fault_test router_kept_connection_tests[];
 
 /** Odd entries in the list of endpoints. */
 extern const struct fault_test router_odd_entry_tests[];
