router: a further SIGTERM in a planned stop changes nothing

What callers saw: with a second SIGTERM within the grace all streams were cut at once, with 7 s left, and requests without an answer got 502 or 503.

Cause: on_stop() took any second signal for "end now". The platform's word for that is SIGKILL, and the first SIGTERM has promised the grace.

Ruled out: that the time of the stop was over (0.5 s after the first signal).

Change: a further SIGTERM is logged (111) and nothing else; SIGINT after the first signal ends at once (104), as before.

--- a/common/events.h
+++ b/common/events.h
@@ -12,13 +12,14 @@
   X (101, INFO, READY,              "the process has a configuration and accepts requests") \
   X (102, INFO, STOPPING,           "a planned stop has begun") \
   X (103, INFO, STOPPED,            "the process exits") \
-  X (104, WARN, CUT_SHORT,          "a second signal ended the planned stop early") \
+  X (104, WARN, CUT_SHORT,          "a SIGINT ended the planned stop early") \
   X (105, WARN, WOKE,               "the process resumed after it had been paused or its machine suspended") \
   X (106, ERROR, BAD_SETTINGS,      "the settings have errors") \
   X (107, ERROR, CANNOT_LISTEN,     "listening on an address failed") \
   X (108, WARN, DRAINED,            "an operator drained this box: it takes no new work until it restarts") \
   X (109, INFO, RELOADED,           "the settings file was reloaded") \
   X (110, INFO, LOG_LEFT_OUT,       "log lines were dropped: above the rate limit, or the reader of the log did not keep up") \
+  X (111, INFO, STOP_AGAIN,        "a further SIGTERM in a planned stop, which goes on as it was") \
   X (200, INFO, CONFIG_ACCEPTED,    "a configuration was accepted and is active") \
   X (201, WARN, CONFIG_REFUSED,     "a published document has errors; the last accepted one stays active") \
   X (202, WARN, CONFIG_OLDER,       "a revision older than the active one was offered and ignored") \
--- a/daemon/router.c
+++ b/daemon/router.c
@@ -361,6 +361,22 @@
     ev_break (loop, EVBREAK_ALL);
 }
 
+/* The first signal promised the time of the planned stop, which a further SIGTERM does not take
+ * back: two tools may stop one machine, or one may repeat its signal. SIGINT comes from a terminal.
+ */
+static void
+handle_further_signal (struct ash_router *router, int signal)
+{
+  if (signal == SIGTERM)
+    {
+      ash_log_event (&router->log, ASH_EV_STOP_AGAIN, "signal=%d", signal);
+      return;
+    }
+  ash_log_event (&router->log, ASH_EV_CUT_SHORT, "signal=%d", signal);
+  if (!router->stop_expired)
+    abort_requests (router);
+}
+
 static void
 on_stop (struct ev_loop *loop, ev_signal *watcher, int events)
 {
@@ -370,9 +386,7 @@
   (void) events;
   if (router->stopping)
     {
-      ash_log_event (&router->log, ASH_EV_CUT_SHORT, "signal=%d", watcher->signum);
-      if (!router->stop_expired)
-        abort_requests (router);
+      handle_further_signal (router, watcher->signum);
       return;
     }
   router->stopping = true;
