daemon: a further SIGTERM in a planned stop changes nothing

The same fault as in the router, in the older daemons: a second SIGTERM ended the process at once, and with it requests that the first one had let go on (a stream was cut in its middle).

Change: a further SIGTERM is logged (111) and nothing else; SIGINT after the first signal ends at once.

--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -189,6 +189,12 @@
   struct Ash__Stop stop = ASH__STOP__INIT;
 
   (void) events;
+  /* A further SIGTERM does not take back the time that the first signal promised. */
+  if (daemon->stopping && watcher->signum == SIGTERM)
+    {
+      ash_log_event (&daemon->log, ASH_EV_STOP_AGAIN, "signal=%d", watcher->signum);
+      return;
+    }
   if (daemon->stopping)
     {
       ash_log_event (&daemon->log, ASH_EV_CUT_SHORT, "signal=%d", watcher->signum);
--- a/test/faults.c
+++ b/test/faults.c
@@ -529,6 +529,38 @@
   fleet_stop (&fleet);
 }
 
+static bool
+wait_logged (struct fleet *fleet, const char *box, const char *text)
+{
+  int64_t until = fleet_now_ms () + 5000;
+
+  while (!fleet_count_log_lines (fleet, box, text) && fleet_now_ms () < until)
+    fleet_sleep_ms (5);
+  return fleet_count_log_lines (fleet, box, text) > 0;
+}
+
+/* A further SIGTERM ended the process with the requests that the first one had let go on. */
+static void
+test_further_sigterm (void)
+{
+  struct fleet fleet;
+  struct fleet_call call;
+
+  fleet_start (&fleet, NO_GUARD_SETTINGS);
+  fleet_begin_chat (&fleet, &call, 0, true, LONG_TOKENS / 16);
+  CU_ASSERT (wait_model_run (&fleet));
+  kill (fleet.entries[0].pid, SIGTERM);
+  CU_ASSERT (wait_logged (&fleet, fleet.entries[0].name, " stopping "));
+  kill (fleet.entries[0].pid, SIGTERM);
+  CU_ASSERT (wait_logged (&fleet, fleet.entries[0].name, " stop_again "));
+  fleet_wait_call (&call);
+  CU_ASSERT (call.answer.whole);
+  CU_ASSERT_EQUAL (fleet_end_process (&fleet.entries[0].pid, 0), 0);
+  CU_ASSERT_EQUAL (fleet_count_log_lines (&fleet, fleet.entries[0].name, " cut_short "), 0);
+  ash_cli_answer_finish (&call.answer);
+  fleet_stop (&fleet);
+}
+
 /* At the end of the grace period of an agent's planned stop the agent must exit, and each caller
  * must get a final answer: requests that may be repeated are retried at another endpoint and get
  * whole answers, the order gets the outcome unknown. */
@@ -941,6 +973,7 @@
   { "planned stop of an entry", test_planned_stop_of_entry },
   { "planned stop: connected early, request sent late", test_planned_stop_before_request },
   { "planned stop of an entry has an end", test_entry_stop_grace },
+  { "planned stop: a further SIGTERM changes nothing", test_further_sigterm },
   { "planned stop of agents has an end", test_agent_stop_grace },
   { "planned stop: a silent caller does not hold it", test_stop_with_silent_caller },
   { "leaving by the platform's list", test_leaving_by_platform_list },
