forward: a request that reaches no endpoint is not sent a thousand times a second

What callers saw: nothing but a late 503; but where all 20 endpoints of a service refuse connections, one request was sent 1,475 times in its 1.5 s, each attempt with a line in the log and a connection, and the router's processor went to it.

Cause: an attempt that could not be sent does not count, an ejected endpoint is chosen if there is no other, and nothing waits in between.

Ruled out: two endpoints alone (both are ejected and the request is refused after 81 ms).

Change: three attempts in a row may reach no endpoint without a pause; each further one waits 10 ms, then twice as long, up to 100 ms. An answer's head starts the count anew.

--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -42,6 +42,7 @@
     .reserve = router->settings.priority_reserve,
     .quarantined_ms = ash_exchange_quarantined_ms (exchange, ash_clock_now ()),
     .suspected = ash_exchange_is_suspected (exchange),
+    .sent_at = exchange->sent_at,
     .no_socket = ash_time_before (ash_clock_now (), router->no_socket_until),
   };
 }
--- a/daemon/exchange_answer.c
+++ b/daemon/exchange_answer.c
@@ -81,6 +81,7 @@
   if (is_invalid (exchange, head, &facts))
     return ASH_CALL_REJECT;
   exchange->last_received = ash_clock_now ();
+  ash_forward_reached (&exchange->forward);
   answer->status = head->status;
   answer->not_run = facts.not_run;
   answer->framed = head->framed;
--- a/filters/forward.c
+++ b/filters/forward.c
@@ -25,6 +25,13 @@
  */
 #define WAIT_DIVISOR 8
 
+/* So many attempts may reach no endpoint, one right after the other: the next endpoint mostly runs.
+ * Each further one waits twice as long as the one before, up to UNSENT_WAIT_MAX_MS: where all
+ * endpoints refuse connections, none is worth a hundred attempts a second. */
+#define UNSENT_AT_ONCE 3
+#define UNSENT_WAIT_MS 10
+#define UNSENT_WAIT_MAX_MS 100
+
 const char *
 ash_forward_reason_name (enum ash_forward_reason reason)
 {
@@ -189,6 +196,20 @@
              : ash_prompt_gate_send_time (context->gate, &forward->prompt, forward->arrived, now);
 }
 
+/* The time until which a request that reached no endpoint several times is not sent again. */
+static struct ash_time
+unsent_until (const struct ash_forward *forward, const struct ash_forward_context *context)
+{
+  int64_t wait_ms = UNSENT_WAIT_MS;
+
+  if (forward->unsent < UNSENT_AT_ONCE)
+    return context->sent_at;
+  for (uint32_t i = UNSENT_AT_ONCE; i < forward->unsent && wait_ms < UNSENT_WAIT_MAX_MS; i++)
+    wait_ms *= 2;
+  return ash_time_add (context->sent_at,
+                       wait_ms < UNSENT_WAIT_MAX_MS ? wait_ms : UNSENT_WAIT_MAX_MS);
+}
+
 static enum ash_direct_choice
 choose_with_reserve (const struct ash_forward *forward,
                      const struct ash_forward_context *context,
@@ -231,6 +252,7 @@
                   struct ash_time now)
 {
   struct ash_time hold_until = held_until (forward, context, now);
+  struct ash_time unsent_wait_end = unsent_until (forward, context);
   struct ash_direct_endpoint *endpoint;
 
   if (!ash_time_before (now, forward->deadline))
@@ -244,6 +266,8 @@
                    forward->unconfirmed ? ASH_FORWARD_FAILED : ASH_FORWARD_REJECTED);
   if (ash_time_before (now, hold_until))
     return (struct ash_forward_decision){ .action = ASH_FORWARD_WAIT, .until = hold_until };
+  if (ash_time_before (now, unsent_wait_end))
+    return (struct ash_forward_decision){ .action = ASH_FORWARD_WAIT, .until = unsent_wait_end };
   if (context->no_socket)
     return wait_or_refuse (forward, context, now, ASH_FORWARD_NO_ROOM);
   switch (choose (forward, context, now, &endpoint))
@@ -271,10 +295,18 @@
     forward->tried[forward->tried_count++] = endpoint->hash;
 }
 
+void
+ash_forward_reached (struct ash_forward *forward)
+{
+  forward->unsent = 0;
+}
+
 void
 ash_forward_not_run (struct ash_forward *forward, bool was_sent)
 {
   forward->unconfirmed--;
-  if (!was_sent)
-    forward->sent--;
+  if (was_sent)
+    return;
+  forward->sent--;
+  forward->unsent++;
 }
--- a/filters/forward.h
+++ b/filters/forward.h
@@ -72,9 +72,10 @@
   struct ash_time
       wait_until; /**< time until which a stream that has begun may wait to be resumed */
   struct ash_prompt_terms prompt;
-  bool answer_started;                  /**< part of the answer has been passed to the caller */
-  uint32_t unconfirmed;                 /**< attempts not confirmed as not run: they may have run */
-  uint32_t sent;                        /**< number of attempts sent so far */
+  bool answer_started;  /**< part of the answer has been passed to the caller */
+  uint32_t unconfirmed; /**< attempts not confirmed as not run: they may have run */
+  uint32_t sent;        /**< number of attempts sent so far */
+  uint32_t unsent;      /**< attempts in a row that reached no endpoint; not in `sent` */
   uint64_t tried[ASH_DIRECT_TRIED_MAX]; /**< hashes of the ids of endpoints that the request was
                                            sent to */
   uint32_t tried_count;
@@ -93,10 +94,11 @@
   uint32_t wait_ms;      /**< how long a request may wait for capacity */
   struct ash_prompt_gate *gate; /**< prompt gate of the service; NULL: prompts are not held */
   struct ash_priority_room
-      *room;              /**< demand for the service by priority; NULL: priorities don't matter */
-  double reserve;         /**< see ash_priority_room_reserved() */
-  int64_t quarantined_ms; /**< remaining quarantine of the request; 0: not quarantined */
-  bool suspected;         /**< the request was sent, and endpoints may have ended because of it */
+      *room;               /**< demand for the service by priority; NULL: priorities don't matter */
+  double reserve;          /**< see ash_priority_room_reserved() */
+  int64_t quarantined_ms;  /**< remaining quarantine of the request; 0: not quarantined */
+  bool suspected;          /**< the request was sent, and endpoints may have ended because of it */
+  struct ash_time sent_at; /**< when the last attempt was made */
   bool no_socket; /**< this process can't open connections now: as if all endpoints were full */
 };
 
@@ -108,6 +110,9 @@
 /** Records that the request is being sent to an endpoint. */
 void ash_forward_sent (struct ash_forward *forward, const struct ash_direct_endpoint *endpoint);
 
+/** Records that the last attempt has reached its endpoint. */
+void ash_forward_reached (struct ash_forward *forward);
+
 /** Records that the last attempt did not run.
  * @param was_sent false if nothing was sent: the attempt doesn't count. */
 void ash_forward_not_run (struct ash_forward *forward, bool was_sent);
--- a/test/router_outliers.c
+++ b/test/router_outliers.c
@@ -8,6 +8,7 @@
 #include "test/router_tests.h"
 
 #include <CUnit/CUnit.h>
+#include <signal.h>
 #include <stdio.h>
 
 /* Half of the two servers may be left out. */
@@ -78,8 +79,44 @@
   testbed_stop (&testbed);
 }
 
+/* Attempts at a request in its 1.5 s while no endpoint accepts connections: one in 50 ms. */
+#define ATTEMPTS_MAX 30
+
+/* Servers besides those that run; they exist only in the list. */
+#define MORE_SERVERS 18
+
+static void
+list_more_servers (void)
+{
+  for (int i = 0; i < MORE_SERVERS; i++)
+    {
+      char target[64];
+
+      snprintf (target, sizeof target, "/put?servers/i-more%d", i);
+      testbed_fetch (testbed.store_port, "PUT", target,
+                     "{\"Service\":\"stock\",\"Address\":\"127.0.0.1:9\",\"Zone\":\"hall-a\","
+                     "\"Slots\":8,\"State\":\"ready\"}");
+    }
+}
+
+/* A request was sent some hundred times to endpoints that refuse connections. */
+static void
+test_all_refuse (void)
+{
+  start ();
+  list_more_servers ();
+  CU_ASSERT (testbed_wait_logged (&testbed, 0, "endpoint=i-more17"));
+  for (int s = 0; s < TESTBED_SERVERS; s++)
+    fleet_end_process (&testbed.servers[s].pid, SIGKILL);
+  testbed_call (&testbed, "refused", "/safe/x", NULL, "", &answer);
+  CU_ASSERT (answer.status == 503 && answer.complete && answer_has ("Retry-After:"));
+  CU_ASSERT (testbed_count_logged (&testbed, 0, "forward_sent") <= ATTEMPTS_MAX);
+  testbed_stop (&testbed);
+}
+
 const struct fault_test router_outlier_tests[] = {
   { "outliers: two halls see an endpoint fail", test_two_halls },
   { "outliers: one hall sees an endpoint fail", test_one_hall },
+  { "outliers: all endpoints refuse connections", test_all_refuse },
   { NULL, NULL },
 };
