--- a/daemon/exchange_watch.c
+++ b/daemon/exchange_watch.c
@@ -93,13 +93,18 @@
   return !ash_time_before (exchange->sought_at, exchange->last_received);
 }
 
-/* @return when the endpoint has been silent for too long, or when another one is sought again. */
+/* @return when the endpoint has been silent for too long, or when another one is sought again. That
+ * may have been sought before the limit, while the request seemed not to have arrived. */
 static struct ash_time
-silence_check (const struct ash_exchange *exchange)
+silence_check (const struct ash_exchange *exchange, struct ash_time now)
 {
-  if (ash_exchange_was_sought (exchange))
-    return ash_time_add (exchange->sought_at, SEEK_PERIOD_MS);
-  return ash_time_add (exchange->last_received, silence_limit_ms (exchange));
+  struct ash_time limit = ash_time_add (exchange->last_received, silence_limit_ms (exchange));
+  struct ash_time again = ash_time_add (exchange->sought_at, SEEK_PERIOD_MS);
+
+  if (ash_exchange_was_sought (exchange) &&
+      (ash_time_before (now, again) || !ash_time_before (now, limit)))
+    return again;
+  return limit;
 }
 
 struct ash_time
@@ -110,7 +115,7 @@
   if (exchange->paused)
     return earlier (ash_time_add (now, UNREAD_CHECK_MS), exchange->forward.deadline);
   if (exchange->endpoint && may_resend (exchange))
-    until = earlier (until, silence_check (exchange));
+    until = earlier (until, silence_check (exchange, now));
   if (exchange->endpoint && ash_http_call_connecting (&exchange->call))
     until = earlier (until, ash_time_add (exchange->sent_at, CONNECT_TIMEOUT_MS));
   else if (exchange->endpoint &&
--- a/daemon/store.c
+++ b/daemon/store.c
@@ -52,7 +52,7 @@
 #define RETRY_MAX_MS 400
 #define RETRY_FACTOR 2
 
-/* A page that the store can't be made to answer is left out for now after this many tries. */
+/* A page that can't be had although the store answers is left out after this many tries. */
 #define PAGE_TRIES 3
 
 /* Maximum delay between requests for a page that was left out, while the store answers others: if
@@ -181,7 +181,7 @@
   return wait_ms;
 }
 
-/* Leaves out a page that the store answers for, but can't be made to answer as one. */
+/* Leaves out a page that can't be had although the store answers. */
 static void
 skip_page (struct ash_store_reader *reader)
 {
