--- a/test/router_stop.c
+++ b/test/router_stop.c
@@ -453,7 +453,7 @@
   fd = send_two ("q-third", "mute", "q-fourth");
   kill (testbed.routers[0].pid, SIGTERM);
   CU_ASSERT (testbed_wait_logged (&testbed, 0, " stopping "));
-  kill (testbed.routers[0].pid, SIGTERM);
+  kill (testbed.routers[0].pid, SIGINT);
   read_to_end (fd);
   CU_ASSERT_EQUAL (count_of (answer.text, "HTTP/1.1 502 "), 1);
   CU_ASSERT_EQUAL (count_of (answer.text, "HTTP/1.1 503 "), 1);
