--- a/test/router_descriptors.c
+++ b/test/router_descriptors.c
@@ -89,19 +89,10 @@
   return served;
 }
 
-/* Lists @p count more servers, or removes them. They exist only in the list. */
 static void
 list_more (int count, bool listed)
 {
-  char target[64];
-
-  for (int i = 0; i < count; i++)
-    {
-      snprintf (target, sizeof target, "/%s?servers/i-more%d", listed ? "put" : "remove", i);
-      testbed_fetch (testbed.store_port, "PUT", target,
-                     "{\"Service\":\"stock\",\"Address\":\"127.0.0.1:9\",\"Zone\":\"hall-a\","
-                     "\"Slots\":8,\"State\":\"ready\"}");
-    }
+  list_dead_servers (count, listed);
   fleet_sleep_ms (count ? 700 : 0);
 }
 
--- a/test/router_outliers.c
+++ b/test/router_outliers.c
@@ -82,30 +82,16 @@
 /* Attempts at a request in its 1.5 s while no endpoint accepts connections: one in 50 ms. */
 #define ATTEMPTS_MAX 30
 
-/* Servers besides those that run; they exist only in the list. */
+/* Servers besides those that run. */
 #define MORE_SERVERS 18
 
-static void
-list_more_servers (void)
-{
-  for (int i = 0; i < MORE_SERVERS; i++)
-    {
-      char target[64];
-
-      snprintf (target, sizeof target, "/put?servers/i-more%d", i);
-      testbed_fetch (testbed.store_port, "PUT", target,
-                     "{\"Service\":\"stock\",\"Address\":\"127.0.0.1:9\",\"Zone\":\"hall-a\","
-                     "\"Slots\":8,\"State\":\"ready\"}");
-    }
-}
-
 /* A request was sent some hundred times to endpoints that refuse connections. */
 static void
 test_all_refuse (void)
 {
   start ();
-  list_more_servers ();
-  CU_ASSERT (testbed_wait_logged (&testbed, 0, "endpoint=i-more17"));
+  list_dead_servers (MORE_SERVERS, true);
+  CU_ASSERT (testbed_wait_logged (&testbed, 0, "endpoint=i-dead17"));
   for (int s = 0; s < TESTBED_SERVERS; s++)
     fleet_end_process (&testbed.servers[s].pid, SIGKILL);
   testbed_call (&testbed, "refused", "/safe/x", NULL, "", &answer);
--- a/test/router_tests.c
+++ b/test/router_tests.c
@@ -50,6 +50,20 @@
   return count;
 }
 
+void
+list_dead_servers (int count, bool listed)
+{
+  char target[64];
+
+  for (int i = 0; i < count; i++)
+    {
+      snprintf (target, sizeof target, "/%s?servers/i-dead%d", listed ? "put" : "remove", i);
+      testbed_fetch (testbed.store_port, "PUT", target,
+                     "{\"Service\":\"stock\",\"Address\":\"127.0.0.1:9\",\"Zone\":\"hall-a\","
+                     "\"Slots\":8,\"State\":\"ready\"}");
+    }
+}
+
 void
 wait_arrived (const char *id)
 {
--- a/test/router_tests.h
+++ b/test/router_tests.h
@@ -41,6 +41,8 @@
 
 /** Streams that another endpoint resumes. */
 extern const struct fault_test router_resumed_stream_tests[];
+
+/** Limits of sizes on connections that callers keep. */
 extern const struct fault_test router_kept_connection_tests[];
 
 /** Odd entries in the list of endpoints. */
@@ -90,6 +92,9 @@
  * @return how many had crashed. */
 int restart_servers (void);
 
+/** Lists @p count servers that exist only in the list, or removes them. */
+void list_dead_servers (int count, bool listed);
+
 /** Waits until a server has received the request, for about 1 s at most. */
 void wait_arrived (const char *id);
 
