exchange, forward, store: one piece of code for what was written twice

Cancelling a call, releasing its slot and not counting an attempt that was not sent stood in the timer's code and in take_back(): ash_exchange_cancel_call() now. The request's two waits are one time.

--- a/daemon/exchange.c
+++ b/daemon/exchange.c
@@ -342,12 +342,7 @@
 static void
 abandon_call (struct ash_exchange *exchange, struct ash_time now)
 {
-  bool connecting = ash_http_call_connecting (&exchange->call);
-
-  ash_http_call_cancel (&exchange->call);
-  ash_exchange_release_slot (exchange);
-  if (connecting)
-    ash_forward_not_run (&exchange->forward, false);
+  ash_exchange_cancel_call (exchange);
   exchange->forward.wait_until = ash_time_add (now, RESUME_WAIT_MS);
 }
 
--- a/daemon/exchange.h
+++ b/daemon/exchange.h
@@ -179,6 +179,10 @@
 /** Releases the request's slot at its endpoint, if it has one. */
 void ash_exchange_release_slot (struct ash_exchange *exchange);
 
+/** Cancels the call to the endpoint and releases its slot. If nothing was sent yet, the attempt
+ * does not count. */
+void ash_exchange_cancel_call (struct ash_exchange *exchange);
+
 /**
  * @return the caller's request id for log lines; a placeholder if it contains characters that could
  * be read as further log fields.
--- a/daemon/exchange_cut.c
+++ b/daemon/exchange_cut.c
@@ -188,12 +188,7 @@
 static void
 take_back (struct ash_exchange *exchange)
 {
-  bool connecting = ash_http_call_connecting (&exchange->call);
-
-  ash_http_call_cancel (&exchange->call);
-  ash_exchange_release_slot (exchange);
-  if (connecting)
-    ash_forward_not_run (&exchange->forward, false);
+  ash_exchange_cancel_call (exchange);
   ash_exchange_step (exchange);
 }
 
--- a/daemon/exchange_end.c
+++ b/daemon/exchange_end.c
@@ -31,6 +31,17 @@
   ash_fleet_loads_changed (&exchange->router->fleet);
 }
 
+void
+ash_exchange_cancel_call (struct ash_exchange *exchange)
+{
+  bool connecting = ash_http_call_connecting (&exchange->call);
+
+  ash_http_call_cancel (&exchange->call);
+  ash_exchange_release_slot (exchange);
+  if (connecting)
+    ash_forward_not_run (&exchange->forward, false);
+}
+
 static void
 free_exchange (struct ash_exchange *exchange)
 {
--- a/daemon/store.c
+++ b/daemon/store.c
@@ -148,11 +148,11 @@
 lacks_page_only (const struct ash_store_reader *reader)
 {
   const struct ash_store *store = &reader->router->store;
-  bool others_answer = true;
 
   for (int part = 0; part < ASH_STORE_PARTS; part++)
-    others_answer &= &store->readers[part] == reader || store->readers[part].is_answering;
-  return reader->pages.filling && others_answer;
+    if (&store->readers[part] != reader && !store->readers[part].is_answering)
+      return false;
+  return reader->pages.filling;
 }
 
 static int64_t
--- a/filters/forward.c
+++ b/filters/forward.c
@@ -185,17 +185,6 @@
   return (struct ash_forward_decision){ .action = ASH_FORWARD_WAIT, .until = until };
 }
 
-/* The time until which the prompt gate holds a request that was not sent yet. */
-static struct ash_time
-held_until (const struct ash_forward *forward,
-            const struct ash_forward_context *context,
-            struct ash_time now)
-{
-  return forward->sent || !context->gate
-             ? now
-             : ash_prompt_gate_send_time (context->gate, &forward->prompt, forward->arrived, now);
-}
-
 /* The time until which a request that reached no endpoint several times is not sent again. */
 static struct ash_time
 unsent_until (const struct ash_forward *forward, const struct ash_forward_context *context)
@@ -210,6 +199,21 @@
                        wait_ms < UNSENT_WAIT_MAX_MS ? wait_ms : UNSENT_WAIT_MAX_MS);
 }
 
+/* The time until which the request is held, by the prompt gate if it was not sent yet. */
+static struct ash_time
+held_until (const struct ash_forward *forward,
+            const struct ash_forward_context *context,
+            struct ash_time now)
+{
+  struct ash_time until = unsent_until (forward, context);
+  struct ash_time gate_until;
+
+  if (forward->sent || !context->gate)
+    return until;
+  gate_until = ash_prompt_gate_send_time (context->gate, &forward->prompt, forward->arrived, now);
+  return ash_time_before (until, gate_until) ? gate_until : until;
+}
+
 static enum ash_direct_choice
 choose_with_reserve (const struct ash_forward *forward,
                      const struct ash_forward_context *context,
@@ -252,7 +256,6 @@
                   struct ash_time now)
 {
   struct ash_time hold_until = held_until (forward, context, now);
-  struct ash_time unsent_wait_end = unsent_until (forward, context);
   struct ash_direct_endpoint *endpoint;
 
   if (!ash_time_before (now, forward->deadline))
@@ -266,8 +269,6 @@
                    forward->unconfirmed ? ASH_FORWARD_FAILED : ASH_FORWARD_REJECTED);
   if (ash_time_before (now, hold_until))
     return (struct ash_forward_decision){ .action = ASH_FORWARD_WAIT, .until = hold_until };
-  if (ash_time_before (now, unsent_wait_end))
-    return (struct ash_forward_decision){ .action = ASH_FORWARD_WAIT, .until = unsent_wait_end };
   if (context->no_socket)
     return wait_or_refuse (forward, context, now, ASH_FORWARD_NO_ROOM);
   switch (choose (forward, context, now, &endpoint))
